--- /dev/null
+++ b/agent/src/cli/agent_cli.rs
@@ -0,0 +1,73 @@
+use {
+    super::run_agent,
+    crate::conf::AgentSettings,
+    getopts::Options,
+    pitchhitch_platform::process::{start_logging, start_traffic},
+    std::{fs, process::ExitCode},
+};
+
+/// The call was wrong.
+const EXIT_USAGE: u8 = 2;
+/// The settings are wrong.
+const EXIT_SETTINGS: u8 = 3;
+/// The process failed.
+const EXIT_FAILED: u8 = 1;
+
+fn options() -> Options {
+    let mut options = Options::new();
+    options.optopt("s", "settings", "settings file, in JSON", "FILE");
+    options.optflag("c", "check", "check the settings and end");
+    options.optflag("h", "help", "print this text");
+    options.optflag("V", "version", "print the version");
+    options
+}
+
+/// Runs the agent with the arguments of a command line.
+pub fn run(args: &[String]) -> ExitCode {
+    let matches = match options().parse(args) {
+        Ok(matches) => matches,
+        Err(error) => {
+            eprintln!("pitchhitch-agent: {error}; see pitchhitch-agent --help");
+            return ExitCode::from(EXIT_USAGE);
+        }
+    };
+    if matches.opt_present("help") {
+        print!("{}", options().usage("pitchhitch-agent --settings FILE"));
+        println!("\nExit codes: 0 done, 1 failed, 2 wrong call, 3 wrong settings");
+        return ExitCode::SUCCESS;
+    }
+    if matches.opt_present("version") {
+        println!("pitchhitch-agent {}", env!("CARGO_PKG_VERSION"));
+        return ExitCode::SUCCESS;
+    }
+    let Some(file) = matches.opt_str("settings") else {
+        eprintln!("pitchhitch-agent: --settings FILE is missing; see pitchhitch-agent --help");
+        return ExitCode::from(EXIT_USAGE);
+    };
+    let settings = match read_settings(&file) {
+        Ok(settings) => settings,
+        Err(text) => {
+            eprintln!("{text}");
+            return ExitCode::from(EXIT_SETTINGS);
+        }
+    };
+    if matches.opt_present("check") {
+        println!("{file}: no problems");
+        return ExitCode::SUCCESS;
+    }
+    start_logging();
+    start_traffic(settings.traffic_threads);
+    match smol::block_on(run_agent(settings)) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            log::error!(event = "failed", error = format!("{error:#}").as_str(); "");
+            ExitCode::from(EXIT_FAILED)
+        }
+    }
+}
+
+fn read_settings(file: &str) -> Result<AgentSettings, String> {
+    let text = fs::read_to_string(file)
+        .map_err(|e| format!("{file}: cannot be read: {e}; name a settings file that is there"))?;
+    AgentSettings::parse(file, &text).map_err(|e| e.to_string())
+}
--- /dev/null
+++ b/agent/src/cli/agent_process.rs
@@ -0,0 +1,115 @@
+use {
+    crate::{
+        beacons::send_beacons,
+        conf::AgentSettings,
+        control::{start_control, ControlHandle},
+        endpoint::{watch_endpoint, EndpointClient},
+        gate::GateContext,
+        links::serve_links,
+        moves::PieceMover,
+        orders::OrderRunner,
+    },
+    anyhow::Context,
+    pitchhitch_core::role::{AgentEvent, AgentIdentity},
+    pitchhitch_platform::{
+        process::{spawn_detached, stop_asked, MetricSet, ProcessClock},
+        table::TableClient,
+    },
+    smol::{net::TcpListener, Timer},
+    std::{
+        sync::Arc,
+        time::{Duration, Instant},
+    },
+};
+
+/// Time limit of one call of the platform.
+const PLATFORM_TIMEOUT: Duration = Duration::from_secs(2);
+/// Time that beacons are given to tell everybody that the agent is leaving.
+const FAREWELL: Duration = Duration::from_millis(1_500);
+/// How often a stopping agent looks whether it is idle.
+const IDLE_CHECK: Duration = Duration::from_millis(50);
+
+/// Runs an agent until it is asked to stop and has nothing left to do.
+///
+/// # Errors
+/// When an address cannot be bound or a signal cannot be watched.
+pub async fn run_agent(settings: AgentSettings) -> anyhow::Result<()> {
+    let clock = ProcessClock::start();
+    let settings = Arc::new(settings);
+    let listener = TcpListener::bind(settings.listen).await;
+    let listener = listener.with_context(|| format!("cannot listen on {}", settings.listen))?;
+    let identity = identity(&settings, listener.local_addr()?, clock);
+    let client = EndpointClient::new(&settings);
+    let table = TableClient::new(settings.table, PLATFORM_TIMEOUT);
+    let metrics = Arc::new(MetricSet::new(settings.metrics).context("cannot open metrics")?);
+    let (handle, control) = start_control(identity, clock)?;
+    let mover = PieceMover::start(client.clone(), handle.clone(), metrics.clone());
+    let orders = OrderRunner {
+        client: client.clone(),
+        table,
+        handle: handle.clone(),
+        group: settings.group.clone(),
+    };
+    spawn_detached(orders.run(control.chores));
+    spawn_detached(watch_endpoint(client.clone(), handle.clone()));
+    spawn_detached(send_beacons(settings.clone(), handle.clone()));
+    let context = Arc::new(GateContext {
+        client,
+        handle: handle.clone(),
+        mover,
+        metrics,
+        clock,
+    });
+    spawn_detached(serve_links(listener, context));
+    log::info!(
+        event = "started",
+        endpoint = settings.endpoint_id.as_str(),
+        listen = settings.listen.to_string().as_str(),
+        incarnation = clock.incarnation();
+        ""
+    );
+    stop_asked().await.context("cannot watch signals")?;
+    stop(&settings, &handle).await;
+    Ok(())
+}
+
+fn identity(
+    settings: &AgentSettings,
+    address: std::net::SocketAddr,
+    clock: ProcessClock,
+) -> AgentIdentity {
+    let mut labels = settings.labels.clone();
+    labels.set("failure_domain", &settings.failure_domain);
+    labels.set("group", &settings.group);
+    AgentIdentity {
+        endpoint_id: settings.endpoint_id.clone(),
+        kind: settings.kind.clone(),
+        group: settings.group.clone(),
+        labels,
+        address,
+        incarnation: clock.incarnation(),
+        slots: settings.slots,
+        queue_limit: settings.queue_limit,
+    }
+}
+
+/// A planned stop: nothing new is taken, everything that runs is ended.
+async fn stop(settings: &AgentSettings, handle: &ControlHandle) {
+    log::info!(event = "stopping", endpoint = settings.endpoint_id.as_str(); "");
+    handle.tell(AgentEvent::BoxLeaving);
+    let asked = Instant::now();
+    Timer::after(FAREWELL).await;
+    while !handle.is_idle() && asked.elapsed() < settings.stop_limit {
+        Timer::after(IDLE_CHECK).await;
+    }
+    // The last bytes of the last answers are on their way out.
+    Timer::after(IDLE_CHECK).await;
+    let running = handle.view().pulse.load.running;
+    log::info!(
+        event = "stopped",
+        endpoint = settings.endpoint_id.as_str(),
+        cut_off = running,
+        waited_ms = asked.elapsed().as_millis() as u64;
+        ""
+    );
+}
--- /dev/null
+++ b/agent/src/control/mod.rs
@@ -0,0 +1,8 @@
+//! The one thread that holds the agent's control state.
+
+mod agent_view;
+mod control_handle;
+mod control_loop;
+mod subscriber_set;
+
+pub use {agent_view::*, control_handle::*, control_loop::*, subscriber_set::*};
--- /dev/null
+++ b/agent/src/control/subscriber_set.rs
@@ -0,0 +1,64 @@
+use {
+    async_channel::{Sender, TrySendError},
+    pitchhitch_core::role::{AgentPulse, EventBatch, UpwardEvent},
+};
+
+/// Events in one batch at most, so that a batch stays far below the frame limit.
+const BATCH_LIMIT: usize = 10_000;
+
+#[derive(Debug)]
+struct Subscriber {
+    batches: Sender<EventBatch>,
+    next: u64,
+}
+
+/// Entry processes that get this agent's events.
+#[derive(Debug, Default)]
+pub struct SubscriberSet {
+    subscribers: Vec<Subscriber>,
+}
+
+impl SubscriberSet {
+    /// Adds a subscriber and sends it all that is known.
+    pub fn add(
+        &mut self,
+        batches: Sender<EventBatch>,
+        snapshot: Vec<UpwardEvent>,
+        pulse: AgentPulse,
+    ) {
+        let mut subscriber = Subscriber { batches, next: 0 };
+        if subscriber.send(&snapshot, pulse) {
+            self.subscribers.push(subscriber);
+        }
+    }
+
+    /// Sends events, or just the pulse when there are none.
+    pub fn publish(&mut self, events: &[UpwardEvent], pulse: AgentPulse) {
+        self.subscribers.retain_mut(|s| s.send(events, pulse));
+    }
+}
+
+impl Subscriber {
+    /// Sends events in batches; false when the subscriber is gone.
+    ///
+    /// A batch that does not fit is left out. The numbers go on, so the
+    /// subscriber sees the gap and asks for everything anew.
+    fn send(&mut self, events: &[UpwardEvent], pulse: AgentPulse) -> bool {
+        if events.is_empty() {
+            return self.send_batch(&[], pulse);
+        }
+        events
+            .chunks(BATCH_LIMIT)
+            .all(|chunk| self.send_batch(chunk, pulse))
+    }
+
+    fn send_batch(&mut self, events: &[UpwardEvent], pulse: AgentPulse) -> bool {
+        let batch = EventBatch {
+            first: self.next,
+            events: events.to_vec(),
+            pulse,
+        };
+        self.next += events.len() as u64;
+        !matches!(self.batches.try_send(batch), Err(TrySendError::Closed(_)))
+    }
+}
--- /dev/null
+++ b/agent/src/endpoint/endpoint_call.rs
@@ -0,0 +1,90 @@
+use {
+    super::{
+        EndpointClient, COMPUTED_HEADER, PIECES_HEADER, REFUSED_HEADER, RESUME_HEADER,
+        VERSION_HEADER,
+    },
+    pitchhitch_core::errors::ErrorKind,
+    pitchhitch_wire::messages::{is_hop_by_hop, HandOver, HeaderField},
+    std::io,
+    trillium_client::{Conn, Error as ClientError, HeaderName},
+};
+
+/// How a call of the endpoint failed before it began to answer.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum CallFailure {
+    /// It is proven not to have run.
+    NotRun(ErrorKind),
+    /// It may have run.
+    Unknown(ErrorKind),
+}
+
+/// Makes the HTTP request that a hand-over asks for.
+pub fn build_call(client: &EndpointClient, hand_over: &mut HandOver) -> Conn {
+    let mut conn = client.request(&hand_over.method, &hand_over.path, hand_over.repeatable);
+    for field in &hand_over.headers {
+        let name = HeaderName::from(field.name.clone());
+        conn = conn.with_request_header(name.to_owned(), field.value.clone());
+    }
+    if client.is_engine() {
+        if let Some(version) = &hand_over.version {
+            conn = conn.with_request_header(VERSION_HEADER, version.clone());
+        }
+        if !hand_over.pieces.is_empty() {
+            let keys: Vec<String> = hand_over.pieces.iter().map(|k| k.to_string()).collect();
+            conn = conn.with_request_header(PIECES_HEADER, keys.join(","));
+        }
+        if let Some(last) = hand_over.resume_after {
+            conn = conn.with_request_header(RESUME_HEADER, last.to_string());
+        }
+    }
+    conn.with_body(std::mem::take(&mut hand_over.body))
+}
+
+/// Sends a request and waits for the head of the answer.
+///
+/// # Errors
+/// [`CallFailure`] saying whether it may have run.
+pub async fn send_call(conn: Conn) -> Result<Conn, CallFailure> {
+    match conn.await {
+        Ok(conn) => match conn.response_headers().get_str(REFUSED_HEADER) {
+            None => Ok(conn),
+            Some("version") => Err(CallFailure::NotRun(ErrorKind::WrongVersion)),
+            Some(_) => Err(CallFailure::NotRun(ErrorKind::EndpointFull)),
+        },
+        Err(ClientError::Io(error)) if error.kind() == io::ErrorKind::ConnectionRefused => {
+            Err(CallFailure::NotRun(ErrorKind::EndpointUnreachable))
+        }
+        Err(ClientError::Io(_) | ClientError::Closed) => {
+            Err(CallFailure::Unknown(ErrorKind::EndpointLost))
+        }
+        Err(_) => Err(CallFailure::Unknown(ErrorKind::BadAnswer)),
+    }
+}
+
+/// Headers of an answer that are passed on.
+pub fn answer_headers(conn: &Conn) -> Vec<HeaderField> {
+    let mut fields = Vec::new();
+    for (name, values) in conn.response_headers() {
+        let name = name.to_string().to_ascii_lowercase();
+        if is_hop_by_hop(&name) || name == "content-length" || name == "server" {
+            continue;
+        }
+        for value in values.iter() {
+            if let Some(value) = value.as_str() {
+                fields.push(HeaderField {
+                    name: name.clone(),
+                    value: value.to_string(),
+                });
+            }
+        }
+    }
+    fields
+}
+
+/// Prompt tokens that the endpoint says it computed.
+pub fn computed_tokens(conn: &Conn) -> Option<u32> {
+    conn.response_headers()
+        .get_str(COMPUTED_HEADER)?
+        .parse()
+        .ok()
+}
--- /dev/null
+++ b/agent/src/endpoint/endpoint_client.rs
@@ -0,0 +1,173 @@
+use {
+    super::{EngineCache, EngineHealth, EngineNews, EngineOrder},
+    crate::conf::AgentSettings,
+    pitchhitch_core::{kept::PieceKey, role::EndpointOrder, route::EndpointKind},
+    pitchhitch_platform::http::{CallError, HttpCaller},
+    std::{net::SocketAddr, sync::Arc, time::Duration},
+    trillium_client::{Client, Conn},
+    trillium_smol::ClientConfig,
+};
+
+/// Time limit of short calls of the endpoint.
+const SHORT_TIMEOUT: Duration = Duration::from_millis(1_000);
+/// Time limit of moving a piece.
+const PIECE_TIMEOUT: Duration = Duration::from_secs(10);
+/// Time limit of loading weights.
+const LOAD_TIMEOUT: Duration = Duration::from_secs(120);
+
+/// Client of the endpoint beside this agent.
+#[derive(Debug, Clone)]
+pub struct EndpointClient {
+    shared: Arc<SharedClient>,
+}
+
+#[derive(Debug)]
+struct SharedClient {
+    pooled: Client,
+    fresh: Client,
+    short: HttpCaller,
+    pieces: HttpCaller,
+    loads: HttpCaller,
+    address: SocketAddr,
+    health_path: String,
+    is_engine: bool,
+}
+
+impl EndpointClient {
+    /// A client of the endpoint in the settings.
+    pub fn new(settings: &AgentSettings) -> Self {
+        let config = ClientConfig::new().with_nodelay(true);
+        EndpointClient {
+            shared: Arc::new(SharedClient {
+                pooled: Client::new(config).with_default_pool(),
+                fresh: Client::new(config),
+                short: HttpCaller::new(settings.endpoint, SHORT_TIMEOUT),
+                pieces: HttpCaller::new(settings.endpoint, PIECE_TIMEOUT),
+                loads: HttpCaller::new(settings.endpoint, LOAD_TIMEOUT),
+                address: settings.endpoint,
+                health_path: settings.health_path.clone(),
+                is_engine: matches!(settings.kind, EndpointKind::Engine { .. }),
+            }),
+        }
+    }
+
+    /// Whether the endpoint is a model engine.
+    pub fn is_engine(&self) -> bool {
+        self.shared.is_engine
+    }
+
+    /// A request for the endpoint.
+    ///
+    /// One that may not be repeated gets a connection of its own: a kept one may
+    /// break just as it is used, and then nobody knows whether it ran.
+    pub fn request(&self, method: &str, path: &str, repeatable: bool) -> Conn {
+        let client = if repeatable {
+            &self.shared.pooled
+        } else {
+            &self.shared.fresh
+        };
+        client.build_conn(method, format!("http://{}{path}", self.shared.address))
+    }
+
+    /// Asks an engine for its health.
+    ///
+    /// # Errors
+    /// [`CallError`] when it does not answer in time.
+    pub async fn engine_health(&self) -> Result<EngineHealth, CallError> {
+        self.shared.short.get_json("/engine/health").await
+    }
+
+    /// Asks a plain service whether it is well.
+    ///
+    /// # Errors
+    /// [`CallError`] when it is not.
+    pub async fn service_health(&self) -> Result<(), CallError> {
+        let conn = self.shared.short.request("GET", &self.shared.health_path);
+        self.shared.short.send(conn).await.map(|_| ())
+    }
+
+    /// Asks an engine for its whole cache.
+    ///
+    /// # Errors
+    /// [`CallError`] when it does not answer in time.
+    pub async fn list_cache(&self) -> Result<EngineCache, CallError> {
+        self.shared.short.get_json("/engine/cache").await
+    }
+
+    /// Asks an engine for the changes of its cache from a number on.
+    ///
+    /// # Errors
+    /// [`CallError`] when it does not answer in time.
+    pub async fn cache_news(&self, from: u64) -> Result<EngineNews, CallError> {
+        self.shared
+            .short
+            .get_json(&format!("/engine/cache/events?from={from}"))
+            .await
+    }
+
+    /// Exports a piece; none when the engine has dropped it.
+    ///
+    /// # Errors
+    /// [`CallError`] when it does not answer in time.
+    pub async fn export_piece(&self, key: PieceKey) -> Result<Option<Vec<u8>>, CallError> {
+        let conn = self
+            .shared
+            .pieces
+            .request("GET", &format!("/engine/kv/{key}"));
+        match self.shared.pieces.send(conn).await {
+            Ok(answer) => Ok(Some(answer.body)),
+            Err(CallError::Status { status: 404, .. }) => Ok(None),
+            Err(error) => Err(error),
+        }
+    }
+
+    /// Imports a piece that was checked.
+    ///
+    /// # Errors
+    /// [`CallError`] when the engine does not take it in time.
+    pub async fn import_piece(
+        &self,
+        key: PieceKey,
+        version: &str,
+        bytes: Vec<u8>,
+    ) -> Result<(), CallError> {
+        let conn = self
+            .shared
+            .pieces
+            .request("PUT", &format!("/engine/kv/{key}"));
+        let conn = conn.with_request_header(super::VERSION_HEADER, version.to_string());
+        self.shared
+            .pieces
+            .send(conn.with_body(bytes))
+            .await
+            .map(|_| ())
+    }
+
+    /// Carries out an order; comes back when it is done.
+    ///
+    /// # Errors
+    /// [`CallError`] when the engine did not carry it out.
+    pub async fn run_order(&self, order: &EndpointOrder) -> Result<(), CallError> {
+        let mut message = EngineOrder {
+            version: None,
+            adapter: None,
+            role: None,
+        };
+        let path = match order {
+            EndpointOrder::LoadVersion { version } => {
+                message.version = Some(version.clone());
+                "/engine/load"
+            }
+            EndpointOrder::LoadAdapter { adapter } => {
+                message.adapter = Some(adapter.clone());
+                "/engine/adapter"
+            }
+            EndpointOrder::ChangeRole { role } => {
+                message.role = Some(role.clone());
+                "/engine/role"
+            }
+        };
+        let _: EngineHealth = self.shared.loads.post_json(path, &message).await?;
+        Ok(())
+    }
+}
--- /dev/null
+++ b/agent/src/gate/request_runner.rs
@@ -0,0 +1,236 @@
+use {
+    super::GateContext,
+    crate::{
+        control::GateVerdict,
+        endpoint::{answer_headers, build_call, computed_tokens, send_call, CallFailure},
+    },
+    futures_lite::{future, AsyncReadExt},
+    pitchhitch_core::{
+        errors::ErrorKind,
+        role::{AgentEvent, GateWork, WorkTicket},
+        time::Micros,
+    },
+    pitchhitch_wire::{
+        link::{LinkError, ReplySender},
+        messages::{HandOver, LinkReply, ReplyHead},
+    },
+    std::sync::Arc,
+    trillium_client::Conn,
+};
+
+/// Bytes of answer that are passed on in one message at most.
+const CHUNK_BYTES: usize = 16 * 1024;
+
+/// How a request ended on this side.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum RunEnd {
+    Answered,
+    NotRun(ErrorKind),
+    Failed(ErrorKind),
+    CallerGone,
+}
+
+/// An import that is over.
+#[derive(Debug, Clone, Copy)]
+struct ImportDone {
+    pieces: u32,
+    span: Micros,
+}
+
+/// Tells the gate that a request has ended, however that came about.
+struct EndedGuard {
+    context: Arc<GateContext>,
+    ticket: WorkTicket,
+}
+
+impl Drop for EndedGuard {
+    fn drop(&mut self) {
+        self.context.handle.tell(AgentEvent::Ended {
+            ticket: self.ticket,
+        });
+    }
+}
+
+/// Runs one request and sends its answer.
+pub async fn run_request(
+    context: Arc<GateContext>,
+    mut hand_over: HandOver,
+    mut replies: ReplySender,
+) {
+    let request_id = hand_over.request_id.clone();
+    let end = admit_and_run(&context, &mut hand_over, &mut replies).await;
+    log::debug!(event = "run", request = request_id.as_str(), end = format!("{end:?}").as_str(); "");
+    let pulse = context.handle.view().pulse;
+    let last = match end {
+        RunEnd::Answered | RunEnd::CallerGone => None,
+        RunEnd::NotRun(kind) => Some(LinkReply::Refused { kind, pulse }),
+        RunEnd::Failed(kind) => Some(LinkReply::Failed { kind, pulse }),
+    };
+    context.metrics.count(metric_of(end), 1);
+    // An error here means that nobody waits any more.
+    if let Some(last) = last {
+        if replies.send(&last).await.is_err() {
+            return;
+        }
+    }
+    if end != RunEnd::CallerGone {
+        let _ = replies.end();
+    }
+}
+
+fn metric_of(end: RunEnd) -> &'static str {
+    match end {
+        RunEnd::Answered => "request.answered",
+        RunEnd::NotRun(_) => "request.refused",
+        RunEnd::Failed(_) => "request.failed",
+        RunEnd::CallerGone => "request.caller_gone",
+    }
+}
+
+async fn admit_and_run(
+    context: &Arc<GateContext>,
+    hand_over: &mut HandOver,
+    replies: &mut ReplySender,
+) -> RunEnd {
+    let pending = context.handle.hand_over(gate_work(context, hand_over));
+    let guard = EndedGuard {
+        context: context.clone(),
+        ticket: pending.ticket,
+    };
+    let verdict = or_gone(replies, pending.verdict()).await;
+    match verdict {
+        None => return RunEnd::CallerGone,
+        Some(GateVerdict::Refuse(kind)) => return RunEnd::NotRun(kind),
+        Some(GateVerdict::Start) => {}
+    }
+    let began = context.clock.now();
+    let imported = import(context, hand_over, replies).await;
+    let Some(imported) = imported else {
+        return RunEnd::CallerGone;
+    };
+    let import = ImportDone {
+        pieces: imported,
+        span: context.clock.now().since(began),
+    };
+    let conn = build_call(&context.client, hand_over);
+    let conn = match or_gone(replies, send_call(conn)).await {
+        None => return RunEnd::CallerGone,
+        Some(Ok(conn)) => conn,
+        Some(Err(CallFailure::NotRun(kind))) => return RunEnd::NotRun(kind),
+        Some(Err(CallFailure::Unknown(kind))) => return RunEnd::Failed(kind),
+    };
+    let end = answer(context, guard.ticket, conn, import, replies).await;
+    if end == RunEnd::Answered {
+        if let Some(plan) = hand_over.export.take() {
+            context.mover.export_later(plan);
+        }
+    }
+    end
+}
+
+fn gate_work(context: &GateContext, hand_over: &HandOver) -> GateWork {
+    GateWork {
+        organisation: hand_over.organisation.clone(),
+        version: hand_over.version.clone(),
+        tokens: hand_over.tokens,
+        deadline: context.clock.now() + Micros::from_millis(hand_over.deadline_millis),
+    }
+}
+
+/// Imports what the plan names; the number of pieces, or none when the caller left.
+async fn import(
+    context: &GateContext,
+    hand_over: &mut HandOver,
+    replies: &mut ReplySender,
+) -> Option<u32> {
+    let Some(plan) = hand_over.import.take() else {
+        return Some(0);
+    };
+    let version = hand_over.version.clone().unwrap_or_default();
+    or_gone(replies, context.mover.import(plan, &version)).await
+}
+
+async fn answer(
+    context: &GateContext,
+    ticket: WorkTicket,
+    mut conn: Conn,
+    import: ImportDone,
+    replies: &mut ReplySender,
+) -> RunEnd {
+    let computed = computed_tokens(&conn);
+    let head = LinkReply::Head(ReplyHead {
+        status: conn.status().map_or(502, |s| s as u16),
+        headers: answer_headers(&conn),
+        computed_tokens: computed,
+        imported_pieces: import.pieces,
+        import_micros: import.span.0,
+        pulse: context.handle.view().pulse,
+    });
+    let mut end = match replies.send(&head).await {
+        Ok(()) => None,
+        Err(_) => Some(RunEnd::CallerGone),
+    };
+    let mut first = true;
+    let mut total = 0;
+    let mut buffer = vec![0; CHUNK_BYTES];
+    while end.is_none() {
+        let read = or_gone(replies, async {
+            conn.response_body().read(&mut buffer).await
+        });
+        let step = match read.await {
+            None => Some(RunEnd::CallerGone),
+            Some(Err(_)) => Some(RunEnd::Failed(ErrorKind::EndpointLost)),
+            Some(Ok(length)) => {
+                if std::mem::take(&mut first) {
+                    context
+                        .handle
+                        .tell(AgentEvent::FirstToken { ticket, computed });
+                }
+                total += length as u64;
+                pass_on(context, &buffer[..length], total, replies).await
+            }
+        };
+        end = step;
+    }
+    let end = end.unwrap_or(RunEnd::Answered);
+    if end != RunEnd::Answered {
+        // The connection must not be kept: closing it tells the endpoint to stop.
+        conn.response_headers_mut().insert("connection", "close");
+    }
+    end
+}
+
+async fn pass_on(
+    context: &GateContext,
+    chunk: &[u8],
+    total: u64,
+    replies: &mut ReplySender,
+) -> Option<RunEnd> {
+    let ended = chunk.is_empty();
+    let reply = if ended {
+        LinkReply::End {
+            body_bytes: total,
+            pulse: context.handle.view().pulse,
+        }
+    } else {
+        LinkReply::Chunk(chunk.to_vec())
+    };
+    let sent: Result<(), LinkError> = replies.send(&reply).await;
+    match (sent, ended) {
+        (Err(_), _) => Some(RunEnd::CallerGone),
+        (Ok(()), true) => Some(RunEnd::Answered),
+        (Ok(()), false) => None,
+    }
+}
+
+/// Waits for something as long as somebody wants the answer.
+async fn or_gone<T>(
+    replies: &mut ReplySender,
+    wanted: impl std::future::Future<Output = T>,
+) -> Option<T> {
+    future::or(async { Some(wanted.await) }, async {
+        replies.gone().await;
+        None
+    })
+    .await
+}
--- /dev/null
+++ b/agent/src/links/mod.rs
@@ -0,0 +1,5 @@
+//! Links from entry processes.
+
+mod link_listener;
+
+pub use link_listener::*;
--- /dev/null
+++ b/agent/src/moves/piece_mover.rs
@@ -0,0 +1,204 @@
+use {
+    crate::{control::ControlHandle, endpoint::EndpointClient},
+    async_channel::{Receiver, Sender},
+    pitchhitch_core::{
+        kept::PieceKey,
+        role::{AgentEvent, MissingNotice, StoredNotice},
+    },
+    pitchhitch_platform::{
+        process::{spawn_detached, MetricSet},
+        stores::{StoreClient, StoreError},
+    },
+    pitchhitch_wire::messages::{ExportPlan, ImportPlan, PinnedPiece},
+    smol::Timer,
+    std::{
+        collections::BTreeMap,
+        net::SocketAddr,
+        sync::{
+            atomic::{AtomicU32, Ordering},
+            Arc, Mutex, PoisonError,
+        },
+        time::Duration,
+    },
+};
+
+/// Export plans that may wait; later ones are left out, which costs a recompute at most.
+const PLAN_ROOM: usize = 256;
+/// Time limit of moving one piece.
+const PIECE_TIMEOUT: Duration = Duration::from_secs(5);
+/// How often a background export looks whether foreground imports are over.
+const YIELD_PAUSE: Duration = Duration::from_millis(5);
+/// Longest time that a background export yields, in pauses.
+const YIELD_LIMIT: u32 = 200;
+
+/// Carries pieces: imports at once, exports in the background.
+#[derive(Debug, Clone)]
+pub struct PieceMover {
+    client: EndpointClient,
+    handle: ControlHandle,
+    metrics: Arc<MetricSet>,
+    plans: Sender<ExportPlan>,
+    importing: Arc<AtomicU32>,
+    stores: Arc<Mutex<BTreeMap<SocketAddr, StoreClient>>>,
+}
+
+/// Counts an import as long as it lives.
+struct ImportCount(Arc<AtomicU32>);
+
+impl Drop for ImportCount {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
+/// Checksum that store boxes keep with a piece. It covers the key, so that the
+/// bytes of one piece never pass for another.
+pub fn piece_checksum(key: PieceKey, bytes: &[u8]) -> String {
+    let mut hasher = blake3::Hasher::new();
+    hasher.update(&key.0.to_le_bytes());
+    hasher.update(bytes);
+    hasher.finalize().to_hex().to_string()
+}
+
+impl PieceMover {
+    /// Starts the worker for exports.
+    pub fn start(client: EndpointClient, handle: ControlHandle, metrics: Arc<MetricSet>) -> Self {
+        let (plans, inbox) = async_channel::bounded(PLAN_ROOM);
+        let mover = PieceMover {
+            client,
+            handle,
+            metrics,
+            plans,
+            importing: Arc::default(),
+            stores: Arc::default(),
+        };
+        spawn_detached(mover.clone().export_all(inbox));
+        mover
+    }
+
+    /// Imports pieces in order, up to the first that cannot be had; gives their number.
+    pub async fn import(&self, plan: ImportPlan, version: &str) -> u32 {
+        self.importing.fetch_add(1, Ordering::Relaxed);
+        let _count = ImportCount(self.importing.clone());
+        let store = self.store(plan.address);
+        let mut imported = 0;
+        for piece in &plan.pieces {
+            if !self.import_one(&store, &plan.store, *piece, version).await {
+                break;
+            }
+            imported += 1;
+        }
+        imported
+    }
+
+    async fn import_one(
+        &self,
+        store: &StoreClient,
+        store_id: &str,
+        piece: PinnedPiece,
+        version: &str,
+    ) -> bool {
+        let key = piece.key;
+        let got = store
+            .get(key, piece.generation, |bytes| piece_checksum(key, bytes))
+            .await;
+        let sealed = match got {
+            Ok(sealed) => sealed,
+            Err(error) => {
+                self.import_failed(store_id, key, &error);
+                return false;
+            }
+        };
+        let length = sealed.bytes.len() as u64;
+        self.metrics.count("link.import_bytes", length);
+        match self.client.import_piece(key, version, sealed.bytes).await {
+            Ok(()) => true,
+            Err(error) => {
+                let error = error.to_string();
+                log::warn!(event = "import-refused", piece = key.to_string().as_str(), error = error.as_str(); "");
+                false
+            }
+        }
+    }
+
+    fn import_failed(&self, store_id: &str, key: PieceKey, error: &StoreError) {
+        let piece = key.to_string();
+        let reason = error.to_string();
+        log::info!(event = "import-failed", piece = piece.as_str(), store = store_id, reason = reason.as_str(); "");
+        self.metrics.count("link.import_failed", 1);
+        if matches!(error, StoreError::Missing | StoreError::Damaged { .. }) {
+            self.handle.tell(AgentEvent::Missing(MissingNotice {
+                key,
+                store: store_id.to_string(),
+            }));
+        }
+    }
+
+    /// Puts an export in line, if there is room.
+    pub fn export_later(&self, plan: ExportPlan) {
+        let pieces = plan.pieces.len() as i32;
+        self.handle.tell(AgentEvent::ExportCount(pieces));
+        if self.plans.try_send(plan).is_err() {
+            self.handle.tell(AgentEvent::ExportCount(-pieces));
+            self.metrics.count("link.export_skipped", pieces as u64);
+        }
+    }
+
+    async fn export_all(self, inbox: Receiver<ExportPlan>) {
+        while let Ok(plan) = inbox.recv().await {
+            let store = self.store(plan.address);
+            let mut going = true;
+            for key in &plan.pieces {
+                if going {
+                    self.yield_to_imports().await;
+                    going = self.export_one(&store, &plan, *key).await;
+                }
+                self.handle.tell(AgentEvent::ExportCount(-1));
+            }
+        }
+    }
+
+    /// Foreground imports have the link first.
+    async fn yield_to_imports(&self) {
+        for _ in 0..YIELD_LIMIT {
+            if self.importing.load(Ordering::Relaxed) == 0 {
+                return;
+            }
+            Timer::after(YIELD_PAUSE).await;
+        }
+    }
+
+    async fn export_one(&self, store: &StoreClient, plan: &ExportPlan, key: PieceKey) -> bool {
+        let Ok(Some(bytes)) = self.client.export_piece(key).await else {
+            return false;
+        };
+        let length = bytes.len() as u64;
+        let checksum = piece_checksum(key, &bytes);
+        match store.put(key, plan.tier, bytes, checksum).await {
+            Ok(generation) => {
+                self.metrics.count("link.export_bytes", length);
+                self.handle.tell(AgentEvent::Stored(StoredNotice {
+                    key,
+                    store: plan.store.clone(),
+                    tier: plan.tier,
+                    generation,
+                }));
+                true
+            }
+            Err(error) => {
+                let reason = error.to_string();
+                log::info!(event = "export-failed", piece = key.to_string().as_str(), store = plan.store.as_str(), reason = reason.as_str(); "");
+                self.metrics.count("link.export_failed", 1);
+                false
+            }
+        }
+    }
+
+    fn store(&self, address: SocketAddr) -> StoreClient {
+        let mut stores = self.stores.lock().unwrap_or_else(PoisonError::into_inner);
+        let client = stores.entry(address);
+        client
+            .or_insert_with(|| StoreClient::new(address, PIECE_TIMEOUT))
+            .clone()
+    }
+}
--- /dev/null
+++ b/agent/src/orders/order_runner.rs
@@ -0,0 +1,68 @@
+use {
+    crate::{
+        control::{AgentChore, ControlHandle},
+        endpoint::{list_cache, EndpointClient},
+    },
+    async_channel::Receiver,
+    pitchhitch_core::{
+        lease::LeaseRow,
+        role::{AgentEvent, EndpointOrder, OrderOutcome, LEASE_PREFIX},
+    },
+    pitchhitch_platform::{process::spawn_detached, table::TableClient},
+};
+
+/// Carries out what the control thread asks for.
+#[derive(Debug, Clone)]
+pub struct OrderRunner {
+    /// Client of the endpoint.
+    pub client: EndpointClient,
+    /// The table service.
+    pub table: TableClient,
+    /// The control thread.
+    pub handle: ControlHandle,
+    /// Group whose lease gives the orders.
+    pub group: String,
+}
+
+impl OrderRunner {
+    /// Takes chores for good; each runs by itself.
+    pub async fn run(self, chores: Receiver<AgentChore>) {
+        while let Ok(chore) = chores.recv().await {
+            match chore {
+                AgentChore::ListCache => {
+                    list_cache(&self.client, &self.handle).await;
+                }
+                AgentChore::RunOrder(order) => spawn_detached(self.clone().run_order(order)),
+                AgentChore::ReadEpoch => self.read_epoch().await,
+            }
+        }
+    }
+
+    async fn run_order(self, order: EndpointOrder) {
+        let result = self.client.run_order(&order).await;
+        let failure = result.err().map(|e| e.to_string());
+        let text = format!("{order:?}");
+        let outcome = failure.clone().unwrap_or("done".to_string());
+        log::info!(event = "order-ended", order = text.as_str(), outcome = outcome.as_str(); "");
+        if let EndpointOrder::LoadVersion { version } = order {
+            self.handle
+                .tell(AgentEvent::OrderEnded(OrderOutcome { version, failure }));
+        }
+    }
+
+    /// Reads the epoch once; the next tick asks again if that fails.
+    async fn read_epoch(&self) {
+        let key = format!("{LEASE_PREFIX}{}", self.group);
+        let Ok(row) = self.table.read_row(&key).await else {
+            return;
+        };
+        let epoch = match row {
+            None => 0,
+            Some(row) => match serde_json::from_str::<LeaseRow>(&row.value) {
+                Ok(lease) => lease.epoch,
+                Err(_) => return,
+            },
+        };
+        self.handle.tell(AgentEvent::EpochRead(epoch));
+    }
+}
--- /dev/null
+++ b/agent/tests/command_line.rs
@@ -0,0 +1,24 @@
+//! The command line of `pitchhitch-agent`.
+
+use std::process::{Command, Output};
+
+fn run(args: &[&str]) -> Output {
+    Command::new(env!("CARGO_BIN_EXE_pitchhitch-agent"))
+        .args(args)
+        .output()
+        .expect("runs")
+}
+
+#[test]
+fn help_text() {
+    let output = run(&["--help"]);
+    assert!(output.status.success());
+    assert!(String::from_utf8_lossy(&output.stdout).contains("--settings"));
+}
+
+#[test]
+fn missing_settings() {
+    let output = run(&[]);
+    assert_eq!(output.status.code(), Some(2));
+    assert!(String::from_utf8_lossy(&output.stderr).contains("--settings FILE is missing"));
+}
--- /dev/null
+++ b/core/src/conf/label_target.rs
@@ -0,0 +1,60 @@
+use {
+    super::ChangeError,
+    serde::{Deserialize, Serialize},
+    std::fmt,
+};
+
+/// What a label is put on.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum LabelTarget {
+    /// An endpoint, by its id.
+    Endpoint(String),
+    /// An organisation, by its name.
+    Organisation(String),
+    /// A weight version of a model.
+    Version {
+        /// Model name.
+        model: String,
+        /// Version name.
+        version: String,
+    },
+}
+
+impl LabelTarget {
+    /// Reads `endpoint/NAME`, `organisation/NAME` or `version/MODEL/NAME`.
+    ///
+    /// # Errors
+    /// [`ChangeError::BadTarget`] for any other text.
+    pub fn parse(text: &str) -> Result<Self, ChangeError> {
+        let bad = || ChangeError::BadTarget {
+            text: text.to_string(),
+        };
+        let (kind, name) = text.split_once('/').ok_or_else(bad)?;
+        if name.is_empty() {
+            return Err(bad());
+        }
+        match kind {
+            "endpoint" => Ok(LabelTarget::Endpoint(name.to_string())),
+            "organisation" => Ok(LabelTarget::Organisation(name.to_string())),
+            "version" => {
+                let (model, version) = name.split_once('/').ok_or_else(bad)?;
+                Ok(LabelTarget::Version {
+                    model: model.to_string(),
+                    version: version.to_string(),
+                })
+            }
+            _ => Err(bad()),
+        }
+    }
+}
+
+impl fmt::Display for LabelTarget {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            LabelTarget::Endpoint(name) => write!(f, "endpoint/{name}"),
+            LabelTarget::Organisation(name) => write!(f, "organisation/{name}"),
+            LabelTarget::Version { model, version } => write!(f, "version/{model}/{version}"),
+        }
+    }
+}
--- /dev/null
+++ b/core/src/labels/label_set.rs
@@ -0,0 +1,59 @@
+use {
+    serde::{Deserialize, Serialize},
+    std::{collections::BTreeMap, fmt},
+};
+
+/// Labels of one endpoint, organisation or model version, in key order.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct LabelSet {
+    labels: BTreeMap<String, String>,
+}
+
+impl LabelSet {
+    /// The value of one label.
+    pub fn get(&self, key: &str) -> Option<&str> {
+        self.labels.get(key).map(String::as_str)
+    }
+
+    /// Sets one label, replacing its former value.
+    pub fn set(&mut self, key: impl Into<String>, value: impl Into<String>) {
+        self.labels.insert(key.into(), value.into());
+    }
+
+    /// Removes one label if it is there.
+    pub fn remove(&mut self, key: &str) {
+        self.labels.remove(key);
+    }
+
+    /// These labels with those of `other` on top.
+    pub fn overlaid(&self, other: &LabelSet) -> LabelSet {
+        let mut merged = self.clone();
+        for (key, value) in &other.labels {
+            merged.set(key, value);
+        }
+        merged
+    }
+}
+
+impl<K: Into<String>, V: Into<String>> FromIterator<(K, V)> for LabelSet {
+    fn from_iter<I: IntoIterator<Item = (K, V)>>(pairs: I) -> Self {
+        let mut set = LabelSet::default();
+        for (key, value) in pairs {
+            set.set(key, value);
+        }
+        set
+    }
+}
+
+impl fmt::Display for LabelSet {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        for (index, (key, value)) in self.labels.iter().enumerate() {
+            if index > 0 {
+                write!(f, ",")?;
+            }
+            write!(f, "{key}={value}")?;
+        }
+        Ok(())
+    }
+}
--- /dev/null
+++ b/core/src/labels/selector_term.rs
@@ -0,0 +1,150 @@
+use {
+    super::{LabelSet, SelectorError},
+    std::{collections::BTreeSet, fmt},
+};
+
+/// One condition on a label.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum SelectorTerm {
+    /// The label is there with this value.
+    Equals {
+        /// Label key.
+        key: String,
+        /// Wanted value.
+        value: String,
+    },
+    /// The label is absent or has another value.
+    Differs {
+        /// Label key.
+        key: String,
+        /// Unwanted value.
+        value: String,
+    },
+    /// The label is there with one of these values.
+    OneOf {
+        /// Label key.
+        key: String,
+        /// Wanted values.
+        values: BTreeSet<String>,
+    },
+    /// The label is absent or has none of these values.
+    NoneOf {
+        /// Label key.
+        key: String,
+        /// Unwanted values.
+        values: BTreeSet<String>,
+    },
+    /// The label is there.
+    Exists {
+        /// Label key.
+        key: String,
+    },
+    /// The label is absent.
+    Absent {
+        /// Label key.
+        key: String,
+    },
+}
+
+/// Whether `word` may stand as a label key or value.
+pub fn is_label_word(word: &str) -> bool {
+    let allowed = |c: char| c.is_ascii_alphanumeric() || "._/-".contains(c);
+    !word.is_empty() && word.chars().all(allowed)
+}
+
+fn label_word(text: &str) -> Result<String, SelectorError> {
+    let word = text.trim();
+    if is_label_word(word) {
+        Ok(word.to_string())
+    } else {
+        Err(SelectorError::BadWord {
+            word: word.to_string(),
+        })
+    }
+}
+
+fn value_set(text: &str) -> Result<BTreeSet<String>, SelectorError> {
+    let inner = text
+        .trim()
+        .strip_prefix('(')
+        .and_then(|t| t.strip_suffix(')'));
+    let inner = inner.ok_or_else(|| SelectorError::BadTerm {
+        term: text.trim().to_string(),
+    })?;
+    inner.split('|').map(label_word).collect()
+}
+
+impl SelectorTerm {
+    /// Reads one term.
+    ///
+    /// # Errors
+    /// [`SelectorError`] when the text has none of the known forms.
+    pub fn parse(text: &str) -> Result<Self, SelectorError> {
+        let text = text.trim();
+        if let Some((key, values)) = text.split_once(" notin ") {
+            let key = label_word(key)?;
+            let values = value_set(values)?;
+            return Ok(SelectorTerm::NoneOf { key, values });
+        }
+        if let Some((key, values)) = text.split_once(" in ") {
+            let key = label_word(key)?;
+            let values = value_set(values)?;
+            return Ok(SelectorTerm::OneOf { key, values });
+        }
+        if let Some((key, value)) = text.split_once("!=") {
+            let key = label_word(key)?;
+            let value = label_word(value)?;
+            return Ok(SelectorTerm::Differs { key, value });
+        }
+        if let Some((key, value)) = text.split_once('=') {
+            let key = label_word(key)?;
+            let value = label_word(value)?;
+            return Ok(SelectorTerm::Equals { key, value });
+        }
+        if let Some(key) = text.strip_prefix('!') {
+            let key = label_word(key)?;
+            return Ok(SelectorTerm::Absent { key });
+        }
+        if text.contains(' ') {
+            return Err(SelectorError::BadTerm {
+                term: text.to_string(),
+            });
+        }
+        let key = label_word(text)?;
+        Ok(SelectorTerm::Exists { key })
+    }
+
+    /// Whether the labels fulfil this term.
+    pub fn matches(&self, labels: &LabelSet) -> bool {
+        match self {
+            SelectorTerm::Equals { key, value } => labels.get(key) == Some(value),
+            SelectorTerm::Differs { key, value } => labels.get(key) != Some(value),
+            SelectorTerm::OneOf { key, values } => {
+                labels.get(key).is_some_and(|v| values.contains(v))
+            }
+            SelectorTerm::NoneOf { key, values } => {
+                !labels.get(key).is_some_and(|v| values.contains(v))
+            }
+            SelectorTerm::Exists { key } => labels.get(key).is_some(),
+            SelectorTerm::Absent { key } => labels.get(key).is_none(),
+        }
+    }
+}
+
+fn joined(values: &BTreeSet<String>) -> String {
+    let words: Vec<&str> = values.iter().map(String::as_str).collect();
+    words.join("|")
+}
+
+impl fmt::Display for SelectorTerm {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            SelectorTerm::Equals { key, value } => write!(f, "{key}={value}"),
+            SelectorTerm::Differs { key, value } => write!(f, "{key}!={value}"),
+            SelectorTerm::OneOf { key, values } => write!(f, "{key} in ({})", joined(values)),
+            SelectorTerm::NoneOf { key, values } => write!(f, "{key} notin ({})", joined(values)),
+            SelectorTerm::Exists { key } => write!(f, "{key}"),
+            SelectorTerm::Absent { key } => write!(f, "!{key}"),
+        }
+    }
+}
--- /dev/null
+++ b/core/src/labels/work_selector.rs
@@ -0,0 +1,61 @@
+use {
+    super::{LabelSet, SelectorError, SelectorTerm},
+    serde::{Deserialize, Serialize},
+    std::fmt,
+};
+
+/// A selector: all of its terms must hold. Without terms it matches everything.
+///
+/// Written as terms with commas between, for example
+/// `site=nairobi-1,tier in (gold|silver),!leaving`.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(try_from = "String", into = "String")]
+pub struct WorkSelector {
+    terms: Vec<SelectorTerm>,
+}
+
+impl WorkSelector {
+    /// Reads a selector.
+    ///
+    /// # Errors
+    /// [`SelectorError`] naming the first term that cannot be read.
+    pub fn parse(text: &str) -> Result<Self, SelectorError> {
+        let text = text.trim();
+        if text.is_empty() {
+            return Ok(WorkSelector::default());
+        }
+        let terms: Result<Vec<_>, _> = text.split(',').map(SelectorTerm::parse).collect();
+        Ok(WorkSelector { terms: terms? })
+    }
+
+    /// Whether the labels fulfil every term.
+    pub fn matches(&self, labels: &LabelSet) -> bool {
+        self.terms.iter().all(|term| term.matches(labels))
+    }
+}
+
+impl TryFrom<String> for WorkSelector {
+    type Error = SelectorError;
+
+    fn try_from(text: String) -> Result<Self, SelectorError> {
+        WorkSelector::parse(&text)
+    }
+}
+
+impl From<WorkSelector> for String {
+    fn from(selector: WorkSelector) -> String {
+        selector.to_string()
+    }
+}
+
+impl fmt::Display for WorkSelector {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        for (index, term) in self.terms.iter().enumerate() {
+            if index > 0 {
+                write!(f, ",")?;
+            }
+            write!(f, "{term}")?;
+        }
+        Ok(())
+    }
+}
--- /dev/null
+++ b/core/src/lib.rs
@@ -0,0 +1,20 @@
+//! Every decision of pitchhitch, without I/O.
+//!
+//! Nothing in this crate opens a socket, reads a clock or starts a thread: the
+//! current time, events and a seed go in, typed actions come out. Any host can
+//! drive it: the two binaries, a test or a bench.
+
+pub mod conf;
+pub mod drain;
+pub mod errors;
+pub mod kept;
+pub mod labels;
+pub mod lease;
+pub mod limit;
+pub mod member;
+pub mod place;
+pub mod retry;
+pub mod role;
+pub mod route;
+pub mod settings;
+pub mod time;
--- /dev/null
+++ b/core/src/limit/fair_queue.rs
@@ -0,0 +1,125 @@
+use {crate::time::Micros, std::collections::BTreeMap};
+
+/// One waiting piece of work.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct QueuedWork<K> {
+    /// Key of the work.
+    pub key: K,
+    /// Its size, in tokens.
+    pub tokens: u32,
+    /// When its answer must have begun.
+    pub deadline: Micros,
+    tag: f64,
+}
+
+/// A queue that serves organisations in turn by the tokens they ask for
+/// (start-time fair queuing), so that a long line of one does not hold up another.
+#[derive(Debug, Clone)]
+pub struct FairQueue<K> {
+    waiting: BTreeMap<String, Vec<QueuedWork<K>>>,
+    last_tags: BTreeMap<String, f64>,
+    virtual_time: f64,
+    length: usize,
+    tokens: u64,
+}
+
+impl<K: Copy + PartialEq> Default for FairQueue<K> {
+    fn default() -> Self {
+        FairQueue {
+            waiting: BTreeMap::new(),
+            last_tags: BTreeMap::new(),
+            virtual_time: 0.0,
+            length: 0,
+            tokens: 0,
+        }
+    }
+}
+
+impl<K: Copy + PartialEq> FairQueue<K> {
+    /// Work waiting.
+    pub fn len(&self) -> usize {
+        self.length
+    }
+
+    /// Whether nothing waits.
+    pub fn is_empty(&self) -> bool {
+        self.length == 0
+    }
+
+    /// Tokens waiting.
+    pub fn tokens(&self) -> u64 {
+        self.tokens
+    }
+
+    /// Puts work in line.
+    pub fn push(&mut self, organisation: &str, key: K, tokens: u32, deadline: Micros) {
+        let last = self.last_tags.get(organisation).copied().unwrap_or(0.0);
+        let tag = last.max(self.virtual_time);
+        let next = tag + f64::from(tokens.max(1));
+        self.last_tags.insert(organisation.to_string(), next);
+        let line = self.waiting.entry(organisation.to_string()).or_default();
+        line.push(QueuedWork {
+            key,
+            tokens,
+            deadline,
+            tag,
+        });
+        self.length += 1;
+        self.tokens += u64::from(tokens);
+    }
+
+    /// Takes the work whose turn it is.
+    pub fn pop(&mut self) -> Option<QueuedWork<K>> {
+        let heads = self.waiting.iter().filter_map(|(name, line)| {
+            let head = line.first()?;
+            Some((name, head.tag))
+        });
+        let next = heads.min_by(|a, b| a.1.total_cmp(&b.1));
+        let organisation = next?.0.clone();
+        let line = self.waiting.get_mut(&organisation)?;
+        let work = line.remove(0);
+        self.virtual_time = self.virtual_time.max(work.tag);
+        self.took_out(&organisation, &work);
+        Some(work)
+    }
+
+    /// Takes one piece of work out of line; false when it is not there.
+    pub fn remove(&mut self, key: K) -> bool {
+        let place = self.waiting.iter().find_map(|(name, line)| {
+            let index = line.iter().position(|w| w.key == key)?;
+            Some((name.clone(), index))
+        });
+        let Some((organisation, index)) = place else {
+            return false;
+        };
+        if let Some(line) = self.waiting.get_mut(&organisation) {
+            let work = line.remove(index);
+            self.took_out(&organisation, &work);
+        }
+        true
+    }
+
+    /// Keys of the work whose deadline has passed.
+    pub fn overdue(&self, now: Micros) -> Vec<K> {
+        let all = self.waiting.values().flatten();
+        all.filter(|w| w.deadline <= now).map(|w| w.key).collect()
+    }
+
+    /// Keys of everything that waits.
+    pub fn keys(&self) -> Vec<K> {
+        self.waiting.values().flatten().map(|w| w.key).collect()
+    }
+
+    fn took_out(&mut self, organisation: &str, work: &QueuedWork<K>) {
+        self.length -= 1;
+        self.tokens -= u64::from(work.tokens);
+        let empty = self.waiting.get(organisation).is_some_and(Vec::is_empty);
+        if empty {
+            self.waiting.remove(organisation);
+        }
+        if self.length == 0 {
+            self.last_tags.clear();
+            self.virtual_time = 0.0;
+        }
+    }
+}
--- /dev/null
+++ b/core/src/member/home_set.rs
@@ -0,0 +1,55 @@
+/// A process that could be home for something.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct HomeCandidate<T> {
+    /// Its id; the hash is over this.
+    pub id: String,
+    /// Its failure domain.
+    pub failure_domain: String,
+    /// What the caller wants back, such as an address.
+    pub value: T,
+}
+
+/// Chooses up to `size` homes for `subject` by rendezvous hashing.
+///
+/// Those of the same failure domain go first; others fill up. When a candidate
+/// comes or goes, only the subjects move that it gains or loses.
+pub fn home_set<'a, T>(
+    subject: &str,
+    failure_domain: &str,
+    candidates: &'a [HomeCandidate<T>],
+    size: usize,
+) -> Vec<&'a HomeCandidate<T>> {
+    let mut ranked: Vec<RankedHome<'a, T>> = candidates
+        .iter()
+        .map(|candidate| RankedHome {
+            foreign: candidate.failure_domain != failure_domain,
+            weight: rendezvous_weight(subject, &candidate.id),
+            candidate,
+        })
+        .collect();
+    ranked.sort_by(|a, b| {
+        let by_domain = a.foreign.cmp(&b.foreign);
+        let by_weight = b.weight.cmp(&a.weight);
+        by_domain
+            .then(by_weight)
+            .then(a.candidate.id.cmp(&b.candidate.id))
+    });
+    ranked.into_iter().take(size).map(|r| r.candidate).collect()
+}
+
+struct RankedHome<'a, T> {
+    foreign: bool,
+    weight: u64,
+    candidate: &'a HomeCandidate<T>,
+}
+
+/// Weight of a pair in rendezvous hashing.
+pub fn rendezvous_weight(subject: &str, candidate: &str) -> u64 {
+    let mut hasher = blake3::Hasher::new();
+    hasher.update(&(subject.len() as u64).to_le_bytes());
+    hasher.update(subject.as_bytes());
+    hasher.update(candidate.as_bytes());
+    let mut head = [0; 8];
+    head.copy_from_slice(&hasher.finalize().as_bytes()[..8]);
+    u64::from_le_bytes(head)
+}
--- /dev/null
+++ b/core/src/place/load_planner.rs
@@ -0,0 +1,50 @@
+use crate::route::EndpointKey;
+
+/// Engines of one group that load weights at the same time at most.
+pub const LOADS_AT_ONCE: usize = 2;
+
+/// One engine of a group, as the planner sees it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct EngineLoadView {
+    /// The engine.
+    pub endpoint: EndpointKey,
+    /// Version that it holds.
+    pub version: String,
+    /// Version that it should hold.
+    pub wanted: String,
+    /// Version that an order under way will give it.
+    pub loading: Option<String>,
+    /// Requests that run on it.
+    pub running: u32,
+    /// Whether it can take orders now.
+    pub reachable: bool,
+}
+
+/// An engine that should load a version now.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct LoadStep {
+    /// The engine.
+    pub endpoint: EndpointKey,
+    /// The version.
+    pub version: String,
+}
+
+/// Chooses which engines of a group load the version they should hold next.
+///
+/// At most [`LOADS_AT_ONCE`] load together. Idle ones go first.
+pub fn plan_loads(engines: &[EngineLoadView]) -> Vec<LoadStep> {
+    let loading = engines.iter().filter(|e| e.loading.is_some()).count();
+    let mut behind: Vec<&EngineLoadView> = engines
+        .iter()
+        .filter(|e| e.loading.is_none() && e.reachable && e.version != e.wanted)
+        .collect();
+    behind.sort_by_key(|e| (e.running, e.endpoint));
+    let room = LOADS_AT_ONCE.saturating_sub(loading);
+    let steps = behind.into_iter().take(room);
+    steps
+        .map(|engine| LoadStep {
+            endpoint: engine.endpoint,
+            version: engine.wanted.clone(),
+        })
+        .collect()
+}
--- /dev/null
+++ b/core/src/retry/backoff_policy.rs
@@ -0,0 +1,30 @@
+use {crate::time::Micros, rand::Rng};
+
+/// Exponential back-off with full jitter and a cap.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct BackoffPolicy {
+    /// Upper end of the first pause.
+    pub base: Micros,
+    /// Upper end of every pause.
+    pub cap: Micros,
+}
+
+impl BackoffPolicy {
+    /// For calls of the platform.
+    pub const PLATFORM: BackoffPolicy = BackoffPolicy {
+        base: Micros::from_millis(50),
+        cap: Micros::from_secs(5),
+    };
+    /// For connections between our own processes.
+    pub const LINK: BackoffPolicy = BackoffPolicy {
+        base: Micros::from_millis(20),
+        cap: Micros::from_secs(2),
+    };
+
+    /// The pause before try number `attempt`, counted from one.
+    pub fn pause(&self, attempt: u32, random: &mut impl Rng) -> Micros {
+        let doublings = attempt.saturating_sub(1).min(20);
+        let ceiling = self.base.0.saturating_mul(1 << doublings).min(self.cap.0);
+        Micros(random.gen_range(ceiling / 2..=ceiling))
+    }
+}
--- /dev/null
+++ b/core/src/role/entry_core.rs
@@ -0,0 +1,690 @@
+use {
+    super::{
+        AgentPulse, BoxNotice, BoxRole, ConfigNotice, EndpointRoster, EntryAction, EntryEvent,
+        EventBatch, LeaseOutcome, LoadController, PlacementKind, PlacementLine, PromptMemory,
+        RosterChange, StoredPiece, UpwardEvent,
+    },
+    crate::{
+        conf::FleetConfig,
+        drain::{DrainState, DrainView},
+        kept::{PieceDirectory, PieceHolder, PieceKey, StoredCopy},
+        lease::LeaseTimes,
+        member::{EntryBeacon, PeerTable},
+        route::{EndpointKind, PoolIndex, RoutePolicy, RouteTable, SentLoad, StoreKey, StoreState},
+        time::Micros,
+    },
+    slotmap::SlotMap,
+    std::{
+        collections::{BTreeMap, BTreeSet},
+        sync::Arc,
+    },
+};
+
+/// Link rate of a store box before anything was measured, in bytes a second.
+pub const DEFAULT_LINK_RATE: f64 = 1.0e9;
+/// Disk rate of a store box, in bytes a second.
+pub const DEFAULT_DISK_RATE: f64 = 4.0e8;
+/// Pieces looked at for stale holders in one tick.
+const SWEEP_STEP: usize = 512;
+/// Ticks between two looks at leases and load orders.
+const PLACEMENT_TICKS: u64 = 5;
+/// Pieces that are known at most.
+const PIECE_LIMIT: usize = 400_000;
+/// How often a store box is asked for all that it holds.
+const STORE_LIST_INTERVAL: Micros = Micros::from_secs(30);
+
+/// Time without table and peers after which the process wants no new requests.
+const CONTACT_PATIENCE: Micros = Micros::from_secs(5);
+/// Time for which a process that cannot reach the table listens to its peers
+/// before it takes the newest of their configurations for the newest there is.
+const PEER_PATIENCE: Micros = Micros::from_secs(2);
+
+/// How an entry process's core is set up.
+#[derive(Debug, Clone)]
+pub struct EntrySetup {
+    /// Names this life of the process, for leases.
+    pub holder: String,
+    /// How endpoints are chosen.
+    pub policy: RoutePolicy,
+    /// Times of leases.
+    pub lease: LeaseTimes,
+}
+
+/// All control state of an entry process, and its decisions.
+#[derive(Debug)]
+pub struct EntryCore {
+    setup: EntrySetup,
+    config: Arc<FleetConfig>,
+    roster: EndpointRoster,
+    peers: PeerTable,
+    stores: SlotMap<StoreKey, StoreState>,
+    store_keys: BTreeMap<String, StoreKey>,
+    store_listed: BTreeMap<String, Micros>,
+    pieces: PieceDirectory,
+    pools: Arc<PoolIndex>,
+    prompts: PromptMemory,
+    loads: LoadController,
+    leaving_boxes: BTreeSet<String>,
+    sweep_from: PieceKey,
+    pools_stale: bool,
+    table_stale: bool,
+    notices_due: bool,
+    ticks: u64,
+    table_reached: Option<Micros>,
+    first_peer: Option<Micros>,
+}
+
+impl EntryCore {
+    /// A core that knows nothing yet.
+    pub fn new(setup: EntrySetup) -> Self {
+        EntryCore {
+            loads: LoadController::new(setup.holder.clone(), setup.lease),
+            setup,
+            config: Arc::default(),
+            roster: EndpointRoster::default(),
+            peers: PeerTable::default(),
+            stores: SlotMap::default(),
+            store_keys: BTreeMap::new(),
+            store_listed: BTreeMap::new(),
+            pieces: PieceDirectory::default(),
+            pools: Arc::default(),
+            prompts: PromptMemory::default(),
+            leaving_boxes: BTreeSet::new(),
+            sweep_from: PieceKey(0),
+            pools_stale: false,
+            table_stale: false,
+            notices_due: false,
+            ticks: 0,
+            table_reached: None,
+            first_peer: None,
+        }
+    }
+
+    /// Takes one event and says what to do.
+    pub fn step(&mut self, now: Micros, event: EntryEvent) -> Vec<EntryAction> {
+        let mut actions = Vec::new();
+        match event {
+            EntryEvent::Tick => self.tick(now, &mut actions),
+            EntryEvent::TableReached => self.table_reached = Some(now),
+            EntryEvent::ConfigRead(config) => self.config_read(config, &mut actions),
+            EntryEvent::AgentHeard { beacon, own } => {
+                self.agent_heard(now, beacon, own, &mut actions)
+            }
+            EntryEvent::PeerHeard(beacon) => self.peer_heard(now, beacon, &mut actions),
+            EntryEvent::AgentSaid {
+                endpoint_id,
+                incarnation,
+                batch,
+                own,
+            } => self.agent_said(now, &endpoint_id, incarnation, batch, own, &mut actions),
+            EntryEvent::StreamOpened {
+                endpoint_id,
+                incarnation,
+            } => self.stream_opened(now, &endpoint_id, incarnation, &mut actions),
+            EntryEvent::LinkLost { endpoint_id } => self.link_lost(now, &endpoint_id),
+            EntryEvent::PulseSeen {
+                endpoint_id,
+                pulse,
+                own,
+            } => self.pulse_seen(now, &endpoint_id, pulse, own),
+            EntryEvent::BoxesListed(boxes) => self.boxes_listed(now, boxes, &mut actions),
+            EntryEvent::StoreListed { store, pieces } => self.store_content(now, &store, pieces),
+            EntryEvent::StoreMeasured { store, link_rate } => {
+                self.store_measured(&store, link_rate)
+            }
+            EntryEvent::PromptSeen { identity, label } => self.prompts.saw(identity, label, now),
+            EntryEvent::TryEnded {
+                endpoint_id,
+                failure,
+            } => {
+                let failed = failure.is_some();
+                self.try_ended(now, &endpoint_id, failed, &mut actions)
+            }
+            EntryEvent::LeaseRead {
+                shard,
+                row,
+                version,
+                asked_at,
+            } => {
+                let outcome = LeaseOutcome::Read {
+                    row,
+                    version,
+                    asked_at,
+                };
+                self.loads.lease_outcome(&shard, outcome, now);
+            }
+            EntryEvent::LeaseWritten { shard, version } => {
+                let outcome = LeaseOutcome::Written { version };
+                self.loads.lease_outcome(&shard, outcome, now);
+            }
+            EntryEvent::LeaseRefused { shard } => {
+                self.loads.lease_outcome(&shard, LeaseOutcome::Refused, now);
+            }
+            EntryEvent::LeaseUnknown { shard } => {
+                self.loads.lease_outcome(&shard, LeaseOutcome::Unknown, now);
+            }
+            EntryEvent::OrderFailed { endpoint_id } => {
+                if let Some(entry) = self.roster.get_mut(&endpoint_id) {
+                    entry.loading = None;
+                }
+            }
+        }
+        actions
+    }
+
+    fn tick(&mut self, now: Micros, actions: &mut Vec<EntryAction>) {
+        self.peers.drop_silent(now);
+        let verdict = self.roster.judge(now);
+        for endpoint_id in verdict.hung_links {
+            self.link_lost(now, &endpoint_id);
+            actions.push(EntryAction::DropLink { endpoint_id });
+        }
+        for endpoint_id in verdict.gone {
+            self.lose_endpoint(&endpoint_id, "silent", actions);
+        }
+        self.table_stale = true;
+        self.sweep_pieces();
+        self.list_stores(now, actions);
+        self.ticks += 1;
+        if self.ticks % PLACEMENT_TICKS == 0 {
+            let config = self.config.clone();
+            self.loads.tick(now, &config, &mut self.roster, actions);
+        }
+        self.notify_agents(actions);
+        self.publish(actions);
+    }
+
+    /// Publishes a new view if something changed since the last one.
+    pub fn publish(&mut self, actions: &mut Vec<EntryAction>) {
+        if self.pools_stale {
+            self.pools = Arc::new(PoolIndex::build(&self.config, &self.roster.arena));
+            self.pools_stale = false;
+            self.table_stale = true;
+        }
+        if !self.table_stale {
+            return;
+        }
+        self.table_stale = false;
+        let table = RouteTable {
+            config: self.config.clone(),
+            endpoints: self.roster.arena.clone(),
+            loads: self.roster.loads.clone(),
+            stores: self.stores.clone(),
+            pieces: self.pieces.clone(),
+            pools: self.pools.clone(),
+            policy: self.setup.policy,
+        };
+        actions.push(EntryAction::Publish {
+            table: Arc::new(table),
+            returns: self.prompts.model().clone(),
+            entries: self.peers.len() as u32 + 1,
+        });
+    }
+
+    fn config_read(&mut self, config: Arc<FleetConfig>, actions: &mut Vec<EntryAction>) {
+        // Revisions never go down, whoever the configuration comes from.
+        if config.revision <= self.config.revision {
+            return;
+        }
+        self.config = config;
+        self.roster.relabel(&self.config);
+        self.pools_stale = true;
+        self.notices_due = true;
+        self.log(
+            PlacementKind::ConfigInForce,
+            &self.config.revision.to_string(),
+            "newer than the one before".to_string(),
+            actions,
+        );
+        self.notify_agents(actions);
+        self.publish(actions);
+    }
+
+    fn agent_heard(
+        &mut self,
+        now: Micros,
+        beacon: crate::member::AgentBeacon,
+        own: SentLoad,
+        actions: &mut Vec<EntryAction>,
+    ) {
+        match self.roster.heard(&beacon, own, &self.config, now) {
+            RosterChange::None => self.table_stale = true,
+            RosterChange::Altered => {
+                self.roster.relabel(&self.config);
+                self.pools_stale = true;
+                self.publish(actions);
+            }
+            RosterChange::Joined => {
+                self.pools_stale = true;
+                if let Some(state) = self.roster.state(&beacon.endpoint_id) {
+                    actions.push(EntryAction::Connect(state.clone()));
+                }
+                let reason = format!("incarnation {}", beacon.incarnation);
+                self.log(
+                    PlacementKind::EndpointJoined,
+                    &beacon.endpoint_id,
+                    reason,
+                    actions,
+                );
+            }
+        }
+    }
+
+    fn peer_heard(&mut self, now: Micros, beacon: EntryBeacon, actions: &mut Vec<EntryAction>) {
+        let newer = beacon.revision > self.config.revision;
+        let peer = beacon.peer_address;
+        self.peers.heard(beacon, now);
+        self.first_peer.get_or_insert(now);
+        if newer {
+            actions.push(EntryAction::PullConfig { peer });
+        }
+    }
+
+    fn stream_opened(
+        &mut self,
+        now: Micros,
+        endpoint_id: &str,
+        incarnation: u64,
+        actions: &mut Vec<EntryAction>,
+    ) {
+        let known = self.roster.state(endpoint_id).map(|s| s.incarnation);
+        if known != Some(incarnation) {
+            return;
+        }
+        self.roster.renew_key(endpoint_id);
+        self.pools_stale = true;
+        if let Some(entry) = self.roster.get_mut(endpoint_id) {
+            entry.linked = true;
+            entry.next_event = Some(0);
+            entry.heard_at = now;
+            entry.notified = None;
+        }
+        self.roster.judge(now);
+        self.notices_due = true;
+        self.notify_agents(actions);
+        self.publish(actions);
+    }
+
+    fn link_lost(&mut self, now: Micros, endpoint_id: &str) {
+        if let Some(entry) = self.roster.get_mut(endpoint_id) {
+            entry.linked = false;
+            entry.next_event = None;
+            entry.loading = None;
+        }
+        self.roster.judge(now);
+        self.table_stale = true;
+    }
+
+    fn pulse_seen(&mut self, now: Micros, endpoint_id: &str, pulse: AgentPulse, own: SentLoad) {
+        if self.roster.note_load(endpoint_id, pulse, own, now) {
+            self.roster.relabel(&self.config);
+            self.pools_stale = true;
+        }
+        self.table_stale = true;
+    }
+
+    fn agent_said(
+        &mut self,
+        now: Micros,
+        endpoint_id: &str,
+        incarnation: u64,
+        batch: EventBatch,
+        own: SentLoad,
+        actions: &mut Vec<EntryAction>,
+    ) {
+        if self.roster.state(endpoint_id).map(|s| s.incarnation) != Some(incarnation) {
+            return;
+        }
+        let Some(entry) = self.roster.get_mut(endpoint_id) else {
+            return;
+        };
+        let Some(expected) = entry.next_event else {
+            return;
+        };
+        if batch.first != expected {
+            entry.next_event = None;
+            actions.push(EntryAction::Resync {
+                endpoint_id: endpoint_id.to_string(),
+            });
+            return;
+        }
+        entry.next_event = Some(expected + batch.events.len() as u64);
+        for event in batch.events {
+            self.upward(endpoint_id, event);
+        }
+        self.pulse_seen(now, endpoint_id, batch.pulse, own);
+        if self.pools_stale {
+            self.publish(actions);
+        }
+    }
+
+    fn upward(&mut self, endpoint_id: &str, event: UpwardEvent) {
+        let Some(key) = self.roster.get(endpoint_id).map(|e| e.key) else {
+            return;
+        };
+        match event {
+            UpwardEvent::Cached(piece) => self.add_piece(piece, PieceHolder::Endpoint(key)),
+            UpwardEvent::Evicted(piece) => {
+                self.pieces.remove(piece, &PieceHolder::Endpoint(key));
+            }
+            UpwardEvent::Cleared => {
+                self.roster.renew_key(endpoint_id);
+                self.pools_stale = true;
+            }
+            UpwardEvent::Stored(notice) => {
+                if let Some(&store) = self.store_keys.get(&notice.store) {
+                    let copy = StoredCopy {
+                        store,
+                        tier: notice.tier,
+                        generation: notice.generation,
+                    };
+                    self.add_piece(notice.key, PieceHolder::Store(copy));
+                }
+            }
+            UpwardEvent::Missing(notice) => {
+                if let Some(&store) = self.store_keys.get(&notice.store) {
+                    let copy = StoredCopy {
+                        store,
+                        tier: crate::kept::StoreTier::Memory,
+                        generation: 0,
+                    };
+                    self.pieces.remove(notice.key, &PieceHolder::Store(copy));
+                }
+            }
+            UpwardEvent::Version(version) => self.version_changed(endpoint_id, version),
+            UpwardEvent::OrderEnded(_) => {
+                if let Some(entry) = self.roster.get_mut(endpoint_id) {
+                    entry.loading = None;
+                }
+            }
+        }
+    }
+
+    fn add_piece(&mut self, piece: PieceKey, holder: PieceHolder) {
+        let full = self.pieces.len() >= PIECE_LIMIT;
+        if !full || !self.pieces.holders(piece).is_empty() {
+            self.pieces.add(piece, holder);
+        }
+    }
+
+    fn version_changed(&mut self, endpoint_id: &str, version: String) {
+        let Some(state) = self.roster.state(endpoint_id) else {
+            return;
+        };
+        if let EndpointKind::Engine { model, .. } = &state.kind {
+            let kind = EndpointKind::Engine {
+                model: model.clone(),
+                version,
+            };
+            self.roster.set_version(endpoint_id, &kind);
+            self.pools_stale = true;
+        }
+    }
+
+    fn boxes_listed(&mut self, now: Micros, boxes: Vec<BoxNotice>, actions: &mut Vec<EntryAction>) {
+        let mut listed = Vec::new();
+        let leaving = boxes
+            .iter()
+            .filter(|b| b.role == BoxRole::Endpoint && b.leaving);
+        let leaving: BTreeSet<String> = leaving.map(|b| b.id.clone()).collect();
+        if leaving != self.leaving_boxes {
+            self.leaving_boxes = leaving;
+            self.notices_due = true;
+            self.notify_agents(actions);
+        }
+        for notice in boxes {
+            if notice.role == BoxRole::Store && !notice.leaving {
+                listed.push(notice.id.clone());
+                self.note_store(now, notice, actions);
+            }
+        }
+        let lost: Vec<String> = self
+            .store_keys
+            .keys()
+            .filter(|id| !listed.contains(id))
+            .cloned()
+            .collect();
+        for id in lost {
+            if let Some(key) = self.store_keys.remove(&id) {
+                self.stores.remove(key);
+            }
+            self.store_listed.remove(&id);
+            self.log(
+                PlacementKind::StoreLost,
+                &id,
+                "not in the box list".to_string(),
+                actions,
+            );
+        }
+    }
+
+    fn note_store(&mut self, now: Micros, notice: BoxNotice, actions: &mut Vec<EntryAction>) {
+        if let Some(key) = self.store_keys.get(&notice.id) {
+            let same = self
+                .stores
+                .get(*key)
+                .is_some_and(|s| s.address == notice.address);
+            if same {
+                return;
+            }
+            let old = *key;
+            self.stores.remove(old);
+        }
+        let key = self.stores.insert(StoreState {
+            id: notice.id.clone(),
+            group: notice.group,
+            address: notice.address,
+            link_rate: DEFAULT_LINK_RATE,
+            link_queue: 0,
+            disk_rate: DEFAULT_DISK_RATE,
+        });
+        self.store_keys.insert(notice.id.clone(), key);
+        self.store_listed.insert(notice.id.clone(), now);
+        actions.push(EntryAction::ListStore {
+            store: notice.id,
+            address: notice.address,
+        });
+    }
+
+    fn list_stores(&mut self, now: Micros, actions: &mut Vec<EntryAction>) {
+        for (id, listed_at) in &mut self.store_listed {
+            if now.since(*listed_at) < STORE_LIST_INTERVAL {
+                continue;
+            }
+            *listed_at = now;
+            let key = self.store_keys.get(id);
+            if let Some(state) = key.and_then(|k| self.stores.get(*k)) {
+                actions.push(EntryAction::ListStore {
+                    store: id.clone(),
+                    address: state.address,
+                });
+            }
+        }
+    }
+
+    /// Replaces all that is known of a store box by its own list.
+    fn store_content(&mut self, now: Micros, store: &str, pieces: Vec<StoredPiece>) {
+        let Some(old) = self.store_keys.get(store).copied() else {
+            return;
+        };
+        let Some(state) = self.stores.remove(old) else {
+            return;
+        };
+        let key = self.stores.insert(state);
+        self.store_keys.insert(store.to_string(), key);
+        self.store_listed.insert(store.to_string(), now);
+        for piece in pieces {
+            let copy = StoredCopy {
+                store: key,
+                tier: piece.tier,
+                generation: piece.generation,
+            };
+            self.add_piece(piece.key, PieceHolder::Store(copy));
+        }
+        self.table_stale = true;
+    }
+
+    fn store_measured(&mut self, store: &str, link_rate: f64) {
+        let key = self.store_keys.get(store);
+        if let Some(state) = key.and_then(|k| self.stores.get_mut(*k)) {
+            state.link_rate = link_rate.max(1.0);
+            self.table_stale = true;
+        }
+    }
+
+    fn try_ended(
+        &mut self,
+        now: Micros,
+        endpoint_id: &str,
+        failed: bool,
+        actions: &mut Vec<EntryAction>,
+    ) {
+        let Some(entry) = self.roster.get_mut(endpoint_id) else {
+            return;
+        };
+        if !failed {
+            entry.guard.succeeded(now);
+            return;
+        }
+        if entry.guard.failed(now) {
+            self.roster.judge(now);
+            self.table_stale = true;
+            let reason = "failed several times in a row".to_string();
+            self.log(PlacementKind::EndpointEjected, endpoint_id, reason, actions);
+        }
+    }
+
+    fn lose_endpoint(&mut self, endpoint_id: &str, reason: &str, actions: &mut Vec<EntryAction>) {
+        self.roster.remove(endpoint_id);
+        self.pools_stale = true;
+        actions.push(EntryAction::Disconnect {
+            endpoint_id: endpoint_id.to_string(),
+        });
+        self.log(
+            PlacementKind::EndpointLost,
+            endpoint_id,
+            reason.to_string(),
+            actions,
+        );
+    }
+
+    fn sweep_pieces(&mut self) {
+        let arena = self.roster.arena.clone();
+        let stores = &self.stores;
+        let next = self
+            .pieces
+            .sweep(self.sweep_from, SWEEP_STEP, |holder| match holder {
+                PieceHolder::Endpoint(key) => !arena.contains_key(*key),
+                PieceHolder::Store(copy) => !stores.contains_key(copy.store),
+            });
+        self.sweep_from = next.unwrap_or(PieceKey(0));
+    }
+
+    fn notify_agents(&mut self, actions: &mut Vec<EntryAction>) {
+        if self.config.revision == 0 || !self.notices_due {
+            return;
+        }
+        self.notices_due = false;
+        let ids: Vec<String> = self.roster.iter().map(|(id, _)| id.clone()).collect();
+        for id in ids {
+            let notice = ConfigNotice {
+                revision: self.config.revision,
+                leaving: self.config.is_leaving(&id),
+                box_leaving: self.leaving_boxes.contains(&id),
+            };
+            let Some(entry) = self.roster.get_mut(&id) else {
+                continue;
+            };
+            let same = entry.notified.is_some_and(|n| {
+                n.leaving == notice.leaving && n.box_leaving == notice.box_leaving
+            });
+            if !entry.linked || same {
+                continue;
+            }
+            entry.notified = Some(notice);
+            actions.push(EntryAction::Notify {
+                endpoint_id: id,
+                notice,
+            });
+        }
+    }
+
+    fn log(
+        &self,
+        decision: PlacementKind,
+        subject: &str,
+        reason: String,
+        actions: &mut Vec<EntryAction>,
+    ) {
+        actions.push(EntryAction::Log(PlacementLine {
+            decision,
+            subject: subject.to_string(),
+            reason,
+            revision: self.config.revision,
+        }));
+    }
+
+    /// Hands back what others should take over at once, as at a planned stop.
+    pub fn release(&mut self) -> Vec<EntryAction> {
+        self.loads.release()
+    }
+
+    /// Whether the balancer should send requests here.
+    ///
+    /// A configuration must be in force that is sure not to be older than the one
+    /// before a restart, and the process must not be cut off.
+    pub fn is_ready(&self, now: Micros) -> bool {
+        let heard_peers = self
+            .first_peer
+            .is_some_and(|t| now.since(t) >= PEER_PATIENCE);
+        let settled = self.table_reached.is_some() || heard_peers;
+        let near_table = self
+            .table_reached
+            .is_some_and(|t| now.since(t) < CONTACT_PATIENCE);
+        let in_contact = near_table || !self.peers.is_empty();
+        self.config.revision > 0 && settled && in_contact
+    }
+
+    /// The configuration in force.
+    pub fn config(&self) -> &Arc<FleetConfig> {
+        &self.config
+    }
+
+    /// The other entry processes.
+    pub fn peers(&self) -> &PeerTable {
+        &self.peers
+    }
+
+    /// The endpoints.
+    pub fn roster(&self) -> &EndpointRoster {
+        &self.roster
+    }
+
+    /// Pieces known.
+    pub fn piece_count(&self) -> usize {
+        self.pieces.len()
+    }
+
+    /// Prompts remembered.
+    pub fn prompt_count(&self) -> usize {
+        self.prompts.len()
+    }
+
+    /// Shards whose lease this process holds.
+    pub fn held_shards(&self, now: Micros) -> Vec<String> {
+        self.loads.held_shards(now)
+    }
+
+    /// How far the drain of an endpoint is.
+    pub fn drain_state(&self, endpoint_id: &str, now: Micros) -> DrainState {
+        let entry = self.roster.get(endpoint_id);
+        let load = entry.and_then(|e| self.roster.loads.get(e.key));
+        DrainState::judge(&DrainView {
+            wanted: self.config.is_leaving(endpoint_id),
+            refusing: entry.is_some_and(|e| e.refusing),
+            running: load.map_or(0, |l| l.report.running),
+            exporting: entry.map_or(0, |e| e.exporting),
+            heard_ago: entry.map(|e| now.since(e.heard_at)),
+        })
+    }
+}
--- /dev/null
+++ b/core/src/role/mod.rs
@@ -0,0 +1,23 @@
+//! One event-driven core for each role: events in, actions out.
+
+mod agent_action;
+mod agent_core;
+mod agent_event;
+mod agent_identity;
+mod cache_mirror;
+mod endpoint_order;
+mod endpoint_roster;
+mod entry_action;
+mod entry_core;
+mod entry_event;
+mod event_batch;
+mod gate_work;
+mod load_controller;
+mod prompt_memory;
+mod service_meter;
+
+pub use {
+    agent_action::*, agent_core::*, agent_event::*, agent_identity::*, cache_mirror::*,
+    endpoint_order::*, endpoint_roster::*, entry_action::*, entry_core::*, entry_event::*,
+    event_batch::*, gate_work::*, load_controller::*, prompt_memory::*, service_meter::*,
+};
--- /dev/null
+++ b/core/src/route/prefix_reuse.rs
@@ -0,0 +1,91 @@
+use {
+    super::{EndpointKey, ImportOffer, StoreKey},
+    crate::kept::{PieceDirectory, PieceHolder, PieceKey, StoreTier},
+};
+
+#[derive(Debug, Clone, Copy)]
+struct EndpointRun {
+    endpoint: EndpointKey,
+    pieces: u32,
+}
+
+/// How many leading pieces of a prompt each holder has without a gap.
+#[derive(Debug, Clone, Default)]
+pub struct PrefixReuse {
+    endpoints: Vec<EndpointRun>,
+    stores: Vec<ImportOffer>,
+}
+
+impl PrefixReuse {
+    /// Looks a prompt up in the directory.
+    pub fn find(directory: &PieceDirectory, pieces: &[PieceKey]) -> PrefixReuse {
+        let mut reuse = PrefixReuse::default();
+        for (depth, key) in pieces.iter().enumerate() {
+            if !reuse.extend(depth as u32, directory.holders(*key)) {
+                break;
+            }
+        }
+        reuse
+    }
+
+    /// Adds the holders of the piece at `depth`; false when nobody goes that far.
+    fn extend(&mut self, depth: u32, holders: &[PieceHolder]) -> bool {
+        let mut extended = false;
+        for holder in holders {
+            extended |= match *holder {
+                PieceHolder::Endpoint(endpoint) => self.extend_endpoint(depth, endpoint),
+                PieceHolder::Store(copy) => self.extend_store(depth, copy.store, copy.tier),
+            };
+        }
+        extended
+    }
+
+    fn extend_endpoint(&mut self, depth: u32, endpoint: EndpointKey) -> bool {
+        if depth == 0 {
+            self.endpoints.push(EndpointRun {
+                endpoint,
+                pieces: 1,
+            });
+            return true;
+        }
+        let run = self.endpoints.iter_mut().find(|r| r.endpoint == endpoint);
+        match run {
+            Some(run) if run.pieces == depth => {
+                run.pieces += 1;
+                true
+            }
+            _ => false,
+        }
+    }
+
+    fn extend_store(&mut self, depth: u32, store: StoreKey, tier: StoreTier) -> bool {
+        if depth == 0 {
+            self.stores.push(ImportOffer {
+                store,
+                tier,
+                pieces: 1,
+            });
+            return true;
+        }
+        let offer = self.stores.iter_mut().find(|o| o.store == store);
+        match offer {
+            Some(offer) if offer.pieces == depth => {
+                offer.pieces += 1;
+                offer.tier = offer.tier.max(tier);
+                true
+            }
+            _ => false,
+        }
+    }
+
+    /// Leading pieces that an endpoint holds.
+    pub fn on_endpoint(&self, endpoint: EndpointKey) -> u32 {
+        let run = self.endpoints.iter().find(|r| r.endpoint == endpoint);
+        run.map_or(0, |r| r.pieces)
+    }
+
+    /// What store boxes could give.
+    pub fn offers(&self) -> &[ImportOffer] {
+        &self.stores
+    }
+}
--- /dev/null
+++ b/core/src/route/route_pool.rs
@@ -0,0 +1,214 @@
+use {
+    super::{EndpointKey, EndpointKind, EndpointState, WorkTarget},
+    crate::{
+        conf::{FleetConfig, PlacementRule, RuleEffect},
+        labels::LabelSet,
+    },
+    slotmap::SlotMap,
+    std::{collections::BTreeMap, sync::Arc},
+};
+
+/// Arena of endpoints.
+pub type EndpointArena = SlotMap<EndpointKey, Arc<EndpointState>>;
+
+/// Endpoints that the selectors admit for one organisation, target and version.
+#[derive(Debug, Clone, Default)]
+pub struct RoutePool {
+    /// Admitted endpoints that hold the version and are not leaving.
+    pub members: Vec<EndpointKey>,
+    /// Endpoints of the model or service, admitted or not.
+    pub known: usize,
+    /// Endpoints admitted by the selectors, usable or not.
+    pub admitted: usize,
+}
+
+/// Pools of all organisations, targets and versions.
+#[derive(Debug, Clone, Default)]
+pub struct PoolIndex {
+    pools: BTreeMap<String, BTreeMap<WorkTarget, Vec<VersionPool>>>,
+}
+
+/// The pool of one weight version.
+#[derive(Debug, Clone)]
+pub struct VersionPool {
+    /// The version; empty for plain services.
+    pub version: String,
+    /// The pool.
+    pub pool: Arc<RoutePool>,
+}
+
+struct VersionTarget {
+    target: WorkTarget,
+    version: String,
+}
+
+impl PoolIndex {
+    /// Evaluates all selectors of a configuration.
+    ///
+    /// Organisations to which the same rules apply share one pool.
+    pub fn build(config: &FleetConfig, arena: &EndpointArena) -> PoolIndex {
+        let mut index = PoolIndex::default();
+        for wanted in targets(config) {
+            let members = members_of(arena, &wanted);
+            let mut shared: BTreeMap<Vec<&str>, Arc<RoutePool>> = BTreeMap::new();
+            for organisation in config.organisations.keys() {
+                let work = work_labels(config, organisation, &wanted.target, &wanted.version);
+                let rules = deciding_rules(config, &work);
+                let names: Vec<&str> = rules.iter().map(|r| r.name).collect();
+                let pool = shared
+                    .entry(names)
+                    .or_insert_with(|| Arc::new(fill_pool(arena, &members, &rules)));
+                let pools = index.pools.entry(organisation.clone()).or_default();
+                pools
+                    .entry(wanted.target.clone())
+                    .or_default()
+                    .push(VersionPool {
+                        version: wanted.version.clone(),
+                        pool: pool.clone(),
+                    });
+            }
+        }
+        index
+    }
+
+    /// The pool of one organisation, target and version.
+    pub fn get(
+        &self,
+        organisation: &str,
+        target: &WorkTarget,
+        version: &str,
+    ) -> Option<&Arc<RoutePool>> {
+        let pools = self.versions(organisation, target);
+        pools.iter().find(|p| p.version == version).map(|p| &p.pool)
+    }
+
+    /// The pools of all versions of a target.
+    pub fn versions(&self, organisation: &str, target: &WorkTarget) -> &[VersionPool] {
+        let pools = self.pools.get(organisation).and_then(|p| p.get(target));
+        pools.map_or(&[], Vec::as_slice)
+    }
+}
+
+struct NamedRule<'a> {
+    name: &'a str,
+    rule: &'a PlacementRule,
+}
+
+struct PoolMember {
+    key: EndpointKey,
+    usable: bool,
+}
+
+fn targets(config: &FleetConfig) -> Vec<VersionTarget> {
+    let mut targets = Vec::new();
+    for (name, model) in &config.models {
+        for version in model.versions.keys() {
+            targets.push(VersionTarget {
+                target: WorkTarget::Model(name.clone()),
+                version: version.clone(),
+            });
+        }
+    }
+    for name in config.services.keys() {
+        targets.push(VersionTarget {
+            target: WorkTarget::Service(name.clone()),
+            version: String::new(),
+        });
+    }
+    targets
+}
+
+fn members_of(arena: &EndpointArena, wanted: &VersionTarget) -> Vec<PoolMember> {
+    let mut members = Vec::new();
+    for (key, state) in arena {
+        let usable = match (&state.kind, &wanted.target) {
+            (EndpointKind::Engine { model, version }, WorkTarget::Model(name)) if model == name => {
+                *version == wanted.version
+            }
+            (EndpointKind::Service { service }, WorkTarget::Service(name)) if service == name => {
+                true
+            }
+            _ => continue,
+        };
+        members.push(PoolMember {
+            key,
+            usable: usable && !state.leaving,
+        });
+    }
+    members
+}
+
+/// Labels that the `work` selectors of rules see for a request.
+pub fn work_labels(
+    config: &FleetConfig,
+    organisation: &str,
+    target: &WorkTarget,
+    version: &str,
+) -> LabelSet {
+    let mut labels = LabelSet::default();
+    match target {
+        WorkTarget::Model(name) => {
+            let model = config.models.get(name);
+            if let Some(conf) = model.and_then(|m| m.versions.get(version)) {
+                labels = conf.labels.clone();
+            }
+            labels.set("version", version);
+            labels.set("model", name);
+        }
+        WorkTarget::Service(name) => labels.set("service", name),
+    }
+    if let Some(conf) = config.organisations.get(organisation) {
+        labels = labels.overlaid(&conf.labels);
+    }
+    labels.set("organisation", organisation);
+    labels
+}
+
+fn deciding_rules<'a>(config: &'a FleetConfig, work: &LabelSet) -> Vec<NamedRule<'a>> {
+    let mut deciding: Vec<NamedRule<'a>> = Vec::new();
+    for (name, rule) in &config.rules {
+        if !rule.work.matches(work) {
+            continue;
+        }
+        let best = deciding.first().map(|r| r.rule.precedence);
+        match best {
+            Some(best) if rule.precedence < best => continue,
+            Some(best) if rule.precedence > best => deciding.clear(),
+            _ => {}
+        }
+        deciding.push(NamedRule { name, rule });
+    }
+    deciding
+}
+
+fn is_admitted(labels: &LabelSet, rules: &[NamedRule<'_>]) -> bool {
+    let hit = |effect: RuleEffect| {
+        let mut of_effect = rules.iter().filter(|r| r.rule.effect == effect);
+        of_effect.any(|r| r.rule.endpoints.matches(labels))
+    };
+    if hit(RuleEffect::Deny) {
+        return false;
+    }
+    let has_allow = rules.iter().any(|r| r.rule.effect == RuleEffect::Allow);
+    !has_allow || hit(RuleEffect::Allow)
+}
+
+fn fill_pool(arena: &EndpointArena, members: &[PoolMember], rules: &[NamedRule<'_>]) -> RoutePool {
+    let mut pool = RoutePool {
+        known: members.len(),
+        ..RoutePool::default()
+    };
+    for member in members {
+        let Some(state) = arena.get(member.key) else {
+            continue;
+        };
+        if !is_admitted(&state.labels, rules) {
+            continue;
+        }
+        pool.admitted += 1;
+        if member.usable {
+            pool.members.push(member.key);
+        }
+    }
+    pool
+}
--- /dev/null
+++ b/core/src/settings/settings_reader.rs
@@ -0,0 +1,214 @@
+use {
+    super::{SettingsErrors, SettingsProblem},
+    serde::de::DeserializeOwned,
+    serde_json::{Map, Value},
+    std::{collections::BTreeSet, net::SocketAddr, ops::RangeInclusive},
+};
+
+/// Fields whose name starts so are comments.
+const COMMENT_MARK: &str = "//";
+/// Characters of a wrong value that are shown.
+const SHOWN_LIMIT: usize = 60;
+
+/// Reads a settings file field by field and gathers what is wrong.
+///
+/// A field that is wrong yields a stand-in value, so that reading goes on;
+/// [`SettingsReader::finish`] then refuses the whole file.
+#[derive(Debug)]
+pub struct SettingsReader {
+    file: String,
+    fields: Map<String, Value>,
+    known: BTreeSet<&'static str>,
+    problems: Vec<SettingsProblem>,
+}
+
+impl SettingsReader {
+    /// Takes the text of a file; it must hold one JSON object.
+    ///
+    /// # Errors
+    /// [`SettingsErrors`] when it does not.
+    pub fn parse(file: &str, text: &str) -> Result<Self, SettingsErrors> {
+        let whole = |found: String| SettingsErrors {
+            file: file.to_string(),
+            problems: vec![SettingsProblem {
+                field: "(whole file)".to_string(),
+                found,
+                wanted: "one JSON object".to_string(),
+            }],
+        };
+        match serde_json::from_str(text) {
+            Ok(Value::Object(fields)) => Ok(SettingsReader {
+                file: file.to_string(),
+                fields,
+                known: BTreeSet::new(),
+                problems: Vec::new(),
+            }),
+            Ok(other) => Err(whole(shown(&other))),
+            Err(error) => Err(whole(error.to_string())),
+        }
+    }
+
+    /// A text that must not be empty.
+    pub fn text(&mut self, field: &'static str) -> String {
+        match self.take(field) {
+            Some(Value::String(text)) if !text.is_empty() => text,
+            other => {
+                self.problem(field, &other, "a text");
+                String::new()
+            }
+        }
+    }
+
+    /// A text that may be missing.
+    pub fn optional_text(&mut self, field: &'static str) -> Option<String> {
+        match self.take(field) {
+            None | Some(Value::Null) => None,
+            Some(Value::String(text)) if !text.is_empty() => Some(text),
+            other => {
+                self.problem(field, &other, "a text, or nothing");
+                None
+            }
+        }
+    }
+
+    /// An address and port by number.
+    pub fn address(&mut self, field: &'static str) -> SocketAddr {
+        let value = self.take(field);
+        match parse_address(&value) {
+            Some(address) => address,
+            None => {
+                self.problem(
+                    field,
+                    &value,
+                    "an IP address and port, such as \"127.0.0.1:8080\"",
+                );
+                SocketAddr::from(([127, 0, 0, 1], 0))
+            }
+        }
+    }
+
+    /// An address and port by number that may be missing.
+    pub fn optional_address(&mut self, field: &'static str) -> Option<SocketAddr> {
+        let present = self.fields.get(field).is_some_and(|v| !v.is_null());
+        if present {
+            return Some(self.address(field));
+        }
+        self.take(field);
+        None
+    }
+
+    /// A whole number within bounds.
+    pub fn number(
+        &mut self,
+        field: &'static str,
+        default: u64,
+        bounds: RangeInclusive<u64>,
+    ) -> u64 {
+        let value = self.take(field);
+        let number = match &value {
+            None | Some(Value::Null) => Some(default),
+            Some(value) => value.as_u64().filter(|n| bounds.contains(n)),
+        };
+        number.unwrap_or_else(|| {
+            let wanted = format!("a whole number from {} to {}", bounds.start(), bounds.end());
+            self.problem(field, &value, &wanted);
+            default
+        })
+    }
+
+    /// A yes or no.
+    pub fn flag(&mut self, field: &'static str, default: bool) -> bool {
+        match self.take(field) {
+            None | Some(Value::Null) => default,
+            Some(Value::Bool(flag)) => flag,
+            other => {
+                self.problem(field, &other, "true or false");
+                default
+            }
+        }
+    }
+
+    /// A value of any type that can be read from JSON.
+    pub fn value<T: DeserializeOwned>(
+        &mut self,
+        field: &'static str,
+        default: Option<T>,
+        wanted: &str,
+    ) -> Option<T> {
+        let value = self.take(field);
+        match &value {
+            None | Some(Value::Null) if default.is_some() => default,
+            None | Some(Value::Null) => {
+                self.problem(field, &value, wanted);
+                None
+            }
+            Some(present) => match serde_json::from_value(present.clone()) {
+                Ok(read) => Some(read),
+                Err(error) => {
+                    let wanted = format!("{wanted} ({error})");
+                    self.problem(field, &value, &wanted);
+                    default
+                }
+            },
+        }
+    }
+
+    /// Notes a problem that only shows in several fields together.
+    pub fn refuse(&mut self, field: &'static str, found: &str, wanted: &str) {
+        self.problems.push(SettingsProblem {
+            field: field.to_string(),
+            found: found.to_string(),
+            wanted: wanted.to_string(),
+        });
+    }
+
+    /// Ends reading.
+    ///
+    /// # Errors
+    /// [`SettingsErrors`] with every problem, fields that nobody asked for included.
+    pub fn finish(mut self) -> Result<(), SettingsErrors> {
+        let known: Vec<&str> = self.known.iter().copied().collect();
+        for (field, value) in &self.fields {
+            if self.known.contains(field.as_str()) || field.starts_with(COMMENT_MARK) {
+                continue;
+            }
+            self.problems.push(SettingsProblem {
+                field: field.clone(),
+                found: format!("an unknown field with {}", shown(value)),
+                wanted: format!("one of {}", known.join(", ")),
+            });
+        }
+        if self.problems.is_empty() {
+            return Ok(());
+        }
+        Err(SettingsErrors {
+            file: self.file,
+            problems: self.problems,
+        })
+    }
+
+    fn take(&mut self, field: &'static str) -> Option<Value> {
+        self.known.insert(field);
+        self.fields.get(field).cloned()
+    }
+
+    fn problem(&mut self, field: &'static str, value: &Option<Value>, wanted: &str) {
+        let found = match value {
+            None => "nothing".to_string(),
+            Some(value) => shown(value),
+        };
+        self.refuse(field, &found, wanted);
+    }
+}
+
+fn parse_address(value: &Option<Value>) -> Option<SocketAddr> {
+    value.as_ref()?.as_str()?.parse().ok()
+}
+
+fn shown(value: &Value) -> String {
+    let text = value.to_string();
+    match text.char_indices().nth(SHOWN_LIMIT) {
+        Some((cut, _)) => format!("{}...", &text[..cut]),
+        None => text,
+    }
+}
--- /dev/null
+++ b/core/src/time/micros.rs
@@ -0,0 +1,58 @@
+use {
+    serde::{Deserialize, Serialize},
+    std::ops::{Add, Sub},
+};
+
+/// A point in time or a span, in microseconds.
+///
+/// The host chooses the origin; only differences and order matter here.
+#[derive(
+    Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+pub struct Micros(pub u64);
+
+impl Micros {
+    /// The origin of the host's clock.
+    pub const ZERO: Micros = Micros(0);
+
+    /// A span of whole milliseconds.
+    pub const fn from_millis(millis: u64) -> Self {
+        Micros(millis * 1_000)
+    }
+
+    /// A span of whole seconds.
+    pub const fn from_secs(secs: u64) -> Self {
+        Micros(secs * 1_000_000)
+    }
+
+    /// This span in seconds, with fractions.
+    pub fn as_secs_f64(self) -> f64 {
+        self.0 as f64 / 1e6
+    }
+
+    /// This span in whole milliseconds, rounded down.
+    pub const fn as_millis(self) -> u64 {
+        self.0 / 1_000
+    }
+
+    /// The span from `earlier` to this point, zero when the order is reversed.
+    pub const fn since(self, earlier: Micros) -> Micros {
+        Micros(self.0.saturating_sub(earlier.0))
+    }
+}
+
+impl Add for Micros {
+    type Output = Micros;
+
+    fn add(self, other: Micros) -> Micros {
+        Micros(self.0.saturating_add(other.0))
+    }
+}
+
+impl Sub for Micros {
+    type Output = Micros;
+
+    fn sub(self, other: Micros) -> Micros {
+        self.since(other)
+    }
+}
--- /dev/null
+++ b/entry/src/callers/caller_server.rs
@@ -0,0 +1,72 @@
+use {
+    crate::{
+        filter::{identify, run_chain, Refusal},
+        openai::ModelList,
+        traffic::EntryApp,
+    },
+    pitchhitch_core::errors::ErrorKind,
+    std::sync::Arc,
+    trillium::{Conn, Method, Status},
+};
+
+/// Path under which callers look up a decision about their own request.
+const REQUESTS_PREFIX: &str = "/pitchhitch/requests/";
+
+/// Serves one request of a caller.
+pub async fn serve_caller(app: Arc<EntryApp>, conn: Conn) -> Conn {
+    let method = conn.method();
+    match (method, conn.path()) {
+        (Method::Get, "/healthz") => conn.ok("ok\n"),
+        (Method::Get, "/readyz") if app.is_ready() => conn.ok("ready\n"),
+        (Method::Get, "/readyz") => conn
+            .with_status(Status::ServiceUnavailable)
+            .with_body("not ready\n")
+            .halt(),
+        (Method::Get, "/v1/models") => list_models(&app, conn),
+        (Method::Get, path) if path.starts_with(REQUESTS_PREFIX) => explain_own(&app, conn),
+        _ => run_chain(app, conn).await,
+    }
+}
+
+fn list_models(app: &EntryApp, conn: Conn) -> Conn {
+    let view = app.view.load();
+    if let Err(refusal) = identify(&conn, &view) {
+        return refusal.write(conn, &app.request_id(app.next_number()));
+    }
+    let list = ModelList::of(&view.table.config);
+    json(conn, &list)
+}
+
+/// Tells a caller about its own request; that of another organisation does not
+/// exist for it.
+fn explain_own(app: &EntryApp, conn: Conn) -> Conn {
+    let view = app.view.load();
+    let id = app.request_id(app.next_number());
+    let organisation = match identify(&conn, &view) {
+        Ok(organisation) => organisation,
+        Err(refusal) => return refusal.write(conn, &id),
+    };
+    let wanted = conn.path().trim_start_matches(REQUESTS_PREFIX).to_string();
+    let mut records = app.ring.find(&wanted);
+    records.retain(|r| r.organisation == organisation);
+    if records.is_empty() {
+        let detail = format!("there is no recent request '{wanted}'");
+        return Refusal::new(ErrorKind::UnknownRequest, detail).write(conn, &id);
+    }
+    json(conn, &records)
+}
+
+/// Answers with a value as JSON.
+pub fn json(mut conn: Conn, value: &impl serde::Serialize) -> Conn {
+    match serde_json::to_string(value) {
+        Ok(body) => {
+            conn.response_headers_mut()
+                .insert("content-type", "application/json");
+            conn.ok(body)
+        }
+        Err(error) => {
+            log::error!(event = "not-serialized", error = error.to_string().as_str(); "");
+            conn.with_status(Status::InternalServerError).halt()
+        }
+    }
+}
--- /dev/null
+++ b/entry/src/cli/command_line.rs
@@ -0,0 +1,102 @@
+use {
+    super::{CliError, EXIT_CODES},
+    crate::command::{
+        run_apply, run_check, run_drain, run_explain, run_label, run_select, run_serve, run_show,
+        run_status,
+    },
+    std::process::ExitCode,
+};
+
+/// One command.
+struct CommandRow {
+    name: &'static str,
+    summary: &'static str,
+    run: fn(&[String]) -> Result<(), CliError>,
+}
+
+const COMMANDS: [CommandRow; 9] = [
+    CommandRow {
+        name: "serve",
+        summary: "run an entry process",
+        run: run_serve,
+    },
+    CommandRow {
+        name: "check",
+        summary: "check settings files and name every problem",
+        run: run_check,
+    },
+    CommandRow {
+        name: "label",
+        summary: "set or remove labels",
+        run: run_label,
+    },
+    CommandRow {
+        name: "select",
+        summary: "set or remove a placement rule",
+        run: run_select,
+    },
+    CommandRow {
+        name: "apply",
+        summary: "make the changes in a file",
+        run: run_apply,
+    },
+    CommandRow {
+        name: "show",
+        summary: "show the configuration in force",
+        run: run_show,
+    },
+    CommandRow {
+        name: "drain",
+        summary: "take an endpoint out of service and wait until its box may stop",
+        run: run_drain,
+    },
+    CommandRow {
+        name: "status",
+        summary: "show what an entry process knows",
+        run: run_status,
+    },
+    CommandRow {
+        name: "explain",
+        summary: "tell why a request went where it went, or who holds a piece",
+        run: run_explain,
+    },
+];
+
+fn print_help() {
+    println!("pitchhitch: serves prompts that return after long gaps\n");
+    println!("Usage: pitchhitch COMMAND [OPTIONS]\n\nCommands:");
+    for command in &COMMANDS {
+        println!("    {:10} {}", command.name, command.summary);
+    }
+    println!("\n'pitchhitch COMMAND --help' tells more.\n{EXIT_CODES}");
+}
+
+/// Runs `pitchhitch` with the arguments of a command line.
+pub fn run(args: &[String]) -> ExitCode {
+    let Some(name) = args.first() else {
+        print_help();
+        return CliError::Usage(String::new()).exit_code();
+    };
+    match name.as_str() {
+        "--help" | "-h" | "help" => {
+            print_help();
+            return ExitCode::SUCCESS;
+        }
+        "--version" | "-V" => {
+            println!("pitchhitch {}", env!("CARGO_PKG_VERSION"));
+            return ExitCode::SUCCESS;
+        }
+        _ => {}
+    }
+    let Some(command) = COMMANDS.iter().find(|c| c.name == name) else {
+        eprintln!("pitchhitch: there is no command '{name}'; see pitchhitch --help");
+        return CliError::Usage(String::new()).exit_code();
+    };
+    match (command.run)(&args[1..]) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("pitchhitch {name}: {error}");
+            error.exit_code()
+        }
+    }
+}
--- /dev/null
+++ b/entry/src/cli/entry_process.rs
@@ -0,0 +1,201 @@
+use {
+    crate::{
+        callers::serve_caller,
+        conf::EntrySettings,
+        control::{
+            poll_boxes, poll_config, send_beacons, take_beacons, BoxPlace, ControlHandle,
+            ControlLoop, ControlMessage, LeaseController, ViewPublisher,
+        },
+        once::OnceGate,
+        operators::serve_operator,
+        traffic::{EntryApp, TrafficView},
+    },
+    anyhow::Context,
+    arc_swap::ArcSwap,
+    async_channel::Receiver,
+    pitchhitch_core::{
+        lease::LeaseTimes,
+        role::{EntryCore, EntrySetup},
+    },
+    pitchhitch_platform::{
+        boxes::BoxClient,
+        config::ConfigStore,
+        objects::ObjectClient,
+        process::{stop_asked, MetricSet, ProcessClock},
+        table::TableClient,
+    },
+    pitchhitch_wire::beacon::{BeaconKey, BeaconSocket},
+    smol::{LocalExecutor, Timer},
+    std::{
+        net::{SocketAddr, TcpListener},
+        rc::Rc,
+        sync::{atomic::Ordering, Arc},
+        thread,
+        time::Duration,
+    },
+    trillium::Conn,
+    trillium_smol::Stopper,
+};
+
+/// Time limit of one call of the platform.
+const PLATFORM_TIMEOUT: Duration = Duration::from_secs(2);
+/// Longest wait for requests that run at a planned stop.
+const STOP_LIMIT: Duration = Duration::from_secs(600);
+/// Longest wait for leases to be handed back.
+const RELEASE_LIMIT: Duration = Duration::from_secs(3);
+
+struct ControlStart {
+    settings: EntrySettings,
+    clock: ProcessClock,
+    view: Arc<ArcSwap<TrafficView>>,
+    control: ControlHandle,
+    inbox: Receiver<ControlMessage>,
+    app: Arc<EntryApp>,
+    table: TableClient,
+    peer_address: SocketAddr,
+}
+
+/// Runs an entry process until it is asked to stop and has nothing left to do.
+///
+/// # Errors
+/// When an address cannot be bound or a signal cannot be watched.
+pub async fn run_entry(settings: EntrySettings) -> anyhow::Result<()> {
+    let clock = ProcessClock::start();
+    let callers = bind(settings.callers)?;
+    let operators = bind(settings.operators)?;
+    let peer_address = operators.local_addr()?;
+    let view = Arc::new(ArcSwap::from_pointee(TrafficView::default()));
+    let (messages, inbox) = async_channel::unbounded();
+    let control = ControlHandle::new(messages);
+    let table = TableClient::new(settings.table, PLATFORM_TIMEOUT);
+    let metrics = Arc::new(MetricSet::new(settings.metrics).context("cannot open metrics")?);
+    let once = OnceGate::start(table.clone(), clock.incarnation());
+    let app = Arc::new(EntryApp::new(
+        settings.clone(),
+        clock,
+        view.clone(),
+        control.clone(),
+        once,
+        metrics,
+    ));
+    start_control(ControlStart {
+        settings: settings.clone(),
+        clock,
+        view,
+        control: control.clone(),
+        inbox,
+        app: app.clone(),
+        table,
+        peer_address,
+    })
+    .await?;
+    let stopper = Stopper::new();
+    let caller_app = app.clone();
+    let caller_server = trillium_smol::config()
+        .with_nodelay()
+        .without_signals()
+        .with_stopper(stopper.clone())
+        .with_prebound_server(smol::net::TcpListener::from(smol::Async::new(callers)?))
+        .spawn(move |conn: Conn| serve_caller(caller_app.clone(), conn));
+    let operator_app = app.clone();
+    let _operator_server = trillium_smol::config()
+        .without_signals()
+        .with_prebound_server(smol::net::TcpListener::from(smol::Async::new(operators)?))
+        .spawn(move |conn: Conn| serve_operator(operator_app.clone(), conn));
+    log::info!(
+        event = "started",
+        entry = settings.box_id.as_str(),
+        callers = settings.callers.to_string().as_str(),
+        incarnation = clock.incarnation();
+        ""
+    );
+    stop_asked().await.context("cannot watch signals")?;
+    log::info!(event = "stopping", entry = settings.box_id.as_str(); "");
+    app.stopping.store(true, Ordering::Relaxed);
+    // The balancer is given time to notice that no new requests should come.
+    Timer::after(settings.stop_notice).await;
+    stopper.stop();
+    wait_at_most(STOP_LIMIT, caller_server).await;
+    wait_at_most(RELEASE_LIMIT, control.release()).await;
+    log::info!(event = "stopped", entry = settings.box_id.as_str(), cut_off = app.limits().running(); "");
+    Ok(())
+}
+
+fn bind(address: SocketAddr) -> anyhow::Result<TcpListener> {
+    let listener = TcpListener::bind(address);
+    listener.with_context(|| format!("cannot listen on {address}"))
+}
+
+async fn wait_at_most(limit: Duration, wanted: impl std::future::IntoFuture<Output = ()>) {
+    futures_lite::future::or(wanted.into_future(), async {
+        Timer::after(limit).await;
+    })
+    .await;
+}
+
+/// Starts the control thread with everything that feeds it.
+async fn start_control(start: ControlStart) -> anyhow::Result<()> {
+    let secret = start.settings.beacon_secret.clone().unwrap_or_default();
+    let key = BeaconKey::from_secret(&secret);
+    let socket = BeaconSocket::bind(start.settings.beacons, key).await;
+    let address = start.settings.beacons;
+    let socket = Arc::new(socket.with_context(|| format!("cannot take beacons on {address}"))?);
+    let thread = thread::Builder::new().name("control".to_string());
+    thread.spawn(move || {
+        let executor = Rc::new(LocalExecutor::new());
+        smol::block_on(executor.run(run_control(start, socket, executor.clone())))
+    })?;
+    Ok(())
+}
+
+async fn run_control(
+    start: ControlStart,
+    socket: Arc<BeaconSocket>,
+    executor: Rc<LocalExecutor<'static>>,
+) {
+    let settings = &start.settings;
+    let core = EntryCore::new(EntrySetup {
+        holder: format!("{}.{:x}", settings.box_id, start.clock.incarnation()),
+        policy: settings.policy,
+        lease: LeaseTimes::default(),
+    });
+    let objects = ObjectClient::new(settings.objects, PLATFORM_TIMEOUT);
+    let store = ConfigStore::new(start.table.clone(), objects);
+    let place = BoxPlace {
+        box_id: settings.box_id.clone(),
+        failure_domain: settings.failure_domain.clone(),
+    };
+    let boxes = BoxClient::new(settings.boxes, PLATFORM_TIMEOUT);
+    let (peers, peer_inbox) = async_channel::bounded(8);
+    let control = start.control.clone();
+    let config_poll = poll_config(
+        store,
+        control.clone(),
+        settings.table_poll,
+        start.clock.incarnation(),
+    );
+    executor.spawn(config_poll).detach();
+    executor
+        .spawn(poll_boxes(boxes, place, control.clone(), peers))
+        .detach();
+    executor
+        .spawn(take_beacons(socket.clone(), start.app.clone()))
+        .detach();
+    let sending = send_beacons(
+        socket,
+        start.app.clone(),
+        control.clone(),
+        peer_inbox,
+        start.peer_address,
+    );
+    executor.spawn(sending).detach();
+    let leases = LeaseController {
+        table: start.table.clone(),
+        control,
+        clock: start.clock,
+    };
+    let publisher = ViewPublisher::new(start.view.clone());
+    let entry_id = settings.box_id.clone();
+    let control_loop = ControlLoop::new(core, start.clock, entry_id, publisher, leases, executor);
+    control_loop.run(start.inbox.clone()).await;
+}
--- /dev/null
+++ b/entry/src/command/apply.rs
@@ -0,0 +1,71 @@
+use {
+    super::{change_options, make_change, CommandArgs, CommandShape},
+    crate::{cli::CliError, conf::OperatorSettings},
+    getopts::Options,
+    pitchhitch_core::conf::ConfigChange,
+    pitchhitch_platform::weights::WeightClient,
+    std::{fs, time::Duration},
+};
+
+const SHAPE: CommandShape = CommandShape {
+    usage: "apply --settings FILE CHANGES",
+    about: "Makes the changes in the file CHANGES, a JSON list, one after the other.\n\
+            Organisations, models and services are added and removed so.\n\
+            The whole file is read first; a file that cannot be read changes nothing.",
+};
+/// Time limit of asking the weight store.
+const WEIGHT_TIMEOUT: Duration = Duration::from_secs(3);
+
+/// Runs `pitchhitch apply`.
+///
+/// # Errors
+/// [`CliError`] at the first change that is not known to be in force.
+pub fn run_apply(args: &[String]) -> Result<(), CliError> {
+    let mut options = Options::new();
+    change_options(&mut options);
+    let Some(args) = CommandArgs::read(SHAPE, options, args)? else {
+        return Ok(());
+    };
+    let file = args.free(0, "CHANGES")?;
+    let text = fs::read_to_string(file)
+        .map_err(|e| CliError::Usage(format!("{file}: cannot be read: {e}")))?;
+    let changes: Vec<ConfigChange> = serde_json::from_str(&text)
+        .map_err(|e| CliError::Usage(format!("{file}: {e}; wanted a JSON list of changes")))?;
+    if changes.len() > 1 && args.matches.opt_present("change-id") {
+        let text = "--change-id settles one change; this file has several";
+        return Err(CliError::Usage(text.to_string()));
+    }
+    let settings = args.operator()?;
+    for change in &changes {
+        check_weights(&settings, change)?;
+    }
+    for change in changes {
+        make_change(&args, &settings, change)?;
+    }
+    Ok(())
+}
+
+/// Refuses a model whose active version the weight store does not have.
+fn check_weights(settings: &OperatorSettings, change: &ConfigChange) -> Result<(), CliError> {
+    let (
+        Some(address),
+        ConfigChange::Model {
+            name,
+            conf: Some(conf),
+        },
+    ) = (settings.weights, change)
+    else {
+        return Ok(());
+    };
+    let client = WeightClient::new(address, WEIGHT_TIMEOUT);
+    match smol::block_on(client.has_version(name, &conf.active)) {
+        Ok(true) => Ok(()),
+        Ok(false) => {
+            let version = &conf.active;
+            Err(CliError::Refused(format!(
+                "the weight store has no version '{version}' of '{name}'; upload it first"
+            )))
+        }
+        Err(error) => Err(CliError::Failed(error.to_string())),
+    }
+}
--- /dev/null
+++ b/entry/src/command/drain.rs
@@ -0,0 +1,100 @@
+use {
+    super::{change_options, entry_caller, make_change, CommandArgs, CommandShape},
+    crate::{
+        cli::CliError,
+        operators::{DrainReport, DRAIN_PREFIX},
+    },
+    getopts::Options,
+    pitchhitch_core::{
+        conf::{ConfigChange, LabelTarget, LEAVING_LABEL},
+        drain::DrainState,
+    },
+    pitchhitch_platform::http::HttpCaller,
+    smol::Timer,
+    std::time::{Duration, Instant},
+};
+
+const SHAPE: CommandShape = CommandShape {
+    usage: "drain --settings FILE ENDPOINT [--undo] [--no-wait] [--timeout SECONDS]",
+    about: "Takes an endpoint out of service by the label 'leaving', waits until nothing runs on\n\
+            it any more, and says when its box may stop.",
+};
+const DEFAULT_TIMEOUT: u64 = 600;
+const POLL_INTERVAL: Duration = Duration::from_millis(200);
+
+/// Runs `pitchhitch drain`.
+///
+/// # Errors
+/// [`CliError`] when the endpoint is not drained in time.
+pub fn run_drain(args: &[String]) -> Result<(), CliError> {
+    let mut options = Options::new();
+    change_options(&mut options);
+    options.optflag("", "undo", "put the endpoint back into service");
+    options.optflag("", "no-wait", "do not wait until it is drained");
+    options.optopt("", "timeout", "longest wait; 600 if not given", "SECONDS");
+    let Some(args) = CommandArgs::read(SHAPE, options, args)? else {
+        return Ok(());
+    };
+    let endpoint = args.free(0, "ENDPOINT")?.to_string();
+    let timeout = match args.matches.opt_str("timeout") {
+        None => DEFAULT_TIMEOUT,
+        Some(text) => text
+            .parse()
+            .map_err(|_| CliError::Usage(format!("--timeout: '{text}' is no whole number")))?,
+    };
+    let undo = args.matches.opt_present("undo");
+    let settings = args.operator()?;
+    let change = ConfigChange::Label {
+        target: LabelTarget::Endpoint(endpoint.clone()),
+        key: LEAVING_LABEL.to_string(),
+        value: (!undo).then(|| "true".to_string()),
+    };
+    make_change(&args, &settings, change)?;
+    if undo || args.matches.opt_present("no-wait") {
+        return Ok(());
+    }
+    let caller = entry_caller(&settings)?;
+    let wait = wait_drained(&args, &caller, &endpoint, Duration::from_secs(timeout));
+    smol::block_on(wait)
+}
+
+async fn wait_drained(
+    args: &CommandArgs,
+    caller: &HttpCaller,
+    endpoint: &str,
+    timeout: Duration,
+) -> Result<(), CliError> {
+    let path = format!("{DRAIN_PREFIX}{endpoint}");
+    let started = Instant::now();
+    let mut last = None;
+    loop {
+        let report: Result<DrainReport, _> = caller.get_json(&path).await;
+        let state = report.map(|r| r.state);
+        match &state {
+            Ok(state) if last.as_ref() != Some(state) => {
+                print_state(args, endpoint, state);
+                last = Some(*state);
+            }
+            Ok(_) => {}
+            Err(error) => eprintln!("{error}"),
+        }
+        if state == Ok(DrainState::MayStop) {
+            return Ok(());
+        }
+        if started.elapsed() >= timeout {
+            let waits = last.map_or("nothing was heard".to_string(), |s| s.text());
+            let text = format!("{endpoint} is not drained after {timeout:?}: {waits}");
+            return Err(CliError::Failed(text));
+        }
+        Timer::after(POLL_INTERVAL).await;
+    }
+}
+
+fn print_state(args: &CommandArgs, endpoint: &str, state: &DrainState) {
+    if args.wants_json() {
+        let state = serde_json::to_string(state).unwrap_or_default();
+        println!(r#"{{"endpoint":"{endpoint}","state":{state}}}"#);
+    } else {
+        println!("{endpoint}: {}", state.text());
+    }
+}
--- /dev/null
+++ b/entry/src/command/mod.rs
@@ -0,0 +1,18 @@
+//! The commands of `pitchhitch`, one file each.
+
+mod apply;
+mod check;
+mod command_args;
+mod config_access;
+mod drain;
+mod explain;
+mod label;
+mod select;
+mod serve;
+mod show;
+mod status;
+
+pub use {
+    apply::*, check::*, command_args::*, config_access::*, drain::*, explain::*, label::*,
+    select::*, serve::*, show::*, status::*,
+};
--- /dev/null
+++ b/entry/src/command/select.rs
@@ -0,0 +1,83 @@
+use {
+    super::{change_options, make_change, CommandArgs, CommandShape},
+    crate::cli::CliError,
+    getopts::Options,
+    pitchhitch_core::{
+        conf::{ConfigChange, PlacementRule, RuleEffect},
+        labels::WorkSelector,
+    },
+};
+
+const SHAPE: CommandShape = CommandShape {
+    usage: "select --settings FILE NAME --work SELECTOR --endpoints SELECTOR [--deny] [--precedence N]\n       pitchhitch select --settings FILE NAME --remove",
+    about: "Sets or removes a placement rule: which labelled work may go to which labelled endpoints.\n\
+            Of the rules that match a request's work, those of the highest precedence decide;\n\
+            among them a --deny beats the others. Without any rule every endpoint is admitted.",
+};
+
+/// Runs `pitchhitch select`.
+///
+/// # Errors
+/// [`CliError`] when the change is not known to be in force.
+pub fn run_select(args: &[String]) -> Result<(), CliError> {
+    let mut options = Options::new();
+    change_options(&mut options);
+    options.optopt(
+        "",
+        "work",
+        "work that the rule is about; empty for all",
+        "SELECTOR",
+    );
+    options.optopt(
+        "",
+        "endpoints",
+        "endpoints that the rule is about; empty for all",
+        "SELECTOR",
+    );
+    options.optopt(
+        "",
+        "precedence",
+        "higher decides first; 0 if not given",
+        "N",
+    );
+    options.optflag("", "deny", "the work may not go there");
+    options.optflag("", "remove", "remove the rule");
+    let Some(args) = CommandArgs::read(SHAPE, options, args)? else {
+        return Ok(());
+    };
+    let name = args.free(0, "NAME")?.to_string();
+    let rule = if args.matches.opt_present("remove") {
+        None
+    } else {
+        Some(read_rule(&args)?)
+    };
+    let settings = args.operator()?;
+    make_change(&args, &settings, ConfigChange::Rule { name, rule }).map(|_| ())
+}
+
+fn read_rule(args: &CommandArgs) -> Result<PlacementRule, CliError> {
+    let precedence = args
+        .matches
+        .opt_str("precedence")
+        .unwrap_or("0".to_string());
+    let precedence = precedence
+        .parse()
+        .map_err(|_| CliError::Usage(format!("--precedence: '{precedence}' is no whole number")))?;
+    let effect = if args.matches.opt_present("deny") {
+        RuleEffect::Deny
+    } else {
+        RuleEffect::Allow
+    };
+    Ok(PlacementRule {
+        precedence,
+        work: read_selector(args, "work")?,
+        endpoints: read_selector(args, "endpoints")?,
+        effect,
+    })
+}
+
+fn read_selector(args: &CommandArgs, option: &str) -> Result<WorkSelector, CliError> {
+    let text = args.matches.opt_str(option);
+    let text = text.ok_or_else(|| CliError::Usage(format!("--{option} is missing; see --help")))?;
+    WorkSelector::parse(&text).map_err(|e| CliError::Usage(format!("--{option}: {e}")))
+}
--- /dev/null
+++ b/entry/src/command/serve.rs
@@ -0,0 +1,30 @@
+use {
+    super::{CommandArgs, CommandShape},
+    crate::{
+        cli::{run_entry, CliError},
+        conf::EntrySettings,
+    },
+    getopts::Options,
+    pitchhitch_platform::process::{start_logging, start_traffic},
+};
+
+const SHAPE: CommandShape = CommandShape {
+    usage: "serve --settings FILE",
+    about: "Runs an entry process until SIGTERM, which cuts off no request.",
+};
+
+/// Runs `pitchhitch serve`.
+///
+/// # Errors
+/// [`CliError`] when it cannot run.
+pub fn run_serve(args: &[String]) -> Result<(), CliError> {
+    let Some(args) = CommandArgs::read(SHAPE, Options::new(), args)? else {
+        return Ok(());
+    };
+    let text = args.settings_text()?;
+    let settings = EntrySettings::parse(&text.file, &text.text)
+        .map_err(|e| CliError::Settings(e.to_string()))?;
+    start_logging();
+    start_traffic(settings.traffic_threads);
+    smol::block_on(run_entry(settings)).map_err(|e| CliError::Failed(format!("{e:#}")))
+}
--- /dev/null
+++ b/entry/src/command/status.rs
@@ -0,0 +1,74 @@
+use {
+    super::{entry_caller, pretty_json, CommandArgs, CommandShape},
+    crate::{
+        cli::CliError,
+        operators::{StatusReport, STATUS_PATH},
+    },
+    getopts::Options,
+};
+
+const SHAPE: CommandShape = CommandShape {
+    usage: "status --settings FILE",
+    about: "Shows what an entry process knows: endpoints, peers, stores, counts and its own use\n\
+            of processor and memory.",
+};
+const MEBIBYTE: f64 = 1024.0 * 1024.0;
+
+/// Runs `pitchhitch status`.
+///
+/// # Errors
+/// [`CliError`] when the entry process does not answer.
+pub fn run_status(args: &[String]) -> Result<(), CliError> {
+    let Some(args) = CommandArgs::read(SHAPE, Options::new(), args)? else {
+        return Ok(());
+    };
+    let settings = args.operator()?;
+    let caller = entry_caller(&settings)?;
+    let report: StatusReport = smol::block_on(caller.get_json(STATUS_PATH))
+        .map_err(|e| CliError::Failed(format!("{e}; does the entry process run?")))?;
+    if args.wants_json() {
+        println!("{}", pretty_json(&report)?);
+    } else {
+        print_report(&report);
+    }
+    Ok(())
+}
+
+fn print_report(report: &StatusReport) {
+    let ready = if report.ready { "ready" } else { "not ready" };
+    println!("{}  {ready}  revision {}", report.box_id, report.revision);
+    let cpu = 100.0 * report.usage.cpu_seconds / report.up_seconds.max(0.001);
+    let memory = report.usage.resident_bytes as f64 / MEBIBYTE;
+    println!(
+        "running {}  processor {cpu:.1}% of a core  memory {memory:.1} MiB",
+        report.running
+    );
+    println!(
+        "pieces {}  prompts {}  stores {}",
+        report.pieces,
+        report.prompts,
+        report.stores.len()
+    );
+    println!("leases held: {}", report.shards.join(" "));
+    for peer in &report.peers {
+        println!(
+            "peer {}  revision {}  running {}",
+            peer.id, peer.revision, peer.running
+        );
+    }
+    for row in &report.endpoints {
+        let alive = if row.alive { "usable" } else { "not usable" };
+        println!(
+            "endpoint {}  {} {}  {alive}  running {}  pending tokens {}  {}",
+            row.id,
+            row.target,
+            row.version,
+            row.running,
+            row.pending_tokens,
+            row.drain.text()
+        );
+    }
+    for (name, count) in &report.counts {
+        println!("count {name} {count}");
+    }
+}
--- /dev/null
+++ b/entry/src/conf/mod.rs
@@ -0,0 +1,6 @@
+//! Settings of an entry process and of the operator's commands.
+
+mod entry_settings;
+mod operator_settings;
+
+pub use {entry_settings::*, operator_settings::*};
--- /dev/null
+++ b/entry/src/control/beacon_controller.rs
@@ -0,0 +1,85 @@
+use {
+    super::ControlHandle,
+    crate::traffic::EntryApp,
+    async_channel::Receiver,
+    pitchhitch_core::{
+        member::{Beacon, EntryBeacon},
+        role::EntryEvent,
+    },
+    pitchhitch_wire::beacon::{BeaconSocket, ReceiveError},
+    smol::Timer,
+    std::{net::SocketAddr, sync::Arc, time::Duration},
+};
+
+/// Time between two beacons to peers.
+const BEACON_INTERVAL: Duration = Duration::from_millis(500);
+/// Pause after the socket failed.
+const SOCKET_PAUSE: Duration = Duration::from_millis(100);
+
+/// Takes beacons for good.
+pub async fn take_beacons(socket: Arc<BeaconSocket>, app: Arc<EntryApp>) {
+    loop {
+        match socket.receive().await {
+            Ok(beacon) => take(&app, beacon),
+            Err(ReceiveError::Io(error)) => {
+                log::warn!(event = "beacon-socket", error = error.to_string().as_str(); "");
+                Timer::after(SOCKET_PAUSE).await;
+            }
+            Err(refused) => {
+                app.metrics.count("beacon.refused", 1);
+                log::warn!(event = "beacon-refused", reason = refused.to_string().as_str(); "");
+            }
+        }
+    }
+}
+
+fn take(app: &EntryApp, beacon: Beacon) {
+    app.metrics.count("beacon.taken", 1);
+    match beacon {
+        Beacon::Agent(beacon) => {
+            let view = app.view.load();
+            let known = view
+                .table
+                .endpoint_by_id(&beacon.endpoint_id)
+                .map(|(key, _)| key);
+            let own = known.map(|key| view.sent(key)).unwrap_or_default();
+            app.control.tell(EntryEvent::AgentHeard { beacon, own });
+        }
+        Beacon::Entry(beacon) => {
+            if beacon.entry_id != app.settings.box_id {
+                app.control.tell(EntryEvent::PeerHeard(beacon));
+            }
+        }
+    }
+}
+
+/// Sends beacons to peers for good.
+pub async fn send_beacons(
+    socket: Arc<BeaconSocket>,
+    app: Arc<EntryApp>,
+    control: ControlHandle,
+    peers: Receiver<Vec<SocketAddr>>,
+    peer_address: SocketAddr,
+) {
+    let mut targets = Vec::new();
+    loop {
+        while let Ok(newer) = peers.try_recv() {
+            targets = newer;
+        }
+        let Some(revision) = control.query(|core, _| core.config().revision).await else {
+            return;
+        };
+        let beacon = EntryBeacon {
+            entry_id: app.settings.box_id.clone(),
+            failure_domain: app.settings.failure_domain.clone(),
+            address: app.settings.beacons,
+            peer_address,
+            incarnation: app.clock.incarnation(),
+            revision,
+            running: app.limits().running(),
+        };
+        let sent = socket.send(Beacon::Entry(beacon), &targets).await;
+        app.metrics.count("beacon.bytes_sent", sent as u64);
+        Timer::after(BEACON_INTERVAL).await;
+    }
+}
--- /dev/null
+++ b/entry/src/control/box_controller.rs
@@ -0,0 +1,67 @@
+use {
+    super::ControlHandle,
+    async_channel::Sender,
+    pitchhitch_core::{
+        member::{home_set, HomeCandidate},
+        role::{BoxNotice, EntryEvent},
+    },
+    pitchhitch_platform::boxes::{BoxClient, BoxRow, ListedRole},
+    smol::Timer,
+    std::{net::SocketAddr, time::Duration},
+};
+
+/// Time between two readings of the box list.
+const LIST_INTERVAL: Duration = Duration::from_secs(1);
+/// Peers that beacons are sent to.
+const PEER_LIMIT: usize = 16;
+
+/// Where a process stands, for choosing its peers.
+#[derive(Debug, Clone)]
+pub struct BoxPlace {
+    /// Id of the box.
+    pub box_id: String,
+    /// Its failure domain.
+    pub failure_domain: String,
+}
+
+/// Reads the box list for good, tells the core and says where peers take beacons.
+pub async fn poll_boxes(
+    boxes: BoxClient,
+    place: BoxPlace,
+    control: ControlHandle,
+    peers: Sender<Vec<SocketAddr>>,
+) {
+    loop {
+        match boxes.list().await {
+            Ok(list) => {
+                let _ = peers.try_send(choose_peers(&place, &list.boxes));
+                let notices = list.boxes.into_iter().map(BoxNotice::from);
+                control.tell(EntryEvent::BoxesListed(notices.collect()));
+            }
+            Err(error) => {
+                log::debug!(event = "boxes-not-read", error = error.to_string().as_str(); "");
+            }
+        }
+        Timer::after(LIST_INTERVAL).await;
+    }
+}
+
+fn choose_peers(place: &BoxPlace, rows: &[BoxRow]) -> Vec<SocketAddr> {
+    let entries = rows
+        .iter()
+        .filter(|b| b.role == ListedRole::Entry && b.id != place.box_id);
+    let candidates: Vec<HomeCandidate<SocketAddr>> = entries
+        .map(|row| HomeCandidate {
+            id: row.id.clone(),
+            failure_domain: row.failure_domain.clone(),
+            value: row.address,
+        })
+        .collect();
+    let chosen = home_set(
+        &place.box_id,
+        &place.failure_domain,
+        &candidates,
+        PEER_LIMIT,
+    );
+    chosen.into_iter().map(|home| home.value).collect()
+}
--- /dev/null
+++ b/entry/src/control/call_controller.rs
@@ -0,0 +1,63 @@
+use {
+    super::ControlHandle,
+    crate::traffic::EndpointLink,
+    pitchhitch_core::role::{ConfigNotice, EntryEvent, StampedOrder, StoredPiece},
+    pitchhitch_platform::stores::StoreClient,
+    pitchhitch_wire::messages::{LinkCall, LinkReply},
+    smol::Timer,
+    std::{net::SocketAddr, sync::Arc, time::Duration},
+};
+
+/// Tries of telling an agent a notice.
+const NOTICE_TRIES: u32 = 5;
+/// Pause between two of them.
+const NOTICE_PAUSE: Duration = Duration::from_millis(200);
+/// Time limit of listing a store box.
+const LIST_TIMEOUT: Duration = Duration::from_secs(5);
+
+async fn call_once(link: &EndpointLink, call: &LinkCall) -> Option<LinkReply> {
+    let agent = link.get()?;
+    let mut replies = agent.call(call).await.ok()?;
+    replies.next().await.ok()?
+}
+
+/// Tells an agent what the configuration says. When the link breaks meanwhile,
+/// the agent is told again as soon as its event stream is open anew.
+pub async fn send_notice(link: Arc<EndpointLink>, notice: ConfigNotice) {
+    for _ in 0..NOTICE_TRIES {
+        if call_once(&link, &LinkCall::Notice(notice)).await == Some(LinkReply::Taken) {
+            return;
+        }
+        Timer::after(NOTICE_PAUSE).await;
+    }
+    let endpoint = link.endpoint_id.as_str();
+    log::warn!(event = "notice-not-taken", endpoint = endpoint, revision = notice.revision; "");
+}
+
+/// Gives an agent an order, once: the stamp forbids a second time.
+pub async fn send_order(link: Arc<EndpointLink>, order: StampedOrder, control: ControlHandle) {
+    let reply = call_once(&link, &LinkCall::Order(order)).await;
+    if reply == Some(LinkReply::Taken) {
+        return;
+    }
+    let endpoint = link.endpoint_id.as_str();
+    let reply = format!("{reply:?}");
+    log::warn!(event = "order-not-taken", endpoint = endpoint, reply = reply.as_str(); "");
+    control.tell(EntryEvent::OrderFailed {
+        endpoint_id: link.endpoint_id.clone(),
+    });
+}
+
+/// Asks a store box for all that it holds.
+pub async fn list_store(store: String, address: SocketAddr, control: ControlHandle) {
+    match StoreClient::new(address, LIST_TIMEOUT).list().await {
+        Ok(content) => control.tell(EntryEvent::StoreListed {
+            store,
+            pieces: content.pieces.into_iter().map(StoredPiece::from).collect(),
+        }),
+        Err(error) => {
+            let error = error.to_string();
+            log::info!(event = "store-not-listed", store = store.as_str(), error = error.as_str(); "");
+        }
+    }
+}
--- /dev/null
+++ b/entry/src/control/control_handle.rs
@@ -0,0 +1,100 @@
+use {
+    crate::traffic::EndpointLink,
+    async_channel::Sender,
+    pitchhitch_core::{
+        errors::ErrorKind,
+        role::{EntryCore, EntryEvent},
+        time::Micros,
+    },
+    std::fmt,
+};
+
+type CoreQuery = Box<dyn FnOnce(&mut EntryCore, Micros) + Send>;
+
+/// What the control thread takes.
+pub enum ControlMessage {
+    /// An event for the core.
+    Event(EntryEvent),
+    /// A question about the control state.
+    Query(CoreQuery),
+    /// The process is stopping: hand back what others should take over.
+    Release(Sender<()>),
+}
+
+impl fmt::Debug for ControlMessage {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            ControlMessage::Event(event) => write!(f, "Event({event:?})"),
+            ControlMessage::Query(_) => f.write_str("Query"),
+            ControlMessage::Release(_) => f.write_str("Release"),
+        }
+    }
+}
+
+/// How traffic and controllers talk to the control thread.
+#[derive(Debug, Clone)]
+pub struct ControlHandle {
+    messages: Sender<ControlMessage>,
+}
+
+impl ControlHandle {
+    /// A handle that sends into a channel.
+    pub fn new(messages: Sender<ControlMessage>) -> Self {
+        ControlHandle { messages }
+    }
+
+    /// Tells the core an event.
+    pub fn tell(&self, event: EntryEvent) {
+        // The channel has no bound and lives as long as the process.
+        let _ = self.messages.try_send(ControlMessage::Event(event));
+    }
+
+    /// Asks the control state something; none when the control thread is gone.
+    pub async fn query<T: Send + 'static>(
+        &self,
+        question: impl FnOnce(&mut EntryCore, Micros) -> T + Send + 'static,
+    ) -> Option<T> {
+        let (sender, receiver) = async_channel::bounded(1);
+        let query: CoreQuery = Box::new(move |core, now| {
+            let _ = sender.try_send(question(core, now));
+        });
+        let _ = self.messages.try_send(ControlMessage::Query(query));
+        receiver.recv().await.ok()
+    }
+
+    /// Hands back leases, and waits until that is done.
+    pub async fn release(&self) {
+        let (sender, receiver) = async_channel::bounded(1);
+        let _ = self.messages.try_send(ControlMessage::Release(sender));
+        let _ = receiver.recv().await;
+    }
+
+    /// Notes that a try was answered. Only the first success after a failure is
+    /// news, so the others cost the control thread nothing.
+    pub fn try_succeeded(&self, link: &EndpointLink) {
+        if link.clear_failed() {
+            self.tell(EntryEvent::TryEnded {
+                endpoint_id: link.endpoint_id.clone(),
+                failure: None,
+            });
+        }
+    }
+
+    /// Notes that a try failed at the endpoint. Refusals are no failures.
+    pub fn try_failed(&self, link: &EndpointLink, kind: ErrorKind) {
+        let counts = matches!(
+            kind,
+            ErrorKind::EndpointLost
+                | ErrorKind::EndpointUnreachable
+                | ErrorKind::BadAnswer
+                | ErrorKind::BadMessage
+        );
+        if counts {
+            link.mark_failed();
+            self.tell(EntryEvent::TryEnded {
+                endpoint_id: link.endpoint_id.clone(),
+                failure: Some(kind),
+            });
+        }
+    }
+}
--- /dev/null
+++ b/entry/src/control/control_loop.rs
@@ -0,0 +1,267 @@
+use {
+    super::{
+        list_store, pull_config, send_notice, send_order, ControlHandle, ControlMessage,
+        LeaseController, LinkKeeper, ViewPublisher,
+    },
+    async_channel::{Receiver, Sender},
+    futures_lite::future,
+    pitchhitch_core::{
+        role::{EntryAction, EntryCore, EntryEvent, PlacementLine},
+        route::EndpointState,
+    },
+    pitchhitch_platform::process::ProcessClock,
+    smol::{LocalExecutor, Task, Timer},
+    std::{
+        collections::BTreeMap,
+        net::SocketAddr,
+        rc::Rc,
+        sync::{
+            atomic::{AtomicBool, Ordering},
+            Arc,
+        },
+        time::{Duration, Instant},
+    },
+};
+
+/// Time between two ticks of the core.
+const TICK: Duration = Duration::from_millis(50);
+/// Messages taken in one go before the core's view is published.
+const BATCH: usize = 1_024;
+
+struct KeptLink {
+    _task: Task<()>,
+    resync: Sender<()>,
+    state: Arc<EndpointState>,
+}
+
+/// Runs the core and does what it asks for.
+pub struct ControlLoop {
+    /// The core.
+    pub core: EntryCore,
+    /// Clock of the process.
+    pub clock: ProcessClock,
+    /// Id of the process's box.
+    pub entry_id: String,
+    /// Makes views.
+    pub publisher: ViewPublisher,
+    /// The thread's own handle.
+    pub handle: ControlHandle,
+    /// Lease calls.
+    pub leases: LeaseController,
+    /// Runs the controllers' calls on this thread.
+    pub executor: Rc<LocalExecutor<'static>>,
+    links: BTreeMap<String, KeptLink>,
+    pulling: Arc<AtomicBool>,
+}
+
+impl ControlLoop {
+    /// A loop over a core that knows nothing yet.
+    pub fn new(
+        core: EntryCore,
+        clock: ProcessClock,
+        entry_id: String,
+        publisher: ViewPublisher,
+        leases: LeaseController,
+        executor: Rc<LocalExecutor<'static>>,
+    ) -> Self {
+        ControlLoop {
+            core,
+            clock,
+            entry_id,
+            publisher,
+            handle: leases.control.clone(),
+            leases,
+            executor,
+            links: BTreeMap::new(),
+            pulling: Arc::default(),
+        }
+    }
+
+    /// Takes messages for good.
+    pub async fn run(mut self, inbox: Receiver<ControlMessage>) {
+        let mut next_tick = Instant::now() + TICK;
+        loop {
+            let message = future::or(async { Some(inbox.recv().await) }, async {
+                Timer::at(next_tick).await;
+                None
+            });
+            match message.await {
+                Some(Ok(message)) => self.take(message),
+                Some(Err(_)) => return,
+                None => {}
+            }
+            for _ in 0..BATCH {
+                match inbox.try_recv() {
+                    Ok(message) => self.take(message),
+                    Err(_) => break,
+                }
+            }
+            if Instant::now() >= next_tick {
+                next_tick = Instant::now() + TICK;
+                self.step(EntryEvent::Tick);
+            }
+        }
+    }
+
+    fn take(&mut self, message: ControlMessage) {
+        match message {
+            ControlMessage::Event(event) => self.step(event),
+            ControlMessage::Query(query) => query(&mut self.core, self.clock.now()),
+            ControlMessage::Release(done) => self.release(done),
+        }
+    }
+
+    fn step(&mut self, event: EntryEvent) {
+        let actions = self.core.step(self.clock.now(), event);
+        for action in actions {
+            self.act(action);
+        }
+    }
+
+    fn act(&mut self, action: EntryAction) {
+        match action {
+            EntryAction::Publish {
+                table,
+                returns,
+                entries,
+            } => {
+                let ready = self.core.is_ready(self.clock.now());
+                self.publisher.publish(table, returns, entries, ready);
+            }
+            EntryAction::Connect(state) => self.connect(state),
+            EntryAction::Disconnect { endpoint_id } => self.disconnect(&endpoint_id),
+            EntryAction::DropLink { endpoint_id } => self.reconnect(&endpoint_id),
+            EntryAction::Resync { endpoint_id } => {
+                if let Some(kept) = self.links.get(&endpoint_id) {
+                    let _ = kept.resync.try_send(());
+                }
+            }
+            EntryAction::Notify {
+                endpoint_id,
+                notice,
+            } => {
+                if let Some(link) = self.publisher.known_link(&endpoint_id) {
+                    self.executor.spawn(send_notice(link, notice)).detach();
+                }
+            }
+            EntryAction::Order { endpoint_id, order } => {
+                if let Some(link) = self.publisher.known_link(&endpoint_id) {
+                    let control = self.handle.clone();
+                    self.executor
+                        .spawn(send_order(link, order, control))
+                        .detach();
+                }
+            }
+            EntryAction::PullConfig { peer } => self.pull(peer),
+            EntryAction::ListStore { store, address } => {
+                let control = self.handle.clone();
+                self.executor
+                    .spawn(list_store(store, address, control))
+                    .detach();
+            }
+            EntryAction::ReadLease { shard } => {
+                self.executor
+                    .spawn(self.leases.clone().read(shard))
+                    .detach();
+            }
+            EntryAction::WriteLease {
+                shard,
+                version,
+                row,
+            } => {
+                self.executor
+                    .spawn(self.leases.clone().write(shard, version, row))
+                    .detach();
+            }
+            EntryAction::Log(line) => log_placement(&line),
+        }
+    }
+
+    fn connect(&mut self, state: Arc<EndpointState>) {
+        let (resync, resync_inbox) = async_channel::bounded(1);
+        let keeper = LinkKeeper {
+            entry_id: self.entry_id.clone(),
+            state: state.clone(),
+            link: self.publisher.link(&state.id),
+            control: self.handle.clone(),
+            resync: resync_inbox,
+        };
+        let kept = KeptLink {
+            _task: self.executor.spawn(keeper.run()),
+            resync,
+            state: state.clone(),
+        };
+        self.links.insert(state.id.clone(), kept);
+    }
+
+    fn disconnect(&mut self, endpoint_id: &str) {
+        self.links.remove(endpoint_id);
+        if let Some(link) = self.publisher.known_link(endpoint_id) {
+            link.set(None);
+        }
+        self.publisher.forget(endpoint_id);
+    }
+
+    /// Closes a link that hangs and begins anew.
+    fn reconnect(&mut self, endpoint_id: &str) {
+        let Some(kept) = self.links.remove(endpoint_id) else {
+            return;
+        };
+        if let Some(link) = self.publisher.known_link(endpoint_id) {
+            link.set(None);
+        }
+        log::warn!(event = "link-dropped", endpoint = endpoint_id; "its agent is silent");
+        self.connect(kept.state.clone());
+    }
+
+    fn pull(&mut self, peer: SocketAddr) {
+        if self.pulling.swap(true, Ordering::Relaxed) {
+            return;
+        }
+        let control = self.handle.clone();
+        let pulling = self.pulling.clone();
+        let task = async move {
+            match pull_config(peer).await {
+                Ok(config) => control.tell(EntryEvent::ConfigRead(Arc::new(config))),
+                Err(error) => {
+                    let error = error.to_string();
+                    log::info!(event = "config-not-pulled", error = error.as_str(); "");
+                }
+            }
+            pulling.store(false, Ordering::Relaxed);
+        };
+        self.executor.spawn(task).detach();
+    }
+
+    fn release(&mut self, done: Sender<()>) {
+        let mut writes = Vec::new();
+        for action in self.core.release() {
+            if let EntryAction::WriteLease {
+                shard,
+                version,
+                row,
+            } = action
+            {
+                writes.push(self.leases.clone().write(shard, version, row));
+            }
+        }
+        let task = async move {
+            for write in writes {
+                write.await;
+            }
+            let _ = done.try_send(());
+        };
+        self.executor.spawn(task).detach();
+    }
+}
+
+fn log_placement(line: &PlacementLine) {
+    log::info!(
+        event = "placement",
+        decision = line.decision.word(),
+        subject = line.subject.as_str(),
+        reason = line.reason.as_str(),
+        revision = line.revision;
+        ""
+    );
+}
--- /dev/null
+++ b/entry/src/control/link_keeper.rs
@@ -0,0 +1,131 @@
+use {
+    super::ControlHandle,
+    crate::traffic::EndpointLink,
+    async_channel::Receiver,
+    futures_lite::future,
+    pitchhitch_core::{retry::BackoffPolicy, role::EntryEvent, route::EndpointState},
+    pitchhitch_platform::process::{spawn, to_duration},
+    pitchhitch_wire::{
+        link::{AgentLink, LinkError, ReplyStream},
+        messages::{LinkCall, LinkReply},
+    },
+    rand::SeedableRng,
+    rand_pcg::Pcg32,
+    smol::Timer,
+    std::{sync::Arc, time::Duration},
+};
+
+/// Time limit of connecting.
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// Keeps the link to one life of an agent up, and passes its events on.
+#[derive(Debug)]
+pub struct LinkKeeper {
+    /// Id of the entry process, for the agent's log.
+    pub entry_id: String,
+    /// The endpoint.
+    pub state: Arc<EndpointState>,
+    /// Where traffic finds the link.
+    pub link: Arc<EndpointLink>,
+    /// The control thread.
+    pub control: ControlHandle,
+    /// Something comes in here when the event stream must be opened anew.
+    pub resync: Receiver<()>,
+}
+
+impl LinkKeeper {
+    /// Keeps the link up for good; dropping the future takes it down.
+    pub async fn run(self) {
+        let mut random = Pcg32::seed_from_u64(self.state.incarnation);
+        let mut failures = 0;
+        loop {
+            if self.connect_once().await {
+                failures = 0;
+            }
+            self.link.set(None);
+            self.control.tell(EntryEvent::LinkLost {
+                endpoint_id: self.state.id.clone(),
+            });
+            failures += 1;
+            let pause = BackoffPolicy::LINK.pause(failures, &mut random);
+            Timer::after(to_duration(pause)).await;
+        }
+    }
+
+    /// Connects and stays until the link breaks; false if it never came up.
+    async fn connect_once(&self) -> bool {
+        let connected = AgentLink::connect(self.state.address, CONNECT_TIMEOUT).await;
+        let (link, driver) = match connected {
+            Ok(connected) => connected,
+            Err(error) => {
+                log::debug!(
+                    event = "link-failed",
+                    endpoint = self.state.id.as_str(),
+                    error = error.to_string().as_str();
+                    ""
+                );
+                return false;
+            }
+        };
+        // Dropping the task closes the connection, also when the keeper is dropped.
+        let driver = spawn(driver);
+        let mut was_up = false;
+        let events = async {
+            loop {
+                match self.subscribe(&link).await {
+                    Ok(true) => was_up = true,
+                    Ok(false) | Err(_) => return,
+                }
+            }
+        };
+        future::or(events, driver).await;
+        was_up
+    }
+
+    /// Reads one event stream; true when it should be opened anew.
+    async fn subscribe(&self, link: &AgentLink) -> Result<bool, LinkError> {
+        let call = LinkCall::Subscribe {
+            entry_id: self.entry_id.clone(),
+        };
+        let mut replies = link.call(&call).await?;
+        if !self.is_expected(replies.next().await?) {
+            return Ok(false);
+        }
+        self.control.tell(EntryEvent::StreamOpened {
+            endpoint_id: self.state.id.clone(),
+            incarnation: self.state.incarnation,
+        });
+        self.link.set(Some(link.clone()));
+        let read = self.read_events(&mut replies);
+        let resync = async {
+            let _ = self.resync.recv().await;
+            Ok(true)
+        };
+        future::or(read, resync).await
+    }
+
+    /// Whether the agent at the address is the one that the beacon spoke of.
+    fn is_expected(&self, hello: Option<LinkReply>) -> bool {
+        match hello {
+            Some(LinkReply::Hello {
+                endpoint_id,
+                incarnation,
+            }) => endpoint_id == self.state.id && incarnation == self.state.incarnation,
+            _ => false,
+        }
+    }
+
+    async fn read_events(&self, replies: &mut ReplyStream) -> Result<bool, LinkError> {
+        while let Some(reply) = replies.next().await? {
+            if let LinkReply::Events(batch) = reply {
+                self.control.tell(EntryEvent::AgentSaid {
+                    endpoint_id: self.state.id.clone(),
+                    incarnation: self.state.incarnation,
+                    batch,
+                    own: self.link.sent(),
+                });
+            }
+        }
+        Ok(false)
+    }
+}
--- /dev/null
+++ b/entry/src/control/view_publisher.rs
@@ -0,0 +1,88 @@
+use {
+    crate::traffic::{EndpointLink, KeyIndex, TrafficView},
+    arc_swap::ArcSwap,
+    pitchhitch_core::{
+        place::ReturnModel,
+        route::{EndpointArena, EndpointKey, RouteTable},
+    },
+    slotmap::SecondaryMap,
+    std::{collections::BTreeMap, sync::Arc},
+};
+
+/// Makes the view that traffic reads, and the links that it uses.
+#[derive(Debug)]
+pub struct ViewPublisher {
+    view: Arc<ArcSwap<TrafficView>>,
+    links: BTreeMap<String, Arc<EndpointLink>>,
+    arena: Arc<EndpointArena>,
+    by_key: Arc<SecondaryMap<EndpointKey, Arc<EndpointLink>>>,
+    keys: Arc<KeyIndex>,
+    revision: u64,
+}
+
+impl ViewPublisher {
+    /// A publisher into a shared place.
+    pub fn new(view: Arc<ArcSwap<TrafficView>>) -> Self {
+        ViewPublisher {
+            view,
+            links: BTreeMap::new(),
+            arena: Arc::default(),
+            by_key: Arc::default(),
+            keys: Arc::default(),
+            revision: 0,
+        }
+    }
+
+    /// The link of an endpoint; made if there is none.
+    pub fn link(&mut self, endpoint_id: &str) -> Arc<EndpointLink> {
+        let link = self.links.entry(endpoint_id.to_string());
+        link.or_insert_with(|| Arc::new(EndpointLink::new(endpoint_id)))
+            .clone()
+    }
+
+    /// The link of an endpoint, if there is one.
+    pub fn known_link(&self, endpoint_id: &str) -> Option<Arc<EndpointLink>> {
+        self.links.get(endpoint_id).cloned()
+    }
+
+    /// Forgets the link of an endpoint that is gone.
+    pub fn forget(&mut self, endpoint_id: &str) {
+        self.links.remove(endpoint_id);
+    }
+
+    /// Publishes a new view.
+    pub fn publish(
+        &mut self,
+        table: Arc<RouteTable>,
+        returns: Arc<ReturnModel>,
+        entries: u32,
+        ready: bool,
+    ) {
+        if !Arc::ptr_eq(&self.arena, &table.endpoints) {
+            self.arena = table.endpoints.clone();
+            self.index_links();
+        }
+        if self.revision != table.config.revision {
+            self.revision = table.config.revision;
+            self.keys = Arc::new(KeyIndex::build(&table.config));
+        }
+        self.view.store(Arc::new(TrafficView {
+            table,
+            returns,
+            links: self.by_key.clone(),
+            keys: self.keys.clone(),
+            entries,
+            ready,
+        }));
+    }
+
+    fn index_links(&mut self) {
+        let mut by_key = SecondaryMap::with_capacity(self.arena.capacity());
+        for (key, state) in self.arena.iter() {
+            if let Some(link) = self.links.get(&state.id) {
+                by_key.insert(key, link.clone());
+            }
+        }
+        self.by_key = Arc::new(by_key);
+    }
+}
--- /dev/null
+++ b/entry/src/filter/admit.rs
@@ -0,0 +1,49 @@
+use {
+    super::Refusal,
+    crate::traffic::{EntryApp, TrafficView},
+    pitchhitch_core::errors::ErrorKind,
+    std::sync::Arc,
+};
+
+/// Room that a request holds until it is over.
+#[derive(Debug)]
+pub struct AdmitPermit {
+    app: Arc<EntryApp>,
+    organisation: String,
+}
+
+impl Drop for AdmitPermit {
+    fn drop(&mut self) {
+        self.app.limits().release(&self.organisation);
+    }
+}
+
+/// Second filter: whether the organisation and this process have room for it.
+///
+/// # Errors
+/// [`ErrorKind::OverLimit`] or [`ErrorKind::Overloaded`], with the time to come back.
+pub fn admit(
+    app: &Arc<EntryApp>,
+    view: &TrafficView,
+    organisation: &str,
+) -> Result<AdmitPermit, Refusal> {
+    let conf = view.table.config.organisations.get(organisation);
+    let limits = conf.map(|c| c.limits).unwrap_or_default();
+    let share = view.limit_share();
+    let now = app.clock.now();
+    let admitted = app.limits().admit(organisation, &limits, share, now);
+    admitted.map_err(|refused| {
+        app.metrics.count("request.limited", 1);
+        let detail = match refused.kind {
+            ErrorKind::OverLimit => format!("organisation {organisation} is over its limits"),
+            _ => "this process is full".to_string(),
+        };
+        let mut refusal = Refusal::new(refused.kind, detail);
+        refusal.retry_after = Some(refused.retry_after);
+        refusal
+    })?;
+    Ok(AdmitPermit {
+        app: app.clone(),
+        organisation: organisation.to_string(),
+    })
+}
--- /dev/null
+++ b/entry/src/filter/caller_request.rs
@@ -0,0 +1,162 @@
+use {
+    super::Refusal,
+    pitchhitch_core::{errors::ErrorKind, time::Micros},
+    pitchhitch_wire::messages::{is_hop_by_hop, HeaderField},
+    trillium::{Conn, Method},
+};
+
+/// Marks a request as repeatable (`yes`) or not (`no`).
+pub const REPEATABLE_HEADER: &str = "x-pitchhitch-repeatable";
+/// Milliseconds within which the answer must begin.
+pub const DEADLINE_HEADER: &str = "x-pitchhitch-deadline-ms";
+/// Kind of work, for learning when prompts return.
+pub const LABEL_HEADER: &str = "x-pitchhitch-label";
+/// Key under which a request runs at most once.
+pub const IDEMPOTENCY_HEADER: &str = "idempotency-key";
+/// Header of each answer: id of the request.
+pub const REQUEST_ID_HEADER: &str = "x-request-id";
+/// Header of a failure: whether the request ran.
+pub const RAN_HEADER: &str = "x-pitchhitch-ran";
+
+/// Longest deadline that is believed, in milliseconds.
+const DEADLINE_LIMIT: u64 = 24 * 3_600 * 1_000;
+/// Longest label and idempotency key, in bytes.
+const WORD_LIMIT: usize = 256;
+/// Headers that stay with the entry process.
+const OWN_HEADERS: [&str; 5] = [
+    "authorization",
+    "content-length",
+    REPEATABLE_HEADER,
+    DEADLINE_HEADER,
+    LABEL_HEADER,
+];
+
+/// What a caller marked its request with.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct RequestMarks {
+    /// Whether it may run more than once, if the caller says so.
+    pub repeatable: Option<bool>,
+    /// Key under which it runs at most once.
+    pub idempotency_key: Option<String>,
+    /// Time within which the answer must begin.
+    pub deadline: Option<Micros>,
+    /// Kind of work.
+    pub label: String,
+}
+
+/// A request as it came in, without its body.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct CallerRequest {
+    /// Its id.
+    pub id: String,
+    /// Its number in this process.
+    pub number: u64,
+    /// HTTP method.
+    pub method: Method,
+    /// Path without query.
+    pub path: String,
+    /// Query without question mark.
+    pub query: String,
+    /// Headers that are passed on.
+    pub headers: Vec<HeaderField>,
+    /// What the caller marked it with.
+    pub marks: RequestMarks,
+}
+
+impl CallerRequest {
+    /// Reads the head of a request.
+    ///
+    /// # Errors
+    /// [`Refusal`] when one of our headers has no usable value.
+    pub fn read(conn: &Conn, id: String, number: u64) -> Result<Self, Refusal> {
+        Ok(CallerRequest {
+            id,
+            number,
+            method: conn.method(),
+            path: conn.path().to_string(),
+            query: conn.querystring().to_string(),
+            headers: passed_headers(conn),
+            marks: read_marks(conn)?,
+        })
+    }
+
+    /// Path with query.
+    pub fn path_and_query(&self) -> String {
+        if self.query.is_empty() {
+            self.path.clone()
+        } else {
+            format!("{}?{}", self.path, self.query)
+        }
+    }
+}
+
+fn passed_headers(conn: &Conn) -> Vec<HeaderField> {
+    let mut fields = Vec::new();
+    for (name, values) in conn.request_headers() {
+        let name = name.to_string().to_ascii_lowercase();
+        if is_hop_by_hop(&name) || OWN_HEADERS.contains(&name.as_str()) {
+            continue;
+        }
+        for value in values.iter().filter_map(|v| v.as_str()) {
+            fields.push(HeaderField {
+                name: name.clone(),
+                value: value.to_string(),
+            });
+        }
+    }
+    fields
+}
+
+fn read_marks(conn: &Conn) -> Result<RequestMarks, Refusal> {
+    let headers = conn.request_headers();
+    let repeatable = match headers.get_str(REPEATABLE_HEADER) {
+        None => None,
+        Some("yes") => Some(true),
+        Some("no") => Some(false),
+        Some(other) => return Err(bad_header(REPEATABLE_HEADER, other, "yes or no")),
+    };
+    let deadline = match headers.get_str(DEADLINE_HEADER) {
+        None => None,
+        Some(text) => {
+            let millis = text
+                .parse()
+                .ok()
+                .filter(|m| (1..=DEADLINE_LIMIT).contains(m));
+            let wanted = "a whole number of milliseconds";
+            let millis = millis.ok_or_else(|| bad_header(DEADLINE_HEADER, text, wanted))?;
+            Some(Micros::from_millis(millis))
+        }
+    };
+    let idempotency_key = match headers.get_str(IDEMPOTENCY_HEADER) {
+        None => None,
+        Some(key) if !key.is_empty() && key.len() <= WORD_LIMIT => Some(key.to_string()),
+        Some(_) => {
+            return Err(bad_header(
+                IDEMPOTENCY_HEADER,
+                "an empty or overlong key",
+                "1 to 256 bytes",
+            ))
+        }
+    };
+    let label = headers.get_str(LABEL_HEADER).unwrap_or_default();
+    if label.len() > WORD_LIMIT {
+        return Err(bad_header(
+            LABEL_HEADER,
+            "an overlong label",
+            "at most 256 bytes",
+        ));
+    }
+    Ok(RequestMarks {
+        repeatable,
+        idempotency_key,
+        deadline,
+        label: label.to_string(),
+    })
+}
+
+fn bad_header(name: &str, found: &str, wanted: &str) -> Refusal {
+    Refusal::new(
+        ErrorKind::BadHeader,
+        format!("header {name}: found {found}, wanted {wanted}"),
+    )
+}
--- /dev/null
+++ b/entry/src/filter/request_chain.rs
@@ -0,0 +1,123 @@
+use {
+    super::{
+        admit, answer, identify, path_kind, select, AdmitPermit, CallerRequest, Dispatch,
+        ReadyAnswer, Refusal, SelectedWork,
+    },
+    crate::{once::intent_key, traffic::EntryApp},
+    pitchhitch_core::{
+        errors::{ErrorKind, RunState},
+        time::Micros,
+    },
+    std::sync::Arc,
+    trillium::Conn,
+};
+
+/// Takes a request through all filters and writes its answer.
+pub async fn run_chain(app: Arc<EntryApp>, mut conn: Conn) -> Conn {
+    let number = app.next_number();
+    let id = app.request_id(number);
+    app.metrics.count("request.taken", 1);
+    match chain(&app, &mut conn, &id, number).await {
+        Ok(Some(ready)) => ready.write(conn, &id),
+        Ok(None) => {
+            // The caller has gone; whatever is written now is lost.
+            app.metrics.count("request.caller_gone", 1);
+            Refusal::new(ErrorKind::CallerGone, "the caller has gone").write(conn, &id)
+        }
+        Err(refusal) => {
+            app.metrics.count("request.refused", 1);
+            app.ring.ended(&id, refusal.kind.answer().code);
+            log::info!(
+                event = "refused",
+                request = id.as_str(),
+                kind = refusal.kind.answer().code,
+                ran = refusal.run_state().word(),
+                detail = refusal.detail.as_str();
+                ""
+            );
+            refusal.write(conn, &id)
+        }
+    }
+}
+
+/// All filters in order; none when the caller has gone.
+async fn chain(
+    app: &Arc<EntryApp>,
+    conn: &mut Conn,
+    id: &str,
+    number: u64,
+) -> Result<Option<ReadyAnswer>, Refusal> {
+    let began_at = app.clock.now();
+    let view = app.view.load_full();
+    let organisation = identify(conn, &view)?;
+    let request = CallerRequest::read(conn, id.to_string(), number)?;
+    let kind = path_kind(&view.table.config, request.method, &request.path)?;
+    let permit = admit(app, &view, &organisation)?;
+    let body = read_body(app, conn).await?;
+    let deadline = began_at
+        + request
+            .marks
+            .deadline
+            .unwrap_or(app.settings.default_deadline);
+    let work = select(&view, request, organisation, kind, body, deadline)?;
+    drop(view);
+    let rest = route_and_send(app.clone(), work, began_at, permit);
+    conn.cancel_on_disconnect(rest).await.transpose()
+}
+
+async fn read_body(app: &EntryApp, conn: &mut Conn) -> Result<Vec<u8>, Refusal> {
+    let limit = app.settings.max_body_bytes;
+    let too_large = || {
+        let detail = format!("the body is over {limit} bytes");
+        Refusal::new(ErrorKind::BodyTooLarge, detail)
+    };
+    let announced = conn
+        .request_headers()
+        .get_str("content-length")
+        .and_then(|t| t.parse::<u64>().ok());
+    if announced.is_some_and(|length| length > limit) {
+        return Err(too_large());
+    }
+    let body = conn.request_body().await.with_max_len(limit + 1);
+    let bytes = body.read_bytes().await;
+    let bytes = bytes.map_err(|e| match e {
+        trillium::Error::ReceivedBodyTooLong(_) => too_large(),
+        trillium::Error::Io(e) if e.kind() == std::io::ErrorKind::Unsupported => too_large(),
+        other => Refusal::new(
+            ErrorKind::MalformedBody,
+            format!("the body broke off: {other}"),
+        ),
+    })?;
+    if bytes.len() as u64 > limit {
+        return Err(too_large());
+    }
+    Ok(bytes)
+}
+
+async fn route_and_send(
+    app: Arc<EntryApp>,
+    work: SelectedWork,
+    began_at: Micros,
+    permit: AdmitPermit,
+) -> Result<ReadyAnswer, Refusal> {
+    let intent = work.request.marks.idempotency_key.as_ref();
+    let intent = intent.map(|key| intent_key(&work.organisation, key));
+    let request_id = work.request.id.clone();
+    if let Some(key) = &intent {
+        let begun = app.once.begin(key, &request_id).await;
+        begun.map_err(|kind| Refusal::new(kind, "the idempotency key"))?;
+    }
+    let mut dispatch = Dispatch::new(app.clone(), work);
+    let started = dispatch.start(None).await;
+    let ended = match started {
+        Ok(started) => answer(dispatch, started, began_at, permit).await,
+        Err(refusal) => Err(refusal),
+    };
+    if let (Some(key), Err(refusal)) = (&intent, &ended) {
+        if refusal.run_state() == RunState::NotRun {
+            // If this fails the key stays used, which is on the safe side.
+            let _ = app.once.release(key, &request_id).await;
+        }
+    }
+    ended
+}
--- /dev/null
+++ b/entry/src/filter/select.rs
@@ -0,0 +1,128 @@
+use {
+    super::{CallerRequest, Refusal},
+    crate::{
+        openai::{PromptRequest, PromptShape},
+        traffic::TrafficView,
+    },
+    pitchhitch_core::{
+        conf::FleetConfig, errors::ErrorKind, kept::estimated_tokens, route::WorkTarget,
+        time::Micros,
+    },
+    trillium::Method,
+};
+
+/// What a request asks for, as the third filter finds it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct SelectedWork {
+    /// The request.
+    pub request: CallerRequest,
+    /// Organisation.
+    pub organisation: String,
+    /// Model or service.
+    pub target: WorkTarget,
+    /// Text of the prompt; empty for plain services.
+    pub prompt: Vec<u8>,
+    /// Length of the prompt, in tokens.
+    pub input_tokens: u32,
+    /// Whether it may run more than once.
+    pub repeatable: bool,
+    /// When its answer must have begun.
+    pub deadline: Micros,
+    /// Body, untouched.
+    pub body: Vec<u8>,
+}
+
+/// Which kind of call a path is.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum PathKind {
+    /// A prompt.
+    Prompt(PromptShape),
+    /// A call of a plain service.
+    Service(String),
+}
+
+/// Finds what a path belongs to.
+///
+/// # Errors
+/// [`ErrorKind::UnknownPath`] when it belongs to nothing.
+pub fn path_kind(config: &FleetConfig, method: Method, path: &str) -> Result<PathKind, Refusal> {
+    match (method, path) {
+        (Method::Post, "/v1/chat/completions") => return Ok(PathKind::Prompt(PromptShape::Chat)),
+        (Method::Post, "/v1/completions") => return Ok(PathKind::Prompt(PromptShape::Completion)),
+        _ => {}
+    }
+    let services = config
+        .services
+        .iter()
+        .filter(|(_, conf)| is_under(path, &conf.prefix));
+    let longest = services.max_by_key(|(_, conf)| conf.prefix.len());
+    match longest {
+        Some((name, _)) => Ok(PathKind::Service(name.clone())),
+        None => Err(Refusal::new(
+            ErrorKind::UnknownPath,
+            format!("nothing answers {method} {path}"),
+        )),
+    }
+}
+
+fn is_under(path: &str, prefix: &str) -> bool {
+    let rest = path.strip_prefix(prefix.trim_end_matches('/'));
+    rest.is_some_and(|rest| rest.is_empty() || rest.starts_with('/'))
+}
+
+/// Third filter: what the request asks for.
+///
+/// # Errors
+/// [`Refusal`] when the body is no prompt or the model is not known.
+pub fn select(
+    view: &TrafficView,
+    request: CallerRequest,
+    organisation: String,
+    kind: PathKind,
+    body: Vec<u8>,
+    deadline: Micros,
+) -> Result<SelectedWork, Refusal> {
+    let keyed = request.marks.idempotency_key.is_some();
+    let marked = request.marks.repeatable;
+    match kind {
+        PathKind::Prompt(shape) => {
+            let prompt = PromptRequest::parse(shape, &body)
+                .map_err(|e| Refusal::new(ErrorKind::MalformedBody, e.to_string()))?;
+            if !view.table.config.models.contains_key(&prompt.model) {
+                let detail = format!("there is no model '{}'", prompt.model);
+                return Err(Refusal::new(ErrorKind::UnknownModel, detail));
+            }
+            Ok(SelectedWork {
+                input_tokens: estimated_tokens(prompt.text.len()),
+                target: WorkTarget::Model(prompt.model),
+                prompt: prompt.text,
+                repeatable: marked.unwrap_or(!keyed) && !keyed,
+                request,
+                organisation,
+                deadline,
+                body,
+            })
+        }
+        PathKind::Service(name) => {
+            let by_method = is_repeatable(request.method);
+            Ok(SelectedWork {
+                input_tokens: 0,
+                target: WorkTarget::Service(name),
+                prompt: Vec::new(),
+                repeatable: marked.unwrap_or(by_method) && !keyed,
+                request,
+                organisation,
+                deadline,
+                body,
+            })
+        }
+    }
+}
+
+/// Methods that HTTP itself lets be repeated.
+fn is_repeatable(method: Method) -> bool {
+    matches!(
+        method,
+        Method::Get | Method::Head | Method::Put | Method::Delete | Method::Options | Method::Trace
+    )
+}
--- /dev/null
+++ b/entry/src/filter/send.rs
@@ -0,0 +1,183 @@
+use {
+    super::{RoutedTry, SelectedWork},
+    crate::{
+        control::ControlHandle,
+        traffic::{EndpointLink, EntryApp, TrafficView},
+    },
+    pitchhitch_core::{
+        errors::ErrorKind,
+        role::{AgentPulse, EntryEvent},
+    },
+    pitchhitch_wire::{
+        link::{LinkError, ReplyStream},
+        messages::{HandOver, LinkCall, LinkReply, ReplyHead},
+    },
+    std::sync::Arc,
+};
+
+/// A try that the endpoint has begun to answer.
+#[derive(Debug)]
+pub struct StartedTry {
+    /// Status and headers.
+    pub head: ReplyHead,
+    /// The rest of the answer.
+    pub replies: ReplyStream,
+    /// Keeps the books about it.
+    pub tracker: TryTracker,
+}
+
+/// Keeps the books about one try: what is under way at the endpoint, and how it ended.
+#[derive(Debug)]
+pub struct TryTracker {
+    control: ControlHandle,
+    link: Arc<EndpointLink>,
+    tokens: u32,
+    computed: bool,
+}
+
+impl TryTracker {
+    fn begin(app: &EntryApp, link: Arc<EndpointLink>, tokens: u32) -> Self {
+        link.began(tokens);
+        TryTracker {
+            control: app.control.clone(),
+            link,
+            tokens,
+            computed: false,
+        }
+    }
+
+    /// The endpoint has computed the prompt.
+    pub fn first_token(&mut self) {
+        if !std::mem::replace(&mut self.computed, true) {
+            self.link.computed(self.tokens);
+        }
+    }
+
+    /// The endpoint has answered wholly.
+    pub fn answered(&self, pulse: AgentPulse) {
+        self.pulse(pulse);
+        self.control.try_succeeded(&self.link);
+    }
+
+    /// The endpoint failed or refused.
+    pub fn failed(&self, kind: ErrorKind, pulse: Option<AgentPulse>) {
+        if let Some(pulse) = pulse {
+            self.pulse(pulse);
+        }
+        self.control.try_failed(&self.link, kind);
+    }
+
+    fn pulse(&self, pulse: AgentPulse) {
+        self.control.tell(EntryEvent::PulseSeen {
+            endpoint_id: self.link.endpoint_id.clone(),
+            pulse,
+            own: self.link.sent(),
+        });
+    }
+}
+
+impl Drop for TryTracker {
+    fn drop(&mut self) {
+        self.first_token();
+        self.link.ended();
+    }
+}
+
+/// Fifth filter: hands the request to the agent and waits for the answer to begin.
+///
+/// # Errors
+/// The kind of failure, which says whether the request may have run.
+pub async fn send(
+    app: &EntryApp,
+    view: &TrafficView,
+    work: &SelectedWork,
+    routed: &RoutedTry,
+    resume_after: Option<u64>,
+) -> Result<StartedTry, ErrorKind> {
+    let link = view.links.get(routed.choice.endpoint).cloned();
+    let link = link.ok_or(ErrorKind::EndpointUnreachable)?;
+    let agent = link.get().ok_or(ErrorKind::EndpointUnreachable)?;
+    let tokens = routed.choice.estimate.recomputed_tokens;
+    let tracker = TryTracker::begin(app, link, tokens);
+    let call = LinkCall::HandOver(Box::new(hand_over(app, work, routed, resume_after)));
+    let called = agent.call(&call).await;
+    let mut replies = called.map_err(|error| note_failure(&tracker, error))?;
+    match replies.next().await {
+        Ok(Some(LinkReply::Head(head))) => {
+            measure_import(app, view, routed, work, &head);
+            Ok(StartedTry {
+                head,
+                replies,
+                tracker,
+            })
+        }
+        Ok(Some(LinkReply::Refused { kind, pulse } | LinkReply::Failed { kind, pulse })) => {
+            tracker.failed(kind, Some(pulse));
+            Err(kind)
+        }
+        Ok(_) => {
+            tracker.failed(ErrorKind::BadMessage, None);
+            Err(ErrorKind::BadMessage)
+        }
+        Err(error) => Err(note_failure(&tracker, error)),
+    }
+}
+
+fn note_failure(tracker: &TryTracker, error: LinkError) -> ErrorKind {
+    let kind = error.kind();
+    log::info!(
+        event = "try-failed",
+        endpoint = tracker.link.endpoint_id.as_str(),
+        reason = error.to_string().as_str();
+        ""
+    );
+    tracker.failed(kind, None);
+    kind
+}
+
+fn hand_over(
+    app: &EntryApp,
+    work: &SelectedWork,
+    routed: &RoutedTry,
+    resume_after: Option<u64>,
+) -> HandOver {
+    let left = work.deadline.since(app.clock.now());
+    HandOver {
+        request_id: work.request.id.clone(),
+        organisation: work.organisation.clone(),
+        version: (!routed.version.is_empty()).then(|| routed.version.clone()),
+        tokens: routed.choice.estimate.recomputed_tokens,
+        deadline_millis: left.as_millis().max(1),
+        repeatable: work.repeatable,
+        method: work.request.method.to_string(),
+        path: work.request.path_and_query(),
+        headers: work.request.headers.clone(),
+        body: work.body.clone(),
+        pieces: routed.pieces.clone(),
+        import: routed.import.clone(),
+        export: routed.keep.export.clone(),
+        resume_after,
+    }
+}
+
+/// Tells the control thread how fast the store box's link was.
+fn measure_import(
+    app: &EntryApp,
+    view: &TrafficView,
+    routed: &RoutedTry,
+    work: &SelectedWork,
+    head: &ReplyHead,
+) {
+    let Some(plan) = &routed.import else {
+        return;
+    };
+    if head.imported_pieces == 0 || head.import_micros == 0 {
+        return;
+    }
+    let tokens = u64::from(head.imported_pieces * pitchhitch_core::kept::PIECE_TOKENS);
+    let bytes = tokens * super::token_bytes(view, work);
+    app.control.tell(EntryEvent::StoreMeasured {
+        store: plan.store.clone(),
+        link_rate: bytes as f64 / (head.import_micros as f64 / 1e6),
+    });
+}
--- /dev/null
+++ b/entry/src/lib.rs
@@ -0,0 +1,14 @@
+//! The entry process: a filter chain for requests, controllers for state, and
+//! the operator's command line.
+
+pub mod callers;
+pub mod cli;
+pub mod command;
+pub mod conf;
+pub mod control;
+pub mod explain;
+pub mod filter;
+pub mod once;
+pub mod openai;
+pub mod operators;
+pub mod traffic;
--- /dev/null
+++ b/entry/src/openai/error_body.rs
@@ -0,0 +1,35 @@
+use {pitchhitch_core::errors::ErrorKind, serde::Serialize};
+
+/// An error in the shape of that API.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize)]
+pub struct ErrorBody {
+    error: ErrorObject,
+}
+
+#[derive(Debug, Clone, PartialEq, Eq, Serialize)]
+struct ErrorObject {
+    message: String,
+    r#type: &'static str,
+    param: Option<String>,
+    code: &'static str,
+}
+
+impl ErrorBody {
+    /// The body for an error.
+    pub fn new(kind: ErrorKind, detail: &str) -> Self {
+        let row = kind.answer();
+        ErrorBody {
+            error: ErrorObject {
+                message: format!("{detail}; {}", row.remedy),
+                r#type: row.error_type,
+                param: None,
+                code: row.code,
+            },
+        }
+    }
+
+    /// The body as JSON.
+    pub fn to_json(&self) -> String {
+        serde_json::to_string(self).unwrap_or_default()
+    }
+}
--- /dev/null
+++ b/entry/src/openai/prompt_request.rs
@@ -0,0 +1,141 @@
+use {serde::Deserialize, thiserror::Error};
+
+/// Shape of a prompt.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum PromptShape {
+    /// `POST /v1/chat/completions`.
+    Chat,
+    /// `POST /v1/completions`.
+    Completion,
+}
+
+/// What the entry process reads of a prompt; the body itself goes on untouched.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct PromptRequest {
+    /// Model that is asked for.
+    pub model: String,
+    /// Whether the answer is streamed.
+    pub stream: bool,
+    /// Text of the whole prompt, as far as it counts for kept state.
+    pub text: Vec<u8>,
+}
+
+/// Why a body is no prompt.
+#[derive(Debug, Clone, PartialEq, Eq, Error)]
+pub enum PromptError {
+    /// It is not JSON of that shape.
+    #[error("the body cannot be read: {reason}")]
+    Shape {
+        /// What the decoder found.
+        reason: String,
+    },
+    /// It has no messages or an empty prompt.
+    #[error("the body has no prompt")]
+    Empty,
+}
+
+#[derive(Deserialize)]
+struct ChatBody {
+    model: String,
+    #[serde(default)]
+    stream: Option<bool>,
+    messages: Vec<ChatMessage>,
+}
+
+#[derive(Deserialize)]
+struct ChatMessage {
+    role: String,
+    #[serde(default)]
+    content: Option<ChatContent>,
+}
+
+#[derive(Deserialize)]
+#[serde(untagged)]
+enum ChatContent {
+    Text(String),
+    Parts(Vec<ContentPart>),
+}
+
+#[derive(Deserialize)]
+struct ContentPart {
+    #[serde(default)]
+    text: Option<String>,
+}
+
+#[derive(Deserialize)]
+struct CompletionBody {
+    model: String,
+    #[serde(default)]
+    stream: Option<bool>,
+    prompt: CompletionPrompt,
+}
+
+#[derive(Deserialize)]
+#[serde(untagged)]
+enum CompletionPrompt {
+    One(String),
+    Many(Vec<String>),
+    Tokens(Vec<u32>),
+}
+
+impl PromptRequest {
+    /// Reads a body.
+    ///
+    /// # Errors
+    /// [`PromptError`] when it is no prompt of that shape.
+    pub fn parse(shape: PromptShape, body: &[u8]) -> Result<Self, PromptError> {
+        let request = match shape {
+            PromptShape::Chat => Self::parse_chat(body)?,
+            PromptShape::Completion => Self::parse_completion(body)?,
+        };
+        if request.text.is_empty() {
+            return Err(PromptError::Empty);
+        }
+        Ok(request)
+    }
+
+    fn parse_chat(body: &[u8]) -> Result<Self, PromptError> {
+        let chat: ChatBody = serde_json::from_slice(body).map_err(shape_error)?;
+        let mut text = Vec::with_capacity(body.len());
+        for message in &chat.messages {
+            text.extend_from_slice(message.role.as_bytes());
+            text.push(b'\n');
+            match &message.content {
+                Some(ChatContent::Text(content)) => text.extend_from_slice(content.as_bytes()),
+                Some(ChatContent::Parts(parts)) => {
+                    let texts = parts.iter().filter_map(|p| p.text.as_ref());
+                    texts.for_each(|t| text.extend_from_slice(t.as_bytes()));
+                }
+                None => {}
+            }
+            text.push(b'\n');
+        }
+        Ok(PromptRequest {
+            model: chat.model,
+            stream: chat.stream.unwrap_or(false),
+            text,
+        })
+    }
+
+    fn parse_completion(body: &[u8]) -> Result<Self, PromptError> {
+        let completion: CompletionBody = serde_json::from_slice(body).map_err(shape_error)?;
+        let text = match completion.prompt {
+            CompletionPrompt::One(text) => text.into_bytes(),
+            CompletionPrompt::Many(texts) => texts.concat().into_bytes(),
+            CompletionPrompt::Tokens(tokens) => {
+                tokens.iter().flat_map(|t| t.to_le_bytes()).collect()
+            }
+        };
+        Ok(PromptRequest {
+            model: completion.model,
+            stream: completion.stream.unwrap_or(false),
+            text,
+        })
+    }
+}
+
+fn shape_error(error: serde_json::Error) -> PromptError {
+    PromptError::Shape {
+        reason: error.to_string(),
+    }
+}
--- /dev/null
+++ b/entry/src/openai/sse_splitter.rs
@@ -0,0 +1,75 @@
+/// Cuts a stream of server-sent events at the ends of events.
+///
+/// Only whole events are passed on, so that a stream that breaks can be taken up
+/// again after the last one that the caller has.
+#[derive(Debug, Default)]
+pub struct SseSplitter {
+    partial: Vec<u8>,
+    last_id: Option<u64>,
+    done: bool,
+}
+
+const EVENT_END: &[u8] = b"\n\n";
+const ID_FIELD: &[u8] = b"id:";
+const DONE_EVENT: &[u8] = b"data: [DONE]";
+/// Longest event that is held back, in bytes.
+const EVENT_LIMIT: usize = 1024 * 1024;
+
+/// An event that does not end.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct EndlessEvent;
+
+impl SseSplitter {
+    /// Takes the next bytes; gives all that forms whole events.
+    ///
+    /// # Errors
+    /// [`EndlessEvent`] when one event is longer than anything reasonable.
+    pub fn feed(&mut self, bytes: &[u8]) -> Result<Vec<u8>, EndlessEvent> {
+        self.partial.extend_from_slice(bytes);
+        let Some(end) = last_event_end(&self.partial) else {
+            return if self.partial.len() > EVENT_LIMIT {
+                Err(EndlessEvent)
+            } else {
+                Ok(Vec::new())
+            };
+        };
+        let rest = self.partial.split_off(end);
+        let whole = std::mem::replace(&mut self.partial, rest);
+        self.note_events(&whole);
+        Ok(whole)
+    }
+
+    /// Number of the last whole event, if events are numbered.
+    pub fn last_id(&self) -> Option<u64> {
+        self.last_id
+    }
+
+    /// Whether the closing event has come.
+    pub fn is_done(&self) -> bool {
+        self.done
+    }
+
+    /// Forgets the part of an event that came before the stream broke.
+    pub fn drop_partial(&mut self) {
+        self.partial.clear();
+    }
+
+    fn note_events(&mut self, whole: &[u8]) {
+        for line in whole.split(|b| *b == b'\n') {
+            if let Some(number) = line.strip_prefix(ID_FIELD) {
+                let number = std::str::from_utf8(number)
+                    .ok()
+                    .and_then(|t| t.trim().parse().ok());
+                self.last_id = number.or(self.last_id);
+            }
+            self.done |= line == DONE_EVENT;
+        }
+    }
+}
+
+fn last_event_end(bytes: &[u8]) -> Option<usize> {
+    let start = bytes
+        .windows(EVENT_END.len())
+        .rposition(|w| w == EVENT_END)?;
+    Some(start + EVENT_END.len())
+}
--- /dev/null
+++ b/entry/src/operators/operator_server.rs
@@ -0,0 +1,171 @@
+use {
+    super::StatusReport,
+    crate::{callers::json, control::PEER_CONFIG_PATH, explain::DecisionRecord, traffic::EntryApp},
+    pitchhitch_core::{
+        drain::DrainState,
+        kept::{PieceHolder, PieceKey, StoreTier},
+    },
+    pitchhitch_platform::http::HttpCaller,
+    serde::{Deserialize, Serialize},
+    std::{net::SocketAddr, sync::Arc, time::Duration},
+    trillium::{Conn, Method, Status},
+};
+
+/// Path of the status report.
+pub const STATUS_PATH: &str = "/operator/status";
+/// Path prefix for explaining a request.
+pub const EXPLAIN_PREFIX: &str = "/operator/explain/";
+/// Path prefix for explaining a piece.
+pub const PIECE_PREFIX: &str = "/operator/piece/";
+/// Path prefix for the drain of an endpoint.
+pub const DRAIN_PREFIX: &str = "/operator/drain/";
+/// Mark of a question that a peer has passed on; it goes no further.
+const PASSED_QUERY: &str = "passed=1";
+/// Time limit of asking a peer.
+const PEER_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// What is known of a piece.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct PieceReport {
+    /// The piece.
+    pub key: PieceKey,
+    /// Who holds it.
+    pub holders: Vec<HolderRow>,
+}
+
+/// One holder of a piece.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct HolderRow {
+    /// Endpoint or store box.
+    pub place: String,
+    /// `accelerator`, `memory` or `disk`.
+    pub tier: String,
+    /// Generation on a store box.
+    pub generation: Option<u64>,
+}
+
+/// How far the drain of an endpoint is.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct DrainReport {
+    /// The endpoint.
+    pub endpoint: String,
+    /// How far its drain is.
+    pub state: DrainState,
+}
+
+/// Serves one question of an operator or a peer.
+pub async fn serve_operator(app: Arc<EntryApp>, conn: Conn) -> Conn {
+    if conn.method() != Method::Get {
+        return conn.with_status(Status::MethodNotAllowed).halt();
+    }
+    let path = conn.path().to_string();
+    if path == STATUS_PATH {
+        return match StatusReport::gather(&app).await {
+            Some(report) => json(conn, &report),
+            None => conn.with_status(Status::ServiceUnavailable).halt(),
+        };
+    }
+    if path == PEER_CONFIG_PATH {
+        return match app.control.query(|core, _| core.config().clone()).await {
+            Some(config) => json(conn, &*config),
+            None => conn.with_status(Status::ServiceUnavailable).halt(),
+        };
+    }
+    if let Some(request_id) = path.strip_prefix(EXPLAIN_PREFIX) {
+        return explain(&app, conn, request_id).await;
+    }
+    if let Some(key) = path.strip_prefix(PIECE_PREFIX) {
+        return explain_piece(&app, conn, key);
+    }
+    if let Some(endpoint) = path.strip_prefix(DRAIN_PREFIX) {
+        return drain(&app, conn, endpoint).await;
+    }
+    conn.with_status(Status::NotFound).halt()
+}
+
+async fn drain(app: &EntryApp, conn: Conn, endpoint: &str) -> Conn {
+    let id = endpoint.to_string();
+    let asked = id.clone();
+    let state = app
+        .control
+        .query(move |core, now| core.drain_state(&asked, now))
+        .await;
+    match state {
+        Some(state) => json(
+            conn,
+            &DrainReport {
+                endpoint: id,
+                state,
+            },
+        ),
+        None => conn.with_status(Status::ServiceUnavailable).halt(),
+    }
+}
+
+/// The id of a request names the process that decided; that one is asked.
+async fn explain(app: &EntryApp, conn: Conn, request_id: &str) -> Conn {
+    let own = app.ring.find(request_id);
+    if !own.is_empty() {
+        return json(conn, &own);
+    }
+    let box_id = request_id.split('.').next().unwrap_or_default().to_string();
+    if box_id == app.settings.box_id || conn.querystring() == PASSED_QUERY {
+        return conn.with_status(Status::NotFound).halt();
+    }
+    let peer = app.control.query(move |core, _| {
+        let mut peers = core.peers().iter();
+        peers
+            .find(|p| p.beacon.entry_id == box_id)
+            .map(|p| p.beacon.peer_address)
+    });
+    let Some(Some(peer)) = peer.await else {
+        return conn.with_status(Status::NotFound).halt();
+    };
+    match ask_peer(peer, request_id).await {
+        Some(records) => json(conn, &records),
+        None => conn.with_status(Status::NotFound).halt(),
+    }
+}
+
+async fn ask_peer(peer: SocketAddr, request_id: &str) -> Option<Vec<DecisionRecord>> {
+    let path = format!("{EXPLAIN_PREFIX}{request_id}?{PASSED_QUERY}");
+    HttpCaller::new(peer, PEER_TIMEOUT)
+        .get_json(&path)
+        .await
+        .ok()
+}
+
+fn explain_piece(app: &EntryApp, conn: Conn, text: &str) -> Conn {
+    let Ok(key) = text.parse::<PieceKey>() else {
+        return conn.with_status(Status::BadRequest).halt();
+    };
+    let view = app.view.load();
+    let mut holders = Vec::new();
+    for holder in view.table.pieces.holders(key) {
+        match holder {
+            PieceHolder::Endpoint(endpoint) => {
+                if let Some(state) = view.table.endpoints.get(*endpoint) {
+                    holders.push(HolderRow {
+                        place: state.id.clone(),
+                        tier: "accelerator".to_string(),
+                        generation: None,
+                    });
+                }
+            }
+            PieceHolder::Store(copy) => {
+                if let Some(state) = view.table.stores.get(copy.store) {
+                    let tier = match copy.tier {
+                        StoreTier::Memory => "memory",
+                        StoreTier::Disk => "disk",
+                    };
+                    holders.push(HolderRow {
+                        place: state.id.clone(),
+                        tier: tier.to_string(),
+                        generation: Some(copy.generation),
+                    });
+                }
+            }
+        }
+    }
+    json(conn, &PieceReport { key, holders })
+}
--- /dev/null
+++ b/entry/src/operators/status_report.rs
@@ -0,0 +1,159 @@
+use {
+    crate::traffic::EntryApp,
+    pitchhitch_core::{drain::DrainState, role::EntryCore, route::EndpointKind, time::Micros},
+    pitchhitch_platform::process::ProcessUsage,
+    serde::{Deserialize, Serialize},
+    std::collections::BTreeMap,
+};
+
+/// What one entry process knows, for operators.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct StatusReport {
+    /// Id of the process's box.
+    pub box_id: String,
+    /// Configuration revision in force.
+    pub revision: u64,
+    /// Whether it wants new requests.
+    pub ready: bool,
+    /// Time since its start, in seconds.
+    pub up_seconds: f64,
+    /// Requests running.
+    pub running: u32,
+    /// Endpoints that it knows.
+    pub endpoints: Vec<EndpointRow>,
+    /// Other entry processes that it hears.
+    pub peers: Vec<PeerRow>,
+    /// Store boxes that it knows.
+    pub stores: Vec<String>,
+    /// Kept pieces that it knows.
+    pub pieces: usize,
+    /// Prompts whose return it waits for.
+    pub prompts: usize,
+    /// Shards of control whose lease it holds.
+    pub shards: Vec<String>,
+    /// Counts since its start.
+    pub counts: BTreeMap<String, u64>,
+    /// Processor time and memory.
+    pub usage: ProcessUsage,
+}
+
+/// One endpoint in a report.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct EndpointRow {
+    /// Id of the endpoint.
+    pub id: String,
+    /// Model or service.
+    pub target: String,
+    /// Weight version; empty for plain services.
+    pub version: String,
+    /// Group.
+    pub group: String,
+    /// Labels.
+    pub labels: String,
+    /// Whether it gets new work.
+    pub alive: bool,
+    /// Requests that run on it.
+    pub running: u32,
+    /// Prompt tokens that it has still to compute.
+    pub pending_tokens: u64,
+    /// How far its drain is.
+    pub drain: DrainState,
+}
+
+/// One other entry process in a report.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct PeerRow {
+    /// Id of its box.
+    pub id: String,
+    /// Its configuration revision.
+    pub revision: u64,
+    /// Requests running there.
+    pub running: u32,
+}
+
+/// The part of a report that only the control thread knows.
+#[derive(Debug)]
+pub struct ControlPart {
+    revision: u64,
+    endpoints: Vec<EndpointRow>,
+    peers: Vec<PeerRow>,
+    pieces: usize,
+    prompts: usize,
+    shards: Vec<String>,
+}
+
+impl ControlPart {
+    /// Reads the control state.
+    pub fn of(core: &EntryCore, now: Micros) -> Self {
+        let peers = core.peers().iter().map(|peer| PeerRow {
+            id: peer.beacon.entry_id.clone(),
+            revision: peer.beacon.revision,
+            running: peer.beacon.running,
+        });
+        ControlPart {
+            revision: core.config().revision,
+            endpoints: endpoint_rows(core, now),
+            peers: peers.collect(),
+            pieces: core.piece_count(),
+            prompts: core.prompt_count(),
+            shards: core.held_shards(now),
+        }
+    }
+}
+
+fn endpoint_rows(core: &EntryCore, now: Micros) -> Vec<EndpointRow> {
+    let roster = core.roster();
+    let mut rows = Vec::new();
+    for (id, entry) in roster.iter() {
+        let Some(state) = roster.arena.get(entry.key) else {
+            continue;
+        };
+        let load = roster.loads.get(entry.key).copied().unwrap_or_default();
+        let (target, version) = match &state.kind {
+            EndpointKind::Engine { model, version } => (model.clone(), version.clone()),
+            EndpointKind::Service { service } => (service.clone(), String::new()),
+        };
+        rows.push(EndpointRow {
+            id: id.clone(),
+            target,
+            version,
+            group: state.group.clone(),
+            labels: state.labels.to_string(),
+            alive: load.alive && load.report.healthy && !state.leaving,
+            running: load.report.running,
+            pending_tokens: load.report.pending_tokens,
+            drain: core.drain_state(id, now),
+        });
+    }
+    rows
+}
+
+impl StatusReport {
+    /// Gathers a report; none when the control thread is gone.
+    pub async fn gather(app: &EntryApp) -> Option<Self> {
+        let part = app
+            .control
+            .query(|core, now| ControlPart::of(core, now))
+            .await?;
+        let view = app.view.load();
+        let counts = app.metrics.counts();
+        Some(StatusReport {
+            box_id: app.settings.box_id.clone(),
+            revision: part.revision,
+            ready: app.is_ready(),
+            up_seconds: app.clock.now().as_secs_f64(),
+            running: app.limits().running(),
+            endpoints: part.endpoints,
+            peers: part.peers,
+            stores: view.table.stores.values().map(|s| s.id.clone()).collect(),
+            pieces: part.pieces,
+            prompts: part.prompts,
+            shards: part.shards,
+            counts: counts
+                .into_iter()
+                .map(|(name, n)| (name.to_string(), n))
+                .collect(),
+            usage: ProcessUsage::of_self(),
+        })
+    }
+}
--- /dev/null
+++ b/entry/src/traffic/endpoint_link.rs
@@ -0,0 +1,74 @@
+use {
+    arc_swap::ArcSwapOption,
+    pitchhitch_core::route::SentLoad,
+    pitchhitch_wire::link::AgentLink,
+    std::sync::atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering},
+};
+
+/// The link to one endpoint's agent, with what is under way over it.
+#[derive(Debug)]
+pub struct EndpointLink {
+    /// Id of the endpoint.
+    pub endpoint_id: String,
+    link: ArcSwapOption<AgentLink>,
+    tokens: AtomicU64,
+    running: AtomicU32,
+    failed: AtomicBool,
+}
+
+impl EndpointLink {
+    /// A link that is not up yet.
+    pub fn new(endpoint_id: &str) -> Self {
+        EndpointLink {
+            endpoint_id: endpoint_id.to_string(),
+            link: ArcSwapOption::empty(),
+            tokens: AtomicU64::new(0),
+            running: AtomicU32::new(0),
+            failed: AtomicBool::new(false),
+        }
+    }
+
+    /// Notes that a try failed here.
+    pub fn mark_failed(&self) {
+        self.failed.store(true, Ordering::Relaxed);
+    }
+
+    /// Forgets an earlier failure; true if there was one.
+    pub fn clear_failed(&self) -> bool {
+        self.failed.load(Ordering::Relaxed) && self.failed.swap(false, Ordering::Relaxed)
+    }
+
+    /// Replaces the link underneath; none when it is down.
+    pub fn set(&self, link: Option<AgentLink>) {
+        self.link.store(link.map(std::sync::Arc::new));
+    }
+
+    /// The link underneath, if it is up.
+    pub fn get(&self) -> Option<std::sync::Arc<AgentLink>> {
+        self.link.load_full()
+    }
+
+    /// What is under way.
+    pub fn sent(&self) -> SentLoad {
+        SentLoad {
+            tokens: self.tokens.load(Ordering::Relaxed),
+            running: self.running.load(Ordering::Relaxed),
+        }
+    }
+
+    /// Notes a request that is handed over.
+    pub fn began(&self, tokens: u32) {
+        self.tokens.fetch_add(u64::from(tokens), Ordering::Relaxed);
+        self.running.fetch_add(1, Ordering::Relaxed);
+    }
+
+    /// Notes that the prompt of a request is computed, or never will be.
+    pub fn computed(&self, tokens: u32) {
+        self.tokens.fetch_sub(u64::from(tokens), Ordering::Relaxed);
+    }
+
+    /// Notes that a request is over.
+    pub fn ended(&self) {
+        self.running.fetch_sub(1, Ordering::Relaxed);
+    }
+}
