--- /dev/null
+++ b/entry/src/traffic/entry_app.rs
@@ -0,0 +1,90 @@
+use {
+    super::TrafficView,
+    crate::{conf::EntrySettings, control::ControlHandle, explain::DecisionRing, once::OnceGate},
+    arc_swap::ArcSwap,
+    pitchhitch_core::{limit::LimitTable, retry::RetryBudget},
+    pitchhitch_platform::process::{MetricSet, ProcessClock},
+    std::sync::{
+        atomic::{AtomicBool, AtomicU64, Ordering},
+        Arc, Mutex, MutexGuard, PoisonError,
+    },
+};
+
+/// What all requests of an entry process share.
+#[derive(Debug)]
+pub struct EntryApp {
+    /// Settings of the process.
+    pub settings: EntrySettings,
+    /// Clock of the process.
+    pub clock: ProcessClock,
+    /// The present view.
+    pub view: Arc<ArcSwap<TrafficView>>,
+    /// The control thread.
+    pub control: ControlHandle,
+    /// Recent decisions.
+    pub ring: Arc<DecisionRing>,
+    /// Requests that may run at most once.
+    pub once: OnceGate,
+    /// Metrics.
+    pub metrics: Arc<MetricSet>,
+    /// Set at a planned stop.
+    pub stopping: AtomicBool,
+    limits: Mutex<LimitTable>,
+    budget: Mutex<RetryBudget>,
+    next_request: AtomicU64,
+}
+
+impl EntryApp {
+    /// Puts the parts together.
+    pub fn new(
+        settings: EntrySettings,
+        clock: ProcessClock,
+        view: Arc<ArcSwap<TrafficView>>,
+        control: ControlHandle,
+        once: OnceGate,
+        metrics: Arc<MetricSet>,
+    ) -> Self {
+        EntryApp {
+            limits: Mutex::new(LimitTable::new(settings.max_running)),
+            ring: Arc::new(DecisionRing::new(settings.explain_ring)),
+            settings,
+            clock,
+            view,
+            control,
+            once,
+            metrics,
+            stopping: AtomicBool::new(false),
+            budget: Mutex::new(RetryBudget::default()),
+            next_request: AtomicU64::new(1),
+        }
+    }
+
+    /// The limits; never held over I/O.
+    pub fn limits(&self) -> MutexGuard<'_, LimitTable> {
+        self.limits.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// The budget for retries; never held over I/O.
+    pub fn budget(&self) -> MutexGuard<'_, RetryBudget> {
+        self.budget.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// The number of the next request.
+    pub fn next_number(&self) -> u64 {
+        self.next_request.fetch_add(1, Ordering::Relaxed)
+    }
+
+    /// The id of a request: it names the process that decides about it.
+    pub fn request_id(&self, number: u64) -> String {
+        format!(
+            "{}.{:x}.{number:x}",
+            self.settings.box_id,
+            self.clock.incarnation()
+        )
+    }
+
+    /// Whether the balancer should send new requests here.
+    pub fn is_ready(&self) -> bool {
+        !self.stopping.load(Ordering::Relaxed) && self.view.load().ready
+    }
+}
--- /dev/null
+++ b/entry/src/traffic/key_index.rs
@@ -0,0 +1,64 @@
+use {pitchhitch_core::conf::FleetConfig, std::collections::HashMap, subtle::ConstantTimeEq};
+
+/// Bytes of a key hash that choose the bucket.
+const BUCKET_BYTES: usize = 4;
+
+#[derive(Debug)]
+struct KeyRow {
+    hash: [u8; 32],
+    organisation: String,
+}
+
+/// Finds the organisation of a bearer key by its hash.
+///
+/// The bucket depends on the hash alone, which tells nothing about the key;
+/// within a bucket whole hashes are compared in constant time.
+#[derive(Debug, Default)]
+pub struct KeyIndex {
+    buckets: HashMap<[u8; BUCKET_BYTES], Vec<KeyRow>>,
+}
+
+impl KeyIndex {
+    /// Indexes the keys of a configuration.
+    pub fn build(config: &FleetConfig) -> Self {
+        let mut index = KeyIndex::default();
+        for (name, conf) in &config.organisations {
+            for text in &conf.key_hashes {
+                match blake3::Hash::from_hex(text) {
+                    Ok(hash) => index.add(*hash.as_bytes(), name),
+                    Err(_) => log::warn!(
+                        event = "bad-key-hash",
+                        organisation = name.as_str();
+                        "a key hash must be 64 hexadecimal digits; the key is not usable"
+                    ),
+                }
+            }
+        }
+        index
+    }
+
+    fn add(&mut self, hash: [u8; 32], organisation: &str) {
+        let row = KeyRow {
+            hash,
+            organisation: organisation.to_string(),
+        };
+        self.buckets.entry(bucket(&hash)).or_default().push(row);
+    }
+
+    /// The organisation that a key belongs to.
+    pub fn organisation(&self, key: &str) -> Option<&str> {
+        let hash = blake3::hash(key.as_bytes());
+        let rows = self.buckets.get(&bucket(hash.as_bytes()))?;
+        let mut found = None;
+        for row in rows {
+            if bool::from(row.hash.ct_eq(hash.as_bytes())) {
+                found = Some(row.organisation.as_str());
+            }
+        }
+        found
+    }
+}
+
+fn bucket(hash: &[u8; 32]) -> [u8; BUCKET_BYTES] {
+    [hash[0], hash[1], hash[2], hash[3]]
+}
--- /dev/null
+++ b/entry/src/traffic/mod.rs
@@ -0,0 +1,8 @@
+//! What the traffic threads share: an immutable view, links and limits.
+
+mod endpoint_link;
+mod entry_app;
+mod key_index;
+mod traffic_view;
+
+pub use {endpoint_link::*, entry_app::*, key_index::*, traffic_view::*};
--- /dev/null
+++ b/entry/src/traffic/traffic_view.rs
@@ -0,0 +1,40 @@
+use {
+    super::{EndpointLink, KeyIndex},
+    pitchhitch_core::{
+        place::ReturnModel,
+        route::{EndpointKey, RouteTable, SentLoad},
+    },
+    slotmap::SecondaryMap,
+    std::sync::Arc,
+};
+
+/// All that a request is decided on; replaced as a whole by the control thread.
+#[derive(Debug, Clone, Default)]
+pub struct TrafficView {
+    /// For routing.
+    pub table: Arc<RouteTable>,
+    /// What is known of returns.
+    pub returns: Arc<ReturnModel>,
+    /// Links by endpoint.
+    pub links: Arc<SecondaryMap<EndpointKey, Arc<EndpointLink>>>,
+    /// Keys of organisations.
+    pub keys: Arc<KeyIndex>,
+    /// Entry processes that share the load.
+    pub entries: u32,
+    /// Whether new requests should come here.
+    pub ready: bool,
+}
+
+impl TrafficView {
+    /// What this process has under way at an endpoint.
+    pub fn sent(&self, endpoint: EndpointKey) -> SentLoad {
+        self.links
+            .get(endpoint)
+            .map_or(SentLoad::default(), |l| l.sent())
+    }
+
+    /// This process's part of limits that hold for the whole deployment.
+    pub fn limit_share(&self) -> f64 {
+        1.0 / f64::from(self.entries.max(1))
+    }
+}
--- /dev/null
+++ b/testbed/src/deploy/child_process.rs
@@ -0,0 +1,115 @@
+use {
+    anyhow::Context,
+    pitchhitch_platform::process::ProcessUsage,
+    smol::Timer,
+    std::{
+        fs::{File, OpenOptions},
+        path::{Path, PathBuf},
+        process::{Child, Command, ExitStatus, Stdio},
+        time::{Duration, Instant},
+    },
+};
+
+/// How often a process is looked at.
+const LOOK: Duration = Duration::from_millis(10);
+
+/// A process that this program has started; it is killed when dropped.
+#[derive(Debug)]
+pub struct ChildProcess {
+    child: Child,
+    /// Where its log goes.
+    pub log: PathBuf,
+}
+
+/// A signal, by the name that `kill` knows.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ProcessSignal {
+    /// Planned stop.
+    Term,
+    /// Freeze.
+    Stop,
+    /// Go on after a freeze.
+    Continue,
+}
+
+impl ChildProcess {
+    /// Starts a process whose log goes to a file.
+    ///
+    /// # Errors
+    /// When it cannot be started.
+    pub fn start(mut command: Command, log: &Path) -> anyhow::Result<Self> {
+        let file: File = OpenOptions::new().create(true).append(true).open(log)?;
+        let child = command
+            .stdin(Stdio::null())
+            .stdout(file.try_clone()?)
+            .stderr(file)
+            .spawn()
+            .with_context(|| format!("cannot start {command:?}"))?;
+        Ok(ChildProcess {
+            child,
+            log: log.to_path_buf(),
+        })
+    }
+
+    /// Its process id.
+    pub fn pid(&self) -> u32 {
+        self.child.id()
+    }
+
+    /// Kills it at once.
+    pub fn kill(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+
+    /// Sends it a signal.
+    pub fn signal(&self, signal: ProcessSignal) {
+        let name = match signal {
+            ProcessSignal::Term => "-TERM",
+            ProcessSignal::Stop => "-STOP",
+            ProcessSignal::Continue => "-CONT",
+        };
+        let _ = Command::new("kill")
+            .arg(name)
+            .arg(self.pid().to_string())
+            .status();
+    }
+
+    /// Waits until it has ended.
+    ///
+    /// # Errors
+    /// When it has not after `limit`.
+    pub async fn wait(&mut self, limit: Duration) -> anyhow::Result<ExitStatus> {
+        let started = Instant::now();
+        loop {
+            if let Some(status) = self.child.try_wait()? {
+                return Ok(status);
+            }
+            if started.elapsed() > limit {
+                anyhow::bail!("process {} has not ended after {limit:?}", self.pid());
+            }
+            Timer::after(LOOK).await;
+        }
+    }
+
+    /// Whether it still runs.
+    pub fn is_running(&mut self) -> bool {
+        matches!(self.child.try_wait(), Ok(None))
+    }
+
+    /// What it has used so far.
+    pub fn usage(&self) -> ProcessUsage {
+        ProcessUsage::of_pid(self.pid())
+    }
+
+    /// Its log so far.
+    pub fn log_text(&self) -> String {
+        std::fs::read_to_string(&self.log).unwrap_or_default()
+    }
+}
+
+impl Drop for ChildProcess {
+    fn drop(&mut self) {
+        self.kill();
+    }
+}
--- /dev/null
+++ b/testbed/src/deploy/deployment.rs
@@ -0,0 +1,462 @@
+use {
+    super::{ChildProcess, DeploymentShape, ProgramSet},
+    crate::{
+        engine::EngineStandIn,
+        proxy::FaultProxy,
+        stand_ins::{PlainService, PlatformStandIn, RunCounter, StoreBox},
+    },
+    anyhow::Context,
+    pitchhitch_core::conf::{ConfigChange, ModelConf, OrganisationConf, ServiceConf, VersionConf},
+    pitchhitch_entry::operators::{StatusReport, STATUS_PATH},
+    pitchhitch_platform::{
+        boxes::{BoxRow, ListedRole},
+        config::{ChangeRequest, ConfigStore},
+        http::HttpCaller,
+        objects::ObjectClient,
+        table::TableClient,
+    },
+    serde_json::json,
+    smol::Timer,
+    std::{
+        fs,
+        net::{SocketAddr, TcpListener, UdpSocket},
+        path::{Path, PathBuf},
+        process::Output,
+        sync::atomic::{AtomicU32, Ordering},
+        time::{Duration, Instant},
+    },
+};
+
+/// Longest wait for a condition.
+pub const PATIENCE: Duration = Duration::from_secs(30);
+const LOOK: Duration = Duration::from_millis(20);
+const CALL_TIMEOUT: Duration = Duration::from_secs(5);
+const LOG_VARIABLE: &str = "PITCHHITCH_LOG";
+const BEACON_SECRET: &str = "secret of the testbed";
+
+static FOLDERS: AtomicU32 = AtomicU32::new(0);
+
+/// Addresses of one entry process.
+#[derive(Debug, Clone)]
+pub struct EntryPlace {
+    /// Id of its box.
+    pub id: String,
+    /// Failure domain.
+    pub failure_domain: String,
+    /// Where callers are served.
+    pub callers: SocketAddr,
+    /// Where operators are served.
+    pub operators: SocketAddr,
+    /// Where beacons are taken.
+    pub beacons: SocketAddr,
+}
+
+/// What stands behind an agent.
+#[derive(Debug)]
+pub enum EndpointStandIn {
+    /// A model engine.
+    Engine(EngineStandIn),
+    /// A plain service.
+    Service(PlainService),
+}
+
+/// One endpoint with its agent.
+#[derive(Debug)]
+pub struct EndpointPlace {
+    /// Id of the endpoint.
+    pub id: String,
+    /// The endpoint.
+    pub stand_in: EndpointStandIn,
+    /// Between agent and endpoint, if the test wants it.
+    pub proxy: Option<FaultProxy>,
+    /// The agent.
+    pub agent: Option<ChildProcess>,
+}
+
+/// A running deployment. Everything ends when it is dropped.
+#[derive(Debug)]
+pub struct Deployment {
+    /// How it is built.
+    pub shape: DeploymentShape,
+    /// The platform.
+    pub platform: PlatformStandIn,
+    /// The store box of the engines' group.
+    pub store: StoreBox,
+    /// Calls that ran at the plain service.
+    pub runs: RunCounter,
+    /// Entry processes; none where one was killed.
+    pub entries: Vec<Option<ChildProcess>>,
+    /// Their addresses.
+    pub entry_places: Vec<EntryPlace>,
+    /// Endpoints.
+    pub endpoints: Vec<EndpointPlace>,
+    /// Settings and logs.
+    pub folder: PathBuf,
+    programs: ProgramSet,
+}
+
+impl Deployment {
+    /// Starts everything and waits until every entry process is ready.
+    ///
+    /// # Errors
+    /// When something does not start.
+    pub async fn start(shape: DeploymentShape, programs: ProgramSet) -> anyhow::Result<Self> {
+        let number = FOLDERS.fetch_add(1, Ordering::Relaxed);
+        let name = format!("pitchhitch-{}-{}-{number}", shape.name, std::process::id());
+        let folder = std::env::temp_dir().join(name);
+        fs::create_dir_all(&folder)?;
+        let platform = PlatformStandIn::start()?;
+        let store = StoreBox::start(shape.store)?;
+        let mut deployment = Deployment {
+            entry_places: entry_places(&shape)?,
+            runs: RunCounter::default(),
+            entries: Vec::new(),
+            endpoints: Vec::new(),
+            platform,
+            store,
+            folder,
+            programs,
+            shape,
+        };
+        deployment.list_boxes();
+        deployment.write_operator_settings()?;
+        deployment.configure().await?;
+        for number in 0..deployment.shape.engines {
+            deployment.add_engine(number, false).await?;
+        }
+        for number in 0..deployment.shape.services {
+            deployment.add_service(number, false).await?;
+        }
+        for index in 0..deployment.entry_places.len() {
+            let entry = deployment.start_entry(index)?;
+            deployment.entries.push(Some(entry));
+        }
+        deployment.wait_settled().await?;
+        Ok(deployment)
+    }
+
+    fn list_boxes(&self) {
+        for place in &self.entry_places {
+            self.platform.state.list_box(BoxRow {
+                id: place.id.clone(),
+                role: ListedRole::Entry,
+                group: String::new(),
+                failure_domain: place.failure_domain.clone(),
+                address: place.beacons,
+                leaving: false,
+            });
+        }
+        self.platform.state.list_box(BoxRow {
+            id: format!("{}-store", self.shape.name),
+            role: ListedRole::Store,
+            group: self.engine_group(),
+            failure_domain: self.shape.failure_domains[0].clone(),
+            address: self.store.address,
+            leaving: false,
+        });
+        self.platform
+            .state
+            .add_weights(&self.shape.model, &self.shape.version);
+    }
+
+    /// Group of the engines.
+    pub fn engine_group(&self) -> String {
+        format!("{}-engines", self.shape.name)
+    }
+
+    /// The store of the configuration.
+    pub fn config_store(&self) -> ConfigStore {
+        ConfigStore::new(
+            TableClient::new(self.platform.address, CALL_TIMEOUT),
+            ObjectClient::new(self.platform.address, CALL_TIMEOUT),
+        )
+    }
+
+    /// Makes one change; gives its revision.
+    ///
+    /// # Errors
+    /// When it is not accepted.
+    pub async fn change(&self, change: ConfigChange) -> anyhow::Result<u64> {
+        let number = FOLDERS.fetch_add(1, Ordering::Relaxed);
+        let request = ChangeRequest {
+            change_id: format!("testbed-{number}"),
+            operator: "testbed".to_string(),
+            at_secs: 0,
+            change,
+            expected: None,
+        };
+        let accepted = self
+            .config_store()
+            .change(&request, CALL_TIMEOUT, u64::from(number))
+            .await;
+        Ok(accepted?.revision)
+    }
+
+    async fn configure(&self) -> anyhow::Result<()> {
+        for number in 1..=self.shape.organisations {
+            let name = self.shape.organisation(number);
+            let key = self.shape.key(&name);
+            let conf = OrganisationConf {
+                key_hashes: vec![blake3::hash(key.as_bytes()).to_hex().to_string()],
+                weights: self.shape.weights,
+                limits: self.shape.limits,
+                ..OrganisationConf::default()
+            };
+            let conf = Some(conf);
+            self.change(ConfigChange::Organisation { name, conf })
+                .await?;
+        }
+        let versions = [(self.shape.version.clone(), VersionConf::default())];
+        let model = ModelConf {
+            active: self.shape.version.clone(),
+            versions: versions.into_iter().collect(),
+            token_bytes: self.shape.token_bytes,
+        };
+        let name = self.shape.model.clone();
+        self.change(ConfigChange::Model {
+            name,
+            conf: Some(model),
+        })
+        .await?;
+        let name = self.shape.service.clone();
+        let conf = Some(ServiceConf {
+            prefix: format!("/{name}"),
+        });
+        self.change(ConfigChange::Service { name, conf }).await?;
+        Ok(())
+    }
+
+    /// Adds an engine with its agent.
+    ///
+    /// # Errors
+    /// When it does not start.
+    pub async fn add_engine(&mut self, number: usize, proxied: bool) -> anyhow::Result<()> {
+        let engine = EngineStandIn::start(self.shape.engine(self.platform.address))?;
+        let kind = json!({"engine": {"model": self.shape.model, "version": self.shape.version}});
+        let group = self.engine_group();
+        let id = format!("{}-engine-{}", self.shape.name, number + 1);
+        let address = engine.address;
+        let stand_in = EndpointStandIn::Engine(engine);
+        self.add_endpoint(id, kind, group, address, stand_in, number, proxied)
+            .await
+    }
+
+    /// Adds a plain service with its agent.
+    ///
+    /// # Errors
+    /// When it does not start.
+    pub async fn add_service(&mut self, number: usize, proxied: bool) -> anyhow::Result<()> {
+        let service = PlainService::start(self.runs.clone())?;
+        let kind = json!({"service": {"service": self.shape.service}});
+        let group = format!("{}-services", self.shape.name);
+        let id = format!("{}-service-{}", self.shape.name, number + 1);
+        let address = service.address;
+        let stand_in = EndpointStandIn::Service(service);
+        self.add_endpoint(id, kind, group, address, stand_in, number, proxied)
+            .await
+    }
+
+    #[allow(clippy::too_many_arguments)]
+    async fn add_endpoint(
+        &mut self,
+        id: String,
+        kind: serde_json::Value,
+        group: String,
+        address: SocketAddr,
+        stand_in: EndpointStandIn,
+        number: usize,
+        proxied: bool,
+    ) -> anyhow::Result<()> {
+        let proxy = match proxied {
+            true => Some(FaultProxy::start(address).await?),
+            false => None,
+        };
+        let address = proxy.as_ref().map_or(address, |p| p.address);
+        let domain = &self.shape.failure_domains[number % self.shape.failure_domains.len()];
+        let settings = json!({
+            "endpoint_id": id, "failure_domain": domain, "group": group, "kind": kind,
+            "labels": {"site": if number % 2 == 0 { "a" } else { "b" }},
+            "listen": "127.0.0.1:0", "beacons": "127.0.0.1:0", "endpoint": address,
+            "table": self.platform.address, "boxes": self.platform.address,
+            "beacon_secret": BEACON_SECRET,
+            "slots": self.shape.slots, "queue_limit": 64,
+        });
+        self.write_settings(&id, &settings)?;
+        let agent = self.start_agent(&id)?;
+        self.endpoints.push(EndpointPlace {
+            id,
+            stand_in,
+            proxy,
+            agent: Some(agent),
+        });
+        Ok(())
+    }
+
+    fn write_settings(&self, name: &str, settings: &serde_json::Value) -> anyhow::Result<()> {
+        let text = serde_json::to_string_pretty(settings)?;
+        Ok(fs::write(self.settings_file(name), text)?)
+    }
+
+    fn settings_file(&self, name: &str) -> PathBuf {
+        self.folder.join(format!("{name}.json"))
+    }
+
+    /// Starts, or starts anew, the agent of an endpoint.
+    ///
+    /// # Errors
+    /// When it cannot be started.
+    pub fn start_agent(&self, endpoint_id: &str) -> anyhow::Result<ChildProcess> {
+        let mut command = self.programs.agent();
+        command
+            .arg("--settings")
+            .arg(self.settings_file(endpoint_id));
+        command.env(LOG_VARIABLE, &self.shape.log_level);
+        ChildProcess::start(command, &self.folder.join(format!("{endpoint_id}.log")))
+    }
+
+    /// Starts, or starts anew, an entry process.
+    ///
+    /// # Errors
+    /// When it cannot be started.
+    pub fn start_entry(&self, index: usize) -> anyhow::Result<ChildProcess> {
+        let place = &self.entry_places[index];
+        let settings = json!({
+            "box_id": place.id, "failure_domain": place.failure_domain,
+            "callers": place.callers, "operators": place.operators, "beacons": place.beacons,
+            "table": self.platform.address, "objects": self.platform.address,
+            "boxes": self.platform.address, "beacon_secret": BEACON_SECRET,
+            "traffic_threads": self.shape.entry_threads, "policy": self.shape.policy,
+            "table_poll_ms": 300, "stop_notice_ms": 300,
+        });
+        self.write_settings(&place.id, &settings)?;
+        let mut command = self.programs.entry();
+        command
+            .arg("serve")
+            .arg("--settings")
+            .arg(self.settings_file(&place.id));
+        command.env(LOG_VARIABLE, &self.shape.log_level);
+        ChildProcess::start(command, &self.folder.join(format!("{}.log", place.id)))
+    }
+
+    fn write_operator_settings(&self) -> anyhow::Result<()> {
+        let settings = json!({
+            "operator": "demo", "table": self.platform.address,
+            "objects": self.platform.address, "weights": self.platform.address,
+            "entry": self.entry_places[0].operators,
+        });
+        self.write_settings("operator", &settings)
+    }
+
+    /// Runs an operator's command with the settings of this deployment.
+    ///
+    /// # Errors
+    /// When it cannot be started.
+    pub async fn operate(&self, args: &[&str]) -> anyhow::Result<Output> {
+        let mut command = self.programs.entry();
+        command
+            .arg(args[0])
+            .arg("--settings")
+            .arg(self.settings_file("operator"));
+        command.args(&args[1..]);
+        let ran = smol::unblock(move || command.output()).await;
+        ran.context("the command did not run")
+    }
+
+    /// The status report of an entry process.
+    ///
+    /// # Errors
+    /// When it does not answer.
+    pub async fn status(&self, index: usize) -> anyhow::Result<StatusReport> {
+        let caller = HttpCaller::new(self.entry_places[index].operators, CALL_TIMEOUT);
+        Ok(caller.get_json(STATUS_PATH).await?)
+    }
+
+    /// Waits until every running entry process knows every endpoint as usable.
+    ///
+    /// # Errors
+    /// When that does not come about.
+    pub async fn wait_settled(&self) -> anyhow::Result<()> {
+        let wanted = self.endpoints.iter().filter(|e| e.agent.is_some()).count();
+        for index in 0..self.entry_places.len() {
+            if self.entries.get(index).is_some_and(Option::is_none) {
+                continue;
+            }
+            let what = format!("{} to know {wanted} endpoints", self.entry_places[index].id);
+            self.wait_status(index, &what, |report| {
+                let alive = report.endpoints.iter().filter(|e| e.alive).count();
+                report.ready && alive == wanted && !report.stores.is_empty()
+            })
+            .await?;
+        }
+        Ok(())
+    }
+
+    /// Waits until the status report of an entry process fulfils a condition.
+    ///
+    /// # Errors
+    /// When that does not come about.
+    pub async fn wait_status(
+        &self,
+        index: usize,
+        what: &str,
+        condition: impl Fn(&StatusReport) -> bool,
+    ) -> anyhow::Result<StatusReport> {
+        let started = Instant::now();
+        loop {
+            let report = self.status(index).await;
+            match report {
+                Ok(report) if condition(&report) => return Ok(report),
+                other if started.elapsed() > PATIENCE => {
+                    anyhow::bail!("waited in vain for {what}: {other:?}")
+                }
+                _ => Timer::after(LOOK).await,
+            };
+        }
+    }
+
+    /// The engines.
+    pub fn engines(&self) -> impl Iterator<Item = &EngineStandIn> {
+        self.endpoints.iter().filter_map(|e| match &e.stand_in {
+            EndpointStandIn::Engine(engine) => Some(engine),
+            EndpointStandIn::Service(_) => None,
+        })
+    }
+
+    /// The folder with logs and settings.
+    pub fn folder(&self) -> &Path {
+        &self.folder
+    }
+}
+
+impl Drop for Deployment {
+    fn drop(&mut self) {
+        self.entries.clear();
+        self.endpoints.clear();
+        if std::env::var_os("PITCHHITCH_KEEP").is_none() {
+            let _ = fs::remove_dir_all(&self.folder);
+        }
+    }
+}
+
+fn entry_places(shape: &DeploymentShape) -> anyhow::Result<Vec<EntryPlace>> {
+    let mut places = Vec::new();
+    for number in 0..shape.entries {
+        let domain = &shape.failure_domains[number % shape.failure_domains.len()];
+        places.push(EntryPlace {
+            id: format!("{}-entry-{}", shape.name, number + 1),
+            failure_domain: domain.clone(),
+            callers: free_tcp()?,
+            operators: free_tcp()?,
+            beacons: free_udp()?,
+        });
+    }
+    Ok(places)
+}
+
+fn free_tcp() -> anyhow::Result<SocketAddr> {
+    Ok(TcpListener::bind("127.0.0.1:0")?.local_addr()?)
+}
+
+fn free_udp() -> anyhow::Result<SocketAddr> {
+    Ok(UdpSocket::bind("127.0.0.1:0")?.local_addr()?)
+}
--- /dev/null
+++ b/testbed/src/engine/answer_text.rs
@@ -0,0 +1,33 @@
+/// The words that a stand-in engine answers to a prompt.
+///
+/// They depend on the prompt and the weight version alone, so that a replay can
+/// tell a right answer from a wrong, cut-off or crossed one.
+#[derive(Debug, Clone)]
+pub struct AnswerText {
+    seed: [u8; 32],
+}
+
+impl AnswerText {
+    /// The answer to a prompt.
+    pub fn new(prompt: &[u8], version: &str) -> Self {
+        let mut hasher = blake3::Hasher::new();
+        hasher.update(version.as_bytes());
+        hasher.update(&[0]);
+        hasher.update(prompt);
+        AnswerText {
+            seed: *hasher.finalize().as_bytes(),
+        }
+    }
+
+    /// One word; words are numbered from zero.
+    pub fn word(&self, index: u32) -> String {
+        let hash = blake3::keyed_hash(&self.seed, &index.to_le_bytes());
+        let hex = hash.to_hex();
+        format!("{} ", &hex[..6])
+    }
+
+    /// The first words together.
+    pub fn words(&self, count: u32) -> String {
+        (0..count).map(|index| self.word(index)).collect()
+    }
+}
--- /dev/null
+++ b/testbed/src/lib.rs
@@ -0,0 +1,9 @@
+//! Small stand-ins for the systems that pitchhitch serves with, a fault proxy,
+//! traces and their replay. Not shipped.
+
+pub mod deploy;
+pub mod engine;
+pub mod proxy;
+pub mod replay;
+pub mod stand_ins;
+pub mod trace;
--- /dev/null
+++ b/testbed/src/stand_ins/fault_switch.rs
@@ -0,0 +1,66 @@
+use {
+    smol::Timer,
+    std::{
+        sync::atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering},
+        time::Duration,
+    },
+};
+
+/// Faults of one service, switched by a test while it runs.
+#[derive(Debug, Default)]
+pub struct FaultSwitch {
+    down: AtomicBool,
+    lost_answers: AtomicU32,
+    delay_millis: AtomicU64,
+}
+
+/// What a fault does to one call.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum FaultOutcome {
+    /// The call goes through.
+    None,
+    /// The call has no effect and gets no useful answer.
+    Down,
+    /// The call takes effect, but its answer is lost.
+    AnswerLost,
+}
+
+impl FaultSwitch {
+    /// Takes the service down, or brings it back.
+    pub fn set_down(&self, down: bool) {
+        self.down.store(down, Ordering::Relaxed);
+    }
+
+    /// Loses the answers of the next calls that write.
+    pub fn lose_answers(&self, count: u32) {
+        self.lost_answers.store(count, Ordering::Relaxed);
+    }
+
+    /// Makes every call take longer.
+    pub fn set_delay(&self, delay: Duration) {
+        self.delay_millis
+            .store(delay.as_millis() as u64, Ordering::Relaxed);
+    }
+
+    /// Waits as long as the fault says, and tells what happens to the call.
+    pub async fn strike(&self, writes: bool) -> FaultOutcome {
+        let delay = self.delay_millis.load(Ordering::Relaxed);
+        if delay > 0 {
+            Timer::after(Duration::from_millis(delay)).await;
+        }
+        if self.down.load(Ordering::Relaxed) {
+            return FaultOutcome::Down;
+        }
+        if !writes {
+            return FaultOutcome::None;
+        }
+        let lose = |left: u32| left.checked_sub(1);
+        let lost = self
+            .lost_answers
+            .fetch_update(Ordering::Relaxed, Ordering::Relaxed, lose);
+        match lost {
+            Ok(_) => FaultOutcome::AnswerLost,
+            Err(_) => FaultOutcome::None,
+        }
+    }
+}
--- /dev/null
+++ b/testbed/src/stand_ins/http_stand_in.rs
@@ -0,0 +1,82 @@
+use {
+    std::{future::Future, io, net::SocketAddr},
+    trillium::{Conn, Status},
+    trillium_smol::Stopper,
+};
+
+/// Longest head of a request: names of pieces travel in a header.
+const HEAD_LIMIT: usize = 256 * 1024;
+
+/// An HTTP server of a stand-in; it stops when dropped.
+#[derive(Debug)]
+pub struct HttpStandIn {
+    /// Where it answers.
+    pub address: SocketAddr,
+    stopper: Stopper,
+}
+
+impl HttpStandIn {
+    /// Starts a server on loopback; port zero lets the system choose.
+    ///
+    /// # Errors
+    /// When the address cannot be bound.
+    pub fn start<F>(
+        address: SocketAddr,
+        handler: impl Fn(Conn) -> F + Send + Sync + 'static,
+    ) -> io::Result<Self>
+    where
+        F: Future<Output = Conn> + Send + 'static,
+    {
+        let listener = std::net::TcpListener::bind(address)?;
+        let address = listener.local_addr()?;
+        let listener = smol::net::TcpListener::from(smol::Async::new(listener)?);
+        let stopper = Stopper::new();
+        let _handle = trillium_smol::config()
+            .with_nodelay()
+            .without_signals()
+            .with_http_config(trillium_http_config())
+            .with_stopper(stopper.clone())
+            .with_prebound_server(listener)
+            .spawn(handler);
+        Ok(HttpStandIn { address, stopper })
+    }
+}
+
+fn trillium_http_config() -> trillium::HttpConfig {
+    trillium::HttpConfig::default()
+        .with_head_max_len(HEAD_LIMIT)
+        .with_received_body_max_len(u64::from(u32::MAX))
+}
+
+impl Drop for HttpStandIn {
+    fn drop(&mut self) {
+        self.stopper.stop();
+    }
+}
+
+/// The loopback address with a port that the system chooses.
+pub fn any_port() -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], 0))
+}
+
+/// Reads a body whole; what cannot be read is empty.
+pub async fn read_body(conn: &mut Conn) -> Vec<u8> {
+    conn.request_body()
+        .await
+        .read_bytes()
+        .await
+        .unwrap_or_default()
+}
+
+/// Answers JSON.
+pub fn answer_json(mut conn: Conn, value: &impl serde::Serialize) -> Conn {
+    let body = serde_json::to_string(value).unwrap_or_default();
+    conn.response_headers_mut()
+        .insert("content-type", "application/json");
+    conn.ok(body)
+}
+
+/// Answers a status with a text.
+pub fn answer_status(conn: Conn, status: Status, text: &str) -> Conn {
+    conn.with_status(status).with_body(text.to_string()).halt()
+}
--- /dev/null
+++ b/testbed/src/stand_ins/plain_service.rs
@@ -0,0 +1,94 @@
+use {
+    super::{answer_json, any_port, read_body, HttpStandIn},
+    smol::Timer,
+    std::{
+        collections::BTreeMap,
+        io,
+        net::SocketAddr,
+        sync::{Arc, Mutex, PoisonError},
+        time::Duration,
+    },
+    trillium::{Conn, Method},
+};
+
+/// Time that one call takes.
+const CALL_TIME: Duration = Duration::from_millis(3);
+
+/// Calls that ran, by the text of their body. Shared by all services of a group,
+/// so that a call that ran twice anywhere is seen.
+#[derive(Debug, Clone, Default)]
+pub struct RunCounter {
+    runs: Arc<Mutex<BTreeMap<String, u32>>>,
+}
+
+impl RunCounter {
+    fn ran(&self, body: &str) {
+        let mut runs = self.runs.lock().unwrap_or_else(PoisonError::into_inner);
+        *runs.entry(body.to_string()).or_insert(0) += 1;
+    }
+
+    /// How often the call with this body ran.
+    pub fn count(&self, body: &str) -> u32 {
+        let runs = self.runs.lock().unwrap_or_else(PoisonError::into_inner);
+        runs.get(body).copied().unwrap_or(0)
+    }
+
+    /// The most that any call ran.
+    pub fn most(&self) -> u32 {
+        let runs = self.runs.lock().unwrap_or_else(PoisonError::into_inner);
+        runs.values().copied().max().unwrap_or(0)
+    }
+}
+
+/// Stand-in for a plain service, such as one that takes orders.
+#[derive(Debug)]
+pub struct PlainService {
+    /// Where it answers.
+    pub address: SocketAddr,
+    _server: HttpStandIn,
+}
+
+impl PlainService {
+    /// Starts a service.
+    ///
+    /// # Errors
+    /// When no port can be bound.
+    pub fn start(counter: RunCounter) -> io::Result<Self> {
+        let server = HttpStandIn::start(any_port(), move |conn| serve(counter.clone(), conn))?;
+        Ok(PlainService {
+            address: server.address,
+            _server: server,
+        })
+    }
+}
+
+/// What a call of the service answers.
+#[derive(Debug, Clone, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+pub struct ServiceAnswer {
+    /// Method of the call.
+    pub method: String,
+    /// Path with query.
+    pub path: String,
+    /// Body, as it came.
+    pub body: String,
+}
+
+async fn serve(counter: RunCounter, mut conn: Conn) -> Conn {
+    if conn.method() == Method::Get && conn.path() == "/healthz" {
+        return conn.ok("ok");
+    }
+    let body = read_body(&mut conn).await;
+    let body = String::from_utf8_lossy(&body).to_string();
+    Timer::after(CALL_TIME).await;
+    counter.ran(&body);
+    let mut path = conn.path().to_string();
+    if !conn.querystring().is_empty() {
+        path = format!("{path}?{}", conn.querystring());
+    }
+    let answer = ServiceAnswer {
+        method: conn.method().to_string(),
+        path,
+        body,
+    };
+    answer_json(conn, &answer)
+}
--- /dev/null
+++ b/testbed/src/stand_ins/table_rows.rs
@@ -0,0 +1,106 @@
+use {
+    pitchhitch_platform::table::{
+        CommitAnswer, CommitQuery, ReadAnswer, ReadQuery, RowWrite, TableRow,
+    },
+    std::{
+        collections::BTreeMap,
+        sync::{Mutex, MutexGuard, PoisonError},
+    },
+};
+
+/// Rows of the stand-in for the table service.
+#[derive(Debug, Default)]
+pub struct TableRows {
+    state: Mutex<TableState>,
+}
+
+#[derive(Debug, Default)]
+struct TableState {
+    rows: BTreeMap<String, TableRow>,
+    last_version: u64,
+    reads: u64,
+    writes: u64,
+}
+
+/// Calls that the table has answered.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct TableCalls {
+    /// Reads, however many rows each.
+    pub reads: u64,
+    /// Commits, however many rows each.
+    pub writes: u64,
+}
+
+impl TableRows {
+    /// Reads rows.
+    pub fn read(&self, query: &ReadQuery) -> ReadAnswer {
+        let mut state = self.lock();
+        state.reads += 1;
+        let rows = query
+            .keys
+            .iter()
+            .filter_map(|key| state.rows.get(key).cloned());
+        ReadAnswer {
+            rows: rows.collect(),
+        }
+    }
+
+    /// Writes rows, all or none.
+    pub fn commit(&self, query: &CommitQuery) -> CommitAnswer {
+        let mut state = self.lock();
+        state.writes += 1;
+        let conflicts = query.writes.iter().filter(|write| {
+            let found = state.rows.get(&write.key).map_or(0, |row| row.version);
+            found != write.expected
+        });
+        let keys: Vec<String> = conflicts.map(|write| write.key.clone()).collect();
+        if !keys.is_empty() {
+            return CommitAnswer::Conflict { keys };
+        }
+        let versions = query
+            .writes
+            .iter()
+            .map(|write| state.write(write))
+            .collect();
+        CommitAnswer::Done { versions }
+    }
+
+    /// Calls answered so far.
+    pub fn calls(&self) -> TableCalls {
+        let state = self.lock();
+        TableCalls {
+            reads: state.reads,
+            writes: state.writes,
+        }
+    }
+
+    /// The value of a row, for tests.
+    pub fn value(&self, key: &str) -> Option<String> {
+        self.lock().rows.get(key).map(|row| row.value.clone())
+    }
+
+    fn lock(&self) -> MutexGuard<'_, TableState> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl TableState {
+    fn write(&mut self, write: &RowWrite) -> u64 {
+        self.last_version += 1;
+        let version = self.last_version;
+        match &write.value {
+            None => {
+                self.rows.remove(&write.key);
+            }
+            Some(value) => {
+                let row = TableRow {
+                    key: write.key.clone(),
+                    version,
+                    value: value.clone(),
+                };
+                self.rows.insert(write.key.clone(), row);
+            }
+        }
+        version
+    }
+}
--- /dev/null
+++ b/testbed/src/trace/mod.rs
@@ -0,0 +1,7 @@
+//! Traces: JSON lines in the field names of the published Mooncake traces.
+
+mod prompt_text;
+mod trace_generator;
+mod trace_row;
+
+pub use {prompt_text::*, trace_generator::*, trace_row::*};
--- /dev/null
+++ b/testbed/src/trace/prompt_text.rs
@@ -0,0 +1,26 @@
+use {super::TraceRow, pitchhitch_core::kept::PIECE_TEXT_BYTES};
+
+/// The text that a trace row stands for: a block of text for each id, the last
+/// one cut to the length of the prompt.
+pub fn prompt_text(row: &TraceRow) -> String {
+    let wanted = row.input_length as usize * pitchhitch_core::kept::BYTES_PER_TOKEN as usize;
+    let mut text = String::with_capacity(wanted + PIECE_TEXT_BYTES);
+    for id in &row.hash_ids {
+        block_text(*id, &mut text);
+    }
+    text.truncate(wanted);
+    text
+}
+
+fn block_text(id: u64, text: &mut String) {
+    let mut bytes = [0; PIECE_TEXT_BYTES / 2];
+    let mut reader = blake3::Hasher::new()
+        .update(&id.to_le_bytes())
+        .finalize_xof();
+    reader.fill(&mut bytes);
+    for byte in bytes {
+        let letter = |nibble: u8| char::from(b'a' + nibble);
+        text.push(letter(byte >> 4));
+        text.push(letter(byte & 15));
+    }
+}
--- /dev/null
+++ b/testbed/src/trace/trace_generator.rs
@@ -0,0 +1,210 @@
+use {
+    super::TraceRow,
+    pitchhitch_core::kept::PIECE_TOKENS,
+    rand::{distributions::WeightedIndex, prelude::Distribution, Rng, SeedableRng},
+    rand_pcg::Pcg32,
+};
+
+/// Milliseconds in a minute.
+const MINUTE: f64 = 60_000.0;
+
+/// How a deployment's work looks.
+#[derive(Debug, Clone, Copy)]
+pub struct TraceShape {
+    /// Prefix of organisation names.
+    pub deployment: &'static str,
+    /// Organisations; the first are the largest.
+    pub organisations: usize,
+    /// Documents of each organisation.
+    pub documents: usize,
+    /// Blocks of a document, least and most.
+    pub document_blocks: [u32; 2],
+    /// Tokens of a question after the document, least and most.
+    pub question_tokens: [u32; 2],
+    /// Answer tokens, least and most.
+    pub answer_tokens: [u32; 2],
+    /// Median gap until a document returns, in minutes, one for each kind of work.
+    pub median_gap_minutes: [f64; 3],
+    /// Spread of the gaps: standard deviation of their natural logarithm.
+    pub gap_spread: f64,
+    /// Chance that a document returns once more.
+    pub return_chance: f64,
+    /// Part of the requests that call the plain service.
+    pub service_part: f64,
+    /// Part of the service calls that may not be repeated.
+    pub not_repeatable_part: f64,
+    /// Kinds of work.
+    pub labels: [&'static str; 3],
+    /// Length of the trace, in hours.
+    pub hours: f64,
+    /// First visits of documents over the whole trace.
+    pub visits: usize,
+}
+
+impl TraceShape {
+    /// Shop staff and tills: middling documents that return after minutes to hours.
+    pub const MVINYO: TraceShape = TraceShape {
+        deployment: "mvinyo",
+        organisations: 10,
+        documents: 12,
+        document_blocks: [6, 20],
+        question_tokens: [40, 300],
+        answer_tokens: [8, 32],
+        median_gap_minutes: [25.0, 180.0, 1_200.0],
+        gap_spread: 1.0,
+        return_chance: 0.75,
+        service_part: 0.25,
+        not_repeatable_part: 0.5,
+        labels: ["price-list", "buyer-reply", "allocation"],
+        hours: 72.0,
+        visits: 110,
+    };
+
+    /// Farmers, clerks and surveyors: long parcel files that return after hours to days.
+    pub const FIELD_BOUNDARY: TraceShape = TraceShape {
+        deployment: "field",
+        organisations: 10,
+        documents: 10,
+        document_blocks: [16, 48],
+        question_tokens: [60, 400],
+        answer_tokens: [8, 40],
+        median_gap_minutes: [90.0, 900.0, 2_000.0],
+        gap_spread: 0.9,
+        return_chance: 0.8,
+        service_part: 0.2,
+        not_repeatable_part: 0.4,
+        labels: ["parcel-file", "claim-check", "survey-note"],
+        hours: 96.0,
+        visits: 70,
+    };
+}
+
+/// Makes a trace; the same seed makes the same trace.
+///
+/// A document is visited for the first time at a random moment, by an
+/// organisation drawn by size (the n-th largest has weight 1/n). After each
+/// visit it returns with a fixed chance, after a gap drawn from a log-normal
+/// distribution around the median of its kind of work. Calls of the plain
+/// service are spread evenly over the time.
+pub fn generate_trace(shape: &TraceShape, seed: u64) -> Vec<TraceRow> {
+    let mut random = Pcg32::seed_from_u64(seed);
+    let end = shape.hours * 60.0 * MINUTE;
+    let mut rows = Vec::new();
+    let sizes: Vec<f64> = (1..=shape.organisations).map(|n| 1.0 / n as f64).collect();
+    let Ok(by_size) = WeightedIndex::new(&sizes) else {
+        return rows;
+    };
+    let mut next_block = seed << 32;
+    for _ in 0..shape.visits {
+        let document = Document::draw(shape, &by_size, &mut next_block, &mut random);
+        document.visit_all(shape, end, &mut next_block, &mut rows, &mut random);
+    }
+    let prompts = rows.len() as f64;
+    let calls = prompts * shape.service_part / (1.0 - shape.service_part);
+    for _ in 0..calls as usize {
+        let organisation = by_size.sample(&mut random);
+        rows.push(service_call(shape, organisation, end, &mut random));
+    }
+    rows.sort_by_key(|row| row.timestamp);
+    rows
+}
+
+struct Document {
+    organisation: usize,
+    kind: usize,
+    blocks: Vec<u64>,
+}
+
+impl Document {
+    fn draw(
+        shape: &TraceShape,
+        by_size: &WeightedIndex<f64>,
+        next_block: &mut u64,
+        random: &mut Pcg32,
+    ) -> Document {
+        let [least, most] = shape.document_blocks;
+        let count = random.gen_range(least..=most);
+        let blocks = (0..count).map(|_| fresh_block(next_block)).collect();
+        Document {
+            organisation: by_size.sample(random),
+            kind: random.gen_range(0..shape.labels.len()),
+            blocks,
+        }
+    }
+
+    fn visit_all(
+        &self,
+        shape: &TraceShape,
+        end: f64,
+        next_block: &mut u64,
+        rows: &mut Vec<TraceRow>,
+        random: &mut Pcg32,
+    ) {
+        let mut at = random.gen_range(0.0..end);
+        while at < end {
+            rows.push(self.visit(shape, at, next_block, random));
+            if !random.gen_bool(shape.return_chance) {
+                return;
+            }
+            at += gap(
+                shape.median_gap_minutes[self.kind],
+                shape.gap_spread,
+                random,
+            );
+        }
+    }
+
+    fn visit(
+        &self,
+        shape: &TraceShape,
+        at: f64,
+        next_block: &mut u64,
+        random: &mut Pcg32,
+    ) -> TraceRow {
+        let question = between(shape.question_tokens, random);
+        let mut hash_ids = self.blocks.clone();
+        hash_ids.push(fresh_block(next_block));
+        TraceRow {
+            timestamp: at as u64,
+            input_length: self.blocks.len() as u32 * PIECE_TOKENS + question,
+            output_length: between(shape.answer_tokens, random),
+            hash_ids,
+            organisation: organisation_name(shape, self.organisation),
+            label: shape.labels[self.kind].to_string(),
+            repeatable: true,
+        }
+    }
+}
+
+fn service_call(shape: &TraceShape, organisation: usize, end: f64, random: &mut Pcg32) -> TraceRow {
+    TraceRow {
+        timestamp: random.gen_range(0.0..end) as u64,
+        input_length: 0,
+        output_length: 0,
+        hash_ids: Vec::new(),
+        organisation: organisation_name(shape, organisation),
+        label: "service".to_string(),
+        repeatable: !random.gen_bool(shape.not_repeatable_part),
+    }
+}
+
+fn organisation_name(shape: &TraceShape, index: usize) -> String {
+    format!("{}-{:02}", shape.deployment, index + 1)
+}
+
+fn fresh_block(next_block: &mut u64) -> u64 {
+    *next_block += 1;
+    *next_block
+}
+
+fn between(bounds: [u32; 2], random: &mut Pcg32) -> u32 {
+    random.gen_range(bounds[0]..=bounds[1])
+}
+
+/// A log-normal gap, in milliseconds.
+fn gap(median_minutes: f64, spread: f64, random: &mut Pcg32) -> f64 {
+    let u: f64 = random.gen_range(f64::EPSILON..1.0);
+    let v: f64 = random.gen();
+    let normal = (-2.0 * u.ln()).sqrt() * (std::f64::consts::TAU * v).cos();
+    median_minutes * MINUTE * (spread * normal).exp()
+}
--- /dev/null
+++ b/wire/src/beacon/sealed_beacon.rs
@@ -0,0 +1,102 @@
+use {
+    super::BeaconKey,
+    crate::codec::{decode_body, encode_body, FrameError, WIRE_VERSION},
+    pitchhitch_core::member::{Beacon, BeaconNumber},
+    serde::{Deserialize, Serialize},
+    thiserror::Error,
+};
+
+/// Bytes of the keyed hash.
+const HASH_BYTES: usize = 32;
+/// Longest beacon, in bytes; it must fit one datagram.
+pub const BEACON_LIMIT: usize = 8 * 1024;
+
+/// Why a datagram is no beacon of this deployment.
+#[derive(Debug, Clone, PartialEq, Eq, Error)]
+pub enum BeaconError {
+    /// It is too short or too long, or of another version.
+    #[error("datagram of {length} bytes is no beacon of version {WIRE_VERSION}")]
+    Shape {
+        /// Bytes in the datagram.
+        length: usize,
+    },
+    /// It was not made with this deployment's key.
+    #[error("the keyed hash of a beacon is wrong; do all settings name the same beacon_secret?")]
+    Forged,
+    /// It cannot be decoded.
+    #[error(transparent)]
+    Frame(#[from] FrameError),
+}
+
+/// A beacon with its number, as sent.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct NumberedBeacon {
+    /// Counts up in each life of the sender.
+    pub counter: u64,
+    /// The beacon.
+    pub beacon: Beacon,
+}
+
+impl NumberedBeacon {
+    /// Who sent it.
+    pub fn sender(&self) -> &str {
+        match &self.beacon {
+            Beacon::Agent(agent) => &agent.endpoint_id,
+            Beacon::Entry(entry) => &entry.entry_id,
+        }
+    }
+
+    /// Its place in the life of the sender.
+    pub fn number(&self) -> BeaconNumber {
+        let incarnation = match &self.beacon {
+            Beacon::Agent(agent) => agent.incarnation,
+            Beacon::Entry(entry) => entry.incarnation,
+        };
+        BeaconNumber {
+            incarnation,
+            counter: self.counter,
+        }
+    }
+
+    /// Makes the datagram.
+    ///
+    /// # Errors
+    /// [`BeaconError`] when it does not fit.
+    pub fn seal(&self, key: &BeaconKey) -> Result<Vec<u8>, BeaconError> {
+        let body = encode_body(self)?;
+        let mut datagram = Vec::with_capacity(1 + HASH_BYTES + body.len());
+        datagram.push(WIRE_VERSION);
+        datagram.extend_from_slice(key.hash(&body).as_bytes());
+        datagram.extend_from_slice(&body);
+        if datagram.len() > BEACON_LIMIT {
+            return Err(BeaconError::Shape {
+                length: datagram.len(),
+            });
+        }
+        Ok(datagram)
+    }
+
+    /// Reads a datagram.
+    ///
+    /// # Errors
+    /// [`BeaconError`] when it is not from this deployment.
+    pub fn open(datagram: &[u8], key: &BeaconKey) -> Result<Self, BeaconError> {
+        let shape = BeaconError::Shape {
+            length: datagram.len(),
+        };
+        let Some((&WIRE_VERSION, rest)) = datagram.split_first() else {
+            return Err(shape);
+        };
+        if rest.len() < HASH_BYTES || datagram.len() > BEACON_LIMIT {
+            return Err(shape);
+        }
+        let (hash, body) = rest.split_at(HASH_BYTES);
+        let mut wanted = [0; HASH_BYTES];
+        wanted.copy_from_slice(hash);
+        // Comparing two blake3 hashes takes the same time wherever they differ.
+        if key.hash(body) != blake3::Hash::from(wanted) {
+            return Err(BeaconError::Forged);
+        }
+        Ok(decode_body(body)?)
+    }
+}
--- /dev/null
+++ b/wire/src/lib.rs
@@ -0,0 +1,7 @@
+//! Messages between the processes of pitchhitch, the h2 link that carries them
+//! and the socket for beacons.
+
+pub mod beacon;
+pub mod codec;
+pub mod link;
+pub mod messages;
--- /dev/null
+++ b/wire/src/link/agent_link.rs
@@ -0,0 +1,83 @@
+use {
+    super::{LinkError, ReplyStream, CALL_URI, CONNECTION_WINDOW, REPLY_WINDOW, STREAM_LIMIT},
+    crate::{codec::encode_frame, messages::LinkCall},
+    async_compat::Compat,
+    bytes::Bytes,
+    futures_lite::future,
+    h2::client::SendRequest,
+    smol::{net::TcpStream, Timer},
+    std::{future::Future, net::SocketAddr, time::Duration},
+};
+
+/// An entry process's side of a link.
+#[derive(Debug, Clone)]
+pub struct AgentLink {
+    sender: SendRequest<Bytes>,
+}
+
+impl AgentLink {
+    /// Connects to an agent. The second part must be run until it ends, which is
+    /// when the link is gone.
+    ///
+    /// # Errors
+    /// [`LinkError::NotSent`] when the agent cannot be reached in time.
+    pub async fn connect(
+        address: SocketAddr,
+        timeout: Duration,
+    ) -> Result<(AgentLink, impl Future<Output = ()> + Send), LinkError> {
+        let connected = future::or(Self::handshake(address), async {
+            Timer::after(timeout).await;
+            Err(LinkError::NotSent {
+                reason: format!("{address} did not answer in {timeout:?}"),
+            })
+        });
+        let (sender, connection) = connected.await?;
+        let driver = async move {
+            if let Err(error) = connection.await {
+                log::debug!("event=link-ended peer={address} error=\"{error}\"");
+            }
+        };
+        Ok((AgentLink { sender }, driver))
+    }
+
+    async fn handshake(
+        address: SocketAddr,
+    ) -> Result<
+        (
+            SendRequest<Bytes>,
+            h2::client::Connection<Compat<TcpStream>, Bytes>,
+        ),
+        LinkError,
+    > {
+        let stream = TcpStream::connect(address)
+            .await
+            .map_err(LinkError::not_sent)?;
+        stream.set_nodelay(true).map_err(LinkError::not_sent)?;
+        let mut builder = h2::client::Builder::new();
+        builder.initial_window_size(REPLY_WINDOW);
+        builder.initial_connection_window_size(CONNECTION_WINDOW);
+        builder.initial_max_send_streams(STREAM_LIMIT as usize);
+        builder.max_concurrent_reset_streams(1_000);
+        builder.enable_push(false);
+        builder
+            .handshake(Compat::new(stream))
+            .await
+            .map_err(LinkError::not_sent)
+    }
+
+    /// Makes one call.
+    ///
+    /// # Errors
+    /// [`LinkError::NotSent`] only when no byte of the call can have left this process.
+    pub async fn call(&self, call: &LinkCall) -> Result<ReplyStream, LinkError> {
+        let frame = encode_frame(call).map_err(LinkError::not_sent)?;
+        let sender = self.sender.clone().ready().await;
+        let mut sender = sender.map_err(LinkError::not_sent)?;
+        let request = http::Request::post(CALL_URI).body(());
+        let request = request.map_err(LinkError::not_sent)?;
+        let opened = sender.send_request(request, false);
+        let (response, mut body) = opened.map_err(LinkError::not_sent)?;
+        body.send_data(frame, true).map_err(LinkError::broken)?;
+        Ok(ReplyStream::new(response))
+    }
+}
--- /dev/null
+++ b/wire/src/link/link_server.rs
@@ -0,0 +1,68 @@
+use {
+    super::{LinkError, ReplySender, CALL_WINDOW, CONNECTION_WINDOW, STREAM_LIMIT},
+    crate::{
+        codec::{FrameError, FrameReader},
+        messages::LinkCall,
+    },
+    async_compat::Compat,
+    bytes::Bytes,
+    h2::{server::SendResponse, RecvStream},
+    smol::net::TcpStream,
+};
+
+/// One call that came over a link.
+#[derive(Debug)]
+pub struct IncomingCall {
+    body: RecvStream,
+    response: SendResponse<Bytes>,
+}
+
+impl IncomingCall {
+    /// Reads the whole call.
+    ///
+    /// # Errors
+    /// [`LinkError`] when it is no message or the link broke; the call must not
+    /// be acted on then.
+    pub async fn read(self) -> Result<(LinkCall, ReplySender), LinkError> {
+        let mut body = self.body;
+        let mut reader = FrameReader::default();
+        let mut call = None;
+        while let Some(bytes) = body.data().await {
+            let bytes = bytes.map_err(LinkError::broken)?;
+            let _ = body.flow_control().release_capacity(bytes.len());
+            reader.feed(&bytes);
+            if call.is_none() {
+                call = reader.next()?;
+            }
+        }
+        reader.finish()?;
+        let call = call.ok_or(FrameError::Truncated)?;
+        Ok((call, ReplySender::open(self.response)?))
+    }
+}
+
+/// Takes the calls of one connection, until it ends.
+///
+/// # Errors
+/// [`LinkError`] when the connection broke.
+pub async fn serve_link(
+    stream: TcpStream,
+    mut on_call: impl FnMut(IncomingCall),
+) -> Result<(), LinkError> {
+    stream.set_nodelay(true).map_err(LinkError::not_sent)?;
+    let mut builder = h2::server::Builder::new();
+    builder.initial_window_size(CALL_WINDOW);
+    builder.initial_connection_window_size(CONNECTION_WINDOW);
+    builder.max_concurrent_streams(STREAM_LIMIT);
+    builder.max_concurrent_reset_streams(1_000);
+    let handshake = builder.handshake(Compat::new(stream)).await;
+    let mut connection = handshake.map_err(LinkError::broken)?;
+    while let Some(accepted) = connection.accept().await {
+        let (request, response) = accepted.map_err(LinkError::broken)?;
+        on_call(IncomingCall {
+            body: request.into_body(),
+            response,
+        });
+    }
+    Ok(())
+}
--- /dev/null
+++ b/wire/src/link/reply_stream.rs
@@ -0,0 +1,105 @@
+use {
+    super::LinkError,
+    crate::{codec::FrameReader, messages::LinkReply},
+    bytes::Bytes,
+    h2::{client::ResponseFuture, RecvStream},
+    std::task::{Context, Poll},
+};
+
+#[derive(Debug)]
+enum ReplyState {
+    Waiting(Box<ResponseFuture>),
+    Open(RecvStream),
+    Ended,
+}
+
+/// Answers to one call, in order.
+///
+/// Dropping it before the end tells the agent that nobody wants the rest.
+#[derive(Debug)]
+pub struct ReplyStream {
+    state: ReplyState,
+    reader: FrameReader,
+    held: usize,
+}
+
+impl ReplyStream {
+    pub(super) fn new(response: ResponseFuture) -> Self {
+        ReplyStream {
+            state: ReplyState::Waiting(Box::new(response)),
+            reader: FrameReader::default(),
+            held: 0,
+        }
+    }
+
+    /// The next answer; none at the end of the stream.
+    ///
+    /// # Errors
+    /// [`LinkError`] when the link broke or the stream is damaged.
+    pub async fn next(&mut self) -> Result<Option<LinkReply>, LinkError> {
+        std::future::poll_fn(|cx| self.poll_next(cx)).await
+    }
+
+    /// Polls for the next answer.
+    ///
+    /// Room for more is given to the agent only when what came before was taken.
+    pub fn poll_next(
+        &mut self,
+        cx: &mut Context<'_>,
+    ) -> Poll<Result<Option<LinkReply>, LinkError>> {
+        loop {
+            match self.reader.next() {
+                Ok(Some(reply)) => return Poll::Ready(Ok(Some(reply))),
+                Ok(None) => self.release_held(),
+                Err(error) => {
+                    self.state = ReplyState::Ended;
+                    return Poll::Ready(Err(error.into()));
+                }
+            }
+            match std::task::ready!(self.poll_bytes(cx)) {
+                Ok(Some(bytes)) => {
+                    self.held += bytes.len();
+                    self.reader.feed(&bytes);
+                }
+                Ok(None) => {
+                    self.state = ReplyState::Ended;
+                    self.reader.finish()?;
+                    return Poll::Ready(Ok(None));
+                }
+                Err(error) => {
+                    self.state = ReplyState::Ended;
+                    return Poll::Ready(Err(error));
+                }
+            }
+        }
+    }
+
+    fn poll_bytes(&mut self, cx: &mut Context<'_>) -> Poll<Result<Option<Bytes>, LinkError>> {
+        loop {
+            match &mut self.state {
+                ReplyState::Waiting(response) => {
+                    let pinned = std::pin::Pin::new(response.as_mut());
+                    let response = std::task::ready!(std::future::Future::poll(pinned, cx));
+                    let response = response.map_err(LinkError::broken)?;
+                    self.state = ReplyState::Open(response.into_body());
+                }
+                ReplyState::Open(stream) => {
+                    let data = std::task::ready!(stream.poll_data(cx));
+                    return Poll::Ready(data.transpose().map_err(LinkError::broken));
+                }
+                ReplyState::Ended => return Poll::Ready(Ok(None)),
+            }
+        }
+    }
+
+    fn release_held(&mut self) {
+        if self.held == 0 {
+            return;
+        }
+        if let ReplyState::Open(stream) = &mut self.state {
+            // An error means that the stream is over, which the next read shows.
+            let _ = stream.flow_control().release_capacity(self.held);
+        }
+        self.held = 0;
+    }
+}
--- /dev/null
+++ b/wire/src/messages/mod.rs
@@ -0,0 +1,8 @@
+//! The messages of the link between entry and agent.
+
+mod hand_over;
+mod header_field;
+mod link_call;
+mod link_reply;
+
+pub use {hand_over::*, header_field::*, link_call::*, link_reply::*};
