--- a/agent/src/beacons/beacon_sender.rs
+++ b/agent/src/beacons/beacon_sender.rs
@@ -24,7 +24,10 @@
 const BIND_PAUSE: Duration = Duration::from_millis(500);
 
 /// Sends beacons to the agent's home entry processes, for good.
-pub async fn send_beacons(settings: Arc<AgentSettings>, handle: ControlHandle) {
+pub async fn send_beacons(
+    settings: Arc<AgentSettings>,
+    handle: ControlHandle,
+) {
     let secret = settings.beacon_secret.clone().unwrap_or_default();
     let key = BeaconKey::from_secret(&secret);
     let socket = loop {
@@ -59,7 +62,11 @@
 }
 
 /// Waits for the next beacon, but not once the agent begins to refuse work.
-async fn wait_or_refusing(settings: &AgentSettings, handle: &ControlHandle, was_refusing: bool) {
+async fn wait_or_refusing(
+    settings: &AgentSettings,
+    handle: &ControlHandle,
+    was_refusing: bool,
+) {
     let timer = async {
         Timer::after(settings.beacon_interval).await;
     };
@@ -71,7 +78,10 @@
     future::or(timer, change).await;
 }
 
-async fn find_homes(settings: &AgentSettings, boxes: &BoxClient) -> Option<Vec<SocketAddr>> {
+async fn find_homes(
+    settings: &AgentSettings,
+    boxes: &BoxClient,
+) -> Option<Vec<SocketAddr>> {
     let list = boxes.list().await.ok()?;
     let entries = list
         .boxes
--- a/agent/src/cli/agent_process.rs
+++ b/agent/src/cli/agent_process.rs
@@ -94,7 +94,10 @@
 }
 
 /// A planned stop: nothing new is taken, everything that runs is ended.
-async fn stop(settings: &AgentSettings, handle: &ControlHandle) {
+async fn stop(
+    settings: &AgentSettings,
+    handle: &ControlHandle,
+) {
     log::info!(event = "stopping", endpoint = settings.endpoint_id.as_str(); "");
     handle.tell(AgentEvent::BoxLeaving);
     let asked = Instant::now();
--- a/agent/src/conf/agent_settings.rs
+++ b/agent/src/conf/agent_settings.rs
@@ -55,7 +55,10 @@
     ///
     /// # Errors
     /// [`SettingsErrors`] with everything that is wrong in it.
-    pub fn parse(file: &str, text: &str) -> Result<Self, SettingsErrors> {
+    pub fn parse(
+        file: &str,
+        text: &str,
+    ) -> Result<Self, SettingsErrors> {
         let mut reader = SettingsReader::parse(file, text)?;
         let fallback = EndpointKind::Service {
             service: String::new(),
--- a/agent/src/control/control_handle.rs
+++ b/agent/src/control/control_handle.rs
@@ -60,7 +60,10 @@
 
 impl ControlHandle {
     /// Tells the core an event.
-    pub fn tell(&self, event: AgentEvent) {
+    pub fn tell(
+        &self,
+        event: AgentEvent,
+    ) {
         self.send(ControlMessage::Event(event));
     }
 
@@ -75,7 +78,10 @@
     }
 
     /// Puts a request before the gate.
-    pub fn hand_over(&self, work: GateWork) -> PendingWork {
+    pub fn hand_over(
+        &self,
+        work: GateWork,
+    ) -> PendingWork {
         let ticket = WorkTicket(self.next_ticket.fetch_add(1, Ordering::Relaxed));
         let (verdict, receiver) = async_channel::bounded(1);
         self.send(ControlMessage::HandOver {
@@ -93,7 +99,10 @@
     ///
     /// # Errors
     /// [`FenceRefusal`] when it does not pass.
-    pub async fn order(&self, order: StampedOrder) -> Result<(), FenceRefusal> {
+    pub async fn order(
+        &self,
+        order: StampedOrder,
+    ) -> Result<(), FenceRefusal> {
         let (verdict, receiver) = async_channel::bounded(1);
         self.send(ControlMessage::Order { order, verdict });
         receiver
@@ -103,11 +112,17 @@
     }
 
     /// Subscribes to events.
-    pub fn subscribe(&self, batches: Sender<EventBatch>) {
+    pub fn subscribe(
+        &self,
+        batches: Sender<EventBatch>,
+    ) {
         self.send(ControlMessage::Subscribe { batches });
     }
 
-    fn send(&self, message: ControlMessage) {
+    fn send(
+        &self,
+        message: ControlMessage,
+    ) {
         // The channel has no bound and lives as long as the process.
         let _ = self.messages.try_send(message);
     }
--- a/agent/src/control/control_loop.rs
+++ b/agent/src/control/control_loop.rs
@@ -92,7 +92,10 @@
 }
 
 impl ControlLoop {
-    async fn run(mut self, inbox: Receiver<ControlMessage>) {
+    async fn run(
+        mut self,
+        inbox: Receiver<ControlMessage>,
+    ) {
         let mut next_tick = Instant::now() + TICK;
         let mut ticks = 0;
         loop {
@@ -119,7 +122,10 @@
         }
     }
 
-    fn take(&mut self, message: ControlMessage) {
+    fn take(
+        &mut self,
+        message: ControlMessage,
+    ) {
         match message {
             ControlMessage::Event(event) => self.step(event, None),
             ControlMessage::HandOver {
@@ -140,7 +146,11 @@
         }
     }
 
-    fn step(&mut self, event: AgentEvent, order_verdict: Option<Sender<Result<(), FenceRefusal>>>) {
+    fn step(
+        &mut self,
+        event: AgentEvent,
+        order_verdict: Option<Sender<Result<(), FenceRefusal>>>,
+    ) {
         if let AgentEvent::Ended { ticket } = &event {
             self.verdicts.remove(ticket);
         }
@@ -180,7 +190,11 @@
         }
     }
 
-    fn answer(&mut self, ticket: WorkTicket, verdict: GateVerdict) {
+    fn answer(
+        &mut self,
+        ticket: WorkTicket,
+        verdict: GateVerdict,
+    ) {
         if let Some(sender) = self.verdicts.remove(&ticket) {
             if sender.try_send(verdict).is_err() && verdict == GateVerdict::Start {
                 // Its caller has gone before its turn came.
@@ -189,7 +203,10 @@
         }
     }
 
-    fn chore(&self, chore: AgentChore) {
+    fn chore(
+        &self,
+        chore: AgentChore,
+    ) {
         let _ = self.chores.try_send(chore);
     }
 }
--- a/agent/src/control/subscriber_set.rs
+++ b/agent/src/control/subscriber_set.rs
@@ -33,7 +33,11 @@
     }
 
     /// Sends events, or just the pulse when there are none.
-    pub fn publish(&mut self, events: &[UpwardEvent], pulse: AgentPulse) {
+    pub fn publish(
+        &mut self,
+        events: &[UpwardEvent],
+        pulse: AgentPulse,
+    ) {
         self.subscribers.retain_mut(|s| s.send(events, pulse));
     }
 }
@@ -43,7 +47,11 @@
     ///
     /// A batch that does not fit is left out. The numbers go on, so the
     /// subscriber sees the gap and asks for everything anew.
-    fn send(&mut self, events: &[UpwardEvent], pulse: AgentPulse) -> bool {
+    fn send(
+        &mut self,
+        events: &[UpwardEvent],
+        pulse: AgentPulse,
+    ) -> bool {
         if events.is_empty() {
             return self.send_batch(&[], pulse);
         }
@@ -52,7 +60,11 @@
             .all(|chunk| self.send_batch(chunk, pulse))
     }
 
-    fn send_batch(&mut self, events: &[UpwardEvent], pulse: AgentPulse) -> bool {
+    fn send_batch(
+        &mut self,
+        events: &[UpwardEvent],
+        pulse: AgentPulse,
+    ) -> bool {
         let batch = EventBatch {
             first: self.next,
             events: events.to_vec(),
--- a/agent/src/endpoint/endpoint_call.rs
+++ b/agent/src/endpoint/endpoint_call.rs
@@ -19,7 +19,10 @@
 }
 
 /// Makes the HTTP request that a hand-over asks for.
-pub fn build_call(client: &EndpointClient, hand_over: &mut HandOver) -> Conn {
+pub fn build_call(
+    client: &EndpointClient,
+    hand_over: &mut HandOver,
+) -> Conn {
     let mut conn = client.request(&hand_over.method, &hand_over.path, hand_over.repeatable);
     for field in &hand_over.headers {
         let name = HeaderName::from(field.name.clone());
--- a/agent/src/endpoint/endpoint_client.rs
+++ b/agent/src/endpoint/endpoint_client.rs
@@ -60,7 +60,12 @@
     ///
     /// One that may not be repeated gets a connection of its own: a kept one may
     /// break just as it is used, and then nobody knows whether it ran.
-    pub fn request(&self, method: &str, path: &str, repeatable: bool) -> Conn {
+    pub fn request(
+        &self,
+        method: &str,
+        path: &str,
+        repeatable: bool,
+    ) -> Conn {
         let client = if repeatable {
             &self.shared.pooled
         } else {
@@ -98,7 +103,10 @@
     ///
     /// # Errors
     /// [`CallError`] when it does not answer in time.
-    pub async fn cache_news(&self, from: u64) -> Result<EngineNews, CallError> {
+    pub async fn cache_news(
+        &self,
+        from: u64,
+    ) -> Result<EngineNews, CallError> {
         self.shared
             .short
             .get_json(&format!("/engine/cache/events?from={from}"))
@@ -109,7 +117,10 @@
     ///
     /// # Errors
     /// [`CallError`] when it does not answer in time.
-    pub async fn export_piece(&self, key: PieceKey) -> Result<Option<Vec<u8>>, CallError> {
+    pub async fn export_piece(
+        &self,
+        key: PieceKey,
+    ) -> Result<Option<Vec<u8>>, CallError> {
         let conn = self
             .shared
             .pieces
@@ -147,7 +158,10 @@
     ///
     /// # Errors
     /// [`CallError`] when the engine did not carry it out.
-    pub async fn run_order(&self, order: &EndpointOrder) -> Result<(), CallError> {
+    pub async fn run_order(
+        &self,
+        order: &EndpointOrder,
+    ) -> Result<(), CallError> {
         let mut message = EngineOrder {
             version: None,
             adapter: None,
--- a/agent/src/endpoint/endpoint_watch.rs
+++ b/agent/src/endpoint/endpoint_watch.rs
@@ -12,7 +12,10 @@
 const FAILURE_LIMIT: u32 = 3;
 
 /// Looks after the endpoint's health and an engine's cache news, for good.
-pub async fn watch_endpoint(client: EndpointClient, handle: ControlHandle) {
+pub async fn watch_endpoint(
+    client: EndpointClient,
+    handle: ControlHandle,
+) {
     let mut failures = 0;
     let mut next_change = None;
     loop {
@@ -79,7 +82,10 @@
 }
 
 /// Passes on the whole cache; gives the number of the next change.
-pub async fn list_cache(client: &EndpointClient, handle: &ControlHandle) -> Option<u64> {
+pub async fn list_cache(
+    client: &EndpointClient,
+    handle: &ControlHandle,
+) -> Option<u64> {
     let cache = client.list_cache().await.ok()?;
     let next = cache.next;
     handle.tell(AgentEvent::CacheListed {
--- a/agent/src/gate/request_runner.rs
+++ b/agent/src/gate/request_runner.rs
@@ -7,7 +7,7 @@
     futures_lite::{future, AsyncReadExt},
     pitchhitch_core::{
         errors::ErrorKind,
-        role::{AgentEvent, GateWork, WorkTicket},
+        role::{prompt_identity, AgentEvent, GateWork, PromptUse, WorkTicket},
         time::Micros,
     },
     pitchhitch_wire::{
@@ -112,6 +112,10 @@
         pieces: imported,
         span: context.clock.now().since(began),
     };
+    context.handle.tell(AgentEvent::Sent {
+        ticket: pending.ticket,
+        prompt: prompt_use(hand_over),
+    });
     let conn = build_call(&context.client, hand_over);
     let conn = match or_gone(replies, send_call(conn)).await {
         None => return RunEnd::CallerGone,
@@ -128,7 +132,10 @@
     end
 }
 
-fn gate_work(context: &GateContext, hand_over: &HandOver) -> GateWork {
+fn gate_work(
+    context: &GateContext,
+    hand_over: &HandOver,
+) -> GateWork {
     GateWork {
         organisation: hand_over.organisation.clone(),
         version: hand_over.version.clone(),
@@ -137,6 +144,15 @@
     }
 }
 
+fn prompt_use(hand_over: &HandOver) -> Option<PromptUse> {
+    let identity = prompt_identity(&hand_over.pieces)?;
+    Some(PromptUse {
+        identity,
+        organisation: hand_over.organisation.clone(),
+        label: hand_over.label.clone(),
+    })
+}
+
 /// Imports what the plan names; the number of pieces, or none when the caller left.
 async fn import(
     context: &GateContext,
--- a/agent/src/links/link_listener.rs
+++ b/agent/src/links/link_listener.rs
@@ -19,7 +19,10 @@
 const ACCEPT_PAUSE: Duration = Duration::from_millis(100);
 
 /// Takes links for good.
-pub async fn serve_links(listener: TcpListener, context: Arc<GateContext>) {
+pub async fn serve_links(
+    listener: TcpListener,
+    context: Arc<GateContext>,
+) {
     loop {
         match listener.accept().await {
             Ok((stream, _)) => spawn_detached(serve_one(stream, context.clone())),
@@ -31,7 +34,10 @@
     }
 }
 
-async fn serve_one(stream: TcpStream, context: Arc<GateContext>) {
+async fn serve_one(
+    stream: TcpStream,
+    context: Arc<GateContext>,
+) {
     let served = serve_link(stream, |call| {
         spawn_detached(serve_call(call, context.clone()));
     });
@@ -40,7 +46,10 @@
     }
 }
 
-async fn serve_call(call: IncomingCall, context: Arc<GateContext>) {
+async fn serve_call(
+    call: IncomingCall,
+    context: Arc<GateContext>,
+) {
     let (call, mut replies) = match call.read().await {
         Ok(read) => read,
         Err(error) => {
@@ -60,6 +69,10 @@
             context.handle.tell(AgentEvent::Noticed(notice));
             answer_once(replies, LinkReply::Taken).await;
         }
+        LinkCall::Drop(plan) => {
+            context.mover.drop_all(plan).await;
+            answer_once(replies, LinkReply::Taken).await;
+        }
         LinkCall::Order(order) => {
             let reply = match context.handle.order(order).await {
                 Ok(()) => LinkReply::Taken,
@@ -70,13 +83,19 @@
     }
 }
 
-async fn answer_once(mut replies: ReplySender, reply: LinkReply) {
+async fn answer_once(
+    mut replies: ReplySender,
+    reply: LinkReply,
+) {
     if replies.send(&reply).await.is_ok() {
         let _ = replies.end();
     }
 }
 
-async fn send_events(context: &GateContext, replies: &mut ReplySender) {
+async fn send_events(
+    context: &GateContext,
+    replies: &mut ReplySender,
+) {
     let beacon = context.handle.view().beacon.clone();
     let hello = LinkReply::Hello {
         endpoint_id: beacon.endpoint_id,
--- a/agent/src/moves/piece_mover.rs
+++ b/agent/src/moves/piece_mover.rs
@@ -9,7 +9,7 @@
         process::{spawn_detached, MetricSet},
         stores::{StoreClient, StoreError},
     },
-    pitchhitch_wire::messages::{ExportPlan, ImportPlan, PinnedPiece},
+    pitchhitch_wire::messages::{DropPlan, ExportPlan, ImportPlan, PinnedPiece},
     smol::Timer,
     std::{
         collections::BTreeMap,
@@ -53,7 +53,10 @@
 
 /// Checksum that store boxes keep with a piece. It covers the key, so that the
 /// bytes of one piece never pass for another.
-pub fn piece_checksum(key: PieceKey, bytes: &[u8]) -> String {
+pub fn piece_checksum(
+    key: PieceKey,
+    bytes: &[u8],
+) -> String {
     let mut hasher = blake3::Hasher::new();
     hasher.update(&key.0.to_le_bytes());
     hasher.update(bytes);
@@ -62,7 +65,11 @@
 
 impl PieceMover {
     /// Starts the worker for exports.
-    pub fn start(client: EndpointClient, handle: ControlHandle, metrics: Arc<MetricSet>) -> Self {
+    pub fn start(
+        client: EndpointClient,
+        handle: ControlHandle,
+        metrics: Arc<MetricSet>,
+    ) -> Self {
         let (plans, inbox) = async_channel::bounded(PLAN_ROOM);
         let mover = PieceMover {
             client,
@@ -77,7 +84,11 @@
     }
 
     /// Imports pieces in order, up to the first that cannot be had; gives their number.
-    pub async fn import(&self, plan: ImportPlan, version: &str) -> u32 {
+    pub async fn import(
+        &self,
+        plan: ImportPlan,
+        version: &str,
+    ) -> u32 {
         self.importing.fetch_add(1, Ordering::Relaxed);
         let _count = ImportCount(self.importing.clone());
         let store = self.store(plan.address);
@@ -105,7 +116,7 @@
         let sealed = match got {
             Ok(sealed) => sealed,
             Err(error) => {
-                self.import_failed(store_id, key, &error);
+                self.import_failed(store_id, piece, &error);
                 return false;
             }
         };
@@ -121,21 +132,30 @@
         }
     }
 
-    fn import_failed(&self, store_id: &str, key: PieceKey, error: &StoreError) {
-        let piece = key.to_string();
+    fn import_failed(
+        &self,
+        store_id: &str,
+        pinned: PinnedPiece,
+        error: &StoreError,
+    ) {
+        let piece = pinned.key.to_string();
         let reason = error.to_string();
         log::info!(event = "import-failed", piece = piece.as_str(), store = store_id, reason = reason.as_str(); "");
         self.metrics.count("link.import_failed", 1);
         if matches!(error, StoreError::Missing | StoreError::Damaged { .. }) {
             self.handle.tell(AgentEvent::Missing(MissingNotice {
-                key,
+                key: pinned.key,
                 store: store_id.to_string(),
+                generation: pinned.generation,
             }));
         }
     }
 
     /// Puts an export in line, if there is room.
-    pub fn export_later(&self, plan: ExportPlan) {
+    pub fn export_later(
+        &self,
+        plan: ExportPlan,
+    ) {
         let pieces = plan.pieces.len() as i32;
         self.handle.tell(AgentEvent::ExportCount(pieces));
         if self.plans.try_send(plan).is_err() {
@@ -144,7 +164,10 @@
         }
     }
 
-    async fn export_all(self, inbox: Receiver<ExportPlan>) {
+    async fn export_all(
+        self,
+        inbox: Receiver<ExportPlan>,
+    ) {
         while let Ok(plan) = inbox.recv().await {
             let store = self.store(plan.address);
             let mut going = true;
@@ -168,7 +191,12 @@
         }
     }
 
-    async fn export_one(&self, store: &StoreClient, plan: &ExportPlan, key: PieceKey) -> bool {
+    async fn export_one(
+        &self,
+        store: &StoreClient,
+        plan: &ExportPlan,
+        key: PieceKey,
+    ) -> bool {
         let Ok(Some(bytes)) = self.client.export_piece(key).await else {
             return false;
         };
@@ -182,6 +210,7 @@
                     store: plan.store.clone(),
                     tier: plan.tier,
                     generation,
+                    identity: plan.identity,
                 }));
                 true
             }
@@ -189,12 +218,39 @@
                 let reason = error.to_string();
                 log::info!(event = "export-failed", piece = key.to_string().as_str(), store = plan.store.as_str(), reason = reason.as_str(); "");
                 self.metrics.count("link.export_failed", 1);
+                if error == StoreError::Full {
+                    self.handle.tell(AgentEvent::StoreFull {
+                        store: plan.store.clone(),
+                    });
+                }
                 false
             }
         }
     }
 
-    fn store(&self, address: SocketAddr) -> StoreClient {
+    /// Drops pieces and tells everybody that they are gone.
+    pub async fn drop_all(
+        &self,
+        plan: DropPlan,
+    ) {
+        let store = self.store(plan.address);
+        for piece in &plan.pieces {
+            if store.drop_piece(piece.key, piece.generation).await.is_err() {
+                continue;
+            }
+            self.metrics.count("store.dropped", 1);
+            self.handle.tell(AgentEvent::Missing(MissingNotice {
+                key: piece.key,
+                store: plan.store.clone(),
+                generation: piece.generation,
+            }));
+        }
+    }
+
+    fn store(
+        &self,
+        address: SocketAddr,
+    ) -> StoreClient {
         let mut stores = self.stores.lock().unwrap_or_else(PoisonError::into_inner);
         let client = stores.entry(address);
         client
--- a/agent/src/orders/order_runner.rs
+++ b/agent/src/orders/order_runner.rs
@@ -26,7 +26,10 @@
 
 impl OrderRunner {
     /// Takes chores for good; each runs by itself.
-    pub async fn run(self, chores: Receiver<AgentChore>) {
+    pub async fn run(
+        self,
+        chores: Receiver<AgentChore>,
+    ) {
         while let Ok(chore) = chores.recv().await {
             match chore {
                 AgentChore::ListCache => {
@@ -38,7 +41,10 @@
         }
     }
 
-    async fn run_order(self, order: EndpointOrder) {
+    async fn run_order(
+        self,
+        order: EndpointOrder,
+    ) {
         let result = self.client.run_order(&order).await;
         let failure = result.err().map(|e| e.to_string());
         let text = format!("{order:?}");
--- a/core/src/conf/config_head.rs
+++ b/core/src/conf/config_head.rs
@@ -44,7 +44,10 @@
     }
 
     /// The revision that a change made, if it was accepted.
-    pub fn settled_revision(&self, change_id: &str) -> Option<u64> {
+    pub fn settled_revision(
+        &self,
+        change_id: &str,
+    ) -> Option<u64> {
         let in_tail = self.tail.iter().find(|r| r.change_id == change_id);
         if let Some(record) = in_tail {
             return Some(record.revision);
@@ -78,7 +81,10 @@
     }
 
     /// The head after its whole log went into a base document.
-    pub fn folded(&self, base_name: String) -> ConfigHead {
+    pub fn folded(
+        &self,
+        base_name: String,
+    ) -> ConfigHead {
         let mut settled = self.settled.clone();
         for record in &self.tail {
             settled.push_back(SettledChange {
@@ -103,7 +109,10 @@
     ///
     /// # Errors
     /// [`ChangeError::BrokenLog`] when the log does not join on to `config`.
-    pub fn bring_up(&self, config: &FleetConfig) -> Result<FleetConfig, ChangeError> {
+    pub fn bring_up(
+        &self,
+        config: &FleetConfig,
+    ) -> Result<FleetConfig, ChangeError> {
         let mut current = config.clone();
         for record in &self.tail {
             if record.revision <= current.revision {
--- a/core/src/conf/fleet_config.rs
+++ b/core/src/conf/fleet_config.rs
@@ -61,7 +61,10 @@
     ///
     /// # Errors
     /// [`ChangeError`]; the configuration is then as it was.
-    pub fn apply(&mut self, change: &ConfigChange) -> Result<(), ChangeError> {
+    pub fn apply(
+        &mut self,
+        change: &ConfigChange,
+    ) -> Result<(), ChangeError> {
         match change {
             ConfigChange::Label { target, key, value } => self.set_label(target, key, value)?,
             ConfigChange::Rule { name, rule } => put(&mut self.rules, "rule", name, rule)?,
@@ -96,7 +99,10 @@
         Ok(())
     }
 
-    fn labels_of(&mut self, target: &LabelTarget) -> Result<&mut LabelSet, ChangeError> {
+    fn labels_of(
+        &mut self,
+        target: &LabelTarget,
+    ) -> Result<&mut LabelSet, ChangeError> {
         match target {
             // An endpoint may be labelled before it is first seen.
             LabelTarget::Endpoint(name) => {
@@ -123,7 +129,10 @@
     }
 
     /// Whether operators want an endpoint drained.
-    pub fn is_leaving(&self, endpoint_id: &str) -> bool {
+    pub fn is_leaving(
+        &self,
+        endpoint_id: &str,
+    ) -> bool {
         self.endpoints
             .get(endpoint_id)
             .is_some_and(EndpointConf::is_leaving)
--- a/core/src/conf/label_target.rs
+++ b/core/src/conf/label_target.rs
@@ -50,7 +50,10 @@
 }
 
 impl fmt::Display for LabelTarget {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+    fn fmt(
+        &self,
+        f: &mut fmt::Formatter<'_>,
+    ) -> fmt::Result {
         match self {
             LabelTarget::Endpoint(name) => write!(f, "endpoint/{name}"),
             LabelTarget::Organisation(name) => write!(f, "organisation/{name}"),
--- a/core/src/kept/piece_directory.rs
+++ b/core/src/kept/piece_directory.rs
@@ -70,12 +70,19 @@
     }
 
     /// All known holders of a piece; some may be gone by now.
-    pub fn holders(&self, key: PieceKey) -> &[PieceHolder] {
+    pub fn holders(
+        &self,
+        key: PieceKey,
+    ) -> &[PieceHolder] {
         self.holders.get(&key).map_or(&[], HolderList::as_slice)
     }
 
     /// Notes a holder. A newer copy on the same store box replaces the older one.
-    pub fn add(&mut self, key: PieceKey, holder: PieceHolder) {
+    pub fn add(
+        &mut self,
+        key: PieceKey,
+        holder: PieceHolder,
+    ) {
         let mut holders = self.holders(key).to_vec();
         holders.retain(|h| !same_place(h, &holder));
         holders.push(holder);
@@ -83,7 +90,11 @@
     }
 
     /// Forgets a holder.
-    pub fn remove(&mut self, key: PieceKey, holder: &PieceHolder) {
+    pub fn remove(
+        &mut self,
+        key: PieceKey,
+        holder: &PieceHolder,
+    ) {
         let mut holders = self.holders(key).to_vec();
         holders.retain(|h| !same_place(h, holder));
         self.replace(key, holders);
@@ -116,7 +127,11 @@
         next
     }
 
-    fn replace(&mut self, key: PieceKey, holders: Vec<PieceHolder>) {
+    fn replace(
+        &mut self,
+        key: PieceKey,
+        holders: Vec<PieceHolder>,
+    ) {
         match HolderList::from_vec(holders) {
             Some(list) => {
                 self.holders.insert(key, list);
@@ -128,7 +143,10 @@
     }
 }
 
-fn same_place(a: &PieceHolder, b: &PieceHolder) -> bool {
+fn same_place(
+    a: &PieceHolder,
+    b: &PieceHolder,
+) -> bool {
     match (a, b) {
         (PieceHolder::Endpoint(a), PieceHolder::Endpoint(b)) => a == b,
         (PieceHolder::Store(a), PieceHolder::Store(b)) => a.store == b.store,
--- a/core/src/kept/piece_key.rs
+++ b/core/src/kept/piece_key.rs
@@ -38,7 +38,10 @@
 
 // Text for people, sixteen bytes between processes.
 impl Serialize for PieceKey {
-    fn serialize<S: Serializer>(&self, serializer: S) -> Result<S::Ok, S::Error> {
+    fn serialize<S: Serializer>(
+        &self,
+        serializer: S,
+    ) -> Result<S::Ok, S::Error> {
         if serializer.is_human_readable() {
             serializer.collect_str(self)
         } else {
@@ -59,13 +62,19 @@
 }
 
 impl fmt::Display for PieceKey {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+    fn fmt(
+        &self,
+        f: &mut fmt::Formatter<'_>,
+    ) -> fmt::Result {
         write!(f, "{:032x}", self.0)
     }
 }
 
 impl fmt::Debug for PieceKey {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+    fn fmt(
+        &self,
+        f: &mut fmt::Formatter<'_>,
+    ) -> fmt::Result {
         write!(f, "{self}")
     }
 }
--- a/core/src/kept/prefix_chain.rs
+++ b/core/src/kept/prefix_chain.rs
@@ -18,7 +18,11 @@
 ///
 /// Each key covers the text from the start, so a key that is found stands for
 /// the whole prefix. The text after the last whole piece has no key.
-pub fn prefix_chain(organisation: &str, version: &str, text: &[u8]) -> Vec<PieceKey> {
+pub fn prefix_chain(
+    organisation: &str,
+    version: &str,
+    text: &[u8],
+) -> Vec<PieceKey> {
     let mut state = salt(organisation, version);
     let mut keys = Vec::with_capacity(text.len() / PIECE_TEXT_BYTES);
     for block in text.chunks_exact(PIECE_TEXT_BYTES) {
@@ -28,7 +32,10 @@
     keys
 }
 
-fn salt(organisation: &str, version: &str) -> [u8; 32] {
+fn salt(
+    organisation: &str,
+    version: &str,
+) -> [u8; 32] {
     let mut hasher = blake3::Hasher::new_derive_key(CHAIN_CONTEXT);
     // The length in front keeps "ab"+"c" and "a"+"bc" apart.
     hasher.update(&(organisation.len() as u64).to_le_bytes());
--- a/core/src/labels/label_set.rs
+++ b/core/src/labels/label_set.rs
@@ -12,22 +12,35 @@
 
 impl LabelSet {
     /// The value of one label.
-    pub fn get(&self, key: &str) -> Option<&str> {
+    pub fn get(
+        &self,
+        key: &str,
+    ) -> Option<&str> {
         self.labels.get(key).map(String::as_str)
     }
 
     /// Sets one label, replacing its former value.
-    pub fn set(&mut self, key: impl Into<String>, value: impl Into<String>) {
+    pub fn set(
+        &mut self,
+        key: impl Into<String>,
+        value: impl Into<String>,
+    ) {
         self.labels.insert(key.into(), value.into());
     }
 
     /// Removes one label if it is there.
-    pub fn remove(&mut self, key: &str) {
+    pub fn remove(
+        &mut self,
+        key: &str,
+    ) {
         self.labels.remove(key);
     }
 
     /// These labels with those of `other` on top.
-    pub fn overlaid(&self, other: &LabelSet) -> LabelSet {
+    pub fn overlaid(
+        &self,
+        other: &LabelSet,
+    ) -> LabelSet {
         let mut merged = self.clone();
         for (key, value) in &other.labels {
             merged.set(key, value);
@@ -47,7 +60,10 @@
 }
 
 impl fmt::Display for LabelSet {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+    fn fmt(
+        &self,
+        f: &mut fmt::Formatter<'_>,
+    ) -> fmt::Result {
         for (index, (key, value)) in self.labels.iter().enumerate() {
             if index > 0 {
                 write!(f, ",")?;
--- a/core/src/labels/selector_term.rs
+++ b/core/src/labels/selector_term.rs
@@ -115,7 +115,10 @@
     }
 
     /// Whether the labels fulfil this term.
-    pub fn matches(&self, labels: &LabelSet) -> bool {
+    pub fn matches(
+        &self,
+        labels: &LabelSet,
+    ) -> bool {
         match self {
             SelectorTerm::Equals { key, value } => labels.get(key) == Some(value),
             SelectorTerm::Differs { key, value } => labels.get(key) != Some(value),
@@ -137,7 +140,10 @@
 }
 
 impl fmt::Display for SelectorTerm {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+    fn fmt(
+        &self,
+        f: &mut fmt::Formatter<'_>,
+    ) -> fmt::Result {
         match self {
             SelectorTerm::Equals { key, value } => write!(f, "{key}={value}"),
             SelectorTerm::Differs { key, value } => write!(f, "{key}!={value}"),
--- a/core/src/labels/work_selector.rs
+++ b/core/src/labels/work_selector.rs
@@ -29,7 +29,10 @@
     }
 
     /// Whether the labels fulfil every term.
-    pub fn matches(&self, labels: &LabelSet) -> bool {
+    pub fn matches(
+        &self,
+        labels: &LabelSet,
+    ) -> bool {
         self.terms.iter().all(|term| term.matches(labels))
     }
 }
@@ -49,7 +52,10 @@
 }
 
 impl fmt::Display for WorkSelector {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+    fn fmt(
+        &self,
+        f: &mut fmt::Formatter<'_>,
+    ) -> fmt::Result {
         for (index, term) in self.terms.iter().enumerate() {
             if index > 0 {
                 write!(f, ",")?;
--- a/core/src/lease/lease_machine.rs
+++ b/core/src/lease/lease_machine.rs
@@ -69,7 +69,10 @@
     /// A machine that holds nothing yet.
     ///
     /// `me` must name this life of the process: a restarted process is another holder.
-    pub fn new(me: impl Into<String>, times: LeaseTimes) -> Self {
+    pub fn new(
+        me: impl Into<String>,
+        times: LeaseTimes,
+    ) -> Self {
         LeaseMachine {
             me: me.into(),
             times,
@@ -82,13 +85,19 @@
     }
 
     /// The epoch under which this process may give orders at this moment.
-    pub fn epoch(&self, now: Micros) -> Option<u64> {
+    pub fn epoch(
+        &self,
+        now: Micros,
+    ) -> Option<u64> {
         let held = self.held?;
         (now < held.valid_until).then_some(held.epoch)
     }
 
     /// What to do now. The host reports the outcome by one of the methods below.
-    pub fn step(&mut self, now: Micros) -> LeaseStep {
+    pub fn step(
+        &mut self,
+        now: Micros,
+    ) -> LeaseStep {
         if now < self.next_step {
             return LeaseStep::Wait;
         }
@@ -109,7 +118,11 @@
         }
     }
 
-    fn wanted_row(&self, seen: &SeenRow, now: Micros) -> Option<LeaseRow> {
+    fn wanted_row(
+        &self,
+        seen: &SeenRow,
+        now: Micros,
+    ) -> Option<LeaseRow> {
         let row = &seen.row;
         if row.holder == self.me {
             let mut renewed = row.clone();
@@ -129,7 +142,13 @@
     }
 
     /// The row was read; `asked_at` is when the read was sent.
-    pub fn row_read(&mut self, row: Option<LeaseRow>, version: u64, asked_at: Micros, now: Micros) {
+    pub fn row_read(
+        &mut self,
+        row: Option<LeaseRow>,
+        version: u64,
+        asked_at: Micros,
+        now: Micros,
+    ) {
         let row = row.unwrap_or_default();
         self.settle_pending(&row);
         let unchanged = self
@@ -155,7 +174,11 @@
     }
 
     /// The row was replaced; the table gave it a new version.
-    pub fn row_written(&mut self, version: u64, now: Micros) {
+    pub fn row_written(
+        &mut self,
+        version: u64,
+        now: Micros,
+    ) {
         let Some(row) = self.pending_row.take() else {
             return;
         };
@@ -198,7 +221,10 @@
         })
     }
 
-    fn settle_pending(&mut self, row: &LeaseRow) {
+    fn settle_pending(
+        &mut self,
+        row: &LeaseRow,
+    ) {
         if self.pending_row.as_ref() == Some(row) {
             let row = row.clone();
             self.hold(&row);
@@ -207,7 +233,10 @@
         self.pending_since = None;
     }
 
-    fn hold(&mut self, row: &LeaseRow) {
+    fn hold(
+        &mut self,
+        row: &LeaseRow,
+    ) {
         let Some(since) = self.pending_since else {
             return;
         };
--- a/core/src/lease/order_fence.rs
+++ b/core/src/lease/order_fence.rs
@@ -47,7 +47,10 @@
 
 impl OrderFence {
     /// Notes the epoch that the table has.
-    pub fn epoch_read(&mut self, epoch: u64) {
+    pub fn epoch_read(
+        &mut self,
+        epoch: u64,
+    ) {
         self.epoch_read = true;
         if epoch > self.newest.epoch {
             self.newest = OrderStamp { epoch, sequence: 0 };
@@ -63,7 +66,10 @@
     ///
     /// # Errors
     /// [`FenceRefusal`] when the order is not the newest.
-    pub fn pass(&mut self, stamp: OrderStamp) -> Result<(), FenceRefusal> {
+    pub fn pass(
+        &mut self,
+        stamp: OrderStamp,
+    ) -> Result<(), FenceRefusal> {
         if !self.epoch_read {
             return Err(FenceRefusal::EpochUnknown);
         }
--- a/core/src/limit/fair_queue.rs
+++ b/core/src/limit/fair_queue.rs
@@ -52,7 +52,13 @@
     }
 
     /// Puts work in line.
-    pub fn push(&mut self, organisation: &str, key: K, tokens: u32, deadline: Micros) {
+    pub fn push(
+        &mut self,
+        organisation: &str,
+        key: K,
+        tokens: u32,
+        deadline: Micros,
+    ) {
         let last = self.last_tags.get(organisation).copied().unwrap_or(0.0);
         let tag = last.max(self.virtual_time);
         let next = tag + f64::from(tokens.max(1));
@@ -84,7 +90,10 @@
     }
 
     /// Takes one piece of work out of line; false when it is not there.
-    pub fn remove(&mut self, key: K) -> bool {
+    pub fn remove(
+        &mut self,
+        key: K,
+    ) -> bool {
         let place = self.waiting.iter().find_map(|(name, line)| {
             let index = line.iter().position(|w| w.key == key)?;
             Some((name.clone(), index))
@@ -100,7 +109,10 @@
     }
 
     /// Keys of the work whose deadline has passed.
-    pub fn overdue(&self, now: Micros) -> Vec<K> {
+    pub fn overdue(
+        &self,
+        now: Micros,
+    ) -> Vec<K> {
         let all = self.waiting.values().flatten();
         all.filter(|w| w.deadline <= now).map(|w| w.key).collect()
     }
@@ -110,7 +122,11 @@
         self.waiting.values().flatten().map(|w| w.key).collect()
     }
 
-    fn took_out(&mut self, organisation: &str, work: &QueuedWork<K>) {
+    fn took_out(
+        &mut self,
+        organisation: &str,
+        work: &QueuedWork<K>,
+    ) {
         self.length -= 1;
         self.tokens -= u64::from(work.tokens);
         let empty = self.waiting.get(organisation).is_some_and(Vec::is_empty);
--- a/core/src/limit/limit_table.rs
+++ b/core/src/limit/limit_table.rs
@@ -98,7 +98,10 @@
     }
 
     /// Notes that an admitted request ended.
-    pub fn release(&mut self, organisation: &str) {
+    pub fn release(
+        &mut self,
+        organisation: &str,
+    ) {
         if let Some(usage) = self.uses.get_mut(organisation) {
             usage.running = usage.running.saturating_sub(1);
             self.running = self.running.saturating_sub(1);
--- a/core/src/limit/rate_bucket.rs
+++ b/core/src/limit/rate_bucket.rs
@@ -9,7 +9,10 @@
 
 impl RateBucket {
     /// A bucket that starts full.
-    pub fn full(burst: f64, now: Micros) -> Self {
+    pub fn full(
+        burst: f64,
+        now: Micros,
+    ) -> Self {
         RateBucket {
             level: burst,
             filled_at: now,
@@ -20,7 +23,12 @@
     ///
     /// `rate` is in tokens a second, `burst` in tokens. Otherwise tells after
     /// what time there will be one.
-    pub fn take(&mut self, rate: f64, burst: f64, now: Micros) -> Result<(), Micros> {
+    pub fn take(
+        &mut self,
+        rate: f64,
+        burst: f64,
+        now: Micros,
+    ) -> Result<(), Micros> {
         let elapsed = now.since(self.filled_at).as_secs_f64();
         self.level = (self.level + elapsed * rate).min(burst.max(1.0));
         self.filled_at = self.filled_at.max(now);
--- a/core/src/member/home_set.rs
+++ b/core/src/member/home_set.rs
@@ -44,7 +44,10 @@
 }
 
 /// Weight of a pair in rendezvous hashing.
-pub fn rendezvous_weight(subject: &str, candidate: &str) -> u64 {
+pub fn rendezvous_weight(
+    subject: &str,
+    candidate: &str,
+) -> u64 {
     let mut hasher = blake3::Hasher::new();
     hasher.update(&(subject.len() as u64).to_le_bytes());
     hasher.update(subject.as_bytes());
--- a/core/src/member/peer_table.rs
+++ b/core/src/member/peer_table.rs
@@ -20,7 +20,11 @@
 
 impl PeerTable {
     /// Notes a beacon. One of an earlier life of the same peer is passed over.
-    pub fn heard(&mut self, beacon: EntryBeacon, now: Micros) {
+    pub fn heard(
+        &mut self,
+        beacon: EntryBeacon,
+        now: Micros,
+    ) {
         let known = self.peers.get(&beacon.entry_id);
         let older = known.is_some_and(|p| p.beacon.incarnation > beacon.incarnation);
         if older {
@@ -34,7 +38,10 @@
     }
 
     /// Drops peers that have been silent for too long.
-    pub fn drop_silent(&mut self, now: Micros) {
+    pub fn drop_silent(
+        &mut self,
+        now: Micros,
+    ) {
         self.peers
             .retain(|_, peer| now.since(peer.heard_at) < PEER_SILENCE);
     }
--- a/core/src/member/replay_guard.rs
+++ b/core/src/member/replay_guard.rs
@@ -23,7 +23,11 @@
 
 impl ReplayGuard {
     /// Whether a beacon is newer than all before it from this sender.
-    pub fn is_new(&mut self, sender: &str, number: BeaconNumber) -> bool {
+    pub fn is_new(
+        &mut self,
+        sender: &str,
+        number: BeaconNumber,
+    ) -> bool {
         if let Some(newest) = self.newest.get_mut(sender) {
             let is_new = number > *newest;
             *newest = number.max(*newest);
--- a/core/src/place/mod.rs
+++ b/core/src/place/mod.rs
@@ -3,5 +3,6 @@
 mod keep_decision;
 mod load_planner;
 mod return_model;
+mod store_ledger;
 
-pub use {keep_decision::*, load_planner::*, return_model::*};
+pub use {keep_decision::*, load_planner::*, return_model::*, store_ledger::*};
--- a/core/src/place/return_model.rs
+++ b/core/src/place/return_model.rs
@@ -61,21 +61,32 @@
 
 impl ReturnModel {
     /// Notes that a prompt came back after `gap`.
-    pub fn returned(&mut self, label: &ReturnLabel, gap: Micros) {
+    pub fn returned(
+        &mut self,
+        label: &ReturnLabel,
+        gap: Micros,
+    ) {
         let counts = self.counts_mut(label);
         counts.gaps[bucket_of(gap)] += 1.0;
         counts.decay();
     }
 
     /// Notes that a prompt was given up waiting for.
-    pub fn ended(&mut self, label: &ReturnLabel) {
+    pub fn ended(
+        &mut self,
+        label: &ReturnLabel,
+    ) {
         let counts = self.counts_mut(label);
         counts.ended += 1.0;
         counts.decay();
     }
 
     /// Chance that a prompt which has been away for `age` still comes back.
-    pub fn chance(&self, label: &ReturnLabel, age: Micros) -> f64 {
+    pub fn chance(
+        &self,
+        label: &ReturnLabel,
+        age: Micros,
+    ) -> f64 {
         let Some(counts) = self.counts.get(label) else {
             return PRIOR_CHANCE;
         };
@@ -86,7 +97,11 @@
     }
 
     /// The gap that half of the returns after `age` stay below; none when nothing is known.
-    pub fn median_gap(&self, label: &ReturnLabel, age: Micros) -> Option<Micros> {
+    pub fn median_gap(
+        &self,
+        label: &ReturnLabel,
+        age: Micros,
+    ) -> Option<Micros> {
         let counts = self.counts.get(label)?;
         let from = bucket_of(age);
         let later: f64 = counts.gaps[from..].iter().sum();
@@ -103,7 +118,10 @@
         None
     }
 
-    fn counts_mut(&mut self, label: &ReturnLabel) -> &mut GapCounts {
+    fn counts_mut(
+        &mut self,
+        label: &ReturnLabel,
+    ) -> &mut GapCounts {
         let known = self.counts.contains_key(label);
         let key = if known || self.counts.len() < LABEL_LIMIT {
             label.clone()
--- a/core/src/retry/backoff_policy.rs
+++ b/core/src/retry/backoff_policy.rs
@@ -22,7 +22,11 @@
     };
 
     /// The pause before try number `attempt`, counted from one.
-    pub fn pause(&self, attempt: u32, random: &mut impl Rng) -> Micros {
+    pub fn pause(
+        &self,
+        attempt: u32,
+        random: &mut impl Rng,
+    ) -> Micros {
         let doublings = attempt.saturating_sub(1).min(20);
         let ceiling = self.base.0.saturating_mul(1 << doublings).min(self.cap.0);
         Micros(random.gen_range(ceiling / 2..=ceiling))
--- a/core/src/retry/outlier_guard.rs
+++ b/core/src/retry/outlier_guard.rs
@@ -22,7 +22,10 @@
 
 impl OutlierGuard {
     /// Notes an answered request.
-    pub fn succeeded(&mut self, now: Micros) {
+    pub fn succeeded(
+        &mut self,
+        now: Micros,
+    ) {
         self.failures = 0;
         let settled = self.back_since.is_some_and(|t| now.since(t) > SLOW_START);
         if settled {
@@ -32,7 +35,10 @@
     }
 
     /// Notes a failed request; true when the endpoint is taken out by it.
-    pub fn failed(&mut self, now: Micros) -> bool {
+    pub fn failed(
+        &mut self,
+        now: Micros,
+    ) -> bool {
         self.failures += 1;
         if self.failures < EJECT_AFTER || self.is_out(now) {
             return false;
@@ -47,12 +53,18 @@
     }
 
     /// Whether the endpoint gets no requests now.
-    pub fn is_out(&self, now: Micros) -> bool {
+    pub fn is_out(
+        &self,
+        now: Micros,
+    ) -> bool {
         self.out_until.is_some_and(|until| now < until)
     }
 
     /// Factor on the endpoint's estimates; one when all is well.
-    pub fn penalty(&self, now: Micros) -> f32 {
+    pub fn penalty(
+        &self,
+        now: Micros,
+    ) -> f32 {
         let Some(since) = self.back_since else {
             return 1.0;
         };
--- a/core/src/role/agent_core.rs
+++ b/core/src/role/agent_core.rs
@@ -19,6 +19,7 @@
 struct RunningWork {
     tokens: u32,
     started_at: Micros,
+    sent_at: Option<Micros>,
     first_token: bool,
     alone: bool,
 }
@@ -65,13 +66,26 @@
     }
 
     /// Takes one event and says what to do.
-    pub fn step(&mut self, now: Micros, event: AgentEvent) -> Vec<AgentAction> {
+    pub fn step(
+        &mut self,
+        now: Micros,
+        event: AgentEvent,
+    ) -> Vec<AgentAction> {
         let mut actions = Vec::new();
         match event {
             AgentEvent::Tick => self.tick(now, &mut actions),
             AgentEvent::HandedOver { ticket, work } => {
                 self.handed_over(now, ticket, work, &mut actions)
             }
+            AgentEvent::Sent { ticket, prompt } => {
+                self.sent(now, ticket);
+                if let Some(prompt) = prompt {
+                    actions.push(AgentAction::Publish(vec![UpwardEvent::PromptUsed(prompt)]));
+                }
+            }
+            AgentEvent::StoreFull { store } => {
+                actions.push(AgentAction::Publish(vec![UpwardEvent::StoreFull { store }]));
+            }
             AgentEvent::FirstToken { ticket, computed } => self.first_token(now, ticket, computed),
             AgentEvent::Ended { ticket } => self.ended(now, ticket),
             AgentEvent::HealthSeen { healthy, version } => {
@@ -96,7 +110,7 @@
                 actions.push(AgentAction::Publish(vec![UpwardEvent::Stored(notice)]));
             }
             AgentEvent::Missing(notice) => {
-                self.mirror.missing(notice.key);
+                self.mirror.missing(&notice);
                 actions.push(AgentAction::Publish(vec![UpwardEvent::Missing(notice)]));
             }
             AgentEvent::ExportCount(change) => {
@@ -115,7 +129,11 @@
         actions
     }
 
-    fn tick(&mut self, now: Micros, actions: &mut Vec<AgentAction>) {
+    fn tick(
+        &mut self,
+        now: Micros,
+        actions: &mut Vec<AgentAction>,
+    ) {
         for ticket in self.queue.overdue(now) {
             self.refuse(ticket, ErrorKind::DeadlinePassed, actions);
         }
@@ -140,7 +158,11 @@
         self.queued.insert(ticket, work);
     }
 
-    fn refusal(&self, now: Micros, work: &GateWork) -> Option<ErrorKind> {
+    fn refusal(
+        &self,
+        now: Micros,
+        work: &GateWork,
+    ) -> Option<ErrorKind> {
         if self.is_refusing() {
             return Some(ErrorKind::EndpointLeaving);
         }
@@ -160,7 +182,10 @@
         None
     }
 
-    fn has_version(&self, work: &GateWork) -> bool {
+    fn has_version(
+        &self,
+        work: &GateWork,
+    ) -> bool {
         match (&self.identity.kind, &work.version) {
             (EndpointKind::Engine { version, .. }, Some(wanted)) => {
                 version == wanted && self.loading.is_none()
@@ -179,7 +204,11 @@
         Micros(by_slots as u64)
     }
 
-    fn start_queued(&mut self, now: Micros, actions: &mut Vec<AgentAction>) {
+    fn start_queued(
+        &mut self,
+        now: Micros,
+        actions: &mut Vec<AgentAction>,
+    ) {
         while self.running.len() < self.identity.slots as usize {
             let Some(next) = self.queue.pop() else {
                 return;
@@ -195,19 +224,37 @@
                 }));
                 continue;
             }
-            let busy = self.running.values().any(|r| !r.first_token);
             let work = RunningWork {
                 tokens: work.tokens,
                 started_at: now,
+                sent_at: None,
                 first_token: false,
-                alone: !busy,
+                alone: false,
             };
             self.running.insert(next.key, work);
             actions.push(AgentAction::Start(next.key));
         }
     }
 
-    fn first_token(&mut self, now: Micros, ticket: WorkTicket, computed: Option<u32>) {
+    fn sent(
+        &mut self,
+        now: Micros,
+        ticket: WorkTicket,
+    ) {
+        let computing = |r: &RunningWork| r.sent_at.is_some() && !r.first_token;
+        let busy = self.running.values().any(computing);
+        if let Some(work) = self.running.get_mut(&ticket) {
+            work.sent_at = Some(now);
+            work.alone = !busy;
+        }
+    }
+
+    fn first_token(
+        &mut self,
+        now: Micros,
+        ticket: WorkTicket,
+        computed: Option<u32>,
+    ) {
         let Some(work) = self.running.get_mut(&ticket) else {
             return;
         };
@@ -215,15 +262,17 @@
             return;
         }
         work.first_token = true;
-        let span = now.since(work.started_at);
-        let alone = work.alone;
         let tokens = computed.unwrap_or(work.tokens);
-        if alone {
-            self.meter.saw_prefill(tokens, span);
+        if let Some(sent_at) = work.sent_at.filter(|_| work.alone) {
+            self.meter.saw_prefill(tokens, now.since(sent_at));
         }
     }
 
-    fn ended(&mut self, now: Micros, ticket: WorkTicket) {
+    fn ended(
+        &mut self,
+        now: Micros,
+        ticket: WorkTicket,
+    ) {
         if let Some(work) = self.running.remove(&ticket) {
             self.meter.saw_request(now.since(work.started_at));
             return;
@@ -254,7 +303,11 @@
     }
 
     /// The engine says what it holds; that beats what the settings or an order said.
-    fn version_seen(&mut self, seen: String, actions: &mut Vec<AgentAction>) {
+    fn version_seen(
+        &mut self,
+        seen: String,
+        actions: &mut Vec<AgentAction>,
+    ) {
         if self.loading.is_some() {
             return;
         }
@@ -266,7 +319,11 @@
         }
     }
 
-    fn noticed(&mut self, notice: ConfigNotice, actions: &mut Vec<AgentAction>) {
+    fn noticed(
+        &mut self,
+        notice: ConfigNotice,
+        actions: &mut Vec<AgentAction>,
+    ) {
         if notice.box_leaving && !self.box_leaving {
             self.box_leaving = true;
             self.refuse_queued(ErrorKind::EndpointLeaving, actions);
@@ -280,7 +337,11 @@
         }
     }
 
-    fn ordered(&mut self, order: StampedOrder, actions: &mut Vec<AgentAction>) {
+    fn ordered(
+        &mut self,
+        order: StampedOrder,
+        actions: &mut Vec<AgentAction>,
+    ) {
         match self.fence.pass(order.stamp) {
             Ok(()) => {
                 if let EndpointOrder::LoadVersion { version } = &order.order {
@@ -293,7 +354,11 @@
         }
     }
 
-    fn order_ended(&mut self, outcome: OrderOutcome, actions: &mut Vec<AgentAction>) {
+    fn order_ended(
+        &mut self,
+        outcome: OrderOutcome,
+        actions: &mut Vec<AgentAction>,
+    ) {
         self.loading = None;
         let mut events = Vec::new();
         if outcome.failure.is_none() {
@@ -306,13 +371,22 @@
         actions.push(AgentAction::Publish(events));
     }
 
-    fn refuse_queued(&mut self, kind: ErrorKind, actions: &mut Vec<AgentAction>) {
+    fn refuse_queued(
+        &mut self,
+        kind: ErrorKind,
+        actions: &mut Vec<AgentAction>,
+    ) {
         for ticket in self.queue.keys() {
             self.refuse(ticket, kind, actions);
         }
     }
 
-    fn refuse(&mut self, ticket: WorkTicket, kind: ErrorKind, actions: &mut Vec<AgentAction>) {
+    fn refuse(
+        &mut self,
+        ticket: WorkTicket,
+        kind: ErrorKind,
+        actions: &mut Vec<AgentAction>,
+    ) {
         self.queue.remove(ticket);
         self.queued.remove(&ticket);
         actions.push(AgentAction::Refuse(GateRefusal { ticket, kind }));
--- a/core/src/role/agent_event.rs
+++ b/core/src/role/agent_event.rs
@@ -1,5 +1,7 @@
 use {
-    super::{ConfigNotice, GateWork, OrderOutcome, StampedOrder, StoredNotice, WorkTicket},
+    super::{
+        ConfigNotice, GateWork, OrderOutcome, PromptUse, StampedOrder, StoredNotice, WorkTicket,
+    },
     crate::kept::PieceKey,
 };
 
@@ -15,6 +17,18 @@
         /// What the gate needs to know.
         work: GateWork,
     },
+    /// Started work goes to the endpoint now, its imports being done.
+    Sent {
+        /// The work.
+        ticket: WorkTicket,
+        /// The prompt, if it is one that can return.
+        prompt: Option<PromptUse>,
+    },
+    /// A store box had no room.
+    StoreFull {
+        /// Name of the store box.
+        store: String,
+    },
     /// The first answer byte of started work has come.
     FirstToken {
         /// The work.
--- a/core/src/role/cache_mirror.rs
+++ b/core/src/role/cache_mirror.rs
@@ -1,5 +1,5 @@
 use {
-    super::{CacheChange, StoredNotice, UpwardEvent},
+    super::{CacheChange, MissingNotice, StoredNotice, UpwardEvent},
     crate::kept::PieceKey,
     std::collections::{BTreeMap, BTreeSet},
 };
@@ -26,7 +26,11 @@
 
 impl CacheMirror {
     /// Applies news of the engine if they join on to what is known.
-    pub fn apply_news(&mut self, first: u64, changes: &[CacheChange]) -> NewsOutcome {
+    pub fn apply_news(
+        &mut self,
+        first: u64,
+        changes: &[CacheChange],
+    ) -> NewsOutcome {
         if self.next_change != Some(first) {
             return NewsOutcome::Gap;
         }
@@ -46,7 +50,11 @@
     }
 
     /// Replaces everything by a whole list of the engine.
-    pub fn replace(&mut self, next: u64, keys: Vec<PieceKey>) {
+    pub fn replace(
+        &mut self,
+        next: u64,
+        keys: Vec<PieceKey>,
+    ) {
         self.cached = keys.into_iter().collect();
         self.next_change = Some(next);
     }
@@ -58,7 +66,10 @@
     }
 
     /// Notes a sealed piece.
-    pub fn stored(&mut self, notice: StoredNotice) {
+    pub fn stored(
+        &mut self,
+        notice: StoredNotice,
+    ) {
         if self.stored.len() >= STORED_LIMIT {
             self.stored.pop_first();
         }
@@ -66,8 +77,17 @@
     }
 
     /// Notes that a stored piece is gone.
-    pub fn missing(&mut self, key: PieceKey) {
-        self.stored.remove(&key);
+    pub fn missing(
+        &mut self,
+        notice: &MissingNotice,
+    ) {
+        let same = self
+            .stored
+            .get(&notice.key)
+            .is_some_and(|s| s.generation == notice.generation);
+        if same {
+            self.stored.remove(&notice.key);
+        }
     }
 
     /// Everything that is known, as events for a new subscriber.
--- a/core/src/role/endpoint_roster.rs
+++ b/core/src/role/endpoint_roster.rs
@@ -78,12 +78,18 @@
 
 impl EndpointRoster {
     /// The entry of one endpoint.
-    pub fn get(&self, endpoint_id: &str) -> Option<&RosterEntry> {
+    pub fn get(
+        &self,
+        endpoint_id: &str,
+    ) -> Option<&RosterEntry> {
         self.entries.get(endpoint_id)
     }
 
     /// The entry of one endpoint, to change it.
-    pub fn get_mut(&mut self, endpoint_id: &str) -> Option<&mut RosterEntry> {
+    pub fn get_mut(
+        &mut self,
+        endpoint_id: &str,
+    ) -> Option<&mut RosterEntry> {
         self.entries.get_mut(endpoint_id)
     }
 
@@ -93,7 +99,10 @@
     }
 
     /// The state of one endpoint.
-    pub fn state(&self, endpoint_id: &str) -> Option<&Arc<EndpointState>> {
+    pub fn state(
+        &self,
+        endpoint_id: &str,
+    ) -> Option<&Arc<EndpointState>> {
         let entry = self.entries.get(endpoint_id)?;
         self.arena.get(entry.key)
     }
@@ -129,7 +138,12 @@
         change
     }
 
-    fn insert(&mut self, beacon: &AgentBeacon, config: &FleetConfig, now: Micros) {
+    fn insert(
+        &mut self,
+        beacon: &AgentBeacon,
+        config: &FleetConfig,
+        now: Micros,
+    ) {
         self.remove(&beacon.endpoint_id);
         let state = EndpointState {
             id: beacon.endpoint_id.clone(),
@@ -158,7 +172,10 @@
     }
 
     /// Takes an endpoint out.
-    pub fn remove(&mut self, endpoint_id: &str) {
+    pub fn remove(
+        &mut self,
+        endpoint_id: &str,
+    ) {
         if let Some(entry) = self.entries.remove(endpoint_id) {
             Arc::make_mut(&mut self.arena).remove(entry.key);
             self.loads.remove(entry.key);
@@ -166,7 +183,10 @@
     }
 
     /// Gives an endpoint a new key, so that everything noted under the old one is void.
-    pub fn renew_key(&mut self, endpoint_id: &str) {
+    pub fn renew_key(
+        &mut self,
+        endpoint_id: &str,
+    ) {
         let Some(entry) = self.entries.get_mut(endpoint_id) else {
             return;
         };
@@ -209,7 +229,10 @@
     }
 
     /// Judges anew who is alive.
-    pub fn judge(&mut self, now: Micros) -> RosterVerdict {
+    pub fn judge(
+        &mut self,
+        now: Micros,
+    ) -> RosterVerdict {
         let mut verdict = RosterVerdict::default();
         for (id, entry) in &self.entries {
             let silent = now.since(entry.heard_at);
@@ -228,7 +251,11 @@
     }
 
     /// Notes the version that an engine holds now; true when it is another.
-    pub fn set_version(&mut self, endpoint_id: &str, kind: &EndpointKind) -> bool {
+    pub fn set_version(
+        &mut self,
+        endpoint_id: &str,
+        kind: &EndpointKind,
+    ) -> bool {
         let Some(entry) = self.entries.get(endpoint_id) else {
             return false;
         };
@@ -243,7 +270,10 @@
     }
 
     /// Puts the operators' labels on all endpoints anew.
-    pub fn relabel(&mut self, config: &FleetConfig) {
+    pub fn relabel(
+        &mut self,
+        config: &FleetConfig,
+    ) {
         let arena = Arc::make_mut(&mut self.arena);
         for (id, entry) in &self.entries {
             let Some(state) = arena.get_mut(entry.key) else {
@@ -260,7 +290,11 @@
     }
 }
 
-fn merged_labels(config: &FleetConfig, endpoint_id: &str, own: &LabelSet) -> LabelSet {
+fn merged_labels(
+    config: &FleetConfig,
+    endpoint_id: &str,
+    own: &LabelSet,
+) -> LabelSet {
     let mut labels = match config.endpoints.get(endpoint_id) {
         Some(conf) => own.overlaid(&conf.labels),
         None => own.clone(),
--- a/core/src/role/entry_action.rs
+++ b/core/src/role/entry_action.rs
@@ -1,5 +1,5 @@
 use {
-    super::{ConfigNotice, StampedOrder},
+    super::{ConfigNotice, StampedOrder, StoredPiece},
     crate::{
         lease::LeaseRow,
         place::ReturnModel,
@@ -63,6 +63,17 @@
         /// Where it listens.
         address: SocketAddr,
     },
+    /// Have pieces dropped from a store box, by an agent that tells everybody.
+    DropPieces {
+        /// Id of the endpoint whose agent does it.
+        endpoint_id: String,
+        /// Name of the store box.
+        store: String,
+        /// Where it listens.
+        address: SocketAddr,
+        /// The pieces.
+        pieces: Vec<StoredPiece>,
+    },
     /// Read a lease row.
     ReadLease {
         /// Shard of the lease.
@@ -115,6 +126,8 @@
     StoreListed,
     /// A store box was taken out.
     StoreLost,
+    /// Pieces are dropped from a full store box.
+    PiecesEvicted,
 }
 
 impl PlacementKind {
@@ -130,6 +143,7 @@
             PlacementKind::ConfigInForce => "config-in-force",
             PlacementKind::StoreListed => "store-listed",
             PlacementKind::StoreLost => "store-lost",
+            PlacementKind::PiecesEvicted => "pieces-evicted",
         }
     }
 }
--- a/core/src/role/entry_core.rs
+++ b/core/src/role/entry_core.rs
@@ -1,15 +1,16 @@
 use {
     super::{
         AgentPulse, BoxNotice, BoxRole, ConfigNotice, EndpointRoster, EntryAction, EntryEvent,
-        EventBatch, LeaseOutcome, LoadController, PlacementKind, PlacementLine, PromptMemory,
-        RosterChange, StoredPiece, UpwardEvent,
+        EventBatch, LeaseOutcome, LoadController, MissingNotice, PlacementKind, PlacementLine,
+        PromptMemory, RosterChange, StoredNotice, StoredPiece, UpwardEvent,
     },
     crate::{
         conf::FleetConfig,
         drain::{DrainState, DrainView},
-        kept::{PieceDirectory, PieceHolder, PieceKey, StoredCopy},
+        kept::{PieceDirectory, PieceHolder, PieceKey, StoreTier, StoredCopy},
         lease::LeaseTimes,
         member::{EntryBeacon, PeerTable},
+        place::{LedgerPiece, ReturnLabel, StoreLedger},
         route::{EndpointKind, PoolIndex, RoutePolicy, RouteTable, SentLoad, StoreKey, StoreState},
         time::Micros,
     },
@@ -30,6 +31,10 @@
 const PLACEMENT_TICKS: u64 = 5;
 /// Pieces that are known at most.
 const PIECE_LIMIT: usize = 400_000;
+/// Sealed pieces that are remembered until a store box has listed them itself.
+const STORED_MEMORY: usize = 20_000;
+/// Time between two evictions on one store box.
+const EVICT_PAUSE: Micros = Micros::from_millis(200);
 /// How often a store box is asked for all that it holds.
 const STORE_LIST_INTERVAL: Micros = Micros::from_secs(30);
 
@@ -64,6 +69,9 @@
     pools: Arc<PoolIndex>,
     prompts: PromptMemory,
     loads: LoadController,
+    ledgers: BTreeMap<String, StoreLedger>,
+    evicted_at: BTreeMap<String, Micros>,
+    stored_since_list: Vec<StoredNotice>,
     leaving_boxes: BTreeSet<String>,
     sweep_from: PieceKey,
     pools_stale: bool,
@@ -89,6 +97,9 @@
             pieces: PieceDirectory::default(),
             pools: Arc::default(),
             prompts: PromptMemory::default(),
+            ledgers: BTreeMap::new(),
+            evicted_at: BTreeMap::new(),
+            stored_since_list: Vec::new(),
             leaving_boxes: BTreeSet::new(),
             sweep_from: PieceKey(0),
             pools_stale: false,
@@ -101,7 +112,11 @@
     }
 
     /// Takes one event and says what to do.
-    pub fn step(&mut self, now: Micros, event: EntryEvent) -> Vec<EntryAction> {
+    pub fn step(
+        &mut self,
+        now: Micros,
+        event: EntryEvent,
+    ) -> Vec<EntryAction> {
         let mut actions = Vec::new();
         match event {
             EntryEvent::Tick => self.tick(now, &mut actions),
@@ -132,7 +147,10 @@
             EntryEvent::StoreMeasured { store, link_rate } => {
                 self.store_measured(&store, link_rate)
             }
-            EntryEvent::PromptSeen { identity, label } => self.prompts.saw(identity, label, now),
+            EntryEvent::Routed {
+                endpoint_id,
+                pieces,
+            } => self.routed(&endpoint_id, &pieces),
             EntryEvent::TryEnded {
                 endpoint_id,
                 failure,
@@ -172,7 +190,11 @@
         actions
     }
 
-    fn tick(&mut self, now: Micros, actions: &mut Vec<EntryAction>) {
+    fn tick(
+        &mut self,
+        now: Micros,
+        actions: &mut Vec<EntryAction>,
+    ) {
         self.peers.drop_silent(now);
         let verdict = self.roster.judge(now);
         for endpoint_id in verdict.hung_links {
@@ -195,7 +217,10 @@
     }
 
     /// Publishes a new view if something changed since the last one.
-    pub fn publish(&mut self, actions: &mut Vec<EntryAction>) {
+    pub fn publish(
+        &mut self,
+        actions: &mut Vec<EntryAction>,
+    ) {
         if self.pools_stale {
             self.pools = Arc::new(PoolIndex::build(&self.config, &self.roster.arena));
             self.pools_stale = false;
@@ -221,7 +246,11 @@
         });
     }
 
-    fn config_read(&mut self, config: Arc<FleetConfig>, actions: &mut Vec<EntryAction>) {
+    fn config_read(
+        &mut self,
+        config: Arc<FleetConfig>,
+        actions: &mut Vec<EntryAction>,
+    ) {
         // Revisions never go down, whoever the configuration comes from.
         if config.revision <= self.config.revision {
             return;
@@ -270,7 +299,12 @@
         }
     }
 
-    fn peer_heard(&mut self, now: Micros, beacon: EntryBeacon, actions: &mut Vec<EntryAction>) {
+    fn peer_heard(
+        &mut self,
+        now: Micros,
+        beacon: EntryBeacon,
+        actions: &mut Vec<EntryAction>,
+    ) {
         let newer = beacon.revision > self.config.revision;
         let peer = beacon.peer_address;
         self.peers.heard(beacon, now);
@@ -305,7 +339,11 @@
         self.publish(actions);
     }
 
-    fn link_lost(&mut self, now: Micros, endpoint_id: &str) {
+    fn link_lost(
+        &mut self,
+        now: Micros,
+        endpoint_id: &str,
+    ) {
         if let Some(entry) = self.roster.get_mut(endpoint_id) {
             entry.linked = false;
             entry.next_event = None;
@@ -315,7 +353,13 @@
         self.table_stale = true;
     }
 
-    fn pulse_seen(&mut self, now: Micros, endpoint_id: &str, pulse: AgentPulse, own: SentLoad) {
+    fn pulse_seen(
+        &mut self,
+        now: Micros,
+        endpoint_id: &str,
+        pulse: AgentPulse,
+        own: SentLoad,
+    ) {
         if self.roster.note_load(endpoint_id, pulse, own, now) {
             self.roster.relabel(&self.config);
             self.pools_stale = true;
@@ -350,7 +394,7 @@
         }
         entry.next_event = Some(expected + batch.events.len() as u64);
         for event in batch.events {
-            self.upward(endpoint_id, event);
+            self.upward(now, endpoint_id, event, actions);
         }
         self.pulse_seen(now, endpoint_id, batch.pulse, own);
         if self.pools_stale {
@@ -358,7 +402,13 @@
         }
     }
 
-    fn upward(&mut self, endpoint_id: &str, event: UpwardEvent) {
+    fn upward(
+        &mut self,
+        now: Micros,
+        endpoint_id: &str,
+        event: UpwardEvent,
+        actions: &mut Vec<EntryAction>,
+    ) {
         let Some(key) = self.roster.get(endpoint_id).map(|e| e.key) else {
             return;
         };
@@ -371,25 +421,17 @@
                 self.roster.renew_key(endpoint_id);
                 self.pools_stale = true;
             }
-            UpwardEvent::Stored(notice) => {
-                if let Some(&store) = self.store_keys.get(&notice.store) {
-                    let copy = StoredCopy {
-                        store,
-                        tier: notice.tier,
-                        generation: notice.generation,
-                    };
-                    self.add_piece(notice.key, PieceHolder::Store(copy));
-                }
+            UpwardEvent::Stored(notice) => self.piece_stored(notice),
+            UpwardEvent::Missing(notice) => self.piece_missing(&notice),
+            UpwardEvent::PromptUsed(prompt) => {
+                let label = ReturnLabel {
+                    organisation: prompt.organisation,
+                    label: prompt.label,
+                };
+                self.prompts.saw(prompt.identity, label, now);
             }
-            UpwardEvent::Missing(notice) => {
-                if let Some(&store) = self.store_keys.get(&notice.store) {
-                    let copy = StoredCopy {
-                        store,
-                        tier: crate::kept::StoreTier::Memory,
-                        generation: 0,
-                    };
-                    self.pieces.remove(notice.key, &PieceHolder::Store(copy));
-                }
+            UpwardEvent::StoreFull { store } => {
+                self.evict_pieces(now, endpoint_id, &store, actions)
             }
             UpwardEvent::Version(version) => self.version_changed(endpoint_id, version),
             UpwardEvent::OrderEnded(_) => {
@@ -400,14 +442,122 @@
         }
     }
 
-    fn add_piece(&mut self, piece: PieceKey, holder: PieceHolder) {
+    /// Expects the pieces of a prompt where it was sent, so that a quick return
+    /// goes there too. If it never gets there, the next one finds out.
+    fn routed(
+        &mut self,
+        endpoint_id: &str,
+        pieces: &[PieceKey],
+    ) {
+        let Some(key) = self.roster.get(endpoint_id).map(|e| e.key) else {
+            return;
+        };
+        for piece in pieces {
+            self.add_piece(*piece, PieceHolder::Endpoint(key));
+        }
+        self.table_stale = true;
+    }
+
+    fn piece_stored(
+        &mut self,
+        notice: StoredNotice,
+    ) {
+        let Some(&store) = self.store_keys.get(&notice.store) else {
+            return;
+        };
+        let copy = StoredCopy {
+            store,
+            tier: notice.tier,
+            generation: notice.generation,
+        };
+        self.add_piece(notice.key, PieceHolder::Store(copy));
+        let piece = LedgerPiece {
+            key: notice.key,
+            generation: notice.generation,
+        };
+        let ledger = self.ledgers.entry(notice.store.clone()).or_default();
+        ledger.add(notice.identity, piece);
+        if self.stored_since_list.len() < STORED_MEMORY {
+            self.stored_since_list.push(notice);
+        }
+    }
+
+    /// Frees room on a full store box. Only the holder of the group's lease does
+    /// it, so that several processes do not each free their part.
+    fn evict_pieces(
+        &mut self,
+        now: Micros,
+        endpoint_id: &str,
+        store: &str,
+        actions: &mut Vec<EntryAction>,
+    ) {
+        let key = self.store_keys.get(store);
+        let Some(state) = key.and_then(|k| self.stores.get(*k)) else {
+            return;
+        };
+        let evicted_lately = self
+            .evicted_at
+            .get(store)
+            .is_some_and(|at| now.since(*at) < EVICT_PAUSE);
+        if evicted_lately || !self.loads.holds(&state.group, now) {
+            return;
+        }
+        let address = state.address;
+        let Some(ledger) = self.ledgers.get_mut(store) else {
+            return;
+        };
+        let prompts = &self.prompts;
+        let evicted = ledger.evict(|identity| prompts.chance(identity, now));
+        self.evicted_at.insert(store.to_string(), now);
+        let pieces = evicted.iter().map(|piece| StoredPiece {
+            key: piece.key,
+            tier: StoreTier::Memory,
+            generation: piece.generation,
+        });
+        actions.push(EntryAction::DropPieces {
+            endpoint_id: endpoint_id.to_string(),
+            store: store.to_string(),
+            address,
+            pieces: pieces.collect(),
+        });
+        let reason = format!("full; {} pieces least likely to return", evicted.len());
+        self.log(PlacementKind::PiecesEvicted, store, reason, actions);
+    }
+
+    /// Forgets a copy, unless a newer one is known by now.
+    fn piece_missing(
+        &mut self,
+        notice: &MissingNotice,
+    ) {
+        let Some(&store) = self.store_keys.get(&notice.store) else {
+            return;
+        };
+        let copies = self.pieces.holders(notice.key).iter();
+        let gone = copies.copied().find(|holder| match holder {
+            PieceHolder::Store(copy) => copy.store == store && copy.generation == notice.generation,
+            PieceHolder::Endpoint(_) => false,
+        });
+        if let Some(holder) = gone {
+            self.pieces.remove(notice.key, &holder);
+        }
+    }
+
+    fn add_piece(
+        &mut self,
+        piece: PieceKey,
+        holder: PieceHolder,
+    ) {
         let full = self.pieces.len() >= PIECE_LIMIT;
         if !full || !self.pieces.holders(piece).is_empty() {
             self.pieces.add(piece, holder);
         }
     }
 
-    fn version_changed(&mut self, endpoint_id: &str, version: String) {
+    fn version_changed(
+        &mut self,
+        endpoint_id: &str,
+        version: String,
+    ) {
         let Some(state) = self.roster.state(endpoint_id) else {
             return;
         };
@@ -421,7 +571,12 @@
         }
     }
 
-    fn boxes_listed(&mut self, now: Micros, boxes: Vec<BoxNotice>, actions: &mut Vec<EntryAction>) {
+    fn boxes_listed(
+        &mut self,
+        now: Micros,
+        boxes: Vec<BoxNotice>,
+        actions: &mut Vec<EntryAction>,
+    ) {
         let mut listed = Vec::new();
         let leaving = boxes
             .iter()
@@ -449,6 +604,7 @@
                 self.stores.remove(key);
             }
             self.store_listed.remove(&id);
+            self.ledgers.remove(&id);
             self.log(
                 PlacementKind::StoreLost,
                 &id,
@@ -458,7 +614,12 @@
         }
     }
 
-    fn note_store(&mut self, now: Micros, notice: BoxNotice, actions: &mut Vec<EntryAction>) {
+    fn note_store(
+        &mut self,
+        now: Micros,
+        notice: BoxNotice,
+        actions: &mut Vec<EntryAction>,
+    ) {
         if let Some(key) = self.store_keys.get(&notice.id) {
             let same = self
                 .stores
@@ -486,12 +647,17 @@
         });
     }
 
-    fn list_stores(&mut self, now: Micros, actions: &mut Vec<EntryAction>) {
+    fn list_stores(
+        &mut self,
+        now: Micros,
+        actions: &mut Vec<EntryAction>,
+    ) {
         for (id, listed_at) in &mut self.store_listed {
             if now.since(*listed_at) < STORE_LIST_INTERVAL {
                 continue;
             }
             *listed_at = now;
+            self.stored_since_list.retain(|notice| &notice.store != id);
             let key = self.store_keys.get(id);
             if let Some(state) = key.and_then(|k| self.stores.get(*k)) {
                 actions.push(EntryAction::ListStore {
@@ -503,7 +669,12 @@
     }
 
     /// Replaces all that is known of a store box by its own list.
-    fn store_content(&mut self, now: Micros, store: &str, pieces: Vec<StoredPiece>) {
+    fn store_content(
+        &mut self,
+        now: Micros,
+        store: &str,
+        pieces: Vec<StoredPiece>,
+    ) {
         let Some(old) = self.store_keys.get(store).copied() else {
             return;
         };
@@ -513,7 +684,7 @@
         let key = self.stores.insert(state);
         self.store_keys.insert(store.to_string(), key);
         self.store_listed.insert(store.to_string(), now);
-        for piece in pieces {
+        for piece in &pieces {
             let copy = StoredCopy {
                 store: key,
                 tier: piece.tier,
@@ -521,10 +692,33 @@
             };
             self.add_piece(piece.key, PieceHolder::Store(copy));
         }
+        self.reconcile_ledger(store, &pieces);
+        // The list may be older than what agents have told since it was asked for.
+        for notice in std::mem::take(&mut self.stored_since_list) {
+            self.piece_stored(notice);
+        }
         self.table_stale = true;
     }
 
-    fn store_measured(&mut self, store: &str, link_rate: f64) {
+    /// Brings a ledger in line with what the store box lists.
+    fn reconcile_ledger(
+        &mut self,
+        store: &str,
+        pieces: &[StoredPiece],
+    ) {
+        let listed = pieces.iter().map(|piece| LedgerPiece {
+            key: piece.key,
+            generation: piece.generation,
+        });
+        let ledger = self.ledgers.entry(store.to_string()).or_default();
+        ledger.reconcile(listed.collect());
+    }
+
+    fn store_measured(
+        &mut self,
+        store: &str,
+        link_rate: f64,
+    ) {
         let key = self.store_keys.get(store);
         if let Some(state) = key.and_then(|k| self.stores.get_mut(*k)) {
             state.link_rate = link_rate.max(1.0);
@@ -554,7 +748,12 @@
         }
     }
 
-    fn lose_endpoint(&mut self, endpoint_id: &str, reason: &str, actions: &mut Vec<EntryAction>) {
+    fn lose_endpoint(
+        &mut self,
+        endpoint_id: &str,
+        reason: &str,
+        actions: &mut Vec<EntryAction>,
+    ) {
         self.roster.remove(endpoint_id);
         self.pools_stale = true;
         actions.push(EntryAction::Disconnect {
@@ -580,7 +779,10 @@
         self.sweep_from = next.unwrap_or(PieceKey(0));
     }
 
-    fn notify_agents(&mut self, actions: &mut Vec<EntryAction>) {
+    fn notify_agents(
+        &mut self,
+        actions: &mut Vec<EntryAction>,
+    ) {
         if self.config.revision == 0 || !self.notices_due {
             return;
         }
@@ -633,7 +835,10 @@
     ///
     /// A configuration must be in force that is sure not to be older than the one
     /// before a restart, and the process must not be cut off.
-    pub fn is_ready(&self, now: Micros) -> bool {
+    pub fn is_ready(
+        &self,
+        now: Micros,
+    ) -> bool {
         let heard_peers = self
             .first_peer
             .is_some_and(|t| now.since(t) >= PEER_PATIENCE);
@@ -671,12 +876,19 @@
     }
 
     /// Shards whose lease this process holds.
-    pub fn held_shards(&self, now: Micros) -> Vec<String> {
+    pub fn held_shards(
+        &self,
+        now: Micros,
+    ) -> Vec<String> {
         self.loads.held_shards(now)
     }
 
     /// How far the drain of an endpoint is.
-    pub fn drain_state(&self, endpoint_id: &str, now: Micros) -> DrainState {
+    pub fn drain_state(
+        &self,
+        endpoint_id: &str,
+        now: Micros,
+    ) -> DrainState {
         let entry = self.roster.get(endpoint_id);
         let load = entry.and_then(|e| self.roster.loads.get(e.key));
         DrainState::judge(&DrainView {
--- a/core/src/role/entry_event.rs
+++ b/core/src/role/entry_event.rs
@@ -6,7 +6,6 @@
         kept::{PieceKey, StoreTier},
         lease::LeaseRow,
         member::{AgentBeacon, EntryBeacon},
-        place::ReturnLabel,
         route::SentLoad,
         time::Micros,
     },
@@ -79,12 +78,12 @@
         /// Bytes a second.
         link_rate: f64,
     },
-    /// A request was routed.
-    PromptSeen {
-        /// Key by which the prompt is recognised.
-        identity: PieceKey,
-        /// Kind of work.
-        label: ReturnLabel,
+    /// A prompt was sent to an endpoint.
+    Routed {
+        /// Id of the endpoint.
+        endpoint_id: String,
+        /// Keys of the whole pieces of the prompt.
+        pieces: Vec<PieceKey>,
     },
     /// A try at an endpoint ended; `failure` tells how it failed.
     TryEnded {
--- a/core/src/role/event_batch.rs
+++ b/core/src/role/event_batch.rs
@@ -41,6 +41,13 @@
     Stored(StoredNotice),
     /// A piece that should be on a store box is not there.
     Missing(MissingNotice),
+    /// A prompt was handed to the endpoint.
+    PromptUsed(PromptUse),
+    /// A store box had no room for a piece.
+    StoreFull {
+        /// Name of the store box.
+        store: String,
+    },
     /// The endpoint holds another weight version now.
     Version(String),
     /// An order ended; the text says how when it failed.
@@ -58,6 +65,19 @@
     pub tier: StoreTier,
     /// Its generation.
     pub generation: u64,
+    /// Key by which its prompt is recognised.
+    pub identity: PieceKey,
+}
+
+/// A prompt that was handed to an endpoint.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PromptUse {
+    /// Key by which the prompt is recognised.
+    pub identity: PieceKey,
+    /// Organisation.
+    pub organisation: String,
+    /// Label that the caller put on it.
+    pub label: String,
 }
 
 /// A piece that was not found where it should be.
@@ -67,6 +87,8 @@
     pub key: PieceKey,
     /// Name of the store box.
     pub store: String,
+    /// Generation that was looked for; a newer one may be there.
+    pub generation: u64,
 }
 
 /// How an order ended.
--- a/core/src/role/load_controller.rs
+++ b/core/src/role/load_controller.rs
@@ -60,7 +60,10 @@
 
 impl LoadController {
     /// A controller without any shard; `me` names this life of the process.
-    pub fn new(me: impl Into<String>, times: LeaseTimes) -> Self {
+    pub fn new(
+        me: impl Into<String>,
+        times: LeaseTimes,
+    ) -> Self {
         LoadController {
             me: me.into(),
             times,
@@ -69,7 +72,12 @@
     }
 
     /// Takes in the outcome of a lease call.
-    pub fn lease_outcome(&mut self, group: &str, outcome: LeaseOutcome, now: Micros) {
+    pub fn lease_outcome(
+        &mut self,
+        group: &str,
+        outcome: LeaseOutcome,
+        now: Micros,
+    ) {
         let Some(shard) = self.shards.get_mut(group) else {
             return;
         };
@@ -85,8 +93,22 @@
         }
     }
 
-    /// Epochs of the shards that this process holds now.
-    pub fn held_shards(&self, now: Micros) -> Vec<String> {
+    /// Whether this process holds the lease of a group now.
+    pub fn holds(
+        &self,
+        group: &str,
+        now: Micros,
+    ) -> bool {
+        self.shards
+            .get(group)
+            .is_some_and(|s| s.lease.epoch(now).is_some())
+    }
+
+    /// Shards that this process holds now.
+    pub fn held_shards(
+        &self,
+        now: Micros,
+    ) -> Vec<String> {
         let held = self
             .shards
             .iter()
@@ -125,7 +147,10 @@
         }
     }
 
-    fn note_groups(&mut self, roster: &EndpointRoster) {
+    fn note_groups(
+        &mut self,
+        roster: &EndpointRoster,
+    ) {
         let engines = roster
             .arena
             .values()
@@ -224,7 +249,11 @@
     }
 }
 
-fn due_loads(group: &str, config: &FleetConfig, roster: &EndpointRoster) -> Vec<LoadStep> {
+fn due_loads(
+    group: &str,
+    config: &FleetConfig,
+    roster: &EndpointRoster,
+) -> Vec<LoadStep> {
     let mut engines = Vec::new();
     for (_, entry) in roster.iter() {
         let Some(state) = roster.arena.get(entry.key).filter(|s| s.group == group) else {
@@ -264,7 +293,11 @@
     Some(labelled.unwrap_or(&conf.active))
 }
 
-fn lease_line(group: &str, epoch: Option<u64>, revision: u64) -> PlacementLine {
+fn lease_line(
+    group: &str,
+    epoch: Option<u64>,
+    revision: u64,
+) -> PlacementLine {
     let (decision, reason) = match epoch {
         Some(epoch) => (PlacementKind::LeaseTaken, format!("epoch {epoch}")),
         None => (PlacementKind::LeaseLost, "lapsed or taken over".to_string()),
--- a/core/src/role/prompt_memory.rs
+++ b/core/src/role/prompt_memory.rs
@@ -53,7 +53,12 @@
     }
 
     /// Notes that a prompt was asked.
-    pub fn saw(&mut self, identity: PieceKey, label: ReturnLabel, now: Micros) {
+    pub fn saw(
+        &mut self,
+        identity: PieceKey,
+        label: ReturnLabel,
+        now: Micros,
+    ) {
         let prompt = SeenPrompt {
             label: label.clone(),
             seen_at: now,
@@ -70,6 +75,19 @@
         }
     }
 
+    /// Chance that a prompt still comes back.
+    pub fn chance(
+        &self,
+        identity: PieceKey,
+        now: Micros,
+    ) -> f64 {
+        match self.seen.get(&identity) {
+            Some(prompt) => self.model.chance(&prompt.label, now.since(prompt.seen_at)),
+            // Nobody has asked for it as long as this process remembers.
+            None => 0.0,
+        }
+    }
+
     fn forget_oldest(&mut self) {
         let Some(oldest) = self.order.pop_front() else {
             return;
--- a/core/src/role/service_meter.rs
+++ b/core/src/role/service_meter.rs
@@ -1,30 +1,27 @@
 use crate::{route::DEFAULT_TOKEN_COST, time::Micros};
 
-/// Part of a new observation in the running averages.
+/// Part of a new observation in the running average of whole requests.
 const SMOOTHING: f32 = 0.1;
+/// What is left of older prompts with each new one.
+const FADING: f32 = 0.9;
 /// Tokens below which a prompt says too little about the cost of one token.
-const MIN_TOKENS: u32 = 64;
+const MIN_TOKENS: u32 = 256;
 
 /// Learns what an endpoint's work takes.
-#[derive(Debug, Clone, Copy)]
+#[derive(Debug, Clone, Copy, Default)]
 pub struct ServiceMeter {
-    token_cost: f32,
+    prefill_tokens: f32,
+    prefill_span: f32,
     service_time: f32,
 }
 
-impl Default for ServiceMeter {
-    fn default() -> Self {
-        ServiceMeter {
-            token_cost: DEFAULT_TOKEN_COST,
-            service_time: 0.0,
-        }
-    }
-}
-
 impl ServiceMeter {
     /// Microseconds for one prompt token.
     pub fn token_cost(&self) -> f32 {
-        self.token_cost
+        if self.prefill_tokens == 0.0 {
+            return DEFAULT_TOKEN_COST;
+        }
+        self.prefill_span / self.prefill_tokens
     }
 
     /// Microseconds for one request from start to end.
@@ -33,16 +30,26 @@
     }
 
     /// Notes that `tokens` prompt tokens took `span`, while nothing else was computed.
-    pub fn saw_prefill(&mut self, tokens: u32, span: Micros) {
+    ///
+    /// Sums are kept rather than an average of quotients, so that long prompts
+    /// count for more than short ones.
+    pub fn saw_prefill(
+        &mut self,
+        tokens: u32,
+        span: Micros,
+    ) {
         if tokens < MIN_TOKENS {
             return;
         }
-        let cost = span.0 as f32 / tokens as f32;
-        self.token_cost += SMOOTHING * (cost - self.token_cost);
+        self.prefill_tokens = FADING * self.prefill_tokens + tokens as f32;
+        self.prefill_span = FADING * self.prefill_span + span.0 as f32;
     }
 
     /// Notes that a request took `span` from start to end.
-    pub fn saw_request(&mut self, span: Micros) {
+    pub fn saw_request(
+        &mut self,
+        span: Micros,
+    ) {
         let span = span.0 as f32;
         if self.service_time == 0.0 {
             self.service_time = span;
--- a/core/src/route/cost_estimate.rs
+++ b/core/src/route/cost_estimate.rs
@@ -65,7 +65,10 @@
 ///
 /// The report lags: what this process had sent when it came is taken out of it
 /// and what this process has sent by now is put in.
-pub fn queue_time(load: &EndpointLoad, sent: SentLoad) -> f64 {
+pub fn queue_time(
+    load: &EndpointLoad,
+    sent: SentLoad,
+) -> f64 {
     let report = &load.report;
     let others_tokens = report.pending_tokens.saturating_sub(load.own_tokens);
     let tokens = (others_tokens + sent.tokens) as f64;
@@ -83,7 +86,11 @@
 }
 
 /// Microseconds for importing so many bytes, the link's present queue included.
-pub fn import_time(store: &StoreState, tier: StoreTier, bytes: u64) -> f64 {
+pub fn import_time(
+    store: &StoreState,
+    tier: StoreTier,
+    bytes: u64,
+) -> f64 {
     let link = (store.link_queue + bytes) as f64 / store.link_rate.max(1.0);
     let disk = match tier {
         StoreTier::Memory => 0.0,
--- a/core/src/route/prefix_reuse.rs
+++ b/core/src/route/prefix_reuse.rs
@@ -18,7 +18,10 @@
 
 impl PrefixReuse {
     /// Looks a prompt up in the directory.
-    pub fn find(directory: &PieceDirectory, pieces: &[PieceKey]) -> PrefixReuse {
+    pub fn find(
+        directory: &PieceDirectory,
+        pieces: &[PieceKey],
+    ) -> PrefixReuse {
         let mut reuse = PrefixReuse::default();
         for (depth, key) in pieces.iter().enumerate() {
             if !reuse.extend(depth as u32, directory.holders(*key)) {
@@ -29,7 +32,11 @@
     }
 
     /// Adds the holders of the piece at `depth`; false when nobody goes that far.
-    fn extend(&mut self, depth: u32, holders: &[PieceHolder]) -> bool {
+    fn extend(
+        &mut self,
+        depth: u32,
+        holders: &[PieceHolder],
+    ) -> bool {
         let mut extended = false;
         for holder in holders {
             extended |= match *holder {
@@ -40,7 +47,11 @@
         extended
     }
 
-    fn extend_endpoint(&mut self, depth: u32, endpoint: EndpointKey) -> bool {
+    fn extend_endpoint(
+        &mut self,
+        depth: u32,
+        endpoint: EndpointKey,
+    ) -> bool {
         if depth == 0 {
             self.endpoints.push(EndpointRun {
                 endpoint,
@@ -58,7 +69,12 @@
         }
     }
 
-    fn extend_store(&mut self, depth: u32, store: StoreKey, tier: StoreTier) -> bool {
+    fn extend_store(
+        &mut self,
+        depth: u32,
+        store: StoreKey,
+        tier: StoreTier,
+    ) -> bool {
         if depth == 0 {
             self.stores.push(ImportOffer {
                 store,
@@ -79,7 +95,10 @@
     }
 
     /// Leading pieces that an endpoint holds.
-    pub fn on_endpoint(&self, endpoint: EndpointKey) -> u32 {
+    pub fn on_endpoint(
+        &self,
+        endpoint: EndpointKey,
+    ) -> u32 {
         let run = self.endpoints.iter().find(|r| r.endpoint == endpoint);
         run.map_or(0, |r| r.pieces)
     }
--- a/core/src/route/route_pool.rs
+++ b/core/src/route/route_pool.rs
@@ -46,7 +46,10 @@
     /// Evaluates all selectors of a configuration.
     ///
     /// Organisations to which the same rules apply share one pool.
-    pub fn build(config: &FleetConfig, arena: &EndpointArena) -> PoolIndex {
+    pub fn build(
+        config: &FleetConfig,
+        arena: &EndpointArena,
+    ) -> PoolIndex {
         let mut index = PoolIndex::default();
         for wanted in targets(config) {
             let members = members_of(arena, &wanted);
@@ -83,7 +86,11 @@
     }
 
     /// The pools of all versions of a target.
-    pub fn versions(&self, organisation: &str, target: &WorkTarget) -> &[VersionPool] {
+    pub fn versions(
+        &self,
+        organisation: &str,
+        target: &WorkTarget,
+    ) -> &[VersionPool] {
         let pools = self.pools.get(organisation).and_then(|p| p.get(target));
         pools.map_or(&[], Vec::as_slice)
     }
@@ -118,7 +125,10 @@
     targets
 }
 
-fn members_of(arena: &EndpointArena, wanted: &VersionTarget) -> Vec<PoolMember> {
+fn members_of(
+    arena: &EndpointArena,
+    wanted: &VersionTarget,
+) -> Vec<PoolMember> {
     let mut members = Vec::new();
     for (key, state) in arena {
         let usable = match (&state.kind, &wanted.target) {
@@ -164,7 +174,10 @@
     labels
 }
 
-fn deciding_rules<'a>(config: &'a FleetConfig, work: &LabelSet) -> Vec<NamedRule<'a>> {
+fn deciding_rules<'a>(
+    config: &'a FleetConfig,
+    work: &LabelSet,
+) -> Vec<NamedRule<'a>> {
     let mut deciding: Vec<NamedRule<'a>> = Vec::new();
     for (name, rule) in &config.rules {
         if !rule.work.matches(work) {
@@ -181,7 +194,10 @@
     deciding
 }
 
-fn is_admitted(labels: &LabelSet, rules: &[NamedRule<'_>]) -> bool {
+fn is_admitted(
+    labels: &LabelSet,
+    rules: &[NamedRule<'_>],
+) -> bool {
     let hit = |effect: RuleEffect| {
         let mut of_effect = rules.iter().filter(|r| r.rule.effect == effect);
         of_effect.any(|r| r.rule.endpoints.matches(labels))
@@ -193,7 +209,11 @@
     !has_allow || hit(RuleEffect::Allow)
 }
 
-fn fill_pool(arena: &EndpointArena, members: &[PoolMember], rules: &[NamedRule<'_>]) -> RoutePool {
+fn fill_pool(
+    arena: &EndpointArena,
+    members: &[PoolMember],
+    rules: &[NamedRule<'_>],
+) -> RoutePool {
     let mut pool = RoutePool {
         known: members.len(),
         ..RoutePool::default()
--- a/core/src/route/route_table.rs
+++ b/core/src/route/route_table.rs
@@ -56,7 +56,10 @@
 }
 
 impl BestTwo {
-    fn offer(&mut self, candidate: Candidate) {
+    fn offer(
+        &mut self,
+        candidate: Candidate,
+    ) {
         let beats =
             |other: &Option<Candidate>| other.as_ref().is_none_or(|o| candidate.score < o.score);
         if beats(&self.first) {
@@ -191,7 +194,11 @@
         best
     }
 
-    fn reason(&self, estimate: &CostEstimate, candidates: u32) -> RouteReason {
+    fn reason(
+        &self,
+        estimate: &CostEstimate,
+        candidates: u32,
+    ) -> RouteReason {
         if candidates == 1 {
             RouteReason::OnlyOne
         } else if self.policy != RoutePolicy::Estimate {
@@ -205,7 +212,11 @@
         }
     }
 
-    fn imports(&self, request: &RouteRequest<'_>, estimate: &CostEstimate) -> Vec<PieceImport> {
+    fn imports(
+        &self,
+        request: &RouteRequest<'_>,
+        estimate: &CostEstimate,
+    ) -> Vec<PieceImport> {
         let Some(store) = estimate.store else {
             return Vec::new();
         };
@@ -228,7 +239,10 @@
     }
 
     /// Finds an endpoint by the name that operators use.
-    pub fn endpoint_by_id(&self, id: &str) -> Option<(EndpointKey, &Arc<EndpointState>)> {
+    pub fn endpoint_by_id(
+        &self,
+        id: &str,
+    ) -> Option<(EndpointKey, &Arc<EndpointState>)> {
         self.endpoints.iter().find(|(_, state)| state.id == id)
     }
 }
--- a/core/src/settings/settings_errors.rs
+++ b/core/src/settings/settings_errors.rs
@@ -21,7 +21,10 @@
 }
 
 impl fmt::Display for SettingsErrors {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+    fn fmt(
+        &self,
+        f: &mut fmt::Formatter<'_>,
+    ) -> fmt::Result {
         for (index, problem) in self.problems.iter().enumerate() {
             if index > 0 {
                 writeln!(f)?;
--- a/core/src/settings/settings_reader.rs
+++ b/core/src/settings/settings_reader.rs
@@ -27,7 +27,10 @@
     ///
     /// # Errors
     /// [`SettingsErrors`] when it does not.
-    pub fn parse(file: &str, text: &str) -> Result<Self, SettingsErrors> {
+    pub fn parse(
+        file: &str,
+        text: &str,
+    ) -> Result<Self, SettingsErrors> {
         let whole = |found: String| SettingsErrors {
             file: file.to_string(),
             problems: vec![SettingsProblem {
@@ -49,7 +52,10 @@
     }
 
     /// A text that must not be empty.
-    pub fn text(&mut self, field: &'static str) -> String {
+    pub fn text(
+        &mut self,
+        field: &'static str,
+    ) -> String {
         match self.take(field) {
             Some(Value::String(text)) if !text.is_empty() => text,
             other => {
@@ -60,7 +66,10 @@
     }
 
     /// A text that may be missing.
-    pub fn optional_text(&mut self, field: &'static str) -> Option<String> {
+    pub fn optional_text(
+        &mut self,
+        field: &'static str,
+    ) -> Option<String> {
         match self.take(field) {
             None | Some(Value::Null) => None,
             Some(Value::String(text)) if !text.is_empty() => Some(text),
@@ -72,7 +81,10 @@
     }
 
     /// An address and port by number.
-    pub fn address(&mut self, field: &'static str) -> SocketAddr {
+    pub fn address(
+        &mut self,
+        field: &'static str,
+    ) -> SocketAddr {
         let value = self.take(field);
         match parse_address(&value) {
             Some(address) => address,
@@ -88,7 +100,10 @@
     }
 
     /// An address and port by number that may be missing.
-    pub fn optional_address(&mut self, field: &'static str) -> Option<SocketAddr> {
+    pub fn optional_address(
+        &mut self,
+        field: &'static str,
+    ) -> Option<SocketAddr> {
         let present = self.fields.get(field).is_some_and(|v| !v.is_null());
         if present {
             return Some(self.address(field));
@@ -117,7 +132,11 @@
     }
 
     /// A yes or no.
-    pub fn flag(&mut self, field: &'static str, default: bool) -> bool {
+    pub fn flag(
+        &mut self,
+        field: &'static str,
+        default: bool,
+    ) -> bool {
         match self.take(field) {
             None | Some(Value::Null) => default,
             Some(Value::Bool(flag)) => flag,
@@ -154,7 +173,12 @@
     }
 
     /// Notes a problem that only shows in several fields together.
-    pub fn refuse(&mut self, field: &'static str, found: &str, wanted: &str) {
+    pub fn refuse(
+        &mut self,
+        field: &'static str,
+        found: &str,
+        wanted: &str,
+    ) {
         self.problems.push(SettingsProblem {
             field: field.to_string(),
             found: found.to_string(),
@@ -187,12 +211,20 @@
         })
     }
 
-    fn take(&mut self, field: &'static str) -> Option<Value> {
+    fn take(
+        &mut self,
+        field: &'static str,
+    ) -> Option<Value> {
         self.known.insert(field);
         self.fields.get(field).cloned()
     }
 
-    fn problem(&mut self, field: &'static str, value: &Option<Value>, wanted: &str) {
+    fn problem(
+        &mut self,
+        field: &'static str,
+        value: &Option<Value>,
+        wanted: &str,
+    ) {
         let found = match value {
             None => "nothing".to_string(),
             Some(value) => shown(value),
--- a/core/src/time/micros.rs
+++ b/core/src/time/micros.rs
@@ -36,7 +36,10 @@
     }
 
     /// The span from `earlier` to this point, zero when the order is reversed.
-    pub const fn since(self, earlier: Micros) -> Micros {
+    pub const fn since(
+        self,
+        earlier: Micros,
+    ) -> Micros {
         Micros(self.0.saturating_sub(earlier.0))
     }
 }
@@ -44,7 +47,10 @@
 impl Add for Micros {
     type Output = Micros;
 
-    fn add(self, other: Micros) -> Micros {
+    fn add(
+        self,
+        other: Micros,
+    ) -> Micros {
         Micros(self.0.saturating_add(other.0))
     }
 }
@@ -52,7 +58,10 @@
 impl Sub for Micros {
     type Output = Micros;
 
-    fn sub(self, other: Micros) -> Micros {
+    fn sub(
+        self,
+        other: Micros,
+    ) -> Micros {
         self.since(other)
     }
 }
--- a/entry/src/callers/caller_server.rs
+++ b/entry/src/callers/caller_server.rs
@@ -13,7 +13,10 @@
 const REQUESTS_PREFIX: &str = "/pitchhitch/requests/";
 
 /// Serves one request of a caller.
-pub async fn serve_caller(app: Arc<EntryApp>, conn: Conn) -> Conn {
+pub async fn serve_caller(
+    app: Arc<EntryApp>,
+    conn: Conn,
+) -> Conn {
     let method = conn.method();
     match (method, conn.path()) {
         (Method::Get, "/healthz") => conn.ok("ok\n"),
@@ -28,7 +31,10 @@
     }
 }
 
-fn list_models(app: &EntryApp, conn: Conn) -> Conn {
+fn list_models(
+    app: &EntryApp,
+    conn: Conn,
+) -> Conn {
     let view = app.view.load();
     if let Err(refusal) = identify(&conn, &view) {
         return refusal.write(conn, &app.request_id(app.next_number()));
@@ -39,7 +45,10 @@
 
 /// Tells a caller about its own request; that of another organisation does not
 /// exist for it.
-fn explain_own(app: &EntryApp, conn: Conn) -> Conn {
+fn explain_own(
+    app: &EntryApp,
+    conn: Conn,
+) -> Conn {
     let view = app.view.load();
     let id = app.request_id(app.next_number());
     let organisation = match identify(&conn, &view) {
@@ -57,7 +66,10 @@
 }
 
 /// Answers with a value as JSON.
-pub fn json(mut conn: Conn, value: &impl serde::Serialize) -> Conn {
+pub fn json(
+    mut conn: Conn,
+    value: &impl serde::Serialize,
+) -> Conn {
     match serde_json::to_string(value) {
         Ok(body) => {
             conn.response_headers_mut()
--- a/entry/src/cli/cli_error.rs
+++ b/entry/src/cli/cli_error.rs
@@ -33,7 +33,10 @@
 }
 
 impl fmt::Display for CliError {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+    fn fmt(
+        &self,
+        f: &mut fmt::Formatter<'_>,
+    ) -> fmt::Result {
         match self {
             CliError::Failed(text)
             | CliError::Usage(text)
--- a/entry/src/cli/entry_process.rs
+++ b/entry/src/cli/entry_process.rs
@@ -126,7 +126,10 @@
     listener.with_context(|| format!("cannot listen on {address}"))
 }
 
-async fn wait_at_most(limit: Duration, wanted: impl std::future::IntoFuture<Output = ()>) {
+async fn wait_at_most(
+    limit: Duration,
+    wanted: impl std::future::IntoFuture<Output = ()>,
+) {
     futures_lite::future::or(wanted.into_future(), async {
         Timer::after(limit).await;
     })
--- a/entry/src/command/apply.rs
+++ b/entry/src/command/apply.rs
@@ -46,7 +46,10 @@
 }
 
 /// Refuses a model whose active version the weight store does not have.
-fn check_weights(settings: &OperatorSettings, change: &ConfigChange) -> Result<(), CliError> {
+fn check_weights(
+    settings: &OperatorSettings,
+    change: &ConfigChange,
+) -> Result<(), CliError> {
     let (
         Some(address),
         ConfigChange::Model {
--- a/entry/src/command/command_args.rs
+++ b/entry/src/command/command_args.rs
@@ -59,7 +59,11 @@
     ///
     /// # Errors
     /// [`CliError::Usage`] when it is missing.
-    pub fn free(&self, index: usize, name: &str) -> Result<&str, CliError> {
+    pub fn free(
+        &self,
+        index: usize,
+        name: &str,
+    ) -> Result<&str, CliError> {
         let found = self.matches.free.get(index).map(String::as_str);
         found.ok_or_else(|| CliError::Usage(format!("{name} is missing; see --help")))
     }
--- a/entry/src/command/config_access.rs
+++ b/entry/src/command/config_access.rs
@@ -108,7 +108,11 @@
     CliError::Refused(error.to_string())
 }
 
-fn print_accepted(args: &CommandArgs, accepted: &AcceptedChange, change_id: &str) {
+fn print_accepted(
+    args: &CommandArgs,
+    accepted: &AcceptedChange,
+    change_id: &str,
+) {
     let AcceptedChange { revision, repeated } = accepted;
     if args.wants_json() {
         println!(
--- a/entry/src/command/drain.rs
+++ b/entry/src/command/drain.rs
@@ -90,7 +90,11 @@
     }
 }
 
-fn print_state(args: &CommandArgs, endpoint: &str, state: &DrainState) {
+fn print_state(
+    args: &CommandArgs,
+    endpoint: &str,
+    state: &DrainState,
+) {
     if args.wants_json() {
         let state = serde_json::to_string(state).unwrap_or_default();
         println!(r#"{{"endpoint":"{endpoint}","state":{state}}}"#);
--- a/entry/src/command/explain.rs
+++ b/entry/src/command/explain.rs
@@ -53,7 +53,10 @@
     Ok(())
 }
 
-fn not_found(error: CallError, what: &str) -> CliError {
+fn not_found(
+    error: CallError,
+    what: &str,
+) -> CliError {
     match error {
         CallError::Status { status: 404, .. } => CliError::Failed(format!(
             "nothing is known of '{what}'; it is too old, or its entry process is gone"
@@ -99,7 +102,11 @@
     println!("  outcome: {outcome}");
 }
 
-fn explain_piece(args: &CommandArgs, caller: &HttpCaller, key: &str) -> Result<(), CliError> {
+fn explain_piece(
+    args: &CommandArgs,
+    caller: &HttpCaller,
+    key: &str,
+) -> Result<(), CliError> {
     let path = format!("{PIECE_PREFIX}{key}");
     let report: PieceReport =
         smol::block_on(caller.get_json(&path)).map_err(|e| not_found(e, key))?;
--- a/entry/src/command/label.rs
+++ b/entry/src/command/label.rs
@@ -27,7 +27,10 @@
     make_change(&args, &settings, change).map(|_| ())
 }
 
-fn label_change(target: LabelTarget, text: &str) -> Result<ConfigChange, CliError> {
+fn label_change(
+    target: LabelTarget,
+    text: &str,
+) -> Result<ConfigChange, CliError> {
     if let Some((key, value)) = text.split_once('=') {
         return Ok(ConfigChange::Label {
             target,
--- a/entry/src/command/select.rs
+++ b/entry/src/command/select.rs
@@ -76,7 +76,10 @@
     })
 }
 
-fn read_selector(args: &CommandArgs, option: &str) -> Result<WorkSelector, CliError> {
+fn read_selector(
+    args: &CommandArgs,
+    option: &str,
+) -> Result<WorkSelector, CliError> {
     let text = args.matches.opt_str(option);
     let text = text.ok_or_else(|| CliError::Usage(format!("--{option} is missing; see --help")))?;
     WorkSelector::parse(&text).map_err(|e| CliError::Usage(format!("--{option}: {e}")))
--- a/entry/src/conf/entry_settings.rs
+++ b/entry/src/conf/entry_settings.rs
@@ -53,7 +53,10 @@
     ///
     /// # Errors
     /// [`SettingsErrors`] with everything that is wrong in it.
-    pub fn parse(file: &str, text: &str) -> Result<Self, SettingsErrors> {
+    pub fn parse(
+        file: &str,
+        text: &str,
+    ) -> Result<Self, SettingsErrors> {
         let mut reader = SettingsReader::parse(file, text)?;
         let policy_wanted = "one of estimate, round_robin, least_load, prefix_affinity, always_import, always_recompute";
         let settings = EntrySettings {
--- a/entry/src/conf/operator_settings.rs
+++ b/entry/src/conf/operator_settings.rs
@@ -23,7 +23,10 @@
     ///
     /// # Errors
     /// [`SettingsErrors`] with everything that is wrong in it.
-    pub fn parse(file: &str, text: &str) -> Result<Self, SettingsErrors> {
+    pub fn parse(
+        file: &str,
+        text: &str,
+    ) -> Result<Self, SettingsErrors> {
         let mut reader = SettingsReader::parse(file, text)?;
         let settings = OperatorSettings {
             operator: reader.text("operator"),
--- a/entry/src/control/beacon_controller.rs
+++ b/entry/src/control/beacon_controller.rs
@@ -17,7 +17,10 @@
 const SOCKET_PAUSE: Duration = Duration::from_millis(100);
 
 /// Takes beacons for good.
-pub async fn take_beacons(socket: Arc<BeaconSocket>, app: Arc<EntryApp>) {
+pub async fn take_beacons(
+    socket: Arc<BeaconSocket>,
+    app: Arc<EntryApp>,
+) {
     loop {
         match socket.receive().await {
             Ok(beacon) => take(&app, beacon),
@@ -33,7 +36,10 @@
     }
 }
 
-fn take(app: &EntryApp, beacon: Beacon) {
+fn take(
+    app: &EntryApp,
+    beacon: Beacon,
+) {
     app.metrics.count("beacon.taken", 1);
     match beacon {
         Beacon::Agent(beacon) => {
--- a/entry/src/control/box_controller.rs
+++ b/entry/src/control/box_controller.rs
@@ -46,7 +46,10 @@
     }
 }
 
-fn choose_peers(place: &BoxPlace, rows: &[BoxRow]) -> Vec<SocketAddr> {
+fn choose_peers(
+    place: &BoxPlace,
+    rows: &[BoxRow],
+) -> Vec<SocketAddr> {
     let entries = rows
         .iter()
         .filter(|b| b.role == ListedRole::Entry && b.id != place.box_id);
--- a/entry/src/control/call_controller.rs
+++ b/entry/src/control/call_controller.rs
@@ -3,7 +3,7 @@
     crate::traffic::EndpointLink,
     pitchhitch_core::role::{ConfigNotice, EntryEvent, StampedOrder, StoredPiece},
     pitchhitch_platform::stores::StoreClient,
-    pitchhitch_wire::messages::{LinkCall, LinkReply},
+    pitchhitch_wire::messages::{DropPlan, LinkCall, LinkReply, PinnedPiece},
     smol::Timer,
     std::{net::SocketAddr, sync::Arc, time::Duration},
 };
@@ -15,7 +15,10 @@
 /// Time limit of listing a store box.
 const LIST_TIMEOUT: Duration = Duration::from_secs(5);
 
-async fn call_once(link: &EndpointLink, call: &LinkCall) -> Option<LinkReply> {
+async fn call_once(
+    link: &EndpointLink,
+    call: &LinkCall,
+) -> Option<LinkReply> {
     let agent = link.get()?;
     let mut replies = agent.call(call).await.ok()?;
     replies.next().await.ok()?
@@ -23,7 +26,10 @@
 
 /// Tells an agent what the configuration says. When the link breaks meanwhile,
 /// the agent is told again as soon as its event stream is open anew.
-pub async fn send_notice(link: Arc<EndpointLink>, notice: ConfigNotice) {
+pub async fn send_notice(
+    link: Arc<EndpointLink>,
+    notice: ConfigNotice,
+) {
     for _ in 0..NOTICE_TRIES {
         if call_once(&link, &LinkCall::Notice(notice)).await == Some(LinkReply::Taken) {
             return;
@@ -35,7 +41,11 @@
 }
 
 /// Gives an agent an order, once: the stamp forbids a second time.
-pub async fn send_order(link: Arc<EndpointLink>, order: StampedOrder, control: ControlHandle) {
+pub async fn send_order(
+    link: Arc<EndpointLink>,
+    order: StampedOrder,
+    control: ControlHandle,
+) {
     let reply = call_once(&link, &LinkCall::Order(order)).await;
     if reply == Some(LinkReply::Taken) {
         return;
@@ -48,8 +58,37 @@
     });
 }
 
+/// The message for dropping pieces.
+pub fn drop_plan(
+    store: String,
+    address: SocketAddr,
+    pieces: &[StoredPiece],
+) -> DropPlan {
+    let pieces = pieces.iter().map(|piece| PinnedPiece {
+        key: piece.key,
+        generation: piece.generation,
+    });
+    DropPlan {
+        store,
+        address,
+        pieces: pieces.collect(),
+    }
+}
+
+/// Has pieces dropped. If it fails, the store box stays full and says so again.
+pub async fn send_drop(
+    link: Arc<EndpointLink>,
+    plan: DropPlan,
+) {
+    let _ = call_once(&link, &LinkCall::Drop(plan)).await;
+}
+
 /// Asks a store box for all that it holds.
-pub async fn list_store(store: String, address: SocketAddr, control: ControlHandle) {
+pub async fn list_store(
+    store: String,
+    address: SocketAddr,
+    control: ControlHandle,
+) {
     match StoreClient::new(address, LIST_TIMEOUT).list().await {
         Ok(content) => control.tell(EntryEvent::StoreListed {
             store,
--- a/entry/src/control/control_handle.rs
+++ b/entry/src/control/control_handle.rs
@@ -22,7 +22,10 @@
 }
 
 impl fmt::Debug for ControlMessage {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+    fn fmt(
+        &self,
+        f: &mut fmt::Formatter<'_>,
+    ) -> fmt::Result {
         match self {
             ControlMessage::Event(event) => write!(f, "Event({event:?})"),
             ControlMessage::Query(_) => f.write_str("Query"),
@@ -44,7 +47,10 @@
     }
 
     /// Tells the core an event.
-    pub fn tell(&self, event: EntryEvent) {
+    pub fn tell(
+        &self,
+        event: EntryEvent,
+    ) {
         // The channel has no bound and lives as long as the process.
         let _ = self.messages.try_send(ControlMessage::Event(event));
     }
@@ -71,7 +77,10 @@
 
     /// Notes that a try was answered. Only the first success after a failure is
     /// news, so the others cost the control thread nothing.
-    pub fn try_succeeded(&self, link: &EndpointLink) {
+    pub fn try_succeeded(
+        &self,
+        link: &EndpointLink,
+    ) {
         if link.clear_failed() {
             self.tell(EntryEvent::TryEnded {
                 endpoint_id: link.endpoint_id.clone(),
@@ -81,7 +90,11 @@
     }
 
     /// Notes that a try failed at the endpoint. Refusals are no failures.
-    pub fn try_failed(&self, link: &EndpointLink, kind: ErrorKind) {
+    pub fn try_failed(
+        &self,
+        link: &EndpointLink,
+        kind: ErrorKind,
+    ) {
         let counts = matches!(
             kind,
             ErrorKind::EndpointLost
--- a/entry/src/control/control_loop.rs
+++ b/entry/src/control/control_loop.rs
@@ -1,7 +1,7 @@
 use {
     super::{
-        list_store, pull_config, send_notice, send_order, ControlHandle, ControlMessage,
-        LeaseController, LinkKeeper, ViewPublisher,
+        drop_plan, list_store, pull_config, send_drop, send_notice, send_order, ControlHandle,
+        ControlMessage, LeaseController, LinkKeeper, ViewPublisher,
     },
     async_channel::{Receiver, Sender},
     futures_lite::future,
@@ -78,7 +78,10 @@
     }
 
     /// Takes messages for good.
-    pub async fn run(mut self, inbox: Receiver<ControlMessage>) {
+    pub async fn run(
+        mut self,
+        inbox: Receiver<ControlMessage>,
+    ) {
         let mut next_tick = Instant::now() + TICK;
         loop {
             let message = future::or(async { Some(inbox.recv().await) }, async {
@@ -103,7 +106,10 @@
         }
     }
 
-    fn take(&mut self, message: ControlMessage) {
+    fn take(
+        &mut self,
+        message: ControlMessage,
+    ) {
         match message {
             ControlMessage::Event(event) => self.step(event),
             ControlMessage::Query(query) => query(&mut self.core, self.clock.now()),
@@ -111,14 +117,20 @@
         }
     }
 
-    fn step(&mut self, event: EntryEvent) {
+    fn step(
+        &mut self,
+        event: EntryEvent,
+    ) {
         let actions = self.core.step(self.clock.now(), event);
         for action in actions {
             self.act(action);
         }
     }
 
-    fn act(&mut self, action: EntryAction) {
+    fn act(
+        &mut self,
+        action: EntryAction,
+    ) {
         match action {
             EntryAction::Publish {
                 table,
@@ -159,6 +171,17 @@
                     .spawn(list_store(store, address, control))
                     .detach();
             }
+            EntryAction::DropPieces {
+                endpoint_id,
+                store,
+                address,
+                pieces,
+            } => {
+                if let Some(link) = self.publisher.known_link(&endpoint_id) {
+                    let plan = drop_plan(store, address, &pieces);
+                    self.executor.spawn(send_drop(link, plan)).detach();
+                }
+            }
             EntryAction::ReadLease { shard } => {
                 self.executor
                     .spawn(self.leases.clone().read(shard))
@@ -177,7 +200,10 @@
         }
     }
 
-    fn connect(&mut self, state: Arc<EndpointState>) {
+    fn connect(
+        &mut self,
+        state: Arc<EndpointState>,
+    ) {
         let (resync, resync_inbox) = async_channel::bounded(1);
         let keeper = LinkKeeper {
             entry_id: self.entry_id.clone(),
@@ -194,7 +220,10 @@
         self.links.insert(state.id.clone(), kept);
     }
 
-    fn disconnect(&mut self, endpoint_id: &str) {
+    fn disconnect(
+        &mut self,
+        endpoint_id: &str,
+    ) {
         self.links.remove(endpoint_id);
         if let Some(link) = self.publisher.known_link(endpoint_id) {
             link.set(None);
@@ -203,7 +232,10 @@
     }
 
     /// Closes a link that hangs and begins anew.
-    fn reconnect(&mut self, endpoint_id: &str) {
+    fn reconnect(
+        &mut self,
+        endpoint_id: &str,
+    ) {
         let Some(kept) = self.links.remove(endpoint_id) else {
             return;
         };
@@ -214,7 +246,10 @@
         self.connect(kept.state.clone());
     }
 
-    fn pull(&mut self, peer: SocketAddr) {
+    fn pull(
+        &mut self,
+        peer: SocketAddr,
+    ) {
         if self.pulling.swap(true, Ordering::Relaxed) {
             return;
         }
@@ -233,7 +268,10 @@
         self.executor.spawn(task).detach();
     }
 
-    fn release(&mut self, done: Sender<()>) {
+    fn release(
+        &mut self,
+        done: Sender<()>,
+    ) {
         let mut writes = Vec::new();
         for action in self.core.release() {
             if let EntryAction::WriteLease {
--- a/entry/src/control/lease_controller.rs
+++ b/entry/src/control/lease_controller.rs
@@ -24,7 +24,10 @@
 
 impl LeaseController {
     /// Reads a lease row. Without an answer nothing is told; the core asks again.
-    pub async fn read(self, shard: String) {
+    pub async fn read(
+        self,
+        shard: String,
+    ) {
         let asked_at = self.clock.now();
         let Ok(row) = self.table.read_row(&format!("{LEASE_PREFIX}{shard}")).await else {
             return;
@@ -50,7 +53,12 @@
     }
 
     /// Replaces a lease row.
-    pub async fn write(self, shard: String, version: u64, row: LeaseRow) {
+    pub async fn write(
+        self,
+        shard: String,
+        version: u64,
+        row: LeaseRow,
+    ) {
         let Ok(value) = serde_json::to_string(&row) else {
             return;
         };
--- a/entry/src/control/link_keeper.rs
+++ b/entry/src/control/link_keeper.rs
@@ -83,7 +83,10 @@
     }
 
     /// Reads one event stream; true when it should be opened anew.
-    async fn subscribe(&self, link: &AgentLink) -> Result<bool, LinkError> {
+    async fn subscribe(
+        &self,
+        link: &AgentLink,
+    ) -> Result<bool, LinkError> {
         let call = LinkCall::Subscribe {
             entry_id: self.entry_id.clone(),
         };
@@ -105,7 +108,10 @@
     }
 
     /// Whether the agent at the address is the one that the beacon spoke of.
-    fn is_expected(&self, hello: Option<LinkReply>) -> bool {
+    fn is_expected(
+        &self,
+        hello: Option<LinkReply>,
+    ) -> bool {
         match hello {
             Some(LinkReply::Hello {
                 endpoint_id,
@@ -115,7 +121,10 @@
         }
     }
 
-    async fn read_events(&self, replies: &mut ReplyStream) -> Result<bool, LinkError> {
+    async fn read_events(
+        &self,
+        replies: &mut ReplyStream,
+    ) -> Result<bool, LinkError> {
         while let Some(reply) = replies.next().await? {
             if let LinkReply::Events(batch) = reply {
                 self.control.tell(EntryEvent::AgentSaid {
--- a/entry/src/control/view_publisher.rs
+++ b/entry/src/control/view_publisher.rs
@@ -34,19 +34,28 @@
     }
 
     /// The link of an endpoint; made if there is none.
-    pub fn link(&mut self, endpoint_id: &str) -> Arc<EndpointLink> {
+    pub fn link(
+        &mut self,
+        endpoint_id: &str,
+    ) -> Arc<EndpointLink> {
         let link = self.links.entry(endpoint_id.to_string());
         link.or_insert_with(|| Arc::new(EndpointLink::new(endpoint_id)))
             .clone()
     }
 
     /// The link of an endpoint, if there is one.
-    pub fn known_link(&self, endpoint_id: &str) -> Option<Arc<EndpointLink>> {
+    pub fn known_link(
+        &self,
+        endpoint_id: &str,
+    ) -> Option<Arc<EndpointLink>> {
         self.links.get(endpoint_id).cloned()
     }
 
     /// Forgets the link of an endpoint that is gone.
-    pub fn forget(&mut self, endpoint_id: &str) {
+    pub fn forget(
+        &mut self,
+        endpoint_id: &str,
+    ) {
         self.links.remove(endpoint_id);
     }
 
--- a/entry/src/explain/decision_ring.rs
+++ b/entry/src/explain/decision_ring.rs
@@ -23,7 +23,10 @@
     }
 
     /// Keeps a decision.
-    pub fn push(&self, record: DecisionRecord) {
+    pub fn push(
+        &self,
+        record: DecisionRecord,
+    ) {
         let mut records = self.lock();
         if records.len() >= self.room {
             records.pop_front();
@@ -32,7 +35,11 @@
     }
 
     /// Notes how the last try of a request ended.
-    pub fn ended(&self, request_id: &str, outcome: &str) {
+    pub fn ended(
+        &self,
+        request_id: &str,
+        outcome: &str,
+    ) {
         let mut records = self.lock();
         let last = records
             .iter_mut()
@@ -44,7 +51,10 @@
     }
 
     /// All decisions about a request, first try first.
-    pub fn find(&self, request_id: &str) -> Vec<DecisionRecord> {
+    pub fn find(
+        &self,
+        request_id: &str,
+    ) -> Vec<DecisionRecord> {
         let records = self.lock();
         records
             .iter()
--- a/entry/src/filter/answer.rs
+++ b/entry/src/filter/answer.rs
@@ -99,7 +99,11 @@
     }
 }
 
-fn ready(status: u16, headers: Vec<HeaderField>, body: Body) -> ReadyAnswer {
+fn ready(
+    status: u16,
+    headers: Vec<HeaderField>,
+    body: Body,
+) -> ReadyAnswer {
     ReadyAnswer {
         status,
         headers,
@@ -114,7 +118,11 @@
 
 impl ReadyAnswer {
     /// Puts the answer on the connection.
-    pub fn write(self, mut conn: Conn, request_id: &str) -> Conn {
+    pub fn write(
+        self,
+        mut conn: Conn,
+        request_id: &str,
+    ) -> Conn {
         let status = Status::try_from(self.status).unwrap_or(Status::BadGateway);
         for field in self.headers {
             conn.response_headers_mut()
@@ -128,7 +136,11 @@
 
 impl Refusal {
     /// Puts the refusal on the connection.
-    pub fn write(&self, mut conn: Conn, request_id: &str) -> Conn {
+    pub fn write(
+        &self,
+        mut conn: Conn,
+        request_id: &str,
+    ) -> Conn {
         let row = self.kind.answer();
         let status = Status::try_from(row.status).unwrap_or(Status::InternalServerError);
         let headers = conn.response_headers_mut();
--- a/entry/src/filter/answer_body.rs
+++ b/entry/src/filter/answer_body.rs
@@ -105,7 +105,11 @@
 }
 
 impl BodyInner {
-    fn poll_read(&mut self, cx: &mut Context<'_>, buffer: &mut [u8]) -> Poll<io::Result<usize>> {
+    fn poll_read(
+        &mut self,
+        cx: &mut Context<'_>,
+        buffer: &mut [u8],
+    ) -> Poll<io::Result<usize>> {
         loop {
             // The opening of a stream goes out together with its first event.
             let holding = self.first && self.splitter.is_some();
@@ -130,7 +134,10 @@
         }
     }
 
-    fn take(&mut self, buffer: &mut [u8]) -> usize {
+    fn take(
+        &mut self,
+        buffer: &mut [u8],
+    ) -> usize {
         let rest = &self.ready[self.taken..];
         let length = rest.len().min(buffer.len());
         buffer[..length].copy_from_slice(&rest[..length]);
@@ -142,7 +149,10 @@
         length
     }
 
-    fn take_reply(&mut self, reply: Result<Option<LinkReply>, ErrorKind>) {
+    fn take_reply(
+        &mut self,
+        reply: Result<Option<LinkReply>, ErrorKind>,
+    ) {
         match reply {
             Ok(Some(LinkReply::Chunk(bytes))) => self.take_chunk(&bytes),
             Ok(Some(LinkReply::End { body_bytes, pulse })) => {
@@ -170,7 +180,10 @@
         }
     }
 
-    fn take_chunk(&mut self, bytes: &[u8]) {
+    fn take_chunk(
+        &mut self,
+        bytes: &[u8],
+    ) {
         self.received += bytes.len() as u64;
         let BodyState::Live { started, dispatch } = &mut self.state else {
             return;
@@ -192,7 +205,10 @@
         }
     }
 
-    fn end(&mut self, pulse: pitchhitch_core::role::AgentPulse) {
+    fn end(
+        &mut self,
+        pulse: pitchhitch_core::role::AgentPulse,
+    ) {
         let state = std::mem::replace(&mut self.state, BodyState::Ended);
         self.first = false;
         if let BodyState::Live { started, dispatch } = state {
@@ -206,7 +222,10 @@
     }
 
     /// The answer broke off: it is taken up again elsewhere, or given up.
-    fn break_off(&mut self, kind: ErrorKind) {
+    fn break_off(
+        &mut self,
+        kind: ErrorKind,
+    ) {
         let state = std::mem::replace(&mut self.state, BodyState::Broken);
         let BodyState::Live { mut dispatch, .. } = state else {
             return;
@@ -242,7 +261,10 @@
         }));
     }
 
-    fn resumed(&mut self, end: ResumeEnd) {
+    fn resumed(
+        &mut self,
+        end: ResumeEnd,
+    ) {
         let ResumeEnd { dispatch, started } = end;
         match started {
             Ok(started) if started.head.status == 200 => {
@@ -259,7 +281,11 @@
         }
     }
 
-    fn give_up(&mut self, dispatch: &Dispatch, refusal: &Refusal) {
+    fn give_up(
+        &mut self,
+        dispatch: &Dispatch,
+        refusal: &Refusal,
+    ) {
         dispatch.app.metrics.count("request.broken", 1);
         self.ready.extend_from_slice(&error_event(refusal));
         self.state = BodyState::Broken;
@@ -272,7 +298,10 @@
     format!("data: {}\n\n", refusal.body()).into_bytes()
 }
 
-fn note_first_token(dispatch: &Dispatch, began_at: Micros) {
+fn note_first_token(
+    dispatch: &Dispatch,
+    began_at: Micros,
+) {
     let span = dispatch.app.clock.now().since(began_at);
     dispatch.app.metrics.time("first_token", span.0);
 }
--- a/entry/src/filter/caller_request.rs
+++ b/entry/src/filter/caller_request.rs
@@ -68,7 +68,11 @@
     ///
     /// # Errors
     /// [`Refusal`] when one of our headers has no usable value.
-    pub fn read(conn: &Conn, id: String, number: u64) -> Result<Self, Refusal> {
+    pub fn read(
+        conn: &Conn,
+        id: String,
+        number: u64,
+    ) -> Result<Self, Refusal> {
         Ok(CallerRequest {
             id,
             number,
@@ -154,7 +158,11 @@
     })
 }
 
-fn bad_header(name: &str, found: &str, wanted: &str) -> Refusal {
+fn bad_header(
+    name: &str,
+    found: &str,
+    wanted: &str,
+) -> Refusal {
     Refusal::new(
         ErrorKind::BadHeader,
         format!("header {name}: found {found}, wanted {wanted}"),
--- a/entry/src/filter/dispatch.rs
+++ b/entry/src/filter/dispatch.rs
@@ -1,11 +1,10 @@
 use {
     super::{route, send, EarlierTries, Refusal, RoutedTry, SelectedWork, StartedTry},
-    crate::traffic::EntryApp,
+    crate::traffic::{EntryApp, TrafficView},
     pitchhitch_core::{
         errors::{ErrorKind, RunState},
-        place::ReturnLabel,
         retry::{after_failure, BackoffPolicy, FailedTry, RetryStep},
-        role::{prompt_identity, EntryEvent},
+        role::EntryEvent,
         route::EndpointKey,
     },
     rand::SeedableRng,
@@ -29,7 +28,10 @@
 
 impl Dispatch {
     /// A request that was not sent anywhere yet.
-    pub fn new(app: Arc<EntryApp>, work: SelectedWork) -> Self {
+    pub fn new(
+        app: Arc<EntryApp>,
+        work: SelectedWork,
+    ) -> Self {
         Dispatch {
             app,
             work,
@@ -46,7 +48,10 @@
     ///
     /// # Errors
     /// [`Refusal`] when no endpoint answers; it says whether the request may have run.
-    pub async fn start(&mut self, resume_after: Option<u64>) -> Result<StartedTry, Refusal> {
+    pub async fn start(
+        &mut self,
+        resume_after: Option<u64>,
+    ) -> Result<StartedTry, Refusal> {
         if self.tries == 0 {
             self.app.budget().earn();
         }
@@ -68,7 +73,10 @@
         }
     }
 
-    async fn try_once(&mut self, resume_after: Option<u64>) -> Result<StartedTry, TryFailure> {
+    async fn try_once(
+        &mut self,
+        resume_after: Option<u64>,
+    ) -> Result<StartedTry, TryFailure> {
         let view = self.app.view.load_full();
         let earlier = EarlierTries {
             tried: &self.tried,
@@ -76,9 +84,7 @@
             pinned_version: self.version.as_deref(),
         };
         let routed = route(&self.app, &view, &self.work, earlier).map_err(TryFailure::Unrouted)?;
-        if self.tries == 1 {
-            self.note_prompt(&routed);
-        }
+        self.note_routed(&view, &routed);
         let endpoint = routed.choice.endpoint;
         match send(&self.app, &view, &self.work, &routed, resume_after).await {
             Ok(started) => {
@@ -97,20 +103,24 @@
         }
     }
 
-    fn note_prompt(&self, routed: &RoutedTry) {
-        if let Some(identity) = prompt_identity(&routed.pieces) {
-            self.app.control.tell(EntryEvent::PromptSeen {
-                identity,
-                label: ReturnLabel {
-                    organisation: self.work.organisation.clone(),
-                    label: self.work.request.marks.label.clone(),
-                },
+    fn note_routed(
+        &self,
+        view: &TrafficView,
+        routed: &RoutedTry,
+    ) {
+        if let Some(state) = view.table.endpoints.get(routed.choice.endpoint) {
+            self.app.control.tell(EntryEvent::Routed {
+                endpoint_id: state.id.clone(),
+                pieces: routed.pieces.clone(),
             });
         }
     }
 
     /// Whether another try is allowed, by the rules and by the budget.
-    pub fn may_try_again(&mut self, kind: ErrorKind) -> bool {
+    pub fn may_try_again(
+        &mut self,
+        kind: ErrorKind,
+    ) -> bool {
         let step = after_failure(&FailedTry {
             kind,
             repeatable: self.work.repeatable,
@@ -122,14 +132,21 @@
     }
 
     /// Notes that an answer broke off after it began.
-    pub fn broke_off(&mut self, kind: ErrorKind) {
+    pub fn broke_off(
+        &mut self,
+        kind: ErrorKind,
+    ) {
         self.may_have_run = true;
         self.app
             .ring
             .ended(&self.work.request.id, kind.answer().code);
     }
 
-    fn refusal(&self, kind: ErrorKind, detail: &str) -> Refusal {
+    fn refusal(
+        &self,
+        kind: ErrorKind,
+        detail: &str,
+    ) -> Refusal {
         let mut refusal = Refusal::new(kind, detail);
         refusal.ran_before = self.may_have_run;
         refusal
@@ -149,7 +166,10 @@
 }
 
 impl TryFailure {
-    fn into_refusal(self, may_have_run: bool) -> Refusal {
+    fn into_refusal(
+        self,
+        may_have_run: bool,
+    ) -> Refusal {
         let mut refusal = match self {
             TryFailure::Unrouted(refusal) => refusal,
             TryFailure::Sent(kind) => {
--- a/entry/src/filter/identify.rs
+++ b/entry/src/filter/identify.rs
@@ -8,7 +8,10 @@
 ///
 /// # Errors
 /// [`ErrorKind::NotReady`] without a configuration, [`ErrorKind::BadKey`] without a valid key.
-pub fn identify(conn: &Conn, view: &TrafficView) -> Result<String, Refusal> {
+pub fn identify(
+    conn: &Conn,
+    view: &TrafficView,
+) -> Result<String, Refusal> {
     if view.table.config.revision == 0 {
         return Err(Refusal::new(
             ErrorKind::NotReady,
--- a/entry/src/filter/keep_plan.rs
+++ b/entry/src/filter/keep_plan.rs
@@ -5,6 +5,7 @@
         kept::{PieceHolder, PieceKey, PIECE_TOKENS},
         member::rendezvous_weight,
         place::{decide_keep, KeepCase, KeepDecision, ReturnLabel},
+        role::prompt_identity,
         route::{import_time, token_cost, EndpointKey, EndpointState, StoreKey, StoreState},
         time::Micros,
     },
@@ -52,7 +53,10 @@
 }
 
 /// Decides whether the state of a prompt is kept on a store box after it ran.
-pub fn plan_keep(view: &TrafficView, question: &KeepQuestion<'_>) -> KeepPlan {
+pub fn plan_keep(
+    view: &TrafficView,
+    question: &KeepQuestion<'_>,
+) -> KeepPlan {
     let nothing = KeepPlan {
         decision: KeepDecision {
             tier: None,
@@ -66,6 +70,9 @@
     let Some(choice) = choose_store(view, state, question.pieces) else {
         return nothing;
     };
+    let Some(identity) = prompt_identity(question.pieces) else {
+        return nothing;
+    };
     let missing = missing_pieces(view, question.pieces, choice.key);
     if missing.is_empty() {
         return nothing;
@@ -80,6 +87,7 @@
         store: choice.state.id.clone(),
         address: choice.state.address,
         tier,
+        identity,
         pieces: missing,
     });
     KeepPlan { decision, export }
@@ -106,7 +114,11 @@
     chosen.map(|(key, state)| StoreChoice { key, state })
 }
 
-fn missing_pieces(view: &TrafficView, pieces: &[PieceKey], store: StoreKey) -> Vec<PieceKey> {
+fn missing_pieces(
+    view: &TrafficView,
+    pieces: &[PieceKey],
+    store: StoreKey,
+) -> Vec<PieceKey> {
     let is_stored = |key: &&PieceKey| {
         let holders = view.table.pieces.holders(**key);
         holders
--- a/entry/src/filter/refusal.rs
+++ b/entry/src/filter/refusal.rs
@@ -21,7 +21,10 @@
 
 impl Refusal {
     /// A refusal of a kind.
-    pub fn new(kind: ErrorKind, detail: impl Into<String>) -> Self {
+    pub fn new(
+        kind: ErrorKind,
+        detail: impl Into<String>,
+    ) -> Self {
         Refusal {
             kind,
             detail: detail.into(),
--- a/entry/src/filter/request_chain.rs
+++ b/entry/src/filter/request_chain.rs
@@ -13,7 +13,10 @@
 };
 
 /// Takes a request through all filters and writes its answer.
-pub async fn run_chain(app: Arc<EntryApp>, mut conn: Conn) -> Conn {
+pub async fn run_chain(
+    app: Arc<EntryApp>,
+    mut conn: Conn,
+) -> Conn {
     let number = app.next_number();
     let id = app.request_id(number);
     app.metrics.count("request.taken", 1);
@@ -65,7 +68,10 @@
     conn.cancel_on_disconnect(rest).await.transpose()
 }
 
-async fn read_body(app: &EntryApp, conn: &mut Conn) -> Result<Vec<u8>, Refusal> {
+async fn read_body(
+    app: &EntryApp,
+    conn: &mut Conn,
+) -> Result<Vec<u8>, Refusal> {
     let limit = app.settings.max_body_bytes;
     let too_large = || {
         let detail = format!("the body is over {limit} bytes");
--- a/entry/src/filter/route.rs
+++ b/entry/src/filter/route.rs
@@ -146,18 +146,27 @@
     view.table.choose(&request, |endpoint| view.sent(endpoint))
 }
 
-fn weights(view: &TrafficView, work: &SelectedWork) -> pitchhitch_core::conf::CostWeights {
+fn weights(
+    view: &TrafficView,
+    work: &SelectedWork,
+) -> pitchhitch_core::conf::CostWeights {
     let conf = view.table.config.organisations.get(&work.organisation);
     conf.map(|c| c.weights).unwrap_or_default()
 }
 
 /// Bytes of kept state for one token of the model that is asked for.
-pub fn token_bytes(view: &TrafficView, work: &SelectedWork) -> u64 {
+pub fn token_bytes(
+    view: &TrafficView,
+    work: &SelectedWork,
+) -> u64 {
     let conf = view.table.config.models.get(work.target.name());
     conf.map_or(0, |m| m.token_bytes)
 }
 
-fn import_plan(view: &TrafficView, choice: &RouteChoice) -> Option<ImportPlan> {
+fn import_plan(
+    view: &TrafficView,
+    choice: &RouteChoice,
+) -> Option<ImportPlan> {
     let store = view.table.stores.get(choice.estimate.store?)?;
     let pieces = choice.imports.iter().map(|import| PinnedPiece {
         key: import.key,
--- a/entry/src/filter/select.rs
+++ b/entry/src/filter/select.rs
@@ -45,7 +45,11 @@
 ///
 /// # Errors
 /// [`ErrorKind::UnknownPath`] when it belongs to nothing.
-pub fn path_kind(config: &FleetConfig, method: Method, path: &str) -> Result<PathKind, Refusal> {
+pub fn path_kind(
+    config: &FleetConfig,
+    method: Method,
+    path: &str,
+) -> Result<PathKind, Refusal> {
     match (method, path) {
         (Method::Post, "/v1/chat/completions") => return Ok(PathKind::Prompt(PromptShape::Chat)),
         (Method::Post, "/v1/completions") => return Ok(PathKind::Prompt(PromptShape::Completion)),
@@ -65,7 +69,10 @@
     }
 }
 
-fn is_under(path: &str, prefix: &str) -> bool {
+fn is_under(
+    path: &str,
+    prefix: &str,
+) -> bool {
     let rest = path.strip_prefix(prefix.trim_end_matches('/'));
     rest.is_some_and(|rest| rest.is_empty() || rest.starts_with('/'))
 }
--- a/entry/src/filter/send.rs
+++ b/entry/src/filter/send.rs
@@ -36,7 +36,11 @@
 }
 
 impl TryTracker {
-    fn begin(app: &EntryApp, link: Arc<EndpointLink>, tokens: u32) -> Self {
+    fn begin(
+        app: &EntryApp,
+        link: Arc<EndpointLink>,
+        tokens: u32,
+    ) -> Self {
         link.began(tokens);
         TryTracker {
             control: app.control.clone(),
@@ -54,20 +58,30 @@
     }
 
     /// The endpoint has answered wholly.
-    pub fn answered(&self, pulse: AgentPulse) {
+    pub fn answered(
+        &self,
+        pulse: AgentPulse,
+    ) {
         self.pulse(pulse);
         self.control.try_succeeded(&self.link);
     }
 
     /// The endpoint failed or refused.
-    pub fn failed(&self, kind: ErrorKind, pulse: Option<AgentPulse>) {
+    pub fn failed(
+        &self,
+        kind: ErrorKind,
+        pulse: Option<AgentPulse>,
+    ) {
         if let Some(pulse) = pulse {
             self.pulse(pulse);
         }
         self.control.try_failed(&self.link, kind);
     }
 
-    fn pulse(&self, pulse: AgentPulse) {
+    fn pulse(
+        &self,
+        pulse: AgentPulse,
+    ) {
         self.control.tell(EntryEvent::PulseSeen {
             endpoint_id: self.link.endpoint_id.clone(),
             pulse,
@@ -123,7 +137,10 @@
     }
 }
 
-fn note_failure(tracker: &TryTracker, error: LinkError) -> ErrorKind {
+fn note_failure(
+    tracker: &TryTracker,
+    error: LinkError,
+) -> ErrorKind {
     let kind = error.kind();
     log::info!(
         event = "try-failed",
@@ -145,6 +162,7 @@
     HandOver {
         request_id: work.request.id.clone(),
         organisation: work.organisation.clone(),
+        label: work.request.marks.label.clone(),
         version: (!routed.version.is_empty()).then(|| routed.version.clone()),
         tokens: routed.choice.estimate.recomputed_tokens,
         deadline_millis: left.as_millis().max(1),
--- a/entry/src/once/intent_row.rs
+++ b/entry/src/once/intent_row.rs
@@ -25,7 +25,10 @@
 }
 
 /// Key of the row for an idempotency key. The key itself is not stored.
-pub fn intent_key(organisation: &str, idempotency_key: &str) -> String {
+pub fn intent_key(
+    organisation: &str,
+    idempotency_key: &str,
+) -> String {
     let mut hasher = blake3::Hasher::new();
     hasher.update(&(organisation.len() as u64).to_le_bytes());
     hasher.update(organisation.as_bytes());
--- a/entry/src/once/once_gate.rs
+++ b/entry/src/once/once_gate.rs
@@ -47,7 +47,10 @@
 
 impl OnceGate {
     /// Starts the committer.
-    pub fn start(table: TableClient, seed: u64) -> Self {
+    pub fn start(
+        table: TableClient,
+        seed: u64,
+    ) -> Self {
         let (calls, inbox) = async_channel::unbounded();
         spawn_detached(commit_groups(table, inbox, seed));
         OnceGate { calls }
@@ -58,7 +61,11 @@
     /// # Errors
     /// [`ErrorKind::AlreadyStarted`] when the key was used before and that
     /// request may have run, [`ErrorKind::CannotSettle`] when the table does not tell.
-    pub async fn begin(&self, key: &str, request_id: &str) -> Result<(), ErrorKind> {
+    pub async fn begin(
+        &self,
+        key: &str,
+        request_id: &str,
+    ) -> Result<(), ErrorKind> {
         self.call(key, request_id, IntentAim::Begin).await
     }
 
@@ -67,11 +74,20 @@
     /// # Errors
     /// [`ErrorKind::CannotSettle`] when the table does not take it; the key
     /// then stays used, which is on the safe side.
-    pub async fn release(&self, key: &str, request_id: &str) -> Result<(), ErrorKind> {
+    pub async fn release(
+        &self,
+        key: &str,
+        request_id: &str,
+    ) -> Result<(), ErrorKind> {
         self.call(key, request_id, IntentAim::Release).await
     }
 
-    async fn call(&self, key: &str, request_id: &str, aim: IntentAim) -> Result<(), ErrorKind> {
+    async fn call(
+        &self,
+        key: &str,
+        request_id: &str,
+        aim: IntentAim,
+    ) -> Result<(), ErrorKind> {
         let (done, outcome) = async_channel::bounded(1);
         let call = IntentCall {
             key: key.to_string(),
@@ -87,7 +103,11 @@
     }
 }
 
-async fn commit_groups(table: TableClient, inbox: Receiver<IntentCall>, seed: u64) {
+async fn commit_groups(
+    table: TableClient,
+    inbox: Receiver<IntentCall>,
+    seed: u64,
+) {
     let mut leftover: Vec<IntentCall> = Vec::new();
     let mut round = seed;
     loop {
@@ -111,7 +131,11 @@
 }
 
 /// Commits a group; gives the calls that must be tried again.
-async fn commit_group(table: &TableClient, group: Vec<IntentCall>, seed: u64) -> Vec<IntentCall> {
+async fn commit_group(
+    table: &TableClient,
+    group: Vec<IntentCall>,
+    seed: u64,
+) -> Vec<IntentCall> {
     // Two calls with one key cannot be in one commit; the later one waits.
     let mut taken = BTreeSet::new();
     let (now, later): (Vec<_>, Vec<_>) = group
@@ -150,7 +174,10 @@
 }
 
 /// The write for a call, given the row as it is.
-fn wanted_write(call: &IntentCall, row: Option<&TableRow>) -> Result<RowWrite, ErrorKind> {
+fn wanted_write(
+    call: &IntentCall,
+    row: Option<&TableRow>,
+) -> Result<RowWrite, ErrorKind> {
     let intent = match row {
         None => None,
         Some(row) => {
@@ -190,12 +217,18 @@
     again
 }
 
-fn refuse_all(calls: Vec<IntentCall>, kind: ErrorKind) {
+fn refuse_all(
+    calls: Vec<IntentCall>,
+    kind: ErrorKind,
+) {
     for call in calls {
         answer(&call, Err(kind));
     }
 }
 
-fn answer(call: &IntentCall, result: Result<(), ErrorKind>) {
+fn answer(
+    call: &IntentCall,
+    result: Result<(), ErrorKind>,
+) {
     let _ = call.done.try_send(result);
 }
--- a/entry/src/openai/error_body.rs
+++ b/entry/src/openai/error_body.rs
@@ -16,7 +16,10 @@
 
 impl ErrorBody {
     /// The body for an error.
-    pub fn new(kind: ErrorKind, detail: &str) -> Self {
+    pub fn new(
+        kind: ErrorKind,
+        detail: &str,
+    ) -> Self {
         let row = kind.answer();
         ErrorBody {
             error: ErrorObject {
--- a/entry/src/openai/prompt_request.rs
+++ b/entry/src/openai/prompt_request.rs
@@ -83,7 +83,10 @@
     ///
     /// # Errors
     /// [`PromptError`] when it is no prompt of that shape.
-    pub fn parse(shape: PromptShape, body: &[u8]) -> Result<Self, PromptError> {
+    pub fn parse(
+        shape: PromptShape,
+        body: &[u8],
+    ) -> Result<Self, PromptError> {
         let request = match shape {
             PromptShape::Chat => Self::parse_chat(body)?,
             PromptShape::Completion => Self::parse_completion(body)?,
--- a/entry/src/openai/sse_splitter.rs
+++ b/entry/src/openai/sse_splitter.rs
@@ -24,7 +24,10 @@
     ///
     /// # Errors
     /// [`EndlessEvent`] when one event is longer than anything reasonable.
-    pub fn feed(&mut self, bytes: &[u8]) -> Result<Vec<u8>, EndlessEvent> {
+    pub fn feed(
+        &mut self,
+        bytes: &[u8],
+    ) -> Result<Vec<u8>, EndlessEvent> {
         self.partial.extend_from_slice(bytes);
         let Some(end) = last_event_end(&self.partial) else {
             return if self.partial.len() > EVENT_LIMIT {
@@ -54,7 +57,10 @@
         self.partial.clear();
     }
 
-    fn note_events(&mut self, whole: &[u8]) {
+    fn note_events(
+        &mut self,
+        whole: &[u8],
+    ) {
         for line in whole.split(|b| *b == b'\n') {
             if let Some(number) = line.strip_prefix(ID_FIELD) {
                 let number = std::str::from_utf8(number)
--- a/entry/src/operators/operator_server.rs
+++ b/entry/src/operators/operator_server.rs
@@ -54,7 +54,10 @@
 }
 
 /// Serves one question of an operator or a peer.
-pub async fn serve_operator(app: Arc<EntryApp>, conn: Conn) -> Conn {
+pub async fn serve_operator(
+    app: Arc<EntryApp>,
+    conn: Conn,
+) -> Conn {
     if conn.method() != Method::Get {
         return conn.with_status(Status::MethodNotAllowed).halt();
     }
@@ -83,7 +86,11 @@
     conn.with_status(Status::NotFound).halt()
 }
 
-async fn drain(app: &EntryApp, conn: Conn, endpoint: &str) -> Conn {
+async fn drain(
+    app: &EntryApp,
+    conn: Conn,
+    endpoint: &str,
+) -> Conn {
     let id = endpoint.to_string();
     let asked = id.clone();
     let state = app
@@ -103,7 +110,11 @@
 }
 
 /// The id of a request names the process that decided; that one is asked.
-async fn explain(app: &EntryApp, conn: Conn, request_id: &str) -> Conn {
+async fn explain(
+    app: &EntryApp,
+    conn: Conn,
+    request_id: &str,
+) -> Conn {
     let own = app.ring.find(request_id);
     if !own.is_empty() {
         return json(conn, &own);
@@ -127,7 +138,10 @@
     }
 }
 
-async fn ask_peer(peer: SocketAddr, request_id: &str) -> Option<Vec<DecisionRecord>> {
+async fn ask_peer(
+    peer: SocketAddr,
+    request_id: &str,
+) -> Option<Vec<DecisionRecord>> {
     let path = format!("{EXPLAIN_PREFIX}{request_id}?{PASSED_QUERY}");
     HttpCaller::new(peer, PEER_TIMEOUT)
         .get_json(&path)
@@ -135,7 +149,11 @@
         .ok()
 }
 
-fn explain_piece(app: &EntryApp, conn: Conn, text: &str) -> Conn {
+fn explain_piece(
+    app: &EntryApp,
+    conn: Conn,
+    text: &str,
+) -> Conn {
     let Ok(key) = text.parse::<PieceKey>() else {
         return conn.with_status(Status::BadRequest).halt();
     };
--- a/entry/src/operators/status_report.rs
+++ b/entry/src/operators/status_report.rs
@@ -84,7 +84,10 @@
 
 impl ControlPart {
     /// Reads the control state.
-    pub fn of(core: &EntryCore, now: Micros) -> Self {
+    pub fn of(
+        core: &EntryCore,
+        now: Micros,
+    ) -> Self {
         let peers = core.peers().iter().map(|peer| PeerRow {
             id: peer.beacon.entry_id.clone(),
             revision: peer.beacon.revision,
@@ -101,7 +104,10 @@
     }
 }
 
-fn endpoint_rows(core: &EntryCore, now: Micros) -> Vec<EndpointRow> {
+fn endpoint_rows(
+    core: &EntryCore,
+    now: Micros,
+) -> Vec<EndpointRow> {
     let roster = core.roster();
     let mut rows = Vec::new();
     for (id, entry) in roster.iter() {
--- a/entry/src/traffic/endpoint_link.rs
+++ b/entry/src/traffic/endpoint_link.rs
@@ -39,7 +39,10 @@
     }
 
     /// Replaces the link underneath; none when it is down.
-    pub fn set(&self, link: Option<AgentLink>) {
+    pub fn set(
+        &self,
+        link: Option<AgentLink>,
+    ) {
         self.link.store(link.map(std::sync::Arc::new));
     }
 
@@ -57,13 +60,19 @@
     }
 
     /// Notes a request that is handed over.
-    pub fn began(&self, tokens: u32) {
+    pub fn began(
+        &self,
+        tokens: u32,
+    ) {
         self.tokens.fetch_add(u64::from(tokens), Ordering::Relaxed);
         self.running.fetch_add(1, Ordering::Relaxed);
     }
 
     /// Notes that the prompt of a request is computed, or never will be.
-    pub fn computed(&self, tokens: u32) {
+    pub fn computed(
+        &self,
+        tokens: u32,
+    ) {
         self.tokens.fetch_sub(u64::from(tokens), Ordering::Relaxed);
     }
 
--- a/entry/src/traffic/entry_app.rs
+++ b/entry/src/traffic/entry_app.rs
@@ -75,7 +75,10 @@
     }
 
     /// The id of a request: it names the process that decides about it.
-    pub fn request_id(&self, number: u64) -> String {
+    pub fn request_id(
+        &self,
+        number: u64,
+    ) -> String {
         format!(
             "{}.{:x}.{number:x}",
             self.settings.box_id,
--- a/entry/src/traffic/key_index.rs
+++ b/entry/src/traffic/key_index.rs
@@ -37,7 +37,11 @@
         index
     }
 
-    fn add(&mut self, hash: [u8; 32], organisation: &str) {
+    fn add(
+        &mut self,
+        hash: [u8; 32],
+        organisation: &str,
+    ) {
         let row = KeyRow {
             hash,
             organisation: organisation.to_string(),
@@ -46,7 +50,10 @@
     }
 
     /// The organisation that a key belongs to.
-    pub fn organisation(&self, key: &str) -> Option<&str> {
+    pub fn organisation(
+        &self,
+        key: &str,
+    ) -> Option<&str> {
         let hash = blake3::hash(key.as_bytes());
         let rows = self.buckets.get(&bucket(hash.as_bytes()))?;
         let mut found = None;
--- a/entry/src/traffic/traffic_view.rs
+++ b/entry/src/traffic/traffic_view.rs
@@ -27,7 +27,10 @@
 
 impl TrafficView {
     /// What this process has under way at an endpoint.
-    pub fn sent(&self, endpoint: EndpointKey) -> SentLoad {
+    pub fn sent(
+        &self,
+        endpoint: EndpointKey,
+    ) -> SentLoad {
         self.links
             .get(endpoint)
             .map_or(SentLoad::default(), |l| l.sent())
--- a/testbed/examples/demo.rs
+++ b/testbed/examples/demo.rs
@@ -129,7 +129,11 @@
     shape.entries + shape.engines + shape.services
 }
 
-fn say(name: &str, policy: &str, text: &str) {
+fn say(
+    name: &str,
+    policy: &str,
+    text: &str,
+) {
     println!("[{name}, {policy}] {text}");
 }
 
@@ -192,7 +196,10 @@
     Ok(())
 }
 
-async fn stop_agent(deployment: &mut Deployment, index: usize) -> anyhow::Result<()> {
+async fn stop_agent(
+    deployment: &mut Deployment,
+    index: usize,
+) -> anyhow::Result<()> {
     let agent = deployment.endpoints[index].agent.take();
     let mut agent = agent.context("the agent does not run")?;
     agent.signal(ProcessSignal::Term);
@@ -203,7 +210,10 @@
     Ok(())
 }
 
-async fn command(deployment: &Deployment, args: &[&str]) -> anyhow::Result<String> {
+async fn command(
+    deployment: &Deployment,
+    args: &[&str],
+) -> anyhow::Result<String> {
     let output = deployment.operate(args).await?;
     if !output.status.success() {
         bail!(
--- a/testbed/src/deploy/child_process.rs
+++ b/testbed/src/deploy/child_process.rs
@@ -37,7 +37,10 @@
     ///
     /// # Errors
     /// When it cannot be started.
-    pub fn start(mut command: Command, log: &Path) -> anyhow::Result<Self> {
+    pub fn start(
+        mut command: Command,
+        log: &Path,
+    ) -> anyhow::Result<Self> {
         let file: File = OpenOptions::new().create(true).append(true).open(log)?;
         let child = command
             .stdin(Stdio::null())
@@ -63,7 +66,10 @@
     }
 
     /// Sends it a signal.
-    pub fn signal(&self, signal: ProcessSignal) {
+    pub fn signal(
+        &self,
+        signal: ProcessSignal,
+    ) {
         let name = match signal {
             ProcessSignal::Term => "-TERM",
             ProcessSignal::Stop => "-STOP",
@@ -79,7 +85,10 @@
     ///
     /// # Errors
     /// When it has not after `limit`.
-    pub async fn wait(&mut self, limit: Duration) -> anyhow::Result<ExitStatus> {
+    pub async fn wait(
+        &mut self,
+        limit: Duration,
+    ) -> anyhow::Result<ExitStatus> {
         let started = Instant::now();
         loop {
             if let Some(status) = self.child.try_wait()? {
--- a/testbed/src/deploy/deployment.rs
+++ b/testbed/src/deploy/deployment.rs
@@ -100,7 +100,10 @@
     ///
     /// # Errors
     /// When something does not start.
-    pub async fn start(shape: DeploymentShape, programs: ProgramSet) -> anyhow::Result<Self> {
+    pub async fn start(
+        shape: DeploymentShape,
+        programs: ProgramSet,
+    ) -> anyhow::Result<Self> {
         let number = FOLDERS.fetch_add(1, Ordering::Relaxed);
         let name = format!("pitchhitch-{}-{}-{number}", shape.name, std::process::id());
         let folder = std::env::temp_dir().join(name);
@@ -176,7 +179,10 @@
     ///
     /// # Errors
     /// When it is not accepted.
-    pub async fn change(&self, change: ConfigChange) -> anyhow::Result<u64> {
+    pub async fn change(
+        &self,
+        change: ConfigChange,
+    ) -> anyhow::Result<u64> {
         let number = FOLDERS.fetch_add(1, Ordering::Relaxed);
         let request = ChangeRequest {
             change_id: format!("testbed-{number}"),
@@ -230,7 +236,11 @@
     ///
     /// # Errors
     /// When it does not start.
-    pub async fn add_engine(&mut self, number: usize, proxied: bool) -> anyhow::Result<()> {
+    pub async fn add_engine(
+        &mut self,
+        number: usize,
+        proxied: bool,
+    ) -> anyhow::Result<()> {
         let engine = EngineStandIn::start(self.shape.engine(self.platform.address))?;
         let kind = json!({"engine": {"model": self.shape.model, "version": self.shape.version}});
         let group = self.engine_group();
@@ -245,7 +255,11 @@
     ///
     /// # Errors
     /// When it does not start.
-    pub async fn add_service(&mut self, number: usize, proxied: bool) -> anyhow::Result<()> {
+    pub async fn add_service(
+        &mut self,
+        number: usize,
+        proxied: bool,
+    ) -> anyhow::Result<()> {
         let service = PlainService::start(self.runs.clone())?;
         let kind = json!({"service": {"service": self.shape.service}});
         let group = format!("{}-services", self.shape.name);
@@ -292,12 +306,19 @@
         Ok(())
     }
 
-    fn write_settings(&self, name: &str, settings: &serde_json::Value) -> anyhow::Result<()> {
+    fn write_settings(
+        &self,
+        name: &str,
+        settings: &serde_json::Value,
+    ) -> anyhow::Result<()> {
         let text = serde_json::to_string_pretty(settings)?;
         Ok(fs::write(self.settings_file(name), text)?)
     }
 
-    fn settings_file(&self, name: &str) -> PathBuf {
+    fn settings_file(
+        &self,
+        name: &str,
+    ) -> PathBuf {
         self.folder.join(format!("{name}.json"))
     }
 
@@ -305,7 +326,10 @@
     ///
     /// # Errors
     /// When it cannot be started.
-    pub fn start_agent(&self, endpoint_id: &str) -> anyhow::Result<ChildProcess> {
+    pub fn start_agent(
+        &self,
+        endpoint_id: &str,
+    ) -> anyhow::Result<ChildProcess> {
         let mut command = self.programs.agent();
         command
             .arg("--settings")
@@ -318,7 +342,10 @@
     ///
     /// # Errors
     /// When it cannot be started.
-    pub fn start_entry(&self, index: usize) -> anyhow::Result<ChildProcess> {
+    pub fn start_entry(
+        &self,
+        index: usize,
+    ) -> anyhow::Result<ChildProcess> {
         let place = &self.entry_places[index];
         let settings = json!({
             "box_id": place.id, "failure_domain": place.failure_domain,
@@ -351,7 +378,10 @@
     ///
     /// # Errors
     /// When it cannot be started.
-    pub async fn operate(&self, args: &[&str]) -> anyhow::Result<Output> {
+    pub async fn operate(
+        &self,
+        args: &[&str],
+    ) -> anyhow::Result<Output> {
         let mut command = self.programs.entry();
         command
             .arg(args[0])
@@ -366,7 +396,10 @@
     ///
     /// # Errors
     /// When it does not answer.
-    pub async fn status(&self, index: usize) -> anyhow::Result<StatusReport> {
+    pub async fn status(
+        &self,
+        index: usize,
+    ) -> anyhow::Result<StatusReport> {
         let caller = HttpCaller::new(self.entry_places[index].operators, CALL_TIMEOUT);
         Ok(caller.get_json(STATUS_PATH).await?)
     }
--- a/testbed/src/deploy/deployment_shape.rs
+++ b/testbed/src/deploy/deployment_shape.rs
@@ -69,7 +69,7 @@
             weights: CostWeights::default(),
             limits: OrganisationLimits::default(),
             prefill_token: Duration::from_micros(20),
-            decode_token: Duration::from_millis(2),
+            decode_token: Duration::from_millis(1),
             cache_pieces: 96,
             slots: 16,
             token_bytes: 128,
@@ -94,7 +94,7 @@
                 recompute: 2.0,
                 link: 2.0,
             },
-            prefill_token: Duration::from_micros(60),
+            prefill_token: Duration::from_micros(15),
             cache_pieces: 64,
             entry_threads: 1,
             ..DeploymentShape::tiny("mvinyo")
@@ -118,7 +118,7 @@
                 recompute: 60.0,
                 link: 10.0,
             },
-            prefill_token: Duration::from_micros(60),
+            prefill_token: Duration::from_micros(15),
             cache_pieces: 128,
             entry_threads: 1,
             ..DeploymentShape::tiny("field")
@@ -126,7 +126,10 @@
     }
 
     /// Shape of one engine.
-    pub fn engine(&self, weights: std::net::SocketAddr) -> EngineShape {
+    pub fn engine(
+        &self,
+        weights: std::net::SocketAddr,
+    ) -> EngineShape {
         let piece_tokens = u64::from(pitchhitch_core::kept::PIECE_TOKENS);
         EngineShape {
             prefill_token: self.prefill_token,
@@ -139,12 +142,18 @@
     }
 
     /// Name of an organisation, counted from one.
-    pub fn organisation(&self, number: usize) -> String {
+    pub fn organisation(
+        &self,
+        number: usize,
+    ) -> String {
         format!("{}-{number:02}", self.name)
     }
 
     /// Bearer key of an organisation.
-    pub fn key(&self, organisation: &str) -> String {
+    pub fn key(
+        &self,
+        organisation: &str,
+    ) -> String {
         format!("key-of-{organisation}")
     }
 }
--- a/testbed/src/deploy/program_set.rs
+++ b/testbed/src/deploy/program_set.rs
@@ -89,7 +89,10 @@
     }
 }
 
-fn with_role(program: &Path, role: &str) -> Command {
+fn with_role(
+    program: &Path,
+    role: &str,
+) -> Command {
     let mut command = Command::new(program);
     command.arg(role);
     command
--- a/testbed/src/engine/answer_text.rs
+++ b/testbed/src/engine/answer_text.rs
@@ -9,7 +9,10 @@
 
 impl AnswerText {
     /// The answer to a prompt.
-    pub fn new(prompt: &[u8], version: &str) -> Self {
+    pub fn new(
+        prompt: &[u8],
+        version: &str,
+    ) -> Self {
         let mut hasher = blake3::Hasher::new();
         hasher.update(version.as_bytes());
         hasher.update(&[0]);
@@ -20,14 +23,20 @@
     }
 
     /// One word; words are numbered from zero.
-    pub fn word(&self, index: u32) -> String {
+    pub fn word(
+        &self,
+        index: u32,
+    ) -> String {
         let hash = blake3::keyed_hash(&self.seed, &index.to_le_bytes());
         let hex = hash.to_hex();
         format!("{} ", &hex[..6])
     }
 
     /// The first words together.
-    pub fn words(&self, count: u32) -> String {
+    pub fn words(
+        &self,
+        count: u32,
+    ) -> String {
         (0..count).map(|index| self.word(index)).collect()
     }
 }
--- a/testbed/src/engine/engine_stand_in.rs
+++ b/testbed/src/engine/engine_stand_in.rs
@@ -44,7 +44,11 @@
 
 impl EngineShape {
     /// A quick engine with a small cache.
-    pub fn small(model: &str, version: &str, weights: SocketAddr) -> Self {
+    pub fn small(
+        model: &str,
+        version: &str,
+        weights: SocketAddr,
+    ) -> Self {
         EngineShape {
             model: model.to_string(),
             version: version.to_string(),
@@ -112,7 +116,10 @@
     ///
     /// # Errors
     /// When the address cannot be bound.
-    pub fn start_at(address: SocketAddr, shape: EngineShape) -> io::Result<Self> {
+    pub fn start_at(
+        address: SocketAddr,
+        shape: EngineShape,
+    ) -> io::Result<Self> {
         let core = Arc::new(EngineCore {
             line: PrefillLine::new(shape.slots),
             counts: EngineCounts::default(),
@@ -148,7 +155,10 @@
     }
 
     /// Whether new prompts for a version are taken.
-    pub fn takes(&self, wanted: Option<&str>) -> bool {
+    pub fn takes(
+        &self,
+        wanted: Option<&str>,
+    ) -> bool {
         let same = wanted.is_none_or(|wanted| wanted == self.version());
         same && !self.loading.load(Ordering::Relaxed)
     }
@@ -162,7 +172,10 @@
     }
 }
 
-async fn serve(core: Arc<EngineCore>, conn: Conn) -> Conn {
+async fn serve(
+    core: Arc<EngineCore>,
+    conn: Conn,
+) -> Conn {
     let path = conn.path().to_string();
     match (conn.method(), path.as_str()) {
         (Method::Get, "/engine/health") => {
@@ -197,7 +210,10 @@
     }
 }
 
-async fn load(core: &EngineCore, mut conn: Conn) -> Conn {
+async fn load(
+    core: &EngineCore,
+    mut conn: Conn,
+) -> Conn {
     let body = read_body(&mut conn).await;
     let order: Option<EngineOrder> = serde_json::from_slice(&body).ok();
     let Some(version) = order.and_then(|o| o.version) else {
@@ -218,7 +234,10 @@
 }
 
 /// The bytes of a piece; an import with other bytes is refused.
-pub fn piece_bytes(key: PieceKey, length: usize) -> Vec<u8> {
+pub fn piece_bytes(
+    key: PieceKey,
+    length: usize,
+) -> Vec<u8> {
     let mut bytes = vec![0; length];
     let mut reader = blake3::Hasher::new()
         .update(&key.0.to_le_bytes())
@@ -227,7 +246,11 @@
     bytes
 }
 
-async fn serve_piece(core: &EngineCore, mut conn: Conn, key: PieceKey) -> Conn {
+async fn serve_piece(
+    core: &EngineCore,
+    mut conn: Conn,
+    key: PieceKey,
+) -> Conn {
     match conn.method() {
         Method::Get if core.cache().contains(key) => {
             conn.ok(piece_bytes(key, core.shape.piece_bytes))
--- a/testbed/src/engine/prefill_line.rs
+++ b/testbed/src/engine/prefill_line.rs
@@ -26,7 +26,10 @@
     }
 
     /// Computes a prompt, when the ones before it are done.
-    pub async fn compute(&self, span: Duration) {
+    pub async fn compute(
+        &self,
+        span: Duration,
+    ) {
         let _turn = self.compute.lock().await;
         if !span.is_zero() {
             Timer::after(span).await;
--- a/testbed/src/engine/prefix_cache.rs
+++ b/testbed/src/engine/prefix_cache.rs
@@ -42,7 +42,10 @@
     }
 
     /// Leading pieces that are there; they count as used.
-    pub fn use_prefix(&mut self, pieces: &[PieceKey]) -> usize {
+    pub fn use_prefix(
+        &mut self,
+        pieces: &[PieceKey],
+    ) -> usize {
         let found = pieces
             .iter()
             .take_while(|key| self.used_at.contains_key(key))
@@ -54,12 +57,18 @@
     }
 
     /// Whether a piece is there.
-    pub fn contains(&self, key: PieceKey) -> bool {
+    pub fn contains(
+        &self,
+        key: PieceKey,
+    ) -> bool {
         self.used_at.contains_key(&key)
     }
 
     /// Adds a piece, dropping others where there is no room.
-    pub fn add(&mut self, key: PieceKey) {
+    pub fn add(
+        &mut self,
+        key: PieceKey,
+    ) {
         let known = self.used_at.contains_key(&key);
         self.touch(key);
         if known {
@@ -83,7 +92,11 @@
     }
 
     /// Changes from a number on that are old enough to be published.
-    pub fn news(&self, from: u64, delay: Duration) -> EngineNews {
+    pub fn news(
+        &self,
+        from: u64,
+        delay: Duration,
+    ) -> EngineNews {
         let first = self.news.front().map_or(self.next_number, |n| n.number);
         let first = first.max(from);
         let ripe = self
@@ -109,7 +122,10 @@
         self.news.clear();
     }
 
-    fn touch(&mut self, key: PieceKey) {
+    fn touch(
+        &mut self,
+        key: PieceKey,
+    ) {
         self.clock += 1;
         if let Some(before) = self.used_at.insert(key, self.clock) {
             self.order.remove(&before);
@@ -117,7 +133,10 @@
         self.order.insert(self.clock, key);
     }
 
-    fn note(&mut self, change: EngineChange) {
+    fn note(
+        &mut self,
+        change: EngineChange,
+    ) {
         self.news.push_back(NumberedChange {
             number: self.next_number,
             at: Instant::now(),
--- a/testbed/src/engine/prompt_run.rs
+++ b/testbed/src/engine/prompt_run.rs
@@ -35,7 +35,10 @@
 }
 
 impl RunningCount {
-    fn set_whole(&mut self, whole: bool) {
+    fn set_whole(
+        &mut self,
+        whole: bool,
+    ) {
         self.whole = whole;
     }
 }
@@ -60,7 +63,10 @@
 }
 
 /// Runs one prompt.
-pub async fn run_prompt(core: Arc<EngineCore>, mut conn: Conn) -> Conn {
+pub async fn run_prompt(
+    core: Arc<EngineCore>,
+    mut conn: Conn,
+) -> Conn {
     let body = read_body(&mut conn).await;
     let wanted = conn
         .request_headers()
@@ -107,7 +113,11 @@
     computed: u32,
 }
 
-async fn prefill(core: Arc<EngineCore>, pieces: &[PieceKey], prompt_tokens: u32) -> PrefillDone {
+async fn prefill(
+    core: Arc<EngineCore>,
+    pieces: &[PieceKey],
+    prompt_tokens: u32,
+) -> PrefillDone {
     let slot = core.line.enter().await;
     core.running.fetch_add(1, Ordering::Relaxed);
     core.counts.begun.fetch_add(1, Ordering::Relaxed);
@@ -131,7 +141,10 @@
     PrefillDone { running, computed }
 }
 
-fn header_number(conn: &Conn, name: &'static str) -> Option<u32> {
+fn header_number(
+    conn: &Conn,
+    name: &'static str,
+) -> Option<u32> {
     conn.request_headers().get_str(name)?.parse().ok()
 }
 
@@ -143,7 +156,11 @@
     text.split(',').filter_map(|key| key.parse().ok()).collect()
 }
 
-fn answer_stream(mut conn: Conn, run: PromptRun, mut running: RunningCount) -> Conn {
+fn answer_stream(
+    mut conn: Conn,
+    run: PromptRun,
+    mut running: RunningCount,
+) -> Conn {
     let pipe = body_pipe(PIPE_ROOM);
     let writer = pipe.writer;
     spawn_detached(async move {
@@ -166,7 +183,10 @@
         .halt()
 }
 
-fn stream_event(run: &PromptRun, index: u32) -> String {
+fn stream_event(
+    run: &PromptRun,
+    index: u32,
+) -> String {
     let word = run.answer.word(index);
     let choice = match run.shape {
         PromptShape::Chat => json!({"index": 0, "delta": {"content": word}, "finish_reason": null}),
@@ -179,7 +199,10 @@
     format!("id: {index}\ndata: {data}\n\n")
 }
 
-fn object_name(run: &PromptRun, streamed: bool) -> &'static str {
+fn object_name(
+    run: &PromptRun,
+    streamed: bool,
+) -> &'static str {
     match (run.shape, streamed) {
         (PromptShape::Chat, true) => "chat.completion.chunk",
         (PromptShape::Chat, false) => "chat.completion",
@@ -187,7 +210,11 @@
     }
 }
 
-async fn answer_whole(mut conn: Conn, run: PromptRun, mut running: RunningCount) -> Conn {
+async fn answer_whole(
+    mut conn: Conn,
+    run: PromptRun,
+    mut running: RunningCount,
+) -> Conn {
     let span = running.core.shape.decode_token * run.answer_tokens;
     let decode = async {
         Timer::after(span).await;
--- a/testbed/src/proxy/fault_proxy.rs
+++ b/testbed/src/proxy/fault_proxy.rs
@@ -64,7 +64,10 @@
     }
 
     /// Changes what happens from now on. Connections are closed by [`ProxyMode::Cut`].
-    pub fn set(&self, mode: ProxyMode) {
+    pub fn set(
+        &self,
+        mode: ProxyMode,
+    ) {
         *self
             .state
             .mode
@@ -76,7 +79,10 @@
     }
 
     /// Cuts all connections once so many more bytes of answers have passed.
-    pub fn cut_after(&self, bytes: u64) {
+    pub fn cut_after(
+        &self,
+        bytes: u64,
+    ) {
         *self
             .state
             .cut_after
@@ -96,7 +102,10 @@
     }
 
     /// How many of so many bytes of answers may pass before the cut.
-    fn allowed(&self, length: usize) -> Option<usize> {
+    fn allowed(
+        &self,
+        length: usize,
+    ) -> Option<usize> {
         let mut cut_after = self
             .cut_after
             .lock()
@@ -118,7 +127,11 @@
     }
 }
 
-async fn accept(listener: TcpListener, target: SocketAddr, state: Arc<ProxyState>) {
+async fn accept(
+    listener: TcpListener,
+    target: SocketAddr,
+    state: Arc<ProxyState>,
+) {
     let mut passing = Vec::new();
     while let Ok((stream, _)) = listener.accept().await {
         if state.mode() == ProxyMode::Cut {
@@ -130,7 +143,11 @@
     }
 }
 
-async fn pass(near: TcpStream, target: SocketAddr, state: Arc<ProxyState>) {
+async fn pass(
+    near: TcpStream,
+    target: SocketAddr,
+    state: Arc<ProxyState>,
+) {
     let Ok(far) = TcpStream::connect(target).await else {
         let _ = near.shutdown(Shutdown::Both);
         return;
--- a/testbed/src/replay/caller_client.rs
+++ b/testbed/src/replay/caller_client.rs
@@ -84,13 +84,20 @@
 }
 
 /// The right answer to a chat with one message of the user.
-pub fn right_answer(text: &str, version: &str, tokens: u32) -> String {
+pub fn right_answer(
+    text: &str,
+    version: &str,
+    tokens: u32,
+) -> String {
     AnswerText::new(&chat_prompt(text), version).words(tokens)
 }
 
 impl CallerClient {
     /// Asks a chat completion and reads the whole answer.
-    pub async fn chat(&self, call: &PromptCall) -> CallOutcome {
+    pub async fn chat(
+        &self,
+        call: &PromptCall,
+    ) -> CallOutcome {
         let body = json!({
             "model": call.model, "stream": call.stream, "max_tokens": call.answer_tokens,
             "messages": [{"role": "user", "content": call.text}],
@@ -130,7 +137,10 @@
     }
 }
 
-fn authorized(conn: Conn, key: &str) -> Conn {
+fn authorized(
+    conn: Conn,
+    key: &str,
+) -> Conn {
     if key.is_empty() {
         return conn;
     }
@@ -143,7 +153,10 @@
     whole: bool,
 }
 
-async fn read_outcome(conn: Conn, read: fn(&[u8]) -> ReadText) -> CallOutcome {
+async fn read_outcome(
+    conn: Conn,
+    read: fn(&[u8]) -> ReadText,
+) -> CallOutcome {
     let started = Instant::now();
     let mut outcome = CallOutcome {
         status: 0,
--- a/testbed/src/replay/replay_result.rs
+++ b/testbed/src/replay/replay_result.rs
@@ -39,18 +39,27 @@
 
 impl ReplayResult {
     /// Notes a time to first token.
-    pub fn saw_first_token(&mut self, span: Duration) {
+    pub fn saw_first_token(
+        &mut self,
+        span: Duration,
+    ) {
         // The histogram grows as it must, so every value can be recorded.
         let _ = self.first_token.record(span.as_micros() as u64);
     }
 
     /// Notes something that went wrong.
-    pub fn problem(&mut self, text: String) {
+    pub fn problem(
+        &mut self,
+        text: String,
+    ) {
         self.first_problem.get_or_insert(text);
     }
 
     /// A quantile of the time to first token, in milliseconds.
-    pub fn first_token_ms(&self, quantile: f64) -> f64 {
+    pub fn first_token_ms(
+        &self,
+        quantile: f64,
+    ) -> f64 {
         self.first_token.value_at_quantile(quantile) as f64 / 1_000.0
     }
 
--- a/testbed/src/replay/run_measures.rs
+++ b/testbed/src/replay/run_measures.rs
@@ -25,7 +25,11 @@
 
 impl RunMeasures {
     /// Gathers the measures of a deployment after a replay.
-    pub fn gather(deployment: &Deployment, rows: &[TraceRow], result: ReplayResult) -> Self {
+    pub fn gather(
+        deployment: &Deployment,
+        rows: &[TraceRow],
+        result: ReplayResult,
+    ) -> Self {
         let mut prompt_tokens = 0;
         let mut computed_tokens = 0;
         for engine in deployment.engines() {
@@ -62,6 +66,9 @@
 }
 
 /// Body of the service call with a number in its trace.
-pub fn service_body(deployment: &str, number: usize) -> String {
+pub fn service_body(
+    deployment: &str,
+    number: usize,
+) -> String {
     format!("{deployment}-call-{number}")
 }
--- a/testbed/src/replay/trace_replay.rs
+++ b/testbed/src/replay/trace_replay.rs
@@ -56,7 +56,11 @@
 
 impl TraceReplay {
     /// Replays a trace to its end.
-    pub async fn run(&self, rows: &[TraceRow], progress: &ReplayProgress) -> ReplayResult {
+    pub async fn run(
+        &self,
+        rows: &[TraceRow],
+        progress: &ReplayProgress,
+    ) -> ReplayResult {
         let state = progress.state.clone();
         let client = CallerClient::default();
         let started = Instant::now();
@@ -90,12 +94,20 @@
         state.done.fetch_add(1, Ordering::Relaxed);
     }
 
-    fn entry(&self, state: &ReplayState) -> SocketAddr {
+    fn entry(
+        &self,
+        state: &ReplayState,
+    ) -> SocketAddr {
         let turn = state.next_entry.fetch_add(1, Ordering::Relaxed) as usize;
         self.entries[turn % self.entries.len()]
     }
 
-    async fn call_model(&self, row: &TraceRow, client: &CallerClient, state: &ReplayState) {
+    async fn call_model(
+        &self,
+        row: &TraceRow,
+        client: &CallerClient,
+        state: &ReplayState,
+    ) {
         let text = prompt_text(row);
         let started = Instant::now();
         let mut outcome = None;
@@ -129,7 +141,12 @@
         }
     }
 
-    fn prompt_call(&self, row: &TraceRow, text: &str, state: &ReplayState) -> PromptCall {
+    fn prompt_call(
+        &self,
+        row: &TraceRow,
+        text: &str,
+        state: &ReplayState,
+    ) -> PromptCall {
         PromptCall {
             address: self.entry(state),
             key: self.shape.key(&row.organisation),
--- a/testbed/src/stand_ins/fault_switch.rs
+++ b/testbed/src/stand_ins/fault_switch.rs
@@ -27,23 +27,35 @@
 
 impl FaultSwitch {
     /// Takes the service down, or brings it back.
-    pub fn set_down(&self, down: bool) {
+    pub fn set_down(
+        &self,
+        down: bool,
+    ) {
         self.down.store(down, Ordering::Relaxed);
     }
 
     /// Loses the answers of the next calls that write.
-    pub fn lose_answers(&self, count: u32) {
+    pub fn lose_answers(
+        &self,
+        count: u32,
+    ) {
         self.lost_answers.store(count, Ordering::Relaxed);
     }
 
     /// Makes every call take longer.
-    pub fn set_delay(&self, delay: Duration) {
+    pub fn set_delay(
+        &self,
+        delay: Duration,
+    ) {
         self.delay_millis
             .store(delay.as_millis() as u64, Ordering::Relaxed);
     }
 
     /// Waits as long as the fault says, and tells what happens to the call.
-    pub async fn strike(&self, writes: bool) -> FaultOutcome {
+    pub async fn strike(
+        &self,
+        writes: bool,
+    ) -> FaultOutcome {
         let delay = self.delay_millis.load(Ordering::Relaxed);
         if delay > 0 {
             Timer::after(Duration::from_millis(delay)).await;
--- a/testbed/src/stand_ins/http_stand_in.rs
+++ b/testbed/src/stand_ins/http_stand_in.rs
@@ -69,7 +69,10 @@
 }
 
 /// Answers JSON.
-pub fn answer_json(mut conn: Conn, value: &impl serde::Serialize) -> Conn {
+pub fn answer_json(
+    mut conn: Conn,
+    value: &impl serde::Serialize,
+) -> Conn {
     let body = serde_json::to_string(value).unwrap_or_default();
     conn.response_headers_mut()
         .insert("content-type", "application/json");
@@ -77,6 +80,10 @@
 }
 
 /// Answers a status with a text.
-pub fn answer_status(conn: Conn, status: Status, text: &str) -> Conn {
+pub fn answer_status(
+    conn: Conn,
+    status: Status,
+    text: &str,
+) -> Conn {
     conn.with_status(status).with_body(text.to_string()).halt()
 }
--- a/testbed/src/stand_ins/plain_service.rs
+++ b/testbed/src/stand_ins/plain_service.rs
@@ -22,13 +22,19 @@
 }
 
 impl RunCounter {
-    fn ran(&self, body: &str) {
+    fn ran(
+        &self,
+        body: &str,
+    ) {
         let mut runs = self.runs.lock().unwrap_or_else(PoisonError::into_inner);
         *runs.entry(body.to_string()).or_insert(0) += 1;
     }
 
     /// How often the call with this body ran.
-    pub fn count(&self, body: &str) -> u32 {
+    pub fn count(
+        &self,
+        body: &str,
+    ) -> u32 {
         let runs = self.runs.lock().unwrap_or_else(PoisonError::into_inner);
         runs.get(body).copied().unwrap_or(0)
     }
@@ -73,7 +79,10 @@
     pub body: String,
 }
 
-async fn serve(counter: RunCounter, mut conn: Conn) -> Conn {
+async fn serve(
+    counter: RunCounter,
+    mut conn: Conn,
+) -> Conn {
     if conn.method() == Method::Get && conn.path() == "/healthz" {
         return conn.ok("ok");
     }
--- a/testbed/src/stand_ins/platform_stand_in.rs
+++ b/testbed/src/stand_ins/platform_stand_in.rs
@@ -70,19 +70,29 @@
 
 impl PlatformState {
     /// Puts a box on the list, or replaces it.
-    pub fn list_box(&self, row: BoxRow) {
+    pub fn list_box(
+        &self,
+        row: BoxRow,
+    ) {
         let mut boxes = self.boxes.lock().unwrap_or_else(PoisonError::into_inner);
         boxes.insert(row.id.clone(), row);
     }
 
     /// Takes a box off the list.
-    pub fn unlist_box(&self, id: &str) {
+    pub fn unlist_box(
+        &self,
+        id: &str,
+    ) {
         let mut boxes = self.boxes.lock().unwrap_or_else(PoisonError::into_inner);
         boxes.remove(id);
     }
 
     /// Puts a version into the weight store.
-    pub fn add_weights(&self, model: &str, version: &str) {
+    pub fn add_weights(
+        &self,
+        model: &str,
+        version: &str,
+    ) {
         let mut weights = self.weights.lock().unwrap_or_else(PoisonError::into_inner);
         weights.insert(format!("{model}/{version}"));
     }
@@ -93,7 +103,10 @@
     }
 }
 
-async fn serve(state: Arc<PlatformState>, conn: Conn) -> Conn {
+async fn serve(
+    state: Arc<PlatformState>,
+    conn: Conn,
+) -> Conn {
     let path = conn.path().to_string();
     if path.starts_with("/table/") {
         return serve_table(&state, conn, &path).await;
@@ -117,7 +130,11 @@
     answer_status(conn, Status::NotFound, "no such service")
 }
 
-async fn serve_table(state: &PlatformState, mut conn: Conn, path: &str) -> Conn {
+async fn serve_table(
+    state: &PlatformState,
+    mut conn: Conn,
+    path: &str,
+) -> Conn {
     let body = read_body(&mut conn).await;
     let writes = path == "/table/commit";
     let fault = state.table_faults.strike(writes).await;
@@ -141,7 +158,11 @@
     answered
 }
 
-async fn serve_objects(state: &PlatformState, mut conn: Conn, name: &str) -> Conn {
+async fn serve_objects(
+    state: &PlatformState,
+    mut conn: Conn,
+    name: &str,
+) -> Conn {
     if state.object_faults.strike(false).await == FaultOutcome::Down {
         return answer_status(conn, Status::ServiceUnavailable, "object store is down");
     }
@@ -163,7 +184,11 @@
     }
 }
 
-async fn serve_weights(state: &PlatformState, conn: Conn, name: &str) -> Conn {
+async fn serve_weights(
+    state: &PlatformState,
+    conn: Conn,
+    name: &str,
+) -> Conn {
     let about = name.strip_suffix("/about");
     let version = about.unwrap_or(name);
     let known = {
--- a/testbed/src/stand_ins/store_box.rs
+++ b/testbed/src/stand_ins/store_box.rs
@@ -119,7 +119,11 @@
     }
 
     /// Waits for the link's turn, then for the bytes to pass.
-    async fn pass_link(&self, bytes: u64, tier: StoreTier) {
+    async fn pass_link(
+        &self,
+        bytes: u64,
+        tier: StoreTier,
+    ) {
         self.link_bytes.fetch_add(bytes, Ordering::Relaxed);
         let mut seconds = bytes as f64 / self.shape.link_rate;
         if tier == StoreTier::Disk {
@@ -137,7 +141,10 @@
     }
 }
 
-async fn serve(shared: Arc<StoreShared>, conn: Conn) -> Conn {
+async fn serve(
+    shared: Arc<StoreShared>,
+    conn: Conn,
+) -> Conn {
     let path = conn.path().to_string();
     if path == "/pieces" {
         return list(&shared, conn);
@@ -156,7 +163,10 @@
     }
 }
 
-fn list(shared: &StoreShared, conn: Conn) -> Conn {
+fn list(
+    shared: &StoreShared,
+    conn: Conn,
+) -> Conn {
     let state = shared.lock();
     let rows = state.pieces.iter().map(|(key, piece)| StoreRow {
         key: *key,
@@ -171,7 +181,11 @@
     answer_json(conn, &content)
 }
 
-async fn put(shared: &StoreShared, mut conn: Conn, key: PieceKey) -> Conn {
+async fn put(
+    shared: &StoreShared,
+    mut conn: Conn,
+    key: PieceKey,
+) -> Conn {
     let tier = match conn.querystring() {
         "tier=disk" => StoreTier::Disk,
         _ => StoreTier::Memory,
@@ -214,7 +228,11 @@
     conn.ok("")
 }
 
-async fn get(shared: &StoreShared, mut conn: Conn, key: PieceKey) -> Conn {
+async fn get(
+    shared: &StoreShared,
+    mut conn: Conn,
+    key: PieceKey,
+) -> Conn {
     let wanted = asked_generation(&conn);
     let found = shared.lock().pieces.get(&key).cloned();
     let Some(piece) = found else {
@@ -230,7 +248,11 @@
     conn.ok(piece.bytes)
 }
 
-fn delete(shared: &StoreShared, conn: Conn, key: PieceKey) -> Conn {
+fn delete(
+    shared: &StoreShared,
+    conn: Conn,
+    key: PieceKey,
+) -> Conn {
     let wanted = asked_generation(&conn);
     let mut state = shared.lock();
     let found = state.pieces.get(&key).map(|p| p.generation);
--- a/testbed/src/stand_ins/table_rows.rs
+++ b/testbed/src/stand_ins/table_rows.rs
@@ -33,7 +33,10 @@
 
 impl TableRows {
     /// Reads rows.
-    pub fn read(&self, query: &ReadQuery) -> ReadAnswer {
+    pub fn read(
+        &self,
+        query: &ReadQuery,
+    ) -> ReadAnswer {
         let mut state = self.lock();
         state.reads += 1;
         let rows = query
@@ -46,7 +49,10 @@
     }
 
     /// Writes rows, all or none.
-    pub fn commit(&self, query: &CommitQuery) -> CommitAnswer {
+    pub fn commit(
+        &self,
+        query: &CommitQuery,
+    ) -> CommitAnswer {
         let mut state = self.lock();
         state.writes += 1;
         let conflicts = query.writes.iter().filter(|write| {
@@ -75,7 +81,10 @@
     }
 
     /// The value of a row, for tests.
-    pub fn value(&self, key: &str) -> Option<String> {
+    pub fn value(
+        &self,
+        key: &str,
+    ) -> Option<String> {
         self.lock().rows.get(key).map(|row| row.value.clone())
     }
 
@@ -85,7 +94,10 @@
 }
 
 impl TableState {
-    fn write(&mut self, write: &RowWrite) -> u64 {
+    fn write(
+        &mut self,
+        write: &RowWrite,
+    ) -> u64 {
         self.last_version += 1;
         let version = self.last_version;
         match &write.value {
--- a/testbed/src/trace/prompt_text.rs
+++ b/testbed/src/trace/prompt_text.rs
@@ -12,7 +12,10 @@
     text
 }
 
-fn block_text(id: u64, text: &mut String) {
+fn block_text(
+    id: u64,
+    text: &mut String,
+) {
     let mut bytes = [0; PIECE_TEXT_BYTES / 2];
     let mut reader = blake3::Hasher::new()
         .update(&id.to_le_bytes())
--- a/testbed/src/trace/trace_generator.rs
+++ b/testbed/src/trace/trace_generator.rs
@@ -50,14 +50,14 @@
         document_blocks: [6, 20],
         question_tokens: [40, 300],
         answer_tokens: [8, 32],
-        median_gap_minutes: [25.0, 180.0, 1_200.0],
+        median_gap_minutes: [120.0, 420.0, 1_500.0],
         gap_spread: 1.0,
         return_chance: 0.75,
         service_part: 0.25,
         not_repeatable_part: 0.5,
         labels: ["price-list", "buyer-reply", "allocation"],
         hours: 72.0,
-        visits: 110,
+        visits: 400,
     };
 
     /// Farmers, clerks and surveyors: long parcel files that return after hours to days.
@@ -68,14 +68,14 @@
         document_blocks: [16, 48],
         question_tokens: [60, 400],
         answer_tokens: [8, 40],
-        median_gap_minutes: [90.0, 900.0, 2_000.0],
+        median_gap_minutes: [240.0, 900.0, 2_400.0],
         gap_spread: 0.9,
         return_chance: 0.8,
         service_part: 0.2,
         not_repeatable_part: 0.4,
         labels: ["parcel-file", "claim-check", "survey-note"],
         hours: 96.0,
-        visits: 70,
+        visits: 230,
     };
 }
 
@@ -86,7 +86,10 @@
 /// visit it returns with a fixed chance, after a gap drawn from a log-normal
 /// distribution around the median of its kind of work. Calls of the plain
 /// service are spread evenly over the time.
-pub fn generate_trace(shape: &TraceShape, seed: u64) -> Vec<TraceRow> {
+pub fn generate_trace(
+    shape: &TraceShape,
+    seed: u64,
+) -> Vec<TraceRow> {
     let mut random = Pcg32::seed_from_u64(seed);
     let end = shape.hours * 60.0 * MINUTE;
     let mut rows = Vec::new();
@@ -176,7 +179,12 @@
     }
 }
 
-fn service_call(shape: &TraceShape, organisation: usize, end: f64, random: &mut Pcg32) -> TraceRow {
+fn service_call(
+    shape: &TraceShape,
+    organisation: usize,
+    end: f64,
+    random: &mut Pcg32,
+) -> TraceRow {
     TraceRow {
         timestamp: random.gen_range(0.0..end) as u64,
         input_length: 0,
@@ -188,7 +196,10 @@
     }
 }
 
-fn organisation_name(shape: &TraceShape, index: usize) -> String {
+fn organisation_name(
+    shape: &TraceShape,
+    index: usize,
+) -> String {
     format!("{}-{:02}", shape.deployment, index + 1)
 }
 
@@ -197,12 +208,19 @@
     *next_block
 }
 
-fn between(bounds: [u32; 2], random: &mut Pcg32) -> u32 {
+fn between(
+    bounds: [u32; 2],
+    random: &mut Pcg32,
+) -> u32 {
     random.gen_range(bounds[0]..=bounds[1])
 }
 
 /// A log-normal gap, in milliseconds.
-fn gap(median_minutes: f64, spread: f64, random: &mut Pcg32) -> f64 {
+fn gap(
+    median_minutes: f64,
+    spread: f64,
+    random: &mut Pcg32,
+) -> f64 {
     let u: f64 = random.gen_range(f64::EPSILON..1.0);
     let v: f64 = random.gen();
     let normal = (-2.0 * u.ln()).sqrt() * (std::f64::consts::TAU * v).cos();
--- a/testbed/src/trace/trace_row.rs
+++ b/testbed/src/trace/trace_row.rs
@@ -54,7 +54,10 @@
 ///
 /// # Errors
 /// When the file cannot be written.
-pub fn write_trace(path: &Path, rows: &[TraceRow]) -> anyhow::Result<()> {
+pub fn write_trace(
+    path: &Path,
+    rows: &[TraceRow],
+) -> anyhow::Result<()> {
     let mut text = String::new();
     for row in rows {
         text.push_str(&serde_json::to_string(row)?);
--- a/testbed/tests/whole_path.rs
+++ b/testbed/tests/whole_path.rs
@@ -8,7 +8,11 @@
     smol::block_on,
 };
 
-fn prompt(deployment: &Deployment, entry: usize, stream: bool) -> PromptCall {
+fn prompt(
+    deployment: &Deployment,
+    entry: usize,
+    stream: bool,
+) -> PromptCall {
     PromptCall {
         address: deployment.entry_places[entry].callers,
         key: deployment.shape.key(&deployment.shape.organisation(1)),
--- a/wire/src/beacon/beacon_key.rs
+++ b/wire/src/beacon/beacon_key.rs
@@ -17,14 +17,20 @@
     }
 
     /// Keyed hash over a message.
-    pub fn hash(&self, message: &[u8]) -> blake3::Hash {
+    pub fn hash(
+        &self,
+        message: &[u8],
+    ) -> blake3::Hash {
         blake3::keyed_hash(&self.bytes, message)
     }
 }
 
 // Keys never reach a log.
 impl fmt::Debug for BeaconKey {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+    fn fmt(
+        &self,
+        f: &mut fmt::Formatter<'_>,
+    ) -> fmt::Result {
         f.write_str("BeaconKey(..)")
     }
 }
--- a/wire/src/beacon/beacon_socket.rs
+++ b/wire/src/beacon/beacon_socket.rs
@@ -51,7 +51,10 @@
     ///
     /// # Errors
     /// When the address cannot be bound.
-    pub async fn bind(address: SocketAddr, key: BeaconKey) -> io::Result<Self> {
+    pub async fn bind(
+        address: SocketAddr,
+        key: BeaconKey,
+    ) -> io::Result<Self> {
         Ok(BeaconSocket {
             socket: UdpSocket::bind(address).await?,
             key,
@@ -70,7 +73,11 @@
 
     /// Sends a beacon to each target; gives the bytes sent. A target that
     /// cannot be reached is passed over: the next beacon comes soon.
-    pub async fn send(&self, beacon: Beacon, targets: &[SocketAddr]) -> usize {
+    pub async fn send(
+        &self,
+        beacon: Beacon,
+        targets: &[SocketAddr],
+    ) -> usize {
         let numbered = NumberedBeacon {
             counter: self.counter.fetch_add(1, Ordering::Relaxed) + 1,
             beacon,
--- a/wire/src/beacon/sealed_beacon.rs
+++ b/wire/src/beacon/sealed_beacon.rs
@@ -62,7 +62,10 @@
     ///
     /// # Errors
     /// [`BeaconError`] when it does not fit.
-    pub fn seal(&self, key: &BeaconKey) -> Result<Vec<u8>, BeaconError> {
+    pub fn seal(
+        &self,
+        key: &BeaconKey,
+    ) -> Result<Vec<u8>, BeaconError> {
         let body = encode_body(self)?;
         let mut datagram = Vec::with_capacity(1 + HASH_BYTES + body.len());
         datagram.push(WIRE_VERSION);
@@ -80,7 +83,10 @@
     ///
     /// # Errors
     /// [`BeaconError`] when it is not from this deployment.
-    pub fn open(datagram: &[u8], key: &BeaconKey) -> Result<Self, BeaconError> {
+    pub fn open(
+        datagram: &[u8],
+        key: &BeaconKey,
+    ) -> Result<Self, BeaconError> {
         let shape = BeaconError::Shape {
             length: datagram.len(),
         };
--- a/wire/src/codec/frame_codec.rs
+++ b/wire/src/codec/frame_codec.rs
@@ -71,7 +71,10 @@
 
 impl FrameReader {
     /// Takes in the next bytes of the stream.
-    pub fn feed(&mut self, bytes: &[u8]) {
+    pub fn feed(
+        &mut self,
+        bytes: &[u8],
+    ) {
         self.buffer.extend_from_slice(bytes);
     }
 
--- a/wire/src/link/agent_link.rs
+++ b/wire/src/link/agent_link.rs
@@ -41,7 +41,7 @@
     }
 
     async fn handshake(
-        address: SocketAddr,
+        address: SocketAddr
     ) -> Result<
         (
             SendRequest<Bytes>,
@@ -69,7 +69,10 @@
     ///
     /// # Errors
     /// [`LinkError::NotSent`] only when no byte of the call can have left this process.
-    pub async fn call(&self, call: &LinkCall) -> Result<ReplyStream, LinkError> {
+    pub async fn call(
+        &self,
+        call: &LinkCall,
+    ) -> Result<ReplyStream, LinkError> {
         let frame = encode_frame(call).map_err(LinkError::not_sent)?;
         let sender = self.sender.clone().ready().await;
         let mut sender = sender.map_err(LinkError::not_sent)?;
--- a/wire/src/link/reply_sender.rs
+++ b/wire/src/link/reply_sender.rs
@@ -25,7 +25,10 @@
     ///
     /// # Errors
     /// [`LinkError`] when nobody wants it any more.
-    pub async fn send(&mut self, reply: &LinkReply) -> Result<(), LinkError> {
+    pub async fn send(
+        &mut self,
+        reply: &LinkReply,
+    ) -> Result<(), LinkError> {
         let mut frame = encode_frame(reply)?;
         while !frame.is_empty() {
             let room = self.room(frame.len()).await?;
@@ -52,7 +55,10 @@
         let _ = poll_fn(|cx| self.stream.poll_reset(cx)).await;
     }
 
-    async fn room(&mut self, wanted: usize) -> Result<usize, LinkError> {
+    async fn room(
+        &mut self,
+        wanted: usize,
+    ) -> Result<usize, LinkError> {
         self.stream.reserve_capacity(wanted);
         let room = poll_fn(|cx| self.stream.poll_capacity(cx)).await;
         match room {
--- a/wire/src/link/reply_stream.rs
+++ b/wire/src/link/reply_stream.rs
@@ -74,7 +74,10 @@
         }
     }
 
-    fn poll_bytes(&mut self, cx: &mut Context<'_>) -> Poll<Result<Option<Bytes>, LinkError>> {
+    fn poll_bytes(
+        &mut self,
+        cx: &mut Context<'_>,
+    ) -> Poll<Result<Option<Bytes>, LinkError>> {
         loop {
             match &mut self.state {
                 ReplyState::Waiting(response) => {
--- a/wire/src/messages/hand_over.rs
+++ b/wire/src/messages/hand_over.rs
@@ -12,6 +12,8 @@
     pub request_id: String,
     /// Organisation that it belongs to.
     pub organisation: String,
+    /// Label that the caller put on it.
+    pub label: String,
     /// Weight version it was decided for; none for plain services.
     pub version: Option<String>,
     /// Prompt tokens that are likely to be computed.
@@ -67,6 +69,19 @@
     pub address: SocketAddr,
     /// Tier they go to.
     pub tier: StoreTier,
+    /// Key by which the prompt is recognised.
+    pub identity: PieceKey,
     /// The pieces, in the order of the prompt.
     pub pieces: Vec<PieceKey>,
 }
+
+/// Pieces to drop from a store box.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct DropPlan {
+    /// Name of the store box.
+    pub store: String,
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// The pieces.
+    pub pieces: Vec<PinnedPiece>,
+}
--- a/wire/src/messages/link_call.rs
+++ b/wire/src/messages/link_call.rs
@@ -1,5 +1,5 @@
 use {
-    super::HandOver,
+    super::{DropPlan, HandOver},
     pitchhitch_core::role::{ConfigNotice, StampedOrder},
     serde::{Deserialize, Serialize},
 };
@@ -16,6 +16,8 @@
     },
     /// Take note of the configuration.
     Notice(ConfigNotice),
+    /// Drop pieces from a store box and tell everybody.
+    Drop(DropPlan),
     /// Carry out an order.
     Order(StampedOrder),
 }
