--- a/agent/src/beacons/beacon_sender.rs
+++ b/agent/src/beacons/beacon_sender.rs
@@ -20,6 +20,8 @@
 const LIST_INTERVAL: Duration = Duration::from_secs(5);
 /// Time between two readings while none is known.
 const SEARCH_INTERVAL: Duration = Duration::from_millis(250);
+/// Factor on the interval while all homes are linked: the link tells them more.
+const LINKED_FACTOR: u32 = 12;
 /// Pause before the socket is tried again.
 const BIND_PAUSE: Duration = Duration::from_millis(500);
 
@@ -57,18 +59,23 @@
         let beacon = Beacon::Agent(handle.view().beacon.clone());
         let was_refusing = handle.view().pulse.refusing;
         socket.send(beacon, &homes).await;
-        wait_or_refusing(&settings, &handle, was_refusing).await;
+        let linked = handle.view().subscribers >= homes.len() && !homes.is_empty();
+        let interval = match linked {
+            true => settings.beacon_interval * LINKED_FACTOR,
+            false => settings.beacon_interval,
+        };
+        wait_or_refusing(interval, &handle, was_refusing).await;
     }
 }
 
 /// Waits for the next beacon, but not once the agent begins to refuse work.
 async fn wait_or_refusing(
-    settings: &AgentSettings,
+    interval: Duration,
     handle: &ControlHandle,
     was_refusing: bool,
 ) {
     let timer = async {
-        Timer::after(settings.beacon_interval).await;
+        Timer::after(interval).await;
     };
     let change = async {
         while handle.view().pulse.refusing == was_refusing {
--- a/agent/src/control/agent_view.rs
+++ b/agent/src/control/agent_view.rs
@@ -9,4 +9,6 @@
     pub beacon: AgentBeacon,
     /// Whether nothing runs, waits or is carried away.
     pub idle: bool,
+    /// Entry processes that get this agent's events.
+    pub subscribers: usize,
 }
--- a/agent/src/control/control_loop.rs
+++ b/agent/src/control/control_loop.rs
@@ -5,7 +5,10 @@
     futures_lite::future,
     pitchhitch_core::{
         lease::FenceRefusal,
-        role::{AgentAction, AgentCore, AgentEvent, AgentIdentity, EndpointOrder, WorkTicket},
+        role::{
+            AgentAction, AgentCore, AgentEvent, AgentIdentity, AgentPulse, EndpointOrder,
+            WorkTicket,
+        },
     },
     pitchhitch_platform::process::ProcessClock,
     smol::Timer,
@@ -20,8 +23,10 @@
 
 /// Time between two ticks of the core.
 const TICK: Duration = Duration::from_millis(100);
-/// Ticks between two pulses to subscribers.
+/// Ticks between two pulses to subscribers while something goes on.
 const PULSE_TICKS: u32 = 3;
+/// Ticks between two pulses while nothing does.
+const IDLE_PULSE_TICKS: u32 = 48;
 
 /// Work that the core gives to others.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -48,6 +53,7 @@
     chores: Sender<AgentChore>,
     verdicts: HashMap<WorkTicket, Sender<GateVerdict>>,
     subscribers: SubscriberSet,
+    told: Option<AgentPulse>,
 }
 
 /// Starts the control thread.
@@ -74,6 +80,7 @@
         chores,
         verdicts: HashMap::new(),
         subscribers: SubscriberSet::default(),
+        told: None,
     };
     let thread = thread::Builder::new().name("control".to_string());
     thread.spawn(move || smol::block_on(control.run(inbox)))?;
@@ -88,6 +95,7 @@
         pulse: core.pulse(),
         beacon: core.beacon(),
         idle: core.is_idle(),
+        subscribers: 0,
     }
 }
 
@@ -110,15 +118,29 @@
                     next_tick = Instant::now() + TICK;
                     ticks += 1;
                     self.step(AgentEvent::Tick, None);
-                    if ticks % PULSE_TICKS == 0 {
-                        self.subscribers.publish(&[], self.core.pulse());
-                    }
+                    self.tell_pulse(ticks);
                 }
             }
             while let Ok(message) = inbox.try_recv() {
                 self.take(message);
             }
-            self.view.store(Arc::new(view_of(&self.core)));
+            let mut view = view_of(&self.core);
+            view.subscribers = self.subscribers.len();
+            self.view.store(Arc::new(view));
+        }
+    }
+
+    /// Tells the pulse often while something goes on, and now and then as a sign of life.
+    fn tell_pulse(
+        &mut self,
+        ticks: u32,
+    ) {
+        let pulse = self.core.pulse();
+        let busy = pulse.load.running > 0 || self.told != Some(pulse);
+        let due = if busy { PULSE_TICKS } else { IDLE_PULSE_TICKS };
+        if ticks % due == 0 {
+            self.subscribers.publish(&[], pulse);
+            self.told = Some(pulse);
         }
     }
 
--- a/agent/src/control/subscriber_set.rs
+++ b/agent/src/control/subscriber_set.rs
@@ -19,6 +19,16 @@
 }
 
 impl SubscriberSet {
+    /// Entry processes that get events.
+    pub fn len(&self) -> usize {
+        self.subscribers.len()
+    }
+
+    /// Whether nobody gets events.
+    pub fn is_empty(&self) -> bool {
+        self.subscribers.is_empty()
+    }
+
     /// Adds a subscriber and sends it all that is known.
     pub fn add(
         &mut self,
--- a/agent/src/gate/request_runner.rs
+++ b/agent/src/gate/request_runner.rs
@@ -58,6 +58,10 @@
     mut replies: ReplySender,
 ) {
     let request_id = hand_over.request_id.clone();
+    // The entry process goes elsewhere if it hears nothing from a frozen agent.
+    if replies.send(&LinkReply::Taken).await.is_err() {
+        return;
+    }
     let end = admit_and_run(&context, &mut hand_over, &mut replies).await;
     log::debug!(event = "run", request = request_id.as_str(), end = format!("{end:?}").as_str(); "");
     let pulse = context.handle.view().pulse;
--- a/agent/src/orders/order_runner.rs
+++ b/agent/src/orders/order_runner.rs
@@ -5,7 +5,7 @@
     },
     async_channel::Receiver,
     pitchhitch_core::{
-        lease::LeaseRow,
+        lease::{shard_of, LeaseRow},
         role::{AgentEvent, EndpointOrder, OrderOutcome, LEASE_PREFIX},
     },
     pitchhitch_platform::{process::spawn_detached, table::TableClient},
@@ -58,7 +58,7 @@
 
     /// Reads the epoch once; the next tick asks again if that fails.
     async fn read_epoch(&self) {
-        let key = format!("{LEASE_PREFIX}{}", self.group);
+        let key = format!("{LEASE_PREFIX}{}", shard_of(&self.group));
         let Ok(row) = self.table.read_row(&key).await else {
             return;
         };
--- a/core/src/kept/piece_directory.rs
+++ b/core/src/kept/piece_directory.rs
@@ -1,7 +1,6 @@
 use {
     super::{PieceKey, StoreTier},
     crate::route::{EndpointKey, StoreKey},
-    imbl::OrdMap,
     std::sync::Arc,
 };
 
@@ -25,56 +24,102 @@
     pub generation: u64,
 }
 
+/// The holders of one piece, in as little room as the usual cases allow.
 #[derive(Debug, Clone)]
 enum HolderList {
-    One(PieceHolder),
+    Endpoint(EndpointKey),
+    Store(Arc<StoredCopy>),
     Many(Arc<Vec<PieceHolder>>),
 }
 
 impl HolderList {
-    fn as_slice(&self) -> &[PieceHolder] {
-        match self {
-            HolderList::One(holder) => std::slice::from_ref(holder),
-            HolderList::Many(holders) => holders,
-        }
+    fn iter(&self) -> impl Iterator<Item = PieceHolder> + '_ {
+        let (one, many): (Option<PieceHolder>, &[PieceHolder]) = match self {
+            HolderList::Endpoint(key) => (Some(PieceHolder::Endpoint(*key)), &[]),
+            HolderList::Store(copy) => (Some(PieceHolder::Store(**copy)), &[]),
+            HolderList::Many(holders) => (None, holders),
+        };
+        one.into_iter().chain(many.iter().copied())
     }
 
-    fn from_vec(mut holders: Vec<PieceHolder>) -> Option<HolderList> {
-        match holders.len() {
-            0 => None,
-            1 => holders.pop().map(HolderList::One),
+    fn from_vec(holders: Vec<PieceHolder>) -> Option<HolderList> {
+        match holders.as_slice() {
+            [] => None,
+            [PieceHolder::Endpoint(key)] => Some(HolderList::Endpoint(*key)),
+            [PieceHolder::Store(copy)] => Some(HolderList::Store(Arc::new(*copy))),
             _ => Some(HolderList::Many(Arc::new(holders))),
         }
     }
 }
 
+/// Buckets of the directory, by the first bits of a key.
+const BUCKETS: usize = 4_096;
+const BUCKET_BITS: u32 = BUCKETS.trailing_zeros();
+
+/// Short form of a key. Two pieces may share one: then a hint is wrong, which
+/// the full key shows as soon as somebody asks the holder.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+struct ShortKey(u64);
+
+impl ShortKey {
+    fn of(key: PieceKey) -> Self {
+        ShortKey((key.0 >> 64) as u64)
+    }
+
+    fn bucket(self) -> usize {
+        (self.0 >> (u64::BITS - BUCKET_BITS)) as usize
+    }
+}
+
+#[derive(Debug, Clone)]
+struct DirectoryRow {
+    key: ShortKey,
+    holders: HolderList,
+}
+
+type Bucket = Vec<DirectoryRow>;
+
 /// Who holds which piece, as far as this process has heard.
 ///
 /// It is a hint: events come late and with gaps, so the agent checks before
-/// anything is read. Clones share their structure, so that a snapshot for the
-/// traffic threads costs next to nothing.
-#[derive(Debug, Clone, Default)]
+/// anything is read. Clones share all buckets that neither side has changed
+/// since, so that a snapshot for the traffic threads costs next to nothing.
+#[derive(Debug, Clone)]
 pub struct PieceDirectory {
-    holders: OrdMap<PieceKey, HolderList>,
+    buckets: Arc<Vec<Arc<Bucket>>>,
+    length: usize,
+}
+
+impl Default for PieceDirectory {
+    fn default() -> Self {
+        PieceDirectory {
+            buckets: Arc::new(vec![Arc::default(); BUCKETS]),
+            length: 0,
+        }
+    }
 }
 
 impl PieceDirectory {
     /// Number of pieces known.
     pub fn len(&self) -> usize {
-        self.holders.len()
+        self.length
     }
 
     /// Whether no piece is known.
     pub fn is_empty(&self) -> bool {
-        self.holders.is_empty()
+        self.length == 0
     }
 
     /// All known holders of a piece; some may be gone by now.
     pub fn holders(
         &self,
         key: PieceKey,
-    ) -> &[PieceHolder] {
-        self.holders.get(&key).map_or(&[], HolderList::as_slice)
+    ) -> impl Iterator<Item = PieceHolder> + '_ {
+        let short = ShortKey::of(key);
+        let bucket = &self.buckets[short.bucket()];
+        let place = bucket.binary_search_by_key(&short, |row| row.key);
+        let row = place.ok().map(|index| &bucket[index]);
+        row.into_iter().flat_map(|row| row.holders.iter())
     }
 
     /// Notes a holder. A newer copy on the same store box replaces the older one.
@@ -83,10 +128,13 @@
         key: PieceKey,
         holder: PieceHolder,
     ) {
-        let mut holders = self.holders(key).to_vec();
+        let mut holders: Vec<PieceHolder> = self.holders(key).collect();
+        if holders.contains(&holder) {
+            return;
+        }
         holders.retain(|h| !same_place(h, &holder));
         holders.push(holder);
-        self.replace(key, holders);
+        self.replace(ShortKey::of(key), holders);
     }
 
     /// Forgets a holder.
@@ -95,50 +143,70 @@
         key: PieceKey,
         holder: &PieceHolder,
     ) {
-        let mut holders = self.holders(key).to_vec();
+        let mut holders: Vec<PieceHolder> = self.holders(key).collect();
+        let before = holders.len();
         holders.retain(|h| !same_place(h, holder));
-        self.replace(key, holders);
+        if holders.len() != before {
+            self.replace(ShortKey::of(key), holders);
+        }
     }
 
-    /// Forgets every holder that `is_gone`, looking at the pieces from `from` on
-    /// and at most at `limit` of them. Returns where to go on, or none at the end.
+    /// Forgets every holder that `is_gone` in some buckets from `cursor` on, and
+    /// gives the cursor for the next call. After enough calls all were looked at.
     pub fn sweep(
         &mut self,
-        from: PieceKey,
-        limit: usize,
+        cursor: usize,
+        buckets: usize,
         is_gone: impl Fn(&PieceHolder) -> bool,
-    ) -> Option<PieceKey> {
-        let mut stale = Vec::new();
-        let mut next = None;
-        for (count, (key, list)) in self.holders.range(from..).enumerate() {
-            if count == limit {
-                next = Some(*key);
-                break;
-            }
-            if list.as_slice().iter().any(&is_gone) {
-                stale.push(*key);
+    ) -> usize {
+        for step in 0..buckets {
+            let index = (cursor + step) % BUCKETS;
+            let stale: Vec<ShortKey> = self.buckets[index]
+                .iter()
+                .filter(|row| row.holders.iter().any(|holder| is_gone(&holder)))
+                .map(|row| row.key)
+                .collect();
+            for key in stale {
+                self.drop_gone(key, &is_gone);
             }
         }
-        for key in stale {
-            let mut holders = self.holders(key).to_vec();
-            holders.retain(|h| !is_gone(h));
-            self.replace(key, holders);
+        (cursor + buckets) % BUCKETS
+    }
+
+    fn drop_gone(
+        &mut self,
+        key: ShortKey,
+        is_gone: &impl Fn(&PieceHolder) -> bool,
+    ) {
+        let bucket = &self.buckets[key.bucket()];
+        if let Ok(index) = bucket.binary_search_by_key(&key, |row| row.key) {
+            let holders = bucket[index].holders.iter();
+            let left: Vec<PieceHolder> = holders.filter(|holder| !is_gone(holder)).collect();
+            self.replace(key, left);
         }
-        next
     }
 
     fn replace(
         &mut self,
-        key: PieceKey,
+        key: ShortKey,
         holders: Vec<PieceHolder>,
     ) {
-        match HolderList::from_vec(holders) {
-            Some(list) => {
-                self.holders.insert(key, list);
+        let buckets = Arc::make_mut(&mut self.buckets);
+        let bucket = Arc::make_mut(&mut buckets[key.bucket()]);
+        let place = bucket.binary_search_by_key(&key, |row| row.key);
+        match (place, HolderList::from_vec(holders)) {
+            (Ok(index), Some(holders)) => bucket[index].holders = holders,
+            (Ok(index), None) => {
+                bucket.remove(index);
+                self.length -= 1;
             }
-            None => {
-                self.holders.remove(&key);
+            (Err(index), Some(holders)) => {
+                // Buckets are many and small: room to spare would add up.
+                bucket.reserve_exact(1);
+                bucket.insert(index, DirectoryRow { key, holders });
+                self.length += 1;
             }
+            (Err(_), None) => {}
         }
     }
 }
--- a/core/src/lease/lease_machine.rs
+++ b/core/src/lease/lease_machine.rs
@@ -14,8 +14,8 @@
 impl Default for LeaseTimes {
     fn default() -> Self {
         LeaseTimes {
-            length: Micros::from_secs(6),
-            interval: Micros::from_secs(2),
+            length: Micros::from_secs(9),
+            interval: Micros::from_secs(3),
             margin: Micros::from_secs(1),
         }
     }
--- a/core/src/role/endpoint_roster.rs
+++ b/core/src/role/endpoint_roster.rs
@@ -12,12 +12,15 @@
     std::{collections::BTreeMap, sync::Arc},
 };
 
-/// Silence of an agent, by beacon and link, after which it gets no new work.
+/// Silence of a busy agent, by beacon and link, after which it gets no new work.
 pub const SUSPECT_AFTER: Micros = Micros::from_millis(2_000);
-/// Silence after which a link that is still up counts as hung.
+/// Silence of a busy agent after which a link that is still up counts as hung.
 pub const HUNG_AFTER: Micros = Micros::from_millis(4_000);
+/// Factor on both for an idle agent, which says less. A request to it that it
+/// does not acknowledge is noticed much sooner.
+pub const IDLE_FACTOR: u64 = 4;
 /// Silence after which the endpoint is taken out of the table.
-pub const REMOVE_AFTER: Micros = Micros::from_secs(15);
+pub const REMOVE_AFTER: Micros = Micros::from_secs(20);
 
 /// One endpoint as the control state has it.
 #[derive(Debug, Clone)]
@@ -56,6 +59,17 @@
     entries: BTreeMap<String, RosterEntry>,
 }
 
+/// What a report of load changed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum LoadChange {
+    /// Nothing.
+    None,
+    /// The load.
+    Load,
+    /// The endpoint began or ceased to refuse work.
+    Refusal,
+}
+
 /// Endpoints about which something must be done.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct RosterVerdict {
@@ -63,13 +77,17 @@
     pub gone: Vec<String>,
     /// Silent although their link is up.
     pub hung_links: Vec<String>,
+    /// Whether any endpoint's load must be published anew.
+    pub changed: bool,
 }
 
 /// What a beacon changed.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum RosterChange {
-    /// Nothing but load.
+    /// Nothing.
     None,
+    /// Nothing but load.
+    Load,
     /// The endpoint is new or in a new life; it must be linked.
     Joined,
     /// Something that pools depend on.
@@ -132,10 +150,12 @@
         if let Some(entry) = self.entries.get_mut(&beacon.endpoint_id) {
             entry.revision = entry.revision.max(beacon.revision);
         }
-        if self.note_load(&beacon.endpoint_id, pulse_of(beacon), own, now) {
-            change = RosterChange::Altered;
+        match self.note_load(&beacon.endpoint_id, pulse_of(beacon), own, now) {
+            LoadChange::None => change,
+            LoadChange::Load if change == RosterChange::None => RosterChange::Load,
+            LoadChange::Load => change,
+            LoadChange::Refusal => RosterChange::Altered,
         }
-        change
     }
 
     fn insert(
@@ -201,16 +221,16 @@
         }
     }
 
-    /// Notes the load of an endpoint; true when it began or ceased to refuse work.
+    /// Notes the load of an endpoint.
     pub fn note_load(
         &mut self,
         endpoint_id: &str,
         pulse: AgentPulse,
         own: SentLoad,
         now: Micros,
-    ) -> bool {
+    ) -> LoadChange {
         let Some(entry) = self.entries.get_mut(endpoint_id) else {
-            return false;
+            return LoadChange::None;
         };
         entry.heard_at = now;
         entry.exporting = pulse.exporting;
@@ -220,12 +240,17 @@
             report: pulse.load,
             own_tokens: own.tokens,
             own_running: own.running,
-            heard_at: now,
             alive: entry.linked && !entry.guard.is_out(now),
             penalty: entry.guard.penalty(now),
         };
-        self.loads.insert(entry.key, load);
-        altered
+        let before = self.loads.insert(entry.key, load);
+        if altered {
+            LoadChange::Refusal
+        } else if before != Some(load) {
+            LoadChange::Load
+        } else {
+            LoadChange::None
+        }
     }
 
     /// Judges anew who is alive.
@@ -236,15 +261,21 @@
         let mut verdict = RosterVerdict::default();
         for (id, entry) in &self.entries {
             let silent = now.since(entry.heard_at);
+            let load = self.loads.get_mut(entry.key);
+            let idle = load.as_ref().is_none_or(|l| l.report.running == 0);
+            let factor = if idle { IDLE_FACTOR } else { 1 };
             if silent >= REMOVE_AFTER {
                 verdict.gone.push(id.clone());
-            } else if silent >= HUNG_AFTER && entry.linked {
+            } else if silent.0 >= HUNG_AFTER.0 * factor && entry.linked {
                 verdict.hung_links.push(id.clone());
             }
-            if let Some(load) = self.loads.get_mut(entry.key) {
-                let heard = silent < SUSPECT_AFTER;
-                load.alive = entry.linked && heard && !entry.guard.is_out(now);
-                load.penalty = entry.guard.penalty(now);
+            if let Some(load) = load {
+                let heard = silent.0 < SUSPECT_AFTER.0 * factor;
+                let alive = entry.linked && heard && !entry.guard.is_out(now);
+                let penalty = entry.guard.penalty(now);
+                verdict.changed |= load.alive != alive || load.penalty != penalty;
+                load.alive = alive;
+                load.penalty = penalty;
             }
         }
         verdict
--- a/core/src/role/entry_action.rs
+++ b/core/src/role/entry_action.rs
@@ -74,10 +74,10 @@
         /// The pieces.
         pieces: Vec<StoredPiece>,
     },
-    /// Read a lease row.
-    ReadLease {
-        /// Shard of the lease.
-        shard: String,
+    /// Read lease rows, all in one read.
+    ReadLeases {
+        /// Shards of the leases.
+        shards: Vec<String>,
     },
     /// Replace a lease row.
     WriteLease {
--- a/core/src/role/entry_core.rs
+++ b/core/src/role/entry_core.rs
@@ -1,8 +1,9 @@
 use {
     super::{
-        AgentPulse, BoxNotice, BoxRole, ConfigNotice, EndpointRoster, EntryAction, EntryEvent,
-        EventBatch, LeaseOutcome, LoadController, MissingNotice, PlacementKind, PlacementLine,
-        PromptMemory, RosterChange, StoredNotice, StoredPiece, UpwardEvent,
+        engine_groups, AgentPulse, BoxNotice, BoxRole, ConfigNotice, EndpointRoster, EntryAction,
+        EntryEvent, EventBatch, LeaseOutcome, LoadChange, LoadController, MissingNotice,
+        PlacementKind, PlacementLine, PromptMemory, RosterChange, ShardKeeper, StoredNotice,
+        StoredPiece, UpwardEvent,
     },
     crate::{
         conf::FleetConfig,
@@ -25,10 +26,12 @@
 pub const DEFAULT_LINK_RATE: f64 = 1.0e9;
 /// Disk rate of a store box, in bytes a second.
 pub const DEFAULT_DISK_RATE: f64 = 4.0e8;
-/// Pieces looked at for stale holders in one tick.
-const SWEEP_STEP: usize = 512;
+/// Buckets of the directory looked at for stale holders at a time.
+const SWEEP_STEP: usize = 16;
+/// Ticks between two judgements of who is alive.
+const JUDGE_TICKS: u64 = 6;
 /// Ticks between two looks at leases and load orders.
-const PLACEMENT_TICKS: u64 = 5;
+const PLACEMENT_TICKS: u64 = 10;
 /// Pieces that are known at most.
 const PIECE_LIMIT: usize = 400_000;
 /// Sealed pieces that are remembered until a store box has listed them itself.
@@ -47,6 +50,8 @@
 /// How an entry process's core is set up.
 #[derive(Debug, Clone)]
 pub struct EntrySetup {
+    /// Id of the process's box.
+    pub box_id: String,
     /// Names this life of the process, for leases.
     pub holder: String,
     /// How endpoints are chosen.
@@ -67,13 +72,15 @@
     store_listed: BTreeMap<String, Micros>,
     pieces: PieceDirectory,
     pools: Arc<PoolIndex>,
+    groups: BTreeSet<String>,
     prompts: PromptMemory,
+    keeper: ShardKeeper,
     loads: LoadController,
     ledgers: BTreeMap<String, StoreLedger>,
     evicted_at: BTreeMap<String, Micros>,
     stored_since_list: Vec<StoredNotice>,
     leaving_boxes: BTreeSet<String>,
-    sweep_from: PieceKey,
+    sweep_from: usize,
     pools_stale: bool,
     table_stale: bool,
     notices_due: bool,
@@ -86,7 +93,8 @@
     /// A core that knows nothing yet.
     pub fn new(setup: EntrySetup) -> Self {
         EntryCore {
-            loads: LoadController::new(setup.holder.clone(), setup.lease),
+            keeper: ShardKeeper::new(&setup.box_id, &setup.holder, setup.lease),
+            loads: LoadController::default(),
             setup,
             config: Arc::default(),
             roster: EndpointRoster::default(),
@@ -96,12 +104,13 @@
             store_listed: BTreeMap::new(),
             pieces: PieceDirectory::default(),
             pools: Arc::default(),
+            groups: BTreeSet::new(),
             prompts: PromptMemory::default(),
             ledgers: BTreeMap::new(),
             evicted_at: BTreeMap::new(),
             stored_since_list: Vec::new(),
             leaving_boxes: BTreeSet::new(),
-            sweep_from: PieceKey(0),
+            sweep_from: 0,
             pools_stale: false,
             table_stale: false,
             notices_due: false,
@@ -169,17 +178,17 @@
                     version,
                     asked_at,
                 };
-                self.loads.lease_outcome(&shard, outcome, now);
+                self.keeper.outcome(&shard, outcome, now);
             }
             EntryEvent::LeaseWritten { shard, version } => {
                 let outcome = LeaseOutcome::Written { version };
-                self.loads.lease_outcome(&shard, outcome, now);
+                self.keeper.outcome(&shard, outcome, now);
             }
             EntryEvent::LeaseRefused { shard } => {
-                self.loads.lease_outcome(&shard, LeaseOutcome::Refused, now);
+                self.keeper.outcome(&shard, LeaseOutcome::Refused, now);
             }
             EntryEvent::LeaseUnknown { shard } => {
-                self.loads.lease_outcome(&shard, LeaseOutcome::Unknown, now);
+                self.keeper.outcome(&shard, LeaseOutcome::Unknown, now);
             }
             EntryEvent::OrderFailed { endpoint_id } => {
                 if let Some(entry) = self.roster.get_mut(&endpoint_id) {
@@ -195,8 +204,31 @@
         now: Micros,
         actions: &mut Vec<EntryAction>,
     ) {
-        self.peers.drop_silent(now);
+        self.ticks += 1;
+        if self.ticks % JUDGE_TICKS == 0 {
+            self.peers.drop_silent(now);
+            self.judge_endpoints(now, actions);
+            self.sweep_pieces();
+            self.list_stores(now, actions);
+        }
+        if self.ticks % PLACEMENT_TICKS == 0 {
+            let config = self.config.clone();
+            self.keeper
+                .tick(now, &self.groups, config.revision, actions);
+            self.loads
+                .tick(now, &config, &mut self.roster, &mut self.keeper, actions);
+        }
+        self.notify_agents(actions);
+        self.publish(actions);
+    }
+
+    fn judge_endpoints(
+        &mut self,
+        now: Micros,
+        actions: &mut Vec<EntryAction>,
+    ) {
         let verdict = self.roster.judge(now);
+        self.table_stale |= verdict.changed;
         for endpoint_id in verdict.hung_links {
             self.link_lost(now, &endpoint_id);
             actions.push(EntryAction::DropLink { endpoint_id });
@@ -204,16 +236,6 @@
         for endpoint_id in verdict.gone {
             self.lose_endpoint(&endpoint_id, "silent", actions);
         }
-        self.table_stale = true;
-        self.sweep_pieces();
-        self.list_stores(now, actions);
-        self.ticks += 1;
-        if self.ticks % PLACEMENT_TICKS == 0 {
-            let config = self.config.clone();
-            self.loads.tick(now, &config, &mut self.roster, actions);
-        }
-        self.notify_agents(actions);
-        self.publish(actions);
     }
 
     /// Publishes a new view if something changed since the last one.
@@ -223,6 +245,7 @@
     ) {
         if self.pools_stale {
             self.pools = Arc::new(PoolIndex::build(&self.config, &self.roster.arena));
+            self.groups = engine_groups(&self.roster);
             self.pools_stale = false;
             self.table_stale = true;
         }
@@ -277,7 +300,8 @@
         actions: &mut Vec<EntryAction>,
     ) {
         match self.roster.heard(&beacon, own, &self.config, now) {
-            RosterChange::None => self.table_stale = true,
+            RosterChange::None => {}
+            RosterChange::Load => self.table_stale = true,
             RosterChange::Altered => {
                 self.roster.relabel(&self.config);
                 self.pools_stale = true;
@@ -360,11 +384,14 @@
         pulse: AgentPulse,
         own: SentLoad,
     ) {
-        if self.roster.note_load(endpoint_id, pulse, own, now) {
-            self.roster.relabel(&self.config);
-            self.pools_stale = true;
+        match self.roster.note_load(endpoint_id, pulse, own, now) {
+            LoadChange::None => {}
+            LoadChange::Load => self.table_stale = true,
+            LoadChange::Refusal => {
+                self.roster.relabel(&self.config);
+                self.pools_stale = true;
+            }
         }
-        self.table_stale = true;
     }
 
     fn agent_said(
@@ -393,6 +420,7 @@
             return;
         }
         entry.next_event = Some(expected + batch.events.len() as u64);
+        self.table_stale |= !batch.events.is_empty();
         for event in batch.events {
             self.upward(now, endpoint_id, event, actions);
         }
@@ -499,7 +527,7 @@
             .evicted_at
             .get(store)
             .is_some_and(|at| now.since(*at) < EVICT_PAUSE);
-        if evicted_lately || !self.loads.holds(&state.group, now) {
+        if evicted_lately || self.keeper.epoch(&state.group, now).is_none() {
             return;
         }
         let address = state.address;
@@ -532,11 +560,12 @@
         let Some(&store) = self.store_keys.get(&notice.store) else {
             return;
         };
-        let copies = self.pieces.holders(notice.key).iter();
-        let gone = copies.copied().find(|holder| match holder {
+        let mut copies = self.pieces.holders(notice.key);
+        let gone = copies.find(|holder| match holder {
             PieceHolder::Store(copy) => copy.store == store && copy.generation == notice.generation,
             PieceHolder::Endpoint(_) => false,
         });
+        drop(copies);
         if let Some(holder) = gone {
             self.pieces.remove(notice.key, &holder);
         }
@@ -548,7 +577,7 @@
         holder: PieceHolder,
     ) {
         let full = self.pieces.len() >= PIECE_LIMIT;
-        if !full || !self.pieces.holders(piece).is_empty() {
+        if !full || self.pieces.holders(piece).next().is_some() {
             self.pieces.add(piece, holder);
         }
     }
@@ -587,6 +616,9 @@
             self.notices_due = true;
             self.notify_agents(actions);
         }
+        let entries = boxes.iter().filter(|b| b.role == BoxRole::Entry);
+        self.keeper
+            .note_entries(entries.map(|b| b.id.clone()).collect());
         for notice in boxes {
             if notice.role == BoxRole::Store && !notice.leaving {
                 listed.push(notice.id.clone());
@@ -770,13 +802,12 @@
     fn sweep_pieces(&mut self) {
         let arena = self.roster.arena.clone();
         let stores = &self.stores;
-        let next = self
+        self.sweep_from = self
             .pieces
             .sweep(self.sweep_from, SWEEP_STEP, |holder| match holder {
                 PieceHolder::Endpoint(key) => !arena.contains_key(*key),
                 PieceHolder::Store(copy) => !stores.contains_key(copy.store),
             });
-        self.sweep_from = next.unwrap_or(PieceKey(0));
     }
 
     fn notify_agents(
@@ -828,7 +859,7 @@
 
     /// Hands back what others should take over at once, as at a planned stop.
     pub fn release(&mut self) -> Vec<EntryAction> {
-        self.loads.release()
+        self.keeper.release()
     }
 
     /// Whether the balancer should send requests here.
@@ -880,7 +911,7 @@
         &self,
         now: Micros,
     ) -> Vec<String> {
-        self.loads.held_shards(now)
+        self.keeper.held(now)
     }
 
     /// How far the drain of an endpoint is.
--- a/core/src/role/load_controller.rs
+++ b/core/src/role/load_controller.rs
@@ -1,10 +1,11 @@
 use {
     super::{
-        EndpointOrder, EndpointRoster, EntryAction, PlacementKind, PlacementLine, StampedOrder,
+        EndpointOrder, EndpointRoster, EntryAction, PlacementKind, PlacementLine, ShardKeeper,
+        StampedOrder,
     },
     crate::{
         conf::FleetConfig,
-        lease::{LeaseMachine, LeaseRow, LeaseStep, LeaseTimes, OrderStamp},
+        lease::shard_of,
         place::{plan_loads, EngineLoadView, LoadStep},
         route::{EndpointKind, EndpointState},
         time::Micros,
@@ -12,241 +13,124 @@
     std::collections::{BTreeMap, BTreeSet},
 };
 
-/// Prefix of lease rows in the table.
-pub const LEASE_PREFIX: &str = "lease/";
 /// Label that says which version an endpoint should hold, instead of the active one.
 pub const VERSION_LABEL: &str = "version";
 /// Time after which an order that nobody reported on is given up.
-const ORDER_PATIENCE: Micros = Micros::from_secs(30);
+const ORDER_PATIENCE: Micros = Micros::from_secs(60);
 
-#[derive(Debug)]
-struct GroupShard {
-    lease: LeaseMachine,
-    sequence: u64,
-    last_epoch: Option<u64>,
-    ordered_at: BTreeMap<String, Micros>,
-}
-
-/// Gives load orders to the engines of each group, under the group's lease.
-#[derive(Debug)]
+/// Gives load orders to the engines of each group, under the lease of its shard.
+#[derive(Debug, Default)]
 pub struct LoadController {
-    me: String,
-    times: LeaseTimes,
-    shards: BTreeMap<String, GroupShard>,
-}
-
-/// What a lease call brought.
-#[derive(Debug, Clone)]
-pub enum LeaseOutcome {
-    /// The row was read.
-    Read {
-        /// The row; none when there is none.
-        row: Option<LeaseRow>,
-        /// Its table version.
-        version: u64,
-        /// When the read was sent.
-        asked_at: Micros,
-    },
-    /// The row was written.
-    Written {
-        /// Its new table version.
-        version: u64,
-    },
-    /// The row had changed before.
-    Refused,
-    /// Nobody knows.
-    Unknown,
+    ordered_at: BTreeMap<String, Micros>,
 }
 
 impl LoadController {
-    /// A controller without any shard; `me` names this life of the process.
-    pub fn new(
-        me: impl Into<String>,
-        times: LeaseTimes,
-    ) -> Self {
-        LoadController {
-            me: me.into(),
-            times,
-            shards: BTreeMap::new(),
-        }
-    }
-
-    /// Takes in the outcome of a lease call.
-    pub fn lease_outcome(
-        &mut self,
-        group: &str,
-        outcome: LeaseOutcome,
-        now: Micros,
-    ) {
-        let Some(shard) = self.shards.get_mut(group) else {
-            return;
-        };
-        match outcome {
-            LeaseOutcome::Read {
-                row,
-                version,
-                asked_at,
-            } => shard.lease.row_read(row, version, asked_at, now),
-            LeaseOutcome::Written { version } => shard.lease.row_written(version, now),
-            LeaseOutcome::Refused => shard.lease.write_refused(),
-            LeaseOutcome::Unknown => shard.lease.write_unknown(),
-        }
-    }
-
-    /// Whether this process holds the lease of a group now.
-    pub fn holds(
-        &self,
-        group: &str,
-        now: Micros,
-    ) -> bool {
-        self.shards
-            .get(group)
-            .is_some_and(|s| s.lease.epoch(now).is_some())
-    }
-
-    /// Shards that this process holds now.
-    pub fn held_shards(
-        &self,
-        now: Micros,
-    ) -> Vec<String> {
-        let held = self
-            .shards
-            .iter()
-            .filter(|(_, s)| s.lease.epoch(now).is_some());
-        held.map(|(group, _)| group.clone()).collect()
-    }
-
-    /// Hands all leases back, as at a planned stop.
-    pub fn release(&mut self) -> Vec<EntryAction> {
-        let mut actions = Vec::new();
-        for (group, shard) in &mut self.shards {
-            if let Some(LeaseStep::Write { version, row }) = shard.lease.release() {
-                actions.push(EntryAction::WriteLease {
-                    shard: group.clone(),
-                    version,
-                    row,
-                });
-            }
-        }
-        actions
-    }
-
-    /// Moves leases on and gives the orders that are due.
+    /// Gives the orders that are due.
     pub fn tick(
         &mut self,
         now: Micros,
         config: &FleetConfig,
         roster: &mut EndpointRoster,
+        keeper: &mut ShardKeeper,
         actions: &mut Vec<EntryAction>,
     ) {
-        self.note_groups(roster);
-        let groups: Vec<String> = self.shards.keys().cloned().collect();
-        for group in groups {
-            self.move_lease(&group, now, config, actions);
-            self.order_loads(&group, now, config, roster, actions);
-        }
-    }
-
-    fn note_groups(
-        &mut self,
-        roster: &EndpointRoster,
-    ) {
-        let engines = roster
-            .arena
-            .values()
-            .filter(|s| matches!(s.kind, EndpointKind::Engine { .. }));
-        let groups: BTreeSet<&String> = engines.map(|s| &s.group).collect();
-        for group in groups {
-            if !self.shards.contains_key(group) {
-                let shard = GroupShard {
-                    lease: LeaseMachine::new(self.me.clone(), self.times),
-                    sequence: 0,
-                    last_epoch: None,
-                    ordered_at: BTreeMap::new(),
-                };
-                self.shards.insert(group.clone(), shard);
+        self.forget_old_orders(now, roster);
+        for group in groups_behind(config, roster) {
+            if keeper.epoch(&group, now).is_none() {
+                continue;
+            }
+            for step in due_loads(&group, config, roster) {
+                self.order(now, &group, step, config, roster, keeper, actions);
             }
         }
     }
 
-    fn move_lease(
+    /// An order whose outcome never came is not waited for any longer.
+    fn forget_old_orders(
         &mut self,
-        group: &str,
         now: Micros,
-        config: &FleetConfig,
-        actions: &mut Vec<EntryAction>,
+        roster: &mut EndpointRoster,
     ) {
-        let Some(shard) = self.shards.get_mut(group) else {
-            return;
-        };
-        match shard.lease.step(now) {
-            LeaseStep::Wait => {}
-            LeaseStep::Read => actions.push(EntryAction::ReadLease {
-                shard: group.to_string(),
-            }),
-            LeaseStep::Write { version, row } => actions.push(EntryAction::WriteLease {
-                shard: group.to_string(),
-                version,
-                row,
-            }),
-        }
-        let epoch = shard.lease.epoch(now);
-        if epoch != shard.last_epoch {
-            shard.last_epoch = epoch;
-            shard.sequence = 0;
-            shard.ordered_at.clear();
-            actions.push(EntryAction::Log(lease_line(group, epoch, config.revision)));
-        }
+        self.ordered_at.retain(|id, ordered_at| {
+            let Some(entry) = roster.get_mut(id) else {
+                return false;
+            };
+            if now.since(*ordered_at) >= ORDER_PATIENCE {
+                entry.loading = None;
+            }
+            entry.loading.is_some()
+        });
     }
 
-    fn order_loads(
+    #[allow(clippy::too_many_arguments)]
+    fn order(
         &mut self,
-        group: &str,
         now: Micros,
+        group: &str,
+        step: LoadStep,
         config: &FleetConfig,
         roster: &mut EndpointRoster,
+        keeper: &mut ShardKeeper,
         actions: &mut Vec<EntryAction>,
     ) {
-        let Some(shard) = self.shards.get_mut(group) else {
+        let Some(state) = roster.arena.get(step.endpoint).cloned() else {
             return;
         };
-        let Some(epoch) = shard.lease.epoch(now) else {
+        let Some(stamp) = keeper.next_stamp(group, now) else {
             return;
         };
-        shard.ordered_at.retain(|id, at| {
-            let waiting = roster.get(id).is_some_and(|e| e.loading.is_some());
-            waiting && now.since(*at) < ORDER_PATIENCE
-        });
-        for step in due_loads(group, config, roster) {
-            let Some(state) = roster.arena.get(step.endpoint).cloned() else {
-                continue;
-            };
-            shard.sequence += 1;
-            shard.ordered_at.insert(state.id.clone(), now);
-            if let Some(entry) = roster.get_mut(&state.id) {
-                entry.loading = Some(step.version.clone());
-            }
-            actions.push(EntryAction::Log(PlacementLine {
-                decision: PlacementKind::LoadOrdered,
-                subject: state.id.clone(),
-                reason: format!("version {} is wanted; epoch {epoch}", step.version),
-                revision: config.revision,
-            }));
-            actions.push(EntryAction::Order {
-                endpoint_id: state.id.clone(),
-                order: StampedOrder {
-                    shard: group.to_string(),
-                    stamp: OrderStamp {
-                        epoch,
-                        sequence: shard.sequence,
-                    },
-                    order: EndpointOrder::LoadVersion {
-                        version: step.version,
-                    },
+        self.ordered_at.insert(state.id.clone(), now);
+        if let Some(entry) = roster.get_mut(&state.id) {
+            entry.loading = Some(step.version.clone());
+        }
+        actions.push(EntryAction::Log(PlacementLine {
+            decision: PlacementKind::LoadOrdered,
+            subject: state.id.clone(),
+            reason: format!("version {} is wanted; epoch {}", step.version, stamp.epoch),
+            revision: config.revision,
+        }));
+        actions.push(EntryAction::Order {
+            endpoint_id: state.id.clone(),
+            order: StampedOrder {
+                shard: shard_of(group),
+                stamp,
+                order: EndpointOrder::LoadVersion {
+                    version: step.version,
                 },
-            });
+            },
+        });
+    }
+}
+
+/// Groups with an engine that does not hold the version it should.
+fn groups_behind(
+    config: &FleetConfig,
+    roster: &EndpointRoster,
+) -> BTreeSet<String> {
+    let mut groups = BTreeSet::new();
+    for state in roster.arena.values() {
+        let EndpointKind::Engine { model, version } = &state.kind else {
+            continue;
+        };
+        let wanted = wanted_version(config, state, model);
+        if wanted.is_some_and(|wanted| wanted != version) && !groups.contains(&state.group) {
+            groups.insert(state.group.clone());
+        }
+    }
+    groups
+}
+
+/// Groups that have engines.
+pub fn engine_groups(roster: &EndpointRoster) -> BTreeSet<String> {
+    let states = roster.arena.values();
+    let engines = states.filter(|s| matches!(s.kind, EndpointKind::Engine { .. }));
+    let mut groups = BTreeSet::new();
+    for state in engines {
+        if !groups.contains(&state.group) {
+            groups.insert(state.group.clone());
         }
     }
+    groups
 }
 
 fn due_loads(
@@ -292,20 +176,3 @@
         .filter(|v| conf.versions.contains_key(*v));
     Some(labelled.unwrap_or(&conf.active))
 }
-
-fn lease_line(
-    group: &str,
-    epoch: Option<u64>,
-    revision: u64,
-) -> PlacementLine {
-    let (decision, reason) = match epoch {
-        Some(epoch) => (PlacementKind::LeaseTaken, format!("epoch {epoch}")),
-        None => (PlacementKind::LeaseLost, "lapsed or taken over".to_string()),
-    };
-    PlacementLine {
-        decision,
-        subject: group.to_string(),
-        reason,
-        revision,
-    }
-}
--- a/core/src/role/mod.rs
+++ b/core/src/role/mod.rs
@@ -15,9 +15,11 @@
 mod load_controller;
 mod prompt_memory;
 mod service_meter;
+mod shard_keeper;
 
 pub use {
     agent_action::*, agent_core::*, agent_event::*, agent_identity::*, cache_mirror::*,
     endpoint_order::*, endpoint_roster::*, entry_action::*, entry_core::*, entry_event::*,
     event_batch::*, gate_work::*, load_controller::*, prompt_memory::*, service_meter::*,
+    shard_keeper::*,
 };
--- a/core/src/role/prompt_memory.rs
+++ b/core/src/role/prompt_memory.rs
@@ -5,7 +5,7 @@
         time::Micros,
     },
     std::{
-        collections::{BTreeMap, VecDeque},
+        collections::{BTreeMap, BTreeSet, VecDeque},
         sync::Arc,
     },
 };
@@ -18,7 +18,7 @@
 
 #[derive(Debug, Clone)]
 struct SeenPrompt {
-    label: ReturnLabel,
+    label: Arc<ReturnLabel>,
     seen_at: Micros,
 }
 
@@ -27,6 +27,7 @@
 pub struct PromptMemory {
     seen: BTreeMap<PieceKey, SeenPrompt>,
     order: VecDeque<PieceKey>,
+    labels: BTreeSet<Arc<ReturnLabel>>,
     model: Arc<ReturnModel>,
 }
 
@@ -60,7 +61,7 @@
         now: Micros,
     ) {
         let prompt = SeenPrompt {
-            label: label.clone(),
+            label: self.shared(&label),
             seen_at: now,
         };
         match self.seen.insert(identity, prompt) {
@@ -88,6 +89,19 @@
         }
     }
 
+    /// The one copy of a label that all prompts share.
+    fn shared(
+        &mut self,
+        label: &ReturnLabel,
+    ) -> Arc<ReturnLabel> {
+        if let Some(known) = self.labels.get(label) {
+            return known.clone();
+        }
+        let label = Arc::new(label.clone());
+        self.labels.insert(label.clone());
+        label
+    }
+
     fn forget_oldest(&mut self) {
         let Some(oldest) = self.order.pop_front() else {
             return;
--- a/core/src/route/cost_estimate.rs
+++ b/core/src/route/cost_estimate.rs
@@ -65,6 +65,7 @@
 ///
 /// The report lags: what this process had sent when it came is taken out of it
 /// and what this process has sent by now is put in.
+#[inline]
 pub fn queue_time(
     load: &EndpointLoad,
     sent: SentLoad,
@@ -74,12 +75,17 @@
     let tokens = (others_tokens + sent.tokens) as f64;
     let others_running = report.running.saturating_sub(load.own_running);
     let running = others_running + sent.running;
-    let waiting = (running + 1).saturating_sub(report.slots.max(1)) as f64;
-    let slot_wait = waiting * report.service_time as f64 / report.slots.max(1) as f64;
-    tokens * token_cost(load) + slot_wait
+    let compute = tokens * token_cost(load);
+    if running < report.slots {
+        return compute;
+    }
+    let slots = f64::from(report.slots.max(1));
+    let waiting = f64::from(running + 1 - report.slots);
+    compute + waiting * f64::from(report.service_time) / slots
 }
 
 /// Microseconds that one prompt token takes on an endpoint.
+#[inline]
 pub fn token_cost(load: &EndpointLoad) -> f64 {
     let cost = load.report.token_cost;
     f64::from(if cost > 0.0 { cost } else { DEFAULT_TOKEN_COST })
@@ -99,88 +105,177 @@
     (link + disk) * 1e6
 }
 
-/// Estimates one endpoint for a request, by the cheapest source of its state.
-pub fn estimate(
+/// What one endpoint brings to an estimate.
+#[derive(Debug, Clone, Copy)]
+pub struct CandidateState<'a> {
+    /// Its load.
+    pub load: &'a EndpointLoad,
+    /// What this process has under way there.
+    pub sent: SentLoad,
+    /// Pieces that it has in accelerator memory.
+    pub reused_pieces: u32,
+    /// The best import for it, if a store box has more than it.
+    pub offer: Option<PricedOffer>,
+}
+
+/// An import whose cost does not depend on the endpoint.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct PricedOffer {
+    /// What the store box has.
+    pub offer: ImportOffer,
+    /// Microseconds for importing one piece.
+    pub piece_time: f64,
+    /// Microseconds that the import waits for the link.
+    pub link_wait: f64,
+}
+
+impl PricedOffer {
+    /// Prices an offer of a store box.
+    pub fn new(
+        request: &RouteRequest<'_>,
+        store: &StoreState,
+        offer: ImportOffer,
+    ) -> Self {
+        let piece_bytes = u64::from(PIECE_TOKENS) * request.token_bytes;
+        let link_wait = import_time(store, StoreTier::Memory, 0);
+        PricedOffer {
+            offer,
+            piece_time: import_time(store, offer.tier, piece_bytes) - link_wait,
+            link_wait,
+        }
+    }
+}
+
+/// One way to get at the state of a prompt: what is waited for and what it takes.
+#[derive(Debug, Clone, Copy)]
+struct StatePath {
+    import: f64,
+    tokens: u32,
+    link_kib: f64,
+}
+
+impl StatePath {
+    #[inline]
+    fn without_import(
+        request: &RouteRequest<'_>,
+        reused_pieces: u32,
+    ) -> Self {
+        StatePath {
+            import: 0.0,
+            tokens: request
+                .input_tokens
+                .saturating_sub(reused_pieces * PIECE_TOKENS),
+            link_kib: 0.0,
+        }
+    }
+
+    #[inline]
+    fn with_import(
+        request: &RouteRequest<'_>,
+        reused_pieces: u32,
+        priced: &PricedOffer,
+    ) -> Self {
+        let imported = priced.offer.pieces - reused_pieces;
+        let bytes = u64::from(imported * PIECE_TOKENS) * request.token_bytes;
+        StatePath {
+            import: priced.link_wait + f64::from(imported) * priced.piece_time,
+            link_kib: bytes as f64 / BYTES_PER_KIB,
+            ..StatePath::without_import(request, priced.offer.pieces)
+        }
+    }
+
+    #[inline]
+    fn cost(
+        &self,
+        request: &RouteRequest<'_>,
+        load: &EndpointLoad,
+        queue: f64,
+        token_cost: f64,
+    ) -> f64 {
+        let weights = &request.weights;
+        let tokens = f64::from(self.tokens);
+        let first_token = queue + self.import + tokens * token_cost;
+        weights.first_token * first_token * f64::from(load.penalty.max(1.0))
+            + weights.recompute * tokens
+            + weights.link * self.link_kib
+    }
+}
+
+/// The import that is worth looking at under a policy.
+#[inline]
+fn usable_offer(
+    candidate: &CandidateState<'_>,
+    policy: RoutePolicy,
+) -> Option<PricedOffer> {
+    let longer = |priced: &PricedOffer| priced.offer.pieces > candidate.reused_pieces;
+    candidate
+        .offer
+        .filter(longer)
+        .filter(|_| policy != RoutePolicy::AlwaysRecompute)
+}
+
+/// Cost of one endpoint for a request, by the cheapest source of its state.
+#[inline]
+pub fn estimate_cost(
     request: &RouteRequest<'_>,
-    load: &EndpointLoad,
-    sent: SentLoad,
-    reused_pieces: u32,
-    offer: Option<(&StoreState, ImportOffer)>,
+    candidate: &CandidateState<'_>,
     policy: RoutePolicy,
-) -> CostEstimate {
-    let queue = queue_time(load, sent);
-    let plain = without_import(request, load, queue, reused_pieces);
-    let Some((store, offer)) = offer else {
+) -> f64 {
+    let load = candidate.load;
+    let queue = queue_time(load, candidate.sent);
+    let token_cost = token_cost(load);
+    let plain = StatePath::without_import(request, candidate.reused_pieces);
+    let plain = plain.cost(request, load, queue, token_cost);
+    let Some(priced) = usable_offer(candidate, policy) else {
         return plain;
     };
-    if offer.pieces <= reused_pieces || policy == RoutePolicy::AlwaysRecompute {
-        return plain;
-    }
-    let import = with_import(request, load, queue, reused_pieces, store, offer);
-    let forced = policy == RoutePolicy::AlwaysImport;
-    if forced || import.cost < plain.cost {
+    let import = StatePath::with_import(request, candidate.reused_pieces, &priced);
+    let import = import.cost(request, load, queue, token_cost);
+    if policy == RoutePolicy::AlwaysImport {
         import
     } else {
-        plain
+        plain.min(import)
     }
 }
 
-fn without_import(
+/// The same as [`estimate_cost`], with all that it is made of.
+pub fn estimate(
     request: &RouteRequest<'_>,
-    load: &EndpointLoad,
-    queue: f64,
-    reused_pieces: u32,
+    candidate: &CandidateState<'_>,
+    policy: RoutePolicy,
 ) -> CostEstimate {
-    let mut plain = CostEstimate {
+    let load = candidate.load;
+    let queue = queue_time(load, candidate.sent);
+    let token_cost = token_cost(load);
+    let explain = |path: StatePath, offer: Option<ImportOffer>| CostEstimate {
         queue,
-        import: 0.0,
-        compute: 0.0,
-        reused_pieces,
-        imported_pieces: 0,
-        store: None,
-        source: StateSource::Accelerator,
-        recomputed_tokens: request
-            .input_tokens
-            .saturating_sub(reused_pieces * PIECE_TOKENS),
-        cost: 0.0,
+        import: path.import,
+        compute: f64::from(path.tokens) * token_cost,
+        reused_pieces: candidate.reused_pieces,
+        imported_pieces: offer.map_or(0, |o| o.pieces - candidate.reused_pieces),
+        store: offer.map(|o| o.store),
+        source: source_of(offer),
+        recomputed_tokens: path.tokens,
+        cost: path.cost(request, load, queue, token_cost),
     };
-    plain.compute = f64::from(plain.recomputed_tokens) * token_cost(load);
-    plain.cost = weighted(request, load, &plain, 0);
-    plain
-}
-
-fn with_import(
-    request: &RouteRequest<'_>,
-    load: &EndpointLoad,
-    queue: f64,
-    reused_pieces: u32,
-    store: &StoreState,
-    offer: ImportOffer,
-) -> CostEstimate {
-    let mut import = without_import(request, load, queue, offer.pieces);
-    let imported = offer.pieces - reused_pieces;
-    let bytes = u64::from(imported * PIECE_TOKENS) * request.token_bytes;
-    import.reused_pieces = reused_pieces;
-    import.imported_pieces = imported;
-    import.import = import_time(store, offer.tier, bytes);
-    import.store = Some(offer.store);
-    import.source = match offer.tier {
-        StoreTier::Memory => StateSource::MemoryTier,
-        StoreTier::Disk => StateSource::DiskTier,
+    let plain = StatePath::without_import(request, candidate.reused_pieces);
+    let plain = explain(plain, None);
+    let Some(priced) = usable_offer(candidate, policy) else {
+        return plain;
     };
-    import.cost = weighted(request, load, &import, bytes);
-    import
+    let import = StatePath::with_import(request, candidate.reused_pieces, &priced);
+    let import = explain(import, Some(priced.offer));
+    if policy == RoutePolicy::AlwaysImport || import.cost < plain.cost {
+        import
+    } else {
+        plain
+    }
 }
 
-fn weighted(
-    request: &RouteRequest<'_>,
-    load: &EndpointLoad,
-    estimate: &CostEstimate,
-    link_bytes: u64,
-) -> f64 {
-    let weights = &request.weights;
-    let wait = estimate.first_token() * f64::from(load.penalty.max(1.0));
-    weights.first_token * wait
-        + weights.recompute * f64::from(estimate.recomputed_tokens)
-        + weights.link * link_bytes as f64 / BYTES_PER_KIB
+fn source_of(offer: Option<ImportOffer>) -> StateSource {
+    match offer.map(|o| o.tier) {
+        None => StateSource::Accelerator,
+        Some(StoreTier::Memory) => StateSource::MemoryTier,
+        Some(StoreTier::Disk) => StateSource::DiskTier,
+    }
 }
--- a/core/src/route/endpoint_state.rs
+++ b/core/src/route/endpoint_state.rs
@@ -1,5 +1,5 @@
 use {
-    crate::{labels::LabelSet, time::Micros},
+    crate::labels::LabelSet,
     serde::{Deserialize, Serialize},
     slotmap::new_key_type,
     std::net::SocketAddr,
@@ -74,8 +74,6 @@
     pub own_tokens: u64,
     /// This process's own running requests when the report came.
     pub own_running: u32,
-    /// When the report came.
-    pub heard_at: Micros,
     /// Whether the membership counts the endpoint as alive.
     pub alive: bool,
     /// Factor on its estimates after failures or slowness; one is normal.
--- a/core/src/route/prefix_reuse.rs
+++ b/core/src/route/prefix_reuse.rs
@@ -35,11 +35,11 @@
     fn extend(
         &mut self,
         depth: u32,
-        holders: &[PieceHolder],
+        holders: impl Iterator<Item = PieceHolder>,
     ) -> bool {
         let mut extended = false;
         for holder in holders {
-            extended |= match *holder {
+            extended |= match holder {
                 PieceHolder::Endpoint(endpoint) => self.extend_endpoint(depth, endpoint),
                 PieceHolder::Store(copy) => self.extend_store(depth, copy.store, copy.tier),
             };
--- a/core/src/route/route_table.rs
+++ b/core/src/route/route_table.rs
@@ -1,8 +1,9 @@
 use {
     super::{
-        estimate, CostEstimate, EndpointArena, EndpointKey, EndpointLoad, EndpointState,
-        ImportOffer, PieceImport, PoolIndex, PrefixReuse, RouteChoice, RoutePolicy, RoutePool,
-        RouteReason, RouteRequest, RunnerUp, SentLoad, StoreKey, StoreState,
+        estimate, estimate_cost, CandidateState, CostEstimate, EndpointArena, EndpointKey,
+        EndpointLoad, EndpointState, PieceImport, PoolIndex, PrefixReuse, PricedOffer, RouteChoice,
+        RoutePolicy, RoutePool, RouteReason, RouteRequest, RunnerUp, SentLoad, StoreKey,
+        StoreState,
     },
     crate::{
         conf::FleetConfig,
@@ -18,6 +19,8 @@
 /// Share by which two equal costs may be told apart at random, so that several
 /// entry processes that see the same report do not all choose the same endpoint.
 const JITTER: f64 = 0.05;
+/// The same for one step of a random number of 32 bits.
+const JITTER_STEP: f64 = JITTER / (u32::MAX as f64);
 
 /// One immutable view of everything that routing decisions need.
 ///
@@ -43,25 +46,29 @@
 
 /// The best two candidates so far.
 #[derive(Default)]
-struct BestTwo {
-    first: Option<Candidate>,
-    second: Option<Candidate>,
+struct BestTwo<'a> {
+    first: Option<Candidate<'a>>,
+    second: Option<Candidate<'a>>,
+    candidates: u32,
 }
 
 #[derive(Clone, Copy)]
-struct Candidate {
+struct Candidate<'a> {
     endpoint: EndpointKey,
-    estimate: CostEstimate,
+    state: CandidateState<'a>,
     score: f64,
 }
 
-impl BestTwo {
+impl<'a> BestTwo<'a> {
+    #[inline]
     fn offer(
         &mut self,
-        candidate: Candidate,
+        candidate: Candidate<'a>,
     ) {
-        let beats =
-            |other: &Option<Candidate>| other.as_ref().is_none_or(|o| candidate.score < o.score);
+        self.candidates += 1;
+        let beats = |other: &Option<Candidate<'a>>| {
+            other.as_ref().is_none_or(|o| candidate.score < o.score)
+        };
         if beats(&self.first) {
             self.second = self.first.replace(candidate);
         } else if beats(&self.second) {
@@ -70,6 +77,12 @@
     }
 }
 
+/// An offer of a store box, with the group whose endpoints it is for.
+struct GroupOffer<'a> {
+    group: &'a str,
+    priced: PricedOffer,
+}
+
 impl RouteTable {
     /// Chooses the endpoint for a request.
     ///
@@ -91,19 +104,19 @@
             return Err(ErrorKind::NothingSelected);
         }
         let reuse = PrefixReuse::find(&self.pieces, request.pieces);
-        let mut best = BestTwo::default();
-        let candidates = self.score_pool(request, pool, &reuse, sent, &mut best);
+        let best = self.score_pool(request, pool, &reuse, sent);
         let first = best.first.ok_or(ErrorKind::NoneAvailable)?;
+        let explained = estimate(request, &first.state, self.policy);
         Ok(RouteChoice {
             endpoint: first.endpoint,
-            estimate: first.estimate,
+            estimate: explained,
             runner_up: best.second.map(|c| RunnerUp {
                 endpoint: c.endpoint,
-                estimate: c.estimate,
+                estimate: estimate(request, &c.state, self.policy),
             }),
-            reason: self.reason(&first.estimate, candidates),
-            candidates,
-            imports: self.imports(request, &first.estimate),
+            reason: self.reason(&explained, best.candidates),
+            candidates: best.candidates,
+            imports: self.imports(request, &explained),
         })
     }
 
@@ -113,10 +126,10 @@
         pool: &RoutePool,
         reuse: &PrefixReuse,
         sent: impl Fn(EndpointKey) -> SentLoad,
-        best: &mut BestTwo,
-    ) -> u32 {
+    ) -> BestTwo<'_> {
         let mut random = Pcg32::seed_from_u64(request.seed);
-        let mut candidates = 0;
+        let mut best = BestTwo::default();
+        let offers = self.priced_offers(request, reuse);
         for (position, &endpoint) in pool.members.iter().enumerate() {
             let Some(load) = self.loads.get(endpoint) else {
                 continue;
@@ -124,74 +137,85 @@
             if !load.alive || !load.report.healthy || request.excluded.contains(&endpoint) {
                 continue;
             }
-            candidates += 1;
-            let reused = reuse.on_endpoint(endpoint);
-            let offer = self.best_offer(endpoint, reuse, reused);
-            let own = sent(endpoint);
-            let estimate = estimate(request, load, own, reused, offer, self.policy);
-            let jitter = 1.0 + JITTER * random.gen::<f64>();
-            let base = self.base_score(request, pool, position, load, own, &estimate);
+            let reused_pieces = reuse.on_endpoint(endpoint);
+            let state = CandidateState {
+                load,
+                sent: sent(endpoint),
+                reused_pieces,
+                offer: self.best_offer(endpoint, &offers),
+            };
+            let jitter = 1.0 + JITTER_STEP * f64::from(random.gen::<u32>());
+            let score = jitter * self.base_score(request, pool, position, &state);
             best.offer(Candidate {
                 endpoint,
-                estimate,
-                score: base * jitter,
+                state,
+                score,
             });
         }
-        candidates
+        best
     }
 
+    #[inline]
     fn base_score(
         &self,
         request: &RouteRequest<'_>,
         pool: &RoutePool,
         position: usize,
-        load: &EndpointLoad,
-        own: SentLoad,
-        estimate: &CostEstimate,
+        state: &CandidateState<'_>,
     ) -> f64 {
-        let others = load.report.running.saturating_sub(load.own_running);
-        let running = f64::from(others + own.running);
+        let load = state.load;
+        let running = || {
+            let others = load.report.running.saturating_sub(load.own_running);
+            f64::from(others + state.sent.running)
+        };
         match self.policy {
             RoutePolicy::Estimate | RoutePolicy::AlwaysImport | RoutePolicy::AlwaysRecompute => {
-                estimate.cost + 1.0
+                estimate_cost(request, state, self.policy) + 1.0
             }
             RoutePolicy::RoundRobin => {
                 let turn = request.seed as usize % pool.members.len().max(1);
                 let distance = (position + pool.members.len() - turn) % pool.members.len();
                 1.0 + distance as f64
             }
-            RoutePolicy::LeastLoad => running + 1.0,
+            RoutePolicy::LeastLoad => running() + 1.0,
             RoutePolicy::PrefixAffinity => {
-                let lacking = request.pieces.len() as f64 - f64::from(estimate.reused_pieces);
-                1.0 + lacking * 1e6 + running
+                let lacking = request.pieces.len() as f64 - f64::from(state.reused_pieces);
+                1.0 + lacking * 1e6 + running()
+            }
+        }
+    }
+
+    fn priced_offers(
+        &self,
+        request: &RouteRequest<'_>,
+        reuse: &PrefixReuse,
+    ) -> Vec<GroupOffer<'_>> {
+        let mut offers = Vec::new();
+        for offer in reuse.offers() {
+            if let Some(store) = self.stores.get(offer.store) {
+                offers.push(GroupOffer {
+                    group: &store.group,
+                    priced: PricedOffer::new(request, store, *offer),
+                });
             }
         }
+        offers
     }
 
+    /// The longest offer for the group of an endpoint.
+    #[inline]
     fn best_offer(
         &self,
         endpoint: EndpointKey,
-        reuse: &PrefixReuse,
-        reused: u32,
-    ) -> Option<(&StoreState, ImportOffer)> {
-        if reuse.offers().is_empty() {
+        offers: &[GroupOffer<'_>],
+    ) -> Option<PricedOffer> {
+        if offers.is_empty() {
             return None;
         }
         let group = &self.endpoints.get(endpoint)?.group;
-        let mut best: Option<(&StoreState, ImportOffer)> = None;
-        for offer in reuse.offers() {
-            let Some(store) = self.stores.get(offer.store) else {
-                continue;
-            };
-            if &store.group != group || offer.pieces <= reused {
-                continue;
-            }
-            let longer = best.as_ref().is_none_or(|(_, b)| offer.pieces > b.pieces);
-            if longer {
-                best = Some((store, *offer));
-            }
-        }
-        best
+        let own = offers.iter().filter(|offer| offer.group == group.as_str());
+        own.map(|offer| offer.priced)
+            .max_by_key(|priced| priced.offer.pieces)
     }
 
     fn reason(
--- a/entry/src/cli/entry_process.rs
+++ b/entry/src/cli/entry_process.rs
@@ -158,6 +158,7 @@
 ) {
     let settings = &start.settings;
     let core = EntryCore::new(EntrySetup {
+        box_id: settings.box_id.clone(),
         holder: format!("{}.{:x}", settings.box_id, start.clock.incarnation()),
         policy: settings.policy,
         lease: LeaseTimes::default(),
--- a/entry/src/control/beacon_controller.rs
+++ b/entry/src/control/beacon_controller.rs
@@ -42,15 +42,7 @@
 ) {
     app.metrics.count("beacon.taken", 1);
     match beacon {
-        Beacon::Agent(beacon) => {
-            let view = app.view.load();
-            let known = view
-                .table
-                .endpoint_by_id(&beacon.endpoint_id)
-                .map(|(key, _)| key);
-            let own = known.map(|key| view.sent(key)).unwrap_or_default();
-            app.control.tell(EntryEvent::AgentHeard { beacon, own });
-        }
+        Beacon::Agent(beacon) => app.control.agent_heard(beacon),
         Beacon::Entry(beacon) => {
             if beacon.entry_id != app.settings.box_id {
                 app.control.tell(EntryEvent::PeerHeard(beacon));
--- a/entry/src/control/control_handle.rs
+++ b/entry/src/control/control_handle.rs
@@ -3,6 +3,7 @@
     async_channel::Sender,
     pitchhitch_core::{
         errors::ErrorKind,
+        member::AgentBeacon,
         role::{EntryCore, EntryEvent},
         time::Micros,
     },
@@ -15,6 +16,8 @@
 pub enum ControlMessage {
     /// An event for the core.
     Event(EntryEvent),
+    /// An agent's beacon.
+    AgentBeacon(AgentBeacon),
     /// A question about the control state.
     Query(CoreQuery),
     /// The process is stopping: hand back what others should take over.
@@ -28,6 +31,7 @@
     ) -> fmt::Result {
         match self {
             ControlMessage::Event(event) => write!(f, "Event({event:?})"),
+            ControlMessage::AgentBeacon(beacon) => write!(f, "AgentBeacon({})", beacon.endpoint_id),
             ControlMessage::Query(_) => f.write_str("Query"),
             ControlMessage::Release(_) => f.write_str("Release"),
         }
@@ -55,6 +59,14 @@
         let _ = self.messages.try_send(ControlMessage::Event(event));
     }
 
+    /// Passes an agent's beacon on.
+    pub fn agent_heard(
+        &self,
+        beacon: AgentBeacon,
+    ) {
+        let _ = self.messages.try_send(ControlMessage::AgentBeacon(beacon));
+    }
+
     /// Asks the control state something; none when the control thread is gone.
     pub async fn query<T: Send + 'static>(
         &self,
--- a/entry/src/control/control_loop.rs
+++ b/entry/src/control/control_loop.rs
@@ -112,6 +112,11 @@
     ) {
         match message {
             ControlMessage::Event(event) => self.step(event),
+            ControlMessage::AgentBeacon(beacon) => {
+                let link = self.publisher.known_link(&beacon.endpoint_id);
+                let own = link.map(|l| l.sent()).unwrap_or_default();
+                self.step(EntryEvent::AgentHeard { beacon, own });
+            }
             ControlMessage::Query(query) => query(&mut self.core, self.clock.now()),
             ControlMessage::Release(done) => self.release(done),
         }
@@ -182,9 +187,9 @@
                     self.executor.spawn(send_drop(link, plan)).detach();
                 }
             }
-            EntryAction::ReadLease { shard } => {
+            EntryAction::ReadLeases { shards } => {
                 self.executor
-                    .spawn(self.leases.clone().read(shard))
+                    .spawn(self.leases.clone().read(shards))
                     .detach();
             }
             EntryAction::WriteLease {
--- a/entry/src/control/lease_controller.rs
+++ b/entry/src/control/lease_controller.rs
@@ -3,10 +3,11 @@
     pitchhitch_core::{
         lease::LeaseRow,
         role::{EntryEvent, LEASE_PREFIX},
+        time::Micros,
     },
     pitchhitch_platform::{
         process::ProcessClock,
-        table::{CommitOutcome, RowWrite, TableClient},
+        table::{CommitOutcome, RowWrite, TableClient, TableRow},
     },
 };
 
@@ -23,31 +24,45 @@
 }
 
 impl LeaseController {
-    /// Reads a lease row. Without an answer nothing is told; the core asks again.
+    /// Reads lease rows. Without an answer nothing is told; the core asks again.
     pub async fn read(
         self,
-        shard: String,
+        shards: Vec<String>,
     ) {
         let asked_at = self.clock.now();
-        let Ok(row) = self.table.read_row(&format!("{LEASE_PREFIX}{shard}")).await else {
+        let keys: Vec<String> = shards
+            .iter()
+            .map(|s| format!("{LEASE_PREFIX}{s}"))
+            .collect();
+        let Ok(rows) = self.table.read(&keys).await else {
             return;
         };
-        let version = row.as_ref().map_or(0, |r| r.version);
-        let row = match row {
+        for shard in shards {
+            let key = format!("{LEASE_PREFIX}{shard}");
+            let row = rows.iter().find(|row| row.key == key);
+            self.tell_row(shard, row, asked_at);
+        }
+    }
+
+    fn tell_row(
+        &self,
+        shard: String,
+        row: Option<&TableRow>,
+        asked_at: Micros,
+    ) {
+        let lease = match row.map(|row| serde_json::from_str::<LeaseRow>(&row.value)) {
             None => None,
-            Some(row) => match serde_json::from_str::<LeaseRow>(&row.value) {
-                Ok(lease) => Some(lease),
-                Err(error) => {
-                    let error = error.to_string();
-                    log::error!(event = "lease-row-damaged", shard = shard.as_str(), error = error.as_str(); "");
-                    return;
-                }
-            },
+            Some(Ok(lease)) => Some(lease),
+            Some(Err(error)) => {
+                let error = error.to_string();
+                log::error!(event = "lease-row-damaged", shard = shard.as_str(), error = error.as_str(); "");
+                return;
+            }
         };
         self.control.tell(EntryEvent::LeaseRead {
             shard,
-            row,
-            version,
+            row: lease,
+            version: row.map_or(0, |row| row.version),
             asked_at,
         });
     }
--- a/entry/src/filter/keep_plan.rs
+++ b/entry/src/filter/keep_plan.rs
@@ -120,10 +120,8 @@
     store: StoreKey,
 ) -> Vec<PieceKey> {
     let is_stored = |key: &&PieceKey| {
-        let holders = view.table.pieces.holders(**key);
-        holders
-            .iter()
-            .any(|h| matches!(h, PieceHolder::Store(copy) if copy.store == store))
+        let mut holders = view.table.pieces.holders(**key);
+        holders.any(|h| matches!(h, PieceHolder::Store(copy) if copy.store == store))
     };
     pieces
         .iter()
--- a/entry/src/filter/send.rs
+++ b/entry/src/filter/send.rs
@@ -4,6 +4,7 @@
         control::ControlHandle,
         traffic::{EndpointLink, EntryApp, TrafficView},
     },
+    futures_lite::future,
     pitchhitch_core::{
         errors::ErrorKind,
         role::{AgentPulse, EntryEvent},
@@ -12,9 +13,13 @@
         link::{LinkError, ReplyStream},
         messages::{HandOver, LinkCall, LinkReply, ReplyHead},
     },
-    std::sync::Arc,
+    smol::Timer,
+    std::{sync::Arc, time::Duration},
 };
 
+/// Time in which an agent must say that it has a request.
+const ACKNOWLEDGE_LIMIT: Duration = Duration::from_millis(1_000);
+
 /// A try that the endpoint has begun to answer.
 #[derive(Debug)]
 pub struct StartedTry {
@@ -116,6 +121,9 @@
     let call = LinkCall::HandOver(Box::new(hand_over(app, work, routed, resume_after)));
     let called = agent.call(&call).await;
     let mut replies = called.map_err(|error| note_failure(&tracker, error))?;
+    acknowledged(&mut replies)
+        .await
+        .map_err(|error| note_failure(&tracker, error))?;
     match replies.next().await {
         Ok(Some(LinkReply::Head(head))) => {
             measure_import(app, view, routed, work, &head);
@@ -137,6 +145,23 @@
     }
 }
 
+/// Waits until the agent says that it has the request. One that does not say so
+/// in time is frozen or cut off, and may run the request later.
+async fn acknowledged(replies: &mut ReplyStream) -> Result<(), LinkError> {
+    let late = async {
+        Timer::after(ACKNOWLEDGE_LIMIT).await;
+        Err(LinkError::Broken {
+            reason: format!("the agent said nothing within {ACKNOWLEDGE_LIMIT:?}"),
+        })
+    };
+    match future::or(replies.next(), late).await? {
+        Some(LinkReply::Taken) => Ok(()),
+        other => Err(LinkError::Broken {
+            reason: format!("the agent began with {other:?}"),
+        }),
+    }
+}
+
 fn note_failure(
     tracker: &TryTracker,
     error: LinkError,
--- a/entry/src/operators/operator_server.rs
+++ b/entry/src/operators/operator_server.rs
@@ -162,7 +162,7 @@
     for holder in view.table.pieces.holders(key) {
         match holder {
             PieceHolder::Endpoint(endpoint) => {
-                if let Some(state) = view.table.endpoints.get(*endpoint) {
+                if let Some(state) = view.table.endpoints.get(endpoint) {
                     holders.push(HolderRow {
                         place: state.id.clone(),
                         tier: "accelerator".to_string(),
--- a/testbed/src/deploy/deployment.rs
+++ b/testbed/src/deploy/deployment.rs
@@ -58,6 +58,8 @@
     Engine(EngineStandIn),
     /// A plain service.
     Service(PlainService),
+    /// Something in a process of its own.
+    External,
 }
 
 /// One endpoint with its agent.
@@ -226,7 +228,7 @@
         .await?;
         let name = self.shape.service.clone();
         let conf = Some(ServiceConf {
-            prefix: format!("/{name}"),
+            prefix: self.shape.service_prefix.clone(),
         });
         self.change(ConfigChange::Service { name, conf }).await?;
         Ok(())
@@ -270,6 +272,40 @@
             .await
     }
 
+    /// Adds an agent before an engine that runs in a process of its own.
+    ///
+    /// # Errors
+    /// When it does not start.
+    pub async fn add_external_engine(
+        &mut self,
+        number: usize,
+        address: SocketAddr,
+    ) -> anyhow::Result<()> {
+        let kind = json!({"engine": {"model": self.shape.model, "version": self.shape.version}});
+        let group = self.engine_group();
+        let id = format!("{}-engine-{}", self.shape.name, number + 1);
+        let stand_in = EndpointStandIn::External;
+        self.add_endpoint(id, kind, group, address, stand_in, number, false)
+            .await
+    }
+
+    /// Adds an agent before a plain service that runs in a process of its own.
+    ///
+    /// # Errors
+    /// When it does not start.
+    pub async fn add_external_service(
+        &mut self,
+        number: usize,
+        address: SocketAddr,
+    ) -> anyhow::Result<()> {
+        let kind = json!({"service": {"service": self.shape.service}});
+        let group = format!("{}-services", self.shape.name);
+        let id = format!("{}-service-{}", self.shape.name, number + 1);
+        let stand_in = EndpointStandIn::External;
+        self.add_endpoint(id, kind, group, address, stand_in, number, false)
+            .await
+    }
+
     #[allow(clippy::too_many_arguments)]
     async fn add_endpoint(
         &mut self,
@@ -294,6 +330,7 @@
             "table": self.platform.address, "boxes": self.platform.address,
             "beacon_secret": BEACON_SECRET,
             "slots": self.shape.slots, "queue_limit": 64,
+            "health_path": self.shape.health_path,
         });
         self.write_settings(&id, &settings)?;
         let agent = self.start_agent(&id)?;
@@ -451,7 +488,7 @@
     pub fn engines(&self) -> impl Iterator<Item = &EngineStandIn> {
         self.endpoints.iter().filter_map(|e| match &e.stand_in {
             EndpointStandIn::Engine(engine) => Some(engine),
-            EndpointStandIn::Service(_) => None,
+            EndpointStandIn::Service(_) | EndpointStandIn::External => None,
         })
     }
 
--- a/testbed/src/deploy/deployment_shape.rs
+++ b/testbed/src/deploy/deployment_shape.rs
@@ -24,6 +24,10 @@
     pub engines: usize,
     /// Name of the plain service.
     pub service: String,
+    /// Path prefix of the plain service.
+    pub service_prefix: String,
+    /// Path that the plain service answers when it is well.
+    pub health_path: String,
     /// Endpoints of the plain service.
     pub services: usize,
     /// Entry processes.
@@ -63,6 +67,8 @@
             version: "v1".to_string(),
             engines: 2,
             service: "orders".to_string(),
+            service_prefix: "/orders".to_string(),
+            health_path: "/healthz".to_string(),
             services: 2,
             entries: 2,
             policy: RoutePolicy::Estimate,
@@ -109,6 +115,7 @@
             organisations: 10,
             model: "boundary".to_string(),
             service: "deeds".to_string(),
+            service_prefix: "/deeds".to_string(),
             engines: 9,
             services: 3,
             entries: 3,
--- /dev/null
+++ b/testbed/src/deploy/fake_agents.rs
@@ -0,0 +1,238 @@
+use {
+    async_global_executor::Task,
+    pitchhitch_core::{
+        kept::PieceKey,
+        labels::LabelSet,
+        member::{AgentBeacon, Beacon},
+        role::{AgentPulse, EventBatch, PromptUse, UpwardEvent},
+        route::{EndpointKind, LoadReport},
+    },
+    pitchhitch_platform::process::{spawn, spawn_detached},
+    pitchhitch_wire::{
+        beacon::{BeaconKey, BeaconSocket},
+        link::{serve_link, IncomingCall, ReplySender},
+        messages::{LinkCall, LinkReply},
+    },
+    smol::{net::TcpListener, Timer},
+    std::{io, net::SocketAddr, sync::Arc, time::Duration},
+};
+
+/// Time between two beacons, as of a real agent whose homes are all linked.
+const BEACON_INTERVAL: Duration = Duration::from_secs(6);
+/// Time between two pulses, as of a real agent that is idle.
+const PULSE_INTERVAL: Duration = Duration::from_millis(4_800);
+const BEACON_ROUNDS_TOGETHER: usize = 50;
+
+/// How many agents are made up, and what they say.
+#[derive(Debug, Clone)]
+pub struct FakeShape {
+    /// Agents.
+    pub agents: usize,
+    /// Prompts whose pieces each of them holds.
+    pub prompts_each: usize,
+    /// Pieces of one prompt.
+    pub pieces_each: usize,
+    /// Model that they serve.
+    pub model: String,
+    /// Version that they hold.
+    pub version: String,
+    /// Where their beacons go.
+    pub homes: Vec<SocketAddr>,
+    /// Secret of the deployment.
+    pub secret: String,
+}
+
+/// Agents without endpoints: they send beacons, take links and tell events, but
+/// run no requests. For measuring what an entry process needs for many of them.
+#[derive(Debug)]
+pub struct FakeAgents {
+    _tasks: Vec<Task<()>>,
+}
+
+impl FakeAgents {
+    /// Starts them.
+    ///
+    /// # Errors
+    /// When an address cannot be bound.
+    pub async fn start(shape: FakeShape) -> io::Result<Self> {
+        let shape = Arc::new(shape);
+        let mut tasks = Vec::new();
+        let mut beacons = Vec::new();
+        for number in 0..shape.agents {
+            let listener = TcpListener::bind("127.0.0.1:0").await?;
+            let beacon = beacon(&shape, number, listener.local_addr()?);
+            beacons.push(beacon.clone());
+            tasks.push(spawn(take_links(listener, shape.clone(), number, beacon)));
+        }
+        tasks.push(spawn(send_beacons(shape, beacons)));
+        Ok(FakeAgents { _tasks: tasks })
+    }
+}
+
+fn beacon(
+    shape: &FakeShape,
+    number: usize,
+    address: SocketAddr,
+) -> AgentBeacon {
+    AgentBeacon {
+        endpoint_id: format!("fake-{number}"),
+        kind: EndpointKind::Engine {
+            model: shape.model.clone(),
+            version: shape.version.clone(),
+        },
+        group: format!("fake-group-{}", number / 16),
+        labels: [("site", "a"), ("failure_domain", "domain-1")]
+            .into_iter()
+            .collect::<LabelSet>(),
+        address,
+        incarnation: 1,
+        refusing: false,
+        exporting: 0,
+        revision: 0,
+        load: load(),
+    }
+}
+
+fn load() -> LoadReport {
+    LoadReport {
+        pending_tokens: 0,
+        running: 0,
+        slots: 16,
+        token_cost: 20.0,
+        service_time: 1_000.0,
+        healthy: true,
+    }
+}
+
+fn pulse() -> AgentPulse {
+    AgentPulse {
+        load: load(),
+        refusing: false,
+        exporting: 0,
+    }
+}
+
+async fn send_beacons(
+    shape: Arc<FakeShape>,
+    beacons: Vec<AgentBeacon>,
+) {
+    let mut sockets = Vec::new();
+    for _ in &beacons {
+        let address = SocketAddr::from(([127, 0, 0, 1], 0));
+        match BeaconSocket::bind(address, BeaconKey::from_secret(&shape.secret)).await {
+            Ok(socket) => sockets.push(socket),
+            Err(_) => return,
+        }
+    }
+    let rounds = beacons.len().div_ceil(BEACON_ROUNDS_TOGETHER).max(1);
+    loop {
+        for round in beacons
+            .iter()
+            .zip(&sockets)
+            .collect::<Vec<_>>()
+            .chunks(BEACON_ROUNDS_TOGETHER)
+        {
+            for (beacon, socket) in round {
+                socket
+                    .send(Beacon::Agent((*beacon).clone()), &shape.homes)
+                    .await;
+            }
+            Timer::after(BEACON_INTERVAL / rounds as u32).await;
+        }
+    }
+}
+
+async fn take_links(
+    listener: TcpListener,
+    shape: Arc<FakeShape>,
+    number: usize,
+    beacon: AgentBeacon,
+) {
+    while let Ok((stream, _)) = listener.accept().await {
+        let shape = shape.clone();
+        let beacon = beacon.clone();
+        spawn_detached(async move {
+            let _ = serve_link(stream, |call| {
+                spawn_detached(answer(call, shape.clone(), number, beacon.clone()));
+            })
+            .await;
+        });
+    }
+}
+
+async fn answer(
+    call: IncomingCall,
+    shape: Arc<FakeShape>,
+    number: usize,
+    beacon: AgentBeacon,
+) {
+    let Ok((call, mut replies)) = call.read().await else {
+        return;
+    };
+    match call {
+        LinkCall::Subscribe { .. } => {
+            let hello = LinkReply::Hello {
+                endpoint_id: beacon.endpoint_id,
+                incarnation: beacon.incarnation,
+            };
+            if replies.send(&hello).await.is_ok() {
+                tell_events(&shape, number, replies).await;
+            }
+        }
+        _ => {
+            if replies.send(&LinkReply::Taken).await.is_ok() {
+                let _ = replies.end();
+            }
+        }
+    }
+}
+
+async fn tell_events(
+    shape: &FakeShape,
+    number: usize,
+    mut replies: ReplySender,
+) {
+    let events = events(shape, number);
+    let next = events.len() as u64;
+    let mut batch = EventBatch {
+        first: 0,
+        events,
+        pulse: pulse(),
+    };
+    while replies.send(&LinkReply::Events(batch)).await.is_ok() {
+        Timer::after(PULSE_INTERVAL).await;
+        batch = EventBatch {
+            first: next,
+            events: Vec::new(),
+            pulse: pulse(),
+        };
+    }
+}
+
+fn events(
+    shape: &FakeShape,
+    number: usize,
+) -> Vec<UpwardEvent> {
+    let mut events = Vec::new();
+    for prompt in 0..shape.prompts_each {
+        let name = (number as u128) << 64 | (prompt as u128) << 32;
+        let identity = piece_key(name);
+        events.push(UpwardEvent::PromptUsed(PromptUse {
+            identity,
+            organisation: "fake-01".to_string(),
+            label: "file".to_string(),
+        }));
+        events.push(UpwardEvent::Cached(identity));
+        for piece in 1..shape.pieces_each {
+            events.push(UpwardEvent::Cached(piece_key(name | piece as u128)));
+        }
+    }
+    events
+}
+
+fn piece_key(name: u128) -> PieceKey {
+    let hash = blake3::hash(&name.to_le_bytes());
+    let mut half = [0; 16];
+    half.copy_from_slice(&hash.as_bytes()[..16]);
+    PieceKey(u128::from_le_bytes(half))
+}
--- a/wire/src/messages/link_reply.rs
+++ b/wire/src/messages/link_reply.rs
@@ -45,7 +45,7 @@
     },
     /// Events of a subscription.
     Events(EventBatch),
-    /// A notice or an order was taken.
+    /// A request, a notice or an order has come; for a request more follows.
     Taken,
     /// An order was refused.
     OrderRefused(FenceRefusal),
