Test the decisions, and check the lease protocol exhaustively

Cause: nothing but the whole path was tested. Change: tests of selectors, the change log, piece names, routing, limits, retries, the agent's gate, the control state, settings and return gaps; property tests with fixed seeds; a check of all orders of events of two lease processes, with a deeper run as the example lease_check.

--- a/core/src/lease/lease_machine.rs
+++ b/core/src/lease/lease_machine.rs
@@ -1,7 +1,7 @@
 use {super::LeaseRow, crate::time::Micros};
 
 /// Times of a lease.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
 pub struct LeaseTimes {
     /// How long a renewal lasts, counted from before it was sent.
     pub length: Micros,
@@ -37,14 +37,14 @@
     },
 }
 
-#[derive(Debug, Clone)]
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
 struct SeenRow {
     row: LeaseRow,
     version: u64,
     unchanged_since: Micros,
 }
 
-#[derive(Debug, Clone, Copy)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
 struct HeldLease {
     epoch: u64,
     valid_until: Micros,
@@ -54,7 +54,7 @@
 ///
 /// A lost answer to a write needs no special care: the next read shows whether
 /// it took effect, and the time of the lease counts from before the write.
-#[derive(Debug, Clone)]
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
 pub struct LeaseMachine {
     me: String,
     times: LeaseTimes,
--- a/core/src/lease/lease_row.rs
+++ b/core/src/lease/lease_row.rs
@@ -4,7 +4,7 @@
 ///
 /// It holds no wall-clock time: others take over when the row has not changed
 /// for the length of a lease by their own clock.
-#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct LeaseRow {
     /// Who holds the lease; empty after it was given back.
     pub holder: String,
--- a/core/src/limit/fair_share.rs
+++ b/core/src/limit/fair_share.rs
@@ -27,6 +27,7 @@
     if room.running < free {
         return true;
     }
-    let share = room.room / room.organisations.max(1);
+    // One share more than there are askers, so that a newcomer finds room too.
+    let share = room.room / (room.organisations + 1);
     room.own < share.max(1)
 }
--- /dev/null
+++ b/core/tests/agent_gate.rs
@@ -0,0 +1,273 @@
+//! The agent's gate, its fence and its cache mirror.
+
+use pitchhitch_core::{
+    errors::ErrorKind,
+    kept::PieceKey,
+    labels::LabelSet,
+    lease::{FenceRefusal, OrderStamp},
+    role::{
+        AgentAction, AgentCore, AgentEvent, AgentIdentity, CacheChange, ConfigNotice,
+        EndpointOrder, GateRefusal, GateWork, OrderOutcome, StampedOrder, UpwardEvent, WorkTicket,
+    },
+    route::EndpointKind,
+    time::Micros,
+};
+
+fn agent(slots: u32) -> AgentCore {
+    let mut core = AgentCore::new(AgentIdentity {
+        endpoint_id: "e1".to_string(),
+        kind: EndpointKind::Engine {
+            model: "m".to_string(),
+            version: "v1".to_string(),
+        },
+        group: "g".to_string(),
+        labels: LabelSet::default(),
+        address: "127.0.0.1:9".parse().expect("address"),
+        incarnation: 1,
+        slots,
+        queue_limit: 4,
+    });
+    core.step(Micros(0), healthy("v1"));
+    core
+}
+
+fn healthy(version: &str) -> AgentEvent {
+    AgentEvent::HealthSeen {
+        healthy: true,
+        version: Some(version.to_string()),
+    }
+}
+
+fn work(version: &str) -> GateWork {
+    GateWork {
+        organisation: "org".to_string(),
+        version: Some(version.to_string()),
+        tokens: 100,
+        deadline: Micros::from_secs(10),
+    }
+}
+
+fn hand_over(
+    core: &mut AgentCore,
+    ticket: u64,
+    version: &str,
+) -> Vec<AgentAction> {
+    let event = AgentEvent::HandedOver {
+        ticket: WorkTicket(ticket),
+        work: work(version),
+    };
+    core.step(Micros(1), event)
+}
+
+fn refused(
+    ticket: u64,
+    kind: ErrorKind,
+) -> AgentAction {
+    AgentAction::Refuse(GateRefusal {
+        ticket: WorkTicket(ticket),
+        kind,
+    })
+}
+
+fn start(ticket: u64) -> AgentAction {
+    AgentAction::Start(WorkTicket(ticket))
+}
+
+fn leaving(revision: u64) -> AgentEvent {
+    AgentEvent::Noticed(ConfigNotice {
+        revision,
+        leaving: true,
+        box_leaving: false,
+    })
+}
+
+fn order(
+    epoch: u64,
+    sequence: u64,
+    version: &str,
+) -> AgentEvent {
+    AgentEvent::Ordered(StampedOrder {
+        shard: "shard-00".to_string(),
+        stamp: OrderStamp { epoch, sequence },
+        order: EndpointOrder::LoadVersion {
+            version: version.to_string(),
+        },
+    })
+}
+
+#[test]
+fn slots_then_queue() {
+    let mut core = agent(1);
+    assert_eq!(hand_over(&mut core, 1, "v1"), vec![start(1)]);
+    assert_eq!(hand_over(&mut core, 2, "v1"), vec![]);
+    let ended = AgentEvent::Ended {
+        ticket: WorkTicket(1),
+    };
+    assert_eq!(core.step(Micros(2), ended), vec![start(2)]);
+}
+
+#[test]
+fn full_queue_refuses() {
+    let mut core = agent(1);
+    for ticket in 1..=5 {
+        hand_over(&mut core, ticket, "v1");
+    }
+    assert_eq!(
+        hand_over(&mut core, 6, "v1"),
+        vec![refused(6, ErrorKind::EndpointFull)]
+    );
+}
+
+#[test]
+fn other_version_refused() {
+    let mut core = agent(4);
+    assert_eq!(
+        hand_over(&mut core, 1, "v2"),
+        vec![refused(1, ErrorKind::WrongVersion)]
+    );
+}
+
+#[test]
+fn swap_refuses_queued() {
+    let mut core = agent(1);
+    hand_over(&mut core, 1, "v1");
+    hand_over(&mut core, 2, "v1");
+    core.step(Micros(2), AgentEvent::EpochRead(1));
+    let actions = core.step(Micros(3), order(1, 1, "v2"));
+    assert!(
+        actions.contains(&refused(2, ErrorKind::WrongVersion)),
+        "{actions:?}"
+    );
+    // The running one goes on; a new one for either version waits for the swap.
+    assert!(!actions.contains(&refused(1, ErrorKind::WrongVersion)));
+    assert_eq!(
+        hand_over(&mut core, 3, "v1"),
+        vec![refused(3, ErrorKind::WrongVersion)]
+    );
+    assert_eq!(
+        hand_over(&mut core, 4, "v2"),
+        vec![refused(4, ErrorKind::WrongVersion)]
+    );
+    let done = OrderOutcome {
+        version: "v2".to_string(),
+        failure: None,
+    };
+    core.step(Micros(4), AgentEvent::OrderEnded(done));
+    core.step(
+        Micros(4),
+        AgentEvent::Ended {
+            ticket: WorkTicket(1),
+        },
+    );
+    assert_eq!(hand_over(&mut core, 5, "v2"), vec![start(5)]);
+}
+
+#[test]
+fn leaving_refuses_at_once() {
+    let mut core = agent(1);
+    hand_over(&mut core, 1, "v1");
+    hand_over(&mut core, 2, "v1");
+    let actions = core.step(Micros(2), leaving(5));
+    assert_eq!(actions, vec![refused(2, ErrorKind::EndpointLeaving)]);
+    assert!(core.is_refusing());
+    assert!(!core.is_idle());
+    assert_eq!(
+        hand_over(&mut core, 3, "v1"),
+        vec![refused(3, ErrorKind::EndpointLeaving)]
+    );
+}
+
+#[test]
+fn older_notice_ignored() {
+    let mut core = agent(1);
+    core.step(Micros(2), leaving(5));
+    let back = ConfigNotice {
+        revision: 4,
+        leaving: false,
+        box_leaving: false,
+    };
+    core.step(Micros(3), AgentEvent::Noticed(back));
+    assert!(core.is_refusing());
+    let newer = ConfigNotice {
+        revision: 6,
+        ..back
+    };
+    core.step(Micros(4), AgentEvent::Noticed(newer));
+    assert!(!core.is_refusing());
+}
+
+#[test]
+fn deadline_ends_waiting() {
+    let mut core = agent(1);
+    hand_over(&mut core, 1, "v1");
+    hand_over(&mut core, 2, "v1");
+    let actions = core.step(Micros::from_secs(11), AgentEvent::Tick);
+    assert!(
+        actions.contains(&refused(2, ErrorKind::DeadlinePassed)),
+        "{actions:?}"
+    );
+}
+
+#[test]
+fn lost_engine_refuses_queued() {
+    let mut core = agent(1);
+    hand_over(&mut core, 1, "v1");
+    hand_over(&mut core, 2, "v1");
+    let gone = AgentEvent::HealthSeen {
+        healthy: false,
+        version: None,
+    };
+    let actions = core.step(Micros(2), gone);
+    assert!(
+        actions.contains(&refused(2, ErrorKind::EndpointUnreachable)),
+        "{actions:?}"
+    );
+    assert!(actions.contains(&AgentAction::Publish(vec![UpwardEvent::Cleared])));
+}
+
+#[test]
+fn fresh_agent_takes_no_orders() {
+    let mut core = agent(1);
+    assert_eq!(
+        core.step(Micros(1), order(7, 1, "v2")),
+        vec![AgentAction::RefuseOrder(FenceRefusal::EpochUnknown)]
+    );
+    let asks = core.step(Micros(2), AgentEvent::Tick);
+    assert!(asks.contains(&AgentAction::ReadEpoch));
+}
+
+#[test]
+fn news_gap_noticed() {
+    let mut core = agent(1);
+    let listed = AgentEvent::CacheListed {
+        next: 10,
+        keys: vec![PieceKey(1)],
+    };
+    core.step(Micros(1), listed);
+    let joins = AgentEvent::CacheNews {
+        first: 10,
+        changes: vec![CacheChange::Added(PieceKey(2))],
+    };
+    assert!(matches!(
+        core.step(Micros(2), joins)[0],
+        AgentAction::Publish(_)
+    ));
+    let gap = AgentEvent::CacheNews {
+        first: 15,
+        changes: vec![CacheChange::Added(PieceKey(3))],
+    };
+    assert_eq!(core.step(Micros(3), gap), vec![AgentAction::ListCache]);
+    assert_eq!(core.snapshot().len(), 2);
+}
+
+#[test]
+fn engine_names_its_version() {
+    let mut core = agent(1);
+    let actions = core.step(Micros(1), healthy("v9"));
+    let told = AgentAction::Publish(vec![UpwardEvent::Version("v9".to_string())]);
+    assert_eq!(actions, vec![told]);
+    assert_eq!(
+        hand_over(&mut core, 1, "v1"),
+        vec![refused(1, ErrorKind::WrongVersion)]
+    );
+}
--- /dev/null
+++ b/core/tests/config_log.rs
@@ -0,0 +1,132 @@
+//! The change log: nothing reverts, nothing is applied by half.
+
+use {
+    pitchhitch_core::conf::{
+        ChangeError, ConfigChange, ConfigHead, FleetConfig, LabelTarget, OrganisationConf,
+    },
+    proptest::prelude::*,
+};
+
+fn label(
+    endpoint: &str,
+    value: Option<&str>,
+) -> ConfigChange {
+    ConfigChange::Label {
+        target: LabelTarget::Endpoint(endpoint.to_string()),
+        key: "site".to_string(),
+        value: value.map(str::to_string),
+    }
+}
+
+#[test]
+fn unknown_organisation_refused() {
+    let mut config = FleetConfig::default();
+    let change = ConfigChange::Label {
+        target: LabelTarget::Organisation("nobody".to_string()),
+        key: "site".to_string(),
+        value: Some("a".to_string()),
+    };
+    let before = config.clone();
+    let error = config.apply(&change).expect_err("refused");
+    assert!(matches!(error, ChangeError::Unknown { .. }));
+    assert_eq!(config, before);
+}
+
+#[test]
+fn bad_label_refused() {
+    let mut config = FleetConfig::default();
+    let before = config.clone();
+    assert!(config.apply(&label("e1", Some("no blanks here"))).is_err());
+    assert_eq!(config, before);
+}
+
+#[test]
+fn older_head_ignored() {
+    let mut config = FleetConfig::default();
+    let old = ConfigHead::default().appended("one", "ann", 0, label("e1", Some("a")));
+    let new = old.appended("two", "bob", 0, label("e1", Some("b")));
+    config = new.bring_up(&config).expect("new");
+    let same = old.bring_up(&config).expect("old");
+    assert_eq!(same.revision, 2);
+    assert_eq!(same, config);
+}
+
+#[test]
+fn broken_log_noticed() {
+    let head = ConfigHead::default().appended("one", "ann", 0, label("e1", Some("a")));
+    let mut head = head.appended("two", "ann", 0, label("e1", Some("b")));
+    head.tail.pop_front();
+    let error = head.bring_up(&FleetConfig::default()).expect_err("gap");
+    assert_eq!(error, ChangeError::BrokenLog { from: 0, to: 2 });
+}
+
+#[test]
+fn change_id_remembered() {
+    let mut head = ConfigHead::default();
+    for number in 0..70 {
+        head = head.appended(&format!("id-{number}"), "ann", 0, label("e1", Some("a")));
+    }
+    assert!(head.wants_folding());
+    let folded = head.folded("base".to_string());
+    assert_eq!(folded.revision(), 70);
+    assert_eq!(folded.settled_revision("id-3"), Some(4));
+    assert_eq!(folded.settled_revision("id-99"), None);
+}
+
+#[derive(Debug, Clone)]
+enum Step {
+    Change(ConfigChange),
+    Fold,
+    Refresh,
+}
+
+fn step() -> impl Strategy<Value = Step> {
+    let change = prop_oneof![
+        ("e[0-3]", proptest::option::of("[a-c]")).prop_map(|(e, v)| label(&e, v.as_deref())),
+        ("o[0-2]", any::<bool>()).prop_map(|(name, add)| ConfigChange::Organisation {
+            name,
+            conf: add.then(OrganisationConf::default),
+        }),
+    ];
+    prop_oneof![
+        6 => change.prop_map(Step::Change),
+        1 => Just(Step::Fold),
+        2 => Just(Step::Refresh),
+    ]
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { rng_seed: proptest::test_runner::RngSeed::Fixed(8), ..ProptestConfig::default() })]
+
+    /// A reader that looks now and then has what a writer had at that moment, and
+    /// its revision never goes down.
+    #[test]
+    fn reader_follows_writer(steps in proptest::collection::vec(step(), 1..80)) {
+        let mut head = ConfigHead::default();
+        let mut truth = FleetConfig::default();
+        let mut base = FleetConfig::default();
+        let mut reader = FleetConfig::default();
+        for (number, step) in steps.into_iter().enumerate() {
+            match step {
+                Step::Change(change) => {
+                    let mut next = truth.clone();
+                    if next.apply(&change).is_ok() {
+                        truth = next;
+                        head = head.appended(&format!("id-{number}"), "ann", 0, change);
+                    }
+                }
+                Step::Fold => {
+                    base = truth.clone();
+                    head = head.folded(format!("base-{number}"));
+                }
+                Step::Refresh => {
+                    let before = reader.revision;
+                    let from = if reader.revision >= head.base_revision { &reader } else { &base };
+                    reader = head.bring_up(from).expect("whole log");
+                    prop_assert_eq!(&reader, &truth);
+                    prop_assert!(reader.revision >= before);
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/core/tests/entry_control.rs
@@ -0,0 +1,470 @@
+//! The control state of an entry process.
+
+use {
+    pitchhitch_core::{
+        conf::{ConfigChange, FleetConfig, LabelTarget, ModelConf, OrganisationConf, VersionConf},
+        drain::DrainState,
+        errors::ErrorKind,
+        kept::{PieceHolder, PieceKey, StoreTier},
+        labels::LabelSet,
+        lease::{LeaseRow, LeaseTimes},
+        member::{AgentBeacon, EntryBeacon},
+        role::{
+            AgentPulse, BoxNotice, BoxRole, EntryAction, EntryCore, EntryEvent, EntrySetup,
+            EventBatch, PromptUse, StoredNotice, StoredPiece, UpwardEvent,
+        },
+        route::{EndpointKind, LoadReport, RoutePolicy, RouteTable, SentLoad},
+        time::Micros,
+    },
+    std::sync::Arc,
+};
+
+fn core() -> EntryCore {
+    EntryCore::new(EntrySetup {
+        box_id: "entry-1".to_string(),
+        holder: "entry-1.1".to_string(),
+        policy: RoutePolicy::Estimate,
+        lease: LeaseTimes::default(),
+    })
+}
+
+fn config(revision: u64) -> FleetConfig {
+    let mut config = FleetConfig {
+        revision,
+        ..FleetConfig::default()
+    };
+    config
+        .organisations
+        .insert("org".to_string(), OrganisationConf::default());
+    let model = ModelConf {
+        active: "v1".to_string(),
+        versions: [("v1".to_string(), VersionConf::default())]
+            .into_iter()
+            .collect(),
+        token_bytes: 100,
+    };
+    config.models.insert("m".to_string(), model);
+    config
+}
+
+fn load(running: u32) -> LoadReport {
+    LoadReport {
+        running,
+        slots: 4,
+        healthy: true,
+        ..LoadReport::default()
+    }
+}
+
+fn pulse(running: u32) -> AgentPulse {
+    AgentPulse {
+        load: load(running),
+        refusing: false,
+        exporting: 0,
+    }
+}
+
+fn beacon(incarnation: u64) -> AgentBeacon {
+    AgentBeacon {
+        endpoint_id: "e1".to_string(),
+        kind: EndpointKind::Engine {
+            model: "m".to_string(),
+            version: "v1".to_string(),
+        },
+        group: "g".to_string(),
+        labels: LabelSet::default(),
+        address: "127.0.0.1:9".parse().expect("address"),
+        incarnation,
+        refusing: false,
+        exporting: 0,
+        revision: 0,
+        load: load(0),
+    }
+}
+
+fn heard(incarnation: u64) -> EntryEvent {
+    EntryEvent::AgentHeard {
+        beacon: beacon(incarnation),
+        own: SentLoad::default(),
+    }
+}
+
+fn opened(incarnation: u64) -> EntryEvent {
+    EntryEvent::StreamOpened {
+        endpoint_id: "e1".to_string(),
+        incarnation,
+    }
+}
+
+fn said(
+    incarnation: u64,
+    first: u64,
+    events: Vec<UpwardEvent>,
+) -> EntryEvent {
+    EntryEvent::AgentSaid {
+        endpoint_id: "e1".to_string(),
+        incarnation,
+        batch: EventBatch {
+            first,
+            events,
+            pulse: pulse(0),
+        },
+        own: SentLoad::default(),
+    }
+}
+
+fn last_table(actions: &[EntryAction]) -> Option<Arc<RouteTable>> {
+    actions.iter().rev().find_map(|action| match action {
+        EntryAction::Publish { table, .. } => Some(table.clone()),
+        _ => None,
+    })
+}
+
+/// Ticks long enough for everything periodic to have happened.
+fn tick(
+    core: &mut EntryCore,
+    now: Micros,
+) -> Vec<EntryAction> {
+    let mut all = Vec::new();
+    for _ in 0..10 {
+        all.extend(core.step(now, EntryEvent::Tick));
+    }
+    all
+}
+
+fn linked() -> EntryCore {
+    let mut core = core();
+    core.step(Micros(0), EntryEvent::ConfigRead(Arc::new(config(1))));
+    core.step(Micros(1), heard(5));
+    core.step(Micros(2), opened(5));
+    core
+}
+
+#[test]
+fn config_never_reverts() {
+    let mut core = core();
+    core.step(Micros(0), EntryEvent::ConfigRead(Arc::new(config(5))));
+    core.step(Micros(1), EntryEvent::ConfigRead(Arc::new(config(3))));
+    assert_eq!(core.config().revision, 5);
+}
+
+#[test]
+fn ready_when_sure() {
+    let mut core = core();
+    assert!(!core.is_ready(Micros(0)));
+    core.step(Micros(0), EntryEvent::ConfigRead(Arc::new(config(1))));
+    // It came from a peer; a newer one may be heard of within the next seconds.
+    assert!(!core.is_ready(Micros(1)));
+    core.step(Micros(2), EntryEvent::TableReached);
+    assert!(core.is_ready(Micros(3)));
+    // Cut off from table and peers.
+    assert!(!core.is_ready(Micros::from_secs(8)));
+}
+
+#[test]
+fn peers_settle_config() {
+    let mut core = core();
+    let peer = EntryBeacon {
+        entry_id: "entry-2".to_string(),
+        failure_domain: "d".to_string(),
+        address: "127.0.0.1:9".parse().expect("address"),
+        peer_address: "127.0.0.1:10".parse().expect("address"),
+        incarnation: 1,
+        revision: 7,
+        running: 0,
+    };
+    let actions = core.step(Micros(0), EntryEvent::PeerHeard(peer.clone()));
+    assert!(matches!(actions[0], EntryAction::PullConfig { .. }));
+    core.step(Micros(1), EntryEvent::ConfigRead(Arc::new(config(7))));
+    assert!(!core.is_ready(Micros::from_secs(1)));
+    core.step(Micros::from_secs(2), EntryEvent::PeerHeard(peer));
+    assert!(core.is_ready(Micros::from_secs(3)));
+}
+
+#[test]
+fn event_gap_resyncs() {
+    let mut core = linked();
+    core.step(
+        Micros(3),
+        said(5, 0, vec![UpwardEvent::Cached(PieceKey(1))]),
+    );
+    let actions = core.step(
+        Micros(4),
+        said(5, 7, vec![UpwardEvent::Cached(PieceKey(2))]),
+    );
+    assert!(actions
+        .iter()
+        .any(|a| matches!(a, EntryAction::Resync { .. })));
+    // Until it is opened anew nothing more is believed.
+    core.step(
+        Micros(5),
+        said(5, 8, vec![UpwardEvent::Cached(PieceKey(3))]),
+    );
+    assert_eq!(core.piece_count(), 1);
+}
+
+#[test]
+fn restart_voids_pieces() {
+    let mut core = linked();
+    let key = PieceKey(77 << 64);
+    core.step(Micros(3), said(5, 0, vec![UpwardEvent::Cached(key)]));
+    let table = last_table(&tick(&mut core, Micros(4))).expect("table");
+    let alive = |table: &RouteTable| {
+        table.pieces.holders(key).any(|holder| match holder {
+            PieceHolder::Endpoint(endpoint) => table.endpoints.contains_key(endpoint),
+            PieceHolder::Store(_) => true,
+        })
+    };
+    assert!(alive(&table));
+    core.step(Micros(5), heard(6));
+    let mut actions = core.step(Micros(6), opened(6));
+    actions.extend(tick(&mut core, Micros(7)));
+    let table = last_table(&actions).expect("table");
+    assert!(!alive(&table));
+}
+
+#[test]
+fn earlier_life_ignored() {
+    let mut core = linked();
+    core.step(Micros(3), heard(4));
+    core.step(
+        Micros(4),
+        said(4, 0, vec![UpwardEvent::Cached(PieceKey(1))]),
+    );
+    assert_eq!(core.piece_count(), 0);
+    assert_eq!(core.roster().state("e1").expect("known").incarnation, 5);
+}
+
+#[test]
+fn silent_endpoint_goes() {
+    let mut core = linked();
+    let busy = EntryEvent::PulseSeen {
+        endpoint_id: "e1".to_string(),
+        pulse: pulse(2),
+        own: SentLoad::default(),
+    };
+    core.step(Micros(3), busy);
+    let alive = |core: &EntryCore| {
+        let entry = core.roster().get("e1").expect("known");
+        core.roster().loads[entry.key].alive
+    };
+    assert!(alive(&core));
+    tick(&mut core, Micros::from_secs(3));
+    assert!(!alive(&core));
+    let actions = tick(&mut core, Micros::from_secs(5));
+    assert!(actions
+        .iter()
+        .any(|a| matches!(a, EntryAction::DropLink { .. })));
+    let actions = tick(&mut core, Micros::from_secs(30));
+    assert!(actions
+        .iter()
+        .any(|a| matches!(a, EntryAction::Disconnect { .. })));
+    assert!(core.roster().get("e1").is_none());
+}
+
+#[test]
+fn drain_reported() {
+    let mut core = linked();
+    let now = Micros(10);
+    assert_eq!(core.drain_state("e1", now), DrainState::Serving);
+    let mut config = config(1);
+    config
+        .apply(&ConfigChange::Label {
+            target: LabelTarget::Endpoint("e1".to_string()),
+            key: "leaving".to_string(),
+            value: Some("true".to_string()),
+        })
+        .expect("change");
+    let actions = core.step(now, EntryEvent::ConfigRead(Arc::new(config)));
+    assert!(actions
+        .iter()
+        .any(|a| matches!(a, EntryAction::Notify { notice, .. } if notice.leaving)));
+    // No new work goes there from now on, whatever the agent says.
+    let table = last_table(&actions).expect("table");
+    let target = pitchhitch_core::route::WorkTarget::Model("m".to_string());
+    let pool = table.pools.get("org", &target, "v1").expect("pool");
+    assert!(pool.members.is_empty());
+    assert_eq!(core.drain_state("e1", now), DrainState::AwaitingAgent);
+    let mut refusing = pulse(1);
+    refusing.refusing = true;
+    let event = |pulse| EntryEvent::PulseSeen {
+        endpoint_id: "e1".to_string(),
+        pulse,
+        own: SentLoad::default(),
+    };
+    core.step(now, event(refusing));
+    assert_eq!(
+        core.drain_state("e1", now),
+        DrainState::Running { requests: 1 }
+    );
+    refusing.load.running = 0;
+    core.step(now, event(refusing));
+    assert_eq!(core.drain_state("e1", now), DrainState::MayStop);
+    assert_eq!(
+        core.drain_state("e1", Micros::from_secs(9)),
+        DrainState::AgentSilent
+    );
+}
+
+#[test]
+fn failing_endpoint_ejected() {
+    let mut core = linked();
+    let failed = || EntryEvent::TryEnded {
+        endpoint_id: "e1".to_string(),
+        failure: Some(ErrorKind::EndpointLost),
+    };
+    core.step(Micros(3), failed());
+    core.step(Micros(4), failed());
+    core.step(Micros(5), failed());
+    let entry = core.roster().get("e1").expect("known");
+    assert!(!core.roster().loads[entry.key].alive);
+}
+
+fn store_box() -> EntryEvent {
+    EntryEvent::BoxesListed(vec![BoxNotice {
+        id: "store-1".to_string(),
+        role: BoxRole::Store,
+        group: "g".to_string(),
+        address: "127.0.0.1:11".parse().expect("address"),
+        leaving: false,
+    }])
+}
+
+fn stored(
+    piece: u128,
+    identity: u128,
+) -> UpwardEvent {
+    UpwardEvent::Stored(StoredNotice {
+        key: PieceKey(piece << 64),
+        store: "store-1".to_string(),
+        tier: StoreTier::Memory,
+        generation: piece as u64,
+        identity: PieceKey(identity),
+    })
+}
+
+fn used(identity: u128) -> UpwardEvent {
+    UpwardEvent::PromptUsed(PromptUse {
+        identity: PieceKey(identity),
+        organisation: "org".to_string(),
+        label: "file".to_string(),
+    })
+}
+
+#[test]
+fn full_store_evicts() {
+    let mut core = linked();
+    core.step(Micros(3), store_box());
+    // This process must hold the lease of the group before it drops anything.
+    let mut events = vec![used(2)];
+    events.extend((0..40).map(|n| stored(100 + n, 1)));
+    events.extend((0..40).map(|n| stored(200 + n, 2)));
+    core.step(Micros(4), said(5, 0, events));
+    let full = UpwardEvent::StoreFull {
+        store: "store-1".to_string(),
+    };
+    let actions = core.step(Micros(5), said(5, 81, vec![full.clone()]));
+    assert!(!actions
+        .iter()
+        .any(|a| matches!(a, EntryAction::DropPieces { .. })));
+    take_lease(&mut core);
+    let now = Micros(7);
+    let actions = core.step(now, said(5, 82, vec![full]));
+    let dropped = actions.iter().find_map(|a| match a {
+        EntryAction::DropPieces { pieces, .. } => Some(pieces.clone()),
+        _ => None,
+    });
+    let dropped = dropped.expect("pieces are dropped");
+    // The prompt that nobody has asked for goes; the one that may return stays.
+    assert_eq!(dropped.len(), 40);
+    assert!(dropped.iter().all(|piece| piece.generation < 200));
+}
+
+/// Drives the lease of the only group until this process holds it.
+fn take_lease(core: &mut EntryCore) {
+    let now = Micros(6);
+    let shard = pitchhitch_core::lease::shard_of("g");
+    tick(core, now);
+    let read = EntryEvent::LeaseRead {
+        shard: shard.clone(),
+        row: None::<LeaseRow>,
+        version: 0,
+        asked_at: now,
+    };
+    core.step(now, read);
+    let actions = tick(core, now);
+    assert!(
+        actions
+            .iter()
+            .any(|a| matches!(a, EntryAction::WriteLease { .. })),
+        "{actions:?}"
+    );
+    core.step(now, EntryEvent::LeaseWritten { shard, version: 1 });
+    assert_eq!(core.held_shards(now).len(), 1);
+}
+
+#[test]
+fn stale_list_keeps_newer() {
+    let mut core = linked();
+    core.step(Micros(3), store_box());
+    // The list was on its way when an agent told of a newer piece.
+    core.step(Micros(4), said(5, 0, vec![stored(9, 1)]));
+    let listed = EntryEvent::StoreListed {
+        store: "store-1".to_string(),
+        pieces: vec![StoredPiece {
+            key: PieceKey(8 << 64),
+            tier: StoreTier::Disk,
+            generation: 8,
+        }],
+    };
+    core.step(Micros(5), listed);
+    let table = last_table(&tick(&mut core, Micros(6))).expect("table");
+    for piece in [8, 9] {
+        let known = table
+            .pieces
+            .holders(PieceKey(piece << 64))
+            .any(|holder| match holder {
+                PieceHolder::Store(copy) => table.stores.contains_key(copy.store),
+                PieceHolder::Endpoint(_) => false,
+            });
+        assert!(known, "piece {piece}");
+    }
+}
+
+#[test]
+fn weights_loaded_two_at_once() {
+    let mut core = core();
+    let mut config = config(2);
+    let model = config.models.get_mut("m").expect("model");
+    model
+        .versions
+        .insert("v2".to_string(), VersionConf::default());
+    model.active = "v2".to_string();
+    core.step(Micros(0), EntryEvent::ConfigRead(Arc::new(config)));
+    for number in 0..5 {
+        let endpoint_id = format!("e{number}");
+        let beacon = AgentBeacon {
+            endpoint_id: endpoint_id.clone(),
+            ..beacon(5)
+        };
+        let own = SentLoad::default();
+        core.step(Micros(1), EntryEvent::AgentHeard { beacon, own });
+        core.step(
+            Micros(2),
+            EntryEvent::StreamOpened {
+                endpoint_id,
+                incarnation: 5,
+            },
+        );
+    }
+    take_lease(&mut core);
+    let actions = tick(&mut core, Micros(7));
+    let ordered = |actions: &[EntryAction]| {
+        actions
+            .iter()
+            .filter(|a| matches!(a, EntryAction::Order { .. }))
+            .count()
+    };
+    assert_eq!(ordered(&actions), 2);
+    assert_eq!(ordered(&tick(&mut core, Micros(8))), 0);
+}
--- /dev/null
+++ b/core/tests/retry_rules.rs
@@ -0,0 +1,136 @@
+//! Retries: never a second run of what may not be repeated, never a flood.
+
+use {
+    pitchhitch_core::{
+        errors::{ErrorKind, RunState},
+        retry::{
+            after_failure, BackoffPolicy, FailedTry, OutlierGuard, RetryBudget, RetryStep,
+            MAX_TRIES,
+        },
+        time::Micros,
+    },
+    rand::SeedableRng,
+    rand_pcg::Pcg32,
+    std::collections::BTreeSet,
+};
+
+fn failed(
+    kind: ErrorKind,
+    repeatable: bool,
+    tries: u32,
+) -> FailedTry {
+    FailedTry {
+        kind,
+        repeatable,
+        tries,
+        deadline: Micros(1_000),
+        now: Micros(10),
+    }
+}
+
+#[test]
+fn unknown_not_repeated() {
+    for kind in ErrorKind::ALL {
+        if kind.run_state() == RunState::Unknown {
+            assert_eq!(
+                after_failure(&failed(kind, false, 1)),
+                RetryStep::GiveUp,
+                "{kind:?}"
+            );
+        }
+    }
+}
+
+#[test]
+fn refused_goes_elsewhere() {
+    for kind in [
+        ErrorKind::EndpointLeaving,
+        ErrorKind::WrongVersion,
+        ErrorKind::EndpointFull,
+    ] {
+        assert_eq!(
+            after_failure(&failed(kind, false, 1)),
+            RetryStep::TryAnother
+        );
+    }
+    let lost = failed(ErrorKind::EndpointLost, true, 1);
+    assert_eq!(after_failure(&lost), RetryStep::TryAnother);
+}
+
+#[test]
+fn tries_bounded() {
+    let last = failed(ErrorKind::EndpointFull, true, MAX_TRIES);
+    assert_eq!(after_failure(&last), RetryStep::GiveUp);
+    let mut late = failed(ErrorKind::EndpointFull, true, 1);
+    late.now = late.deadline;
+    assert_eq!(after_failure(&late), RetryStep::GiveUp);
+}
+
+#[test]
+fn budget_bounds_load() {
+    let mut budget = RetryBudget::default();
+    let mut sent = 0;
+    for _ in 0..10_000 {
+        budget.earn();
+        sent += 1;
+        // Every try fails, and every failure asks for another try.
+        while budget.spend() {
+            sent += 1;
+        }
+    }
+    assert!(f64::from(sent) / 10_000.0 <= 1.1 + 0.002, "{sent}");
+}
+
+#[test]
+fn pauses_grow_and_end() {
+    let mut random = Pcg32::seed_from_u64(1);
+    let policy = BackoffPolicy::PLATFORM;
+    for attempt in 1..40 {
+        let pause = policy.pause(attempt, &mut random);
+        assert!(pause <= policy.cap, "{pause:?}");
+    }
+    assert!(policy.pause(30, &mut random).0 >= policy.cap.0 / 2);
+}
+
+#[test]
+fn outlier_taken_out() {
+    let mut guard = OutlierGuard::default();
+    let now = Micros::from_secs(1);
+    assert!(!guard.failed(now));
+    assert!(!guard.failed(now));
+    assert!(guard.failed(now));
+    assert!(guard.is_out(now));
+    let back = Micros::from_secs(4);
+    assert!(!guard.is_out(back));
+    assert!(guard.penalty(back) > 1.0);
+    assert_eq!(guard.penalty(Micros::from_secs(30)), 1.0);
+}
+
+#[test]
+fn success_forgives() {
+    let mut guard = OutlierGuard::default();
+    let now = Micros::from_secs(1);
+    for _ in 0..10 {
+        assert!(!guard.failed(now));
+        assert!(!guard.failed(now));
+        guard.succeeded(now);
+    }
+}
+
+#[test]
+fn answers_fit_kinds() {
+    let mut codes = BTreeSet::new();
+    for kind in ErrorKind::ALL {
+        let row = kind.answer();
+        assert!((400..600).contains(&row.status), "{kind:?}");
+        assert!(
+            codes.insert(row.code),
+            "{kind:?}: code {} stands twice",
+            row.code
+        );
+        // Whoever may come back is told when.
+        if row.status == 503 || row.status == 429 {
+            assert!(row.retry_after.is_some(), "{kind:?}");
+        }
+    }
+}
--- /dev/null
+++ b/core/tests/route_choice.rs
@@ -0,0 +1,450 @@
+//! Routing decisions.
+
+use {
+    pitchhitch_core::{
+        conf::{
+            CostWeights, FleetConfig, ModelConf, OrganisationConf, PlacementRule, RuleEffect,
+            VersionConf,
+        },
+        errors::ErrorKind,
+        kept::{prefix_chain, PieceDirectory, PieceHolder, PieceKey, StoreTier, StoredCopy},
+        labels::{LabelSet, WorkSelector},
+        route::{
+            EndpointArena, EndpointKey, EndpointKind, EndpointLoad, EndpointState, LoadReport,
+            PoolIndex, RouteChoice, RoutePolicy, RouteReason, RouteRequest, RouteTable, SentLoad,
+            StoreState, WorkTarget,
+        },
+        time::Micros,
+    },
+    proptest::prelude::*,
+    slotmap::SecondaryMap,
+    std::{net::SocketAddr, sync::Arc},
+};
+
+const TOKENS: u32 = 4_096;
+
+struct Fleet {
+    config: FleetConfig,
+    arena: EndpointArena,
+    loads: SecondaryMap<EndpointKey, EndpointLoad>,
+    table: RouteTable,
+    keys: Vec<EndpointKey>,
+}
+
+fn address() -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], 9))
+}
+
+fn fleet(engines: usize) -> Fleet {
+    let mut config = FleetConfig {
+        revision: 1,
+        ..FleetConfig::default()
+    };
+    config
+        .organisations
+        .insert("org".to_string(), OrganisationConf::default());
+    config
+        .organisations
+        .insert("other".to_string(), OrganisationConf::default());
+    let versions = ["v1", "v2"].map(|v| (v.to_string(), VersionConf::default()));
+    let model = ModelConf {
+        active: "v1".to_string(),
+        versions: versions.into_iter().collect(),
+        token_bytes: 1_000,
+    };
+    config.models.insert("m".to_string(), model);
+    let mut fleet = Fleet {
+        config,
+        arena: EndpointArena::default(),
+        loads: SecondaryMap::new(),
+        table: RouteTable::default(),
+        keys: Vec::new(),
+    };
+    for number in 0..engines {
+        fleet.add_engine(number, "v1");
+    }
+    fleet
+}
+
+impl Fleet {
+    fn add_engine(
+        &mut self,
+        number: usize,
+        version: &str,
+    ) -> EndpointKey {
+        let site = if number % 2 == 0 { "a" } else { "b" };
+        let key = self.arena.insert(Arc::new(EndpointState {
+            id: format!("e{number}"),
+            kind: EndpointKind::Engine {
+                model: "m".to_string(),
+                version: version.to_string(),
+            },
+            group: "g".to_string(),
+            labels: [("site", site)].into_iter().collect::<LabelSet>(),
+            address: address(),
+            incarnation: 1,
+            leaving: false,
+        }));
+        let report = LoadReport {
+            slots: 8,
+            token_cost: 20.0,
+            service_time: 50_000.0,
+            healthy: true,
+            ..LoadReport::default()
+        };
+        let load = EndpointLoad {
+            report,
+            alive: true,
+            penalty: 1.0,
+            ..EndpointLoad::default()
+        };
+        self.loads.insert(key, load);
+        self.keys.push(key);
+        key
+    }
+
+    fn rule(
+        &mut self,
+        name: &str,
+        precedence: i32,
+        work: &str,
+        endpoints: &str,
+        effect: RuleEffect,
+    ) {
+        let rule = PlacementRule {
+            precedence,
+            work: WorkSelector::parse(work).expect("work"),
+            endpoints: WorkSelector::parse(endpoints).expect("endpoints"),
+            effect,
+        };
+        self.config.rules.insert(name.to_string(), rule);
+    }
+
+    fn hold(
+        &mut self,
+        endpoint: usize,
+        pieces: &[PieceKey],
+    ) {
+        for piece in pieces {
+            self.table
+                .pieces
+                .add(*piece, PieceHolder::Endpoint(self.keys[endpoint]));
+        }
+    }
+
+    fn store(
+        &mut self,
+        pieces: &[PieceKey],
+        link_rate: f64,
+    ) {
+        let store = self.table.stores.insert(StoreState {
+            id: "s".to_string(),
+            group: "g".to_string(),
+            address: address(),
+            link_rate,
+            link_queue: 0,
+            disk_rate: 1.0e9,
+        });
+        for piece in pieces {
+            let copy = StoredCopy {
+                store,
+                tier: StoreTier::Memory,
+                generation: 5,
+            };
+            self.table.pieces.add(*piece, PieceHolder::Store(copy));
+        }
+    }
+
+    fn build(mut self) -> RouteTable {
+        self.table.pools = Arc::new(PoolIndex::build(&self.config, &self.arena));
+        self.table.config = Arc::new(self.config);
+        self.table.endpoints = Arc::new(self.arena);
+        self.table.loads = self.loads;
+        self.table
+    }
+}
+
+fn prompt() -> Vec<PieceKey> {
+    let text: Vec<u8> = (0..TOKENS as usize * 4).map(|n| (n % 251) as u8).collect();
+    prefix_chain("org", "v1", &text)
+}
+
+fn choose(
+    table: &RouteTable,
+    organisation: &str,
+    version: &str,
+    pieces: &[PieceKey],
+    excluded: &[EndpointKey],
+    seed: u64,
+) -> Result<RouteChoice, ErrorKind> {
+    let target = WorkTarget::Model("m".to_string());
+    let request = RouteRequest {
+        organisation,
+        target: &target,
+        version,
+        pieces,
+        input_tokens: TOKENS,
+        weights: CostWeights::default(),
+        token_bytes: 1_000,
+        excluded,
+        now: Micros::ZERO,
+        seed,
+    };
+    table.choose(&request, |_| SentLoad::default())
+}
+
+fn chosen(
+    table: &RouteTable,
+    choice: &RouteChoice,
+) -> String {
+    table.endpoints[choice.endpoint].id.clone()
+}
+
+#[test]
+fn holder_preferred() {
+    let mut fleet = fleet(5);
+    fleet.hold(3, &prompt());
+    let table = fleet.build();
+    let choice = choose(&table, "org", "v1", &prompt(), &[], 1).expect("choice");
+    assert_eq!(chosen(&table, &choice), "e3");
+    assert_eq!(choice.reason, RouteReason::ReusesPrefix);
+    assert_eq!(choice.estimate.reused_pieces, 8);
+    assert_eq!(choice.candidates, 5);
+}
+
+#[test]
+fn busy_holder_passed_over() {
+    let mut fleet = fleet(3);
+    fleet.hold(1, &prompt());
+    let key = fleet.keys[1];
+    fleet.loads[key].report.pending_tokens = 1_000_000;
+    let table = fleet.build();
+    let choice = choose(&table, "org", "v1", &prompt(), &[], 1).expect("choice");
+    assert_ne!(chosen(&table, &choice), "e1");
+}
+
+#[test]
+fn own_sends_counted_once() {
+    let mut fleet = fleet(2);
+    // The report holds 1,000 tokens, all of them this process's own, and all computed by now.
+    let key = fleet.keys[0];
+    fleet.loads[key].report.pending_tokens = 1_000;
+    fleet.loads[key].own_tokens = 1_000;
+    let other = fleet.keys[1];
+    fleet.loads[other].report.pending_tokens = 500;
+    let table = fleet.build();
+    let choice = choose(&table, "org", "v1", &[], &[], 1).expect("choice");
+    assert_eq!(chosen(&table, &choice), "e0");
+}
+
+#[test]
+fn quick_link_imports() {
+    let mut fleet = fleet(2);
+    fleet.store(&prompt(), 1.0e9);
+    let table = fleet.build();
+    let choice = choose(&table, "org", "v1", &prompt(), &[], 1).expect("choice");
+    assert_eq!(choice.reason, RouteReason::ImportsPrefix);
+    assert_eq!(choice.imports.len(), 8);
+    assert!(choice.imports.iter().all(|import| import.generation == 5));
+}
+
+#[test]
+fn slow_link_recomputes() {
+    let mut fleet = fleet(2);
+    fleet.store(&prompt(), 1.0e6);
+    let table = fleet.build();
+    let choice = choose(&table, "org", "v1", &prompt(), &[], 1).expect("choice");
+    assert!(choice.imports.is_empty());
+    assert_eq!(choice.estimate.recomputed_tokens, TOKENS);
+}
+
+#[test]
+fn versions_kept_apart() {
+    let mut fleet = fleet(2);
+    fleet.add_engine(2, "v2");
+    let table = fleet.build();
+    for seed in 0..50 {
+        let old = choose(&table, "org", "v1", &[], &[], seed).expect("v1");
+        let new = choose(&table, "org", "v2", &[], &[], seed).expect("v2");
+        assert_ne!(chosen(&table, &old), "e2");
+        assert_eq!(chosen(&table, &new), "e2");
+    }
+}
+
+#[test]
+fn excluded_never_chosen() {
+    let fleet = fleet(2);
+    let first = fleet.keys[0];
+    let table = fleet.build();
+    for seed in 0..20 {
+        let choice = choose(&table, "org", "v1", &[], &[first], seed).expect("choice");
+        assert_eq!(chosen(&table, &choice), "e1");
+        assert_eq!(choice.reason, RouteReason::OnlyOne);
+    }
+}
+
+#[test]
+fn nothing_selected() {
+    let mut fleet = fleet(2);
+    fleet.rule(
+        "none",
+        0,
+        "organisation=org",
+        "site=nowhere",
+        RuleEffect::Allow,
+    );
+    let table = fleet.build();
+    assert_eq!(
+        choose(&table, "org", "v1", &[], &[], 1),
+        Err(ErrorKind::NothingSelected)
+    );
+    assert!(choose(&table, "other", "v1", &[], &[], 1).is_ok());
+}
+
+#[test]
+fn none_available() {
+    let mut fleet = fleet(2);
+    for key in fleet.keys.clone() {
+        fleet.loads[key].alive = false;
+    }
+    let table = fleet.build();
+    assert_eq!(
+        choose(&table, "org", "v1", &[], &[], 1),
+        Err(ErrorKind::NoneAvailable)
+    );
+}
+
+#[test]
+fn higher_precedence_decides() {
+    let mut fleet = fleet(4);
+    fleet.rule("all-to-a", 0, "", "site=a", RuleEffect::Allow);
+    fleet.rule(
+        "org-to-b",
+        5,
+        "organisation=org",
+        "site=b",
+        RuleEffect::Allow,
+    );
+    let table = fleet.build();
+    for seed in 0..20 {
+        let ours = choose(&table, "org", "v1", &[], &[], seed).expect("ours");
+        let theirs = choose(&table, "other", "v1", &[], &[], seed).expect("theirs");
+        assert!(["e1", "e3"].contains(&chosen(&table, &ours).as_str()));
+        assert!(["e0", "e2"].contains(&chosen(&table, &theirs).as_str()));
+    }
+}
+
+#[test]
+fn deny_beats_allow() {
+    let mut fleet = fleet(4);
+    fleet.rule("allow", 0, "", "", RuleEffect::Allow);
+    fleet.rule("deny", 0, "organisation=org", "site=a", RuleEffect::Deny);
+    let table = fleet.build();
+    for seed in 0..20 {
+        let choice = choose(&table, "org", "v1", &[], &[], seed).expect("choice");
+        assert!(["e1", "e3"].contains(&chosen(&table, &choice).as_str()));
+    }
+}
+
+#[test]
+fn equals_spread_out() {
+    let table = fleet(4).build();
+    let mut counts = [0; 4];
+    for seed in 0..400 {
+        let choice = choose(&table, "org", "v1", &[], &[], seed).expect("choice");
+        let number: usize = chosen(&table, &choice)[1..].parse().expect("number");
+        counts[number] += 1;
+    }
+    assert!(counts.iter().all(|count| *count > 50), "{counts:?}");
+}
+
+#[test]
+fn round_robin_turns() {
+    let mut table = fleet(3).build();
+    table.policy = RoutePolicy::RoundRobin;
+    let ids: Vec<String> = (0..6)
+        .map(|seed| {
+            chosen(
+                &table,
+                &choose(&table, "org", "v1", &[], &[], seed).expect("choice"),
+            )
+        })
+        .collect();
+    assert_eq!(ids[..3], ids[3..]);
+    assert_ne!(ids[0], ids[1]);
+    assert_ne!(ids[1], ids[2]);
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { rng_seed: proptest::test_runner::RngSeed::Fixed(9), ..ProptestConfig::default() })]
+
+    /// The same view, request and seed make the same decision, and the decision
+    /// is a usable, admitted endpoint of the right version.
+    #[test]
+    fn same_input_same_choice(
+        engines in 1usize..20,
+        dead in proptest::collection::vec(any::<bool>(), 20),
+        pending in proptest::collection::vec(0u64..50_000, 20),
+        holders in proptest::collection::vec(0usize..20, 0..4),
+        seed in any::<u64>(),
+    ) {
+        let make = || {
+            let mut fleet = fleet(engines);
+            fleet.rule("site", 0, "organisation=org", "site=a", RuleEffect::Allow);
+            for number in 0..engines {
+                let key = fleet.keys[number];
+                fleet.loads[key].alive = !dead[number];
+                fleet.loads[key].report.pending_tokens = pending[number];
+            }
+            for holder in &holders {
+                if *holder < engines {
+                    fleet.hold(*holder, &prompt());
+                }
+            }
+            fleet.build()
+        };
+        let table = make();
+        let one = choose(&table, "org", "v1", &prompt(), &[], seed);
+        let two = choose(&make(), "org", "v1", &prompt(), &[], seed);
+        prop_assert_eq!(&one, &two);
+        if let Ok(choice) = one {
+            let number: usize = chosen(&table, &choice)[1..].parse().expect("number");
+            prop_assert!(!dead[number]);
+            prop_assert_eq!(number % 2, 0);
+        }
+    }
+
+    /// The directory agrees with a plain list of what was added and removed.
+    #[test]
+    fn directory_like_list(steps in proptest::collection::vec((0u64..30, 0usize..4, any::<bool>()), 1..200)) {
+        let fleet = fleet(4);
+        let mut directory = PieceDirectory::default();
+        let mut list: Vec<(u64, usize)> = Vec::new();
+        for (name, endpoint, add) in steps {
+            let key = PieceKey(u128::from(name) << 100 | 1);
+            let holder = PieceHolder::Endpoint(fleet.keys[endpoint]);
+            list.retain(|row| *row != (name, endpoint));
+            if add {
+                directory.add(key, holder);
+                list.push((name, endpoint));
+            } else {
+                directory.remove(key, &holder);
+            }
+        }
+        for name in 0..30 {
+            let key = PieceKey(u128::from(name) << 100 | 1);
+            let mut found: Vec<EndpointKey> = directory
+                .holders(key)
+                .filter_map(|h| match h {
+                    PieceHolder::Endpoint(key) => Some(key),
+                    PieceHolder::Store(_) => None,
+                })
+                .collect();
+            found.sort();
+            let mut wanted: Vec<EndpointKey> =
+                list.iter().filter(|row| row.0 == name).map(|row| fleet.keys[row.1]).collect();
+            wanted.sort();
+            prop_assert_eq!(found, wanted);
+        }
+    }
+}
--- /dev/null
+++ b/core/tests/settings_check.rs
@@ -0,0 +1,48 @@
+//! Checking of settings.
+
+use pitchhitch_core::settings::SettingsReader;
+
+fn read(text: &str) -> Result<String, String> {
+    let mut reader = SettingsReader::parse("box.json", text).map_err(|e| e.to_string())?;
+    let name = reader.text("name");
+    let _ = reader.address("listen");
+    let _ = reader.number("room", 10, 1..=100);
+    let _ = reader.flag("quiet", false);
+    reader.finish().map_err(|e| e.to_string())?;
+    Ok(name)
+}
+
+#[test]
+fn all_problems_at_once() {
+    let text = r#"{"name": 7, "listen": "localhost:80", "room": 0, "quiet": "no", "nmae": "x"}"#;
+    let error = read(text).expect_err("wrong");
+    let lines: Vec<&str> = error.lines().collect();
+    assert_eq!(lines.len(), 5, "{error}");
+    for (line, field) in lines
+        .iter()
+        .zip(["name", "listen", "room", "quiet", "nmae"])
+    {
+        assert!(
+            line.starts_with(&format!("box.json: {field}: found ")),
+            "{line}"
+        );
+        assert!(line.contains("wanted"), "{line}");
+    }
+}
+
+#[test]
+fn comments_allowed() {
+    let text = r#"{"// name": "who it is", "name": "a", "listen": "127.0.0.1:80"}"#;
+    assert_eq!(read(text), Ok("a".to_string()));
+}
+
+#[test]
+fn broken_json_named() {
+    let error = read("{\"name\": ").expect_err("broken");
+    assert!(
+        error.starts_with("box.json: (whole file): found EOF"),
+        "{error}"
+    );
+    let error = read("[1]").expect_err("no object");
+    assert!(error.contains("wanted one JSON object"), "{error}");
+}
--- /dev/null
+++ b/testbed/examples/lease_check.rs
@@ -0,0 +1,31 @@
+//! A deeper run of the check of the lease protocol: `lease_check FAULTS UNITS`.
+
+use {
+    pitchhitch_core::time::Micros,
+    pitchhitch_testbed::check::{explore_leases, lease_world, one_holder},
+    std::process::ExitCode,
+};
+
+/// States at which the run is cut off; they fill about 6 GiB.
+const STATE_LIMIT: usize = 8_000_000;
+
+fn main() -> ExitCode {
+    let mut numbers = std::env::args()
+        .skip(1)
+        .map(|text| text.parse().unwrap_or(0));
+    let faults = numbers.next().unwrap_or(1);
+    let units = numbers.next().unwrap_or(4);
+    let mut start = lease_world(faults);
+    start.run_smoothly(2);
+    let end = start.now() + Micros(u64::from(units));
+    match explore_leases(start, end, STATE_LIMIT, one_holder) {
+        Ok(states) => {
+            println!("{states} states, {faults} faults, {units} units of time: one holder at most");
+            ExitCode::SUCCESS
+        }
+        Err(text) => {
+            eprintln!("{text}");
+            ExitCode::FAILURE
+        }
+    }
+}
--- a/testbed/src/lib.rs
+++ b/testbed/src/lib.rs
@@ -1,6 +1,7 @@
 //! Small stand-ins for the systems that pitchhitch serves with, a fault proxy,
 //! traces and their replay. Not shipped.
 
+pub mod check;
 pub mod deploy;
 pub mod engine;
 pub mod proxy;
--- /dev/null
+++ b/testbed/tests/lease_protocol.rs
@@ -0,0 +1,48 @@
+//! The lease protocol, by trying all orders of events of a small instance: two
+//! processes, one row, calls that are delayed, lost before or after they take
+//! effect, crashes, and any pause between two steps.
+
+use {
+    pitchhitch_core::time::Micros,
+    pitchhitch_testbed::check::{explore_leases, lease_world, one_holder, LeaseWorld},
+};
+
+const STATE_LIMIT: usize = 2_000_000;
+
+/// A world in which somebody has just taken the lease and the other knows it.
+fn held_world(faults: u32) -> LeaseWorld {
+    let mut world = lease_world(faults);
+    world.run_smoothly(2);
+    assert_eq!(world.holders().len(), 1);
+    world
+}
+
+fn check(
+    start: LeaseWorld,
+    units: u64,
+) -> usize {
+    let end = start.now() + Micros(units);
+    explore_leases(start, end, STATE_LIMIT, one_holder).expect("one holder")
+}
+
+#[test]
+fn one_holder_only() {
+    for (faults, units) in [(0, 6), (1, 4)] {
+        let states = check(held_world(faults), units);
+        println!("{states} states from a held lease, {faults} faults, {units} units of time");
+    }
+    let states = check(lease_world(1), 2);
+    println!("{states} states from a free lease, 1 fault, 2 units of time");
+}
+
+#[test]
+fn lease_taken_over() {
+    let mut world = held_world(0);
+    let first = world.holders();
+    world.crash_holder();
+    assert!(world.holders().is_empty());
+    world.run_smoothly(8);
+    let second = world.holders();
+    assert_eq!(second.len(), 1);
+    assert!(second[0] > first[0], "{first:?} {second:?}");
+}
