Provoke the failures with real processes

Cause: the promises were held by design only. Found and mended: test deployments drew ports that another one took before its process started, so each has a loopback address of its own; explaining a request at another process needs the peer to be heard first, which tests now wait for.

--- a/testbed/src/deploy/deployment.rs
+++ b/testbed/src/deploy/deployment.rs
@@ -3,6 +3,7 @@
     crate::{
         engine::EngineStandIn,
         proxy::FaultProxy,
+        replay::PromptCall,
         stand_ins::{PlainService, PlatformStandIn, RunCounter, StoreBox},
     },
     anyhow::Context,
@@ -19,7 +20,7 @@
     smol::Timer,
     std::{
         fs,
-        net::{SocketAddr, TcpListener, UdpSocket},
+        net::{IpAddr, SocketAddr, TcpListener, UdpSocket},
         path::{Path, PathBuf},
         process::Output,
         sync::atomic::{AtomicU32, Ordering},
@@ -113,7 +114,7 @@
         let platform = PlatformStandIn::start()?;
         let store = StoreBox::start(shape.store)?;
         let mut deployment = Deployment {
-            entry_places: entry_places(&shape)?,
+            entry_places: entry_places(&shape, number)?,
             runs: RunCounter::default(),
             entries: Vec::new(),
             endpoints: Vec::new(),
@@ -447,6 +448,8 @@
     /// When that does not come about.
     pub async fn wait_settled(&self) -> anyhow::Result<()> {
         let wanted = self.endpoints.iter().filter(|e| e.agent.is_some()).count();
+        let running = self.entries.iter().filter(|e| e.is_some()).count();
+        let peers = running.saturating_sub(1);
         for index in 0..self.entry_places.len() {
             if self.entries.get(index).is_some_and(Option::is_none) {
                 continue;
@@ -454,7 +457,8 @@
             let what = format!("{} to know {wanted} endpoints", self.entry_places[index].id);
             self.wait_status(index, &what, |report| {
                 let alive = report.endpoints.iter().filter(|e| e.alive).count();
-                report.ready && alive == wanted && !report.stores.is_empty()
+                let all = alive == wanted && report.peers.len() >= peers;
+                report.ready && all && !report.stores.is_empty()
             })
             .await?;
         }
@@ -484,6 +488,89 @@
         }
     }
 
+    /// A streamed prompt of the first organisation.
+    pub fn prompt(
+        &self,
+        entry: usize,
+        text: &str,
+        answer_tokens: u32,
+    ) -> PromptCall {
+        PromptCall {
+            address: self.entry_places[entry].callers,
+            key: self.first_key(),
+            model: self.shape.model.clone(),
+            text: text.to_string(),
+            answer_tokens,
+            stream: true,
+            label: "test".to_string(),
+            headers: Vec::new(),
+        }
+    }
+
+    /// Bearer key of the first organisation.
+    pub fn first_key(&self) -> String {
+        self.shape.key(&self.shape.organisation(1))
+    }
+
+    /// Where an entry process serves a path.
+    pub fn url(
+        &self,
+        entry: usize,
+        path: &str,
+    ) -> String {
+        format!("http://{}{path}", self.entry_places[entry].callers)
+    }
+
+    /// Starts a small deployment of the built binaries, or panics.
+    pub async fn for_test(shape: DeploymentShape) -> Self {
+        let programs = ProgramSet::built().unwrap_or_else(|e| panic!("binaries: {e:#}"));
+        let deployment = Deployment::start(shape, programs).await;
+        deployment.unwrap_or_else(|e| panic!("deployment: {e:#}"))
+    }
+
+    /// Waits until a condition holds, or panics.
+    pub async fn wait_until(
+        &self,
+        what: &str,
+        condition: impl Fn() -> bool,
+    ) {
+        let started = Instant::now();
+        while !condition() {
+            assert!(started.elapsed() < PATIENCE, "waited in vain for {what}");
+            Timer::after(LOOK).await;
+        }
+    }
+
+    /// Makes a change and waits until every entry process has it in force.
+    pub async fn change_everywhere(
+        &self,
+        change: ConfigChange,
+    ) -> u64 {
+        let revision = self
+            .change(change)
+            .await
+            .unwrap_or_else(|e| panic!("change: {e:#}"));
+        self.wait_revision(revision).await;
+        revision
+    }
+
+    /// Waits until every running entry process has a revision in force.
+    pub async fn wait_revision(
+        &self,
+        revision: u64,
+    ) {
+        for index in 0..self.entries.len() {
+            if self.entries[index].is_none() {
+                continue;
+            }
+            let what = format!("revision {revision}");
+            let waited = self
+                .wait_status(index, &what, |report| report.revision >= revision)
+                .await;
+            waited.unwrap_or_else(|e| panic!("{e:#}"));
+        }
+    }
+
     /// The engines.
     pub fn engines(&self) -> impl Iterator<Item = &EngineStandIn> {
         self.endpoints.iter().filter_map(|e| match &e.stand_in {
@@ -508,25 +595,37 @@
     }
 }
 
-fn entry_places(shape: &DeploymentShape) -> anyhow::Result<Vec<EntryPlace>> {
+fn entry_places(
+    shape: &DeploymentShape,
+    deployment: u32,
+) -> anyhow::Result<Vec<EntryPlace>> {
+    let ip = own_address(deployment);
     let mut places = Vec::new();
     for number in 0..shape.entries {
         let domain = &shape.failure_domains[number % shape.failure_domains.len()];
         places.push(EntryPlace {
             id: format!("{}-entry-{}", shape.name, number + 1),
             failure_domain: domain.clone(),
-            callers: free_tcp()?,
-            operators: free_tcp()?,
-            beacons: free_udp()?,
+            callers: free_tcp(ip)?,
+            operators: free_tcp(ip)?,
+            beacons: free_udp(ip)?,
         });
     }
     Ok(places)
 }
 
-fn free_tcp() -> anyhow::Result<SocketAddr> {
-    Ok(TcpListener::bind("127.0.0.1:0")?.local_addr()?)
+/// A loopback address that no other deployment uses: a port that the system
+/// names free must still be free when the process that is told it starts.
+fn own_address(deployment: u32) -> IpAddr {
+    let pid = std::process::id();
+    let byte = |number: u32| (number % 250) as u8 + 1;
+    IpAddr::from([127, byte(pid), byte(pid / 250), byte(deployment)])
+}
+
+fn free_tcp(ip: IpAddr) -> anyhow::Result<SocketAddr> {
+    Ok(TcpListener::bind((ip, 0))?.local_addr()?)
 }
 
-fn free_udp() -> anyhow::Result<SocketAddr> {
-    Ok(UdpSocket::bind("127.0.0.1:0")?.local_addr()?)
+fn free_udp(ip: IpAddr) -> anyhow::Result<SocketAddr> {
+    Ok(UdpSocket::bind((ip, 0))?.local_addr()?)
 }
--- /dev/null
+++ b/testbed/tests/config_truth.rs
@@ -0,0 +1,198 @@
+//! Accepted configuration is in force everywhere and never reverts.
+
+use {
+    pitchhitch_core::conf::{ConfigChange, LabelTarget, ModelConf, VersionConf},
+    pitchhitch_platform::{config::ChangeRequest, process::spawn},
+    pitchhitch_testbed::{
+        deploy::{Deployment, DeploymentShape},
+        replay::{right_answer, CallerClient},
+    },
+    smol::block_on,
+    std::{collections::BTreeSet, time::Duration},
+};
+
+const PATIENCE: Duration = Duration::from_secs(20);
+
+async fn start(name: &str) -> Deployment {
+    Deployment::for_test(DeploymentShape::tiny(name)).await
+}
+
+fn label(
+    endpoint: &str,
+    key: &str,
+    value: &str,
+) -> ConfigChange {
+    ConfigChange::Label {
+        target: LabelTarget::Endpoint(endpoint.to_string()),
+        key: key.to_string(),
+        value: Some(value.to_string()),
+    }
+}
+
+fn request(
+    id: &str,
+    change: ConfigChange,
+) -> ChangeRequest {
+    ChangeRequest {
+        change_id: id.to_string(),
+        operator: "ann".to_string(),
+        at_secs: 0,
+        change,
+        expected: None,
+    }
+}
+
+#[test]
+fn racing_operators_all_settled() {
+    block_on(async {
+        let deployment = start("race").await;
+        let before = deployment.status(0).await.expect("status").revision;
+        let mut tasks = Vec::new();
+        // Enough of them that the log is folded meanwhile, some answers lost.
+        deployment.platform.state.table_faults.lose_answers(5);
+        for operator in 0..8 {
+            let store = deployment.config_store();
+            tasks.push(spawn(async move {
+                let mut revisions = Vec::new();
+                for number in 0..12 {
+                    let value = format!("{operator}-{number}");
+                    let change = label("race-engine-1", "owner", &value);
+                    let request = request(&value, change);
+                    let accepted = store
+                        .change(&request, PATIENCE, operator * 1_000 + number)
+                        .await;
+                    revisions.push((accepted.expect("accepted").revision, value));
+                }
+                revisions
+            }));
+        }
+        let mut all = Vec::new();
+        for task in tasks {
+            all.extend(task.await);
+        }
+        let unique: BTreeSet<u64> = all.iter().map(|(revision, _)| *revision).collect();
+        assert_eq!(
+            unique.len(),
+            96,
+            "each accepted change has a revision of its own"
+        );
+        let (last, value) = all.iter().max().cloned().expect("changes");
+        assert_eq!(last, before + 96, "no change was made twice");
+        deployment.wait_revision(last).await;
+        for index in 0..2 {
+            let report = deployment.status(index).await.expect("status");
+            let row = report
+                .endpoints
+                .iter()
+                .find(|e| e.id == "race-engine-1")
+                .expect("row");
+            assert!(
+                row.labels.contains(&format!("owner={value}")),
+                "{}",
+                row.labels
+            );
+        }
+    });
+}
+
+#[test]
+fn repeated_id_changes_once() {
+    block_on(async {
+        let deployment = start("repeat").await;
+        let store = deployment.config_store();
+        let request = request("same", label("repeat-engine-1", "owner", "ann"));
+        let first = store.change(&request, PATIENCE, 1).await.expect("first");
+        let again = store.change(&request, PATIENCE, 2).await.expect("again");
+        assert_eq!(first.revision, again.revision);
+        assert!(again.repeated && !first.repeated);
+    });
+}
+
+#[test]
+fn outdated_change_refused() {
+    block_on(async {
+        let deployment = start("stale").await;
+        let args = [
+            "label",
+            "endpoint/stale-engine-1",
+            "owner=ann",
+            "--expect",
+            "1",
+        ];
+        let output = deployment.operate(&args).await.expect("runs");
+        assert_eq!(output.status.code(), Some(4));
+        let text = String::from_utf8_lossy(&output.stderr).to_string();
+        assert!(text.contains("revision 1 was expected"), "{text}");
+    });
+}
+
+#[test]
+fn table_outage_survived() {
+    block_on(async {
+        let mut deployment = start("outage").await;
+        let revision = deployment
+            .change_everywhere(label("outage-engine-1", "owner", "ann"))
+            .await;
+        deployment.platform.state.table_faults.set_down(true);
+        // Nothing is accepted, and that is said.
+        let store = deployment.config_store();
+        let request = request("late", label("outage-engine-1", "owner", "bob"));
+        let refused = store.change(&request, Duration::from_millis(300), 1).await;
+        assert!(refused.is_err(), "{refused:?}");
+        // Callers are served, and a process that starts now has the configuration
+        // from its peer.
+        let client = CallerClient::default();
+        assert!(client.chat(&deployment.prompt(0, "during", 2)).await.whole);
+        deployment.entries[1].take().expect("entry").kill();
+        let entry = deployment.start_entry(1).expect("starts anew");
+        deployment.entries[1] = Some(entry);
+        let what = "the new process to be ready";
+        let report = deployment.wait_status(1, what, |report| {
+            report.ready && report.endpoints.iter().filter(|e| e.alive).count() == 4
+        });
+        assert_eq!(report.await.expect(what).revision, revision);
+        assert!(client.chat(&deployment.prompt(1, "after", 2)).await.whole);
+        // Once the table is back the same change goes through.
+        deployment.platform.state.table_faults.set_down(false);
+        let accepted = store.change(&request, PATIENCE, 2).await.expect("accepted");
+        deployment.wait_revision(accepted.revision).await;
+    });
+}
+
+#[test]
+fn versions_swapped_under_load() {
+    block_on(async {
+        let mut shape = DeploymentShape::tiny("swap");
+        shape.engines = 4;
+        let deployment = Deployment::for_test(shape).await;
+        deployment.platform.state.add_weights("assistant", "v2");
+        let client = CallerClient::default();
+        let versions = ["v1", "v2"].map(|v| (v.to_string(), VersionConf::default()));
+        let change = ConfigChange::Model {
+            name: "assistant".to_string(),
+            conf: Some(ModelConf {
+                active: "v2".to_string(),
+                versions: versions.into_iter().collect(),
+                token_bytes: 128,
+            }),
+        };
+        deployment.change(change).await.expect("change");
+        let swapped = || deployment.engines().all(|e| e.core.version() == "v2");
+        let text = "which is it? ".repeat(700);
+        let mut asked = 0;
+        while !swapped() {
+            let outcome = client.chat(&deployment.prompt(asked % 2, &text, 4)).await;
+            assert_eq!(outcome.status, 200, "{}", outcome.text);
+            let right = ["v1", "v2"]
+                .iter()
+                .any(|v| outcome.text == right_answer(&text, v, 4));
+            assert!(right, "an answer of neither version: {}", outcome.text);
+            asked += 1;
+            assert!(asked < 5_000, "the engines were not swapped");
+        }
+        assert!(deployment.platform.state.most_loading() <= 2);
+        deployment.wait_settled().await.expect("settled");
+        let outcome = client.chat(&deployment.prompt(0, &text, 4)).await;
+        assert_eq!(outcome.text, right_answer(&text, "v2", 4));
+    });
+}
--- /dev/null
+++ b/testbed/tests/lost_processes.rs
@@ -0,0 +1,155 @@
+//! Agents, engines and store boxes die, freeze or are cut off under load.
+
+use {
+    pitchhitch_platform::process::spawn,
+    pitchhitch_testbed::{
+        deploy::{Deployment, DeploymentShape, EndpointStandIn, ProcessSignal},
+        replay::{right_answer, CallOutcome, CallerClient},
+    },
+    smol::block_on,
+    std::{sync::atomic::Ordering, time::Duration},
+};
+
+const TOKENS: u32 = 300;
+
+async fn start(name: &str) -> Deployment {
+    let mut shape = DeploymentShape::tiny(name);
+    shape.decode_token = Duration::from_millis(5);
+    Deployment::for_test(shape).await
+}
+
+/// Starts streams and waits until both engines work on some.
+async fn streams(
+    deployment: &Deployment,
+    count: usize,
+) -> Vec<async_global_executor::Task<CallOutcome>> {
+    let client = CallerClient::default();
+    let mut tasks = Vec::new();
+    for number in 0..count {
+        let call = deployment.prompt(number % 2, &format!("stream {number}"), TOKENS);
+        let client = client.clone();
+        tasks.push(spawn(async move { client.chat(&call).await }));
+    }
+    deployment
+        .wait_until("streams on both engines", || {
+            let running = |e: &pitchhitch_testbed::engine::EngineStandIn| {
+                e.core.running.load(Ordering::Relaxed) > 0
+            };
+            deployment.engines().all(running)
+        })
+        .await;
+    tasks
+}
+
+async fn all_right(tasks: Vec<async_global_executor::Task<CallOutcome>>) {
+    for (number, task) in tasks.into_iter().enumerate() {
+        let outcome = task.await;
+        assert_eq!(outcome.status, 200, "{number}: {}", outcome.text);
+        assert!(outcome.whole, "{number}: {}", outcome.text);
+        let right = right_answer(&format!("stream {number}"), "v1", TOKENS);
+        assert_eq!(outcome.text, right, "{number}");
+    }
+}
+
+#[test]
+fn killed_agent_streams_resume() {
+    block_on(async {
+        let mut deployment = start("kill").await;
+        let tasks = streams(&deployment, 8).await;
+        deployment.endpoints[0]
+            .agent
+            .as_mut()
+            .expect("agent")
+            .kill();
+        all_right(tasks).await;
+    });
+}
+
+#[test]
+fn frozen_agent_streams_resume() {
+    block_on(async {
+        let deployment = start("freeze").await;
+        let tasks = streams(&deployment, 8).await;
+        deployment.endpoints[0]
+            .agent
+            .as_ref()
+            .expect("agent")
+            .signal(ProcessSignal::Stop);
+        all_right(tasks).await;
+        // A request that comes now is not sent there, or not left there.
+        let client = CallerClient::default();
+        let outcome = client.chat(&deployment.prompt(0, "after", 5)).await;
+        assert_eq!(outcome.text, right_answer("after", "v1", 5));
+    });
+}
+
+#[test]
+fn dead_engine_streams_resume() {
+    block_on(async {
+        let mut deployment = start("engine").await;
+        deployment
+            .add_engine(2, true)
+            .await
+            .expect("engine behind a proxy");
+        deployment.wait_settled().await.expect("settled");
+        let client = CallerClient::default();
+        let mut tasks = Vec::new();
+        for number in 0..12 {
+            let call = deployment.prompt(number % 2, &format!("stream {number}"), TOKENS);
+            let client = client.clone();
+            tasks.push(spawn(async move { client.chat(&call).await }));
+        }
+        let place = deployment
+            .endpoints
+            .iter()
+            .find(|e| e.proxy.is_some())
+            .expect("place");
+        let EndpointStandIn::Engine(engine) = &place.stand_in else {
+            panic!("an engine stands behind the proxy");
+        };
+        let running = || engine.core.running.load(Ordering::Relaxed) > 1;
+        deployment
+            .wait_until("streams on the engine", running)
+            .await;
+        // In the middle of an event, some bytes after the next.
+        place.proxy.as_ref().expect("proxy").cut_after(777);
+        all_right(tasks).await;
+    });
+}
+
+#[test]
+fn gone_caller_cancels() {
+    block_on(async {
+        let deployment = start("gone").await;
+        let tasks = streams(&deployment, 4).await;
+        drop(tasks);
+        deployment
+            .wait_until("the engines to stop", || {
+                let cancelled: u64 = deployment
+                    .engines()
+                    .map(|e| e.core.counts.cancelled.load(Ordering::Relaxed))
+                    .sum();
+                cancelled == 4
+            })
+            .await;
+    });
+}
+
+#[test]
+fn emptied_store_costs_time_only() {
+    block_on(async {
+        let deployment = start("store").await;
+        let client = CallerClient::default();
+        let text = "a long parcel file ".repeat(1_000);
+        assert!(client.chat(&deployment.prompt(0, &text, 2)).await.whole);
+        deployment
+            .wait_until("exports", || deployment.store.piece_count() >= 9)
+            .await;
+        for engine in deployment.engines() {
+            engine.core.cache().clear();
+        }
+        deployment.store.empty();
+        let again = client.chat(&deployment.prompt(0, &text, 2)).await;
+        assert_eq!(again.text, right_answer(&text, "v1", 2));
+    });
+}
--- a/testbed/tests/whole_path.rs
+++ b/testbed/tests/whole_path.rs
@@ -2,34 +2,16 @@
 
 use {
     pitchhitch_testbed::{
-        deploy::{Deployment, DeploymentShape, ProgramSet},
-        replay::{right_answer, CallerClient, PromptCall},
+        deploy::{Deployment, DeploymentShape},
+        replay::{right_answer, CallHeader, CallerClient},
+        stand_ins::ServiceAnswer,
     },
+    serde_json::Value,
     smol::block_on,
 };
 
-fn prompt(
-    deployment: &Deployment,
-    entry: usize,
-    stream: bool,
-) -> PromptCall {
-    PromptCall {
-        address: deployment.entry_places[entry].callers,
-        key: deployment.shape.key(&deployment.shape.organisation(1)),
-        model: deployment.shape.model.clone(),
-        text: "which wines came in? ".repeat(300),
-        answer_tokens: 12,
-        stream,
-        label: "price-list".to_string(),
-        headers: Vec::new(),
-    }
-}
-
 async fn start() -> Deployment {
-    let programs = ProgramSet::built().expect("binaries");
-    Deployment::start(DeploymentShape::tiny("path"), programs)
-        .await
-        .expect("deployment")
+    Deployment::for_test(DeploymentShape::tiny("path")).await
 }
 
 #[test]
@@ -37,15 +19,141 @@
     block_on(async {
         let deployment = start().await;
         let client = CallerClient::default();
+        let text = "which wines came in? ".repeat(300);
         for entry in 0..2 {
             for stream in [false, true] {
-                let call = prompt(&deployment, entry, stream);
+                let mut call = deployment.prompt(entry, &text, 12);
+                call.stream = stream;
                 let outcome = client.chat(&call).await;
-                let right = right_answer(&call.text, "v1", call.answer_tokens);
                 assert_eq!(outcome.status, 200, "{}", outcome.text);
                 assert!(outcome.whole);
-                assert_eq!(outcome.text, right);
+                assert_eq!(outcome.text, right_answer(&text, "v1", 12));
+                assert!(outcome
+                    .request_id
+                    .starts_with(&deployment.entry_places[entry].id));
             }
         }
     });
 }
+
+#[test]
+fn whole_answer_has_usage() {
+    block_on(async {
+        let deployment = start().await;
+        let body = r#"{"model": "assistant", "prompt": "short", "max_tokens": 3}"#;
+        let url = deployment.url(0, "/v1/completions");
+        let client = CallerClient::default();
+        let key = deployment.first_key();
+        let outcome = client
+            .plain("POST", &url, &key, &[], body.to_string())
+            .await;
+        let answer: Value = serde_json::from_str(&outcome.text).expect("json");
+        assert_eq!(answer["object"], "text_completion");
+        assert_eq!(answer["usage"]["completion_tokens"], 3);
+        assert_eq!(answer["usage"]["total_tokens"], 5);
+    });
+}
+
+#[test]
+fn models_listed() {
+    block_on(async {
+        let deployment = start().await;
+        let client = CallerClient::default();
+        let url = deployment.url(0, "/v1/models");
+        let key = deployment.first_key();
+        let outcome = client.plain("GET", &url, &key, &[], String::new()).await;
+        let list: Value = serde_json::from_str(&outcome.text).expect("json");
+        assert_eq!(list["object"], "list");
+        assert_eq!(list["data"][0]["id"], "assistant");
+        for path in ["/healthz", "/readyz"] {
+            let url = deployment.url(1, path);
+            let outcome = client.plain("GET", &url, "", &[], String::new()).await;
+            assert_eq!(outcome.status, 200, "{path}");
+        }
+    });
+}
+
+#[test]
+fn service_call_untouched() {
+    block_on(async {
+        let deployment = start().await;
+        let client = CallerClient::default();
+        let key = deployment.first_key();
+        let url = deployment.url(0, "/orders/7/lines?dry=1");
+        let headers = [CallHeader {
+            name: "x-pitchhitch-repeatable",
+            value: "yes".to_string(),
+        }];
+        for method in ["POST", "PUT", "GET", "DELETE"] {
+            let body = if method == "GET" {
+                ""
+            } else {
+                "{\"odd\":  bytes}\u{7}"
+            };
+            let outcome = client
+                .plain(method, &url, &key, &headers, body.to_string())
+                .await;
+            assert_eq!(outcome.status, 200, "{}", outcome.text);
+            let answer: ServiceAnswer = serde_json::from_str(&outcome.text).expect("json");
+            assert_eq!(answer.method, method);
+            assert_eq!(answer.path, "/orders/7/lines?dry=1");
+            assert_eq!(answer.body, body);
+        }
+    });
+}
+
+#[test]
+fn decision_explained() {
+    block_on(async {
+        let deployment = start().await;
+        let client = CallerClient::default();
+        let outcome = client.chat(&deployment.prompt(1, "why there?", 2)).await;
+        // Asked at the other entry process, which asks the one that decided.
+        let output = deployment
+            .operate(&["explain", &outcome.request_id])
+            .await
+            .expect("runs");
+        let text = String::from_utf8_lossy(&output.stdout).to_string();
+        assert!(
+            output.status.success(),
+            "{}",
+            String::from_utf8_lossy(&output.stderr)
+        );
+        assert!(text.contains("path-engine-"), "{text}");
+        assert!(text.contains("outcome: answered"), "{text}");
+        let output = deployment
+            .operate(&["explain", "path-entry-1.0.999"])
+            .await
+            .expect("runs");
+        assert_eq!(output.status.code(), Some(1));
+    });
+}
+
+#[test]
+fn returning_prompt_reused() {
+    block_on(async {
+        let deployment = start().await;
+        let client = CallerClient::default();
+        let text = "a long price list ".repeat(1_200);
+        let first = client.chat(&deployment.prompt(0, &text, 2)).await;
+        assert!(first.whole);
+        // The other entry process hears of the pieces by the agents' events.
+        deployment
+            .wait_status(1, "pieces", |report| report.pieces >= 10)
+            .await
+            .expect("pieces");
+        let again = client.chat(&deployment.prompt(1, &text, 2)).await;
+        assert_eq!(again.text, right_answer(&text, "v1", 2));
+        let counts: u64 = deployment
+            .engines()
+            .map(|e| {
+                e.core
+                    .counts
+                    .computed_tokens
+                    .load(std::sync::atomic::Ordering::Relaxed)
+            })
+            .sum();
+        // 21,600 bytes are 5,400 tokens; the second time most of them were there.
+        assert!(counts < 6_500, "{counts}");
+    });
+}
