Spread configuration by changes, with three pollers a failure domain

Cause: at 2,100 nodes every process polling the head row each second is more than the table's 2,000 reads, and each change would be pulled as the whole document. Change: peers give the changes after a revision as long as they remember them (256), else the whole; three processes of a failure domain look at the table every second, the others every fourth; an engine that loads counts as unhealthy and tells so at once; a request that all usable endpoints refused may ask them again.

--- a/core/src/conf/mod.rs
+++ b/core/src/conf/mod.rs
@@ -1,6 +1,7 @@
 //! The configuration that operators change: one revisioned document.
 
 mod change_error;
+mod change_history;
 mod change_record;
 mod config_change;
 mod config_head;
@@ -13,7 +14,7 @@
 mod service_conf;
 
 pub use {
-    change_error::*, change_record::*, config_change::*, config_head::*, endpoint_conf::*,
-    fleet_config::*, label_target::*, model_conf::*, organisation_conf::*, placement_rule::*,
-    service_conf::*,
+    change_error::*, change_history::*, change_record::*, config_change::*, config_head::*,
+    endpoint_conf::*, fleet_config::*, label_target::*, model_conf::*, organisation_conf::*,
+    placement_rule::*, service_conf::*,
 };
--- a/core/src/role/agent_core.rs
+++ b/core/src/role/agent_core.rs
@@ -347,6 +347,8 @@
                 if let EndpointOrder::LoadVersion { version } = &order.order {
                     self.loading = Some(version.clone());
                     self.refuse_queued(ErrorKind::WrongVersion, actions);
+                    // No event, but everybody should see the new pulse at once.
+                    actions.push(AgentAction::Publish(Vec::new()));
                 }
                 actions.push(AgentAction::RunOrder(order.order));
             }
@@ -412,7 +414,8 @@
             slots: self.identity.slots,
             token_cost: self.meter.token_cost(),
             service_time: self.meter.service_time(),
-            healthy: self.healthy,
+            // While weights are loaded every request would be refused.
+            healthy: self.healthy && self.loading.is_none(),
         }
     }
 
--- a/core/src/role/entry_core.rs
+++ b/core/src/role/entry_core.rs
@@ -6,11 +6,11 @@
         StoredPiece, UpwardEvent,
     },
     crate::{
-        conf::FleetConfig,
+        conf::{ChangeHistory, ChangeRecord, FleetConfig, PeerConfig},
         drain::{DrainState, DrainView},
         kept::{PieceDirectory, PieceHolder, PieceKey, StoreTier, StoredCopy},
         lease::LeaseTimes,
-        member::{EntryBeacon, PeerTable},
+        member::{rendezvous_weight, EntryBeacon, PeerTable},
         place::{LedgerPiece, ReturnLabel, StoreLedger},
         route::{EndpointKind, PoolIndex, RoutePolicy, RouteTable, SentLoad, StoreKey, StoreState},
         time::Micros,
@@ -47,6 +47,10 @@
 /// before it takes the newest of their configurations for the newest there is.
 const PEER_PATIENCE: Micros = Micros::from_secs(2);
 
+/// Entry processes of a failure domain that look at the table often.
+const POLLERS: usize = 3;
+const POLL_SUBJECT: &str = "config-poll";
+
 /// How an entry process's core is set up.
 #[derive(Debug, Clone)]
 pub struct EntrySetup {
@@ -65,6 +69,7 @@
 pub struct EntryCore {
     setup: EntrySetup,
     config: Arc<FleetConfig>,
+    history: ChangeHistory,
     roster: EndpointRoster,
     peers: PeerTable,
     stores: SlotMap<StoreKey, StoreState>,
@@ -80,6 +85,7 @@
     evicted_at: BTreeMap<String, Micros>,
     stored_since_list: Vec<StoredNotice>,
     leaving_boxes: BTreeSet<String>,
+    domain_entries: Vec<String>,
     sweep_from: usize,
     pools_stale: bool,
     table_stale: bool,
@@ -97,6 +103,7 @@
             loads: LoadController::default(),
             setup,
             config: Arc::default(),
+            history: ChangeHistory::default(),
             roster: EndpointRoster::default(),
             peers: PeerTable::default(),
             stores: SlotMap::default(),
@@ -110,6 +117,7 @@
             evicted_at: BTreeMap::new(),
             stored_since_list: Vec::new(),
             leaving_boxes: BTreeSet::new(),
+            domain_entries: Vec::new(),
             sweep_from: 0,
             pools_stale: false,
             table_stale: false,
@@ -130,6 +138,7 @@
         match event {
             EntryEvent::Tick => self.tick(now, &mut actions),
             EntryEvent::TableReached => self.table_reached = Some(now),
+            EntryEvent::ChangesRead(records) => self.changes_read(records, &mut actions),
             EntryEvent::ConfigRead(config) => self.config_read(config, &mut actions),
             EntryEvent::AgentHeard { beacon, own } => {
                 self.agent_heard(now, beacon, own, &mut actions)
@@ -269,6 +278,23 @@
         });
     }
 
+    /// Applies changes that follow on the configuration; others are passed over.
+    fn changes_read(
+        &mut self,
+        records: Vec<ChangeRecord>,
+        actions: &mut Vec<EntryAction>,
+    ) {
+        let mut config = (*self.config).clone();
+        for record in &records {
+            let follows = record.revision == config.revision + 1;
+            if follows && config.apply(&record.change).is_err() {
+                return;
+            }
+        }
+        self.history.note(records);
+        self.config_read(Arc::new(config), actions);
+    }
+
     fn config_read(
         &mut self,
         config: Arc<FleetConfig>,
@@ -616,6 +642,7 @@
             self.notices_due = true;
             self.notify_agents(actions);
         }
+        self.note_domain(&boxes);
         let entries = boxes.iter().filter(|b| b.role == BoxRole::Entry);
         self.keeper
             .note_entries(entries.map(|b| b.id.clone()).collect());
@@ -646,6 +673,19 @@
         }
     }
 
+    fn note_domain(
+        &mut self,
+        boxes: &[BoxNotice],
+    ) {
+        let mut entries = boxes.iter().filter(|b| b.role == BoxRole::Entry);
+        let own = entries.clone().find(|b| b.id == self.setup.box_id);
+        let Some(domain) = own.map(|b| &b.failure_domain) else {
+            return;
+        };
+        let near = entries.by_ref().filter(|b| &b.failure_domain == domain);
+        self.domain_entries = near.map(|b| b.id.clone()).collect();
+    }
+
     fn note_store(
         &mut self,
         now: Micros,
@@ -886,6 +926,23 @@
         &self.config
     }
 
+    /// What a peer at a revision needs to come up with this process.
+    pub fn for_peer(
+        &self,
+        since: u64,
+    ) -> PeerConfig {
+        self.history.for_peer(since, &self.config)
+    }
+
+    /// Whether this process is one of those of its failure domain that look at the
+    /// table often; the others hear of a newer revision from peers.
+    pub fn polls_table(&self) -> bool {
+        let own = rendezvous_weight(POLL_SUBJECT, &self.setup.box_id);
+        let ahead = self.domain_entries.iter();
+        let ahead = ahead.filter(|id| rendezvous_weight(POLL_SUBJECT, id) > own);
+        ahead.count() < POLLERS
+    }
+
     /// The other entry processes.
     pub fn peers(&self) -> &PeerTable {
         &self.peers
--- a/core/src/role/entry_event.rs
+++ b/core/src/role/entry_event.rs
@@ -1,7 +1,7 @@
 use {
     super::{AgentPulse, EventBatch},
     crate::{
-        conf::FleetConfig,
+        conf::{ChangeRecord, FleetConfig},
         errors::ErrorKind,
         kept::{PieceKey, StoreTier},
         lease::LeaseRow,
@@ -21,6 +21,8 @@
     TableReached,
     /// A configuration was read from the table or a peer.
     ConfigRead(Arc<FleetConfig>),
+    /// Changes that follow on the configuration were read.
+    ChangesRead(Vec<ChangeRecord>),
     /// An agent's beacon came; `own` is what this process has under way there.
     AgentHeard {
         /// The beacon.
@@ -136,6 +138,8 @@
     pub role: BoxRole,
     /// Group that it belongs to; empty for entry boxes.
     pub group: String,
+    /// Failure domain that it stands in.
+    pub failure_domain: String,
     /// Address of what runs on it.
     pub address: SocketAddr,
     /// Whether it is leaving.
--- a/core/tests/entry_control.rs
+++ b/core/tests/entry_control.rs
@@ -325,6 +325,7 @@
         id: "store-1".to_string(),
         role: BoxRole::Store,
         group: "g".to_string(),
+        failure_domain: "d".to_string(),
         address: "127.0.0.1:11".parse().expect("address"),
         leaving: false,
     }])
--- a/entry/src/command/config_access.rs
+++ b/entry/src/command/config_access.rs
@@ -49,6 +49,7 @@
 pub fn read_config(settings: &OperatorSettings) -> Result<FleetConfig, CliError> {
     let store = config_store(settings);
     let read = smol::block_on(store.refresh(&FleetConfig::default()));
+    let read = read.map(|fresh| fresh.config);
     read.map_err(|e| CliError::Failed(format!("{e}; check 'table' and 'objects' in the settings")))
 }
 
--- a/entry/src/control/config_controller.rs
+++ b/entry/src/control/config_controller.rs
@@ -1,6 +1,6 @@
 use {
     super::ControlHandle,
-    pitchhitch_core::{conf::FleetConfig, retry::BackoffPolicy, role::EntryEvent},
+    pitchhitch_core::{conf::PeerConfig, retry::BackoffPolicy, role::EntryEvent},
     pitchhitch_platform::{
         config::ConfigStore,
         http::{CallError, HttpCaller},
@@ -14,9 +14,14 @@
 
 /// Path under which a process gives its configuration to its peers.
 pub const PEER_CONFIG_PATH: &str = "/peer/config";
+/// Factor on the interval for processes that hear of changes from their peers.
+const SELDOM_FACTOR: u32 = 4;
 /// Time limit of asking a peer.
 const PEER_TIMEOUT: Duration = Duration::from_secs(2);
 
+/// Query of that path: the revision that the peer has.
+pub const SINCE_QUERY: &str = "since=";
+
 /// Looks at the head row for good, with pauses, longer ones while the table is down.
 pub async fn poll_config(
     store: ConfigStore,
@@ -27,15 +32,17 @@
     let mut random = Pcg32::seed_from_u64(seed);
     let mut failures = 0;
     loop {
-        let Some(known) = control.query(|core, _| core.config().clone()).await else {
+        let look = control.query(|core, _| (core.config().clone(), core.polls_table()));
+        let Some((known, often)) = look.await else {
             return;
         };
         match store.refresh(&known).await {
-            Ok(config) => {
+            Ok(fresh) => {
                 failures = 0;
                 control.tell(EntryEvent::TableReached);
-                if config.revision > known.revision {
-                    control.tell(EntryEvent::ConfigRead(Arc::new(config)));
+                control.tell(EntryEvent::ChangesRead(fresh.recent));
+                if fresh.config.revision > known.revision {
+                    control.tell(EntryEvent::ConfigRead(Arc::new(fresh.config)));
                 }
             }
             Err(error) => {
@@ -45,19 +52,22 @@
             }
         }
         let pause = match failures {
-            0 => interval,
+            0 if often => interval,
+            0 => interval * SELDOM_FACTOR,
             _ => to_duration(BackoffPolicy::PLATFORM.pause(failures, &mut random)),
         };
         Timer::after(pause).await;
     }
 }
 
-/// Fetches the configuration of a peer.
+/// Fetches what a peer has beyond a revision.
 ///
 /// # Errors
 /// [`CallError`] when it does not answer in time.
-pub async fn pull_config(peer: SocketAddr) -> Result<FleetConfig, CallError> {
-    HttpCaller::new(peer, PEER_TIMEOUT)
-        .get_json(PEER_CONFIG_PATH)
-        .await
+pub async fn pull_config(
+    peer: SocketAddr,
+    since: u64,
+) -> Result<PeerConfig, CallError> {
+    let path = format!("{PEER_CONFIG_PATH}?{SINCE_QUERY}{since}");
+    HttpCaller::new(peer, PEER_TIMEOUT).get_json(&path).await
 }
--- a/entry/src/control/control_loop.rs
+++ b/entry/src/control/control_loop.rs
@@ -6,6 +6,7 @@
     async_channel::{Receiver, Sender},
     futures_lite::future,
     pitchhitch_core::{
+        conf::PeerConfig,
         role::{EntryAction, EntryCore, EntryEvent, PlacementLine},
         route::EndpointState,
     },
@@ -258,11 +259,15 @@
         if self.pulling.swap(true, Ordering::Relaxed) {
             return;
         }
+        let since = self.core.config().revision;
         let control = self.handle.clone();
         let pulling = self.pulling.clone();
         let task = async move {
-            match pull_config(peer).await {
-                Ok(config) => control.tell(EntryEvent::ConfigRead(Arc::new(config))),
+            match pull_config(peer, since).await {
+                Ok(PeerConfig::Changes(records)) => control.tell(EntryEvent::ChangesRead(records)),
+                Ok(PeerConfig::Whole(config)) => {
+                    control.tell(EntryEvent::ConfigRead(Arc::new(*config)))
+                }
                 Err(error) => {
                     let error = error.to_string();
                     log::info!(event = "config-not-pulled", error = error.as_str(); "");
--- a/entry/src/filter/dispatch.rs
+++ b/entry/src/filter/dispatch.rs
@@ -65,7 +65,17 @@
                 Err(failed) => failed,
             };
             let refusal = failed.into_refusal(self.may_have_run);
-            if !self.may_try_again(refusal.kind) {
+            // All that were usable have refused, as in a change of versions: by
+            // the next try the view is newer, and any of them may be asked again.
+            let all_refused = refusal.kind == ErrorKind::NoneAvailable && !self.tried.is_empty();
+            let kind = match all_refused && !self.may_have_run {
+                true => ErrorKind::EndpointFull,
+                false => refusal.kind,
+            };
+            if all_refused {
+                self.tried.clear();
+            }
+            if !self.may_try_again(kind) {
                 return Err(refusal);
             }
             self.app.metrics.count("request.retried", 1);
--- a/entry/src/operators/operator_server.rs
+++ b/entry/src/operators/operator_server.rs
@@ -1,6 +1,11 @@
 use {
     super::StatusReport,
-    crate::{callers::json, control::PEER_CONFIG_PATH, explain::DecisionRecord, traffic::EntryApp},
+    crate::{
+        callers::json,
+        control::{PEER_CONFIG_PATH, SINCE_QUERY},
+        explain::DecisionRecord,
+        traffic::EntryApp,
+    },
     pitchhitch_core::{
         drain::DrainState,
         kept::{PieceHolder, PieceKey, StoreTier},
@@ -69,8 +74,13 @@
         };
     }
     if path == PEER_CONFIG_PATH {
-        return match app.control.query(|core, _| core.config().clone()).await {
-            Some(config) => json(conn, &*config),
+        let since = conn
+            .querystring()
+            .strip_prefix(SINCE_QUERY)
+            .and_then(|t| t.parse().ok());
+        let since = since.unwrap_or(0);
+        return match app.control.query(move |core, _| core.for_peer(since)).await {
+            Some(config) => json(conn, &config),
             None => conn.with_status(Status::ServiceUnavailable).halt(),
         };
     }
