--- a/testbed/src/stand_ins/store_box.rs
+++ b/testbed/src/stand_ins/store_box.rs
@@ -105,6 +105,16 @@
         self.shared.lock().pieces.len()
     }
 
+    /// Changes a byte of a piece, as a failing memory would.
+    pub fn damage(
+        &self,
+        key: PieceKey,
+    ) {
+        if let Some(piece) = self.shared.lock().pieces.get_mut(&key) {
+            piece.bytes[0] ^= 1;
+        }
+    }
+
     /// Drops everything, as if the box had been replaced.
     pub fn empty(&self) {
         let mut state = self.shared.lock();
