--- a/testbed/src/replay/caller_client.rs
+++ b/testbed/src/replay/caller_client.rs
@@ -237,6 +237,7 @@
     let text = String::from_utf8_lossy(body);
     let mut words = String::new();
     let mut done = false;
+    let mut garbled = false;
     for line in text.lines() {
         let Some(data) = line.strip_prefix("data: ") else {
             continue;
@@ -245,7 +246,11 @@
             done = true;
             continue;
         }
-        let value: Value = serde_json::from_str(data).unwrap_or(Value::Null);
+        // A garbled event must not pass for an empty one.
+        let Ok(value) = serde_json::from_str::<Value>(data) else {
+            garbled = true;
+            continue;
+        };
         words.push_str(
             value["choices"][0]["delta"]["content"]
                 .as_str()
@@ -254,6 +259,6 @@
     }
     ReadText {
         text: words,
-        whole: done,
+        whole: done && !garbled,
     }
 }
