Find frozen idle endpoints in seconds; split the grown files

Looked into: the choice at random is seeded by the request's number, which is the same in every process, so processes chose alike. Change: an agent that was sent something must speak up within the time for busy ones; the seed is the process's own; the test starts forty streams.

--- a/core/src/kept/piece_directory.rs
+++ b/core/src/kept/piece_directory.rs
@@ -52,6 +52,8 @@
     }
 }
 
+/// Pieces that are known at most.
+const PIECE_LIMIT: usize = 400_000;
 /// Buckets of the directory, by the first bits of a key.
 const BUCKETS: usize = 4_096;
 const BUCKET_BITS: u32 = BUCKETS.trailing_zeros();
@@ -137,6 +139,17 @@
         self.replace(ShortKey::of(key), holders);
     }
 
+    /// Notes a holder, unless that would be one piece too many for the memory.
+    pub fn add_bounded(
+        &mut self,
+        key: PieceKey,
+        holder: PieceHolder,
+    ) {
+        if self.length < PIECE_LIMIT || self.holders(key).next().is_some() {
+            self.add(key, holder);
+        }
+    }
+
     /// Forgets a holder.
     pub fn remove(
         &mut self,
--- a/core/src/role/endpoint_roster.rs
+++ b/core/src/role/endpoint_roster.rs
@@ -37,6 +37,8 @@
     pub exporting: u32,
     /// When its agent was last heard, by beacon or link.
     pub heard_at: Micros,
+    /// When it was sent something after which it must speak up soon.
+    pub awaited_since: Option<Micros>,
     /// Number that the next event of its stream must have.
     pub next_event: Option<u64>,
     /// Configuration revision that its agent has confirmed.
@@ -182,6 +184,7 @@
             refusing: beacon.refusing,
             exporting: beacon.exporting,
             heard_at: now,
+            awaited_since: None,
             next_event: None,
             revision: beacon.revision,
             notified: None,
@@ -233,6 +236,7 @@
             return LoadChange::None;
         };
         entry.heard_at = now;
+        entry.awaited_since = None;
         entry.exporting = pulse.exporting;
         let altered = entry.refusing != pulse.refusing;
         entry.refusing = pulse.refusing;
@@ -261,16 +265,19 @@
         let mut verdict = RosterVerdict::default();
         for (id, entry) in &self.entries {
             let silent = now.since(entry.heard_at);
+            let awaited = entry
+                .awaited_since
+                .map_or(Micros::ZERO, |since| now.since(since));
             let load = self.loads.get_mut(entry.key);
             let idle = load.as_ref().is_none_or(|l| l.report.running == 0);
             let factor = if idle { IDLE_FACTOR } else { 1 };
             if silent >= REMOVE_AFTER {
                 verdict.gone.push(id.clone());
-            } else if silent.0 >= HUNG_AFTER.0 * factor && entry.linked {
+            } else if (silent.0 >= HUNG_AFTER.0 * factor || awaited >= HUNG_AFTER) && entry.linked {
                 verdict.hung_links.push(id.clone());
             }
             if let Some(load) = load {
-                let heard = silent.0 < SUSPECT_AFTER.0 * factor;
+                let heard = silent.0 < SUSPECT_AFTER.0 * factor && awaited < SUSPECT_AFTER;
                 let alive = entry.linked && heard && !entry.guard.is_out(now);
                 let penalty = entry.guard.penalty(now);
                 verdict.changed |= load.alive != alive || load.penalty != penalty;
--- a/core/src/role/entry_core.rs
+++ b/core/src/role/entry_core.rs
@@ -1,45 +1,28 @@
 use {
     super::{
         engine_groups, AgentPulse, BoxNotice, BoxRole, ConfigNotice, EndpointRoster, EntryAction,
-        EntryEvent, EventBatch, LeaseOutcome, LoadChange, LoadController, MissingNotice,
-        PlacementKind, PlacementLine, PromptMemory, RosterChange, ShardKeeper, StoredNotice,
-        StoredPiece, UpwardEvent,
+        EntryEvent, EventBatch, LeaseOutcome, LoadChange, LoadController, PlacementKind,
+        PlacementLine, PromptMemory, RosterChange, ShardKeeper, StoreRoster, UpwardEvent,
     },
     crate::{
         conf::{ChangeHistory, ChangeRecord, FleetConfig, PeerConfig},
         drain::{DrainState, DrainView},
-        kept::{PieceDirectory, PieceHolder, PieceKey, StoreTier, StoredCopy},
+        kept::{PieceDirectory, PieceHolder, PieceKey},
         lease::LeaseTimes,
         member::{rendezvous_weight, EntryBeacon, PeerTable},
-        place::{LedgerPiece, ReturnLabel, StoreLedger},
-        route::{EndpointKind, PoolIndex, RoutePolicy, RouteTable, SentLoad, StoreKey, StoreState},
+        place::ReturnLabel,
+        route::{EndpointKind, PoolIndex, RoutePolicy, RouteTable, SentLoad},
         time::Micros,
     },
-    slotmap::SlotMap,
-    std::{
-        collections::{BTreeMap, BTreeSet},
-        sync::Arc,
-    },
+    std::{collections::BTreeSet, sync::Arc},
 };
 
-/// Link rate of a store box before anything was measured, in bytes a second.
-pub const DEFAULT_LINK_RATE: f64 = 1.0e9;
-/// Disk rate of a store box, in bytes a second.
-pub const DEFAULT_DISK_RATE: f64 = 4.0e8;
 /// Buckets of the directory looked at for stale holders at a time.
 const SWEEP_STEP: usize = 16;
 /// Ticks between two judgements of who is alive.
 const JUDGE_TICKS: u64 = 6;
 /// Ticks between two looks at leases and load orders.
 const PLACEMENT_TICKS: u64 = 10;
-/// Pieces that are known at most.
-const PIECE_LIMIT: usize = 400_000;
-/// Sealed pieces that are remembered until a store box has listed them itself.
-const STORED_MEMORY: usize = 20_000;
-/// Time between two evictions on one store box.
-const EVICT_PAUSE: Micros = Micros::from_millis(200);
-/// How often a store box is asked for all that it holds.
-const STORE_LIST_INTERVAL: Micros = Micros::from_secs(30);
 
 /// Time without table and peers after which the process wants no new requests.
 const CONTACT_PATIENCE: Micros = Micros::from_secs(5);
@@ -72,18 +55,13 @@
     history: ChangeHistory,
     roster: EndpointRoster,
     peers: PeerTable,
-    stores: SlotMap<StoreKey, StoreState>,
-    store_keys: BTreeMap<String, StoreKey>,
-    store_listed: BTreeMap<String, Micros>,
+    stores: StoreRoster,
     pieces: PieceDirectory,
     pools: Arc<PoolIndex>,
     groups: BTreeSet<String>,
     prompts: PromptMemory,
     keeper: ShardKeeper,
     loads: LoadController,
-    ledgers: BTreeMap<String, StoreLedger>,
-    evicted_at: BTreeMap<String, Micros>,
-    stored_since_list: Vec<StoredNotice>,
     leaving_boxes: BTreeSet<String>,
     domain_entries: Vec<String>,
     sweep_from: usize,
@@ -106,16 +84,11 @@
             history: ChangeHistory::default(),
             roster: EndpointRoster::default(),
             peers: PeerTable::default(),
-            stores: SlotMap::default(),
-            store_keys: BTreeMap::new(),
-            store_listed: BTreeMap::new(),
+            stores: StoreRoster::default(),
             pieces: PieceDirectory::default(),
             pools: Arc::default(),
             groups: BTreeSet::new(),
             prompts: PromptMemory::default(),
-            ledgers: BTreeMap::new(),
-            evicted_at: BTreeMap::new(),
-            stored_since_list: Vec::new(),
             leaving_boxes: BTreeSet::new(),
             domain_entries: Vec::new(),
             sweep_from: 0,
@@ -161,14 +134,17 @@
                 own,
             } => self.pulse_seen(now, &endpoint_id, pulse, own),
             EntryEvent::BoxesListed(boxes) => self.boxes_listed(now, boxes, &mut actions),
-            EntryEvent::StoreListed { store, pieces } => self.store_content(now, &store, pieces),
+            EntryEvent::StoreListed { store, pieces } => {
+                self.stores.listed(now, &store, &pieces, &mut self.pieces);
+                self.table_stale = true;
+            }
             EntryEvent::StoreMeasured { store, link_rate } => {
-                self.store_measured(&store, link_rate)
+                self.table_stale |= self.stores.measured(&store, link_rate);
             }
             EntryEvent::Routed {
                 endpoint_id,
                 pieces,
-            } => self.routed(&endpoint_id, &pieces),
+            } => self.routed(now, &endpoint_id, &pieces),
             EntryEvent::TryEnded {
                 endpoint_id,
                 failure,
@@ -218,7 +194,7 @@
             self.peers.drop_silent(now);
             self.judge_endpoints(now, actions);
             self.sweep_pieces();
-            self.list_stores(now, actions);
+            self.stores.ask_lists(now, actions);
         }
         if self.ticks % PLACEMENT_TICKS == 0 {
             let config = self.config.clone();
@@ -266,7 +242,7 @@
             config: self.config.clone(),
             endpoints: self.roster.arena.clone(),
             loads: self.roster.loads.clone(),
-            stores: self.stores.clone(),
+            stores: self.stores.arena.clone(),
             pieces: self.pieces.clone(),
             pools: self.pools.clone(),
             policy: self.setup.policy,
@@ -396,6 +372,7 @@
     ) {
         if let Some(entry) = self.roster.get_mut(endpoint_id) {
             entry.linked = false;
+            entry.awaited_since = None;
             entry.next_event = None;
             entry.loading = None;
         }
@@ -467,7 +444,9 @@
             return;
         };
         match event {
-            UpwardEvent::Cached(piece) => self.add_piece(piece, PieceHolder::Endpoint(key)),
+            UpwardEvent::Cached(piece) => {
+                self.pieces.add_bounded(piece, PieceHolder::Endpoint(key))
+            }
             UpwardEvent::Evicted(piece) => {
                 self.pieces.remove(piece, &PieceHolder::Endpoint(key));
             }
@@ -475,8 +454,8 @@
                 self.roster.renew_key(endpoint_id);
                 self.pools_stale = true;
             }
-            UpwardEvent::Stored(notice) => self.piece_stored(notice),
-            UpwardEvent::Missing(notice) => self.piece_missing(&notice),
+            UpwardEvent::Stored(notice) => self.stores.stored(notice, &mut self.pieces),
+            UpwardEvent::Missing(notice) => self.stores.missing(&notice, &mut self.pieces),
             UpwardEvent::PromptUsed(prompt) => {
                 let label = ReturnLabel {
                     organisation: prompt.organisation,
@@ -500,44 +479,23 @@
     /// goes there too. If it never gets there, the next one finds out.
     fn routed(
         &mut self,
+        now: Micros,
         endpoint_id: &str,
         pieces: &[PieceKey],
     ) {
-        let Some(key) = self.roster.get(endpoint_id).map(|e| e.key) else {
+        let Some(entry) = self.roster.get_mut(endpoint_id) else {
             return;
         };
+        // A busy agent pulses several times a second; one that does not is frozen.
+        entry.awaited_since.get_or_insert(now);
+        let key = entry.key;
         for piece in pieces {
-            self.add_piece(*piece, PieceHolder::Endpoint(key));
+            self.pieces.add_bounded(*piece, PieceHolder::Endpoint(key));
         }
         self.table_stale = true;
     }
 
-    fn piece_stored(
-        &mut self,
-        notice: StoredNotice,
-    ) {
-        let Some(&store) = self.store_keys.get(&notice.store) else {
-            return;
-        };
-        let copy = StoredCopy {
-            store,
-            tier: notice.tier,
-            generation: notice.generation,
-        };
-        self.add_piece(notice.key, PieceHolder::Store(copy));
-        let piece = LedgerPiece {
-            key: notice.key,
-            generation: notice.generation,
-        };
-        let ledger = self.ledgers.entry(notice.store.clone()).or_default();
-        ledger.add(notice.identity, piece);
-        if self.stored_since_list.len() < STORED_MEMORY {
-            self.stored_since_list.push(notice);
-        }
-    }
-
-    /// Frees room on a full store box. Only the holder of the group's lease does
-    /// it, so that several processes do not each free their part.
+    /// Frees room on a full store box, if this process controls its group.
     fn evict_pieces(
         &mut self,
         now: Micros,
@@ -545,69 +503,24 @@
         store: &str,
         actions: &mut Vec<EntryAction>,
     ) {
-        let key = self.store_keys.get(store);
-        let Some(state) = key.and_then(|k| self.stores.get(*k)) else {
+        let controls = |group: &str| self.keeper.epoch(group, now).is_some();
+        let chance = |identity| self.prompts.chance(identity, now);
+        let Some(eviction) = self.stores.evict(now, store, controls, chance) else {
             return;
         };
-        let evicted_lately = self
-            .evicted_at
-            .get(store)
-            .is_some_and(|at| now.since(*at) < EVICT_PAUSE);
-        if evicted_lately || self.keeper.epoch(&state.group, now).is_none() {
-            return;
-        }
-        let address = state.address;
-        let Some(ledger) = self.ledgers.get_mut(store) else {
-            return;
-        };
-        let prompts = &self.prompts;
-        let evicted = ledger.evict(|identity| prompts.chance(identity, now));
-        self.evicted_at.insert(store.to_string(), now);
-        let pieces = evicted.iter().map(|piece| StoredPiece {
-            key: piece.key,
-            tier: StoreTier::Memory,
-            generation: piece.generation,
-        });
+        let reason = format!(
+            "full; {} pieces least likely to return",
+            eviction.pieces.len()
+        );
         actions.push(EntryAction::DropPieces {
             endpoint_id: endpoint_id.to_string(),
             store: store.to_string(),
-            address,
-            pieces: pieces.collect(),
+            address: eviction.address,
+            pieces: eviction.pieces,
         });
-        let reason = format!("full; {} pieces least likely to return", evicted.len());
         self.log(PlacementKind::PiecesEvicted, store, reason, actions);
     }
 
-    /// Forgets a copy, unless a newer one is known by now.
-    fn piece_missing(
-        &mut self,
-        notice: &MissingNotice,
-    ) {
-        let Some(&store) = self.store_keys.get(&notice.store) else {
-            return;
-        };
-        let mut copies = self.pieces.holders(notice.key);
-        let gone = copies.find(|holder| match holder {
-            PieceHolder::Store(copy) => copy.store == store && copy.generation == notice.generation,
-            PieceHolder::Endpoint(_) => false,
-        });
-        drop(copies);
-        if let Some(holder) = gone {
-            self.pieces.remove(notice.key, &holder);
-        }
-    }
-
-    fn add_piece(
-        &mut self,
-        piece: PieceKey,
-        holder: PieceHolder,
-    ) {
-        let full = self.pieces.len() >= PIECE_LIMIT;
-        if !full || self.pieces.holders(piece).next().is_some() {
-            self.pieces.add(piece, holder);
-        }
-    }
-
     fn version_changed(
         &mut self,
         endpoint_id: &str,
@@ -632,7 +545,6 @@
         boxes: Vec<BoxNotice>,
         actions: &mut Vec<EntryAction>,
     ) {
-        let mut listed = Vec::new();
         let leaving = boxes
             .iter()
             .filter(|b| b.role == BoxRole::Endpoint && b.leaving);
@@ -646,30 +558,9 @@
         let entries = boxes.iter().filter(|b| b.role == BoxRole::Entry);
         self.keeper
             .note_entries(entries.map(|b| b.id.clone()).collect());
-        for notice in boxes {
-            if notice.role == BoxRole::Store && !notice.leaving {
-                listed.push(notice.id.clone());
-                self.note_store(now, notice, actions);
-            }
-        }
-        let lost: Vec<String> = self
-            .store_keys
-            .keys()
-            .filter(|id| !listed.contains(id))
-            .cloned()
-            .collect();
-        for id in lost {
-            if let Some(key) = self.store_keys.remove(&id) {
-                self.stores.remove(key);
-            }
-            self.store_listed.remove(&id);
-            self.ledgers.remove(&id);
-            self.log(
-                PlacementKind::StoreLost,
-                &id,
-                "not in the box list".to_string(),
-                actions,
-            );
+        for id in self.stores.note_boxes(now, &boxes, actions) {
+            let reason = "not in the box list".to_string();
+            self.log(PlacementKind::StoreLost, &id, reason, actions);
         }
     }
 
@@ -686,118 +577,6 @@
         self.domain_entries = near.map(|b| b.id.clone()).collect();
     }
 
-    fn note_store(
-        &mut self,
-        now: Micros,
-        notice: BoxNotice,
-        actions: &mut Vec<EntryAction>,
-    ) {
-        if let Some(key) = self.store_keys.get(&notice.id) {
-            let same = self
-                .stores
-                .get(*key)
-                .is_some_and(|s| s.address == notice.address);
-            if same {
-                return;
-            }
-            let old = *key;
-            self.stores.remove(old);
-        }
-        let key = self.stores.insert(StoreState {
-            id: notice.id.clone(),
-            group: notice.group,
-            address: notice.address,
-            link_rate: DEFAULT_LINK_RATE,
-            link_queue: 0,
-            disk_rate: DEFAULT_DISK_RATE,
-        });
-        self.store_keys.insert(notice.id.clone(), key);
-        self.store_listed.insert(notice.id.clone(), now);
-        actions.push(EntryAction::ListStore {
-            store: notice.id,
-            address: notice.address,
-        });
-    }
-
-    fn list_stores(
-        &mut self,
-        now: Micros,
-        actions: &mut Vec<EntryAction>,
-    ) {
-        for (id, listed_at) in &mut self.store_listed {
-            if now.since(*listed_at) < STORE_LIST_INTERVAL {
-                continue;
-            }
-            *listed_at = now;
-            self.stored_since_list.retain(|notice| &notice.store != id);
-            let key = self.store_keys.get(id);
-            if let Some(state) = key.and_then(|k| self.stores.get(*k)) {
-                actions.push(EntryAction::ListStore {
-                    store: id.clone(),
-                    address: state.address,
-                });
-            }
-        }
-    }
-
-    /// Replaces all that is known of a store box by its own list.
-    fn store_content(
-        &mut self,
-        now: Micros,
-        store: &str,
-        pieces: Vec<StoredPiece>,
-    ) {
-        let Some(old) = self.store_keys.get(store).copied() else {
-            return;
-        };
-        let Some(state) = self.stores.remove(old) else {
-            return;
-        };
-        let key = self.stores.insert(state);
-        self.store_keys.insert(store.to_string(), key);
-        self.store_listed.insert(store.to_string(), now);
-        for piece in &pieces {
-            let copy = StoredCopy {
-                store: key,
-                tier: piece.tier,
-                generation: piece.generation,
-            };
-            self.add_piece(piece.key, PieceHolder::Store(copy));
-        }
-        self.reconcile_ledger(store, &pieces);
-        // The list may be older than what agents have told since it was asked for.
-        for notice in std::mem::take(&mut self.stored_since_list) {
-            self.piece_stored(notice);
-        }
-        self.table_stale = true;
-    }
-
-    /// Brings a ledger in line with what the store box lists.
-    fn reconcile_ledger(
-        &mut self,
-        store: &str,
-        pieces: &[StoredPiece],
-    ) {
-        let listed = pieces.iter().map(|piece| LedgerPiece {
-            key: piece.key,
-            generation: piece.generation,
-        });
-        let ledger = self.ledgers.entry(store.to_string()).or_default();
-        ledger.reconcile(listed.collect());
-    }
-
-    fn store_measured(
-        &mut self,
-        store: &str,
-        link_rate: f64,
-    ) {
-        let key = self.store_keys.get(store);
-        if let Some(state) = key.and_then(|k| self.stores.get_mut(*k)) {
-            state.link_rate = link_rate.max(1.0);
-            self.table_stale = true;
-        }
-    }
-
     fn try_ended(
         &mut self,
         now: Micros,
@@ -841,7 +620,7 @@
 
     fn sweep_pieces(&mut self) {
         let arena = self.roster.arena.clone();
-        let stores = &self.stores;
+        let stores = &self.stores.arena;
         self.sweep_from = self
             .pieces
             .sweep(self.sweep_from, SWEEP_STEP, |holder| match holder {
--- a/core/src/role/mod.rs
+++ b/core/src/role/mod.rs
@@ -16,10 +16,11 @@
 mod prompt_memory;
 mod service_meter;
 mod shard_keeper;
+mod store_roster;
 
 pub use {
     agent_action::*, agent_core::*, agent_event::*, agent_identity::*, cache_mirror::*,
     endpoint_order::*, endpoint_roster::*, entry_action::*, entry_core::*, entry_event::*,
     event_batch::*, gate_work::*, load_controller::*, prompt_memory::*, service_meter::*,
-    shard_keeper::*,
+    shard_keeper::*, store_roster::*,
 };
--- a/core/tests/entry_control.rs
+++ b/core/tests/entry_control.rs
@@ -262,6 +262,25 @@
     assert!(core.roster().get("e1").is_none());
 }
 
+#[test]
+fn frozen_idle_endpoint_goes() {
+    let mut core = linked();
+    let routed = EntryEvent::Routed {
+        endpoint_id: "e1".to_string(),
+        pieces: Vec::new(),
+    };
+    // It was idle when it froze, so nothing of it was busy in any report.
+    core.step(Micros::from_secs(5), routed);
+    let actions = tick(&mut core, Micros::from_secs(6));
+    assert!(!actions
+        .iter()
+        .any(|a| matches!(a, EntryAction::DropLink { .. })));
+    let actions = tick(&mut core, Micros::from_secs(10));
+    assert!(actions
+        .iter()
+        .any(|a| matches!(a, EntryAction::DropLink { .. })));
+}
+
 #[test]
 fn drain_reported() {
     let mut core = linked();
--- a/entry/src/filter/route.rs
+++ b/entry/src/filter/route.rs
@@ -141,7 +141,8 @@
         token_bytes: token_bytes(view, work),
         excluded: earlier.tried,
         now: app.clock.now(),
-        seed: work.request.number,
+        // Processes that count from the same number must not choose alike.
+        seed: work.request.number.wrapping_add(app.clock.incarnation()),
     };
     view.table.choose(&request, |endpoint| view.sent(endpoint))
 }
--- a/testbed/src/deploy/mod.rs
+++ b/testbed/src/deploy/mod.rs
@@ -6,6 +6,7 @@
 mod deployment_shape;
 mod fake_agents;
 mod program_set;
+mod test_helpers;
 
 pub use {
     child_engine::*, child_process::*, deployment::*, deployment_shape::*, fake_agents::*,
--- /dev/null
+++ b/testbed/src/deploy/test_helpers.rs
@@ -0,0 +1,93 @@
+use {
+    super::{Deployment, DeploymentShape, ProgramSet, LOOK, PATIENCE},
+    crate::replay::PromptCall,
+    pitchhitch_core::conf::ConfigChange,
+    smol::Timer,
+    std::time::Instant,
+};
+
+/// What tests do with a deployment; what goes wrong here ends the test.
+impl Deployment {
+    /// A streamed prompt of the first organisation.
+    pub fn prompt(
+        &self,
+        entry: usize,
+        text: &str,
+        answer_tokens: u32,
+    ) -> PromptCall {
+        PromptCall {
+            address: self.entry_places[entry].callers,
+            key: self.first_key(),
+            model: self.shape.model.clone(),
+            text: text.to_string(),
+            answer_tokens,
+            stream: true,
+            label: "test".to_string(),
+            headers: Vec::new(),
+        }
+    }
+
+    /// Bearer key of the first organisation.
+    pub fn first_key(&self) -> String {
+        self.shape.key(&self.shape.organisation(1))
+    }
+
+    /// Where an entry process serves a path.
+    pub fn url(
+        &self,
+        entry: usize,
+        path: &str,
+    ) -> String {
+        format!("http://{}{path}", self.entry_places[entry].callers)
+    }
+
+    /// Starts a small deployment of the built binaries, or panics.
+    pub async fn for_test(shape: DeploymentShape) -> Self {
+        let programs = ProgramSet::built().unwrap_or_else(|e| panic!("binaries: {e:#}"));
+        let deployment = Deployment::start(shape, programs).await;
+        deployment.unwrap_or_else(|e| panic!("deployment: {e:#}"))
+    }
+
+    /// Waits until a condition holds, or panics.
+    pub async fn wait_until(
+        &self,
+        what: &str,
+        condition: impl Fn() -> bool,
+    ) {
+        let started = Instant::now();
+        while !condition() {
+            assert!(started.elapsed() < PATIENCE, "waited in vain for {what}");
+            Timer::after(LOOK).await;
+        }
+    }
+
+    /// Makes a change and waits until every entry process has it in force.
+    pub async fn change_everywhere(
+        &self,
+        change: ConfigChange,
+    ) -> u64 {
+        let revision = self
+            .change(change)
+            .await
+            .unwrap_or_else(|e| panic!("change: {e:#}"));
+        self.wait_revision(revision).await;
+        revision
+    }
+
+    /// Waits until every running entry process has a revision in force.
+    pub async fn wait_revision(
+        &self,
+        revision: u64,
+    ) {
+        for index in 0..self.entries.len() {
+            if self.entries[index].is_none() {
+                continue;
+            }
+            let what = format!("revision {revision}");
+            let waited = self
+                .wait_status(index, &what, |report| report.revision >= revision)
+                .await;
+            waited.unwrap_or_else(|e| panic!("{e:#}"));
+        }
+    }
+}
--- a/testbed/src/replay/mod.rs
+++ b/testbed/src/replay/mod.rs
@@ -3,6 +3,7 @@
 mod caller_client;
 mod replay_result;
 mod run_measures;
+mod stream_set;
 mod trace_replay;
 
-pub use {caller_client::*, replay_result::*, run_measures::*, trace_replay::*};
+pub use {caller_client::*, replay_result::*, run_measures::*, stream_set::*, trace_replay::*};
--- a/testbed/tests/lost_processes.rs
+++ b/testbed/tests/lost_processes.rs
@@ -1,10 +1,10 @@
 //! Agents, engines and store boxes die, freeze or are cut off under load.
 
 use {
-    pitchhitch_platform::process::spawn,
     pitchhitch_testbed::{
         deploy::{Deployment, DeploymentShape, EndpointStandIn, ProcessSignal},
-        replay::{right_answer, CallOutcome, CallerClient},
+        engine::EngineStandIn,
+        replay::{right_answer, CallerClient, StreamSet},
     },
     smol::block_on,
     std::{sync::atomic::Ordering, time::Duration},
@@ -22,46 +22,25 @@
 async fn streams(
     deployment: &Deployment,
     count: usize,
-) -> Vec<async_global_executor::Task<CallOutcome>> {
-    let client = CallerClient::default();
-    let mut tasks = Vec::new();
-    for number in 0..count {
-        let call = deployment.prompt(number % 2, &format!("stream {number}"), TOKENS);
-        let client = client.clone();
-        tasks.push(spawn(async move { client.chat(&call).await }));
-    }
-    deployment
-        .wait_until("streams on both engines", || {
-            let running = |e: &pitchhitch_testbed::engine::EngineStandIn| {
-                e.core.running.load(Ordering::Relaxed) > 0
-            };
-            deployment.engines().all(running)
-        })
-        .await;
-    tasks
-}
-
-async fn all_right(tasks: Vec<async_global_executor::Task<CallOutcome>>) {
-    for (number, task) in tasks.into_iter().enumerate() {
-        let outcome = task.await;
-        assert_eq!(outcome.status, 200, "{number}: {}", outcome.text);
-        assert!(outcome.whole, "{number}: {}", outcome.text);
-        let right = right_answer(&format!("stream {number}"), "v1", TOKENS);
-        assert_eq!(outcome.text, right, "{number}");
-    }
+) -> StreamSet {
+    let streams = StreamSet::start(deployment, count, TOKENS);
+    let running = |e: &EngineStandIn| e.core.running.load(Ordering::Relaxed) > 0;
+    let all = || deployment.engines().all(running);
+    deployment.wait_until("streams on both engines", all).await;
+    streams
 }
 
 #[test]
 fn killed_agent_streams_resume() {
     block_on(async {
         let mut deployment = start("kill").await;
-        let tasks = streams(&deployment, 8).await;
+        let streams = streams(&deployment, 8).await;
         deployment.endpoints[0]
             .agent
             .as_mut()
             .expect("agent")
             .kill();
-        all_right(tasks).await;
+        streams.all_right().await;
     });
 }
 
@@ -69,13 +48,13 @@
 fn frozen_agent_streams_resume() {
     block_on(async {
         let deployment = start("freeze").await;
-        let tasks = streams(&deployment, 8).await;
+        let streams = streams(&deployment, 8).await;
         deployment.endpoints[0]
             .agent
             .as_ref()
             .expect("agent")
             .signal(ProcessSignal::Stop);
-        all_right(tasks).await;
+        streams.all_right().await;
         // A request that comes now is not sent there, or not left there.
         let client = CallerClient::default();
         let outcome = client.chat(&deployment.prompt(0, "after", 5)).await;
@@ -92,13 +71,7 @@
             .await
             .expect("engine behind a proxy");
         deployment.wait_settled().await.expect("settled");
-        let client = CallerClient::default();
-        let mut tasks = Vec::new();
-        for number in 0..12 {
-            let call = deployment.prompt(number % 2, &format!("stream {number}"), TOKENS);
-            let client = client.clone();
-            tasks.push(spawn(async move { client.chat(&call).await }));
-        }
+        let streams = StreamSet::start(&deployment, 40, TOKENS);
         let place = deployment
             .endpoints
             .iter()
@@ -113,7 +86,7 @@
             .await;
         // In the middle of an event, some bytes after the next.
         place.proxy.as_ref().expect("proxy").cut_after(777);
-        all_right(tasks).await;
+        streams.all_right().await;
     });
 }
 
@@ -121,8 +94,8 @@
 fn gone_caller_cancels() {
     block_on(async {
         let deployment = start("gone").await;
-        let tasks = streams(&deployment, 4).await;
-        drop(tasks);
+        let streams = streams(&deployment, 4).await;
+        drop(streams);
         deployment
             .wait_until("the engines to stop", || {
                 let cancelled: u64 = deployment
--- a/testbed/tests/planned_stops.rs
+++ b/testbed/tests/planned_stops.rs
@@ -1,10 +1,9 @@
 //! A planned stop and a drain cut off no request.
 
 use {
-    pitchhitch_platform::process::spawn,
     pitchhitch_testbed::{
         deploy::{Deployment, DeploymentShape, ProcessSignal, PATIENCE},
-        replay::{right_answer, CallOutcome, CallerClient},
+        replay::{CallerClient, StreamSet},
     },
     smol::block_on,
     std::{sync::atomic::Ordering, time::Duration},
@@ -18,43 +17,32 @@
     Deployment::for_test(shape).await
 }
 
+/// Starts streams and waits until all of them run at an engine.
 async fn streams(
     deployment: &Deployment,
     count: usize,
-) -> Vec<async_global_executor::Task<CallOutcome>> {
-    let client = CallerClient::default();
-    let mut tasks = Vec::new();
-    for number in 0..count {
-        let call = deployment.prompt(number % 2, &format!("stream {number}"), TOKENS);
-        let client = client.clone();
-        tasks.push(spawn(async move { client.chat(&call).await }));
-    }
-    deployment
-        .wait_until("all streams to run", || {
-            let running: u32 = deployment
-                .engines()
-                .map(|e| e.core.running.load(Ordering::Relaxed))
-                .sum();
-            running as usize == count
-        })
-        .await;
-    tasks
+) -> StreamSet {
+    let streams = StreamSet::start(deployment, count, TOKENS);
+    let running = || {
+        let engines = deployment.engines();
+        let running: u32 = engines
+            .map(|e| e.core.running.load(Ordering::Relaxed))
+            .sum();
+        running as usize == count
+    };
+    deployment.wait_until("all streams to run", running).await;
+    streams
 }
 
 /// All streams whole and right, and none begun twice at an engine.
 async fn all_uncut(
     deployment: &Deployment,
-    tasks: Vec<async_global_executor::Task<CallOutcome>>,
+    streams: StreamSet,
+    count: u64,
 ) {
-    let count = tasks.len() as u64;
-    for (number, task) in tasks.into_iter().enumerate() {
-        let outcome = task.await;
-        assert!(outcome.whole, "{number}: {}", outcome.text);
-        let right = right_answer(&format!("stream {number}"), "v1", TOKENS);
-        assert_eq!(outcome.text, right, "{number}");
-    }
-    let begun: u64 = deployment
-        .engines()
+    streams.all_right().await;
+    let engines = deployment.engines();
+    let begun: u64 = engines
         .map(|e| e.core.counts.begun.load(Ordering::Relaxed))
         .sum();
     assert_eq!(begun, count);
@@ -64,10 +52,10 @@
 fn entry_stop_cuts_nothing() {
     block_on(async {
         let mut deployment = start("stop").await;
-        let tasks = streams(&deployment, 6).await;
+        let streams = streams(&deployment, 6).await;
         let mut entry = deployment.entries[0].take().expect("entry");
         entry.signal(ProcessSignal::Term);
-        all_uncut(&deployment, tasks).await;
+        all_uncut(&deployment, streams, 6).await;
         assert!(entry.wait(PATIENCE).await.expect("ends").success());
         assert!(entry.log_text().contains("cut_off=0"));
     });
@@ -77,10 +65,10 @@
 fn agent_stop_cuts_nothing() {
     block_on(async {
         let mut deployment = start("leave").await;
-        let tasks = streams(&deployment, 6).await;
+        let streams = streams(&deployment, 6).await;
         let mut agent = deployment.endpoints[0].agent.take().expect("agent");
         agent.signal(ProcessSignal::Term);
-        all_uncut(&deployment, tasks).await;
+        all_uncut(&deployment, streams, 6).await;
         assert!(agent.wait(PATIENCE).await.expect("ends").success());
         assert!(agent.log_text().contains("cut_off=0"));
     });
@@ -90,12 +78,12 @@
 fn two_stops_cut_nothing() {
     block_on(async {
         let mut deployment = start("both").await;
-        let tasks = streams(&deployment, 6).await;
+        let streams = streams(&deployment, 6).await;
         let mut agent = deployment.endpoints[1].agent.take().expect("agent");
         let mut entry = deployment.entries[1].take().expect("entry");
         agent.signal(ProcessSignal::Term);
         entry.signal(ProcessSignal::Term);
-        all_uncut(&deployment, tasks).await;
+        all_uncut(&deployment, streams, 6).await;
         assert!(agent.wait(PATIENCE).await.expect("ends").success());
         assert!(entry.wait(PATIENCE).await.expect("ends").success());
     });
@@ -105,7 +93,7 @@
 fn drain_tells_when() {
     block_on(async {
         let deployment = start("drain").await;
-        let tasks = streams(&deployment, 6).await;
+        let streams = streams(&deployment, 6).await;
         let engine = deployment.endpoints[0].id.clone();
         let output = deployment.operate(&["drain", &engine]).await.expect("runs");
         let text = String::from_utf8_lossy(&output.stdout).to_string();
@@ -115,7 +103,7 @@
             text.trim_end().ends_with("drained: the box may stop"),
             "{text}"
         );
-        all_uncut(&deployment, tasks).await;
+        all_uncut(&deployment, streams, 6).await;
         // From now on the other engine has all the work.
         let before = deployment.engines().next().expect("engine");
         let begun = before.core.counts.begun.load(Ordering::Relaxed);
