--- a/agent/src/control/control_loop.rs
+++ b/agent/src/control/control_loop.rs
@@ -26,7 +26,7 @@
 /// Ticks between two pulses to subscribers while something goes on.
 const PULSE_TICKS: u32 = 3;
 /// Ticks between two pulses while nothing does.
-const IDLE_PULSE_TICKS: u32 = 78;
+const IDLE_PULSE_TICKS: u32 = 117;
 
 /// Work that the core gives to others.
 #[derive(Debug, Clone, PartialEq, Eq)]
--- a/core/src/role/endpoint_roster.rs
+++ b/core/src/role/endpoint_roster.rs
@@ -18,9 +18,9 @@
 pub const HUNG_AFTER: Micros = Micros::from_millis(4_000);
 /// Factor on both for an idle agent, which says less. A request to it that it
 /// does not acknowledge is noticed much sooner.
-pub const IDLE_FACTOR: u64 = 6;
+pub const IDLE_FACTOR: u64 = 8;
 /// Silence after which the endpoint is taken out of the table.
-pub const REMOVE_AFTER: Micros = Micros::from_secs(40);
+pub const REMOVE_AFTER: Micros = Micros::from_secs(60);
 
 /// One endpoint as the control state has it.
 #[derive(Debug, Clone)]
--- a/entry/src/control/control_loop.rs
+++ b/entry/src/control/control_loop.rs
@@ -1,7 +1,7 @@
 use {
     super::{
         drop_plan, list_store, pull_config, send_drop, send_notice, send_order, ControlHandle,
-        ControlMessage, LeaseController, LinkKeeper, ViewPublisher,
+        ControlMessage, LeaseController, LeaseWrite, LinkKeeper, ViewPublisher,
     },
     async_channel::{Receiver, Sender},
     futures_lite::future,
@@ -52,6 +52,7 @@
     /// Runs the controllers' calls on this thread.
     pub executor: Rc<LocalExecutor<'static>>,
     links: BTreeMap<String, KeptLink>,
+    lease_writes: Vec<LeaseWrite>,
     pulling: Arc<AtomicBool>,
 }
 
@@ -74,6 +75,7 @@
             leases,
             executor,
             links: BTreeMap::new(),
+            lease_writes: Vec::new(),
             pulling: Arc::default(),
         }
     }
@@ -131,6 +133,12 @@
         for action in actions {
             self.act(action);
         }
+        let writes = std::mem::take(&mut self.lease_writes);
+        if !writes.is_empty() {
+            self.executor
+                .spawn(self.leases.clone().write_all(writes))
+                .detach();
+        }
     }
 
     fn act(
@@ -197,11 +205,11 @@
                 shard,
                 version,
                 row,
-            } => {
-                self.executor
-                    .spawn(self.leases.clone().write(shard, version, row))
-                    .detach();
-            }
+            } => self.lease_writes.push(LeaseWrite {
+                shard,
+                version,
+                row,
+            }),
             EntryAction::Log(line) => log_placement(&line),
         }
     }
@@ -282,21 +290,13 @@
         &mut self,
         done: Sender<()>,
     ) {
-        let mut writes = Vec::new();
         for action in self.core.release() {
-            if let EntryAction::WriteLease {
-                shard,
-                version,
-                row,
-            } = action
-            {
-                writes.push(self.leases.clone().write(shard, version, row));
-            }
+            self.act(action);
         }
+        let writes = std::mem::take(&mut self.lease_writes);
+        let leases = self.leases.clone();
         let task = async move {
-            for write in writes {
-                write.await;
-            }
+            leases.write_all(writes).await;
             let _ = done.try_send(());
         };
         self.executor.spawn(task).detach();
--- a/entry/src/control/lease_controller.rs
+++ b/entry/src/control/lease_controller.rs
@@ -67,29 +67,79 @@
         });
     }
 
-    /// Replaces a lease row.
-    pub async fn write(
+    /// Replaces lease rows, as many as can be in one commit. A row that somebody
+    /// else has changed is left out, and the others are tried again without it.
+    pub async fn write_all(
         self,
-        shard: String,
-        version: u64,
-        row: LeaseRow,
+        mut writes: Vec<LeaseWrite>,
     ) {
-        let Ok(value) = serde_json::to_string(&row) else {
-            return;
-        };
-        let write = RowWrite {
-            key: format!("{LEASE_PREFIX}{shard}"),
-            expected: version,
-            value: Some(value),
-        };
-        let event = match self.table.commit(&[write]).await {
-            CommitOutcome::Done { versions } => EntryEvent::LeaseWritten {
-                shard,
-                version: versions.first().copied().unwrap_or_default(),
-            },
-            CommitOutcome::Conflict { .. } => EntryEvent::LeaseRefused { shard },
-            CommitOutcome::Unknown { .. } => EntryEvent::LeaseUnknown { shard },
-        };
-        self.control.tell(event);
+        while !writes.is_empty() {
+            let rows: Vec<RowWrite> = writes.iter().filter_map(LeaseWrite::row_write).collect();
+            if rows.len() != writes.len() {
+                return;
+            }
+            match self.table.commit(&rows).await {
+                CommitOutcome::Done { versions } => {
+                    for (write, version) in writes.drain(..).zip(versions) {
+                        let shard = write.shard;
+                        self.control
+                            .tell(EntryEvent::LeaseWritten { shard, version });
+                    }
+                }
+                CommitOutcome::Conflict { keys } => {
+                    let before = writes.len();
+                    writes = self.tell_refused(writes, &keys);
+                    if writes.len() == before {
+                        return;
+                    }
+                }
+                CommitOutcome::Unknown { .. } => {
+                    for write in writes.drain(..) {
+                        self.control
+                            .tell(EntryEvent::LeaseUnknown { shard: write.shard });
+                    }
+                }
+            }
+        }
+    }
+
+    /// Tells which writes were refused; gives the others.
+    fn tell_refused(
+        &self,
+        writes: Vec<LeaseWrite>,
+        keys: &[String],
+    ) -> Vec<LeaseWrite> {
+        let is_refused = |write: &LeaseWrite| keys.contains(&write.key());
+        let (refused, others): (Vec<_>, Vec<_>) = writes.into_iter().partition(is_refused);
+        for write in refused {
+            self.control
+                .tell(EntryEvent::LeaseRefused { shard: write.shard });
+        }
+        others
+    }
+}
+
+/// A lease row that is to be replaced.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct LeaseWrite {
+    /// Shard of the lease.
+    pub shard: String,
+    /// Table version that must still be there.
+    pub version: u64,
+    /// The new row.
+    pub row: LeaseRow,
+}
+
+impl LeaseWrite {
+    fn key(&self) -> String {
+        format!("{LEASE_PREFIX}{}", self.shard)
+    }
+
+    fn row_write(&self) -> Option<RowWrite> {
+        Some(RowWrite {
+            key: self.key(),
+            expected: self.version,
+            value: Some(serde_json::to_string(&self.row).ok()?),
+        })
     }
 }
--- a/testbed/src/deploy/fake_agents.rs
+++ b/testbed/src/deploy/fake_agents.rs
@@ -20,7 +20,7 @@
 /// Time between two beacons, as of a real agent whose homes are all linked.
 const BEACON_INTERVAL: Duration = Duration::from_secs(10);
 /// Time between two pulses, as of a real agent that is idle.
-const PULSE_INTERVAL: Duration = Duration::from_millis(7_800);
+const PULSE_INTERVAL: Duration = Duration::from_millis(11_700);
 const BEACON_ROUNDS_TOGETHER: usize = 50;
 
 /// How many agents are made up, and what they say.
