Send epoch and sequence to endpoints that check who orders them

Cause: reading through as a newcomer: the setting checks_orders was read and had no effect. Change: with it an order to the endpoint carries its stamp; the stand-in engine refuses orders without one or out of order, so versions_swapped_under_load covers it.

--- a/agent/src/control/control_loop.rs
+++ b/agent/src/control/control_loop.rs
@@ -6,8 +6,7 @@
     pitchhitch_core::{
         lease::FenceRefusal,
         role::{
-            AgentAction, AgentCore, AgentEvent, AgentIdentity, AgentPulse, EndpointOrder,
-            WorkTicket,
+            AgentAction, AgentCore, AgentEvent, AgentIdentity, AgentPulse, StampedOrder, WorkTicket,
         },
     },
     pitchhitch_platform::process::ProcessClock,
@@ -34,7 +33,7 @@
     /// Ask the engine for its whole cache.
     ListCache,
     /// Carry out an order.
-    RunOrder(EndpointOrder),
+    RunOrder(StampedOrder),
     /// Read the lease epoch.
     ReadEpoch,
 }
--- a/agent/src/endpoint/endpoint_client.rs
+++ b/agent/src/endpoint/endpoint_client.rs
@@ -1,7 +1,11 @@
 use {
     super::{EngineCache, EngineHealth, EngineNews, EngineOrder},
     crate::conf::AgentSettings,
-    pitchhitch_core::{kept::PieceKey, role::EndpointOrder, route::EndpointKind},
+    pitchhitch_core::{
+        kept::PieceKey,
+        role::{EndpointOrder, StampedOrder},
+        route::EndpointKind,
+    },
     pitchhitch_platform::http::{CallError, HttpCaller},
     std::{net::SocketAddr, sync::Arc, time::Duration},
     trillium_client::{Client, Conn},
@@ -31,6 +35,7 @@
     address: SocketAddr,
     health_path: String,
     is_engine: bool,
+    checks_orders: bool,
 }
 
 impl EndpointClient {
@@ -46,6 +51,7 @@
                 loads: HttpCaller::new(settings.endpoint, LOAD_TIMEOUT),
                 address: settings.endpoint,
                 health_path: settings.health_path.clone(),
+                checks_orders: settings.checks_orders,
                 is_engine: matches!(settings.kind, EndpointKind::Engine { .. }),
             }),
         }
@@ -160,14 +166,15 @@
     /// [`CallError`] when the engine did not carry it out.
     pub async fn run_order(
         &self,
-        order: &EndpointOrder,
+        order: &StampedOrder,
     ) -> Result<(), CallError> {
         let mut message = EngineOrder {
             version: None,
             adapter: None,
             role: None,
+            stamp: self.shared.checks_orders.then_some(order.stamp),
         };
-        let path = match order {
+        let path = match &order.order {
             EndpointOrder::LoadVersion { version } => {
                 message.version = Some(version.clone());
                 "/engine/load"
--- a/agent/src/endpoint/engine_messages.rs
+++ b/agent/src/endpoint/engine_messages.rs
@@ -1,5 +1,5 @@
 use {
-    pitchhitch_core::{kept::PieceKey, role::CacheChange},
+    pitchhitch_core::{kept::PieceKey, lease::OrderStamp, role::CacheChange},
     serde::{Deserialize, Serialize},
 };
 
@@ -77,4 +77,7 @@
     /// Role to take.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub role: Option<String>,
+    /// Epoch and sequence, for endpoints that check who orders them.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub stamp: Option<OrderStamp>,
 }
--- a/agent/src/orders/order_runner.rs
+++ b/agent/src/orders/order_runner.rs
@@ -6,7 +6,7 @@
     async_channel::Receiver,
     pitchhitch_core::{
         lease::{shard_of, LeaseRow},
-        role::{AgentEvent, EndpointOrder, OrderOutcome, LEASE_PREFIX},
+        role::{AgentEvent, EndpointOrder, OrderOutcome, StampedOrder, LEASE_PREFIX},
     },
     pitchhitch_platform::{process::spawn_detached, table::TableClient},
 };
@@ -43,14 +43,14 @@
 
     async fn run_order(
         self,
-        order: EndpointOrder,
+        order: StampedOrder,
     ) {
         let result = self.client.run_order(&order).await;
         let failure = result.err().map(|e| e.to_string());
-        let text = format!("{order:?}");
+        let text = format!("{:?}", order.order);
         let outcome = failure.clone().unwrap_or("done".to_string());
         log::info!(event = "order-ended", order = text.as_str(), outcome = outcome.as_str(); "");
-        if let EndpointOrder::LoadVersion { version } = order {
+        if let EndpointOrder::LoadVersion { version } = order.order {
             self.handle
                 .tell(AgentEvent::OrderEnded(OrderOutcome { version, failure }));
         }
--- a/core/src/role/agent_action.rs
+++ b/core/src/role/agent_action.rs
@@ -1,5 +1,5 @@
 use {
-    super::{EndpointOrder, GateRefusal, UpwardEvent, WorkTicket},
+    super::{GateRefusal, StampedOrder, UpwardEvent, WorkTicket},
     crate::lease::FenceRefusal,
 };
 
@@ -15,7 +15,7 @@
     /// Ask the engine for its whole cache: something was missed.
     ListCache,
     /// Carry out an order that passed the fence.
-    RunOrder(EndpointOrder),
+    RunOrder(StampedOrder),
     /// Tell the giver that an order was refused.
     RefuseOrder(FenceRefusal),
     /// Read the lease epoch of this endpoint's shard.
--- a/core/src/role/agent_core.rs
+++ b/core/src/role/agent_core.rs
@@ -350,7 +350,7 @@
                     // No event, but everybody should see the new pulse at once.
                     actions.push(AgentAction::Publish(Vec::new()));
                 }
-                actions.push(AgentAction::RunOrder(order.order));
+                actions.push(AgentAction::RunOrder(order));
             }
             Err(refusal) => actions.push(AgentAction::RefuseOrder(refusal)),
         }
--- a/testbed/src/deploy/deployment.rs
+++ b/testbed/src/deploy/deployment.rs
@@ -330,7 +330,7 @@
             "table": self.platform.address, "boxes": self.platform.address,
             "beacon_secret": BEACON_SECRET,
             "slots": self.shape.slots, "queue_limit": 64,
-            "health_path": self.shape.health_path,
+            "health_path": self.shape.health_path, "checks_orders": true,
         });
         self.write_settings(&id, &settings)?;
         let agent = self.start_agent(&id)?;
--- a/testbed/src/engine/engine_stand_in.rs
+++ b/testbed/src/engine/engine_stand_in.rs
@@ -2,7 +2,7 @@
     super::{run_prompt, PrefillLine, PrefixCache},
     crate::stand_ins::{answer_json, answer_status, any_port, read_body, HttpStandIn},
     pitchhitch_agent::endpoint::{EngineHealth, EngineOrder, VERSION_HEADER},
-    pitchhitch_core::kept::PieceKey,
+    pitchhitch_core::{kept::PieceKey, lease::OrderStamp},
     pitchhitch_platform::http::HttpCaller,
     std::{
         io,
@@ -90,6 +90,7 @@
     cache: Mutex<PrefixCache>,
     version: Mutex<String>,
     loading: AtomicBool,
+    newest_order: Mutex<OrderStamp>,
     weights: HttpCaller,
 }
 
@@ -127,6 +128,7 @@
             cache: Mutex::new(PrefixCache::new(shape.cache_pieces)),
             version: Mutex::new(shape.version.clone()),
             loading: AtomicBool::new(false),
+            newest_order: Mutex::new(OrderStamp::default()),
             weights: HttpCaller::new(shape.weights, WEIGHT_TIMEOUT),
             shape,
         });
@@ -163,6 +165,24 @@
         same && !self.loading.load(Ordering::Relaxed)
     }
 
+    /// Whether an order comes after all before it; it is then the newest.
+    fn is_newest(
+        &self,
+        stamp: Option<OrderStamp>,
+    ) -> bool {
+        let mut newest = self
+            .newest_order
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner);
+        match stamp {
+            Some(stamp) if stamp > *newest => {
+                *newest = stamp;
+                true
+            }
+            _ => false,
+        }
+    }
+
     fn health(&self) -> EngineHealth {
         EngineHealth {
             version: self.version(),
@@ -216,7 +236,14 @@
 ) -> Conn {
     let body = read_body(&mut conn).await;
     let order: Option<EngineOrder> = serde_json::from_slice(&body).ok();
-    let Some(version) = order.and_then(|o| o.version) else {
+    let Some(order) = order else {
+        return answer_status(conn, Status::BadRequest, "no order");
+    };
+    // This engine checks who orders it: nothing without a stamp, nothing out of order.
+    if !core.is_newest(order.stamp) {
+        return answer_status(conn, Status::Conflict, "an older order");
+    }
+    let Some(version) = order.version else {
         return answer_status(conn, Status::BadRequest, "no version");
     };
     core.loading.store(true, Ordering::Relaxed);
