Resume streams that break before their first data; drop dead code

The engine's opening comment counted as the first event, so a stream that broke between it and event 0 had no number to go on from and was not asked anew. Change: only events with data count; comments do not. A test of the splitter shows it.

--- a/core/src/route/route_table.rs
+++ b/core/src/route/route_table.rs
@@ -1,9 +1,8 @@
 use {
     super::{
         estimate, estimate_cost, CandidateState, CostEstimate, EndpointArena, EndpointKey,
-        EndpointLoad, EndpointState, PieceImport, PoolIndex, PrefixReuse, PricedOffer, RouteChoice,
-        RoutePolicy, RoutePool, RouteReason, RouteRequest, RunnerUp, SentLoad, StoreKey,
-        StoreState,
+        EndpointLoad, PieceImport, PoolIndex, PrefixReuse, PricedOffer, RouteChoice, RoutePolicy,
+        RoutePool, RouteReason, RouteRequest, RunnerUp, SentLoad, StoreKey, StoreState,
     },
     crate::{
         conf::FleetConfig,
@@ -261,12 +260,4 @@
         }
         imports
     }
-
-    /// Finds an endpoint by the name that operators use.
-    pub fn endpoint_by_id(
-        &self,
-        id: &str,
-    ) -> Option<(EndpointKey, &Arc<EndpointState>)> {
-        self.endpoints.iter().find(|(_, state)| state.id == id)
-    }
 }
--- a/entry/src/filter/answer_body.rs
+++ b/entry/src/filter/answer_body.rs
@@ -243,7 +243,7 @@
             return;
         }
         let after = splitter.last_id();
-        let untouched = self.first && after.is_none();
+        let untouched = !splitter.has_data();
         if (after.is_none() && !untouched) || !dispatch.may_try_again(kind) {
             dispatch.app.metrics.count("request.broken", 1);
             let error = Refusal::new(kind, "the stream broke off");
--- a/entry/src/openai/sse_splitter.rs
+++ b/entry/src/openai/sse_splitter.rs
@@ -7,10 +7,12 @@
     partial: Vec<u8>,
     last_id: Option<u64>,
     done: bool,
+    has_data: bool,
 }
 
 const EVENT_END: &[u8] = b"\n\n";
 const ID_FIELD: &[u8] = b"id:";
+const DATA_FIELD: &[u8] = b"data:";
 const DONE_EVENT: &[u8] = b"data: [DONE]";
 /// Longest event that is held back, in bytes.
 const EVENT_LIMIT: usize = 1024 * 1024;
@@ -47,6 +49,11 @@
         self.last_id
     }
 
+    /// Whether any event with data has come; comments are none.
+    pub fn has_data(&self) -> bool {
+        self.has_data
+    }
+
     /// Whether the closing event has come.
     pub fn is_done(&self) -> bool {
         self.done
@@ -69,6 +76,7 @@
                 self.last_id = number.or(self.last_id);
             }
             self.done |= line == DONE_EVENT;
+            self.has_data |= line.starts_with(DATA_FIELD);
         }
     }
 }
--- /dev/null
+++ b/entry/tests/sse_splitter.rs
@@ -0,0 +1,16 @@
+//! Cutting streams at the ends of events.
+
+use pitchhitch_entry::openai::SseSplitter;
+
+#[test]
+fn comment_is_no_data() {
+    let mut splitter = SseSplitter::default();
+    let passed = splitter.feed(b": opening\n\nid: 0\nda").expect("short");
+    assert_eq!(passed, b": opening\n\n");
+    // A stream that breaks here can still be asked from its beginning.
+    assert!(!splitter.has_data());
+    assert_eq!(splitter.last_id(), None);
+    splitter.feed(b"ta: x\n\n").expect("short");
+    assert!(splitter.has_data());
+    assert_eq!(splitter.last_id(), Some(0));
+}
--- a/testbed/src/deploy/child_process.rs
+++ b/testbed/src/deploy/child_process.rs
@@ -101,11 +101,6 @@
         }
     }
 
-    /// Whether it still runs.
-    pub fn is_running(&mut self) -> bool {
-        matches!(self.child.try_wait(), Ok(None))
-    }
-
     /// What it has used so far.
     pub fn usage(&self) -> ProcessUsage {
         ProcessUsage::of_pid(self.pid())
--- a/testbed/src/deploy/deployment_shape.rs
+++ b/testbed/src/deploy/deployment_shape.rs
@@ -85,6 +85,14 @@
         }
     }
 
+    /// A tiny deployment whose streams last long enough to be disturbed.
+    pub fn streaming(name: &str) -> Self {
+        DeploymentShape {
+            decode_token: Duration::from_millis(5),
+            ..DeploymentShape::tiny(name)
+        }
+    }
+
     /// Mvinyo at a size that fits one machine.
     pub fn mvinyo(policy: RoutePolicy) -> Self {
         DeploymentShape {
--- a/testbed/src/engine/prefix_cache.rs
+++ b/testbed/src/engine/prefix_cache.rs
@@ -117,11 +117,6 @@
         }
     }
 
-    /// Forgets old changes early, as if the publisher had dropped them.
-    pub fn drop_news(&mut self) {
-        self.news.clear();
-    }
-
     fn touch(
         &mut self,
         key: PieceKey,
--- a/testbed/tests/planned_stops.rs
+++ b/testbed/tests/planned_stops.rs
@@ -6,15 +6,13 @@
         replay::{CallerClient, StreamSet},
     },
     smol::block_on,
-    std::{sync::atomic::Ordering, time::Duration},
+    std::sync::atomic::Ordering,
 };
 
 const TOKENS: u32 = 400;
 
 async fn start(name: &str) -> Deployment {
-    let mut shape = DeploymentShape::tiny(name);
-    shape.decode_token = Duration::from_millis(5);
-    Deployment::for_test(shape).await
+    Deployment::for_test(DeploymentShape::streaming(name)).await
 }
 
 /// Starts streams and waits until all of them run at an engine.
