--- a/agent/src/beacons/beacon_sender.rs
+++ b/agent/src/beacons/beacon_sender.rs
@@ -2,7 +2,7 @@
     crate::{conf::AgentSettings, control::ControlHandle},
     futures_lite::future,
     pitchhitch_core::member::{home_set, Beacon, HomeCandidate},
-    pitchhitch_platform::boxes::{BoxClient, ListedRole},
+    pitchhitch_services::boxes::{BoxClient, ListedRole},
     pitchhitch_wire::beacon::{BeaconKey, BeaconSocket},
     smol::Timer,
     std::{
--- a/agent/src/cli/agent_cli.rs
+++ b/agent/src/cli/agent_cli.rs
@@ -2,7 +2,7 @@
     super::run_agent,
     crate::conf::AgentSettings,
     getopts::Options,
-    pitchhitch_platform::process::{start_logging, start_traffic},
+    pitchhitch_process::{start_logging, start_traffic},
     std::{fs, process::ExitCode},
 };
 
--- a/agent/src/cli/agent_process.rs
+++ b/agent/src/cli/agent_process.rs
@@ -11,10 +11,8 @@
     },
     anyhow::Context,
     pitchhitch_core::role::{AgentEvent, AgentIdentity},
-    pitchhitch_platform::{
-        process::{spawn_detached, stop_asked, MetricSet, ProcessClock},
-        table::TableClient,
-    },
+    pitchhitch_process::{spawn_detached, stop_asked, MetricSet, ProcessClock},
+    pitchhitch_services::table::TableClient,
     smol::{net::TcpListener, Timer},
     std::{
         sync::Arc,
--- a/agent/src/control/control_loop.rs
+++ b/agent/src/control/control_loop.rs
@@ -9,7 +9,7 @@
             AgentAction, AgentCore, AgentEvent, AgentIdentity, AgentPulse, StampedOrder, WorkTicket,
         },
     },
-    pitchhitch_platform::process::ProcessClock,
+    pitchhitch_process::ProcessClock,
     smol::Timer,
     std::{
         collections::HashMap,
--- a/agent/src/endpoint/endpoint_client.rs
+++ b/agent/src/endpoint/endpoint_client.rs
@@ -6,7 +6,7 @@
         role::{EndpointOrder, StampedOrder},
         route::EndpointKind,
     },
-    pitchhitch_platform::http::{CallError, HttpCaller},
+    pitchhitch_services::http::{CallError, HttpCaller},
     std::{net::SocketAddr, sync::Arc, time::Duration},
     trillium_client::{Client, Conn},
     trillium_smol::ClientConfig,
--- a/agent/src/gate/gate_context.rs
+++ b/agent/src/gate/gate_context.rs
@@ -1,6 +1,6 @@
 use {
     crate::{control::ControlHandle, endpoint::EndpointClient, moves::PieceMover},
-    pitchhitch_platform::process::{MetricSet, ProcessClock},
+    pitchhitch_process::{MetricSet, ProcessClock},
     std::sync::Arc,
 };
 
--- a/agent/src/links/link_listener.rs
+++ b/agent/src/links/link_listener.rs
@@ -1,7 +1,7 @@
 use {
     crate::gate::{run_request, GateContext},
     pitchhitch_core::role::AgentEvent,
-    pitchhitch_platform::process::spawn_detached,
+    pitchhitch_process::spawn_detached,
     pitchhitch_wire::{
         link::{serve_link, IncomingCall, ReplySender},
         messages::{LinkCall, LinkReply},
--- a/agent/src/moves/piece_mover.rs
+++ b/agent/src/moves/piece_mover.rs
@@ -5,10 +5,8 @@
         kept::PieceKey,
         role::{AgentEvent, MissingNotice, StoredNotice},
     },
-    pitchhitch_platform::{
-        process::{spawn_detached, MetricSet},
-        stores::{StoreClient, StoreError},
-    },
+    pitchhitch_process::{spawn_detached, MetricSet},
+    pitchhitch_services::stores::{StoreClient, StoreError},
     pitchhitch_wire::messages::{DropPlan, ExportPlan, ImportPlan, PinnedPiece},
     smol::Timer,
     std::{
--- a/agent/src/orders/order_runner.rs
+++ b/agent/src/orders/order_runner.rs
@@ -8,7 +8,8 @@
         lease::{shard_of, LeaseRow},
         role::{AgentEvent, EndpointOrder, OrderOutcome, StampedOrder, LEASE_PREFIX},
     },
-    pitchhitch_platform::{process::spawn_detached, table::TableClient},
+    pitchhitch_process::spawn_detached,
+    pitchhitch_services::table::TableClient,
 };
 
 /// Carries out what the control thread asks for.
--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -16,5 +16,6 @@
 pub mod retry;
 pub mod role;
 pub mod route;
+pub mod serving;
 pub mod settings;
 pub mod time;
--- /dev/null
+++ b/core/src/serving/endpoint_book.rs
@@ -0,0 +1,234 @@
+use {
+    super::{
+        EndpointEntry, EndpointNotice, EndpointStanding, PartMemory, UnreadWork, WeightBelief,
+    },
+    crate::{retry::OutlierGuard, time::Micros},
+    slotmap::{new_key_type, SlotMap},
+    std::collections::{BTreeMap, HashSet},
+};
+
+new_key_type! {
+    /// Key of an endpoint in the book.
+    pub struct EndpointKey;
+}
+
+/// What a reading of the list changed.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum BookChange {
+    /// An endpoint may get requests from now on.
+    Serves(String),
+    /// An endpoint gets nothing new from now on.
+    Leaves(String),
+    /// An endpoint's entry went while the list cannot be trusted.
+    Lapses(String),
+}
+
+/// Every endpoint that is known, by id: an address may be used again.
+#[derive(Debug, Clone, Default)]
+pub struct EndpointBook {
+    entries: SlotMap<EndpointKey, EndpointEntry>,
+    ids: BTreeMap<String, EndpointKey>,
+}
+
+impl EndpointBook {
+    /// Key of an endpoint by id.
+    pub fn key(
+        &self,
+        id: &str,
+    ) -> Option<EndpointKey> {
+        self.ids.get(id).copied()
+    }
+
+    /// An endpoint.
+    pub fn get(
+        &self,
+        key: EndpointKey,
+    ) -> Option<&EndpointEntry> {
+        self.entries.get(key)
+    }
+
+    /// An endpoint, to change it.
+    pub fn get_mut(
+        &mut self,
+        key: EndpointKey,
+    ) -> Option<&mut EndpointEntry> {
+        self.entries.get_mut(key)
+    }
+
+    /// All endpoints in the order of their ids.
+    pub fn iter(&self) -> impl Iterator<Item = (EndpointKey, &EndpointEntry)> {
+        self.ids
+            .values()
+            .filter_map(|key| Some((*key, self.entries.get(*key)?)))
+    }
+
+    /// Takes what the list says of an endpoint.
+    pub fn take(
+        &mut self,
+        notice: &EndpointNotice,
+    ) -> Option<BookChange> {
+        let wanted = match notice.is_leaving {
+            true => EndpointStanding::Leaving,
+            false => EndpointStanding::Serving,
+        };
+        let address = notice.address?;
+        if let Some(key) = self.key(&notice.id) {
+            let entry = &mut self.entries[key];
+            for (model, version) in &notice.weights {
+                // The list lags behind answers and reports; it only fills gaps.
+                if !entry.weights.serves(model) {
+                    entry.weights.learn(model, *version);
+                }
+            }
+            // Who was seen leaving does not come back under the same id.
+            let before = entry.standing;
+            if before == EndpointStanding::Leaving || before == wanted {
+                return None;
+            }
+            entry.standing = wanted;
+            return Some(change(wanted, &notice.id));
+        }
+        let mut weights = WeightBelief::default();
+        for (model, version) in &notice.weights {
+            weights.learn(model, *version);
+        }
+        let key = self.entries.insert(EndpointEntry {
+            id: notice.id.clone(),
+            service: notice.service.clone(),
+            address,
+            domain: notice.domain.clone(),
+            slots: notice.slots,
+            standing: wanted,
+            weights,
+            load: None,
+            parts: PartMemory::default(),
+            guard: OutlierGuard::default(),
+            running: 0,
+            unread: Vec::new(),
+        });
+        self.ids.insert(notice.id.clone(), key);
+        Some(change(wanted, &notice.id))
+    }
+
+    /// Takes that an endpoint is on the list no more; `is_steady` says whether
+    /// the list can be trusted.
+    pub fn gone(
+        &mut self,
+        id: &str,
+        is_steady: bool,
+    ) -> Option<BookChange> {
+        let key = self.key(id)?;
+        let entry = &mut self.entries[key];
+        let before = entry.standing;
+        if !is_steady && before == EndpointStanding::Serving {
+            entry.standing = EndpointStanding::Lapsed;
+            return Some(BookChange::Lapses(id.to_string()));
+        }
+        if !is_steady {
+            return None;
+        }
+        entry.standing = EndpointStanding::Leaving;
+        (before != EndpointStanding::Leaving).then(|| BookChange::Leaves(id.to_string()))
+    }
+
+    /// Takes a whole list: what is not on it is gone.
+    pub fn take_all(
+        &mut self,
+        notices: &[EndpointNotice],
+        is_steady: bool,
+    ) -> Vec<BookChange> {
+        let mut changes: Vec<BookChange> = notices.iter().filter_map(|n| self.take(n)).collect();
+        let listed: HashSet<&str> = notices.iter().map(|n| n.id.as_str()).collect();
+        let known: Vec<String> = self.ids.keys().cloned().collect();
+        let missing = known.iter().filter(|id| !listed.contains(id.as_str()));
+        changes.extend(missing.filter_map(|id| self.gone(id, is_steady)));
+        changes
+    }
+
+    /// The list can be trusted again: who lapsed and did not come back is gone.
+    pub fn settle(&mut self) -> Vec<BookChange> {
+        let lapsed = |entry: &&mut EndpointEntry| entry.standing == EndpointStanding::Lapsed;
+        let mut changes = Vec::new();
+        for entry in self.entries.values_mut().filter(lapsed) {
+            entry.standing = EndpointStanding::Leaving;
+            changes.push(BookChange::Leaves(entry.id.clone()));
+        }
+        changes
+    }
+
+    /// Forgets endpoints that are gone and have none of our requests.
+    pub fn prune(&mut self) {
+        let entries = &mut self.entries;
+        self.ids.retain(|_, key| {
+            let entry = &entries[*key];
+            let is_over = entry.standing == EndpointStanding::Leaving && entry.running == 0;
+            if is_over {
+                entries.remove(*key);
+            }
+            !is_over
+        });
+    }
+
+    /// Notes that a request was handed to an endpoint.
+    pub fn sent(
+        &mut self,
+        key: EndpointKey,
+        work: UnreadWork,
+    ) {
+        if let Some(entry) = self.entries.get_mut(key) {
+            entry.running += 1;
+            entry.unread.push(work);
+        }
+    }
+
+    /// Notes that an endpoint has begun to answer a request.
+    pub fn begun(
+        &mut self,
+        key: EndpointKey,
+        ticket: u64,
+    ) {
+        if let Some(entry) = self.entries.get_mut(key) {
+            entry.unread.retain(|work| work.ticket != ticket);
+        }
+    }
+
+    /// Notes that an endpoint is done with a request.
+    pub fn ended(
+        &mut self,
+        key: EndpointKey,
+        ticket: u64,
+    ) {
+        self.begun(key, ticket);
+        if let Some(entry) = self.entries.get_mut(key) {
+            entry.running = entry.running.saturating_sub(1);
+        }
+    }
+
+    /// Notes how a request went at an endpoint; true when that takes it out.
+    pub fn judged(
+        &mut self,
+        key: EndpointKey,
+        is_sound: bool,
+        now: Micros,
+    ) -> bool {
+        let Some(entry) = self.entries.get_mut(key) else {
+            return false;
+        };
+        if is_sound {
+            entry.guard.succeeded(now);
+            return false;
+        }
+        entry.guard.failed(now)
+    }
+}
+
+fn change(
+    standing: EndpointStanding,
+    id: &str,
+) -> BookChange {
+    match standing {
+        EndpointStanding::Serving => BookChange::Serves(id.to_string()),
+        EndpointStanding::Lapsed => BookChange::Lapses(id.to_string()),
+        EndpointStanding::Leaving => BookChange::Leaves(id.to_string()),
+    }
+}
--- /dev/null
+++ b/core/src/serving/endpoint_entry.rs
@@ -0,0 +1,140 @@
+use {
+    super::{PartMemory, WeightBelief},
+    crate::{retry::OutlierGuard, time::Micros},
+    std::net::SocketAddr,
+};
+
+/// What the platform's list says of one endpoint.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct EndpointNotice {
+    /// Id of this life of the endpoint.
+    pub id: String,
+    /// Service that it belongs to.
+    pub service: String,
+    /// Where it answers.
+    pub address: Option<SocketAddr>,
+    /// Failure domain.
+    pub domain: String,
+    /// Requests that it runs at once; 0 where that is not told.
+    pub slots: u32,
+    /// Whether it is leaving.
+    pub is_leaving: bool,
+    /// Models and the versions of their weights.
+    pub weights: Vec<(String, u64)>,
+}
+
+/// What the process beside an engine reports of it.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct EngineLoad {
+    /// When the report was taken, on our clock.
+    pub at: Micros,
+    /// Requests that run.
+    pub running: u32,
+    /// Requests that wait.
+    pub waiting: u32,
+    /// Requests that have made nothing yet: waiting, or being read.
+    pub unread: u32,
+    /// Memory in use that cannot give way, in tokens.
+    pub used_tokens: u64,
+    /// All memory, in tokens.
+    pub total_tokens: u64,
+    /// Whether new weights are being loaded, or are about to be.
+    pub is_swapping: bool,
+    /// Whether the engine fails to answer the process beside it.
+    pub is_silent: bool,
+}
+
+/// Whether an endpoint may get requests.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum EndpointStanding {
+    /// It serves.
+    Serving,
+    /// Its entry went while the store was in trouble: it may still serve.
+    Lapsed,
+    /// It leaves, or is gone.
+    Leaving,
+}
+
+/// A request of ours that an endpoint has and has not begun to answer.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct UnreadWork {
+    /// Ticket of the request.
+    pub ticket: u64,
+    /// Tokens that the endpoint must read for it.
+    pub tokens: u32,
+    /// When it was sent.
+    pub sent_at: Micros,
+}
+
+/// All that is known of one endpoint.
+#[derive(Debug, Clone)]
+pub struct EndpointEntry {
+    /// Id of this life of the endpoint.
+    pub id: String,
+    /// Service that it belongs to.
+    pub service: String,
+    /// Where it answers.
+    pub address: SocketAddr,
+    /// Failure domain.
+    pub domain: String,
+    /// Requests that it runs at once; 0 where that is not told.
+    pub slots: u32,
+    /// Whether it may get requests.
+    pub standing: EndpointStanding,
+    /// Versions of its weights.
+    pub weights: WeightBelief,
+    /// Last report from beside it.
+    pub load: Option<EngineLoad>,
+    /// Parts that it is believed to keep.
+    pub parts: PartMemory,
+    /// Its failures.
+    pub guard: OutlierGuard,
+    /// Requests of ours that it has.
+    pub running: u32,
+    /// Those of them that it has not begun to answer.
+    pub unread: Vec<UnreadWork>,
+}
+
+/// Age at which a report says nothing of the engine's queue any more.
+const REPORT_LIFE: Micros = Micros::from_millis(1_500);
+/// Time that a request takes to show up in a report.
+const REPORT_LAG: Micros = Micros::from_millis(40);
+
+impl EndpointEntry {
+    /// Report that is fresh enough to go by.
+    pub fn fresh_load(
+        &self,
+        now: Micros,
+    ) -> Option<&EngineLoad> {
+        self.load
+            .as_ref()
+            .filter(|load| now.since(load.at) < REPORT_LIFE)
+    }
+
+    /// Requests of others that the endpoint has not begun to answer.
+    pub fn unread_of_others(
+        &self,
+        now: Micros,
+    ) -> u32 {
+        let Some(load) = self.fresh_load(now) else {
+            return 0;
+        };
+        let seen = |work: &&UnreadWork| work.sent_at + REPORT_LAG < load.at;
+        let own = self.unread.iter().filter(seen).count() as u32;
+        load.unread.saturating_sub(own)
+    }
+
+    /// Tokens that our requests still have to be read for.
+    pub fn unread_tokens(&self) -> u64 {
+        self.unread.iter().map(|work| u64::from(work.tokens)).sum()
+    }
+
+    /// Requests that it runs or holds, as far as is known.
+    pub fn occupied(
+        &self,
+        now: Micros,
+    ) -> u32 {
+        let reported = self.fresh_load(now).map_or(0, |l| l.running + l.waiting);
+        reported.max(self.running)
+    }
+}
--- /dev/null
+++ b/core/src/serving/endpoint_pick.rs
@@ -0,0 +1,192 @@
+use {
+    super::{EndpointBook, EndpointEntry, EndpointKey, EndpointStanding, PromptAsk, WallTag},
+    crate::time::Micros,
+};
+
+/// Tokens of a prompt that an engine reads in a millisecond beside its other
+/// work. The sites' sheets say 112; steps for running answers take the rest.
+pub const READ_TOKENS_PER_MS: f64 = 97.0;
+/// Tokens that a request of others still has to be read for, on average: the
+/// mean over the sites' kinds of request with half of the shared parts found.
+const USUAL_UNREAD_TOKENS: f64 = 1_900.0;
+/// Cost of crossing to another failure domain, in milliseconds: the way there
+/// and back, and the price of the bytes.
+const OTHER_DOMAIN_MS: f64 = 5.0;
+/// Cost of each request that runs, as it slows each step down, in milliseconds.
+const RUNNING_MS: f64 = 0.4;
+/// What the home of a part gets ahead, in milliseconds, so that boxes which know
+/// nothing of each other's choices read it at the same place.
+const HOME_MS: f64 = 12.0;
+/// Cost of an engine that has no place free, in milliseconds.
+const FULL_MS: f64 = 800.0;
+/// Cost of memory that is short, in milliseconds for each token: requests that
+/// run are put back and read anew.
+const SHORT_MEMORY_MS: f64 = 2.0 / READ_TOKENS_PER_MS;
+/// Cost of one request that a plain service holds already, in milliseconds.
+const PLAIN_QUEUE_MS: f64 = 12.0;
+
+/// What is looked for.
+#[derive(Debug, Clone, Copy)]
+pub struct PickAsk<'a> {
+    /// Service that the route leads to.
+    pub service: &'a str,
+    /// Failure domain of this box.
+    pub domain: &'a str,
+    /// Prompt, where the service is of model engines.
+    pub prompt: Option<&'a PromptAsk>,
+    /// Endpoints that this request has been to.
+    pub tried: &'a [EndpointKey],
+    /// Current time.
+    pub now: Micros,
+}
+
+/// The endpoint that was chosen, and why.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct EndpointChoice {
+    /// Endpoint.
+    pub key: EndpointKey,
+    /// Estimated time until the answer begins, in milliseconds.
+    pub wait_ms: f64,
+    /// Tokens that it will have to read.
+    pub unread_tokens: u32,
+    /// Tokens that it is believed to keep already.
+    pub kept_tokens: u32,
+    /// Version of the weights that it is believed to have.
+    pub version: Option<u64>,
+    /// Endpoints that were weighed.
+    pub candidates: u32,
+    /// Whether it has a place free, as far as is known.
+    pub has_place: bool,
+}
+
+/// Chooses an endpoint; `wall` tells the salt's tag for a version of the weights.
+pub fn pick_endpoint(
+    book: &EndpointBook,
+    ask: &PickAsk<'_>,
+    wall: &mut dyn FnMut(u64) -> WallTag,
+) -> Option<EndpointChoice> {
+    let sound = best_of(book, ask, wall, &|entry| is_sound(entry, ask.now));
+    if sound.is_some() {
+        return sound;
+    }
+    // Nobody is in order: somebody who may be is better than nobody.
+    best_of(book, ask, wall, &|_| true)
+}
+
+fn is_sound(
+    entry: &EndpointEntry,
+    now: Micros,
+) -> bool {
+    let load = entry.fresh_load(now);
+    let is_away = load.is_some_and(|load| load.is_silent || load.is_swapping);
+    !is_away && !entry.guard.is_out(now)
+}
+
+fn best_of(
+    book: &EndpointBook,
+    ask: &PickAsk<'_>,
+    wall: &mut dyn FnMut(u64) -> WallTag,
+    admits: &dyn Fn(&EndpointEntry) -> bool,
+) -> Option<EndpointChoice> {
+    let home = home_number(ask);
+    let mut best: Option<(f64, EndpointChoice)> = None;
+    let mut best_home: Option<(u64, EndpointKey)> = None;
+    let mut weighed = Vec::new();
+    for (key, entry) in book.iter() {
+        let serves = entry.service == ask.service && entry.standing != EndpointStanding::Leaving;
+        if !serves || ask.tried.contains(&key) || !admits(entry) {
+            continue;
+        }
+        let place = mix(home, &entry.id);
+        if best_home.is_none_or(|(other, _)| place > other) {
+            best_home = Some((place, key));
+        }
+        weighed.push((key, entry));
+    }
+    for (key, entry) in &weighed {
+        let mut choice = weigh(*key, entry, ask, wall);
+        choice.candidates = weighed.len() as u32;
+        let mut cost = choice.wait_ms * f64::from(entry.guard.penalty(ask.now));
+        if entry.domain != ask.domain {
+            cost += OTHER_DOMAIN_MS;
+        }
+        if best_home.is_some_and(|(_, at)| at == *key) {
+            cost -= HOME_MS;
+        }
+        if best.as_ref().is_none_or(|(least, _)| cost < *least) {
+            best = Some((cost, choice));
+        }
+    }
+    best.map(|(_, choice)| choice)
+}
+
+fn weigh(
+    key: EndpointKey,
+    entry: &EndpointEntry,
+    ask: &PickAsk<'_>,
+    wall: &mut dyn FnMut(u64) -> WallTag,
+) -> EndpointChoice {
+    let mut choice = EndpointChoice {
+        key,
+        wait_ms: f64::from(entry.running) * PLAIN_QUEUE_MS,
+        unread_tokens: 0,
+        kept_tokens: 0,
+        version: None,
+        candidates: 0,
+        has_place: entry.slots == 0 || entry.occupied(ask.now) < entry.slots,
+    };
+    if let Some(prompt) = ask.prompt {
+        weigh_engine(&mut choice, entry, prompt, ask.now, wall);
+    }
+    if !choice.has_place {
+        choice.wait_ms += FULL_MS;
+    }
+    choice
+}
+
+fn weigh_engine(
+    choice: &mut EndpointChoice,
+    entry: &EndpointEntry,
+    prompt: &PromptAsk,
+    now: Micros,
+    wall: &mut dyn FnMut(u64) -> WallTag,
+) {
+    choice.version = entry.weights.version(&prompt.model);
+    choice.kept_tokens = choice
+        .version
+        .map_or(0, |version| entry.parts.reuse(wall(version), &prompt.parts));
+    choice.unread_tokens = prompt.tokens_in.saturating_sub(choice.kept_tokens);
+    let others = f64::from(entry.unread_of_others(now)) * USUAL_UNREAD_TOKENS;
+    let ahead = entry.unread_tokens() as f64 + others;
+    choice.wait_ms = (ahead + f64::from(choice.unread_tokens)) / READ_TOKENS_PER_MS;
+    choice.wait_ms += f64::from(entry.occupied(now)) * RUNNING_MS;
+    if let Some(load) = entry.fresh_load(now) {
+        let wanted = load.used_tokens + ahead as u64 + u64::from(prompt.tokens_in);
+        let short = wanted.saturating_sub(load.total_tokens);
+        choice.wait_ms += short as f64 * SHORT_MEMORY_MS;
+    }
+}
+
+/// The number that a prompt's home is drawn from: its last shared part.
+fn home_number(ask: &PickAsk<'_>) -> u64 {
+    let parts = ask.prompt.map_or(&[][..], |prompt| &prompt.parts);
+    let shared = parts
+        .len()
+        .checked_sub(2)
+        .and_then(|place| parts.get(place));
+    shared.or(parts.last()).map_or(0, |part| part.id.number())
+}
+
+/// Mixes a number with a text, evenly spread.
+fn mix(
+    number: u64,
+    text: &str,
+) -> u64 {
+    let mut hash = number ^ 0x9e37_79b9_7f4a_7c15;
+    for byte in text.bytes() {
+        hash = (hash ^ u64::from(byte)).wrapping_mul(0x0000_0100_0000_01b3);
+    }
+    hash ^= hash >> 31;
+    hash = hash.wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    hash ^ (hash >> 29)
+}
--- /dev/null
+++ b/core/src/serving/mod.rs
@@ -0,0 +1,25 @@
+//! Decisions about requests that an outside platform describes: which route
+//! and organisation a request has, which endpoint takes it, what may be sent
+//! again, and how fresh the knowledge behind all that must be.
+
+mod caller_limits;
+mod endpoint_book;
+mod endpoint_entry;
+mod endpoint_pick;
+mod key_trust;
+mod kv_store;
+mod part_memory;
+mod path_index;
+mod prompt_ask;
+mod prompt_part;
+mod refusal_kind;
+mod repeat_meter;
+mod served_route;
+mod serving_config;
+mod weight_belief;
+
+pub use {
+    caller_limits::*, endpoint_book::*, endpoint_entry::*, endpoint_pick::*, key_trust::*,
+    kv_store::*, part_memory::*, path_index::*, prompt_ask::*, prompt_part::*, refusal_kind::*,
+    repeat_meter::*, served_route::*, serving_config::*, weight_belief::*,
+};
--- /dev/null
+++ b/core/src/serving/prompt_part.rs
@@ -0,0 +1,43 @@
+/// One part of a prompt: requests that begin with the same parts share them.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub struct PromptPart {
+    /// Id of the text of this part.
+    pub id: PartId,
+    /// Length in tokens.
+    pub tokens: u32,
+}
+
+/// Id of a part's text, with the number of hex digits that it was written in.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct PartId {
+    value: u64,
+    digits: u8,
+}
+
+impl PartId {
+    /// Reads an id of at most 16 hex digits.
+    pub fn parse(text: &str) -> Option<Self> {
+        let sound = (1..=16).contains(&text.len());
+        let value = sound
+            .then(|| u64::from_str_radix(text, 16).ok())
+            .flatten()?;
+        Some(PartId {
+            value,
+            digits: text.len() as u8,
+        })
+    }
+
+    /// A number to spread by.
+    pub fn number(self) -> u64 {
+        self.value
+    }
+}
+
+impl std::fmt::Display for PartId {
+    fn fmt(
+        &self,
+        out: &mut std::fmt::Formatter<'_>,
+    ) -> std::fmt::Result {
+        write!(out, "{:0width$x}", self.value, width = self.digits as usize)
+    }
+}
--- /dev/null
+++ b/core/src/serving/serving_config.rs
@@ -0,0 +1,97 @@
+use {
+    super::{CallerLimits, KvStore, PathIndex, RefusalKind, RequestAsk, ServedRoute},
+    std::collections::HashMap,
+};
+
+/// What a configuration says of the engines of a service.
+#[derive(Debug, Clone, PartialEq)]
+pub struct EngineGroup {
+    /// Requests that one engine runs at once.
+    pub slots: u32,
+    /// Memory of one engine, in tokens.
+    pub capacity_tokens: u64,
+    /// Memory of one token, in bytes.
+    pub token_bytes: u64,
+    /// Speed of an engine's link, in megabits a second.
+    pub link_mbps: f64,
+    /// Models that the engines serve.
+    pub models: Vec<String>,
+}
+
+/// One service that routes lead to.
+#[derive(Debug, Clone, PartialEq)]
+pub struct ServedGroup {
+    /// Most connections that one endpoint takes from all callers.
+    pub max_connections: u32,
+    /// Set where the endpoints are model engines.
+    pub engine: Option<EngineGroup>,
+}
+
+/// An organisation.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Organisation {
+    /// Name.
+    pub name: String,
+    /// Rank that goes before the route's.
+    pub priority: Option<u8>,
+    /// Whether it shares no kept part with anybody.
+    pub is_isolated: bool,
+}
+
+/// One configuration, whole; requests are decided on one of these throughout.
+#[derive(Debug, Clone, Default)]
+pub struct ServingConfig {
+    /// Version; it only rises.
+    pub version: u64,
+    /// Routes.
+    pub routes: Vec<ServedRoute>,
+    /// Services by name.
+    pub groups: HashMap<String, ServedGroup>,
+    /// Stores of kept parts.
+    pub stores: Vec<KvStore>,
+    /// Limits for callers.
+    pub limits: CallerLimits,
+    /// Organisations; empty where no keys are asked for.
+    pub organisations: Vec<Organisation>,
+    /// Place in `organisations` by key.
+    pub keys: HashMap<String, usize>,
+    /// Look-up of routes.
+    pub paths: PathIndex,
+}
+
+/// The route and organisation of a request, as places in one configuration.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct RequestPlace {
+    /// Place of the route.
+    pub route: usize,
+    /// Place of the organisation, where the request has one.
+    pub organisation: Option<usize>,
+    /// Whether the request was let in by its key.
+    pub is_keyed: bool,
+}
+
+impl ServingConfig {
+    /// Finds the route and the organisation of a request.
+    ///
+    /// # Errors
+    /// Refused where there is no such route, or no such key.
+    pub fn place(
+        &self,
+        ask: &RequestAsk,
+    ) -> Result<RequestPlace, RefusalKind> {
+        let route = self.paths.find(&ask.host, &ask.path);
+        let route = route.ok_or(RefusalKind::UnknownRoute)?;
+        let mut place = RequestPlace {
+            route,
+            organisation: None,
+            is_keyed: false,
+        };
+        if self.organisations.is_empty() || self.routes[route].is_public {
+            return Ok(place);
+        }
+        let key = ask.key.as_ref().and_then(|key| self.keys.get(key));
+        place.organisation = Some(*key.ok_or(RefusalKind::UnknownKey)?);
+        place.is_keyed = true;
+        Ok(place)
+    }
+}
--- /dev/null
+++ b/core/src/serving/weight_belief.rs
@@ -0,0 +1,38 @@
+use std::collections::BTreeMap;
+
+/// Which version of each model's weights an engine has, as far as is known.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct WeightBelief {
+    versions: BTreeMap<String, u64>,
+}
+
+impl WeightBelief {
+    /// The version of a model.
+    pub fn version(
+        &self,
+        model: &str,
+    ) -> Option<u64> {
+        self.versions.get(model).copied()
+    }
+
+    /// Notes what an engine has; true where that is news.
+    pub fn learn(
+        &mut self,
+        model: &str,
+        version: u64,
+    ) -> bool {
+        if self.version(model) == Some(version) {
+            return false;
+        }
+        self.versions.insert(model.to_string(), version);
+        true
+    }
+
+    /// Whether the engine is known to serve a model.
+    pub fn serves(
+        &self,
+        model: &str,
+    ) -> bool {
+        self.versions.contains_key(model)
+    }
+}
--- a/entry/src/cli/command_line.rs
+++ b/entry/src/cli/command_line.rs
@@ -1,8 +1,8 @@
 use {
     super::{CliError, EXIT_CODES},
     crate::command::{
-        run_apply, run_check, run_drain, run_explain, run_label, run_select, run_serve, run_show,
-        run_status,
+        run_apply, run_check, run_drain, run_explain, run_front_command, run_label, run_select,
+        run_serve, run_show, run_status,
     },
     std::process::ExitCode,
 };
@@ -14,12 +14,17 @@
     run: fn(&[String]) -> Result<(), CliError>,
 }
 
-const COMMANDS: [CommandRow; 9] = [
+const COMMANDS: [CommandRow; 10] = [
     CommandRow {
         name: "serve",
         summary: "run an entry process",
         run: run_serve,
     },
+    CommandRow {
+        name: "front",
+        summary: "take requests on a box of the platform",
+        run: run_front_command,
+    },
     CommandRow {
         name: "check",
         summary: "check settings files and name every problem",
--- a/entry/src/cli/entry_process.rs
+++ b/entry/src/cli/entry_process.rs
@@ -17,12 +17,9 @@
         lease::LeaseTimes,
         role::{EntryCore, EntrySetup},
     },
-    pitchhitch_platform::{
-        boxes::BoxClient,
-        config::ConfigStore,
-        objects::ObjectClient,
-        process::{stop_asked, MetricSet, ProcessClock},
-        table::TableClient,
+    pitchhitch_process::{stop_asked, MetricSet, ProcessClock},
+    pitchhitch_services::{
+        boxes::BoxClient, config::ConfigStore, objects::ObjectClient, table::TableClient,
     },
     pitchhitch_wire::beacon::{BeaconKey, BeaconSocket},
     smol::{LocalExecutor, Timer},
--- a/entry/src/command/apply.rs
+++ b/entry/src/command/apply.rs
@@ -3,7 +3,7 @@
     crate::{cli::CliError, conf::OperatorSettings},
     getopts::Options,
     pitchhitch_core::conf::ConfigChange,
-    pitchhitch_platform::weights::WeightClient,
+    pitchhitch_services::weights::WeightClient,
     std::{fs, time::Duration},
 };
 
--- a/entry/src/command/command_args.rs
+++ b/entry/src/command/command_args.rs
@@ -4,7 +4,7 @@
         conf::OperatorSettings,
     },
     getopts::{Matches, Options},
-    pitchhitch_platform::http::HttpCaller,
+    pitchhitch_services::http::HttpCaller,
     std::{fs, time::Duration},
 };
 
--- a/entry/src/command/config_access.rs
+++ b/entry/src/command/config_access.rs
@@ -3,10 +3,10 @@
     crate::{cli::CliError, conf::OperatorSettings},
     getopts::Options,
     pitchhitch_core::conf::{ChangeError, ConfigChange, FleetConfig},
-    pitchhitch_platform::{
+    pitchhitch_process::{wall_seconds, ProcessClock},
+    pitchhitch_services::{
         config::{AcceptedChange, ChangeFailure, ChangeRequest, ConfigStore},
         objects::ObjectClient,
-        process::{wall_seconds, ProcessClock},
         table::TableClient,
     },
     rand::Rng,
--- a/entry/src/command/drain.rs
+++ b/entry/src/command/drain.rs
@@ -9,7 +9,7 @@
         conf::{ConfigChange, LabelTarget, LEAVING_LABEL},
         drain::DrainState,
     },
-    pitchhitch_platform::http::HttpCaller,
+    pitchhitch_services::http::HttpCaller,
     smol::Timer,
     std::time::{Duration, Instant},
 };
--- a/entry/src/command/explain.rs
+++ b/entry/src/command/explain.rs
@@ -6,7 +6,7 @@
         operators::{PieceReport, EXPLAIN_PREFIX, PIECE_PREFIX},
     },
     getopts::Options,
-    pitchhitch_platform::http::{CallError, HttpCaller},
+    pitchhitch_services::http::{CallError, HttpCaller},
 };
 
 const SHAPE: CommandShape = CommandShape {
--- a/entry/src/command/mod.rs
+++ b/entry/src/command/mod.rs
@@ -6,6 +6,7 @@
 mod config_access;
 mod drain;
 mod explain;
+mod front;
 mod label;
 mod select;
 mod serve;
@@ -13,6 +14,6 @@
 mod status;
 
 pub use {
-    apply::*, check::*, command_args::*, config_access::*, drain::*, explain::*, label::*,
-    select::*, serve::*, show::*, status::*,
+    apply::*, check::*, command_args::*, config_access::*, drain::*, explain::*, front::*,
+    label::*, select::*, serve::*, show::*, status::*,
 };
--- a/entry/src/command/serve.rs
+++ b/entry/src/command/serve.rs
@@ -5,7 +5,7 @@
         conf::EntrySettings,
     },
     getopts::Options,
-    pitchhitch_platform::process::{start_logging, start_traffic},
+    pitchhitch_process::{start_logging, start_traffic},
 };
 
 const SHAPE: CommandShape = CommandShape {
--- a/entry/src/control/box_controller.rs
+++ b/entry/src/control/box_controller.rs
@@ -5,7 +5,7 @@
         member::{home_set, HomeCandidate},
         role::{BoxNotice, EntryEvent},
     },
-    pitchhitch_platform::boxes::{BoxClient, BoxRow, ListedRole},
+    pitchhitch_services::boxes::{BoxClient, BoxRow, ListedRole},
     smol::Timer,
     std::{net::SocketAddr, time::Duration},
 };
--- a/entry/src/control/call_controller.rs
+++ b/entry/src/control/call_controller.rs
@@ -2,7 +2,7 @@
     super::ControlHandle,
     crate::traffic::EndpointLink,
     pitchhitch_core::role::{ConfigNotice, EntryEvent, StampedOrder, StoredPiece},
-    pitchhitch_platform::stores::StoreClient,
+    pitchhitch_services::stores::StoreClient,
     pitchhitch_wire::messages::{DropPlan, LinkCall, LinkReply, PinnedPiece},
     smol::Timer,
     std::{net::SocketAddr, sync::Arc, time::Duration},
--- a/entry/src/control/config_controller.rs
+++ b/entry/src/control/config_controller.rs
@@ -1,10 +1,10 @@
 use {
     super::ControlHandle,
     pitchhitch_core::{conf::PeerConfig, retry::BackoffPolicy, role::EntryEvent},
-    pitchhitch_platform::{
+    pitchhitch_process::to_duration,
+    pitchhitch_services::{
         config::ConfigStore,
         http::{CallError, HttpCaller},
-        process::to_duration,
     },
     rand::SeedableRng,
     rand_pcg::Pcg32,
--- a/entry/src/control/control_loop.rs
+++ b/entry/src/control/control_loop.rs
@@ -10,7 +10,7 @@
         role::{EntryAction, EntryCore, EntryEvent, PlacementLine},
         route::EndpointState,
     },
-    pitchhitch_platform::process::ProcessClock,
+    pitchhitch_process::ProcessClock,
     smol::{LocalExecutor, Task, Timer},
     std::{
         collections::BTreeMap,
--- a/entry/src/control/lease_controller.rs
+++ b/entry/src/control/lease_controller.rs
@@ -5,10 +5,8 @@
         role::{EntryEvent, LEASE_PREFIX},
         time::Micros,
     },
-    pitchhitch_platform::{
-        process::ProcessClock,
-        table::{CommitOutcome, RowWrite, TableClient, TableRow},
-    },
+    pitchhitch_process::ProcessClock,
+    pitchhitch_services::table::{CommitOutcome, RowWrite, TableClient, TableRow},
 };
 
 /// Reads and writes lease rows for the core. Each call is made once: what comes
--- a/entry/src/control/link_keeper.rs
+++ b/entry/src/control/link_keeper.rs
@@ -4,7 +4,7 @@
     async_channel::Receiver,
     futures_lite::future,
     pitchhitch_core::{retry::BackoffPolicy, role::EntryEvent, route::EndpointState},
-    pitchhitch_platform::process::{spawn, to_duration},
+    pitchhitch_process::{spawn, to_duration},
     pitchhitch_wire::{
         link::{AgentLink, LinkError, ReplyStream},
         messages::{LinkCall, LinkReply},
--- /dev/null
+++ b/entry/src/front/event_splitter.rs
@@ -0,0 +1,86 @@
+/// Longest event that is held until it is whole, in bytes.
+const EVENT_LIMIT: usize = 1 << 20;
+
+/// Cuts a stream into whole events: a part of one is never passed on.
+#[derive(Debug, Default)]
+pub(crate) struct EventSplitter {
+    held: Vec<u8>,
+    last_id: Option<String>,
+    version: Option<u64>,
+}
+
+impl EventSplitter {
+    /// Takes bytes of the stream and gives back the events that are whole now.
+    pub fn take(
+        &mut self,
+        bytes: &[u8],
+    ) -> Vec<u8> {
+        self.held.extend_from_slice(bytes);
+        let end = match whole_length(&self.held) {
+            0 if self.held.len() > EVENT_LIMIT => self.held.len(),
+            end => end,
+        };
+        let rest = self.held.split_off(end);
+        let events = std::mem::replace(&mut self.held, rest);
+        self.read_marks(&events);
+        events
+    }
+
+    /// What is held of an event that is not whole.
+    pub fn rest(&self) -> &[u8] {
+        &self.held
+    }
+
+    /// Forgets what is held: the stream goes on elsewhere.
+    pub fn drop_rest(&mut self) {
+        self.held.clear();
+    }
+
+    /// Id of the last whole event.
+    pub fn last_id(&self) -> Option<&str> {
+        self.last_id.as_deref()
+    }
+
+    /// Version of the weights that the stream told last.
+    pub fn version(&self) -> Option<u64> {
+        self.version
+    }
+
+    fn read_marks(
+        &mut self,
+        events: &[u8],
+    ) {
+        for line in events.split(|byte| *byte == b'\n') {
+            if let Some(id) = field_value(line, b"id:") {
+                self.last_id = Some(id.to_string());
+            }
+            if let Some(version) = field_value(line, b"versions:") {
+                self.version = version.parse().ok();
+            }
+        }
+    }
+}
+
+/// Length of the whole events at the beginning.
+fn whole_length(bytes: &[u8]) -> usize {
+    let mut end = bytes.len();
+    while end >= 2 {
+        let Some(at) = bytes[..end].iter().rposition(|byte| *byte == b'\n') else {
+            return 0;
+        };
+        let before = &bytes[..at];
+        if before.ends_with(b"\n") || before.ends_with(b"\n\r") {
+            return at + 1;
+        }
+        end = at;
+    }
+    0
+}
+
+fn field_value<'a>(
+    line: &'a [u8],
+    name: &[u8],
+) -> Option<&'a str> {
+    let value = line.strip_prefix(name)?;
+    std::str::from_utf8(value).ok().map(str::trim)
+}
--- /dev/null
+++ b/entry/src/front/front_context.rs
@@ -0,0 +1,63 @@
+use {
+    super::{FrontMetrics, FrontSettings, FrontState},
+    pitchhitch_core::time::Micros,
+    pitchhitch_process::ProcessClock,
+    smol::LocalExecutor,
+    std::{
+        cell::{RefCell, RefMut},
+        future::Future,
+        rc::Rc,
+    },
+};
+
+/// Everything that the tasks of a front have in common.
+#[derive(Debug)]
+pub(crate) struct FrontContext {
+    /// Settings.
+    pub settings: FrontSettings,
+    /// Clock; it goes on while the process stands still.
+    pub clock: ProcessClock,
+    /// Counters and histograms.
+    pub metrics: FrontMetrics,
+    state: RefCell<FrontState>,
+    executor: LocalExecutor<'static>,
+}
+
+impl FrontContext {
+    /// A context that knows nothing yet.
+    pub fn new(settings: FrontSettings) -> Rc<Self> {
+        Rc::new(FrontContext {
+            state: RefCell::new(FrontState::new(&settings)),
+            settings,
+            clock: ProcessClock::start(),
+            metrics: FrontMetrics::default(),
+            executor: LocalExecutor::new(),
+        })
+    }
+
+    /// Current time.
+    pub fn now(&self) -> Micros {
+        self.clock.now()
+    }
+
+    /// The shared state; never held over a wait.
+    pub fn state(&self) -> RefMut<'_, FrontState> {
+        self.state.borrow_mut()
+    }
+
+    /// Runs a task until it ends by itself.
+    pub fn spawn(
+        &self,
+        task: impl Future<Output = ()> + 'static,
+    ) {
+        self.executor.spawn(task).detach();
+    }
+
+    /// Runs all tasks until `main` ends.
+    pub async fn run<T>(
+        &self,
+        main: impl Future<Output = T>,
+    ) -> T {
+        self.executor.run(main).await
+    }
+}
--- /dev/null
+++ b/entry/src/front/front_metrics.rs
@@ -0,0 +1,73 @@
+use {
+    hdrhistogram::Histogram,
+    std::{cell::RefCell, collections::BTreeMap, fmt::Write},
+};
+
+/// Longest time that a histogram tells apart, in microseconds.
+const LONGEST_MICROS: u64 = 60_000_000;
+/// Digits that a histogram keeps.
+const DIGITS: u8 = 2;
+/// Quantiles that are shown.
+const QUANTILES: [f64; 3] = [0.5, 0.95, 0.99];
+
+/// Counters and histograms of one process, shown as text on request.
+#[derive(Debug, Default)]
+pub(crate) struct FrontMetrics {
+    counts: RefCell<BTreeMap<(&'static str, String), u64>>,
+    times: RefCell<BTreeMap<&'static str, Histogram<u64>>>,
+}
+
+impl FrontMetrics {
+    /// Counts something under a label.
+    pub fn count(
+        &self,
+        name: &'static str,
+        label: &str,
+    ) {
+        let mut counts = self.counts.borrow_mut();
+        match counts.get_mut(&(name, label.to_string())) {
+            Some(count) => *count += 1,
+            None => {
+                counts.insert((name, label.to_string()), 1);
+            }
+        }
+    }
+
+    /// Notes how long something took, in microseconds.
+    pub fn time(
+        &self,
+        name: &'static str,
+        micros: u64,
+    ) {
+        let mut times = self.times.borrow_mut();
+        if !times.contains_key(name) {
+            let Ok(histogram) = Histogram::new_with_bounds(100, LONGEST_MICROS, DIGITS) else {
+                return;
+            };
+            times.insert(name, histogram);
+        }
+        if let Some(histogram) = times.get_mut(name) {
+            histogram.saturating_record(micros.max(100));
+        }
+    }
+
+    /// All of it, one figure a line.
+    pub fn text(&self) -> String {
+        let mut text = String::new();
+        for ((name, label), count) in self.counts.borrow().iter() {
+            // Writing to a string does not fail.
+            let _ = writeln!(text, "pitchhitch_{name}{{kind=\"{label}\"}} {count}");
+        }
+        for (name, histogram) in self.times.borrow().iter() {
+            for quantile in QUANTILES {
+                let value = histogram.value_at_quantile(quantile);
+                let _ = writeln!(
+                    text,
+                    "pitchhitch_{name}_us{{quantile=\"{quantile}\"}} {value}"
+                );
+            }
+            let _ = writeln!(text, "pitchhitch_{name}_us_count {}", histogram.len());
+        }
+        text
+    }
+}
--- /dev/null
+++ b/entry/src/front/front_process.rs
@@ -0,0 +1,159 @@
+use {
+    super::{serve_caller, serve_small, watch_list, watch_operator, FrontContext, FrontSettings},
+    anyhow::Context,
+    async_signal::{Signal, Signals},
+    futures_lite::StreamExt,
+    pitchhitch_core::time::Micros,
+    pitchhitch_http1::ByteLink,
+    pitchhitch_process::{flush_log, to_duration},
+    smol::{Async, Timer},
+    std::{
+        net::TcpListener,
+        rc::Rc,
+        time::{Duration, Instant},
+    },
+};
+
+/// Time for the balancer to notice that the process is not ready: it asks once
+/// a second and goes by two answers.
+const NOTICE_TIME: Duration = Duration::from_millis(2_600);
+/// Time at the end of the stop that is left for closing connections.
+const LAST_MOMENT: Duration = Duration::from_millis(300);
+/// How often a stopping process looks whether it is idle.
+const IDLE_CHECK: Micros = Micros::from_millis(50);
+/// How often lines of the log are written out.
+const LOG_PAUSE: Micros = Micros::from_millis(100);
+/// Pause after a connection could not be accepted.
+const ACCEPT_PAUSE: Micros = Micros::from_millis(20);
+
+/// Runs a front until it is asked to stop; `reload` reads the settings again.
+///
+/// # Errors
+/// When an address cannot be bound or a signal cannot be watched.
+pub fn run_front(
+    settings: FrontSettings,
+    reload: &dyn Fn() -> Result<FrontSettings, String>,
+) -> anyhow::Result<()> {
+    let front = FrontContext::new(settings);
+    smol::block_on(front.clone().run(serve(front.clone(), reload)))
+}
+
+async fn serve(
+    front: Rc<FrontContext>,
+    reload: &dyn Fn() -> Result<FrontSettings, String>,
+) -> anyhow::Result<()> {
+    let settings = front.settings.clone();
+    let mut signals =
+        Signals::new([Signal::Term, Signal::Int, Signal::Hup]).context("cannot watch signals")?;
+    let callers = TcpListener::bind(settings.callers);
+    let callers = callers.with_context(|| format!("cannot listen on {}", settings.callers))?;
+    serve_small(front.clone(), settings.ready, answer_ready)
+        .await
+        .with_context(|| format!("cannot listen on {}", settings.ready))?;
+    if let Some(metrics) = settings.metrics {
+        serve_small(front.clone(), metrics, answer_metrics)
+            .await
+            .with_context(|| format!("cannot listen on {metrics}"))?;
+    }
+    front.spawn(write_log());
+    front.spawn(watch_operator(front.clone()));
+    front.spawn(watch_list(front.clone()));
+    front.spawn(accept(front.clone(), Async::new(callers)?));
+    log::info!(
+        event = "started",
+        front = settings.box_id.as_str(),
+        failure_domain = settings.failure_domain.as_str(),
+        callers = settings.callers.to_string().as_str(),
+        program = env!("CARGO_PKG_VERSION");
+        ""
+    );
+    while let Some(signal) = signals.next().await {
+        match signal.context("cannot watch signals")? {
+            Signal::Hup => note_reload(&front, reload),
+            _ => break,
+        }
+    }
+    stop(&front).await;
+    flush_log();
+    Ok(())
+}
+
+/// New settings are checked and compared; what they change needs a restart,
+/// which the platform does one box after the other.
+fn note_reload(
+    front: &FrontContext,
+    reload: &dyn Fn() -> Result<FrontSettings, String>,
+) {
+    match reload() {
+        Ok(settings) => {
+            let changed = settings != front.settings;
+            log::info!(event = "reload", changed = changed; "");
+        }
+        Err(error) => log::error!(event = "reload", error = error.as_str(); ""),
+    }
+}
+
+async fn write_log() {
+    loop {
+        Timer::after(to_duration(LOG_PAUSE)).await;
+        flush_log();
+    }
+}
+
+async fn accept(
+    front: Rc<FrontContext>,
+    listener: Async<TcpListener>,
+) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => match ByteLink::new(stream) {
+                Ok(link) => front.spawn(serve_caller(front.clone(), link)),
+                Err(error) => log_accept(&error),
+            },
+            Err(error) => {
+                log_accept(&error);
+                Timer::after(to_duration(ACCEPT_PAUSE)).await;
+            }
+        }
+    }
+}
+
+fn log_accept(error: &std::io::Error) {
+    let error = error.to_string();
+    log::warn!(event = "accept-failed", error = error.as_str(); "");
+}
+
+fn answer_ready(
+    front: &FrontContext,
+    _target: &str,
+) -> (u16, String) {
+    match front.state().is_ready(front.now()) {
+        true => (200, "ready\n".to_string()),
+        false => (503, "not ready\n".to_string()),
+    }
+}
+
+fn answer_metrics(
+    front: &FrontContext,
+    _target: &str,
+) -> (u16, String) {
+    (200, front.metrics.text())
+}
+
+/// A planned stop: the balancer is told, then what is open is served to its end.
+async fn stop(front: &FrontContext) {
+    let asked = Instant::now();
+    front.state().is_stopping = true;
+    log::info!(event = "stopping", running = front.state().running; "");
+    Timer::after(NOTICE_TIME).await;
+    front.state().closes_idle = true;
+    // Resting connections get time to see that they are to close.
+    Timer::after(Duration::from_millis(700)).await;
+    let limit = front.settings.stop_limit.saturating_sub(LAST_MOMENT);
+    while front.state().running > 0 && asked.elapsed() < limit {
+        Timer::after(to_duration(IDLE_CHECK)).await;
+    }
+    let cut_off = front.state().running;
+    let waited_ms = asked.elapsed().as_millis() as u64;
+    log::info!(event = "stopped", cut_off = cut_off, waited_ms = waited_ms; "");
+}
--- /dev/null
+++ b/entry/src/front/front_settings.rs
@@ -0,0 +1,81 @@
+use {
+    pitchhitch_core::{
+        serving::RepeatBound,
+        settings::{SettingsErrors, SettingsReader},
+        time::Micros,
+    },
+    std::{net::SocketAddr, time::Duration},
+};
+
+/// Settings of one front process, checked.
+#[derive(Debug, Clone, PartialEq)]
+pub struct FrontSettings {
+    /// Id of the box.
+    pub box_id: String,
+    /// Failure domain that the box stands in.
+    pub failure_domain: String,
+    /// Where callers are served.
+    pub callers: SocketAddr,
+    /// Where the balancer asks whether the process is ready.
+    pub ready: SocketAddr,
+    /// Where metrics are read.
+    pub metrics: Option<SocketAddr>,
+    /// Where the processes beside engines are heard.
+    pub digests: SocketAddr,
+    /// Port of the processes beside engines.
+    pub beside_port: u16,
+    /// Where the platform's store answers.
+    pub store: SocketAddr,
+    /// Oldest knowledge of keys that lets callers in.
+    pub key_limit: Micros,
+    /// What may be sent again.
+    pub repeats: RepeatBound,
+    /// Time between SIGTERM and the end of the process by force.
+    pub stop_limit: Duration,
+    /// Memory that the process may take, in megabytes.
+    pub memory_mb: u64,
+}
+
+/// Part of the platform's bound on old keys that is used, in hundredths: the
+/// rest covers the way of a request and a clock that runs differently.
+const KEY_LIMIT_PART: u64 = 85;
+
+impl FrontSettings {
+    /// Reads the text of a settings file.
+    ///
+    /// # Errors
+    /// [`SettingsErrors`] with everything that is wrong in it.
+    pub fn parse(
+        file: &str,
+        text: &str,
+    ) -> Result<Self, SettingsErrors> {
+        let mut reader = SettingsReader::parse(file, text)?;
+        let ratio = reader.value("repeat_ratio", Some(0.2), "a number from 0 to 1");
+        let settings = FrontSettings {
+            box_id: reader.text("box_id"),
+            failure_domain: reader.text("failure_domain"),
+            callers: reader.address("callers"),
+            ready: reader.address("ready"),
+            metrics: reader.optional_address("metrics"),
+            digests: reader.address("digests"),
+            beside_port: reader.number("beside_port", 7_700, 1..=65_535) as u16,
+            store: reader.address("store"),
+            key_limit: Micros::from_millis(
+                reader.number("key_limit_ms", 5_000, 100..=600_000) * KEY_LIMIT_PART / 100,
+            ),
+            repeats: RepeatBound {
+                window: Micros::from_secs(reader.number("repeat_window_s", 10, 1..=3_600)),
+                ratio: ratio.unwrap_or_default(),
+                slack: reader.number("repeat_slack", 50, 0..=1_000_000) as f64,
+            },
+            stop_limit: Duration::from_secs(reader.number("stop_limit_s", 8, 1..=3_600)),
+            memory_mb: reader.number("memory_mb", 128, 16..=1_000_000),
+        };
+        if !(0.0..=1.0).contains(&settings.repeats.ratio) {
+            let found = settings.repeats.ratio.to_string();
+            reader.refuse("repeat_ratio", &found, "a number from 0 to 1");
+        }
+        reader.finish()?;
+        Ok(settings)
+    }
+}
--- /dev/null
+++ b/entry/src/front/front_state.rs
@@ -0,0 +1,102 @@
+use {
+    super::{FrontSettings, LinkPool},
+    pitchhitch_core::{
+        serving::{EndpointBook, KeyTrust, RepeatMeter, ServingConfig, WallTag},
+        time::Micros,
+    },
+    std::{collections::HashMap, rc::Rc},
+};
+
+/// Fronts that may live, until the processes beside engines say how many do.
+const USUAL_FRONTS: u32 = 4;
+/// Salts whose tags are remembered.
+const WALL_LIMIT: usize = 1_000;
+
+/// What the tasks of a front share.
+#[derive(Debug)]
+pub(crate) struct FrontState {
+    /// Configuration in force.
+    pub config: Option<Rc<ServingConfig>>,
+    /// Endpoints.
+    pub book: EndpointBook,
+    /// Age of the configuration.
+    pub trust: KeyTrust,
+    /// Unused connections.
+    pub pool: LinkPool,
+    /// Whether the process has been asked to stop.
+    pub is_stopping: bool,
+    /// Whether connections that rest are closed.
+    pub closes_idle: bool,
+    /// Requests that are being served.
+    pub running: u32,
+    /// Fronts that live, as far as is known.
+    pub fronts: u32,
+    meters: HashMap<String, RepeatMeter>,
+    walls: HashMap<String, WallTag>,
+    next_ticket: u64,
+}
+
+impl FrontState {
+    /// Nothing is known yet.
+    pub fn new(settings: &FrontSettings) -> Self {
+        FrontState {
+            config: None,
+            book: EndpointBook::default(),
+            trust: KeyTrust::new(settings.key_limit),
+            pool: LinkPool::default(),
+            is_stopping: false,
+            closes_idle: false,
+            running: 0,
+            fronts: USUAL_FRONTS,
+            meters: HashMap::new(),
+            walls: HashMap::new(),
+            next_ticket: 0,
+        }
+    }
+
+    /// A number for a request that no other has.
+    pub fn ticket(&mut self) -> u64 {
+        self.next_ticket += 1;
+        self.next_ticket
+    }
+
+    /// The meter of repeats to a service.
+    pub fn meter(
+        &mut self,
+        service: &str,
+    ) -> &mut RepeatMeter {
+        if !self.meters.contains_key(service) {
+            self.meters
+                .insert(service.to_string(), RepeatMeter::default());
+        }
+        self.meters.entry(service.to_string()).or_default()
+    }
+
+    /// The tag of a salt.
+    pub fn wall(
+        &mut self,
+        salt: &str,
+    ) -> WallTag {
+        if let Some(tag) = self.walls.get(salt) {
+            return *tag;
+        }
+        if self.walls.len() >= WALL_LIMIT {
+            self.walls.clear();
+        }
+        let tag = WallTag::of(salt);
+        self.walls.insert(salt.to_string(), tag);
+        tag
+    }
+
+    /// Whether the process can serve what it gets.
+    pub fn is_ready(
+        &self,
+        now: Micros,
+    ) -> bool {
+        let Some(config) = &self.config else {
+            return false;
+        };
+        let has_keys = !config.organisations.is_empty();
+        !self.is_stopping && (!has_keys || self.trust.is_sound(now))
+    }
+}
--- /dev/null
+++ b/entry/src/front/list_watch.rs
@@ -0,0 +1,134 @@
+use {
+    super::{note_contact, FrontContext},
+    pitchhitch_core::{
+        serving::{BookChange, EndpointNotice},
+        time::Micros,
+    },
+    pitchhitch_platform::{
+        decode_row, RowNews, RowPage, RowTable, StoreClient, StoreError, StoreRow,
+    },
+    pitchhitch_process::to_duration,
+    smol::Timer,
+    std::{rc::Rc, time::Duration},
+};
+
+/// Pause between two looks at the list. Each endpoint changes its entry about
+/// every second, so a held call would come back at once all the time.
+const LOOK_PAUSE: Micros = Micros::from_millis(500);
+/// Time limit of a look.
+const CALL_LIMIT: Duration = Duration::from_millis(1_500);
+/// A look that takes longer shows a store that is slow.
+const SLOW_LOOK: Micros = Micros::from_millis(400);
+/// Time without trouble after which the list is trusted again: endpoints enter
+/// themselves anew in about a second.
+const TRUST_AFTER: Micros = Micros::from_millis(2_200);
+
+/// Keeps the list of endpoints fresh.
+pub(crate) async fn watch_list(front: Rc<FrontContext>) {
+    let mut client = StoreClient::new(front.settings.store, CALL_LIMIT);
+    let mut seen: Option<u64> = None;
+    let mut is_lost = false;
+    let mut trouble_at: Option<Micros> = None;
+    loop {
+        let sent_at = front.now();
+        let read = match seen {
+            Some(after) => {
+                client
+                    .read_changes(RowTable::Endpoints, after, Duration::ZERO)
+                    .await
+            }
+            None => client.read_all(RowTable::Endpoints).await,
+        };
+        let now = front.now();
+        if read.is_err() || now.since(sent_at) > SLOW_LOOK {
+            trouble_at = Some(now);
+        }
+        let is_steady = trouble_at.is_none_or(|at| now.since(at) > TRUST_AFTER);
+        let outcome = match read {
+            Ok(page) => {
+                let version = page.version;
+                let taken = take_page(&front, page, seen.is_none(), is_steady);
+                if taken.is_ok() {
+                    seen = Some(version);
+                }
+                taken
+            }
+            Err(error) => Err(error),
+        };
+        note_contact(&front, "list", &mut is_lost, &outcome);
+        match outcome {
+            Ok(()) if is_steady && trouble_at.is_some() => {
+                trouble_at = None;
+                let changes = front.state().book.settle();
+                log_changes(&front, &changes);
+            }
+            Ok(()) => {}
+            Err(StoreError::HistoryGone | StoreError::Unreadable(_)) => seen = None,
+            Err(_) => {}
+        }
+        tidy(&front);
+        Timer::after(to_duration(LOOK_PAUSE)).await;
+    }
+}
+
+fn take_page(
+    front: &FrontContext,
+    page: RowPage,
+    is_whole: bool,
+    is_steady: bool,
+) -> Result<(), StoreError> {
+    let mut listed: Vec<EndpointNotice> = Vec::new();
+    let mut changes = Vec::new();
+    for row in page.rows {
+        match read_row(row)? {
+            RowNews::Endpoint(notice) if is_whole => listed.push(notice),
+            RowNews::Endpoint(notice) => changes.extend(front.state().book.take(&notice)),
+            RowNews::EndpointGone(id) => {
+                changes.extend(front.state().book.gone(&id, is_steady));
+            }
+            _ => {}
+        }
+    }
+    if is_whole {
+        changes.extend(front.state().book.take_all(&listed, is_steady));
+    }
+    log_changes(front, &changes);
+    Ok(())
+}
+
+fn read_row(row: StoreRow) -> Result<RowNews, StoreError> {
+    let key = row.key.clone();
+    decode_row(RowTable::Endpoints, row)
+        .map_err(|error| StoreError::Unreadable(format!("{key}: {error}")))
+}
+
+fn log_changes(
+    front: &FrontContext,
+    changes: &[BookChange],
+) {
+    for change in changes {
+        let (what, id) = match change {
+            BookChange::Serves(id) => ("serves", id),
+            BookChange::Leaves(id) => ("leaves", id),
+            BookChange::Lapses(id) => ("lapses", id),
+        };
+        log::info!(event = "endpoint", endpoint = id.as_str(), standing = what; "");
+        front.metrics.count("endpoint_changes", what);
+        if what == "leaves" {
+            let mut state = front.state();
+            if let Some(key) = state.book.key(id) {
+                state.pool.close_all(key);
+            }
+        }
+    }
+}
+
+/// Forgets endpoints and connections that are of no use any more.
+fn tidy(front: &FrontContext) {
+    let now = front.now();
+    let mut guard = front.state();
+    let state = &mut *guard;
+    state.book.prune();
+    let book = &state.book;
+    state.pool.sweep(now, |key| book.get(key).is_some());
+}
--- /dev/null
+++ b/entry/src/front/mod.rs
@@ -0,0 +1,29 @@
+//! The front: takes requests from the platform's balancer, decides, calls
+//! endpoints directly and passes their answers on, event by event.
+//!
+//! One thread does all of it, as a box gives it a fifth of a core: the request
+//! path and the controllers are tasks of one executor and share plain state.
+
+mod caller_conn;
+mod event_splitter;
+mod front_context;
+mod front_metrics;
+mod front_process;
+mod front_settings;
+mod front_state;
+mod link_pool;
+mod list_watch;
+mod offer;
+mod operator_watch;
+mod plain_answer;
+mod request_run;
+mod small_server;
+mod stream_relay;
+mod wake_reason;
+
+pub(crate) use {
+    caller_conn::*, event_splitter::*, front_context::*, front_metrics::*, front_state::*,
+    link_pool::*, list_watch::*, offer::*, operator_watch::*, plain_answer::*, request_run::*,
+    small_server::*, stream_relay::*, wake_reason::*,
+};
+pub use {front_process::*, front_settings::*};
--- /dev/null
+++ b/entry/src/front/operator_watch.rs
@@ -0,0 +1,126 @@
+use {
+    super::FrontContext,
+    pitchhitch_core::{serving::ServingConfig, time::Micros},
+    pitchhitch_platform::{
+        decode_config, decode_row, RowNews, RowPage, RowTable, StoreClient, StoreError,
+    },
+    pitchhitch_process::to_duration,
+    smol::Timer,
+    std::{rc::Rc, time::Duration},
+};
+
+/// Time that a call is held at the store while nothing changes. Each answer
+/// proves how fresh the keys are, so it must stay well under their limit.
+const CHANGE_WAIT: Duration = Duration::from_millis(700);
+/// Time limit of a call, beyond that.
+const CALL_LIMIT: Duration = Duration::from_millis(1_500);
+/// Pause after a call that failed.
+const RETRY_PAUSE: Micros = Micros::from_millis(150);
+
+/// Keeps the configuration fresh.
+pub(crate) async fn watch_operator(front: Rc<FrontContext>) {
+    let mut client = StoreClient::new(front.settings.store, CALL_LIMIT);
+    let mut seen: Option<u64> = None;
+    let mut is_lost = false;
+    loop {
+        let sent_at = front.now();
+        let read = match seen {
+            Some(after) => {
+                client
+                    .read_changes(RowTable::Operator, after, CHANGE_WAIT)
+                    .await
+            }
+            None => client.read_all(RowTable::Operator).await,
+        };
+        let outcome = match read {
+            Ok(page) => {
+                seen = Some(seen.unwrap_or(0).max(page.version));
+                take_rows(&front, page, sent_at)
+            }
+            Err(error) => Err(error),
+        };
+        note_contact(&front, "operator", &mut is_lost, &outcome);
+        if let Err(error) = outcome {
+            // Everything is read anew where it is not sure what was missed.
+            if matches!(error, StoreError::HistoryGone | StoreError::Unreadable(_)) {
+                seen = None;
+            }
+            Timer::after(to_duration(RETRY_PAUSE)).await;
+        }
+    }
+}
+
+fn take_rows(
+    front: &FrontContext,
+    page: RowPage,
+    sent_at: Micros,
+) -> Result<(), StoreError> {
+    for row in page.rows {
+        let key = row.key.clone();
+        let unreadable = |e: serde_json::Error| StoreError::Unreadable(format!("{key}: {e}"));
+        match decode_row(RowTable::Operator, row).map_err(unreadable)? {
+            RowNews::Config(text) => {
+                take_config(front, decode_config(&text).map_err(unreadable)?);
+            }
+            RowNews::Weights(named) => {
+                log::info!(
+                    event = "weights-named",
+                    model = named.model.as_str(),
+                    version = named.version;
+                    ""
+                );
+            }
+            _ => {}
+        }
+    }
+    front.state().trust.proven(sent_at);
+    Ok(())
+}
+
+/// A configuration never goes back in one life of the process.
+fn take_config(
+    front: &FrontContext,
+    config: ServingConfig,
+) {
+    let mut state = front.state();
+    let before = state.config.as_ref().map_or(0, |config| config.version);
+    let is_news = state.config.is_none() || config.version > before;
+    log::info!(
+        event = "config",
+        version = config.version,
+        before = before,
+        taken = is_news,
+        routes = config.routes.len(),
+        organisations = config.organisations.len(),
+        keys = config.keys.len(),
+        stores = config.stores.len();
+        ""
+    );
+    if is_news {
+        state.config = Some(Rc::new(config));
+    }
+}
+
+/// Logs that the store was lost or is back, once each.
+pub(crate) fn note_contact(
+    front: &FrontContext,
+    watch: &'static str,
+    is_lost: &mut bool,
+    outcome: &Result<(), StoreError>,
+) {
+    match outcome {
+        Ok(()) if *is_lost => {
+            *is_lost = false;
+            log::info!(event = "store-back", watch = watch; "");
+        }
+        Err(error) => {
+            front.metrics.count("store_failures", watch);
+            if !*is_lost {
+                *is_lost = true;
+                let error = error.to_string();
+                log::warn!(event = "store-lost", watch = watch, error = error.as_str(); "");
+            }
+        }
+        Ok(()) => {}
+    }
+}
--- /dev/null
+++ b/entry/src/front/wake_reason.rs
@@ -0,0 +1,76 @@
+use {
+    futures_lite::future::poll_fn,
+    pitchhitch_http1::ByteLink,
+    smol::Timer,
+    std::{future::Future, pin::Pin, task::Poll},
+};
+
+/// Bytes of further requests that a caller may send ahead.
+const AHEAD_LIMIT: usize = 64 << 10;
+
+/// Why a request's task goes on.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum WakeReason {
+    /// The endpoint has sent something, or has closed.
+    Endpoint,
+    /// The endpoint takes more of the request.
+    Writable,
+    /// The caller has closed its connection.
+    CallerGone,
+    /// The time of the request is over.
+    Late,
+}
+
+/// Waits for the endpoint, and notices a caller that goes.
+pub(crate) async fn wait_for_endpoint(
+    endpoint: &ByteLink,
+    wants_write: bool,
+    caller: &mut ByteLink,
+    timer: &mut Timer,
+) -> WakeReason {
+    loop {
+        let watches = caller.unused().len() < AHEAD_LIMIT;
+        let woken = poll_fn(|context| {
+            if endpoint.poll_readable(context).is_ready() {
+                return Poll::Ready(Some(WakeReason::Endpoint));
+            }
+            if wants_write && endpoint.poll_writable(context).is_ready() {
+                return Poll::Ready(Some(WakeReason::Writable));
+            }
+            if watches && caller.poll_readable(context).is_ready() {
+                return Poll::Ready(None);
+            }
+            match Pin::new(&mut *timer).poll(context) {
+                Poll::Ready(_) => Poll::Ready(Some(WakeReason::Late)),
+                Poll::Pending => Poll::Pending,
+            }
+        });
+        if let Some(reason) = woken.await {
+            return reason;
+        }
+        // What the caller sends ahead waits; its end does not.
+        if matches!(caller.try_read(), Ok(Some(0)) | Err(_)) {
+            return WakeReason::CallerGone;
+        }
+    }
+}
+
+/// Writes to the caller, for as long as the request has time.
+pub(crate) async fn write_to_caller(
+    caller: &ByteLink,
+    bytes: &[u8],
+    timer: &mut Timer,
+) -> bool {
+    // Most of the time all of it goes out at once.
+    let sent = match caller.try_write(bytes) {
+        Ok(count) if count == bytes.len() => return true,
+        Ok(count) => count,
+        Err(_) => return false,
+    };
+    let late = async {
+        timer.await;
+        false
+    };
+    let rest = async { caller.write_all(&bytes[sent..]).await.is_ok() };
+    futures_lite::future::or(rest, late).await
+}
--- a/entry/src/lib.rs
+++ b/entry/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod control;
 pub mod explain;
 pub mod filter;
+pub mod front;
 pub mod once;
 pub mod openai;
 pub mod operators;
--- a/entry/src/once/once_gate.rs
+++ b/entry/src/once/once_gate.rs
@@ -2,10 +2,8 @@
     super::{IntentRow, IntentState},
     async_channel::{Receiver, Sender},
     pitchhitch_core::errors::ErrorKind,
-    pitchhitch_platform::{
-        process::{spawn_detached, wall_seconds},
-        table::{CommitOutcome, RowWrite, TableClient, TableRow},
-    },
+    pitchhitch_process::{spawn_detached, wall_seconds},
+    pitchhitch_services::table::{CommitOutcome, RowWrite, TableClient, TableRow},
     smol::Timer,
     std::{
         collections::{BTreeMap, BTreeSet},
--- a/entry/src/operators/operator_server.rs
+++ b/entry/src/operators/operator_server.rs
@@ -10,7 +10,7 @@
         drain::DrainState,
         kept::{PieceHolder, PieceKey, StoreTier},
     },
-    pitchhitch_platform::http::HttpCaller,
+    pitchhitch_services::http::HttpCaller,
     serde::{Deserialize, Serialize},
     std::{net::SocketAddr, sync::Arc, time::Duration},
     trillium::{Conn, Method, Status},
--- a/entry/src/operators/status_report.rs
+++ b/entry/src/operators/status_report.rs
@@ -1,7 +1,7 @@
 use {
     crate::traffic::EntryApp,
     pitchhitch_core::{drain::DrainState, role::EntryCore, route::EndpointKind, time::Micros},
-    pitchhitch_platform::process::ProcessUsage,
+    pitchhitch_process::ProcessUsage,
     serde::{Deserialize, Serialize},
     std::collections::BTreeMap,
 };
--- a/entry/src/traffic/entry_app.rs
+++ b/entry/src/traffic/entry_app.rs
@@ -3,7 +3,7 @@
     crate::{conf::EntrySettings, control::ControlHandle, explain::DecisionRing, once::OnceGate},
     arc_swap::ArcSwap,
     pitchhitch_core::{limit::LimitTable, retry::RetryBudget},
-    pitchhitch_platform::process::{MetricSet, ProcessClock},
+    pitchhitch_process::{MetricSet, ProcessClock},
     std::sync::{
         atomic::{AtomicBool, AtomicU64, Ordering},
         Arc, Mutex, MutexGuard, PoisonError,
--- /dev/null
+++ b/http1/src/body_decoder.rs
@@ -0,0 +1,181 @@
+use super::{BodyFraming, HeadError};
+
+/// Longest line that tells the size of a chunk, in bytes.
+const SIZE_LINE_LIMIT: usize = 256;
+/// Longest trailer behind the last chunk, in bytes.
+const TRAILER_LIMIT: usize = 4_096;
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum ChunkState {
+    Size,
+    Data(u64),
+    DataEnd,
+    Trailer,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum DecoderState {
+    Left(u64),
+    Chunks(ChunkState),
+    Endless,
+    Done,
+}
+
+/// Takes the bytes of a body out of their framing, as they come.
+#[derive(Debug)]
+pub struct BodyDecoder {
+    state: DecoderState,
+    line: Vec<u8>,
+    trailer_bytes: usize,
+}
+
+impl BodyDecoder {
+    /// A decoder for one body.
+    pub fn new(framing: BodyFraming) -> Self {
+        let state = match framing {
+            BodyFraming::Empty | BodyFraming::Length(0) => DecoderState::Done,
+            BodyFraming::Length(length) => DecoderState::Left(length),
+            BodyFraming::Chunked => DecoderState::Chunks(ChunkState::Size),
+            BodyFraming::UntilClose => DecoderState::Endless,
+        };
+        BodyDecoder {
+            state,
+            line: Vec::new(),
+            trailer_bytes: 0,
+        }
+    }
+
+    /// Whether the whole body has come.
+    pub fn is_done(&self) -> bool {
+        self.state == DecoderState::Done
+    }
+
+    /// Whether only the end of the connection ends this body.
+    pub fn is_endless(&self) -> bool {
+        self.state == DecoderState::Endless
+    }
+
+    /// Takes what belongs to the body from `input`, appends it to `body` and
+    /// returns how many bytes of `input` were used up.
+    ///
+    /// # Errors
+    /// [`HeadError::Malformed`] where the framing is broken.
+    pub fn decode(
+        &mut self,
+        input: &[u8],
+        body: &mut Vec<u8>,
+    ) -> Result<usize, HeadError> {
+        let mut used = 0;
+        while used < input.len() && !self.is_done() {
+            used += self.step(&input[used..], body)?;
+        }
+        Ok(used)
+    }
+
+    fn step(
+        &mut self,
+        input: &[u8],
+        body: &mut Vec<u8>,
+    ) -> Result<usize, HeadError> {
+        match self.state {
+            DecoderState::Done => Ok(0),
+            DecoderState::Endless => {
+                body.extend_from_slice(input);
+                Ok(input.len())
+            }
+            DecoderState::Left(left) => {
+                let taken = take(left, input, body);
+                self.state = match left - taken as u64 {
+                    0 => DecoderState::Done,
+                    left => DecoderState::Left(left),
+                };
+                Ok(taken)
+            }
+            DecoderState::Chunks(ChunkState::Data(left)) => {
+                let taken = take(left, input, body);
+                self.state = DecoderState::Chunks(match left - taken as u64 {
+                    0 => ChunkState::DataEnd,
+                    left => ChunkState::Data(left),
+                });
+                Ok(taken)
+            }
+            DecoderState::Chunks(state) => self.line_step(state, input),
+        }
+    }
+
+    fn line_step(
+        &mut self,
+        state: ChunkState,
+        input: &[u8],
+    ) -> Result<usize, HeadError> {
+        let Some(end) = input.iter().position(|byte| *byte == b'\n') else {
+            self.line.extend_from_slice(input);
+            let within = self.line.len() <= SIZE_LINE_LIMIT;
+            return within.then_some(input.len()).ok_or(HeadError::Malformed);
+        };
+        self.line.extend_from_slice(&input[..end]);
+        let line = std::mem::take(&mut self.line);
+        let line = line.strip_suffix(b"\r").ok_or(HeadError::Malformed)?;
+        self.state = self.after_line(state, line)?;
+        Ok(end + 1)
+    }
+
+    fn after_line(
+        &mut self,
+        state: ChunkState,
+        line: &[u8],
+    ) -> Result<DecoderState, HeadError> {
+        let next = match state {
+            ChunkState::Size => match parse_size(line)? {
+                0 => ChunkState::Trailer,
+                size => ChunkState::Data(size),
+            },
+            ChunkState::DataEnd if line.is_empty() => ChunkState::Size,
+            ChunkState::Trailer if line.is_empty() => return Ok(DecoderState::Done),
+            ChunkState::Trailer => {
+                self.trailer_bytes += line.len();
+                if self.trailer_bytes > TRAILER_LIMIT {
+                    return Err(HeadError::Malformed);
+                }
+                ChunkState::Trailer
+            }
+            _ => return Err(HeadError::Malformed),
+        };
+        Ok(DecoderState::Chunks(next))
+    }
+}
+
+fn take(
+    left: u64,
+    input: &[u8],
+    body: &mut Vec<u8>,
+) -> usize {
+    let taken = usize::try_from(left).unwrap_or(usize::MAX).min(input.len());
+    body.extend_from_slice(&input[..taken]);
+    taken
+}
+
+fn parse_size(line: &[u8]) -> Result<u64, HeadError> {
+    let digits = line.split(|byte| *byte == b';').next().unwrap_or(line);
+    let digits = digits.trim_ascii_end();
+    let sound = !digits.is_empty() && digits.iter().all(u8::is_ascii_hexdigit);
+    let text = std::str::from_utf8(digits).ok().filter(|_| sound);
+    text.and_then(|text| u64::from_str_radix(text, 16).ok())
+        .ok_or(HeadError::Malformed)
+}
+
+/// Writes one chunk.
+pub fn write_chunk(
+    out: &mut Vec<u8>,
+    data: &[u8],
+) {
+    if data.is_empty() {
+        return;
+    }
+    out.extend_from_slice(format!("{:x}\r\n", data.len()).as_bytes());
+    out.extend_from_slice(data);
+    out.extend_from_slice(b"\r\n");
+}
+
+/// The chunk that ends a body.
+pub const LAST_CHUNK: &[u8] = b"0\r\n\r\n";
--- /dev/null
+++ b/http1/src/head_reader.rs
@@ -0,0 +1,89 @@
+use super::{HeadError, HeadFields};
+
+/// Most headers in one head; the platform's clients send about a dozen.
+const HEADER_LIMIT: usize = 100;
+
+/// The head of a request.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct RequestHead {
+    /// Method, as it came.
+    pub method: String,
+    /// Path and query, as they came.
+    pub target: String,
+    /// Whether the sender speaks HTTP/1.1 and not 1.0.
+    pub is_current: bool,
+    /// Headers.
+    pub fields: HeadFields,
+}
+
+/// The head of an answer.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct AnswerHead {
+    /// Status code.
+    pub status: u16,
+    /// Whether the sender speaks HTTP/1.1 and not 1.0.
+    pub is_current: bool,
+    /// Headers.
+    pub fields: HeadFields,
+}
+
+/// Reads the head of a request, once it is whole; also says how long it is.
+///
+/// # Errors
+/// [`HeadError`] where no head can come of these bytes.
+pub fn read_request_head(
+    bytes: &[u8],
+    limit: usize,
+) -> Result<Option<(RequestHead, usize)>, HeadError> {
+    let mut headers = [httparse::EMPTY_HEADER; HEADER_LIMIT];
+    let mut request = httparse::Request::new(&mut headers);
+    let Some(length) = outcome(request.parse(bytes), bytes, limit)? else {
+        return Ok(None);
+    };
+    let (Some(method), Some(target)) = (request.method, request.path) else {
+        return Err(HeadError::Malformed);
+    };
+    let head = RequestHead {
+        method: method.to_string(),
+        target: target.to_string(),
+        is_current: request.version == Some(1),
+        fields: HeadFields::copy(&bytes[..length], request.headers),
+    };
+    Ok(Some((head, length)))
+}
+
+/// Reads the head of an answer, once it is whole; also says how long it is.
+///
+/// # Errors
+/// [`HeadError`] where no head can come of these bytes.
+pub fn read_answer_head(
+    bytes: &[u8],
+    limit: usize,
+) -> Result<Option<(AnswerHead, usize)>, HeadError> {
+    let mut headers = [httparse::EMPTY_HEADER; HEADER_LIMIT];
+    let mut answer = httparse::Response::new(&mut headers);
+    let Some(length) = outcome(answer.parse(bytes), bytes, limit)? else {
+        return Ok(None);
+    };
+    let head = AnswerHead {
+        status: answer.code.ok_or(HeadError::Malformed)?,
+        is_current: answer.version == Some(1),
+        fields: HeadFields::copy(&bytes[..length], answer.headers),
+    };
+    Ok(Some((head, length)))
+}
+
+fn outcome(
+    parsed: Result<httparse::Status<usize>, httparse::Error>,
+    bytes: &[u8],
+    limit: usize,
+) -> Result<Option<usize>, HeadError> {
+    match parsed {
+        Ok(httparse::Status::Complete(length)) if length > limit => Err(HeadError::TooLong),
+        Ok(httparse::Status::Complete(length)) => Ok(Some(length)),
+        Ok(httparse::Status::Partial) if bytes.len() > limit => Err(HeadError::TooLong),
+        Ok(httparse::Status::Partial) => Ok(None),
+        Err(httparse::Error::TooManyHeaders) => Err(HeadError::TooLong),
+        Err(_) => Err(HeadError::Malformed),
+    }
+}
--- /dev/null
+++ b/http1/src/lib.rs
@@ -0,0 +1,18 @@
+//! HTTP/1.1 connections for paths where each event counts.
+//!
+//! The general servers and clients of this workspace hold the start of a
+//! streamed body back. Here a host sees each read as it comes and decides by
+//! itself what goes on, while heads are parsed by `httparse`.
+
+mod body_decoder;
+mod body_framing;
+mod byte_link;
+mod head_error;
+mod head_fields;
+mod head_reader;
+mod http_client;
+
+pub use {
+    body_decoder::*, body_framing::*, byte_link::*, head_error::*, head_fields::*, head_reader::*,
+    http_client::*,
+};
--- a/platform/src/process/mod.rs
+++ b/process/src/lib.rs
@@ -1,6 +1,7 @@
 //! What every process of ours needs of the operating system: a clock, log
 //! lines, metrics and the signal to stop.
 
+mod bounded_output;
 mod log_setup;
 mod metric_set;
 mod process_clock;
--- a/platform/src/process/log_setup.rs
+++ b/process/src/log_setup.rs
@@ -1,12 +1,39 @@
 use {
-    env_logger::{Builder, Env},
+    crate::bounded_output::BoundedOutput,
+    env_logger::{Builder, Env, Target},
     log::kv::{Error, Key, Value, VisitSource},
-    std::io::Write,
+    std::{
+        io::Write,
+        sync::{Mutex, OnceLock, PoisonError},
+    },
 };
 
 /// Environment variable that says what is logged, as `env_logger` reads it.
 pub const LOG_VARIABLE: &str = "PITCHHITCH_LOG";
 
+/// The one standard output of this process.
+static OUTPUT: OnceLock<Mutex<BoundedOutput>> = OnceLock::new();
+
+/// Writes to [`OUTPUT`], which the logger and [`flush_log`] share.
+struct SharedOutput;
+
+impl Write for SharedOutput {
+    fn write(
+        &mut self,
+        line: &[u8],
+    ) -> std::io::Result<usize> {
+        let output = OUTPUT.get_or_init(|| Mutex::new(BoundedOutput::new()));
+        output
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+            .write(line)
+    }
+
+    fn flush(&mut self) -> std::io::Result<()> {
+        Ok(())
+    }
+}
+
 struct PairWriter {
     line: String,
 }
@@ -39,6 +66,31 @@
 ///
 /// The message of a record, if it has one, stands under `text`.
 pub fn start_logging() {
+    // A second call, as in tests, changes nothing.
+    let _ = builder().try_init();
+}
+
+/// Sets logging up for a process whose lines must never hold it up: the same
+/// lines go to standard output through a buffer with a bound.
+///
+/// Lines wait in the buffer until [`flush_log`] or until some kilobytes are there.
+pub fn start_bounded_logging() {
+    let mut builder = builder();
+    builder.target(Target::Pipe(Box::new(SharedOutput)));
+    builder.write_style(env_logger::WriteStyle::Never);
+    let _ = builder.try_init();
+}
+
+/// Writes out the lines that wait.
+pub fn flush_log() {
+    if let Some(output) = OUTPUT.get() {
+        let mut output = output.lock().unwrap_or_else(PoisonError::into_inner);
+        // Lines that find no room wait or are counted.
+        let _ = output.flush();
+    }
+}
+
+fn builder() -> Builder {
     let env = Env::new().filter_or(
         LOG_VARIABLE,
         "info,trillium=warn,trillium_http=warn,h2=warn",
@@ -63,6 +115,5 @@
             )
         }
     });
-    // A second call, as in tests, changes nothing.
-    let _ = builder.try_init();
+    builder
 }
--- a/testbed/examples/demo.rs
+++ b/testbed/examples/demo.rs
@@ -8,7 +8,7 @@
     anyhow::{bail, Context},
     futures_lite::future,
     pitchhitch_core::route::RoutePolicy,
-    pitchhitch_platform::process::{start_logging, start_traffic},
+    pitchhitch_process::{start_logging, start_traffic},
     pitchhitch_testbed::{
         deploy::{Deployment, DeploymentShape, ProcessSignal, ProgramSet, PATIENCE},
         replay::{ReplayProgress, RunMeasures, TraceReplay},
--- a/testbed/examples/figures.rs
+++ b/testbed/examples/figures.rs
@@ -16,7 +16,7 @@
         },
         time::Micros,
     },
-    pitchhitch_platform::process::{spawn, start_logging, start_traffic},
+    pitchhitch_process::{spawn, start_logging, start_traffic},
     pitchhitch_testbed::{
         deploy::{
             ChildEngine, Deployment, DeploymentShape, EngineRates, FakeAgents, FakeShape,
--- a/testbed/examples/fuzz.rs
+++ b/testbed/examples/fuzz.rs
@@ -14,7 +14,7 @@
         conf::EntrySettings,
         openai::{PromptRequest, PromptShape, SseSplitter},
     },
-    pitchhitch_platform::process::ProcessUsage,
+    pitchhitch_process::ProcessUsage,
     pitchhitch_wire::{
         beacon::{BeaconKey, NumberedBeacon},
         codec::{encode_frame, FrameReader},
--- a/testbed/examples/playground.rs
+++ b/testbed/examples/playground.rs
@@ -2,7 +2,7 @@
 //! serves until it is stopped or for as many seconds as its argument says.
 
 use {
-    pitchhitch_platform::process::{start_traffic, stop_asked},
+    pitchhitch_process::{start_traffic, stop_asked},
     pitchhitch_testbed::deploy::{Deployment, DeploymentShape, ProgramSet},
     smol::Timer,
     std::time::Duration,
--- a/testbed/examples/slopes.rs
+++ b/testbed/examples/slopes.rs
@@ -22,7 +22,7 @@
         },
         time::Micros,
     },
-    pitchhitch_platform::process::ProcessUsage,
+    pitchhitch_process::ProcessUsage,
     pitchhitch_wire::{
         beacon::{BeaconKey, NumberedBeacon},
         codec::encode_frame,
--- a/testbed/src/deploy/child_engine.rs
+++ b/testbed/src/deploy/child_engine.rs
@@ -2,7 +2,7 @@
     super::ChildProcess,
     crate::engine::{EngineShape, EngineStandIn},
     anyhow::Context,
-    pitchhitch_platform::process::start_traffic,
+    pitchhitch_process::start_traffic,
     smol::Timer,
     std::{
         env, fs,
--- a/testbed/src/deploy/child_process.rs
+++ b/testbed/src/deploy/child_process.rs
@@ -1,6 +1,6 @@
 use {
     anyhow::Context,
-    pitchhitch_platform::process::ProcessUsage,
+    pitchhitch_process::ProcessUsage,
     smol::Timer,
     std::{
         fs::{File, OpenOptions},
--- a/testbed/src/deploy/deployment.rs
+++ b/testbed/src/deploy/deployment.rs
@@ -8,7 +8,7 @@
     anyhow::Context,
     pitchhitch_core::conf::{ConfigChange, ModelConf, OrganisationConf, ServiceConf, VersionConf},
     pitchhitch_entry::operators::{StatusReport, STATUS_PATH},
-    pitchhitch_platform::{
+    pitchhitch_services::{
         boxes::{BoxRow, ListedRole},
         config::{ChangeRequest, ConfigStore},
         http::HttpCaller,
--- a/testbed/src/deploy/fake_agents.rs
+++ b/testbed/src/deploy/fake_agents.rs
@@ -7,7 +7,7 @@
         role::{AgentPulse, EventBatch, PromptUse, UpwardEvent},
         route::{EndpointKind, LoadReport},
     },
-    pitchhitch_platform::process::{spawn, spawn_detached},
+    pitchhitch_process::{spawn, spawn_detached},
     pitchhitch_wire::{
         beacon::{BeaconKey, BeaconSocket},
         link::{serve_link, IncomingCall, ReplySender},
--- a/testbed/src/engine/engine_stand_in.rs
+++ b/testbed/src/engine/engine_stand_in.rs
@@ -3,7 +3,7 @@
     crate::stand_ins::{answer_json, answer_status, any_port, read_body, HttpStandIn},
     pitchhitch_agent::endpoint::{EngineHealth, EngineOrder, VERSION_HEADER},
     pitchhitch_core::{kept::PieceKey, lease::OrderStamp},
-    pitchhitch_platform::http::HttpCaller,
+    pitchhitch_services::http::HttpCaller,
     std::{
         io,
         net::SocketAddr,
--- a/testbed/src/engine/prompt_run.rs
+++ b/testbed/src/engine/prompt_run.rs
@@ -6,7 +6,7 @@
     },
     pitchhitch_core::kept::{estimated_tokens, PieceKey, PIECE_TOKENS},
     pitchhitch_entry::openai::{PromptRequest, PromptShape},
-    pitchhitch_platform::process::spawn_detached,
+    pitchhitch_process::spawn_detached,
     serde::Deserialize,
     serde_json::{json, Value},
     smol::{lock::SemaphoreGuardArc, Timer},
--- a/testbed/src/proxy/fault_proxy.rs
+++ b/testbed/src/proxy/fault_proxy.rs
@@ -3,7 +3,7 @@
     crate::stand_ins::any_port,
     async_global_executor::Task,
     futures_lite::{future, AsyncReadExt, AsyncWriteExt},
-    pitchhitch_platform::process::spawn,
+    pitchhitch_process::spawn,
     smol::{
         net::{TcpListener, TcpStream},
         Timer,
--- a/testbed/src/replay/stream_set.rs
+++ b/testbed/src/replay/stream_set.rs
@@ -2,7 +2,7 @@
     super::{right_answer, CallOutcome, CallerClient},
     crate::deploy::Deployment,
     async_global_executor::Task,
-    pitchhitch_platform::process::spawn,
+    pitchhitch_process::spawn,
 };
 
 /// Streams that run at the same time, over all entry processes.
--- a/testbed/src/replay/trace_replay.rs
+++ b/testbed/src/replay/trace_replay.rs
@@ -6,7 +6,7 @@
         deploy::DeploymentShape,
         trace::{prompt_text, TraceRow},
     },
-    pitchhitch_platform::process::spawn,
+    pitchhitch_process::spawn,
     smol::Timer,
     std::{
         net::SocketAddr,
--- a/testbed/src/stand_ins/platform_stand_in.rs
+++ b/testbed/src/stand_ins/platform_stand_in.rs
@@ -3,7 +3,7 @@
         answer_json, answer_status, any_port, read_body, FaultOutcome, FaultSwitch, HttpStandIn,
         TableRows,
     },
-    pitchhitch_platform::boxes::{BoxList, BoxRow},
+    pitchhitch_services::boxes::{BoxList, BoxRow},
     smol::Timer,
     std::{
         collections::{BTreeMap, BTreeSet},
--- a/testbed/src/stand_ins/table_rows.rs
+++ b/testbed/src/stand_ins/table_rows.rs
@@ -1,5 +1,5 @@
 use {
-    pitchhitch_platform::table::{
+    pitchhitch_services::table::{
         CommitAnswer, CommitQuery, ReadAnswer, ReadQuery, RowWrite, TableRow,
     },
     std::{
--- a/testbed/tests/config_truth.rs
+++ b/testbed/tests/config_truth.rs
@@ -2,7 +2,8 @@
 
 use {
     pitchhitch_core::conf::{ConfigChange, LabelTarget, ModelConf, VersionConf},
-    pitchhitch_platform::{config::ChangeRequest, process::spawn},
+    pitchhitch_process::spawn,
+    pitchhitch_services::config::ChangeRequest,
     pitchhitch_testbed::{
         deploy::{Deployment, DeploymentShape},
         replay::{right_answer, CallerClient},
