Put a process beside each engine: load, kept parts, orders for weights

Ruled out: a lease over orders in the store; one giver an engine for the life of its box needs only a number that rises.

--- /dev/null
+++ b/agent/src/beside/beside_context.rs
@@ -0,0 +1,139 @@
+use {
+    super::BesideSettings,
+    pitchhitch_core::{serving::EngineLoad, time::Micros},
+    pitchhitch_process::ProcessClock,
+    pitchhitch_wire::beside::{BesideSocket, DigestPart},
+    smol::LocalExecutor,
+    std::{
+        cell::{RefCell, RefMut},
+        collections::{BTreeMap, HashMap},
+        future::Future,
+        net::SocketAddr,
+        rc::Rc,
+    },
+};
+
+/// Time for which a front that is not heard still gets digests.
+const FRONT_LIFE: Micros = Micros::from_secs(5);
+/// Changes of kept parts that wait for the next digest at most.
+const PENDING_LIMIT: usize = 4_000;
+
+/// Weights that the engine should have, and whether it may load them now.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub(crate) struct Wanted {
+    /// Version.
+    pub version: u64,
+    /// When a front last said that it is the engine's turn.
+    pub turn_at: Option<Micros>,
+}
+
+/// What the tasks share.
+#[derive(Debug, Default)]
+pub(crate) struct BesideState {
+    /// Load of the engine, at its last report.
+    pub load: EngineLoad,
+    /// Models and versions of their weights, at the last report.
+    pub weights: Vec<(String, u64)>,
+    /// Orders that the engine has taken, at the last report.
+    pub orders_taken: u64,
+    /// Time on the engines' clock, in milliseconds, at the last report.
+    pub clock_ms: Option<u64>,
+    /// Id of the engine's life, as fronts tell it.
+    pub engine_id: Option<String>,
+    /// Wanted weights by model.
+    pub wanted: BTreeMap<String, Wanted>,
+    /// Changes of kept parts that no digest has told yet.
+    pub pending: Vec<DigestPart>,
+    /// Whether the engine has forgotten what it kept before those.
+    pub forgets: bool,
+    fronts: HashMap<SocketAddr, Micros>,
+}
+
+impl BesideState {
+    /// Notes that a front was heard.
+    pub fn heard(
+        &mut self,
+        front: SocketAddr,
+        now: Micros,
+    ) {
+        self.fronts.insert(front, now);
+    }
+
+    /// Fronts that get digests.
+    pub fn fronts(
+        &mut self,
+        now: Micros,
+    ) -> Vec<SocketAddr> {
+        self.fronts.retain(|_, heard| now.since(*heard) < FRONT_LIFE);
+        let mut fronts: Vec<SocketAddr> = self.fronts.keys().copied().collect();
+        fronts.sort_unstable();
+        fronts
+    }
+
+    /// Notes a change of what the engine keeps.
+    pub fn push_change(
+        &mut self,
+        part: DigestPart,
+    ) {
+        // Without fronts to tell, the oldest are of no use any more.
+        if self.pending.len() >= PENDING_LIMIT {
+            self.pending.remove(0);
+        }
+        self.pending.push(part);
+    }
+}
+
+/// Everything that the tasks have in common.
+#[derive(Debug)]
+pub(crate) struct BesideContext {
+    /// Settings.
+    pub settings: BesideSettings,
+    /// Clock.
+    pub clock: ProcessClock,
+    /// Socket for hellos and digests.
+    pub socket: BesideSocket,
+    state: RefCell<BesideState>,
+    executor: LocalExecutor<'static>,
+}
+
+impl BesideContext {
+    /// A context that knows nothing yet.
+    pub fn new(
+        settings: BesideSettings,
+        socket: BesideSocket,
+    ) -> Rc<Self> {
+        Rc::new(BesideContext {
+            settings,
+            clock: ProcessClock::start(),
+            socket,
+            state: RefCell::new(BesideState::default()),
+            executor: LocalExecutor::new(),
+        })
+    }
+
+    /// Current time.
+    pub fn now(&self) -> Micros {
+        self.clock.now()
+    }
+
+    /// The shared state; never held over a wait.
+    pub fn state(&self) -> RefMut<'_, BesideState> {
+        self.state.borrow_mut()
+    }
+
+    /// Runs a task until it ends by itself.
+    pub fn spawn(
+        &self,
+        task: impl Future<Output = ()> + 'static,
+    ) {
+        self.executor.spawn(task).detach();
+    }
+
+    /// Runs all tasks until `main` ends.
+    pub async fn run<T>(
+        &self,
+        main: impl Future<Output = T>,
+    ) -> T {
+        self.executor.run(main).await
+    }
+}
--- /dev/null
+++ b/agent/src/beside/digest_sender.rs
@@ -0,0 +1,125 @@
+use {
+    super::{BesideContext, BesideState},
+    pitchhitch_core::{serving::EngineLoad, time::Micros},
+    pitchhitch_process::to_duration,
+    pitchhitch_wire::beside::{EngineDigest, FrontHello},
+    smol::Timer,
+    std::{rc::Rc, time::Duration},
+};
+
+/// How often it is looked whether there is something to tell.
+const LOOK_PAUSE: Duration = Duration::from_millis(100);
+/// Longest time between two digests: fronts take silence for a sign.
+const QUIET_LIMIT: Micros = Micros::from_millis(250);
+/// Parts in one digest.
+const PARTS_LIMIT: usize = 400;
+
+/// Takes what fronts say.
+pub(crate) async fn hear_fronts(beside: Rc<BesideContext>) {
+    loop {
+        match beside.socket.receive::<FrontHello>().await {
+            Ok((hello, from)) => {
+                let now = beside.now();
+                let mut state = beside.state();
+                state.heard(from, now);
+                take_hello(&mut state, hello, now);
+            }
+            Err(error) => {
+                let error = error.to_string();
+                log::warn!(event = "hello-failed", error = error.as_str(); "");
+                Timer::after(LOOK_PAUSE).await;
+            }
+        }
+    }
+}
+
+fn take_hello(
+    state: &mut BesideState,
+    hello: FrontHello,
+    now: Micros,
+) {
+    if hello.engine_id.is_some() && hello.engine_id != state.engine_id {
+        let id = hello.engine_id.as_deref().unwrap_or_default();
+        log::info!(event = "engine-id", engine = id, front = hello.front.as_str(); "");
+        state.engine_id = hello.engine_id;
+    }
+    for named in hello.wanted {
+        let wanted = state.wanted.entry(named.model.clone()).or_default();
+        // Hellos may overtake each other: a version never goes back.
+        if named.version < wanted.version {
+            continue;
+        }
+        if named.version > wanted.version {
+            log::info!(
+                event = "weights-wanted",
+                model = named.model.as_str(),
+                version = named.version,
+                front = hello.front.as_str();
+                ""
+            );
+            wanted.version = named.version;
+            wanted.turn_at = None;
+        }
+        if named.is_turn {
+            wanted.turn_at = Some(now);
+        }
+    }
+}
+
+/// Tells all fronts what the engine does.
+pub(crate) async fn send_digests(beside: Rc<BesideContext>) {
+    let mut number = 0;
+    let mut told = EngineLoad::default();
+    let mut told_at = Micros::ZERO;
+    loop {
+        Timer::after(LOOK_PAUSE).await;
+        let now = beside.now();
+        let fronts = beside.state().fronts(now);
+        let load = EngineLoad {
+            at: Micros::ZERO,
+            ..beside.state().load
+        };
+        let is_news = load != told || !beside.state().pending.is_empty();
+        if fronts.is_empty() || (!is_news && now.since(told_at) < QUIET_LIMIT) {
+            continue;
+        }
+        told = load;
+        told_at = now;
+        number += 1;
+        let digest = make_digest(&beside, load, number, fronts.len() as u32);
+        for front in fronts {
+            // A digest that is lost costs freshness only.
+            if let Err(error) = beside.socket.send(&digest, front).await {
+                let error = error.to_string();
+                log::debug!(event = "digest-failed", error = error.as_str(); "");
+            }
+        }
+    }
+}
+
+fn make_digest(
+    beside: &BesideContext,
+    load: EngineLoad,
+    number: u64,
+    fronts: u32,
+) -> EngineDigest {
+    let mut state = beside.state();
+    let count = state.pending.len().min(PARTS_LIMIT);
+    let parts = state.pending.drain(..count).collect();
+    EngineDigest {
+        engine: beside.settings.engine,
+        life: beside.clock.incarnation(),
+        number,
+        load,
+        weights: state.weights.clone(),
+        clock_ms: state.clock_ms,
+        fronts,
+        forgets: std::mem::take(&mut state.forgets),
+        parts,
+    }
+}
+
+/// Waits a span of the core.
+pub(crate) async fn pause(span: Micros) {
+    Timer::after(to_duration(span)).await;
+}
--- /dev/null
+++ b/agent/src/beside/engine_watch.rs
@@ -0,0 +1,62 @@
+use {
+    super::BesideContext,
+    pitchhitch_http1::{HttpCall, HttpClient},
+    pitchhitch_platform::{decode_report, EngineReport, REPORT_PATH},
+    smol::Timer,
+    std::{rc::Rc, time::Duration},
+};
+
+/// Pause between two reports; from the engine's own box they cost it nothing.
+const REPORT_PAUSE: Duration = Duration::from_millis(90);
+/// Time limit of a report: the way is within the box.
+const REPORT_LIMIT: Duration = Duration::from_millis(250);
+/// Reports in a row that fail before the engine is called silent.
+const SILENT_AFTER: u32 = 2;
+
+/// Reads the engine's report again and again.
+pub(crate) async fn watch_engine(beside: Rc<BesideContext>) {
+    let mut client = HttpClient::new(beside.settings.engine, REPORT_LIMIT);
+    let mut failures = 0;
+    loop {
+        let call = HttpCall {
+            method: "GET",
+            target: REPORT_PATH,
+            ..HttpCall::default()
+        };
+        let answer = client.call(call).await.ok().filter(|answer| answer.status == 200);
+        let report = answer.and_then(|answer| decode_report(&answer.body, beside.now()).ok());
+        match report {
+            Some(report) => {
+                if failures >= SILENT_AFTER {
+                    log::info!(event = "engine-back", failures = failures; "");
+                }
+                failures = 0;
+                take_report(&beside, report);
+            }
+            None => {
+                failures += 1;
+                if failures == SILENT_AFTER {
+                    log::warn!(event = "engine-silent"; "");
+                }
+                beside.state().load.is_silent = failures >= SILENT_AFTER;
+            }
+        }
+        Timer::after(REPORT_PAUSE).await;
+    }
+}
+
+fn take_report(
+    beside: &BesideContext,
+    report: EngineReport,
+) {
+    let mut state = beside.state();
+    if state.weights != report.weights {
+        for (model, version) in &report.weights {
+            log::info!(event = "weights", model = model.as_str(), version = *version; "");
+        }
+    }
+    state.load = report.load;
+    state.weights = report.weights;
+    state.orders_taken = report.orders_taken;
+    state.clock_ms = report.clock_ms;
+}
--- a/agent/src/lib.rs
+++ b/agent/src/lib.rs
@@ -2,6 +2,7 @@
 //! its orders and the carrier of its kept pieces.
 
 pub mod beacons;
+pub mod beside;
 pub mod cli;
 pub mod conf;
 pub mod control;
--- a/core/src/serving/endpoint_book.rs
+++ b/core/src/serving/endpoint_book.rs
@@ -1,10 +1,13 @@
 use {
     super::{
-        EndpointEntry, EndpointNotice, EndpointStanding, PartMemory, UnreadWork, WeightBelief,
+        EndpointEntry, EndpointNotice, EndpointStanding, PartMemory, SwapPlanner, UnreadWork, WeightBelief,
     },
     crate::{retry::OutlierGuard, time::Micros},
     slotmap::{new_key_type, SlotMap},
-    std::collections::{BTreeMap, HashSet},
+    std::{
+        collections::{BTreeMap, HashSet},
+        net::SocketAddr,
+    },
 };
 
 new_key_type! {
@@ -55,6 +58,17 @@
         self.entries.get_mut(key)
     }
 
+    /// Key of the endpoint that serves at an address now.
+    pub fn key_at(
+        &self,
+        address: SocketAddr,
+    ) -> Option<EndpointKey> {
+        let mut serving = self.iter().filter(|(_, entry)| {
+            entry.address == address && entry.standing != EndpointStanding::Leaving
+        });
+        serving.next().map(|(key, _)| key)
+    }
+
     /// All endpoints in the order of their ids.
     pub fn iter(&self) -> impl Iterator<Item = (EndpointKey, &EndpointEntry)> {
         self.ids
@@ -75,8 +89,8 @@
         if let Some(key) = self.key(&notice.id) {
             let entry = &mut self.entries[key];
             for (model, version) in &notice.weights {
-                // The list lags behind answers and reports; it only fills gaps.
-                if !entry.weights.serves(model) {
+                // The list lags behind answers and reports, so it never sets back.
+                if entry.weights.version(model).is_none_or(|known| known < *version) {
                     entry.weights.learn(model, *version);
                 }
             }
@@ -103,6 +117,9 @@
             load: None,
             parts: PartMemory::default(),
             guard: OutlierGuard::default(),
+            answered_at: None,
+            has_turn: false,
+            is_behind: false,
             running: 0,
             unread: Vec::new(),
         });
@@ -169,6 +186,17 @@
         });
     }
 
+    /// Marks which endpoints are about to load new weights, and which lack some.
+    pub fn mark_swaps(
+        &mut self,
+        planner: &SwapPlanner,
+    ) {
+        for (key, entry) in &mut self.entries {
+            entry.has_turn = planner.turn(key).is_some();
+            entry.is_behind = planner.is_behind(entry);
+        }
+    }
+
     /// Notes that a request was handed to an endpoint.
     pub fn sent(
         &mut self,
@@ -215,6 +243,7 @@
             return false;
         };
         if is_sound {
+            entry.answered_at = Some(now);
             entry.guard.succeeded(now);
             return false;
         }
--- a/core/src/serving/endpoint_entry.rs
+++ b/core/src/serving/endpoint_entry.rs
@@ -1,6 +1,7 @@
 use {
     super::{PartMemory, WeightBelief},
     crate::{retry::OutlierGuard, time::Micros},
+    serde::{Deserialize, Serialize},
     std::net::SocketAddr,
 };
 
@@ -24,7 +25,7 @@
 }
 
 /// What the process beside an engine reports of it.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct EngineLoad {
     /// When the report was taken, on our clock.
     pub at: Micros,
@@ -89,6 +90,12 @@
     pub parts: PartMemory,
     /// Its failures.
     pub guard: OutlierGuard,
+    /// When it last answered a request of ours.
+    pub answered_at: Option<Micros>,
+    /// Whether it is its turn to load new weights.
+    pub has_turn: bool,
+    /// Whether newer weights than its own are named.
+    pub is_behind: bool,
     /// Requests of ours that it has.
     pub running: u32,
     /// Those of them that it has not begun to answer.
@@ -100,7 +107,26 @@
 /// Time that a request takes to show up in a report.
 const REPORT_LAG: Micros = Micros::from_millis(40);
 
+/// Age from which a missing report makes an endpoint suspect.
+const SUSPECT_AFTER: Micros = Micros::from_millis(700);
+/// Age from which it shows only that nobody reports: requests tell then.
+const UNREPORTED_AFTER: Micros = Micros::from_secs(6);
+
 impl EndpointEntry {
+    /// Whether reports of this endpoint have just stopped and no answer of it
+    /// has come since: it may be dark.
+    pub fn is_suspect(
+        &self,
+        now: Micros,
+    ) -> bool {
+        let Some(load) = &self.load else {
+            return false;
+        };
+        let age = now.since(load.at);
+        let answered = self.answered_at.is_some_and(|at| now.since(at) < SUSPECT_AFTER);
+        age > SUSPECT_AFTER && age < UNREPORTED_AFTER && !answered
+    }
+
     /// Report that is fresh enough to go by.
     pub fn fresh_load(
         &self,
--- a/core/src/serving/endpoint_pick.rs
+++ b/core/src/serving/endpoint_pick.rs
@@ -22,6 +22,9 @@
 /// Cost of memory that is short, in milliseconds for each token: requests that
 /// run are put back and read anew.
 const SHORT_MEMORY_MS: f64 = 2.0 / READ_TOKENS_PER_MS;
+/// Cost of weights that newer ones are named for, in milliseconds: what they
+/// make is worth less and less.
+const BEHIND_MS: f64 = 60.0;
 /// Cost of one request that a plain service holds already, in milliseconds.
 const PLAIN_QUEUE_MS: f64 = 12.0;
 
@@ -79,7 +82,7 @@
 ) -> bool {
     let load = entry.fresh_load(now);
     let is_away = load.is_some_and(|load| load.is_silent || load.is_swapping);
-    !is_away && !entry.guard.is_out(now)
+    !is_away && !entry.has_turn && !entry.is_suspect(now) && !entry.guard.is_out(now)
 }
 
 fn best_of(
@@ -160,6 +163,9 @@
     let ahead = entry.unread_tokens() as f64 + others;
     choice.wait_ms = (ahead + f64::from(choice.unread_tokens)) / READ_TOKENS_PER_MS;
     choice.wait_ms += f64::from(entry.occupied(now)) * RUNNING_MS;
+    if entry.is_behind {
+        choice.wait_ms += BEHIND_MS;
+    }
     if let Some(load) = entry.fresh_load(now) {
         let wanted = load.used_tokens + ahead as u64 + u64::from(prompt.tokens_in);
         let short = wanted.saturating_sub(load.total_tokens);
--- a/core/src/serving/mod.rs
+++ b/core/src/serving/mod.rs
@@ -16,10 +16,11 @@
 mod repeat_meter;
 mod served_route;
 mod serving_config;
+mod swap_planner;
 mod weight_belief;
 
 pub use {
     caller_limits::*, endpoint_book::*, endpoint_entry::*, endpoint_pick::*, key_trust::*,
     kv_store::*, part_memory::*, path_index::*, prompt_ask::*, prompt_part::*, refusal_kind::*,
-    repeat_meter::*, served_route::*, serving_config::*, weight_belief::*,
+    repeat_meter::*, served_route::*, serving_config::*, swap_planner::*, weight_belief::*,
 };
--- a/core/src/serving/part_memory.rs
+++ b/core/src/serving/part_memory.rs
@@ -1,10 +1,23 @@
 use {
     super::{PartId, PromptPart},
+    serde::{Deserialize, Serialize},
     std::collections::HashMap,
 };
 
 /// Name of a wall inside which parts are shared: the salt, as one number.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Hash, PartialOrd, Ord)]
+#[derive(
+    Debug,
+    Clone,
+    Copy,
+    Default,
+    PartialEq,
+    Eq,
+    Hash,
+    PartialOrd,
+    Ord,
+    Serialize,
+    Deserialize,
+)]
 pub struct WallTag(pub u64);
 
 impl WallTag {
--- a/core/src/serving/prompt_part.rs
+++ b/core/src/serving/prompt_part.rs
@@ -1,3 +1,5 @@
+use serde::{Deserialize, Serialize};
+
 /// One part of a prompt: requests that begin with the same parts share them.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
 pub struct PromptPart {
@@ -8,7 +10,9 @@
 }
 
 /// Id of a part's text, with the number of hex digits that it was written in.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
+#[derive(
+    Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize,
+)]
 pub struct PartId {
     value: u64,
     digits: u8,
--- a/entry/src/front/front_process.rs
+++ b/entry/src/front/front_process.rs
@@ -1,11 +1,12 @@
 use {
-    super::{serve_caller, serve_small, watch_list, watch_operator, FrontContext, FrontSettings},
+    super::{greet_engines, hear_digests, serve_caller, serve_small, watch_list, watch_operator, FrontContext, FrontSettings},
     anyhow::Context,
     async_signal::{Signal, Signals},
     futures_lite::StreamExt,
     pitchhitch_core::time::Micros,
     pitchhitch_http1::ByteLink,
     pitchhitch_process::{flush_log, to_duration},
+    pitchhitch_wire::beside::BesideSocket,
     smol::{Async, Timer},
     std::{
         net::TcpListener,
@@ -55,6 +56,10 @@
             .await
             .with_context(|| format!("cannot listen on {metrics}"))?;
     }
+    let socket = BesideSocket::bind(settings.digests).await;
+    let socket = socket.with_context(|| format!("cannot listen on {}", settings.digests))?;
+    front.spawn(hear_digests(front.clone(), socket.clone()));
+    front.spawn(greet_engines(front.clone(), socket));
     front.spawn(write_log());
     front.spawn(watch_operator(front.clone()));
     front.spawn(watch_list(front.clone()));
--- a/entry/src/front/front_state.rs
+++ b/entry/src/front/front_state.rs
@@ -1,7 +1,7 @@
 use {
     super::{FrontSettings, LinkPool},
     pitchhitch_core::{
-        serving::{EndpointBook, KeyTrust, RepeatMeter, ServingConfig, WallTag},
+        serving::{EndpointBook, KeyTrust, RepeatMeter, ServingConfig, SwapPlanner, WallTag},
         time::Micros,
     },
     std::{collections::HashMap, rc::Rc},
@@ -21,6 +21,8 @@
     pub book: EndpointBook,
     /// Age of the configuration.
     pub trust: KeyTrust,
+    /// Named weights and whose turn it is to load them.
+    pub planner: SwapPlanner,
     /// Unused connections.
     pub pool: LinkPool,
     /// Whether the process has been asked to stop.
@@ -43,6 +45,7 @@
             config: None,
             book: EndpointBook::default(),
             trust: KeyTrust::new(settings.key_limit),
+            planner: SwapPlanner::default(),
             pool: LinkPool::default(),
             is_stopping: false,
             closes_idle: false,
--- a/entry/src/front/mod.rs
+++ b/entry/src/front/mod.rs
@@ -4,6 +4,7 @@
 //! One thread does all of it, as a box gives it a fifth of a core: the request
 //! path and the controllers are tasks of one executor and share plain state.
 
+mod beside_link;
 mod caller_conn;
 mod event_splitter;
 mod front_context;
@@ -22,7 +23,7 @@
 mod wake_reason;
 
 pub(crate) use {
-    caller_conn::*, event_splitter::*, front_context::*, front_metrics::*, front_state::*,
+    beside_link::*, caller_conn::*, event_splitter::*, front_context::*, front_metrics::*, front_state::*,
     link_pool::*, list_watch::*, offer::*, operator_watch::*, plain_answer::*, request_run::*,
     small_server::*, stream_relay::*, wake_reason::*,
 };
--- a/entry/src/front/operator_watch.rs
+++ b/entry/src/front/operator_watch.rs
@@ -63,6 +63,7 @@
                 take_config(front, decode_config(&text).map_err(unreadable)?);
             }
             RowNews::Weights(named) => {
+                front.state().planner.name(&named.model, named.version);
                 log::info!(
                     event = "weights-named",
                     model = named.model.as_str(),
--- /dev/null
+++ b/wire/src/beside/engine_digest.rs
@@ -0,0 +1,39 @@
+use {
+    pitchhitch_core::serving::{EngineLoad, PartId, WallTag},
+    serde::{Deserialize, Serialize},
+    std::net::SocketAddr,
+};
+
+/// A part of a prompt that an engine keeps, or no longer.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct DigestPart {
+    /// Wall inside which it is shared.
+    pub wall: WallTag,
+    /// Part.
+    pub id: PartId,
+    /// Tokens that are kept now.
+    pub tokens: u32,
+}
+
+/// What the process beside an engine tells the fronts of it.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct EngineDigest {
+    /// Where the engine answers.
+    pub engine: SocketAddr,
+    /// Life of the sender; it rises with each.
+    pub life: u64,
+    /// Number of this digest in that life.
+    pub number: u64,
+    /// Load of the engine; its time is the sender's and means nothing here.
+    pub load: EngineLoad,
+    /// Models and versions of their weights.
+    pub weights: Vec<(String, u64)>,
+    /// Time on the engines' clock, in milliseconds.
+    pub clock_ms: Option<u64>,
+    /// Fronts that the sender hears.
+    pub fronts: u32,
+    /// Whether the engine has forgotten all that it kept before these parts.
+    pub forgets: bool,
+    /// Parts that changed.
+    pub parts: Vec<DigestPart>,
+}
--- /dev/null
+++ b/wire/src/beside/front_hello.rs
@@ -0,0 +1,23 @@
+use serde::{Deserialize, Serialize};
+
+/// Weights that an engine should have.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct WantedWeights {
+    /// Model.
+    pub model: String,
+    /// Version.
+    pub version: u64,
+    /// Whether it is this engine's turn to load them.
+    pub is_turn: bool,
+}
+
+/// What a front tells the process beside an engine; it also asks for digests.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct FrontHello {
+    /// Box of the front.
+    pub front: String,
+    /// Id of the engine's life, as the platform lists it.
+    pub engine_id: Option<String>,
+    /// Weights that the engine should have.
+    pub wanted: Vec<WantedWeights>,
+}
--- /dev/null
+++ b/wire/src/beside/mod.rs
@@ -0,0 +1,8 @@
+//! Datagrams between fronts and the processes beside engines. Each stands for
+//! itself: one that is lost costs freshness, never correctness.
+
+mod beside_socket;
+mod engine_digest;
+mod front_hello;
+
+pub use {beside_socket::*, engine_digest::*, front_hello::*};
