Keep parts of prompts in the stores, and fetch them from stores and engines

Change: each front follows the stores' events, saves each shared part once to a store with room, and has engines fetch from the quickest place. A view of a store is gone by for two seconds; saves wait that long after a store's new life; parts of old weights are freed only when no box can fetch them any more (swap_planner.rs).

--- a/core/src/serving/endpoint_pick.rs
+++ b/core/src/serving/endpoint_pick.rs
@@ -1,5 +1,8 @@
 use {
-    super::{EndpointBook, EndpointEntry, EndpointKey, EndpointStanding, PromptAsk, WallTag},
+    super::{
+        plan_prompt, EndpointBook, EndpointEntry, EndpointKey, EndpointStanding, PartOutlook,
+        PromptAsk, PromptPlan, WallTag,
+    },
     crate::time::Micros,
 };
 
@@ -22,6 +25,9 @@
 /// Cost of memory that is short, in milliseconds for each token: requests that
 /// run are put back and read anew.
 const SHORT_MEMORY_MS: f64 = 2.0 / READ_TOKENS_PER_MS;
+/// Cost of reading a token of a shared part, beyond the time that it takes, in
+/// milliseconds: the sites price it at some fifty times the cost of a fetch.
+const SHARED_UNREAD_MS: f64 = 1.0 / READ_TOKENS_PER_MS;
 /// Cost of weights that newer ones are named for, in milliseconds: what they
 /// make is worth less and less.
 const BEHIND_MS: f64 = 60.0;
@@ -44,7 +50,7 @@
 }
 
 /// The endpoint that was chosen, and why.
-#[derive(Debug, Clone, Copy, PartialEq)]
+#[derive(Debug, Clone, PartialEq)]
 pub struct EndpointChoice {
     /// Endpoint.
     pub key: EndpointKey,
@@ -52,8 +58,8 @@
     pub wait_ms: f64,
     /// Tokens that it will have to read.
     pub unread_tokens: u32,
-    /// Tokens that it is believed to keep already.
-    pub kept_tokens: u32,
+    /// What it keeps already and what it fetches.
+    pub plan: PromptPlan,
     /// Version of the weights that it is believed to have.
     pub version: Option<u64>,
     /// Endpoints that were weighed.
@@ -62,18 +68,30 @@
     pub has_place: bool,
 }
 
-/// Chooses an endpoint; `wall` tells the salt's tag for a version of the weights.
+/// What is known about a prompt's parts under one version of the weights.
+#[derive(Debug, Clone, PartialEq)]
+pub struct VersionOutlook {
+    /// Version.
+    pub version: u64,
+    /// Tag of the salt that goes with it.
+    pub wall: WallTag,
+    /// Shared parts and where they can be fetched.
+    pub parts: Vec<PartOutlook>,
+}
+
+/// Chooses an endpoint; `outlooks` has one entry for each version of the
+/// weights that some engine has.
 pub fn pick_endpoint(
     book: &EndpointBook,
     ask: &PickAsk<'_>,
-    wall: &mut dyn FnMut(u64) -> WallTag,
+    outlooks: &[VersionOutlook],
 ) -> Option<EndpointChoice> {
-    let sound = best_of(book, ask, wall, &|entry| is_sound(entry, ask.now));
+    let sound = best_of(book, ask, outlooks, &|entry| is_sound(entry, ask.now));
     if sound.is_some() {
         return sound;
     }
     // Nobody is in order: somebody who may be is better than nobody.
-    best_of(book, ask, wall, &|_| true)
+    best_of(book, ask, outlooks, &|_| true)
 }
 
 fn is_sound(
@@ -88,7 +106,7 @@
 fn best_of(
     book: &EndpointBook,
     ask: &PickAsk<'_>,
-    wall: &mut dyn FnMut(u64) -> WallTag,
+    outlooks: &[VersionOutlook],
     admits: &dyn Fn(&EndpointEntry) -> bool,
 ) -> Option<EndpointChoice> {
     let home = home_number(ask);
@@ -107,7 +125,7 @@
         weighed.push((key, entry));
     }
     for (key, entry) in &weighed {
-        let mut choice = weigh(*key, entry, ask, wall);
+        let mut choice = weigh(*key, entry, ask, outlooks);
         choice.candidates = weighed.len() as u32;
         let mut cost = choice.wait_ms * f64::from(entry.guard.penalty(ask.now));
         if entry.domain != ask.domain {
@@ -127,19 +145,19 @@
     key: EndpointKey,
     entry: &EndpointEntry,
     ask: &PickAsk<'_>,
-    wall: &mut dyn FnMut(u64) -> WallTag,
+    outlooks: &[VersionOutlook],
 ) -> EndpointChoice {
     let mut choice = EndpointChoice {
         key,
         wait_ms: f64::from(entry.running) * PLAIN_QUEUE_MS,
         unread_tokens: 0,
-        kept_tokens: 0,
+        plan: PromptPlan::default(),
         version: None,
         candidates: 0,
         has_place: entry.slots == 0 || entry.occupied(ask.now) < entry.slots,
     };
     if let Some(prompt) = ask.prompt {
-        weigh_engine(&mut choice, entry, prompt, ask.now, wall);
+        weigh_engine(&mut choice, entry, prompt, ask.now, outlooks);
     }
     if !choice.has_place {
         choice.wait_ms += FULL_MS;
@@ -152,16 +170,21 @@
     entry: &EndpointEntry,
     prompt: &PromptAsk,
     now: Micros,
-    wall: &mut dyn FnMut(u64) -> WallTag,
+    outlooks: &[VersionOutlook],
 ) {
     choice.version = entry.weights.version(&prompt.model);
-    choice.kept_tokens = choice
-        .version
-        .map_or(0, |version| entry.parts.reuse(wall(version), &prompt.parts));
-    choice.unread_tokens = prompt.tokens_in.saturating_sub(choice.kept_tokens);
+    let known = outlooks.iter().find(|outlook| Some(outlook.version) == choice.version);
+    if let Some(outlook) = known {
+        choice.plan = plan_prompt(choice.key, entry, outlook.wall, &outlook.parts);
+    }
+    let at_hand = choice.plan.kept_tokens + choice.plan.fetched_tokens;
+    choice.unread_tokens = prompt.tokens_in.saturating_sub(at_hand);
+    let shared = prompt.parts.iter().rev().skip(1).map(|part| part.tokens).sum::<u32>();
+    let again = shared.saturating_sub(at_hand);
     let others = f64::from(entry.unread_of_others(now)) * USUAL_UNREAD_TOKENS;
     let ahead = entry.unread_tokens() as f64 + others;
     choice.wait_ms = (ahead + f64::from(choice.unread_tokens)) / READ_TOKENS_PER_MS;
+    choice.wait_ms += choice.plan.fetch_ms + f64::from(again) * SHARED_UNREAD_MS;
     choice.wait_ms += f64::from(entry.occupied(now)) * RUNNING_MS;
     if entry.is_behind {
         choice.wait_ms += BEHIND_MS;
--- a/core/src/serving/key_trust.rs
+++ b/core/src/serving/key_trust.rs
@@ -31,6 +31,11 @@
         self.proven_at = self.proven_at.max(Some(sent_at));
     }
 
+    /// When the last whole read was sent.
+    pub fn proven_at(&self) -> Option<Micros> {
+        self.proven_at
+    }
+
     /// Age of the knowledge, if there is any.
     pub fn age(
         &self,
--- /dev/null
+++ b/core/src/serving/memory_map.rs
@@ -0,0 +1,306 @@
+use {
+    super::{
+        move_ms, EndpointBook, EndpointEntry, EndpointKey, EndpointStanding, EngineGroup, KvStore,
+        PromptPart, StoreView, WallTag,
+    },
+    crate::time::Micros,
+    std::net::SocketAddr,
+};
+
+/// Factor on a move between failure domains, as the platform states it.
+const OTHER_DOMAIN_FACTOR: f64 = 2.0;
+/// Wait for a link up to which a fetch is asked for, in milliseconds; engines
+/// give up a move that would wait for two seconds.
+const FETCH_LIMIT_MS: f64 = 700.0;
+/// Time until a move from an engine begins, in milliseconds.
+const ENGINE_FIRST_MS: f64 = 1.7;
+
+/// Where a part can be fetched.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum PartPlace {
+    /// A store, by its place in the map.
+    Store(usize),
+    /// An engine.
+    Engine(EndpointKey),
+}
+
+/// One place where a part is kept, and what fetching it takes.
+#[derive(Debug, Clone, PartialEq)]
+pub struct PartSource {
+    /// Place.
+    pub place: PartPlace,
+    /// Where engines reach it.
+    pub address: SocketAddr,
+    /// Failure domain.
+    pub domain: String,
+    /// Time of a fetch from within that domain, in milliseconds.
+    pub fetch_ms: f64,
+}
+
+/// A part of a prompt and the places that keep it.
+#[derive(Debug, Clone, PartialEq)]
+pub struct PartOutlook {
+    /// Part.
+    pub part: PromptPart,
+    /// Places.
+    pub sources: Vec<PartSource>,
+}
+
+/// What one engine does about one part.
+#[derive(Debug, Clone, PartialEq)]
+pub struct PartFetch {
+    /// Part.
+    pub part: PromptPart,
+    /// Source and time, where it is fetched.
+    pub source: Option<(PartSource, f64)>,
+}
+
+/// What one engine does about a prompt.
+#[derive(Debug, Clone, Default, PartialEq)]
+pub struct PromptPlan {
+    /// Tokens that it keeps already.
+    pub kept_tokens: u32,
+    /// Tokens that it fetches.
+    pub fetched_tokens: u32,
+    /// Time of the fetches, in milliseconds.
+    pub fetch_ms: f64,
+    /// Shared parts in order, as far as they are kept or fetched.
+    pub parts: Vec<PartFetch>,
+}
+
+/// All stores, and what is known of their content.
+#[derive(Debug, Clone, Default)]
+pub struct MemoryMap {
+    views: Vec<StoreView>,
+}
+
+impl MemoryMap {
+    /// Takes the stores of a configuration; what is known of those that stay is kept.
+    pub fn set_stores(
+        &mut self,
+        stores: &[KvStore],
+    ) {
+        let before = std::mem::take(&mut self.views);
+        let mut before: Vec<Option<StoreView>> = before.into_iter().map(Some).collect();
+        for store in stores {
+            let known = before.iter_mut().find(|view| {
+                view.as_ref().is_some_and(|view| view.store.address == store.address)
+            });
+            let mut view = known.and_then(Option::take);
+            if let Some(view) = &mut view {
+                view.store = store.clone();
+            }
+            self.views.push(view.unwrap_or_else(|| StoreView::new(store.clone())));
+        }
+    }
+
+    /// The view of a store, by its address.
+    pub fn view_mut(
+        &mut self,
+        address: SocketAddr,
+    ) -> Option<&mut StoreView> {
+        self.views.iter_mut().find(|view| view.store.address == address)
+    }
+
+    /// The view at a place.
+    pub fn view_at(
+        &mut self,
+        place: usize,
+    ) -> Option<&mut StoreView> {
+        self.views.get_mut(place)
+    }
+
+    /// All views.
+    pub fn views(&self) -> &[StoreView] {
+        &self.views
+    }
+
+    /// The shared parts of a prompt and where they can be fetched: the last
+    /// part is the request's own and never comes back.
+    pub fn outlook(
+        &self,
+        book: &EndpointBook,
+        group: &EngineGroup,
+        wall: WallTag,
+        parts: &[PromptPart],
+        now: Micros,
+    ) -> Vec<PartOutlook> {
+        let shared = &parts[..parts.len().saturating_sub(1)];
+        let outlook = shared.iter().map(|part| PartOutlook {
+            part: *part,
+            sources: self.sources(book, group, wall, part, now),
+        });
+        outlook.collect()
+    }
+
+    fn sources(
+        &self,
+        book: &EndpointBook,
+        group: &EngineGroup,
+        wall: WallTag,
+        part: &PromptPart,
+        now: Micros,
+    ) -> Vec<PartSource> {
+        let bytes = u64::from(part.tokens) * group.token_bytes;
+        let mut sources = Vec::new();
+        for (place, view) in self.views.iter().enumerate() {
+            let is_whole = view.parts.tokens_of(wall, part.id) >= part.tokens;
+            if is_whole && view.fetch_until_ms(now).is_some() {
+                sources.push(PartSource {
+                    place: PartPlace::Store(place),
+                    address: view.store.address,
+                    domain: view.store.domain.clone(),
+                    fetch_ms: view.fetch_ms(bytes, now),
+                });
+            }
+        }
+        let engine_ms = ENGINE_FIRST_MS + move_ms(bytes, group.link_mbps);
+        for (key, entry) in book.iter() {
+            let keeps = entry.parts.tokens_of(wall, part.id) >= part.tokens;
+            if keeps && is_source(entry, now) {
+                sources.push(PartSource {
+                    place: PartPlace::Engine(key),
+                    address: entry.address,
+                    domain: entry.domain.clone(),
+                    fetch_ms: engine_ms,
+                });
+            }
+        }
+        sources
+    }
+
+    /// Notes the fetches that we ask for.
+    pub fn fetching(
+        &mut self,
+        plan: &PromptPlan,
+        now: Micros,
+    ) {
+        for fetch in &plan.parts {
+            let Some((source, millis)) = &fetch.source else {
+                continue;
+            };
+            if let PartPlace::Store(place) = source.place {
+                if let Some(view) = self.views.get_mut(place) {
+                    let wait = view.fetch_ms(0, now) - view.store.first_ms;
+                    view.occupy(millis - wait, now);
+                }
+            }
+        }
+    }
+
+    /// Where each shared part should be saved; nowhere where a store has it, or
+    /// where none has room.
+    pub fn plan_saves(
+        &mut self,
+        wall: WallTag,
+        parts: &[PromptPart],
+        now: Micros,
+    ) -> Vec<Option<SocketAddr>> {
+        let shared = &parts[..parts.len().saturating_sub(1)];
+        let saves = shared.iter().map(|part| self.plan_save(wall, part, now));
+        saves.collect()
+    }
+
+    fn plan_save(
+        &mut self,
+        wall: WallTag,
+        part: &PromptPart,
+        now: Micros,
+    ) -> Option<SocketAddr> {
+        let has = |view: &StoreView| view.has_or_gets(wall, part.id, part.tokens);
+        if self.views.iter().any(has) {
+            return None;
+        }
+        let mut best: Option<(f64, &mut StoreView)> = None;
+        for view in &mut self.views {
+            if !view.takes(part.tokens, now) {
+                continue;
+            }
+            // Boxes that know nothing of each other choose the same home, in
+            // proportion to the room of the stores.
+            let spread = home_spread(part.id.number(), view.store.address);
+            let rank = view.store.capacity_tokens as f64 / -spread.ln();
+            if best.as_ref().is_none_or(|(most, _)| rank > *most) {
+                best = Some((rank, view));
+            }
+        }
+        let (_, view) = best?;
+        view.saving(wall, part.id, part.tokens, now);
+        Some(view.store.address)
+    }
+}
+
+fn is_source(
+    entry: &EndpointEntry,
+    now: Micros,
+) -> bool {
+    let load = entry.fresh_load(now);
+    let answers = load.is_some_and(|load| !load.is_silent && !load.is_swapping);
+    entry.standing != EndpointStanding::Leaving && answers && !entry.is_suspect(now)
+}
+
+/// What an engine does about a prompt: keeps, fetches, and reads the rest.
+pub fn plan_prompt(
+    key: EndpointKey,
+    entry: &EndpointEntry,
+    wall: WallTag,
+    outlook: &[PartOutlook],
+) -> PromptPlan {
+    let mut plan = PromptPlan::default();
+    for shared in outlook {
+        if entry.parts.tokens_of(wall, shared.part.id) >= shared.part.tokens {
+            plan.kept_tokens += shared.part.tokens;
+            plan.parts.push(PartFetch {
+                part: shared.part,
+                source: None,
+            });
+            continue;
+        }
+        let Some((source, millis)) = best_source(key, entry, &shared.sources) else {
+            break;
+        };
+        plan.fetched_tokens += shared.part.tokens;
+        plan.fetch_ms += millis;
+        plan.parts.push(PartFetch {
+            part: shared.part,
+            source: Some((source, millis)),
+        });
+    }
+    plan
+}
+
+fn best_source(
+    key: EndpointKey,
+    entry: &EndpointEntry,
+    sources: &[PartSource],
+) -> Option<(PartSource, f64)> {
+    let mut best: Option<(&PartSource, f64)> = None;
+    for source in sources {
+        if source.place == PartPlace::Engine(key) {
+            continue;
+        }
+        let factor = match source.domain == entry.domain {
+            true => 1.0,
+            false => OTHER_DOMAIN_FACTOR,
+        };
+        let millis = source.fetch_ms * factor;
+        let is_better = best.is_none_or(|(_, least)| millis < least);
+        if millis < FETCH_LIMIT_MS && is_better {
+            best = Some((source, millis));
+        }
+    }
+    best.map(|(source, millis)| (source.clone(), millis))
+}
+
+/// A number between 0 and 1 for a part at a store, evenly spread.
+fn home_spread(
+    number: u64,
+    address: SocketAddr,
+) -> f64 {
+    let text = address.to_string();
+    let mix = |hash: u64, byte: u8| (hash ^ u64::from(byte)).wrapping_mul(0x0000_0100_0000_01b3);
+    let mut hash = text.bytes().fold(number ^ 0xcbf2_9ce4_8422_2325, mix);
+    hash = (hash ^ (hash >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    hash = (hash ^ (hash >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+    ((hash ^ (hash >> 31)) >> 11) as f64 / (1u64 << 53) as f64 + f64::MIN_POSITIVE
+}
--- a/core/src/serving/mod.rs
+++ b/core/src/serving/mod.rs
@@ -8,6 +8,7 @@
 mod endpoint_pick;
 mod key_trust;
 mod kv_store;
+mod memory_map;
 mod part_memory;
 mod path_index;
 mod prompt_ask;
@@ -16,11 +17,13 @@
 mod repeat_meter;
 mod served_route;
 mod serving_config;
+mod store_view;
 mod swap_planner;
+mod wall_name;
 mod weight_belief;
 
 pub use {
     caller_limits::*, endpoint_book::*, endpoint_entry::*, endpoint_pick::*, key_trust::*,
-    kv_store::*, part_memory::*, path_index::*, prompt_ask::*, prompt_part::*, refusal_kind::*,
-    repeat_meter::*, served_route::*, serving_config::*, swap_planner::*, weight_belief::*,
+    kv_store::*, memory_map::*, part_memory::*, path_index::*, prompt_ask::*, prompt_part::*, refusal_kind::*,
+    repeat_meter::*, served_route::*, serving_config::*, store_view::*, swap_planner::*, wall_name::*, weight_belief::*,
 };
--- a/core/src/serving/part_memory.rs
+++ b/core/src/serving/part_memory.rs
@@ -107,6 +107,17 @@
         self.tokens -= u64::from(before.map_or(0, |k| k.tokens));
     }
 
+    /// All parts inside one wall.
+    pub fn inside(
+        &self,
+        wall: WallTag,
+    ) -> Vec<PartId> {
+        let mut ids: Vec<PartId> =
+            self.parts.keys().filter(|(at, _)| *at == wall).map(|(_, id)| *id).collect();
+        ids.sort_unstable();
+        ids
+    }
+
     /// Forgets everything.
     pub fn clear(&mut self) {
         self.parts.clear();
--- /dev/null
+++ b/core/src/serving/store_view.rs
@@ -0,0 +1,178 @@
+use {
+    super::{KvStore, PartId, PartMemory, WallTag},
+    crate::time::Micros,
+    std::collections::HashMap,
+};
+
+/// Age up to which what is known of a store may be gone by, from when the
+/// question was sent until a fetch must have ended. A store that restarts is
+/// empty, and a part that is being written anew must not be taken for whole.
+pub const VIEW_LIFE: Micros = Micros::from_millis(2_000);
+/// Time for which nothing is saved to a store after a new life of it was seen:
+/// by then no view of the life before is gone by any more.
+pub const SAVE_AFTER: Micros = Micros::from_millis(2_400);
+/// Time in which a save that we asked for shows up.
+const SAVE_SHOWS: Micros = Micros::from_secs(3);
+/// Part of a store's room that is filled, in hundredths; blocks are rounded up.
+const FILL_PART: u64 = 96;
+
+/// What is known of one store's content.
+#[derive(Debug, Clone)]
+pub struct StoreView {
+    /// The store.
+    pub store: KvStore,
+    /// Parts that are whole.
+    pub parts: PartMemory,
+    epoch: Option<u64>,
+    epoch_seen_at: Micros,
+    proven_at: Option<Micros>,
+    clock: Option<(u64, Micros)>,
+    pending: HashMap<(WallTag, PartId), (u32, Micros)>,
+    pending_tokens: u64,
+    busy_until: Micros,
+}
+
+impl StoreView {
+    /// Nothing is known yet.
+    pub fn new(store: KvStore) -> Self {
+        StoreView {
+            store,
+            parts: PartMemory::default(),
+            epoch: None,
+            epoch_seen_at: Micros::ZERO,
+            proven_at: None,
+            clock: None,
+            pending: HashMap::new(),
+            pending_tokens: 0,
+            busy_until: Micros::ZERO,
+        }
+    }
+
+    /// Life of the store that is known.
+    pub fn epoch(&self) -> Option<u64> {
+        self.epoch
+    }
+
+    /// Notes an answer of the store to a question sent at `sent_at`; true where
+    /// it shows a new life, of which nothing is known.
+    pub fn answered(
+        &mut self,
+        epoch: u64,
+        clock_ms: Option<u64>,
+        sent_at: Micros,
+        now: Micros,
+    ) -> bool {
+        self.clock = clock_ms.map(|clock| (clock, now));
+        let is_new = self.epoch != Some(epoch);
+        if is_new {
+            self.epoch = Some(epoch);
+            self.epoch_seen_at = now;
+            self.parts.clear();
+            self.pending.clear();
+            self.pending_tokens = 0;
+        }
+        self.proven_at = Some(sent_at);
+        is_new
+    }
+
+    /// The store did not answer: what is known of it is not gone by.
+    pub fn lost(&mut self) {
+        self.proven_at = None;
+    }
+
+    /// Takes that a part is whole now, or gone.
+    pub fn set(
+        &mut self,
+        wall: WallTag,
+        id: PartId,
+        tokens: u32,
+    ) {
+        self.parts.set(wall, id, tokens);
+        if let Some((tokens, _)) = self.pending.remove(&(wall, id)) {
+            self.pending_tokens -= u64::from(tokens);
+        }
+    }
+
+    /// Time on the engines' clock by which a fetch must have ended, and whether
+    /// there is time for one at all.
+    pub fn fetch_until_ms(
+        &self,
+        now: Micros,
+    ) -> Option<u64> {
+        let left = (self.proven_at? + VIEW_LIFE).since(now);
+        let (clock, at) = self.clock?;
+        (left > Micros::ZERO).then(|| clock + now.since(at).as_millis() + left.as_millis())
+    }
+
+    /// Time to fetch so many bytes from within the store's domain, with the
+    /// wait for what we have asked for before, in milliseconds.
+    pub fn fetch_ms(
+        &self,
+        bytes: u64,
+        now: Micros,
+    ) -> f64 {
+        let wait = self.busy_until.since(now).0 as f64 / 1e3;
+        wait + self.store.first_ms + move_ms(bytes, self.store.link_mbps)
+    }
+
+    /// Notes a fetch or save that we ask for.
+    pub fn occupy(
+        &mut self,
+        millis: f64,
+        now: Micros,
+    ) {
+        let from = self.busy_until.max(now);
+        self.busy_until = from + Micros((millis.max(0.0) * 1e3) as u64);
+    }
+
+    /// Whether a part may be saved here now.
+    pub fn takes(
+        &self,
+        tokens: u32,
+        now: Micros,
+    ) -> bool {
+        let is_settled = self.epoch.is_some() && now.since(self.epoch_seen_at) > SAVE_AFTER;
+        let is_known = self.proven_at.is_some_and(|at| now.since(at) < VIEW_LIFE);
+        let used = self.parts.tokens() + self.pending_tokens + u64::from(tokens);
+        is_settled && is_known && used * 100 <= self.store.capacity_tokens * FILL_PART
+    }
+
+    /// Whether a part is kept here, or on its way.
+    pub fn has_or_gets(
+        &self,
+        wall: WallTag,
+        id: PartId,
+        tokens: u32,
+    ) -> bool {
+        self.parts.tokens_of(wall, id) >= tokens || self.pending.contains_key(&(wall, id))
+    }
+
+    /// Notes that we ask for a save.
+    pub fn saving(
+        &mut self,
+        wall: WallTag,
+        id: PartId,
+        tokens: u32,
+        now: Micros,
+    ) {
+        let gone = &mut self.pending_tokens;
+        self.pending.retain(|_, (tokens, at)| {
+            let waits = now.since(*at) < SAVE_SHOWS;
+            if !waits {
+                *gone -= u64::from(*tokens);
+            }
+            waits
+        });
+        if self.pending.insert((wall, id), (tokens, now)).is_none() {
+            self.pending_tokens += u64::from(tokens);
+        }
+    }
+}
+
+/// Time that a move of so many bytes takes on a link, in milliseconds.
+pub fn move_ms(
+    bytes: u64,
+    link_mbps: f64,
+) -> f64 {
+    bytes as f64 * 8.0 / (link_mbps.max(1.0) * 1e3)
+}
--- a/core/src/serving/swap_planner.rs
+++ b/core/src/serving/swap_planner.rs
@@ -1,5 +1,5 @@
 use {
-    super::{EndpointBook, EndpointEntry, EndpointKey, EndpointStanding},
+    super::{EndpointBook, EndpointEntry, EndpointKey, EndpointStanding, VIEW_LIFE},
     crate::time::Micros,
     std::collections::BTreeMap,
 };
@@ -10,10 +10,25 @@
 /// Time after which an engine that has not made use of its turn loses it.
 const TURN_LIMIT: Micros = Micros::from_secs(5);
 
+/// Time for which parts of a version are fetched from stores, from the last
+/// reading that showed no newer one.
+const FETCH_AFTER: Micros = Micros::from_millis(4_000);
+/// Time from when a box learns of newer weights until it frees parts of older
+/// ones: [`FETCH_AFTER`], the longest fetch ([`VIEW_LIFE`]) and half a second.
+const FREE_AFTER: Micros = Micros(FETCH_AFTER.0 + VIEW_LIFE.0 + 500_000);
+
+/// When this box learned of named weights.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+struct Naming {
+    not_yet: Option<Micros>,
+    learned_at: Micros,
+}
+
 /// New weights that are named, and which engines load them now.
 #[derive(Debug, Clone, Default)]
 pub struct SwapPlanner {
     named: BTreeMap<String, u64>,
+    namings: BTreeMap<(String, u64), Naming>,
     turns: BTreeMap<EndpointKey, SwapTurn>,
     missed: BTreeMap<EndpointKey, u32>,
 }
@@ -31,19 +46,66 @@
 
 impl SwapPlanner {
     /// Takes that weights are named; true where that is news.
+    ///
+    /// `not_yet` is when the last reading was sent that did not show them.
     pub fn name(
         &mut self,
         model: &str,
         version: u64,
+        not_yet: Option<Micros>,
+        now: Micros,
     ) -> bool {
         let before = self.named(model).unwrap_or(0);
         if version <= before {
             return false;
         }
         self.named.insert(model.to_string(), version);
+        let naming = Naming {
+            not_yet,
+            learned_at: now,
+        };
+        self.namings.insert((model.to_string(), version), naming);
         true
     }
 
+    /// Whether parts made under a version may still be fetched from stores.
+    ///
+    /// They are freed some time after newer weights are named, whatever this box
+    /// has heard of it, so what counts is when it last knew of none.
+    pub fn may_fetch(
+        &self,
+        model: &str,
+        version: u64,
+        proven_at: Option<Micros>,
+        now: Micros,
+    ) -> bool {
+        let known = match self.replaced_by(model, version) {
+            Some(naming) => naming.not_yet,
+            None => proven_at,
+        };
+        known.is_some_and(|at| now.since(at) < FETCH_AFTER)
+    }
+
+    /// Whether no box fetches parts made under a version any more.
+    pub fn may_free(
+        &self,
+        model: &str,
+        version: u64,
+        now: Micros,
+    ) -> bool {
+        let naming = self.replaced_by(model, version);
+        naming.is_some_and(|naming| now.since(naming.learned_at) > FREE_AFTER)
+    }
+
+    fn replaced_by(
+        &self,
+        model: &str,
+        version: u64,
+    ) -> Option<&Naming> {
+        let later = (model.to_string(), version + 1)..=(model.to_string(), u64::MAX);
+        self.namings.range(later).next().map(|(_, naming)| naming)
+    }
+
     /// The newest version named of a model.
     pub fn named(
         &self,
--- a/entry/src/front/front_process.rs
+++ b/entry/src/front/front_process.rs
@@ -1,5 +1,5 @@
 use {
-    super::{greet_engines, hear_digests, serve_caller, serve_small, watch_list, watch_operator, FrontContext, FrontSettings},
+    super::{greet_engines, hear_digests, serve_caller, serve_small, watch_list, watch_operator, watch_stores, FrontContext, FrontSettings},
     anyhow::Context,
     async_signal::{Signal, Signals},
     futures_lite::StreamExt,
@@ -63,6 +63,7 @@
     front.spawn(write_log());
     front.spawn(watch_operator(front.clone()));
     front.spawn(watch_list(front.clone()));
+    front.spawn(watch_stores(front.clone()));
     front.spawn(accept(front.clone(), Async::new(callers)?));
     log::info!(
         event = "started",
--- a/entry/src/front/front_state.rs
+++ b/entry/src/front/front_state.rs
@@ -1,7 +1,7 @@
 use {
     super::{FrontSettings, LinkPool},
     pitchhitch_core::{
-        serving::{EndpointBook, KeyTrust, RepeatMeter, ServingConfig, SwapPlanner, WallTag},
+        serving::{EndpointBook, KeyTrust, MemoryMap, RepeatMeter, ServingConfig, SwapPlanner, WallName, WallTag},
         time::Micros,
     },
     std::{collections::HashMap, rc::Rc},
@@ -21,6 +21,8 @@
     pub book: EndpointBook,
     /// Age of the configuration.
     pub trust: KeyTrust,
+    /// Stores and what is known of their content.
+    pub memory: MemoryMap,
     /// Named weights and whose turn it is to load them.
     pub planner: SwapPlanner,
     /// Unused connections.
@@ -45,6 +47,7 @@
             config: None,
             book: EndpointBook::default(),
             trust: KeyTrust::new(settings.key_limit),
+            memory: MemoryMap::default(),
             planner: SwapPlanner::default(),
             pool: LinkPool::default(),
             is_stopping: false,
@@ -91,6 +94,12 @@
         tag
     }
 
+    /// All salts of ours that have been seen, with their tags.
+    pub fn walls(&self) -> Vec<(WallName, WallTag)> {
+        let walls = self.walls.iter();
+        walls.filter_map(|(salt, tag)| Some((WallName::parse(salt)?, *tag))).collect()
+    }
+
     /// Whether the process can serve what it gets.
     pub fn is_ready(
         &self,
--- a/entry/src/front/operator_watch.rs
+++ b/entry/src/front/operator_watch.rs
@@ -63,7 +63,11 @@
                 take_config(front, decode_config(&text).map_err(unreadable)?);
             }
             RowNews::Weights(named) => {
-                front.state().planner.name(&named.model, named.version);
+                let now = front.now();
+                let mut guard = front.state();
+                let state = &mut *guard;
+                let not_yet = state.trust.proven_at();
+                state.planner.name(&named.model, named.version, not_yet, now);
                 log::info!(
                     event = "weights-named",
                     model = named.model.as_str(),
@@ -98,6 +102,7 @@
         ""
     );
     if is_news {
+        state.memory.set_stores(&config.stores);
         state.config = Some(Rc::new(config));
     }
 }
--- a/entry/src/front/request_run.rs
+++ b/entry/src/front/request_run.rs
@@ -1,17 +1,18 @@
 use {
     super::{
         read_plain_answer, relay_stream, send_offer, within, write_to_caller, FrontContext,
-        OfferAnswer, OfferFailure, OpenOffer, RelayNews, StreamProgress, WholeAnswer, WholeRequest,
+        FrontState, OfferAnswer, OfferFailure, OpenOffer, RelayNews, StreamProgress, WholeAnswer, WholeRequest,
     },
     pitchhitch_core::{
         serving::{
-            pick_endpoint, EndpointChoice, EndpointKey, EndpointStanding, PickAsk, RefusalKind,
-            RequestAsk, RequestPlace, ServedRoute, ServingConfig, UnreadWork,
+            pick_endpoint, EndpointChoice, EndpointKey, EndpointStanding, EngineGroup, PartOutlook,
+            PartPlace, PickAsk, PromptAsk, RefusalKind, RequestAsk, RequestPlace, ServedRoute,
+            ServingConfig, UnreadWork, VersionOutlook, WallName,
         },
         time::Micros,
     },
     pitchhitch_http1::ByteLink,
-    pitchhitch_platform::{decode_ask, encode_refusal, encode_request, SendOrder},
+    pitchhitch_platform::{decode_ask, encode_refusal, encode_request, PartAddress, SendOrder},
     pitchhitch_process::to_duration,
     smol::Timer,
     std::rc::Rc,
@@ -56,6 +57,14 @@
     asked_close: bool,
 }
 
+/// What a request makes an engine fetch and save.
+#[derive(Debug, Default)]
+struct PartMoves {
+    fetch: Vec<Option<PartAddress>>,
+    save: Vec<Option<PartAddress>>,
+    until_ms: Option<u64>,
+}
+
 /// What one endpoint made of the request.
 enum TryEnd {
     /// The caller has its answer, whole.
@@ -291,56 +300,82 @@
         meter.take(&front.settings.repeats, fronts, front.now())
     }
 
-    fn salt(
+    fn wall(
         &self,
         version: u64,
-    ) -> String {
-        let model = self
-            .ask
-            .prompt
-            .as_ref()
-            .map_or("", |prompt| prompt.model.as_str());
-        let organisation = self
-            .place
-            .organisation
-            .map(|place| &self.config.organisations[place]);
-        match organisation.filter(|organisation| organisation.is_isolated) {
-            Some(organisation) => format!("{model}.{version}.{}", organisation.name),
-            None => format!("{model}.{version}"),
+    ) -> WallName {
+        let organisation = self.place.organisation.map(|place| &self.config.organisations[place]);
+        let organisation = organisation.filter(|organisation| organisation.is_isolated);
+        WallName {
+            version,
+            model: self.ask.prompt.as_ref().map_or_else(String::new, |p| p.model.clone()),
+            organisation: organisation.map(|organisation| organisation.name.clone()),
         }
     }
 
+    fn group(&self) -> Option<&EngineGroup> {
+        self.config.groups.get(&self.service)?.engine.as_ref()
+    }
+
     fn pick(&mut self) -> Option<EndpointChoice> {
         let front = self.front;
         let mut guard = front.state();
         let state = &mut *guard;
-        let mut walls: Vec<(u64, _)> = Vec::new();
-        // Tags first, as the book is only read while it is weighed.
-        if let Some(prompt) = &self.ask.prompt {
-            let versions = state
-                .book
-                .iter()
-                .filter_map(|(_, e)| e.weights.version(&prompt.model));
-            let mut versions: Vec<u64> = versions.collect();
-            versions.sort_unstable();
-            versions.dedup();
-            for version in versions {
-                let salt = self.salt(version);
-                walls.push((version, state.wall(&salt)));
-            }
-        }
-        let mut wall = |version| {
-            let found = walls.iter().find(|(known, _)| *known == version);
-            found.map_or_else(Default::default, |(_, tag)| *tag)
-        };
+        let now = front.now();
+        let outlooks = self.outlooks(state, now);
         let ask = PickAsk {
             service: &self.service,
             domain: &front.settings.failure_domain,
             prompt: self.ask.prompt.as_ref(),
             tried: &self.tried,
-            now: front.now(),
+            now,
         };
-        pick_endpoint(&state.book, &ask, &mut wall)
+        pick_endpoint(&state.book, &ask, &outlooks)
+    }
+
+    /// Where the parts of the prompt are kept, for each version that some
+    /// engine has.
+    fn outlooks(
+        &self,
+        state: &mut FrontState,
+        now: Micros,
+    ) -> Vec<VersionOutlook> {
+        let (Some(prompt), Some(group)) = (&self.ask.prompt, self.group()) else {
+            return Vec::new();
+        };
+        let versions = state.book.iter().filter_map(|(_, e)| e.weights.version(&prompt.model));
+        let mut versions: Vec<u64> = versions.collect();
+        versions.sort_unstable();
+        versions.dedup();
+        let mut outlooks = Vec::new();
+        for version in versions {
+            let wall = state.wall(&self.wall(version).salt());
+            let parts = state.memory.outlook(&state.book, group, wall, &prompt.parts, now);
+            outlooks.push(VersionOutlook {
+                version,
+                wall,
+                parts: self.allowed(state, version, parts, now),
+            });
+        }
+        outlooks
+    }
+
+    /// Leaves stores out where they may be freeing parts of this version.
+    fn allowed(
+        &self,
+        state: &FrontState,
+        version: u64,
+        mut parts: Vec<PartOutlook>,
+        now: Micros,
+    ) -> Vec<PartOutlook> {
+        let model = self.ask.prompt.as_ref().map_or("", |prompt| prompt.model.as_str());
+        let proven_at = state.trust.proven_at();
+        if !state.planner.may_fetch(model, version, proven_at, now) {
+            for part in &mut parts {
+                part.sources.retain(|source| !matches!(source.place, PartPlace::Store(_)));
+            }
+        }
+        parts
     }
 
     /// A connection to the endpoint, if it still may get requests then.
@@ -446,35 +481,89 @@
         choice: &EndpointChoice,
     ) -> Vec<u8> {
         let front = self.front;
-        let state = front.state();
+        let now = front.now();
+        let mut guard = front.state();
+        let state = &mut *guard;
+        let moves = match (&self.ask.prompt, choice.version) {
+            (Some(prompt), Some(version)) => self.plan_moves(state, prompt, choice, version, now),
+            _ => PartMoves::default(),
+        };
         let entry = state.book.get(choice.key);
-        let organisation = self
-            .place
-            .organisation
-            .map(|place| &self.config.organisations[place]);
-        let rank = organisation
-            .and_then(|o| o.priority)
-            .unwrap_or(self.route().priority);
+        let organisation = self.place.organisation.map(|place| &self.config.organisations[place]);
+        let rank = organisation.and_then(|o| o.priority).unwrap_or(self.route().priority);
         let is_engine = self.ask.prompt.is_some();
-        let salt = choice.version.map(|version| self.salt(version));
-        let left = self.ends_at.since(front.now());
+        // Without a known version nothing may be shared: not even with others
+        // of which no more is known.
+        let salt = match choice.version {
+            Some(version) => self.wall(version).salt(),
+            None => self.ask.request_id.clone(),
+        };
+        let left = self.ends_at.since(now);
         let order = SendOrder {
             endpoint_id: entry.map_or("", |entry| entry.id.as_str()),
             patience: left.since(TRANSIT).max(Micros::from_millis(1)),
             organisation: organisation.map(|organisation| organisation.name.as_str()),
             priority: is_engine.then_some(rank.min(9)),
             version: choice.version.filter(|_| is_engine),
-            salt: salt.as_deref().filter(|_| is_engine),
-            last_event: self
-                .progress
-                .splitter
-                .last_id()
-                .filter(|_| self.progress.is_begun),
-            ..SendOrder::default()
+            salt: Some(salt.as_str()).filter(|_| is_engine),
+            fetch: &moves.fetch,
+            save: &moves.save,
+            fetch_until_ms: moves.until_ms,
+            last_event: self.progress.splitter.last_id().filter(|_| self.progress.is_begun),
         };
         encode_request(&self.request.head, &self.request.body, &order)
     }
 
+    /// What the engine fetches before it reads, and saves once it has read.
+    fn plan_moves(
+        &self,
+        state: &mut FrontState,
+        prompt: &PromptAsk,
+        choice: &EndpointChoice,
+        version: u64,
+        now: Micros,
+    ) -> PartMoves {
+        let wall = state.wall(&self.wall(version).salt());
+        let mut moves = PartMoves::default();
+        for fetch in &choice.plan.parts {
+            let Some((source, _)) = &fetch.source else {
+                moves.fetch.push(None);
+                continue;
+            };
+            let is_store = matches!(source.place, PartPlace::Store(_));
+            moves.fetch.push(Some(PartAddress {
+                address: source.address,
+                tokens: is_store.then_some(fetch.part.tokens),
+            }));
+            if let PartPlace::Store(place) = source.place {
+                let view = state.memory.view_at(place);
+                let until = view.and_then(|view| view.fetch_until_ms(now));
+                moves.until_ms = match (moves.until_ms, until) {
+                    (Some(before), Some(until)) => Some(before.min(until)),
+                    (before, until) => until.or(before),
+                };
+            }
+        }
+        moves.fetch.resize(prompt.parts.len(), None);
+        state.memory.fetching(&choice.plan, now);
+        let is_newest = state.planner.named(&prompt.model).is_none_or(|named| version >= named);
+        if is_newest {
+            let saves = state.memory.plan_saves(wall, &prompt.parts, now);
+            let address = |address| PartAddress {
+                address,
+                tokens: None,
+            };
+            moves.save = saves.into_iter().map(|save| save.map(address)).collect();
+            moves.save.resize(prompt.parts.len(), None);
+        }
+        // Others of this box that come meanwhile go where these parts will be.
+        let capacity = self.group().map_or(0, |group| group.capacity_tokens);
+        if let Some(entry) = state.book.get_mut(choice.key) {
+            entry.parts.touch(wall, &prompt.parts, capacity);
+        }
+        moves
+    }
+
     async fn take_answer(
         &mut self,
         choice: &EndpointChoice,
@@ -549,9 +638,6 @@
         let progress = &mut self.progress;
         let end = relay_stream(offer, answer, progress, caller, &mut self.timer, &mut tell).await;
         self.began_at = self.began_at.or(began);
-        if began.is_some() {
-            self.touch_parts(choice);
-        }
         if let (Some(version), Some(prompt)) = (version, &self.ask.prompt) {
             self.learn_version(choice, &prompt.model.clone(), version);
         }
@@ -565,26 +651,6 @@
         }
     }
 
-    /// The engine keeps what it has read.
-    fn touch_parts(
-        &self,
-        choice: &EndpointChoice,
-    ) {
-        let (Some(prompt), Some(version)) = (&self.ask.prompt, choice.version) else {
-            return;
-        };
-        let group = self.config.groups.get(&self.service);
-        let capacity = group
-            .and_then(|group| group.engine.as_ref())
-            .map_or(0, |e| e.capacity_tokens);
-        let salt = self.salt(version);
-        let mut state = self.front.state();
-        let wall = state.wall(&salt);
-        if let Some(entry) = state.book.get_mut(choice.key) {
-            entry.parts.touch(wall, &prompt.parts, capacity);
-        }
-    }
-
     fn learn_version(
         &self,
         choice: &EndpointChoice,
@@ -731,7 +797,9 @@
             send = self.sends,
             estimate_ms = choice.wait_ms as u64,
             unread = choice.unread_tokens,
-            kept = choice.kept_tokens,
+            kept = choice.plan.kept_tokens,
+            fetched = choice.plan.fetched_tokens,
+            fetch_ms = choice.plan.fetch_ms as u64,
             weights = choice.version.unwrap_or(0),
             of = choice.candidates,
             load_age_ms = load.map_or(-1, |load| now.since(load.at).as_millis() as i64);
