Let engines end long answers before they load; cold parts go home; newer namings overtake turns

Cause: an order to load takes nothing until runs have ended, two to three seconds of an engine idle; turns given for an older naming blocked newer ones for up to seven seconds (seen from beside: no order between 25.6 s and 28.3 s).

--- a/core/src/serving/endpoint_book.rs
+++ b/core/src/serving/endpoint_book.rs
@@ -1,6 +1,7 @@
 use {
     super::{
-        EndpointEntry, EndpointNotice, EndpointStanding, PartMemory, SwapPlanner, UnreadWork, WeightBelief,
+        EndpointEntry, EndpointNotice, EndpointStanding, PartMemory, SwapPlanner, SwapStage,
+        UnreadWork, WeightBelief,
     },
     crate::{retry::OutlierGuard, time::Micros},
     slotmap::{new_key_type, SlotMap},
@@ -118,7 +119,7 @@
             parts: PartMemory::default(),
             guard: OutlierGuard::default(),
             answered_at: None,
-            has_turn: false,
+            stage: SwapStage::Idle,
             is_behind: false,
             running: 0,
             unread: Vec::new(),
@@ -192,7 +193,7 @@
         planner: &SwapPlanner,
     ) {
         for (key, entry) in &mut self.entries {
-            entry.has_turn = planner.turn(key).is_some();
+            entry.stage = planner.stage(key);
             entry.is_behind = planner.is_behind(entry);
         }
     }
--- a/core/src/serving/endpoint_entry.rs
+++ b/core/src/serving/endpoint_entry.rs
@@ -1,5 +1,5 @@
 use {
-    super::{PartMemory, WeightBelief},
+    super::{PartMemory, SwapStage, WeightBelief},
     crate::{retry::OutlierGuard, time::Micros},
     serde::{Deserialize, Serialize},
     std::net::SocketAddr,
@@ -92,8 +92,8 @@
     pub guard: OutlierGuard,
     /// When it last answered a request of ours.
     pub answered_at: Option<Micros>,
-    /// Whether it is its turn to load new weights.
-    pub has_turn: bool,
+    /// Where it stands with named weights.
+    pub stage: SwapStage,
     /// Whether newer weights than its own are named.
     pub is_behind: bool,
     /// Requests of ours that it has.
--- a/core/src/serving/endpoint_pick.rs
+++ b/core/src/serving/endpoint_pick.rs
@@ -1,7 +1,7 @@
 use {
     super::{
         plan_prompt, EndpointBook, EndpointEntry, EndpointKey, EndpointStanding, PartOutlook,
-        PromptAsk, PromptPlan, WallTag,
+        PromptAsk, PromptPlan, SwapStage, WallTag,
     },
     crate::time::Micros,
 };
@@ -17,9 +17,12 @@
 const OTHER_DOMAIN_MS: f64 = 5.0;
 /// Cost of each request that runs, as it slows each step down, in milliseconds.
 const RUNNING_MS: f64 = 0.4;
-/// What the home of a part gets ahead, in milliseconds, so that boxes which know
-/// nothing of each other's choices read it at the same place.
-const HOME_MS: f64 = 12.0;
+/// What the home of a prompt gets ahead for each shared token that nobody has
+/// read, in milliseconds: boxes that know nothing of each other's choices then
+/// read it at the same place, once.
+const HOME_TOKEN_MS: f64 = 1.0 / READ_TOKENS_PER_MS;
+/// What the home gets ahead in any case, in milliseconds.
+const HOME_MS: f64 = 6.0;
 /// Cost of an engine that has no place free, in milliseconds.
 const FULL_MS: f64 = 800.0;
 /// Cost of memory that is short, in milliseconds for each token: requests that
@@ -30,7 +33,9 @@
 const SHARED_UNREAD_MS: f64 = 1.0 / READ_TOKENS_PER_MS;
 /// Cost of weights that newer ones are named for, in milliseconds: what they
 /// make is worth less and less.
-const BEHIND_MS: f64 = 60.0;
+const BEHIND_MS: f64 = 12.0;
+/// Longest answer, in tokens, that goes to an engine which ends its long runs.
+const LONG_ANSWER: u32 = 24;
 /// Cost of one request that a plain service holds already, in milliseconds.
 const PLAIN_QUEUE_MS: f64 = 12.0;
 
@@ -60,6 +65,8 @@
     pub unread_tokens: u32,
     /// What it keeps already and what it fetches.
     pub plan: PromptPlan,
+    /// Tokens of shared parts that it will have to read.
+    pub shared_unread: u32,
     /// Version of the weights that it is believed to have.
     pub version: Option<u64>,
     /// Endpoints that were weighed.
@@ -86,7 +93,11 @@
     ask: &PickAsk<'_>,
     outlooks: &[VersionOutlook],
 ) -> Option<EndpointChoice> {
-    let sound = best_of(book, ask, outlooks, &|entry| is_sound(entry, ask.now));
+    let is_long = ask.prompt.is_some_and(|prompt| prompt.tokens_out > LONG_ANSWER);
+    let sound = best_of(book, ask, outlooks, &|entry| {
+        let drains = entry.stage == SwapStage::Draining;
+        is_sound(entry, ask.now) && !(is_long && drains)
+    });
     if sound.is_some() {
         return sound;
     }
@@ -100,7 +111,8 @@
 ) -> bool {
     let load = entry.fresh_load(now);
     let is_away = load.is_some_and(|load| load.is_silent || load.is_swapping);
-    !is_away && !entry.has_turn && !entry.is_suspect(now) && !entry.guard.is_out(now)
+    let is_loading = entry.stage == SwapStage::Loading;
+    !is_away && !is_loading && !entry.is_suspect(now) && !entry.guard.is_out(now)
 }
 
 fn best_of(
@@ -132,7 +144,7 @@
             cost += OTHER_DOMAIN_MS;
         }
         if best_home.is_some_and(|(_, at)| at == *key) {
-            cost -= HOME_MS;
+            cost -= HOME_MS + f64::from(choice.shared_unread) * HOME_TOKEN_MS;
         }
         if best.as_ref().is_none_or(|(least, _)| cost < *least) {
             best = Some((cost, choice));
@@ -151,6 +163,7 @@
         key,
         wait_ms: f64::from(entry.running) * PLAIN_QUEUE_MS,
         unread_tokens: 0,
+        shared_unread: 0,
         plan: PromptPlan::default(),
         version: None,
         candidates: 0,
@@ -180,11 +193,11 @@
     let at_hand = choice.plan.kept_tokens + choice.plan.fetched_tokens;
     choice.unread_tokens = prompt.tokens_in.saturating_sub(at_hand);
     let shared = prompt.parts.iter().rev().skip(1).map(|part| part.tokens).sum::<u32>();
-    let again = shared.saturating_sub(at_hand);
+    choice.shared_unread = shared.saturating_sub(at_hand);
     let others = f64::from(entry.unread_of_others(now)) * USUAL_UNREAD_TOKENS;
     let ahead = entry.unread_tokens() as f64 + others;
     choice.wait_ms = (ahead + f64::from(choice.unread_tokens)) / READ_TOKENS_PER_MS;
-    choice.wait_ms += choice.plan.fetch_ms + f64::from(again) * SHARED_UNREAD_MS;
+    choice.wait_ms += choice.plan.fetch_ms + f64::from(choice.shared_unread) * SHARED_UNREAD_MS;
     choice.wait_ms += f64::from(entry.occupied(now)) * RUNNING_MS;
     if entry.is_behind {
         choice.wait_ms += BEHIND_MS;
--- a/core/src/serving/swap_planner.rs
+++ b/core/src/serving/swap_planner.rs
@@ -4,11 +4,18 @@
     std::collections::BTreeMap,
 };
 
-/// Engines of a group that have their turn at once. The sites load two at once
-/// without slowing each other down; a third one ends its runs meanwhile.
-const TURNS_AT_ONCE: usize = 3;
+/// Engines of a group that load at once: more slow each other down (the sites'
+/// sheets).
+const LOADS_AT_ONCE: usize = 2;
+/// Engines of a group that have a turn at once: the others end their long runs
+/// meanwhile, as an engine that is told to load takes nothing until they ended.
+const TURNS_AT_ONCE: usize = 4;
+/// Time that an engine is given to end its long runs before it loads.
+const DRAIN_LIMIT: Micros = Micros::from_millis(1_600);
+/// Requests that an engine may still run when it is told to load.
+const QUIET_RUNNING: u32 = 2;
 /// Time after which an engine that has not made use of its turn loses it.
-const TURN_LIMIT: Micros = Micros::from_secs(5);
+const TURN_LIMIT: Micros = Micros::from_secs(7);
 
 /// Time for which parts of a version are fetched from stores, from the last
 /// reading that showed no newer one.
@@ -42,6 +49,20 @@
     pub version: u64,
     /// Since when it is the engine's turn.
     pub since: Micros,
+    /// Whether it is told to load now.
+    pub loads: bool,
+}
+
+/// Where an engine stands with named weights.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub enum SwapStage {
+    /// It has them, or its turn has not come.
+    #[default]
+    Idle,
+    /// It gets no long requests any more.
+    Draining,
+    /// It loads, and takes nothing.
+    Loading,
 }
 
 impl SwapPlanner {
@@ -127,6 +148,18 @@
         self.turns.get(&key)
     }
 
+    /// The stage of an engine.
+    pub fn stage(
+        &self,
+        key: EndpointKey,
+    ) -> SwapStage {
+        match self.turns.get(&key) {
+            None => SwapStage::Idle,
+            Some(turn) if turn.loads => SwapStage::Loading,
+            Some(_) => SwapStage::Draining,
+        }
+    }
+
     /// Whether an engine lacks named weights.
     pub fn is_behind(
         &self,
@@ -135,21 +168,57 @@
         self.lack(entry).is_some()
     }
 
-    /// Gives turns anew; returns those that have just begun.
+    /// Gives turns anew; returns those of engines that are told to load now.
     pub fn plan(
         &mut self,
         book: &EndpointBook,
         now: Micros,
     ) -> Vec<(EndpointKey, SwapTurn)> {
+        for turn in self.turns.values_mut() {
+            // Newer weights overtake those that the turn was given for.
+            turn.version = self.named.get(&turn.model).copied().unwrap_or(turn.version);
+        }
         self.end_turns(book, now);
         let mut begun = Vec::new();
         while let Some((key, turn)) = self.next_turn(book, now) {
-            self.turns.insert(key, turn.clone());
-            begun.push((key, turn));
+            self.turns.insert(key, turn);
         }
+        self.begin_loads(book, now, &mut begun);
         begun
     }
 
+    /// Tells engines to load that are quiet, or have had time to become so.
+    fn begin_loads(
+        &mut self,
+        book: &EndpointBook,
+        now: Micros,
+        begun: &mut Vec<(EndpointKey, SwapTurn)>,
+    ) {
+        let service = |key: EndpointKey| book.get(key).map(|entry| entry.service.as_str());
+        let mut waiting: Vec<(Micros, EndpointKey)> = Vec::new();
+        let mut loading: Vec<EndpointKey> = Vec::new();
+        for (key, turn) in &self.turns {
+            match turn.loads {
+                true => loading.push(*key),
+                false => waiting.push((turn.since, *key)),
+            }
+        }
+        waiting.sort_unstable_by_key(|(since, key)| (*since, book.get(*key).map(|e| &e.id)));
+        for (since, key) in waiting {
+            let others = loading.iter().filter(|other| service(**other) == service(key));
+            let running = book.get(key).map_or(0, |entry| entry.occupied(now));
+            let is_quiet = running <= QUIET_RUNNING || now.since(since) >= DRAIN_LIMIT;
+            if others.count() >= LOADS_AT_ONCE || !is_quiet {
+                continue;
+            }
+            if let Some(turn) = self.turns.get_mut(&key) {
+                turn.loads = true;
+                loading.push(key);
+                begun.push((key, turn.clone()));
+            }
+        }
+    }
+
     fn lack(
         &self,
         entry: &EndpointEntry,
@@ -197,7 +266,7 @@
             let heard = entry.fresh_load(now).is_some_and(|load| !load.is_silent);
             entry.standing != EndpointStanding::Leaving && heard && !self.turns.contains_key(key)
         };
-        let mut next: Option<(u32, EndpointKey, String, u64)> = None;
+        let mut next: Option<((u32, u64), EndpointKey, String, u64)> = None;
         for (key, entry) in book.iter().filter(waits) {
             let Some((model, version)) = self.lack(entry) else {
                 continue;
@@ -208,9 +277,11 @@
             if self.turns.keys().filter(in_group).count() >= TURNS_AT_ONCE {
                 continue;
             }
+            // The oldest weights go first: their time runs out first.
             let missed = self.missed.get(&key).copied().unwrap_or(0);
-            if next.as_ref().is_none_or(|(least, ..)| missed < *least) {
-                next = Some((missed, key, model, version));
+            let rank = (missed, entry.weights.version(&model).unwrap_or(0));
+            if next.as_ref().is_none_or(|(least, ..)| rank < *least) {
+                next = Some((rank, key, model, version));
             }
         }
         next.map(|(_, key, model, version)| {
@@ -218,6 +289,7 @@
                 model,
                 version,
                 since: now,
+                loads: false,
             };
             (key, turn)
         })
--- a/entry/src/front/beside_link.rs
+++ b/entry/src/front/beside_link.rs
@@ -92,7 +92,7 @@
     let wanted = state.planner.all_named().map(|(model, version)| WantedWeights {
         model: model.to_string(),
         version,
-        is_turn: turn.is_some_and(|turn| turn.model == model && turn.version == version),
+        is_turn: turn.is_some_and(|t| t.loads && t.model == model && t.version == version),
     });
     FrontHello {
         front: front.settings.box_id.clone(),
--- a/entry/src/front/request_run.rs
+++ b/entry/src/front/request_run.rs
@@ -797,6 +797,7 @@
             send = self.sends,
             estimate_ms = choice.wait_ms as u64,
             unread = choice.unread_tokens,
+            shared_unread = choice.shared_unread,
             kept = choice.plan.kept_tokens,
             fetched = choice.plan.fetched_tokens,
             fetch_ms = choice.plan.fetch_ms as u64,
