--- a/agent/src/beside/beside_context.rs
+++ b/agent/src/beside/beside_context.rs
@@ -1,12 +1,15 @@
 use {
     super::BesideSettings,
-    pitchhitch_core::{serving::EngineLoad, time::Micros},
+    pitchhitch_core::{
+        serving::{EngineLoad, PartId, WallTag},
+        time::Micros,
+    },
     pitchhitch_process::ProcessClock,
     pitchhitch_wire::beside::{BesideSocket, DigestPart},
     smol::LocalExecutor,
     std::{
         cell::{RefCell, RefMut},
-        collections::{BTreeMap, HashMap},
+        collections::{BTreeMap, BTreeSet, HashMap},
         future::Future,
         net::SocketAddr,
         rc::Rc,
@@ -46,10 +49,30 @@
     pub pending: Vec<DigestPart>,
     /// Whether the engine has forgotten what it kept before those.
     pub forgets: bool,
+    /// Fronts that want to be told all that the engine keeps.
+    pub newcomers: BTreeSet<SocketAddr>,
     fronts: HashMap<SocketAddr, Micros>,
+    kept: HashMap<(WallTag, PartId), u32>,
 }
 
 impl BesideState {
+    /// All that the engine keeps.
+    pub fn kept(&self) -> Vec<DigestPart> {
+        let kept = self.kept.iter().map(|((wall, id), tokens)| DigestPart {
+            wall: *wall,
+            id: *id,
+            tokens: *tokens,
+        });
+        kept.collect()
+    }
+
+    /// The engine keeps nothing of what it kept before.
+    pub fn forget(&mut self) {
+        self.kept.clear();
+        self.pending.clear();
+        self.forgets = true;
+    }
+
     /// Notes that a front was heard.
     pub fn heard(
         &mut self,
@@ -64,7 +87,8 @@
         &mut self,
         now: Micros,
     ) -> Vec<SocketAddr> {
-        self.fronts.retain(|_, heard| now.since(*heard) < FRONT_LIFE);
+        self.fronts
+            .retain(|_, heard| now.since(*heard) < FRONT_LIFE);
         let mut fronts: Vec<SocketAddr> = self.fronts.keys().copied().collect();
         fronts.sort_unstable();
         fronts
@@ -79,6 +103,10 @@
         if self.pending.len() >= PENDING_LIMIT {
             self.pending.remove(0);
         }
+        match part.tokens {
+            0 => self.kept.remove(&(part.wall, part.id)),
+            tokens => self.kept.insert((part.wall, part.id), tokens),
+        };
         self.pending.push(part);
     }
 }
--- a/agent/src/beside/beside_process.rs
+++ b/agent/src/beside/beside_process.rs
@@ -39,7 +39,10 @@
         program = env!("CARGO_PKG_VERSION");
         ""
     );
-    beside.run(stop_asked()).await.context("cannot watch signals")?;
+    beside
+        .run(stop_asked())
+        .await
+        .context("cannot watch signals")?;
     log::info!(event = "stopped", beside = beside.settings.box_id.as_str(); "");
     flush_log();
     Ok(())
--- a/agent/src/beside/digest_sender.rs
+++ b/agent/src/beside/digest_sender.rs
@@ -2,9 +2,9 @@
     super::{BesideContext, BesideState},
     pitchhitch_core::{serving::EngineLoad, time::Micros},
     pitchhitch_process::to_duration,
-    pitchhitch_wire::beside::{EngineDigest, FrontHello},
+    pitchhitch_wire::beside::{DigestPart, EngineDigest, FrontHello},
     smol::Timer,
-    std::{rc::Rc, time::Duration},
+    std::{net::SocketAddr, rc::Rc, time::Duration},
 };
 
 /// How often it is looked whether there is something to tell.
@@ -22,6 +22,9 @@
                 let now = beside.now();
                 let mut state = beside.state();
                 state.heard(from, now);
+                if hello.wants_all {
+                    state.newcomers.insert(from);
+                }
                 take_hello(&mut state, hello, now);
             }
             Err(error) => {
@@ -75,6 +78,7 @@
         Timer::after(LOOK_PAUSE).await;
         let now = beside.now();
         let fronts = beside.state().fronts(now);
+        tell_newcomers(&beside, &mut number, fronts.len() as u32).await;
         let load = EngineLoad {
             at: Micros::ZERO,
             ..beside.state().load
@@ -86,26 +90,65 @@
         told = load;
         told_at = now;
         number += 1;
-        let digest = make_digest(&beside, load, number, fronts.len() as u32);
+        let parts = take_pending(&beside);
+        let mut digest = make_digest(&beside, load, number, fronts.len() as u32, parts);
+        digest.forgets = std::mem::take(&mut beside.state().forgets);
         for front in fronts {
-            // A digest that is lost costs freshness only.
-            if let Err(error) = beside.socket.send(&digest, front).await {
-                let error = error.to_string();
-                log::debug!(event = "digest-failed", error = error.as_str(); "");
-            }
+            send(&beside, &digest, front).await;
+        }
+    }
+}
+
+/// Tells fronts that have just come all that the engine keeps.
+async fn tell_newcomers(
+    beside: &BesideContext,
+    number: &mut u64,
+    fronts: u32,
+) {
+    let newcomers = std::mem::take(&mut beside.state().newcomers);
+    if newcomers.is_empty() {
+        return;
+    }
+    let kept = beside.state().kept();
+    let load = EngineLoad {
+        at: Micros::ZERO,
+        ..beside.state().load
+    };
+    let mut pieces: Vec<Vec<DigestPart>> = kept.chunks(PARTS_LIMIT).map(<[_]>::to_vec).collect();
+    if pieces.is_empty() {
+        pieces.push(Vec::new());
+    }
+    let last = pieces.len() - 1;
+    for (place, parts) in pieces.into_iter().enumerate() {
+        *number += 1;
+        let mut digest = make_digest(beside, load, *number, fronts, parts);
+        digest.is_whole = place == last;
+        for front in &newcomers {
+            send(beside, &digest, *front).await;
         }
     }
 }
 
+/// A digest that is lost costs freshness only.
+async fn send(
+    beside: &BesideContext,
+    digest: &EngineDigest,
+    front: SocketAddr,
+) {
+    if let Err(error) = beside.socket.send(digest, front).await {
+        let error = error.to_string();
+        log::debug!(event = "digest-failed", error = error.as_str(); "");
+    }
+}
+
 fn make_digest(
     beside: &BesideContext,
     load: EngineLoad,
     number: u64,
     fronts: u32,
+    parts: Vec<DigestPart>,
 ) -> EngineDigest {
-    let mut state = beside.state();
-    let count = state.pending.len().min(PARTS_LIMIT);
-    let parts = state.pending.drain(..count).collect();
+    let state = beside.state();
     EngineDigest {
         engine: beside.settings.engine,
         life: beside.clock.incarnation(),
@@ -114,11 +157,18 @@
         weights: state.weights.clone(),
         clock_ms: state.clock_ms,
         fronts,
-        forgets: std::mem::take(&mut state.forgets),
+        forgets: false,
+        is_whole: false,
         parts,
     }
 }
 
+fn take_pending(beside: &BesideContext) -> Vec<DigestPart> {
+    let mut state = beside.state();
+    let count = state.pending.len().min(PARTS_LIMIT);
+    state.pending.drain(..count).collect()
+}
+
 /// Waits a span of the core.
 pub(crate) async fn pause(span: Micros) {
     Timer::after(to_duration(span)).await;
--- a/agent/src/beside/kept_watch.rs
+++ b/agent/src/beside/kept_watch.rs
@@ -2,9 +2,7 @@
     super::BesideContext,
     pitchhitch_core::serving::WallTag,
     pitchhitch_http1::{HttpCall, HttpClient},
-    pitchhitch_platform::{
-        changes_target, decode_changes, wait_field, KeptChanges,
-    },
+    pitchhitch_platform::{changes_target, decode_changes, wait_field, KeptChanges},
     pitchhitch_wire::beside::DigestPart,
     smol::Timer,
     std::{rc::Rc, time::Duration},
@@ -23,7 +21,9 @@
     let mut next = 0;
     let mut epoch = None;
     loop {
-        Timer::after(LOOK_PAUSE).await;
+        if epoch.is_some() {
+            Timer::after(LOOK_PAUSE).await;
+        }
         let target = changes_target(next);
         let call = HttpCall {
             method: "GET",
@@ -32,15 +32,19 @@
             extra_time: Duration::from_millis(HOLD_MS),
             ..HttpCall::default()
         };
-        let answer = client.call(call).await.ok().filter(|answer| answer.status == 200);
+        let answer = client
+            .call(call)
+            .await
+            .ok()
+            .filter(|answer| answer.status == 200);
         let changes = answer.and_then(|answer| decode_changes(&answer.body).ok());
         let Some(changes) = changes else {
+            Timer::after(LOOK_PAUSE).await;
             continue;
         };
         if epoch.is_some_and(|epoch| epoch != changes.epoch) {
             log::info!(event = "engine-restarted", epoch = changes.epoch; "");
-            beside.state().forgets = true;
-            beside.state().pending.clear();
+            beside.state().forget();
         }
         epoch = Some(changes.epoch);
         next = changes.next;
--- a/agent/src/beside/mod.rs
+++ b/agent/src/beside/mod.rs
@@ -10,7 +10,7 @@
 mod kept_watch;
 mod order_giver;
 
-pub use {beside_process::*, beside_settings::*};
 pub(crate) use {
     beside_context::*, digest_sender::*, engine_watch::*, kept_watch::*, order_giver::*,
 };
+pub use {beside_process::*, beside_settings::*};
--- a/agent/src/cli/agent_cli.rs
+++ b/agent/src/cli/agent_cli.rs
@@ -40,7 +40,10 @@
         }
     };
     if matches.opt_present("help") {
-        print!("{}", options().usage("pitchhitch-agent [beside] --settings FILE"));
+        print!(
+            "{}",
+            options().usage("pitchhitch-agent [beside] --settings FILE")
+        );
         println!("\n'beside' stands beside an engine of the platform; its settings file may also");
         println!("be named by {SETTINGS_VARIABLE}.");
         println!("\nExit codes: 0 done, 1 failed, 2 wrong call, 3 wrong settings");
@@ -86,7 +89,9 @@
     };
     let named = matches.opt_str("settings");
     let Some(file) = named.or_else(|| std::env::var(SETTINGS_VARIABLE).ok()) else {
-        eprintln!("pitchhitch-agent beside: name a settings file by --settings or in {SETTINGS_VARIABLE}");
+        eprintln!(
+            "pitchhitch-agent beside: name a settings file by --settings or in {SETTINGS_VARIABLE}"
+        );
         return ExitCode::from(EXIT_USAGE);
     };
     let settings = match read_beside_settings(&file) {
--- a/core/src/serving/endpoint_book.rs
+++ b/core/src/serving/endpoint_book.rs
@@ -91,7 +91,11 @@
             let entry = &mut self.entries[key];
             for (model, version) in &notice.weights {
                 // The list lags behind answers and reports, so it never sets back.
-                if entry.weights.version(model).is_none_or(|known| known < *version) {
+                if entry
+                    .weights
+                    .version(model)
+                    .is_none_or(|known| known < *version)
+                {
                     entry.weights.learn(model, *version);
                 }
             }
@@ -117,10 +121,12 @@
             weights,
             load: None,
             parts: PartMemory::default(),
+            is_mirrored: false,
             guard: OutlierGuard::default(),
             answered_at: None,
             stage: SwapStage::Idle,
             is_behind: false,
+            is_expired: false,
             running: 0,
             unread: Vec::new(),
         });
@@ -191,10 +197,13 @@
     pub fn mark_swaps(
         &mut self,
         planner: &SwapPlanner,
+        limit: Micros,
+        now: Micros,
     ) {
         for (key, entry) in &mut self.entries {
             entry.stage = planner.stage(key);
             entry.is_behind = planner.is_behind(entry);
+            entry.is_expired = planner.is_expired(entry, limit, now);
         }
     }
 
--- a/core/src/serving/endpoint_entry.rs
+++ b/core/src/serving/endpoint_entry.rs
@@ -88,6 +88,8 @@
     pub load: Option<EngineLoad>,
     /// Parts that it is believed to keep.
     pub parts: PartMemory,
+    /// Whether all that it keeps has been told since it is known.
+    pub is_mirrored: bool,
     /// Its failures.
     pub guard: OutlierGuard,
     /// When it last answered a request of ours.
@@ -96,6 +98,8 @@
     pub stage: SwapStage,
     /// Whether newer weights than its own are named.
     pub is_behind: bool,
+    /// Whether its weights are too old for any request to begin on them.
+    pub is_expired: bool,
     /// Requests of ours that it has.
     pub running: u32,
     /// Those of them that it has not begun to answer.
@@ -123,7 +127,9 @@
             return false;
         };
         let age = now.since(load.at);
-        let answered = self.answered_at.is_some_and(|at| now.since(at) < SUSPECT_AFTER);
+        let answered = self
+            .answered_at
+            .is_some_and(|at| now.since(at) < SUSPECT_AFTER);
         age > SUSPECT_AFTER && age < UNREPORTED_AFTER && !answered
     }
 
--- a/core/src/serving/endpoint_pick.rs
+++ b/core/src/serving/endpoint_pick.rs
@@ -21,8 +21,12 @@
 /// read, in milliseconds: boxes that know nothing of each other's choices then
 /// read it at the same place, once.
 const HOME_TOKEN_MS: f64 = 1.0 / READ_TOKENS_PER_MS;
-/// What the home gets ahead in any case, in milliseconds.
-const HOME_MS: f64 = 6.0;
+/// What the home gets ahead for each shared token in any case, in milliseconds:
+/// a part that many engines hold takes the room of others.
+const HOME_SHARED_MS: f64 = 0.25 / READ_TOKENS_PER_MS;
+/// Cost of a token that is fetched, beyond its time, in milliseconds: the price
+/// of the move, and the room that it takes from others.
+const FETCHED_MS: f64 = 0.25 / READ_TOKENS_PER_MS;
 /// Cost of an engine that has no place free, in milliseconds.
 const FULL_MS: f64 = 800.0;
 /// Cost of memory that is short, in milliseconds for each token: requests that
@@ -65,6 +69,8 @@
     pub unread_tokens: u32,
     /// What it keeps already and what it fetches.
     pub plan: PromptPlan,
+    /// Tokens of shared parts.
+    pub shared_tokens: u32,
     /// Tokens of shared parts that it will have to read.
     pub shared_unread: u32,
     /// Version of the weights that it is believed to have.
@@ -93,7 +99,9 @@
     ask: &PickAsk<'_>,
     outlooks: &[VersionOutlook],
 ) -> Option<EndpointChoice> {
-    let is_long = ask.prompt.is_some_and(|prompt| prompt.tokens_out > LONG_ANSWER);
+    let is_long = ask
+        .prompt
+        .is_some_and(|prompt| prompt.tokens_out > LONG_ANSWER);
     let sound = best_of(book, ask, outlooks, &|entry| {
         let drains = entry.stage == SwapStage::Draining;
         is_sound(entry, ask.now) && !(is_long && drains)
@@ -127,7 +135,8 @@
     let mut weighed = Vec::new();
     for (key, entry) in book.iter() {
         let serves = entry.service == ask.service && entry.standing != EndpointStanding::Leaving;
-        if !serves || ask.tried.contains(&key) || !admits(entry) {
+        let is_out = entry.is_expired || ask.tried.contains(&key);
+        if !serves || is_out || !admits(entry) {
             continue;
         }
         let place = mix(home, &entry.id);
@@ -144,7 +153,8 @@
             cost += OTHER_DOMAIN_MS;
         }
         if best_home.is_some_and(|(_, at)| at == *key) {
-            cost -= HOME_MS + f64::from(choice.shared_unread) * HOME_TOKEN_MS;
+            cost -= f64::from(choice.shared_unread) * HOME_TOKEN_MS;
+            cost -= f64::from(choice.shared_tokens) * HOME_SHARED_MS;
         }
         if best.as_ref().is_none_or(|(least, _)| cost < *least) {
             best = Some((cost, choice));
@@ -163,6 +173,7 @@
         key,
         wait_ms: f64::from(entry.running) * PLAIN_QUEUE_MS,
         unread_tokens: 0,
+        shared_tokens: 0,
         shared_unread: 0,
         plan: PromptPlan::default(),
         version: None,
@@ -186,18 +197,29 @@
     outlooks: &[VersionOutlook],
 ) {
     choice.version = entry.weights.version(&prompt.model);
-    let known = outlooks.iter().find(|outlook| Some(outlook.version) == choice.version);
+    let known = outlooks
+        .iter()
+        .find(|outlook| Some(outlook.version) == choice.version);
     if let Some(outlook) = known {
         choice.plan = plan_prompt(choice.key, entry, outlook.wall, &outlook.parts);
     }
     let at_hand = choice.plan.kept_tokens + choice.plan.fetched_tokens;
     choice.unread_tokens = prompt.tokens_in.saturating_sub(at_hand);
-    let shared = prompt.parts.iter().rev().skip(1).map(|part| part.tokens).sum::<u32>();
+    let shared = prompt
+        .parts
+        .iter()
+        .rev()
+        .skip(1)
+        .map(|part| part.tokens)
+        .sum::<u32>();
+    choice.shared_tokens = shared;
     choice.shared_unread = shared.saturating_sub(at_hand);
     let others = f64::from(entry.unread_of_others(now)) * USUAL_UNREAD_TOKENS;
     let ahead = entry.unread_tokens() as f64 + others;
     choice.wait_ms = (ahead + f64::from(choice.unread_tokens)) / READ_TOKENS_PER_MS;
-    choice.wait_ms += choice.plan.fetch_ms + f64::from(choice.shared_unread) * SHARED_UNREAD_MS;
+    choice.wait_ms += choice.plan.fetch_ms;
+    choice.wait_ms += f64::from(choice.shared_unread) * SHARED_UNREAD_MS;
+    choice.wait_ms += f64::from(choice.plan.fetched_tokens) * FETCHED_MS;
     choice.wait_ms += f64::from(entry.occupied(now)) * RUNNING_MS;
     if entry.is_behind {
         choice.wait_ms += BEHIND_MS;
--- a/core/src/serving/memory_map.rs
+++ b/core/src/serving/memory_map.rs
@@ -14,6 +14,10 @@
 const FETCH_LIMIT_MS: f64 = 700.0;
 /// Time until a move from an engine begins, in milliseconds.
 const ENGINE_FIRST_MS: f64 = 1.7;
+/// Cost of a token that is fetched from an engine, beyond its time, in
+/// milliseconds: engines let parts go at any moment, and a part that is not
+/// there any more has to be read. Stores keep theirs.
+const ENGINE_RISK_MS: f64 = 0.006;
 
 /// Where a part can be fetched.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -84,13 +88,15 @@
         let mut before: Vec<Option<StoreView>> = before.into_iter().map(Some).collect();
         for store in stores {
             let known = before.iter_mut().find(|view| {
-                view.as_ref().is_some_and(|view| view.store.address == store.address)
+                view.as_ref()
+                    .is_some_and(|view| view.store.address == store.address)
             });
             let mut view = known.and_then(Option::take);
             if let Some(view) = &mut view {
                 view.store = store.clone();
             }
-            self.views.push(view.unwrap_or_else(|| StoreView::new(store.clone())));
+            self.views
+                .push(view.unwrap_or_else(|| StoreView::new(store.clone())));
         }
     }
 
@@ -99,7 +105,9 @@
         &mut self,
         address: SocketAddr,
     ) -> Option<&mut StoreView> {
-        self.views.iter_mut().find(|view| view.store.address == address)
+        self.views
+            .iter_mut()
+            .find(|view| view.store.address == address)
     }
 
     /// The view at a place.
@@ -154,7 +162,8 @@
                 });
             }
         }
-        let engine_ms = ENGINE_FIRST_MS + move_ms(bytes, group.link_mbps);
+        let risk_ms = f64::from(part.tokens) * ENGINE_RISK_MS;
+        let engine_ms = ENGINE_FIRST_MS + move_ms(bytes, group.link_mbps) + risk_ms;
         for (key, entry) in book.iter() {
             let keeps = entry.parts.tokens_of(wall, part.id) >= part.tokens;
             if keeps && is_source(entry, now) {
--- a/core/src/serving/mod.rs
+++ b/core/src/serving/mod.rs
@@ -24,6 +24,7 @@
 
 pub use {
     caller_limits::*, endpoint_book::*, endpoint_entry::*, endpoint_pick::*, key_trust::*,
-    kv_store::*, memory_map::*, part_memory::*, path_index::*, prompt_ask::*, prompt_part::*, refusal_kind::*,
-    repeat_meter::*, served_route::*, serving_config::*, store_view::*, swap_planner::*, wall_name::*, weight_belief::*,
+    kv_store::*, memory_map::*, part_memory::*, path_index::*, prompt_ask::*, prompt_part::*,
+    refusal_kind::*, repeat_meter::*, served_route::*, serving_config::*, store_view::*,
+    swap_planner::*, wall_name::*, weight_belief::*,
 };
--- a/core/src/serving/part_memory.rs
+++ b/core/src/serving/part_memory.rs
@@ -6,17 +6,7 @@
 
 /// Name of a wall inside which parts are shared: the salt, as one number.
 #[derive(
-    Debug,
-    Clone,
-    Copy,
-    Default,
-    PartialEq,
-    Eq,
-    Hash,
-    PartialOrd,
-    Ord,
-    Serialize,
-    Deserialize,
+    Debug, Clone, Copy, Default, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize,
 )]
 pub struct WallTag(pub u64);
 
@@ -112,8 +102,12 @@
         &self,
         wall: WallTag,
     ) -> Vec<PartId> {
-        let mut ids: Vec<PartId> =
-            self.parts.keys().filter(|(at, _)| *at == wall).map(|(_, id)| *id).collect();
+        let mut ids: Vec<PartId> = self
+            .parts
+            .keys()
+            .filter(|(at, _)| *at == wall)
+            .map(|(_, id)| *id)
+            .collect();
         ids.sort_unstable();
         ids
     }
--- a/core/src/serving/prompt_part.rs
+++ b/core/src/serving/prompt_part.rs
@@ -10,9 +10,7 @@
 }
 
 /// Id of a part's text, with the number of hex digits that it was written in.
-#[derive(
-    Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize,
-)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct PartId {
     value: u64,
     digits: u8,
--- a/core/src/serving/swap_planner.rs
+++ b/core/src/serving/swap_planner.rs
@@ -31,6 +31,13 @@
     learned_at: Micros,
 }
 
+impl Naming {
+    /// The earliest time at which the weights may have been named.
+    fn since(&self) -> Micros {
+        self.not_yet.unwrap_or(self.learned_at)
+    }
+}
+
 /// New weights that are named, and which engines load them now.
 #[derive(Debug, Clone, Default)]
 pub struct SwapPlanner {
@@ -137,7 +144,9 @@
 
     /// All named weights.
     pub fn all_named(&self) -> impl Iterator<Item = (&str, u64)> {
-        self.named.iter().map(|(model, version)| (model.as_str(), *version))
+        self.named
+            .iter()
+            .map(|(model, version)| (model.as_str(), *version))
     }
 
     /// The turn of an engine, if it has one.
@@ -160,6 +169,21 @@
         }
     }
 
+    /// Whether an engine has weights that newer ones are named for since more
+    /// than `limit`.
+    pub fn is_expired(
+        &self,
+        entry: &EndpointEntry,
+        limit: Micros,
+        now: Micros,
+    ) -> bool {
+        self.named.keys().any(|model| {
+            let version = entry.weights.version(model);
+            let replaced = version.and_then(|version| self.replaced_by(model, version));
+            replaced.is_some_and(|naming| now.since(naming.since()) > limit)
+        })
+    }
+
     /// Whether an engine lacks named weights.
     pub fn is_behind(
         &self,
@@ -205,7 +229,9 @@
         }
         waiting.sort_unstable_by_key(|(since, key)| (*since, book.get(*key).map(|e| &e.id)));
         for (since, key) in waiting {
-            let others = loading.iter().filter(|other| service(**other) == service(key));
+            let others = loading
+                .iter()
+                .filter(|other| service(**other) == service(key));
             let running = book.get(key).map_or(0, |entry| entry.occupied(now));
             let is_quiet = running <= QUIET_RUNNING || now.since(since) >= DRAIN_LIMIT;
             if others.count() >= LOADS_AT_ONCE || !is_quiet {
@@ -225,7 +251,10 @@
     ) -> Option<(String, u64)> {
         let mut named = self.named.iter();
         let lacking = named.find(|(model, version)| {
-            entry.weights.version(model).is_some_and(|known| known < **version)
+            entry
+                .weights
+                .version(model)
+                .is_some_and(|known| known < **version)
         });
         lacking.map(|(model, version)| (model.clone(), *version))
     }
@@ -237,7 +266,9 @@
     ) {
         let missed = &mut self.missed;
         self.turns.retain(|key, turn| {
-            let entry = book.get(*key).filter(|e| e.standing != EndpointStanding::Leaving);
+            let entry = book
+                .get(*key)
+                .filter(|e| e.standing != EndpointStanding::Leaving);
             let Some(entry) = entry else {
                 return false;
             };
@@ -272,7 +303,8 @@
                 continue;
             };
             let in_group = |other: &&EndpointKey| {
-                book.get(**other).is_some_and(|other| other.service == entry.service)
+                book.get(**other)
+                    .is_some_and(|other| other.service == entry.service)
             };
             if self.turns.keys().filter(in_group).count() >= TURNS_AT_ONCE {
                 continue;
--- a/entry/src/front/beside_link.rs
+++ b/entry/src/front/beside_link.rs
@@ -7,10 +7,7 @@
     pitchhitch_process::to_duration,
     pitchhitch_wire::beside::{BesideSocket, EngineDigest, FrontHello, WantedWeights},
     smol::Timer,
-    std::{
-        net::SocketAddr,
-        rc::Rc,
-    },
+    std::{net::SocketAddr, rc::Rc},
 };
 
 /// How often turns are planned anew.
@@ -51,7 +48,9 @@
     let mut guard = front.state();
     let state = &mut *guard;
     let begun = state.planner.plan(&state.book, now);
-    state.book.mark_swaps(&state.planner);
+    state
+        .book
+        .mark_swaps(&state.planner, front.settings.weights_limit, now);
     for (key, turn) in &begun {
         log::info!(
             event = "swap-turn",
@@ -89,15 +88,19 @@
     entry: &EndpointEntry,
 ) -> FrontHello {
     let turn = state.planner.turn(key);
-    let wanted = state.planner.all_named().map(|(model, version)| WantedWeights {
-        model: model.to_string(),
-        version,
-        is_turn: turn.is_some_and(|t| t.loads && t.model == model && t.version == version),
-    });
+    let wanted = state
+        .planner
+        .all_named()
+        .map(|(model, version)| WantedWeights {
+            model: model.to_string(),
+            version,
+            is_turn: turn.is_some_and(|t| t.loads && t.model == model && t.version == version),
+        });
     FrontHello {
         front: front.settings.box_id.clone(),
         engine_id: Some(entry.id.clone()),
         wanted: wanted.collect(),
+        wants_all: !entry.is_mirrored,
     }
 }
 
@@ -162,6 +165,7 @@
     if digest.forgets {
         entry.parts.clear();
     }
+    entry.is_mirrored |= digest.is_whole;
     for part in &digest.parts {
         entry.parts.set(part.wall, part.id, part.tokens);
     }
--- a/entry/src/front/front_process.rs
+++ b/entry/src/front/front_process.rs
@@ -1,5 +1,8 @@
 use {
-    super::{greet_engines, hear_digests, serve_caller, serve_small, watch_list, watch_operator, watch_stores, FrontContext, FrontSettings},
+    super::{
+        greet_engines, hear_digests, serve_caller, serve_small, watch_list, watch_operator,
+        watch_stores, FrontContext, FrontSettings,
+    },
     anyhow::Context,
     async_signal::{Signal, Signals},
     futures_lite::StreamExt,
@@ -149,7 +152,8 @@
 /// A planned stop: the balancer is told, then what is open is served to its end.
 async fn stop(front: &FrontContext) {
     let asked = Instant::now();
-    front.state().is_stopping = true;
+    let now = front.now();
+    front.state().stops_since = Some(now);
     log::info!(event = "stopping", running = front.state().running; "");
     Timer::after(NOTICE_TIME).await;
     front.state().closes_idle = true;
--- a/entry/src/front/front_settings.rs
+++ b/entry/src/front/front_settings.rs
@@ -28,6 +28,9 @@
     pub store: SocketAddr,
     /// Oldest knowledge of keys that lets callers in.
     pub key_limit: Micros,
+    /// Time from when newer weights are named until no request is sent to an
+    /// engine with older ones any more.
+    pub weights_limit: Micros,
     /// What may be sent again.
     pub repeats: RepeatBound,
     /// Time between SIGTERM and the end of the process by force.
@@ -40,6 +43,9 @@
 /// rest covers the way of a request and a clock that runs differently.
 const KEY_LIMIT_PART: u64 = 85;
 
+/// Time that a request may wait at an engine before it begins.
+const WEIGHTS_MARGIN: Micros = Micros::from_millis(2_500);
+
 impl FrontSettings {
     /// Reads the text of a settings file.
     ///
@@ -63,6 +69,12 @@
             key_limit: Micros::from_millis(
                 reader.number("key_limit_ms", 5_000, 100..=600_000) * KEY_LIMIT_PART / 100,
             ),
+            weights_limit: Micros::from_millis(reader.number(
+                "weights_limit_ms",
+                12_000,
+                100..=600_000,
+            ))
+            .since(WEIGHTS_MARGIN),
             repeats: RepeatBound {
                 window: Micros::from_secs(reader.number("repeat_window_s", 10, 1..=3_600)),
                 ratio: ratio.unwrap_or_default(),
--- a/entry/src/front/front_state.rs
+++ b/entry/src/front/front_state.rs
@@ -1,7 +1,10 @@
 use {
     super::{FrontSettings, LinkPool},
     pitchhitch_core::{
-        serving::{EndpointBook, KeyTrust, MemoryMap, RepeatMeter, ServingConfig, SwapPlanner, WallName, WallTag},
+        serving::{
+            EndpointBook, KeyTrust, MemoryMap, RepeatMeter, ServingConfig, SwapPlanner, WallName,
+            WallTag,
+        },
         time::Micros,
     },
     std::{collections::HashMap, rc::Rc},
@@ -27,8 +30,8 @@
     pub planner: SwapPlanner,
     /// Unused connections.
     pub pool: LinkPool,
-    /// Whether the process has been asked to stop.
-    pub is_stopping: bool,
+    /// Since when the process has been asked to stop.
+    pub stops_since: Option<Micros>,
     /// Whether connections that rest are closed.
     pub closes_idle: bool,
     /// Requests that are being served.
@@ -50,7 +53,7 @@
             memory: MemoryMap::default(),
             planner: SwapPlanner::default(),
             pool: LinkPool::default(),
-            is_stopping: false,
+            stops_since: None,
             closes_idle: false,
             running: 0,
             fronts: USUAL_FRONTS,
@@ -97,7 +100,9 @@
     /// All salts of ours that have been seen, with their tags.
     pub fn walls(&self) -> Vec<(WallName, WallTag)> {
         let walls = self.walls.iter();
-        walls.filter_map(|(salt, tag)| Some((WallName::parse(salt)?, *tag))).collect()
+        walls
+            .filter_map(|(salt, tag)| Some((WallName::parse(salt)?, *tag)))
+            .collect()
     }
 
     /// Whether the process can serve what it gets.
@@ -109,6 +114,6 @@
             return false;
         };
         let has_keys = !config.organisations.is_empty();
-        !self.is_stopping && (!has_keys || self.trust.is_sound(now))
+        self.stops_since.is_none() && (!has_keys || self.trust.is_sound(now))
     }
 }
--- a/entry/src/front/mod.rs
+++ b/entry/src/front/mod.rs
@@ -24,8 +24,8 @@
 mod wake_reason;
 
 pub(crate) use {
-    beside_link::*, caller_conn::*, event_splitter::*, front_context::*, front_metrics::*, front_state::*,
-    link_pool::*, list_watch::*, offer::*, operator_watch::*, plain_answer::*, request_run::*,
-    small_server::*, store_watch::*, stream_relay::*, wake_reason::*,
+    beside_link::*, caller_conn::*, event_splitter::*, front_context::*, front_metrics::*,
+    front_state::*, link_pool::*, list_watch::*, offer::*, operator_watch::*, plain_answer::*,
+    request_run::*, small_server::*, store_watch::*, stream_relay::*, wake_reason::*,
 };
 pub use {front_process::*, front_settings::*};
--- a/entry/src/front/operator_watch.rs
+++ b/entry/src/front/operator_watch.rs
@@ -67,7 +67,9 @@
                 let mut guard = front.state();
                 let state = &mut *guard;
                 let not_yet = state.trust.proven_at();
-                state.planner.name(&named.model, named.version, not_yet, now);
+                state
+                    .planner
+                    .name(&named.model, named.version, not_yet, now);
                 log::info!(
                     event = "weights-named",
                     model = named.model.as_str(),
--- a/entry/src/front/request_run.rs
+++ b/entry/src/front/request_run.rs
@@ -1,7 +1,8 @@
 use {
     super::{
         read_plain_answer, relay_stream, send_offer, within, write_to_caller, FrontContext,
-        FrontState, OfferAnswer, OfferFailure, OpenOffer, RelayNews, StreamProgress, WholeAnswer, WholeRequest,
+        FrontState, OfferAnswer, OfferFailure, OpenOffer, RelayNews, StreamProgress, WholeAnswer,
+        WholeRequest,
     },
     pitchhitch_core::{
         serving::{
@@ -25,6 +26,11 @@
 const TRANSIT: Micros = Micros::from_millis(4);
 /// Time that a caller waits where it does not say.
 const USUAL_PATIENCE: Micros = Micros::from_secs(30);
+/// Time after SIGTERM in which streams are taken: the platform allows for those
+/// that come within three seconds.
+const STREAM_TAKEN: Micros = Micros::from_millis(2_800);
+/// Time before the end by force in which plain requests are not taken any more.
+const PLAIN_END: Micros = Micros::from_millis(2_000);
 /// Endpoints that may prove that they did not run a request, beyond those that
 /// may run it.
 const PROVEN_LIMIT: u32 = 2;
@@ -87,9 +93,10 @@
 ) -> RequestEnd {
     let ask = decode_ask(&request.head);
     let admitted = admit(front, &ask);
-    let closes = front.state().is_stopping
+    let closes = front.state().stops_since.is_some()
         || request.head.fields.has_word("connection", "close")
         || !request.head.is_current;
+    let admitted = admitted.and_then(|admitted| refuse_if_stopping(front, admitted));
     let (config, place) = match admitted {
         Ok(admitted) => admitted,
         Err(kind) => return refuse(front, caller, &ask, kind, closes, request.came_at, 0).await,
@@ -143,6 +150,23 @@
     Ok((config, place))
 }
 
+/// A stopping process takes nothing that may not end before it has to.
+fn refuse_if_stopping(
+    front: &FrontContext,
+    admitted: (Rc<ServingConfig>, RequestPlace),
+) -> Result<(Rc<ServingConfig>, RequestPlace), RefusalKind> {
+    let (config, place) = &admitted;
+    let stops_since = front.state().stops_since;
+    let limit = match config.routes[place.route].is_stream {
+        true => STREAM_TAKEN,
+        false => Micros(front.settings.stop_limit.as_micros() as u64).since(PLAIN_END),
+    };
+    match stops_since.is_some_and(|at| front.now().since(at) > limit) {
+        true => Err(RefusalKind::Stopping),
+        false => Ok(admitted),
+    }
+}
+
 fn spread_number(request_id: &str) -> u64 {
     let mix = |hash: u64, byte: u8| (hash ^ u64::from(byte)).wrapping_mul(0x0000_0100_0000_01b3);
     let hash = request_id.bytes().fold(0xcbf2_9ce4_8422_2325, mix);
@@ -192,7 +216,7 @@
 
     /// Whether the caller's connection ends with this request.
     fn closes(&self) -> bool {
-        self.asked_close || self.front.state().is_stopping
+        self.asked_close || self.front.state().stops_since.is_some()
     }
 
     async fn serve(&mut self) -> RequestEnd {
@@ -304,11 +328,18 @@
         &self,
         version: u64,
     ) -> WallName {
-        let organisation = self.place.organisation.map(|place| &self.config.organisations[place]);
+        let organisation = self
+            .place
+            .organisation
+            .map(|place| &self.config.organisations[place]);
         let organisation = organisation.filter(|organisation| organisation.is_isolated);
         WallName {
             version,
-            model: self.ask.prompt.as_ref().map_or_else(String::new, |p| p.model.clone()),
+            model: self
+                .ask
+                .prompt
+                .as_ref()
+                .map_or_else(String::new, |p| p.model.clone()),
             organisation: organisation.map(|organisation| organisation.name.clone()),
         }
     }
@@ -343,14 +374,19 @@
         let (Some(prompt), Some(group)) = (&self.ask.prompt, self.group()) else {
             return Vec::new();
         };
-        let versions = state.book.iter().filter_map(|(_, e)| e.weights.version(&prompt.model));
+        let versions = state
+            .book
+            .iter()
+            .filter_map(|(_, e)| e.weights.version(&prompt.model));
         let mut versions: Vec<u64> = versions.collect();
         versions.sort_unstable();
         versions.dedup();
         let mut outlooks = Vec::new();
         for version in versions {
             let wall = state.wall(&self.wall(version).salt());
-            let parts = state.memory.outlook(&state.book, group, wall, &prompt.parts, now);
+            let parts = state
+                .memory
+                .outlook(&state.book, group, wall, &prompt.parts, now);
             outlooks.push(VersionOutlook {
                 version,
                 wall,
@@ -368,11 +404,16 @@
         mut parts: Vec<PartOutlook>,
         now: Micros,
     ) -> Vec<PartOutlook> {
-        let model = self.ask.prompt.as_ref().map_or("", |prompt| prompt.model.as_str());
+        let model = self
+            .ask
+            .prompt
+            .as_ref()
+            .map_or("", |prompt| prompt.model.as_str());
         let proven_at = state.trust.proven_at();
         if !state.planner.may_fetch(model, version, proven_at, now) {
             for part in &mut parts {
-                part.sources.retain(|source| !matches!(source.place, PartPlace::Store(_)));
+                part.sources
+                    .retain(|source| !matches!(source.place, PartPlace::Store(_)));
             }
         }
         parts
@@ -489,8 +530,13 @@
             _ => PartMoves::default(),
         };
         let entry = state.book.get(choice.key);
-        let organisation = self.place.organisation.map(|place| &self.config.organisations[place]);
-        let rank = organisation.and_then(|o| o.priority).unwrap_or(self.route().priority);
+        let organisation = self
+            .place
+            .organisation
+            .map(|place| &self.config.organisations[place]);
+        let rank = organisation
+            .and_then(|o| o.priority)
+            .unwrap_or(self.route().priority);
         let is_engine = self.ask.prompt.is_some();
         // Without a known version nothing may be shared: not even with others
         // of which no more is known.
@@ -509,7 +555,11 @@
             fetch: &moves.fetch,
             save: &moves.save,
             fetch_until_ms: moves.until_ms,
-            last_event: self.progress.splitter.last_id().filter(|_| self.progress.is_begun),
+            last_event: self
+                .progress
+                .splitter
+                .last_id()
+                .filter(|_| self.progress.is_begun),
         };
         encode_request(&self.request.head, &self.request.body, &order)
     }
@@ -546,7 +596,10 @@
         }
         moves.fetch.resize(prompt.parts.len(), None);
         state.memory.fetching(&choice.plan, now);
-        let is_newest = state.planner.named(&prompt.model).is_none_or(|named| version >= named);
+        let is_newest = state
+            .planner
+            .named(&prompt.model)
+            .is_none_or(|named| version >= named);
         if is_newest {
             let saves = state.memory.plan_saves(wall, &prompt.parts, now);
             let address = |address| PartAddress {
@@ -777,6 +830,29 @@
         }
     }
 
+    /// The shared parts and what becomes of them: kept, fetched or read.
+    fn told_parts(
+        &self,
+        choice: &EndpointChoice,
+    ) -> String {
+        let parts = self
+            .ask
+            .prompt
+            .as_ref()
+            .map_or(&[][..], |prompt| &prompt.parts);
+        let mut told = String::new();
+        for (place, part) in parts[..parts.len().saturating_sub(1)].iter().enumerate() {
+            let sign = match choice.plan.parts.get(place) {
+                None => 'r',
+                Some(fetch) if fetch.source.is_none() => 'k',
+                Some(_) => 'f',
+            };
+            let comma = if place == 0 { "" } else { "," };
+            told.push_str(&format!("{comma}{}:{sign}", part.id));
+        }
+        told
+    }
+
     fn log_try(
         &self,
         choice: &EndpointChoice,
@@ -801,6 +877,7 @@
             kept = choice.plan.kept_tokens,
             fetched = choice.plan.fetched_tokens,
             fetch_ms = choice.plan.fetch_ms as u64,
+            parts = self.told_parts(choice).as_str(),
             weights = choice.version.unwrap_or(0),
             of = choice.candidates,
             load_age_ms = load.map_or(-1, |load| now.since(load.at).as_millis() as i64);
--- a/entry/src/front/store_watch.rs
+++ b/entry/src/front/store_watch.rs
@@ -22,7 +22,7 @@
 /// Time limit of a question, beyond the time it is held.
 const CALL_LIMIT: Duration = Duration::from_millis(500);
 /// How often it is looked for new stores.
-const STORES_PAUSE: Micros = Micros::from_millis(500);
+const STORES_PAUSE: Micros = Micros::from_millis(60);
 /// Parts freed by one call.
 const FREE_LIMIT: usize = 200;
 /// Pause between two calls that free.
@@ -34,7 +34,12 @@
     loop {
         let known: Vec<SocketAddr> = {
             let state = front.state();
-            state.memory.views().iter().map(|view| view.store.address).collect()
+            state
+                .memory
+                .views()
+                .iter()
+                .map(|view| view.store.address)
+                .collect()
         };
         watched.retain(|address| known.contains(address));
         for address in known {
@@ -56,6 +61,7 @@
     let mut next: Option<u64> = None;
     let mut is_lost = false;
     while has_view(&front, address) {
+        let is_first = next.is_none();
         let outcome = match next {
             Some(since) => read_changes(&front, &mut client, address, since).await,
             None => read_list(&front, &mut client, address).await,
@@ -64,12 +70,15 @@
             Some(from) => next = from,
             None => with_view(&front, address, StoreView::lost),
         }
+        let is_first = is_first && next.is_some();
         if outcome.is_none() != is_lost {
             is_lost = outcome.is_none();
             let store = address.to_string();
             log::info!(event = "kv-store", store = store.as_str(), lost = is_lost; "");
         }
-        if next.is_some() || is_lost {
+        // After the list the first changes are asked for at once: with them comes
+        // the time on the engines' clock, which fetches need.
+        if !is_first && (next.is_some() || is_lost) {
             Timer::after(to_duration(LOOK_PAUSE)).await;
         }
     }
@@ -109,7 +118,11 @@
         extra_time: Duration::from_millis(HOLD_MS),
         ..HttpCall::default()
     };
-    let answer = client.call(call).await.ok().filter(|answer| answer.status == 200)?;
+    let answer = client
+        .call(call)
+        .await
+        .ok()
+        .filter(|answer| answer.status == 200)?;
     let changes = decode_changes(&answer.body).ok()?;
     let mut state = front.state();
     let known = state.memory.view_mut(address)?.epoch();
@@ -137,7 +150,11 @@
         target: KEPT_LIST_PATH,
         ..HttpCall::default()
     };
-    let answer = client.call(call).await.ok().filter(|answer| answer.status == 200)?;
+    let answer = client
+        .call(call)
+        .await
+        .ok()
+        .filter(|answer| answer.status == 200)?;
     let list = decode_list(&answer.body).ok()?;
     let now = front.now();
     with_view(front, address, |view| {
--- a/wire/src/beside/engine_digest.rs
+++ b/wire/src/beside/engine_digest.rs
@@ -34,6 +34,8 @@
     pub fronts: u32,
     /// Whether the engine has forgotten all that it kept before these parts.
     pub forgets: bool,
-    /// Parts that changed.
+    /// Whether this ends the telling of all that the engine keeps.
+    pub is_whole: bool,
+    /// Parts that changed, or some of all.
     pub parts: Vec<DigestPart>,
 }
--- a/wire/src/beside/front_hello.rs
+++ b/wire/src/beside/front_hello.rs
@@ -20,4 +20,6 @@
     pub engine_id: Option<String>,
     /// Weights that the engine should have.
     pub wanted: Vec<WantedWeights>,
+    /// Whether the front wants to be told all that the engine keeps.
+    pub wants_all: bool,
 }
