--- /dev/null
+++ b/core/src/serving/admission_rule.rs
@@ -0,0 +1,50 @@
+use {super::EndpointChoice, crate::time::Micros, std::collections::HashMap};
+
+/// Part of a request's aim that an engine may read for others first.
+const AHEAD_PART: f64 = 0.6;
+/// Tokens of prompts that may wait at an engine for memory: while more do, what
+/// runs is put back and read again, and nothing is in time. Found by trial.
+const WAITING_TOKENS: f64 = 24_000.0;
+/// Weight of one request in the mean size of its route.
+const SIZE_STEP: f64 = 0.05;
+
+/// Decides which prompts are refused at once, because an engine would begin with
+/// them too late: their callers do better to come back.
+///
+/// Sizes count by route, not by request: a large request of a kind has the same
+/// chance as a small one.
+#[derive(Debug, Clone, Default)]
+pub struct AdmissionRule {
+    sizes: HashMap<String, f64>,
+}
+
+impl AdmissionRule {
+    /// Notes a prompt of a route.
+    pub fn note(
+        &mut self,
+        route: &str,
+        tokens: u32,
+    ) {
+        let tokens = f64::from(tokens);
+        match self.sizes.get_mut(route) {
+            Some(size) => *size += (tokens - *size) * SIZE_STEP,
+            None => {
+                self.sizes.insert(route.to_string(), tokens);
+            }
+        }
+    }
+
+    /// Whether a prompt of a route should be refused, if `choice` is the best
+    /// engine for it.
+    pub fn refuses(
+        &self,
+        route: &str,
+        aim: Micros,
+        choice: &EndpointChoice,
+    ) -> bool {
+        let size = self.sizes.get(route).copied().unwrap_or(1.0).max(1.0);
+        let may_wait = (WAITING_TOKENS / size).max(1.0);
+        let is_late = choice.ahead_ms > aim.as_millis() as f64 * AHEAD_PART;
+        is_late || f64::from(choice.waiting) > may_wait
+    }
+}
--- a/core/src/serving/endpoint_entry.rs
+++ b/core/src/serving/endpoint_entry.rs
@@ -63,6 +63,8 @@
     pub ticket: u64,
     /// Tokens that the endpoint must read for it.
     pub tokens: u32,
+    /// Its rank; engines read the more urgent first.
+    pub rank: u8,
     /// When it was sent.
     pub sent_at: Micros,
 }
@@ -156,9 +158,14 @@
         load.unread.saturating_sub(own)
     }
 
-    /// Tokens that our requests still have to be read for.
-    pub fn unread_tokens(&self) -> u64 {
-        self.unread.iter().map(|work| u64::from(work.tokens)).sum()
+    /// Tokens that our requests still have to be read for, of those that go
+    /// before a request of this rank.
+    pub fn unread_tokens(
+        &self,
+        rank: u8,
+    ) -> u64 {
+        let before = self.unread.iter().filter(|work| work.rank <= rank);
+        before.map(|work| u64::from(work.tokens)).sum()
     }
 
     /// Requests that it runs or holds, as far as is known.
--- a/core/src/serving/endpoint_pick.rs
+++ b/core/src/serving/endpoint_pick.rs
@@ -52,6 +52,8 @@
     pub domain: &'a str,
     /// Prompt, where the service is of model engines.
     pub prompt: Option<&'a PromptAsk>,
+    /// Rank of the request; 0 is the most urgent.
+    pub rank: u8,
     /// Endpoints that this request has been to.
     pub tried: &'a [EndpointKey],
     /// Current time.
@@ -65,6 +67,10 @@
     pub key: EndpointKey,
     /// Estimated time until the answer begins, in milliseconds.
     pub wait_ms: f64,
+    /// Time for which it reads for others first, in milliseconds.
+    pub ahead_ms: f64,
+    /// Requests that wait at it for a place or for memory.
+    pub waiting: u32,
     /// Tokens that it will have to read.
     pub unread_tokens: u32,
     /// What it keeps already and what it fetches.
@@ -172,6 +178,8 @@
     let mut choice = EndpointChoice {
         key,
         wait_ms: f64::from(entry.running) * PLAIN_QUEUE_MS,
+        ahead_ms: 0.0,
+        waiting: 0,
         unread_tokens: 0,
         shared_tokens: 0,
         shared_unread: 0,
@@ -181,7 +189,7 @@
         has_place: entry.slots == 0 || entry.occupied(ask.now) < entry.slots,
     };
     if let Some(prompt) = ask.prompt {
-        weigh_engine(&mut choice, entry, prompt, ask.now, outlooks);
+        weigh_engine(&mut choice, entry, prompt, ask, outlooks);
     }
     if !choice.has_place {
         choice.wait_ms += FULL_MS;
@@ -193,7 +201,7 @@
     choice: &mut EndpointChoice,
     entry: &EndpointEntry,
     prompt: &PromptAsk,
-    now: Micros,
+    ask: &PickAsk<'_>,
     outlooks: &[VersionOutlook],
 ) {
     choice.version = entry.weights.version(&prompt.model);
@@ -214,9 +222,11 @@
         .sum::<u32>();
     choice.shared_tokens = shared;
     choice.shared_unread = shared.saturating_sub(at_hand);
+    let now = ask.now;
     let others = f64::from(entry.unread_of_others(now)) * USUAL_UNREAD_TOKENS;
-    let ahead = entry.unread_tokens() as f64 + others;
-    choice.wait_ms = (ahead + f64::from(choice.unread_tokens)) / READ_TOKENS_PER_MS;
+    let ahead = entry.unread_tokens(ask.rank) as f64 + others * others_before(ask.rank);
+    choice.ahead_ms = ahead / READ_TOKENS_PER_MS;
+    choice.wait_ms = choice.ahead_ms + f64::from(choice.unread_tokens) / READ_TOKENS_PER_MS;
     choice.wait_ms += choice.plan.fetch_ms;
     choice.wait_ms += f64::from(choice.shared_unread) * SHARED_UNREAD_MS;
     choice.wait_ms += f64::from(choice.plan.fetched_tokens) * FETCHED_MS;
@@ -225,12 +235,23 @@
         choice.wait_ms += BEHIND_MS;
     }
     if let Some(load) = entry.fresh_load(now) {
+        choice.waiting = load.waiting;
         let wanted = load.used_tokens + ahead as u64 + u64::from(prompt.tokens_in);
         let short = wanted.saturating_sub(load.total_tokens);
         choice.wait_ms += short as f64 * SHORT_MEMORY_MS;
     }
 }
 
+/// Part of the others' tokens that goes before a request of this rank: of the
+/// sites' tokens a fifth is of the most urgent rank, and most is of the third.
+fn others_before(rank: u8) -> f64 {
+    match rank {
+        0 => 0.25,
+        1 => 0.4,
+        _ => 1.0,
+    }
+}
+
 /// The number that a prompt's home is drawn from: its last shared part.
 fn home_number(ask: &PickAsk<'_>) -> u64 {
     let parts = ask.prompt.map_or(&[][..], |prompt| &prompt.parts);
--- a/core/src/serving/mod.rs
+++ b/core/src/serving/mod.rs
@@ -2,6 +2,7 @@
 //! and organisation a request has, which endpoint takes it, what may be sent
 //! again, and how fresh the knowledge behind all that must be.
 
+mod admission_rule;
 mod caller_limits;
 mod endpoint_book;
 mod endpoint_entry;
@@ -23,8 +24,8 @@
 mod weight_belief;
 
 pub use {
-    caller_limits::*, endpoint_book::*, endpoint_entry::*, endpoint_pick::*, key_trust::*,
-    kv_store::*, memory_map::*, part_memory::*, path_index::*, prompt_ask::*, prompt_part::*,
-    refusal_kind::*, repeat_meter::*, served_route::*, serving_config::*, store_view::*,
-    swap_planner::*, wall_name::*, weight_belief::*,
+    admission_rule::*, caller_limits::*, endpoint_book::*, endpoint_entry::*, endpoint_pick::*,
+    key_trust::*, kv_store::*, memory_map::*, part_memory::*, path_index::*, prompt_ask::*,
+    prompt_part::*, refusal_kind::*, repeat_meter::*, served_route::*, serving_config::*,
+    store_view::*, swap_planner::*, wall_name::*, weight_belief::*,
 };
--- a/core/src/serving/refusal_kind.rs
+++ b/core/src/serving/refusal_kind.rs
@@ -57,7 +57,7 @@
 /// A short while, for what another endpoint or box may take at once.
 const SOON: Micros = Micros::from_millis(40);
 /// A while in which a queue of engines gets shorter.
-const LATER: Micros = Micros::from_millis(250);
+const LATER: Micros = Micros::from_millis(600);
 /// A while in which a store can be reached again.
 const STORE_PAUSE: Micros = Micros::from_millis(400);
 
--- a/entry/src/front/front_state.rs
+++ b/entry/src/front/front_state.rs
@@ -2,8 +2,8 @@
     super::{FrontSettings, LinkPool},
     pitchhitch_core::{
         serving::{
-            EndpointBook, KeyTrust, MemoryMap, RepeatMeter, ServingConfig, SwapPlanner, WallName,
-            WallTag,
+            AdmissionRule, EndpointBook, KeyTrust, MemoryMap, RepeatMeter, ServingConfig,
+            SwapPlanner, WallName, WallTag,
         },
         time::Micros,
     },
@@ -24,6 +24,8 @@
     pub book: EndpointBook,
     /// Age of the configuration.
     pub trust: KeyTrust,
+    /// What is refused while engines are behind.
+    pub admission: AdmissionRule,
     /// Stores and what is known of their content.
     pub memory: MemoryMap,
     /// Named weights and whose turn it is to load them.
@@ -50,6 +52,7 @@
             config: None,
             book: EndpointBook::default(),
             trust: KeyTrust::new(settings.key_limit),
+            admission: AdmissionRule::default(),
             memory: MemoryMap::default(),
             planner: SwapPlanner::default(),
             pool: LinkPool::default(),
--- a/entry/src/front/request_run.rs
+++ b/entry/src/front/request_run.rs
@@ -31,6 +31,8 @@
 const STREAM_TAKEN: Micros = Micros::from_millis(2_800);
 /// Time before the end by force in which plain requests are not taken any more.
 const PLAIN_END: Micros = Micros::from_millis(2_000);
+/// The least urgent rank that engines know.
+const LOWEST_RANK: u8 = 9;
 /// Endpoints that may prove that they did not run a request, beyond those that
 /// may run it.
 const PROVEN_LIMIT: u32 = 2;
@@ -236,6 +238,11 @@
             let Some(choice) = self.pick() else {
                 break;
             };
+            if self.is_too_late(&choice) {
+                self.log_try(&choice, "too-late", "");
+                last_failure = RefusalKind::Overloaded;
+                break;
+            }
             let Some(mut offer) = self.open(&choice).await else {
                 self.tried.push(choice.key);
                 continue;
@@ -344,6 +351,30 @@
         }
     }
 
+    /// Rank of the request: the organisation's goes before the route's.
+    fn rank(&self) -> u8 {
+        let organisation = self
+            .place
+            .organisation
+            .map(|place| &self.config.organisations[place]);
+        let rank = organisation.and_then(|organisation| organisation.priority);
+        rank.unwrap_or(self.route().priority).min(LOWEST_RANK)
+    }
+
+    /// Whether an endpoint would begin with the request too late.
+    fn is_too_late(
+        &self,
+        choice: &EndpointChoice,
+    ) -> bool {
+        let Some(prompt) = self.ask.prompt.as_ref().filter(|_| self.sends == 0) else {
+            return false;
+        };
+        let route = self.route();
+        let mut state = self.front.state();
+        state.admission.note(&route.name, prompt.tokens_in);
+        state.admission.refuses(&route.name, route.aim, choice)
+    }
+
     fn group(&self) -> Option<&EngineGroup> {
         self.config.groups.get(&self.service)?.engine.as_ref()
     }
@@ -358,6 +389,7 @@
             service: &self.service,
             domain: &front.settings.failure_domain,
             prompt: self.ask.prompt.as_ref(),
+            rank: self.rank(),
             tried: &self.tried,
             now,
         };
@@ -476,6 +508,7 @@
             let work = UnreadWork {
                 ticket,
                 tokens: choice.unread_tokens,
+                rank: self.rank(),
                 sent_at: front.now(),
             };
             state.book.sent(choice.key, work);
@@ -534,9 +567,6 @@
             .place
             .organisation
             .map(|place| &self.config.organisations[place]);
-        let rank = organisation
-            .and_then(|o| o.priority)
-            .unwrap_or(self.route().priority);
         let is_engine = self.ask.prompt.is_some();
         // Without a known version nothing may be shared: not even with others
         // of which no more is known.
@@ -549,7 +579,7 @@
             endpoint_id: entry.map_or("", |entry| entry.id.as_str()),
             patience: left.since(TRANSIT).max(Micros::from_millis(1)),
             organisation: organisation.map(|organisation| organisation.name.as_str()),
-            priority: is_engine.then_some(rank.min(9)),
+            priority: is_engine.then(|| self.rank()),
             version: choice.version.filter(|_| is_engine),
             salt: Some(salt.as_str()).filter(|_| is_engine),
             fetch: &moves.fetch,
@@ -872,6 +902,10 @@
             cause = cause,
             send = self.sends,
             estimate_ms = choice.wait_ms as u64,
+            ahead_ms = choice.ahead_ms as u64,
+            running = entry.map_or(0, |entry| entry.occupied(now)),
+            waiting = choice.waiting,
+            used = load.map_or(0, |load| load.used_tokens),
             unread = choice.unread_tokens,
             shared_unread = choice.shared_unread,
             kept = choice.plan.kept_tokens,
