--- a/agent/src/beside/beside_process.rs
+++ b/agent/src/beside/beside_process.rs
@@ -4,7 +4,7 @@
         BesideSettings,
     },
     anyhow::Context,
-    pitchhitch_process::{flush_log, stop_asked},
+    pitchhitch_process::{flush_log, ProcessSignal, SignalWatch},
     pitchhitch_wire::beside::BesideSocket,
     smol::Timer,
     std::time::Duration,
@@ -13,11 +13,16 @@
 /// How often lines of the log are written out.
 const LOG_PAUSE: Duration = Duration::from_millis(250);
 
-/// Runs the process beside an engine until it is asked to stop.
+/// Runs the process beside an engine until it is asked to stop; `reload` reads
+/// the settings again.
 ///
 /// # Errors
 /// When an address cannot be bound or a signal cannot be watched.
-pub async fn run_beside(settings: BesideSettings) -> anyhow::Result<()> {
+pub async fn run_beside(
+    settings: BesideSettings,
+    reload: &dyn Fn() -> Result<BesideSettings, String>,
+) -> anyhow::Result<()> {
+    let mut signals = SignalWatch::start().context("cannot watch signals")?;
     let socket = BesideSocket::bind(settings.listen).await;
     let socket = socket.with_context(|| format!("cannot listen on {}", settings.listen))?;
     let beside = BesideContext::new(settings, socket);
@@ -39,11 +44,27 @@
         program = env!("CARGO_PKG_VERSION");
         ""
     );
-    beside
-        .run(stop_asked())
-        .await
-        .context("cannot watch signals")?;
+    let stopped = wait_for_stop(&beside, &mut signals, reload);
+    beside.run(stopped).await?;
     log::info!(event = "stopped", beside = beside.settings.box_id.as_str(); "");
     flush_log();
     Ok(())
 }
+
+/// New settings are checked and compared; what they change needs a restart.
+async fn wait_for_stop(
+    beside: &BesideContext,
+    signals: &mut SignalWatch,
+    reload: &dyn Fn() -> Result<BesideSettings, String>,
+) -> anyhow::Result<()> {
+    while signals.next().await.context("cannot watch signals")? == ProcessSignal::Reload {
+        match reload() {
+            Ok(settings) => {
+                let changed = settings != beside.settings;
+                log::info!(event = "reload", changed = changed; "");
+            }
+            Err(error) => log::error!(event = "reload", error = error.as_str(); ""),
+        }
+    }
+    Ok(())
+}
--- a/agent/src/cli/agent_cli.rs
+++ b/agent/src/cli/agent_cli.rs
@@ -106,7 +106,8 @@
         return ExitCode::SUCCESS;
     }
     start_bounded_logging();
-    match smol::block_on(run_beside(settings)) {
+    let reload = || read_beside_settings(&file);
+    match smol::block_on(run_beside(settings, &reload)) {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
             log::error!(event = "failed", error = format!("{error:#}").as_str(); "");
--- a/entry/src/front/front_process.rs
+++ b/entry/src/front/front_process.rs
@@ -4,11 +4,9 @@
         watch_stores, FrontContext, FrontSettings,
     },
     anyhow::Context,
-    async_signal::{Signal, Signals},
-    futures_lite::StreamExt,
     pitchhitch_core::time::Micros,
     pitchhitch_http1::ByteLink,
-    pitchhitch_process::{flush_log, to_duration},
+    pitchhitch_process::{flush_log, to_duration, ProcessSignal, SignalWatch},
     pitchhitch_wire::beside::BesideSocket,
     smol::{Async, Timer},
     std::{
@@ -47,8 +45,7 @@
     reload: &dyn Fn() -> Result<FrontSettings, String>,
 ) -> anyhow::Result<()> {
     let settings = front.settings.clone();
-    let mut signals =
-        Signals::new([Signal::Term, Signal::Int, Signal::Hup]).context("cannot watch signals")?;
+    let mut signals = SignalWatch::start().context("cannot watch signals")?;
     let callers = TcpListener::bind(settings.callers);
     let callers = callers.with_context(|| format!("cannot listen on {}", settings.callers))?;
     serve_small(front.clone(), settings.ready, answer_ready)
@@ -76,11 +73,8 @@
         program = env!("CARGO_PKG_VERSION");
         ""
     );
-    while let Some(signal) = signals.next().await {
-        match signal.context("cannot watch signals")? {
-            Signal::Hup => note_reload(&front, reload),
-            _ => break,
-        }
+    while signals.next().await.context("cannot watch signals")? == ProcessSignal::Reload {
+        note_reload(&front, reload);
     }
     stop(&front).await;
     flush_log();
--- a/http1/tests/body_frames.rs
+++ b/http1/tests/body_frames.rs
@@ -46,7 +46,12 @@
 
 #[test]
 fn cut_body_unfinished() {
-    for wire in [&b"5\r\nabc"[..], b"5\r\nabcde\r\n", b"5\r\nabcde\r\n0\r\n", b""] {
+    for wire in [
+        &b"5\r\nabc"[..],
+        b"5\r\nabcde\r\n",
+        b"5\r\nabcde\r\n0\r\n",
+        b"",
+    ] {
         let (_, is_done, _) = decode(BodyFraming::Chunked, &[wire]).expect("sound so far");
         assert!(!is_done);
     }
@@ -56,8 +61,18 @@
 
 #[test]
 fn bad_chunks_refused() {
-    for wire in [&b"x\r\n"[..], b"\r\n", b"-1\r\n", b"+5\r\nabcde", b"5\nabcde", b"1\r\nab\r\n"] {
-        assert_eq!(decode(BodyFraming::Chunked, &[wire]).err(), Some(HeadError::Malformed));
+    for wire in [
+        &b"x\r\n"[..],
+        b"\r\n",
+        b"-1\r\n",
+        b"+5\r\nabcde",
+        b"5\nabcde",
+        b"1\r\nab\r\n",
+    ] {
+        assert_eq!(
+            decode(BodyFraming::Chunked, &[wire]).err(),
+            Some(HeadError::Malformed)
+        );
     }
 }
 
@@ -71,7 +86,10 @@
 #[test]
 fn unclear_length_refused() {
     assert_eq!(framing("Content-Length: 5\r\n"), Ok(BodyFraming::Length(5)));
-    assert_eq!(framing("Transfer-Encoding: chunked\r\n"), Ok(BodyFraming::Chunked));
+    assert_eq!(
+        framing("Transfer-Encoding: chunked\r\n"),
+        Ok(BodyFraming::Chunked)
+    );
     assert_eq!(framing(""), Ok(BodyFraming::Empty));
     for unclear in [
         "Content-Length: 5\r\nContent-Length: 6\r\n",
@@ -89,15 +107,24 @@
 #[test]
 fn heads_limited() {
     let long = format!("GET / HTTP/1.1\r\nA: {}\r\n\r\n", "x".repeat(500));
-    assert_eq!(read_request_head(long.as_bytes(), 100), Err(HeadError::TooLong));
+    assert_eq!(
+        read_request_head(long.as_bytes(), 100),
+        Err(HeadError::TooLong)
+    );
     assert_eq!(read_request_head(&long.as_bytes()[..90], 100), Ok(None));
-    assert_eq!(read_answer_head(b"\x00\x01nonsense\r\n\r\n", 100), Err(HeadError::Malformed));
+    assert_eq!(
+        read_answer_head(b"\x00\x01nonsense\r\n\r\n", 100),
+        Err(HeadError::Malformed)
+    );
 }
 
 #[test]
 fn fields_found() {
-    let text = b"HTTP/1.1 200 OK\r\nConnection: Keep-Alive, Close\r\nEmpty:\r\nA: 1\r\na: 2\r\n\r\n";
-    let (head, length) = read_answer_head(text, 4_096).expect("sound").expect("whole");
+    let text =
+        b"HTTP/1.1 200 OK\r\nConnection: Keep-Alive, Close\r\nEmpty:\r\nA: 1\r\na: 2\r\n\r\n";
+    let (head, length) = read_answer_head(text, 4_096)
+        .expect("sound")
+        .expect("whole");
     assert_eq!(length, text.len());
     assert!(head.fields.has_word("connection", "close"));
     assert_eq!(head.fields.text("A"), Some("1"));
--- a/process/src/lib.rs
+++ b/process/src/lib.rs
@@ -6,9 +6,11 @@
 mod metric_set;
 mod process_clock;
 mod process_usage;
+mod signal_watch;
 mod stop_signal;
 mod task_pool;
 
 pub use {
-    log_setup::*, metric_set::*, process_clock::*, process_usage::*, stop_signal::*, task_pool::*,
+    log_setup::*, metric_set::*, process_clock::*, process_usage::*, signal_watch::*,
+    stop_signal::*, task_pool::*,
 };
