Read the story of a request from logs; bound the bodies held; settings of fronts checked; 14,000 tokens may wait

Cause: explain asked a running process only; memory_mb was read and not used; the bound on what waits was a first guess.

--- a/core/src/serving/admission_rule.rs
+++ b/core/src/serving/admission_rule.rs
@@ -4,7 +4,7 @@
 const AHEAD_PART: f64 = 0.6;
 /// Tokens of prompts that may wait at an engine for memory: while more do, what
 /// runs is put back and read again, and nothing is in time. Found by trial.
-const WAITING_TOKENS: f64 = 24_000.0;
+const WAITING_TOKENS: f64 = 14_000.0;
 /// Weight of one request in the mean size of its route.
 const SIZE_STEP: f64 = 0.05;
 
--- a/entry/src/command/check.rs
+++ b/entry/src/command/check.rs
@@ -3,6 +3,7 @@
     crate::{
         cli::CliError,
         conf::{EntrySettings, OperatorSettings},
+        front::FrontSettings,
     },
     getopts::Options,
 };
@@ -10,7 +11,8 @@
 const SHAPE: CommandShape = CommandShape {
     usage: "check FILE...",
     about: "Checks settings files of entry processes and operators and names every problem.\n\
-            A file with the field 'operator' is taken for an operator's.\n\
+            A file with the field 'operator' is taken for an operator's, one with 'digests'\n\
+            for a front's.\n\
             Agents' files are checked by 'pitchhitch-agent --check --settings FILE'.",
 };
 
@@ -48,6 +50,8 @@
     let text = SettingsText::read(file).map_err(|e| e.to_string())?.text;
     let checked = if text.contains("\"operator\"") {
         OperatorSettings::parse(file, &text).map(|_| ())
+    } else if text.contains("\"digests\"") {
+        FrontSettings::parse(file, &text).map(|_| ())
     } else {
         EntrySettings::parse(file, &text).map(|_| ())
     };
--- a/entry/src/command/explain.rs
+++ b/entry/src/command/explain.rs
@@ -2,19 +2,25 @@
     super::{entry_caller, pretty_json, CommandArgs, CommandShape},
     crate::{
         cli::CliError,
-        explain::DecisionRecord,
+        explain::{DecisionRecord, LogStory},
         operators::{PieceReport, EXPLAIN_PREFIX, PIECE_PREFIX},
     },
     getopts::Options,
     pitchhitch_services::http::{CallError, HttpCaller},
+    std::{
+        fs::File,
+        io::{self, BufRead, BufReader},
+    },
 };
 
 const SHAPE: CommandShape = CommandShape {
     usage:
-        "explain --settings FILE REQUEST-ID\n       pitchhitch explain --settings FILE --piece KEY",
+        "explain --settings FILE REQUEST-ID\n       pitchhitch explain --settings FILE --piece KEY\n       \
+         pitchhitch explain --log FILE REQUEST-ID",
     about: "Tells why a recent request went where it went, or who holds a kept piece.\n\
             Decisions are kept in the memory of the entry process that made them; what was\n\
-            lost with a process cannot be told.",
+            lost with a process cannot be told.\n\
+            With --log the story is read from log lines of any number of processes.",
 };
 
 /// Runs `pitchhitch explain`.
@@ -24,9 +30,18 @@
 pub fn run_explain(args: &[String]) -> Result<(), CliError> {
     let mut options = Options::new();
     options.optopt("", "piece", "tell who holds this piece", "KEY");
+    options.optopt(
+        "l",
+        "log",
+        "read log lines from here, - for standard input",
+        "FILE",
+    );
     let Some(args) = CommandArgs::read(SHAPE, options, args)? else {
         return Ok(());
     };
+    if let Some(file) = args.matches.opt_str("log") {
+        return explain_log(&file, args.free(0, "REQUEST-ID")?);
+    }
     let settings = args.operator()?;
     let caller = entry_caller(&settings)?;
     match args.matches.opt_str("piece") {
@@ -35,6 +50,51 @@
     }
 }
 
+fn explain_log(
+    file: &str,
+    request: &str,
+) -> Result<(), CliError> {
+    let unread = |e: io::Error| CliError::Failed(format!("{file}: cannot be read: {e}"));
+    let lines: Box<dyn BufRead> = match file {
+        "-" => Box::new(io::stdin().lock()),
+        file => Box::new(BufReader::new(File::open(file).map_err(unread)?)),
+    };
+    let story = LogStory::gather(lines, request).map_err(unread)?;
+    if story.broken > 0 {
+        eprintln!(
+            "{file}: {} lines are no log lines of pitchhitch; passed over",
+            story.broken
+        );
+    }
+    if story.own.is_empty() {
+        return Err(CliError::Failed(format!(
+            "{file}: no line has request={request}; add the logs of the other boxes"
+        )));
+    }
+    for line in &story.own {
+        println!(
+            "{} {} {}: {}",
+            line.time(),
+            line.origin,
+            line.event(),
+            line.told()
+        );
+    }
+    if !story.around.is_empty() {
+        println!("\nwhat was noticed of the endpoints it went to:");
+    }
+    for line in &story.around {
+        println!(
+            "{} {} {}: {}",
+            line.time(),
+            line.origin,
+            line.event(),
+            line.told()
+        );
+    }
+    Ok(())
+}
+
 fn explain_request(
     args: &CommandArgs,
     caller: &HttpCaller,
--- /dev/null
+++ b/entry/src/explain/log_line.rs
@@ -0,0 +1,75 @@
+/// One line of a log: pairs of key and value, in their order.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct LogLine {
+    /// What stands before the pairs, such as the name of a box.
+    pub origin: String,
+    fields: Vec<(String, String)>,
+}
+
+impl LogLine {
+    /// Reads a line; `None` where it has no time and no event.
+    pub fn parse(text: &str) -> Option<Self> {
+        let start = text.find("time=")?;
+        let mut line = LogLine {
+            origin: text[..start].trim().to_string(),
+            fields: Vec::new(),
+        };
+        let mut rest = &text[start..];
+        while let Some((name, tail)) = rest.trim_start().split_once('=') {
+            let (value, after) = take_value(tail);
+            line.fields.push((name.to_string(), value));
+            rest = after;
+        }
+        line.field("event").is_some().then_some(line)
+    }
+
+    /// The value of a field.
+    pub fn field(
+        &self,
+        name: &str,
+    ) -> Option<&str> {
+        let found = self.fields.iter().find(|(known, _)| known == name);
+        found.map(|(_, value)| value.as_str())
+    }
+
+    /// The kind of event.
+    pub fn event(&self) -> &str {
+        self.field("event").unwrap_or_default()
+    }
+
+    /// When it was written.
+    pub fn time(&self) -> &str {
+        self.field("time").unwrap_or_default()
+    }
+
+    /// The line without what every line has.
+    pub fn told(&self) -> String {
+        let common = ["time", "level", "event", "request"];
+        let told = self
+            .fields
+            .iter()
+            .filter(|(name, _)| !common.contains(&name.as_str()));
+        let told: Vec<String> = told
+            .map(|(name, value)| format!("{name}={value}"))
+            .collect();
+        told.join(" ")
+    }
+}
+
+/// A value, quoted or up to the next blank, and what follows.
+fn take_value(text: &str) -> (String, &str) {
+    let Some(quoted) = text.strip_prefix('"') else {
+        let end = text.find(' ').unwrap_or(text.len());
+        return (text[..end].to_string(), &text[end..]);
+    };
+    let mut value = String::new();
+    let mut chars = quoted.char_indices();
+    while let Some((at, sign)) = chars.next() {
+        match sign {
+            '"' => return (value, &quoted[at + 1..]),
+            '\\' => value.extend(chars.next().map(|(_, sign)| sign)),
+            sign => value.push(sign),
+        }
+    }
+    (value, "")
+}
--- a/entry/src/explain/mod.rs
+++ b/entry/src/explain/mod.rs
@@ -2,5 +2,7 @@
 
 mod decision_record;
 mod decision_ring;
+mod log_line;
+mod log_story;
 
-pub use {decision_record::*, decision_ring::*};
+pub use {decision_record::*, decision_ring::*, log_line::*, log_story::*};
--- a/entry/src/front/caller_conn.rs
+++ b/entry/src/front/caller_conn.rs
@@ -18,6 +18,11 @@
 const BODY_PAUSE: Micros = Micros::from_secs(5);
 /// How often a resting connection looks whether the process stops.
 const STOP_CHECK: Micros = Micros::from_millis(500);
+/// Bytes of bodies that are held for each megabyte of the process: a fifth, as
+/// each is also copied once on its way to an endpoint.
+const BODY_BYTES_PER_MB: u64 = 200_000;
+/// Bodies below this are taken in any case, in bytes.
+const SMALL_BODY: u64 = 64 << 10;
 /// Time for a refusal to go out before the connection closes.
 const LAST_WORD: Micros = Micros::from_secs(1);
 
@@ -47,9 +52,10 @@
         let limits = limits(&front);
         match next_request(&front, &mut link, &limits).await {
             Arrival::Whole(request) => {
-                front.state().running += 1;
+                let held = request.body.len() as u64;
+                front.state().took(held);
                 let end = run_request(&front, &mut link, request).await;
-                front.state().running -= 1;
+                front.state().gave_back(held);
                 if end == RequestEnd::Close {
                     return;
                 }
@@ -84,6 +90,9 @@
         Some(Err(kind)) => return Arrival::Refused(kind),
         None => return Arrival::Refused(RefusalKind::SlowRequest),
     };
+    if !has_room(front, &head) {
+        return Arrival::Refused(RefusalKind::Overloaded);
+    }
     match read_body(link, &head, limits).await {
         Ok(Some(body)) => Arrival::Whole(WholeRequest {
             head,
@@ -95,6 +104,21 @@
     }
 }
 
+/// Whether the process has memory for the body that the head tells of, beside
+/// those it holds: over its limit it would be ended.
+fn has_room(
+    front: &FrontContext,
+    head: &RequestHead,
+) -> bool {
+    let told = head
+        .fields
+        .text("content-length")
+        .and_then(|text| text.parse().ok());
+    let wanted: u64 = told.unwrap_or(0);
+    let room = front.settings.memory_mb * BODY_BYTES_PER_MB;
+    wanted < SMALL_BODY || front.state().body_bytes + wanted <= room
+}
+
 /// False where the connection ends, rests for too long or the process stops.
 async fn wait_for_first_byte(
     front: &FrontContext,
--- a/entry/src/front/front_state.rs
+++ b/entry/src/front/front_state.rs
@@ -36,6 +36,8 @@
     pub stops_since: Option<Micros>,
     /// Whether connections that rest are closed.
     pub closes_idle: bool,
+    /// Bytes of the bodies of those.
+    pub body_bytes: u64,
     /// Requests that are being served.
     pub running: u32,
     /// Fronts that live, as far as is known.
@@ -58,6 +60,7 @@
             pool: LinkPool::default(),
             stops_since: None,
             closes_idle: false,
+            body_bytes: 0,
             running: 0,
             fronts: USUAL_FRONTS,
             meters: HashMap::new(),
@@ -66,6 +69,24 @@
         }
     }
 
+    /// Notes a request that is served from now on.
+    pub fn took(
+        &mut self,
+        body_bytes: u64,
+    ) {
+        self.running += 1;
+        self.body_bytes += body_bytes;
+    }
+
+    /// Notes that a request is over.
+    pub fn gave_back(
+        &mut self,
+        body_bytes: u64,
+    ) {
+        self.running -= 1;
+        self.body_bytes -= body_bytes;
+    }
+
     /// A number for a request that no other has.
     pub fn ticket(&mut self) -> u64 {
         self.next_ticket += 1;
--- a/entry/src/front/request_run.rs
+++ b/entry/src/front/request_run.rs
@@ -361,7 +361,8 @@
         rank.unwrap_or(self.route().priority).min(LOWEST_RANK)
     }
 
-    /// Whether an endpoint would begin with the request too late.
+    /// Whether an endpoint would begin with the request too late. The next best
+    /// is not asked: it would read what this one keeps, and fall behind as well.
     fn is_too_late(
         &self,
         choice: &EndpointChoice,
--- a/entry/tests/command_line.rs
+++ b/entry/tests/command_line.rs
@@ -16,7 +16,7 @@
 #[test]
 fn help_everywhere() {
     let commands = [
-        "serve", "check", "label", "select", "apply", "show", "drain", "status", "explain",
+        "serve", "front", "check", "label", "select", "apply", "show", "drain", "status", "explain",
     ];
     for command in commands {
         let output = run(&[command, "--help"]);
@@ -44,7 +44,7 @@
 #[test]
 fn defaults_pass_check() {
     let folder = concat!(env!("CARGO_MANIFEST_DIR"), "/../settings");
-    for file in ["entry.json", "operator.json"] {
+    for file in ["entry.json", "operator.json", "front.json"] {
         let output = run(&["check", &format!("{folder}/{file}")]);
         assert!(output.status.success(), "{}", stderr(&output));
     }
@@ -76,3 +76,69 @@
         );
     }
 }
+
+const LINES: &str = "\
+edge-1 time=2026-02-26T06:46:13.100Z level=INFO event=try request=r1 endpoint=e1 outcome=sent cause=\"\" send=1
+edge-1 time=2026-02-26T06:46:13.000Z level=INFO event=try request=r0 endpoint=e2 outcome=sent cause=\"\" send=1
+nonsense
+edge-2 time=2026-02-26T06:46:13.400Z level=WARN event=endpoint-out endpoint=e1 cause=\"three \\\"bad\\\" answers\"
+edge-1 time=2026-02-26T06:46:13.500Z level=INFO event=refused request=r1 kind=endpoint-lost status=502
+";
+
+#[test]
+fn story_from_logs() {
+    let file = std::env::temp_dir().join(format!("pitchhitch-log-{}.txt", std::process::id()));
+    std::fs::write(&file, LINES).expect("file");
+    let path = file.to_str().expect("path");
+    let output = run(&["explain", "--log", path, "r1"]);
+    let unknown = run(&["explain", "--log", path, "r9"]);
+    std::fs::remove_file(&file).expect("removed");
+    let text = String::from_utf8_lossy(&output.stdout).to_string();
+    assert!(output.status.success());
+    assert!(text.contains("try: endpoint=e1 outcome=sent"), "{text}");
+    assert!(
+        text.contains("refused: kind=endpoint-lost status=502"),
+        "{text}"
+    );
+    assert!(
+        text.contains("edge-2 endpoint-out: endpoint=e1 cause=three \"bad\" answers"),
+        "{text}"
+    );
+    assert!(!text.contains("e2"), "{text}");
+    assert!(stderr(&output).contains("1 lines are no log lines"));
+    assert_eq!(unknown.status.code(), Some(1));
+    assert!(stderr(&unknown).contains("no line has request=r9"));
+    let missing = run(&["explain", "--log", "/nowhere/at-all", "r1"]);
+    assert!(stderr(&missing).contains("/nowhere/at-all: cannot be read"));
+}
+
+#[test]
+fn front_settings_checked() {
+    let file = std::env::temp_dir().join(format!("pitchhitch-front-{}.json", std::process::id()));
+    std::fs::write(
+        &file,
+        r#"{"digests": 5, "repeat_ratio": 7, "colour": "red"}"#,
+    )
+    .expect("file");
+    let path = file.to_str().expect("path");
+    for args in [&["check", path][..], &["front", "--settings", path]] {
+        let output = run(args);
+        assert_eq!(output.status.code(), Some(3));
+        let text = stderr(&output);
+        for field in [
+            "box_id",
+            "callers",
+            "ready",
+            "digests",
+            "store",
+            "repeat_ratio",
+            "colour",
+        ] {
+            assert!(
+                text.contains(&format!(": {field}: found ")),
+                "{field}: {text}"
+            );
+        }
+    }
+    std::fs::remove_file(&file).expect("removed");
+}
