--- a/core/src/serving/swap_planner.rs
+++ b/core/src/serving/swap_planner.rs
@@ -4,12 +4,14 @@
     std::collections::BTreeMap,
 };
 
-/// Engines of a group that load at once: more slow each other down (the sites'
-/// sheets).
+/// Engines of a group that load at once, at least: more slow each other down (the
+/// sites' sheets: two of nine, ten of fifty-four).
 const LOADS_AT_ONCE: usize = 2;
-/// Engines of a group that have a turn at once: the others end their long runs
+/// Engines of a group for each that loads at once.
+const ENGINES_A_LOAD: usize = 5;
+/// Engines that have a turn for each that loads: the others end their long runs
 /// meanwhile, as an engine that is told to load takes nothing until they ended.
-const TURNS_AT_ONCE: usize = 4;
+const TURNS_A_LOAD: usize = 2;
 /// Time that an engine is given to end its long runs before it loads.
 const DRAIN_LIMIT: Micros = Micros::from_millis(1_600);
 /// Requests that an engine may still run when it is told to load.
@@ -238,11 +240,12 @@
                 .filter(|other| service(**other) == service(key));
             let running = book.get(key).map_or(0, |entry| entry.occupied(now));
             let count = others.count();
+            let limit = service(key).map_or(0, |service| loads_at_once(book, service));
             let Some(turn) = self.turns.get_mut(&key) else {
                 continue;
             };
             let is_quiet = running <= QUIET_RUNNING || now.since(turn.since) >= DRAIN_LIMIT;
-            if count < LOADS_AT_ONCE && is_quiet {
+            if count < limit && is_quiet {
                 turn.loads = true;
                 turn.since = now;
                 loading.push(key);
@@ -324,7 +327,8 @@
                 book.get(**other)
                     .is_some_and(|other| other.service == entry.service)
             };
-            if self.turns.keys().filter(in_group).count() >= TURNS_AT_ONCE {
+            let limit = TURNS_A_LOAD * loads_at_once(book, &entry.service);
+            if self.turns.keys().filter(in_group).count() >= limit {
                 continue;
             }
             let turn = SwapTurn {
@@ -341,3 +345,14 @@
         next.map(|(_, key, turn)| (key, turn))
     }
 }
+
+fn loads_at_once(
+    book: &EndpointBook,
+    service: &str,
+) -> usize {
+    let serves = |entry: &&EndpointEntry| {
+        entry.service == service && entry.standing != EndpointStanding::Leaving
+    };
+    let engines = book.iter().map(|(_, entry)| entry).filter(serves).count();
+    LOADS_AT_ONCE.max(engines / ENGINES_A_LOAD)
+}
--- a/core/tests/swap_planner.rs
+++ b/core/tests/swap_planner.rs
@@ -96,6 +96,19 @@
     assert_eq!(rounds, 5);
 }
 
+/// Two at once took too long for fifty-four: half of them were past their time
+/// when twelve seconds were over (first run of the grown site).
+#[test]
+fn loads_grow_with_group() {
+    for (engines, at_once) in [(3, 2), (9, 2), (15, 3), (54, 10)] {
+        let book = book(engines, 0, at(0));
+        let mut planner = SwapPlanner::default();
+        planner.name("m", 2, Some(at(0)), at(0));
+        planner.plan(&book, at(0));
+        assert_eq!(loading(&book, &planner).len(), at_once, "{engines} engines");
+    }
+}
+
 #[test]
 fn busy_drain_first() {
     let mut book = book(3, 20, at(0));
--- a/entry/src/front/front_state.rs
+++ b/entry/src/front/front_state.rs
@@ -12,6 +12,8 @@
 
 /// Fronts that may live, until the processes beside engines say how many do.
 const USUAL_FRONTS: u32 = 4;
+/// Fronts from which each asks the store less often.
+const MANY_FRONTS: u32 = 8;
 /// Salts whose tags are remembered.
 const WALL_LIMIT: usize = 1_000;
 
@@ -87,6 +89,11 @@
         self.body_bytes -= body_bytes;
     }
 
+    /// Whether so many fronts live that each should ask the store less often.
+    pub fn has_many_fronts(&self) -> bool {
+        self.fronts > MANY_FRONTS
+    }
+
     /// A number for a request that no other has.
     pub fn ticket(&mut self) -> u64 {
         self.next_ticket += 1;
--- a/entry/src/front/list_watch.rs
+++ b/entry/src/front/list_watch.rs
@@ -15,6 +15,8 @@
 /// Pause between two looks at the list. Each endpoint changes its entry about
 /// every second, so a held call would come back at once all the time.
 const LOOK_PAUSE: Micros = Micros::from_millis(500);
+/// The same where many fronts share what the store gives.
+const MANY_LOOK_PAUSE: Micros = Micros::from_millis(900);
 /// Time limit of a look.
 const CALL_LIMIT: Duration = Duration::from_millis(1_500);
 /// A look that takes longer shows a store that is slow.
@@ -67,7 +69,11 @@
             Err(_) => {}
         }
         tidy(&front);
-        Timer::after(to_duration(LOOK_PAUSE)).await;
+        let pause = match front.state().has_many_fronts() {
+            true => MANY_LOOK_PAUSE,
+            false => LOOK_PAUSE,
+        };
+        Timer::after(to_duration(pause)).await;
     }
 }
 
--- a/entry/src/front/operator_watch.rs
+++ b/entry/src/front/operator_watch.rs
@@ -12,6 +12,8 @@
 /// Time that a call is held at the store while nothing changes. Each answer
 /// proves how fresh the keys are, so it must stay well under their limit.
 const CHANGE_WAIT: Duration = Duration::from_millis(700);
+/// The same where many fronts share what the store gives.
+const MANY_CHANGE_WAIT: Duration = Duration::from_millis(1_400);
 /// Time limit of a call, beyond that.
 const CALL_LIMIT: Duration = Duration::from_millis(1_500);
 /// Pause after a call that failed.
@@ -24,12 +26,12 @@
     let mut is_lost = false;
     loop {
         let sent_at = front.now();
+        let wait = match front.state().has_many_fronts() {
+            true => MANY_CHANGE_WAIT,
+            false => CHANGE_WAIT,
+        };
         let read = match seen {
-            Some(after) => {
-                client
-                    .read_changes(RowTable::Operator, after, CHANGE_WAIT)
-                    .await
-            }
+            Some(after) => client.read_changes(RowTable::Operator, after, wait).await,
             None => client.read_all(RowTable::Operator).await,
         };
         let outcome = match read {
