--- a/agent/src/beside/engine_watch.rs
+++ b/agent/src/beside/engine_watch.rs
@@ -23,12 +23,8 @@
             target: REPORT_PATH,
             ..HttpCall::default()
         };
-        let answer = client
-            .call(call)
-            .await
-            .ok()
-            .filter(|answer| answer.status == 200);
-        let report = answer.and_then(|answer| decode_report(&answer.body, beside.now()).ok());
+        let body = client.sound_body(call).await;
+        let report = body.and_then(|body| decode_report(&body, beside.now()).ok());
         match report {
             Some(report) => {
                 if failures >= SILENT_AFTER {
--- a/agent/src/beside/kept_watch.rs
+++ b/agent/src/beside/kept_watch.rs
@@ -1,15 +1,14 @@
 use {
     super::BesideContext,
     pitchhitch_core::serving::WallTag,
-    pitchhitch_http1::{HttpCall, HttpClient},
-    pitchhitch_platform::{changes_target, decode_changes, wait_field, KeptChanges},
+    pitchhitch_platform::{KeptChanges, KeptClient},
     pitchhitch_wire::beside::DigestPart,
     smol::Timer,
     std::{rc::Rc, time::Duration},
 };
 
 /// Time that a call is held while nothing changes.
-const HOLD_MS: u64 = 1_000;
+const HOLD: Duration = Duration::from_secs(1);
 /// Pause between two calls; each has its price.
 const LOOK_PAUSE: Duration = Duration::from_millis(400);
 /// Time limit of a call, beyond the time it is held.
@@ -17,28 +16,14 @@
 
 /// Follows what the engine keeps in its memory.
 pub(crate) async fn watch_kept(beside: Rc<BesideContext>) {
-    let mut client = HttpClient::new(beside.settings.engine, CALL_LIMIT);
+    let mut client = KeptClient::new(beside.settings.engine, CALL_LIMIT);
     let mut next = 0;
     let mut epoch = None;
     loop {
         if epoch.is_some() {
             Timer::after(LOOK_PAUSE).await;
         }
-        let target = changes_target(next);
-        let call = HttpCall {
-            method: "GET",
-            target: &target,
-            fields: vec![wait_field(HOLD_MS)],
-            extra_time: Duration::from_millis(HOLD_MS),
-            ..HttpCall::default()
-        };
-        let answer = client
-            .call(call)
-            .await
-            .ok()
-            .filter(|answer| answer.status == 200);
-        let changes = answer.and_then(|answer| decode_changes(&answer.body).ok());
-        let Some(changes) = changes else {
+        let Some(changes) = client.changes(next, HOLD).await else {
             Timer::after(LOOK_PAUSE).await;
             continue;
         };
--- a/core/src/serving/repeat_meter.rs
+++ b/core/src/serving/repeat_meter.rs
@@ -39,10 +39,14 @@
     }
 
     /// Takes a repeat, if the bound's share for one of `boxes` has room.
+    ///
+    /// A process that has lived for less than the window may stand in the place
+    /// of one that has used its share: it takes half.
     pub fn take(
         &mut self,
         bound: &RepeatBound,
         boxes: u32,
+        lived: Micros,
         now: Micros,
     ) -> bool {
         let oldest = step_of(now).saturating_sub(bound.window.0.div_ceil(STEP.0));
@@ -52,7 +56,11 @@
         let requests: u32 = self.counts.iter().map(|c| c.requests).sum();
         let repeats: u32 = self.counts.iter().map(|c| c.repeats).sum();
         let slack = bound.slack / f64::from(boxes.max(1));
-        let room = CAUTION * (bound.ratio * f64::from(requests) + slack);
+        let caution = match lived < bound.window {
+            true => CAUTION / 2.0,
+            false => CAUTION,
+        };
+        let room = caution * (bound.ratio * f64::from(requests) + slack);
         if f64::from(repeats) + 1.0 > room {
             return false;
         }
--- a/core/tests/serving_limits.rs
+++ b/core/tests/serving_limits.rs
@@ -30,7 +30,7 @@
             meter.request(at(millis));
             asked.push(millis);
         }
-        if meter.take(&BOUND, 2, at(millis)) {
+        if meter.take(&BOUND, 2, BOUND.window, at(millis)) {
             taken.push(millis);
         }
     }
@@ -51,6 +51,21 @@
     );
 }
 
+/// A box that is killed and comes back has forgotten what it sent again: both
+/// lives together stay within the box's share.
+#[test]
+fn restart_within_share() {
+    let mut taken = 0;
+    for life in 0..2 {
+        let mut meter = RepeatMeter::default();
+        let lived = |millis: u64| at(millis) + Micros(BOUND.window.0 * (1 - life));
+        for millis in 0..2_000 {
+            taken += u32::from(meter.take(&BOUND, 2, lived(millis), at(millis)));
+        }
+    }
+    assert!(f64::from(taken) <= BOUND.slack / 2.0 * 1.05, "{taken}");
+}
+
 #[test]
 fn old_keys_closed() {
     let mut trust = KeyTrust::new(at(4_000));
--- a/entry/src/front/mod.rs
+++ b/entry/src/front/mod.rs
@@ -17,7 +17,13 @@
 mod offer;
 mod operator_watch;
 mod plain_answer;
+mod request_admit;
+mod request_choice;
+mod request_lessons;
+mod request_log;
+mod request_moves;
 mod request_run;
+mod request_try;
 mod small_server;
 mod store_watch;
 mod stream_relay;
@@ -29,3 +35,4 @@
     request_run::*, small_server::*, store_watch::*, stream_relay::*, wake_reason::*,
 };
 pub use {front_process::*, front_settings::*};
+use {request_admit::*, request_try::*};
--- /dev/null
+++ b/entry/src/front/request_admit.rs
@@ -0,0 +1,94 @@
+use {
+    super::{within, FrontContext, RequestEnd},
+    pitchhitch_core::{
+        serving::{RefusalKind, RequestAsk, RequestPlace, ServingConfig},
+        time::Micros,
+    },
+    pitchhitch_http1::ByteLink,
+    pitchhitch_platform::encode_refusal,
+    std::rc::Rc,
+};
+
+/// Time after SIGTERM in which streams are taken: the platform allows for those
+/// that come within three seconds.
+const STREAM_TAKEN: Micros = Micros::from_millis(2_800);
+/// Time before the end by force in which plain requests are not taken any more.
+const PLAIN_END: Micros = Micros::from_millis(2_000);
+/// Longest wait for a caller to take a refusal.
+const REFUSAL_LIMIT: Micros = Micros::from_millis(250);
+
+/// Finds route and organisation, if what is known is fresh enough to say so.
+pub(super) fn admit(
+    front: &FrontContext,
+    ask: &RequestAsk,
+) -> Result<(Rc<ServingConfig>, RequestPlace), RefusalKind> {
+    let state = front.state();
+    let config = state.config.clone().ok_or(RefusalKind::NoConfig)?;
+    if ask.request_id.is_empty() {
+        return Err(RefusalKind::BadRequest);
+    }
+    let is_fresh = state.trust.holds(front.now());
+    let place = config.place(ask).map_err(|kind| match is_fresh {
+        true => kind,
+        // A key or route that was added meanwhile may be meant.
+        false => RefusalKind::StaleKeys,
+    })?;
+    if place.is_keyed && !is_fresh {
+        return Err(RefusalKind::StaleKeys);
+    }
+    drop(state);
+    refuse_if_stopping(front, (config, place))
+}
+
+/// A stopping process takes nothing that may not end before it has to.
+fn refuse_if_stopping(
+    front: &FrontContext,
+    admitted: (Rc<ServingConfig>, RequestPlace),
+) -> Result<(Rc<ServingConfig>, RequestPlace), RefusalKind> {
+    let (config, place) = &admitted;
+    let stops_since = front.state().stops_since;
+    let limit = match config.routes[place.route].is_stream {
+        true => STREAM_TAKEN,
+        false => Micros(front.settings.stop_limit.as_micros() as u64).since(PLAIN_END),
+    };
+    match stops_since.is_some_and(|at| front.now().since(at) > limit) {
+        true => Err(RefusalKind::Stopping),
+        false => Ok(admitted),
+    }
+}
+
+pub(super) async fn refuse(
+    front: &FrontContext,
+    caller: &ByteLink,
+    ask: &RequestAsk,
+    kind: RefusalKind,
+    closes: bool,
+    came_at: Micros,
+    sends: u32,
+) -> RequestEnd {
+    let row = kind.row();
+    let closes = closes || row.closes;
+    let (version, key_age) = {
+        let state = front.state();
+        let version = state.config.as_ref().map_or(0, |config| config.version);
+        (version, state.trust.age(front.now()))
+    };
+    log::info!(
+        event = "refused",
+        request = ask.request_id.as_str(),
+        kind = row.word,
+        status = row.status,
+        config = version,
+        config_age_ms = key_age.map_or(-1, |age| age.as_millis() as i64),
+        sends = sends,
+        held_ms = front.now().since(came_at).as_millis();
+        ""
+    );
+    front.metrics.count("refused", row.word);
+    let answer = encode_refusal(kind, &row, &ask.request_id, closes);
+    let is_written = within(REFUSAL_LIMIT, caller.write_all(&answer)).await;
+    match (closes, is_written) {
+        (false, Some(Ok(()))) => RequestEnd::Keep,
+        _ => RequestEnd::Close,
+    }
+}
--- /dev/null
+++ b/entry/src/front/request_choice.rs
@@ -0,0 +1,136 @@
+use {
+    super::{FrontState, RequestRun},
+    pitchhitch_core::{
+        serving::{
+            pick_endpoint, EndpointChoice, EngineGroup, PartOutlook, PartPlace, PickAsk,
+            VersionOutlook, WallName,
+        },
+        time::Micros,
+    },
+};
+
+/// The least urgent rank that engines know.
+const LOWEST_RANK: u8 = 9;
+
+impl RequestRun<'_> {
+    pub(super) fn wall(
+        &self,
+        version: u64,
+    ) -> WallName {
+        let organisation = self
+            .place
+            .organisation
+            .map(|place| &self.config.organisations[place]);
+        let organisation = organisation.filter(|organisation| organisation.is_isolated);
+        WallName {
+            version,
+            model: self
+                .ask
+                .prompt
+                .as_ref()
+                .map_or_else(String::new, |p| p.model.clone()),
+            organisation: organisation.map(|organisation| organisation.name.clone()),
+        }
+    }
+
+    /// Rank of the request: the organisation's goes before the route's.
+    pub(super) fn rank(&self) -> u8 {
+        let organisation = self
+            .place
+            .organisation
+            .map(|place| &self.config.organisations[place]);
+        let rank = organisation.and_then(|organisation| organisation.priority);
+        rank.unwrap_or(self.route().priority).min(LOWEST_RANK)
+    }
+
+    /// Whether an endpoint would begin with the request too late. The next best
+    /// is not asked: it would read what this one keeps, and fall behind as well.
+    pub(super) fn is_too_late(
+        &self,
+        choice: &EndpointChoice,
+    ) -> bool {
+        let Some(prompt) = self.ask.prompt.as_ref().filter(|_| self.sends == 0) else {
+            return false;
+        };
+        let route = self.route();
+        let mut state = self.front.state();
+        state.admission.note(&route.name, prompt.tokens_in);
+        state.admission.refuses(&route.name, route.aim, choice)
+    }
+
+    pub(super) fn group(&self) -> Option<&EngineGroup> {
+        self.config.groups.get(&self.service)?.engine.as_ref()
+    }
+
+    pub(super) fn pick(&mut self) -> Option<EndpointChoice> {
+        let front = self.front;
+        let mut guard = front.state();
+        let state = &mut *guard;
+        let now = front.now();
+        let outlooks = self.outlooks(state, now);
+        let ask = PickAsk {
+            service: &self.service,
+            domain: &front.settings.failure_domain,
+            prompt: self.ask.prompt.as_ref(),
+            rank: self.rank(),
+            tried: &self.tried,
+            now,
+        };
+        pick_endpoint(&state.book, &ask, &outlooks)
+    }
+
+    /// Where the parts of the prompt are kept, for each version that some
+    /// engine has.
+    pub(super) fn outlooks(
+        &self,
+        state: &mut FrontState,
+        now: Micros,
+    ) -> Vec<VersionOutlook> {
+        let (Some(prompt), Some(group)) = (&self.ask.prompt, self.group()) else {
+            return Vec::new();
+        };
+        let versions = state
+            .book
+            .iter()
+            .filter_map(|(_, e)| e.weights.version(&prompt.model));
+        let mut versions: Vec<u64> = versions.collect();
+        versions.sort_unstable();
+        versions.dedup();
+        let mut outlooks = Vec::new();
+        for version in versions {
+            let wall = state.wall(&self.wall(version).salt());
+            let parts = state
+                .memory
+                .outlook(&state.book, group, wall, &prompt.parts, now);
+            outlooks.push(VersionOutlook {
+                version,
+                wall,
+                parts: self.allowed(state, version, parts, now),
+            });
+        }
+        outlooks
+    }
+
+    /// Leaves stores out where they may be freeing parts of this version.
+    pub(super) fn allowed(
+        &self,
+        state: &FrontState,
+        version: u64,
+        mut parts: Vec<PartOutlook>,
+        now: Micros,
+    ) -> Vec<PartOutlook> {
+        let model = self
+            .ask
+            .prompt
+            .as_ref()
+            .map_or("", |prompt| prompt.model.as_str());
+        let proven_at = state.trust.proven_at();
+        if !state.planner.may_fetch(model, version, proven_at, now) {
+            for part in &mut parts {
+                part.sources
+                    .retain(|source| !matches!(source.place, PartPlace::Store(_)));
+            }
+        }
+        parts
+    }
+}
--- /dev/null
+++ b/entry/src/front/request_lessons.rs
@@ -0,0 +1,73 @@
+use {
+    super::{OfferAnswer, RequestRun},
+    pitchhitch_core::serving::{EndpointChoice, EndpointStanding},
+};
+
+impl RequestRun<'_> {
+    pub(super) fn judge(
+        &self,
+        choice: &EndpointChoice,
+        is_sound: bool,
+    ) {
+        let front = self.front;
+        let mut state = front.state();
+        if state.book.judged(choice.key, is_sound, front.now()) {
+            let id = state
+                .book
+                .get(choice.key)
+                .map_or("", |entry| entry.id.as_str());
+            log::warn!(event = "endpoint-out", endpoint = id, cause = "failures"; "");
+            front.metrics.count("endpoints", "out");
+        }
+    }
+
+    pub(super) fn learn_version(
+        &self,
+        choice: &EndpointChoice,
+        model: &str,
+        version: u64,
+    ) {
+        let mut state = self.front.state();
+        let Some(entry) = state.book.get_mut(choice.key) else {
+            return;
+        };
+        if entry.weights.learn(model, version) {
+            // New weights drop what the engine kept.
+            entry.parts.clear();
+            log::info!(
+                event = "weights-seen",
+                endpoint = entry.id.as_str(),
+                model = model,
+                version = version,
+                source = "answer";
+                ""
+            );
+        }
+    }
+
+    pub(super) fn learn_refusal(
+        &self,
+        choice: &EndpointChoice,
+        answer: &OfferAnswer,
+    ) {
+        let mut state = self.front.state();
+        let Some(entry) = state.book.get_mut(choice.key) else {
+            return;
+        };
+        let other = answer
+            .marks
+            .endpoint_id
+            .as_ref()
+            .filter(|id| **id != entry.id);
+        if let Some(other) = other.filter(|_| answer.marks.is_misdirected) {
+            log::warn!(
+                event = "endpoint-replaced",
+                endpoint = entry.id.as_str(),
+                by = other.as_str();
+                ""
+            );
+            entry.standing = EndpointStanding::Leaving;
+            state.pool.close_all(choice.key);
+        }
+    }
+}
--- /dev/null
+++ b/entry/src/front/request_log.rs
@@ -0,0 +1,92 @@
+use {super::RequestRun, pitchhitch_core::serving::EndpointChoice};
+
+impl RequestRun<'_> {
+    /// The shared parts and what becomes of them: kept, fetched or read.
+    pub(super) fn told_parts(
+        &self,
+        choice: &EndpointChoice,
+    ) -> String {
+        let parts = self
+            .ask
+            .prompt
+            .as_ref()
+            .map_or(&[][..], |prompt| &prompt.parts);
+        let mut told = String::new();
+        for (place, part) in parts[..parts.len().saturating_sub(1)].iter().enumerate() {
+            let sign = match choice.plan.parts.get(place) {
+                None => 'r',
+                Some(fetch) if fetch.source.is_none() => 'k',
+                Some(_) => 'f',
+            };
+            let comma = if place == 0 { "" } else { "," };
+            told.push_str(&format!("{comma}{}:{sign}", part.id));
+        }
+        told
+    }
+
+    pub(super) fn log_try(
+        &self,
+        choice: &EndpointChoice,
+        outcome: &str,
+        cause: &str,
+    ) {
+        let front = self.front;
+        let state = front.state();
+        let entry = state.book.get(choice.key);
+        let now = front.now();
+        let load = entry.and_then(|entry| entry.load.as_ref());
+        log::info!(
+            event = "try",
+            request = self.ask.request_id.as_str(),
+            endpoint = entry.map_or("", |entry| entry.id.as_str()),
+            outcome = outcome,
+            cause = cause,
+            send = self.sends,
+            estimate_ms = choice.wait_ms as u64,
+            ahead_ms = choice.ahead_ms as u64,
+            running = entry.map_or(0, |entry| entry.occupied(now)),
+            waiting = choice.waiting,
+            used = load.map_or(0, |load| load.used_tokens),
+            unread = choice.unread_tokens,
+            shared_unread = choice.shared_unread,
+            kept = choice.plan.kept_tokens,
+            fetched = choice.plan.fetched_tokens,
+            fetch_ms = choice.plan.fetch_ms as u64,
+            parts = self.told_parts(choice).as_str(),
+            weights = choice.version.unwrap_or(0),
+            of = choice.candidates,
+            load_age_ms = load.map_or(-1, |load| now.since(load.at).as_millis() as i64);
+            ""
+        );
+        front.metrics.count("tries", outcome);
+    }
+
+    pub(super) fn log_end(
+        &self,
+        outcome: &str,
+        status: u16,
+    ) {
+        let front = self.front;
+        let now = front.now();
+        let came_at = self.request.came_at;
+        let first = self.began_at.map(|at| at.since(came_at));
+        log::info!(
+            event = "end",
+            request = self.ask.request_id.as_str(),
+            route = self.route().name.as_str(),
+            outcome = outcome,
+            status = status,
+            sends = self.sends,
+            first_ms = first.map_or(-1, |first| first.as_millis() as i64),
+            took_ms = now.since(came_at).as_millis(),
+            writes = self.progress.writes,
+            config = self.config.version;
+            ""
+        );
+        front.metrics.count("requests", outcome);
+        front.metrics.time("took", now.since(came_at).0);
+        if let Some(first) = first {
+            front.metrics.time("first", first.0);
+        }
+    }
+}
--- /dev/null
+++ b/entry/src/front/request_moves.rs
@@ -0,0 +1,118 @@
+use {
+    super::{FrontState, RequestRun},
+    pitchhitch_core::{
+        serving::{EndpointChoice, PartPlace, PromptAsk},
+        time::Micros,
+    },
+    pitchhitch_platform::{encode_request, PartAddress, SendOrder},
+};
+
+/// Taken off the time that an endpoint gets, for the way there and back.
+const TRANSIT: Micros = Micros::from_millis(4);
+
+/// What a request makes an engine fetch and save.
+#[derive(Debug, Default)]
+pub(super) struct PartMoves {
+    fetch: Vec<Option<PartAddress>>,
+    save: Vec<Option<PartAddress>>,
+    until_ms: Option<u64>,
+}
+
+impl RequestRun<'_> {
+    pub(super) fn encode(
+        &self,
+        choice: &EndpointChoice,
+    ) -> Vec<u8> {
+        let front = self.front;
+        let now = front.now();
+        let mut guard = front.state();
+        let state = &mut *guard;
+        let moves = match (&self.ask.prompt, choice.version) {
+            (Some(prompt), Some(version)) => self.plan_moves(state, prompt, choice, version, now),
+            _ => PartMoves::default(),
+        };
+        let entry = state.book.get(choice.key);
+        let organisation = self
+            .place
+            .organisation
+            .map(|place| &self.config.organisations[place]);
+        let is_engine = self.ask.prompt.is_some();
+        // Without a known version nothing may be shared: not even with others
+        // of which no more is known.
+        let salt = match choice.version {
+            Some(version) => self.wall(version).salt(),
+            None => self.ask.request_id.clone(),
+        };
+        let left = self.ends_at.since(now);
+        let order = SendOrder {
+            endpoint_id: entry.map_or("", |entry| entry.id.as_str()),
+            patience: left.since(TRANSIT).max(Micros::from_millis(1)),
+            organisation: organisation.map(|organisation| organisation.name.as_str()),
+            priority: is_engine.then(|| self.rank()),
+            version: choice.version.filter(|_| is_engine),
+            salt: Some(salt.as_str()).filter(|_| is_engine),
+            fetch: &moves.fetch,
+            save: &moves.save,
+            fetch_until_ms: moves.until_ms,
+            last_event: self
+                .progress
+                .splitter
+                .last_id()
+                .filter(|_| self.progress.is_begun),
+        };
+        encode_request(&self.request.head, &self.request.body, &order)
+    }
+
+    /// What the engine fetches before it reads, and saves once it has read.
+    pub(super) fn plan_moves(
+        &self,
+        state: &mut FrontState,
+        prompt: &PromptAsk,
+        choice: &EndpointChoice,
+        version: u64,
+        now: Micros,
+    ) -> PartMoves {
+        let wall = state.wall(&self.wall(version).salt());
+        let mut moves = PartMoves::default();
+        for fetch in &choice.plan.parts {
+            let Some((source, _)) = &fetch.source else {
+                moves.fetch.push(None);
+                continue;
+            };
+            let is_store = matches!(source.place, PartPlace::Store(_));
+            moves.fetch.push(Some(PartAddress {
+                address: source.address,
+                tokens: is_store.then_some(fetch.part.tokens),
+            }));
+            if let PartPlace::Store(place) = source.place {
+                let view = state.memory.view_at(place);
+                let until = view.and_then(|view| view.fetch_until_ms(now));
+                moves.until_ms = match (moves.until_ms, until) {
+                    (Some(before), Some(until)) => Some(before.min(until)),
+                    (before, until) => until.or(before),
+                };
+            }
+        }
+        moves.fetch.resize(prompt.parts.len(), None);
+        state.memory.fetching(&choice.plan, now);
+        let is_newest = state
+            .planner
+            .named(&prompt.model)
+            .is_none_or(|named| version >= named);
+        if is_newest {
+            let saves = state.memory.plan_saves(wall, &prompt.parts, now);
+            let address = |address| PartAddress {
+                address,
+                tokens: None,
+            };
+            moves.save = saves.into_iter().map(|save| save.map(address)).collect();
+            moves.save.resize(prompt.parts.len(), None);
+        }
+        // Others of this box that come meanwhile go where these parts will be.
+        let capacity = self.group().map_or(0, |group| group.capacity_tokens);
+        if let Some(entry) = state.book.get_mut(choice.key) {
+            entry.parts.touch(wall, &prompt.parts, capacity);
+        }
+        moves
+    }
+}
--- /dev/null
+++ b/entry/src/front/request_try.rs
@@ -0,0 +1,255 @@
+use {
+    super::{
+        read_plain_answer, read_rest, relay_stream, send_offer, write_to_caller, OfferAnswer,
+        OfferFailure, OpenOffer, RelayNews, RequestRun, WholeAnswer,
+    },
+    pitchhitch_core::{
+        serving::{EndpointChoice, EndpointStanding, UnreadWork},
+        time::Micros,
+    },
+    pitchhitch_http1::{BodyFraming, ByteLink},
+    pitchhitch_process::to_duration,
+};
+
+/// Longest wait for a connection to an endpoint: a way takes a millisecond or
+/// two, and nothing has been sent yet.
+const OPEN_LIMIT: Micros = Micros::from_millis(250);
+
+/// What one endpoint made of the request.
+pub(super) enum TryEnd {
+    /// The caller has its answer, whole.
+    Delivered(u16),
+    /// The caller has gone.
+    CallerGone,
+    /// The endpoint proved that it did not run the request.
+    NotRun,
+    /// The endpoint answered with a failure of its own, whole.
+    Failed(WholeAnswer),
+    /// There is no answer that can be used.
+    Broken(OfferFailure),
+}
+
+impl RequestRun<'_> {
+    /// A connection to the endpoint, if it still may get requests then.
+    pub(super) async fn open(
+        &mut self,
+        choice: &EndpointChoice,
+    ) -> Option<OpenOffer> {
+        let front = self.front;
+        let kept = front.state().pool.take(choice.key, front.now());
+        let link = match kept {
+            Some(link) => link,
+            None => {
+                let address = front.state().book.get(choice.key)?.address;
+                front.metrics.count("links", "opened");
+                match ByteLink::open(address, to_duration(OPEN_LIMIT)).await {
+                    Ok(link) => link,
+                    Err(error) => {
+                        self.judge(choice, false);
+                        self.log_try(choice, "no-connection", &error.to_string());
+                        return None;
+                    }
+                }
+            }
+        };
+        let state = front.state();
+        let entry = state.book.get(choice.key)?;
+        (entry.standing != EndpointStanding::Leaving).then(|| OpenOffer::new(link))
+    }
+
+    pub(super) async fn try_endpoint(
+        &mut self,
+        choice: &EndpointChoice,
+        offer: &mut OpenOffer,
+    ) -> TryEnd {
+        let front = self.front;
+        let bytes = self.encode(choice);
+        let ticket = {
+            let mut state = front.state();
+            let ticket = state.ticket();
+            let work = UnreadWork {
+                ticket,
+                tokens: choice.unread_tokens,
+                rank: self.rank(),
+                sent_at: front.now(),
+            };
+            state.book.sent(choice.key, work);
+            ticket
+        };
+        self.sends += 1;
+        self.log_try(choice, "sent", "");
+        let request_id = self.ask.request_id.clone();
+        let (answer, may_have_run) =
+            send_offer(offer, &bytes, &request_id, self.caller, &mut self.timer).await;
+        self.may_have_run += u32::from(may_have_run);
+        let end = match answer {
+            Ok(answer) => self.take_answer(choice, ticket, offer, answer).await,
+            Err(OfferFailure::CallerGone) => TryEnd::CallerGone,
+            Err(failure) => TryEnd::Broken(failure),
+        };
+        front.state().book.ended(choice.key, ticket);
+        self.after_try(choice, &end);
+        end
+    }
+
+    pub(super) fn after_try(
+        &mut self,
+        choice: &EndpointChoice,
+        end: &TryEnd,
+    ) {
+        match end {
+            TryEnd::Delivered(_) => self.judge(choice, true),
+            TryEnd::CallerGone => {}
+            TryEnd::NotRun => self.log_try(choice, "not-run", ""),
+            TryEnd::Failed(answer) => {
+                self.judge(choice, false);
+                self.log_try(choice, "failed", &answer.status.to_string());
+            }
+            TryEnd::Broken(failure) => {
+                self.judge(choice, false);
+                self.log_try(choice, "broken", &format!("{failure:?}"));
+            }
+        }
+    }
+
+    pub(super) async fn take_answer(
+        &mut self,
+        choice: &EndpointChoice,
+        ticket: u64,
+        offer: &mut OpenOffer,
+        answer: OfferAnswer,
+    ) -> TryEnd {
+        if let (Some(version), Some(prompt)) = (answer.marks.version, &self.ask.prompt) {
+            self.learn_version(choice, &prompt.model.clone(), version);
+        }
+        if answer.marks.is_not_run {
+            self.may_have_run -= 1;
+            self.learn_refusal(choice, &answer);
+            return self.pass_over(offer, &answer).await;
+        }
+        let is_success = (200..300).contains(&answer.head.status);
+        let is_own = answer.marks.is_signed && !answer.marks.is_encoded;
+        if is_success && !is_own {
+            return TryEnd::Broken(OfferFailure::Garbled);
+        }
+        if is_success && self.route().is_stream {
+            return self.take_stream(choice, ticket, offer, &answer).await;
+        }
+        if self.progress.is_begun {
+            return TryEnd::Broken(OfferFailure::Lost);
+        }
+        let has_no_body = self.request.head.method == "HEAD";
+        let closes = self.closes();
+        let caller = &mut *self.caller;
+        let whole =
+            read_plain_answer(offer, &answer, has_no_body, closes, caller, &mut self.timer).await;
+        match whole {
+            Ok(whole) => {
+                self.progress.closes = closes;
+                self.keep_link(offer, &answer);
+                if whole.status >= 500 {
+                    return TryEnd::Failed(whole);
+                }
+                self.began_at = Some(self.front.now());
+                match write_to_caller(self.caller, &whole.bytes, &mut self.timer).await {
+                    true => TryEnd::Delivered(whole.status),
+                    false => TryEnd::CallerGone,
+                }
+            }
+            Err(OfferFailure::CallerGone) => TryEnd::CallerGone,
+            Err(failure) => TryEnd::Broken(failure),
+        }
+    }
+
+    pub(super) async fn take_stream(
+        &mut self,
+        choice: &EndpointChoice,
+        ticket: u64,
+        offer: &mut OpenOffer,
+        answer: &OfferAnswer,
+    ) -> TryEnd {
+        let front = self.front;
+        let mut began = None;
+        let mut version = None;
+        let mut tell = |news| match news {
+            RelayNews::Begun => {
+                began = Some(front.now());
+                front.state().book.begun(choice.key, ticket);
+            }
+            RelayNews::Version(new) => version = Some(new),
+        };
+        self.progress.splitter.drop_rest();
+        if !self.progress.is_begun {
+            self.progress.closes = self.closes();
+        }
+        let caller = &mut *self.caller;
+        let progress = &mut self.progress;
+        let end = relay_stream(offer, answer, progress, caller, &mut self.timer, &mut tell).await;
+        self.began_at = self.began_at.or(began);
+        if let (Some(version), Some(prompt)) = (version, &self.ask.prompt) {
+            self.learn_version(choice, &prompt.model.clone(), version);
+        }
+        match end {
+            Ok(()) => {
+                self.keep_link(offer, answer);
+                TryEnd::Delivered(answer.head.status)
+            }
+            Err(OfferFailure::CallerGone) => TryEnd::CallerGone,
+            Err(failure) => TryEnd::Broken(failure),
+        }
+    }
+
+    pub(super) async fn pass_over(
+        &mut self,
+        offer: &mut OpenOffer,
+        answer: &OfferAnswer,
+    ) -> TryEnd {
+        let mut body = Vec::new();
+        let caller = &mut *self.caller;
+        let rest = read_rest(
+            offer,
+            answer.framing,
+            &mut body,
+            usize::MAX,
+            caller,
+            &mut self.timer,
+        );
+        match rest.await {
+            Ok(()) => self.keep_link(offer, answer),
+            Err(OfferFailure::CallerGone) => return TryEnd::CallerGone,
+            // The proof has come; only the connection is of no more use.
+            Err(_) => {}
+        }
+        TryEnd::NotRun
+    }
+
+    /// Keeps the connection for the next request, where nothing is left on it.
+    pub(super) fn keep_link(
+        &self,
+        offer: &mut OpenOffer,
+        answer: &OfferAnswer,
+    ) {
+        let is_over = offer.is_sent_whole && offer.link.unused().is_empty();
+        let ends = answer.marks.closes || answer.framing == BodyFraming::UntilClose;
+        if !is_over || ends {
+            return;
+        }
+        offer.is_kept = true;
+        offer.keeps_for = answer.marks.keeps_for;
+    }
+
+    /// Gives a connection that can take another request to the pool.
+    pub(super) fn give_back(
+        &self,
+        choice: &EndpointChoice,
+        offer: OpenOffer,
+    ) {
+        let front = self.front;
+        if offer.is_kept {
+            let mut state = front.state();
+            state
+                .pool
+                .put(choice.key, offer.link, offer.keeps_for, front.now());
+        }
+    }
+}
--- a/entry/src/front/store_watch.rs
+++ b/entry/src/front/store_watch.rs
@@ -4,18 +4,14 @@
         serving::{PartId, StoreView, WallName},
         time::Micros,
     },
-    pitchhitch_http1::{HttpCall, HttpClient},
-    pitchhitch_platform::{
-        changes_target, decode_changes, decode_list, encode_free, wait_field, KeptChange,
-        FREE_PATH, KEPT_LIST_PATH,
-    },
+    pitchhitch_platform::{KeptChange, KeptClient},
     pitchhitch_process::to_duration,
     smol::Timer,
     std::{collections::HashSet, net::SocketAddr, rc::Rc, time::Duration},
 };
 
 /// Time that a question for changes is held while there are none.
-const HOLD_MS: u64 = 300;
+const HOLD: Duration = Duration::from_millis(300);
 /// Pause between two questions; each has its price, and each answer proves for
 /// two seconds that the store still lives as it did.
 const LOOK_PAUSE: Micros = Micros::from_millis(400);
@@ -57,7 +53,7 @@
     front: Rc<FrontContext>,
     address: SocketAddr,
 ) {
-    let mut client = HttpClient::new(address, CALL_LIMIT);
+    let mut client = KeptClient::new(address, CALL_LIMIT);
     let mut next: Option<u64> = None;
     let mut is_lost = false;
     while has_view(&front, address) {
@@ -74,7 +70,7 @@
         if outcome.is_none() != is_lost {
             is_lost = outcome.is_none();
             let store = address.to_string();
-            log::info!(event = "kv-store", store = store.as_str(), lost = is_lost; "");
+            log::info!(event = "kept-store", store = store.as_str(), lost = is_lost; "");
         }
         // After the list the first changes are asked for at once: with them comes
         // the time on the engines' clock, which fetches need.
@@ -105,25 +101,12 @@
 /// store does not answer.
 async fn read_changes(
     front: &FrontContext,
-    client: &mut HttpClient,
+    client: &mut KeptClient,
     address: SocketAddr,
     since: u64,
 ) -> Option<Option<u64>> {
     let sent_at = front.now();
-    let target = changes_target(since);
-    let call = HttpCall {
-        method: "GET",
-        target: &target,
-        fields: vec![wait_field(HOLD_MS)],
-        extra_time: Duration::from_millis(HOLD_MS),
-        ..HttpCall::default()
-    };
-    let answer = client
-        .call(call)
-        .await
-        .ok()
-        .filter(|answer| answer.status == 200)?;
-    let changes = decode_changes(&answer.body).ok()?;
+    let changes = client.changes(since, HOLD).await?;
     let mut state = front.state();
     let known = state.memory.view_mut(address)?.epoch();
     if known != Some(changes.epoch) || changes.has_gap {
@@ -141,28 +124,18 @@
 
 async fn read_list(
     front: &FrontContext,
-    client: &mut HttpClient,
+    client: &mut KeptClient,
     address: SocketAddr,
 ) -> Option<Option<u64>> {
     let sent_at = front.now();
-    let call = HttpCall {
-        method: "GET",
-        target: KEPT_LIST_PATH,
-        ..HttpCall::default()
-    };
-    let answer = client
-        .call(call)
-        .await
-        .ok()
-        .filter(|answer| answer.status == 200)?;
-    let list = decode_list(&answer.body).ok()?;
+    let list = client.list().await?;
     let now = front.now();
     with_view(front, address, |view| {
         view.answered(list.epoch, None, sent_at, now);
         view.parts.clear();
     });
     log::info!(
-        event = "kv-list",
+        event = "kept-list",
         store = address.to_string().as_str(),
         epoch = list.epoch,
         parts = list.whole.len(),
@@ -192,31 +165,22 @@
     front: Rc<FrontContext>,
     address: SocketAddr,
 ) {
-    let mut client = HttpClient::new(address, CALL_LIMIT);
+    let mut client = KeptClient::new(address, CALL_LIMIT);
     while has_view(&front, address) {
         Timer::after(to_duration(FREE_PAUSE)).await;
         let Some((parts, epoch)) = old_parts(&front, address) else {
             continue;
         };
-        let call = HttpCall {
-            method: "POST",
-            target: FREE_PATH,
-            body: encode_free(&parts, epoch),
-            ..HttpCall::default()
-        };
-        let outcome = match client.call(call).await {
-            Ok(answer) => answer.status.to_string(),
-            Err(failure) => failure.to_string(),
-        };
+        let is_freed = client.free(&parts, epoch).await;
         log::info!(
-            event = "kv-free",
+            event = "kept-free",
             store = address.to_string().as_str(),
             epoch = epoch,
             parts = parts.len(),
-            outcome = outcome.as_str();
+            freed = is_freed;
             ""
         );
-        if outcome == "200" || outcome == "202" {
+        if is_freed {
             let mut state = front.state();
             for (salt, id) in &parts {
                 let wall = state.wall(salt);
--- a/http1/src/http_client.rs
+++ b/http1/src/http_client.rs
@@ -92,6 +92,16 @@
         self.link = link;
         Ok(answer)
     }
+
+    /// Makes a call and gives back the body of an answer with status 200; for
+    /// callers that do the same after any failure.
+    pub async fn sound_body(
+        &mut self,
+        call: HttpCall<'_>,
+    ) -> Option<Vec<u8>> {
+        let answer = self.call(call).await.ok()?;
+        (answer.status == 200).then_some(answer.body)
+    }
 }
 
 async fn exchange(
