--- a/agent/src/beside/beside_context.rs
+++ b/agent/src/beside/beside_context.rs
@@ -1,5 +1,5 @@
 use {
-    super::BesideSettings,
+    super::{BesideMetrics, BesideSettings},
     pitchhitch_core::{
         serving::{EngineLoad, PartId, WallTag},
         time::Micros,
@@ -49,6 +49,8 @@
     pub pending: Vec<DigestPart>,
     /// Whether the engine has forgotten what it kept before those.
     pub forgets: bool,
+    /// Counters.
+    pub metrics: BesideMetrics,
     /// Fronts that want to be told all that the engine keeps.
     pub newcomers: BTreeSet<SocketAddr>,
     fronts: HashMap<SocketAddr, Micros>,
--- a/agent/src/beside/beside_process.rs
+++ b/agent/src/beside/beside_process.rs
@@ -1,7 +1,7 @@
 use {
     super::{
-        give_orders, hear_fronts, send_digests, watch_engine, watch_kept, BesideContext,
-        BesideSettings,
+        give_orders, hear_fronts, send_digests, serve_metrics, watch_engine, watch_kept,
+        BesideContext, BesideSettings,
     },
     anyhow::Context,
     pitchhitch_process::{flush_log, ProcessSignal, SignalWatch},
@@ -26,6 +26,11 @@
     let socket = BesideSocket::bind(settings.listen).await;
     let socket = socket.with_context(|| format!("cannot listen on {}", settings.listen))?;
     let beside = BesideContext::new(settings, socket);
+    if let Some(metrics) = beside.settings.metrics {
+        serve_metrics(beside.clone(), metrics)
+            .await
+            .with_context(|| format!("cannot listen on {metrics}"))?;
+    }
     beside.spawn(watch_engine(beside.clone()));
     beside.spawn(watch_kept(beside.clone()));
     beside.spawn(hear_fronts(beside.clone()));
--- a/agent/src/beside/digest_sender.rs
+++ b/agent/src/beside/digest_sender.rs
@@ -135,6 +135,7 @@
     digest: &EngineDigest,
     front: SocketAddr,
 ) {
+    beside.state().metrics.count("digests", "sent");
     if let Err(error) = beside.socket.send(digest, front).await {
         let error = error.to_string();
         log::debug!(event = "digest-failed", error = error.as_str(); "");
--- a/agent/src/beside/engine_watch.rs
+++ b/agent/src/beside/engine_watch.rs
@@ -31,10 +31,12 @@
                     log::info!(event = "engine-back", failures = failures; "");
                 }
                 failures = 0;
+                beside.state().metrics.count("reports", "sound");
                 take_report(&beside, report);
             }
             None => {
                 failures += 1;
+                beside.state().metrics.count("reports", "missed");
                 if failures == SILENT_AFTER {
                     log::warn!(event = "engine-silent"; "");
                 }
--- a/agent/src/beside/mod.rs
+++ b/agent/src/beside/mod.rs
@@ -3,6 +3,7 @@
 //! engine orders.
 
 mod beside_context;
+mod beside_metrics;
 mod beside_process;
 mod beside_settings;
 mod digest_sender;
@@ -11,6 +12,7 @@
 mod order_giver;
 
 pub(crate) use {
-    beside_context::*, digest_sender::*, engine_watch::*, kept_watch::*, order_giver::*,
+    beside_context::*, beside_metrics::*, digest_sender::*, engine_watch::*, kept_watch::*,
+    order_giver::*,
 };
 pub use {beside_process::*, beside_settings::*};
--- a/agent/src/beside/order_giver.rs
+++ b/agent/src/beside/order_giver.rs
@@ -54,6 +54,7 @@
             outcome = outcome.as_str();
             ""
         );
+        beside.state().metrics.count("orders", &outcome);
         pause(AFTER_ORDER).await;
     }
 }
--- a/core/src/serving/swap_planner.rs
+++ b/core/src/serving/swap_planner.rs
@@ -9,9 +9,10 @@
 const LOADS_AT_ONCE: usize = 2;
 /// Engines of a group for each that loads at once.
 const ENGINES_A_LOAD: usize = 5;
-/// Engines that have a turn for each that loads: the others end their long runs
-/// meanwhile, as an engine that is told to load takes nothing until they ended.
-const TURNS_A_LOAD: usize = 2;
+/// Engines that end their long runs meanwhile, at least, and for how many that
+/// load one does: an engine that is told to load takes nothing until they ended.
+const DRAINS_AT_ONCE: usize = 2;
+const LOADS_A_DRAIN: usize = 3;
 /// Time that an engine is given to end its long runs before it loads.
 const DRAIN_LIMIT: Micros = Micros::from_millis(1_600);
 /// Requests that an engine may still run when it is told to load.
@@ -327,7 +328,8 @@
                 book.get(**other)
                     .is_some_and(|other| other.service == entry.service)
             };
-            let limit = TURNS_A_LOAD * loads_at_once(book, &entry.service);
+            let loads = loads_at_once(book, &entry.service);
+            let limit = loads + DRAINS_AT_ONCE.max(loads / LOADS_A_DRAIN);
             if self.turns.keys().filter(in_group).count() >= limit {
                 continue;
             }
--- a/entry/src/front/request_run.rs
+++ b/entry/src/front/request_run.rs
@@ -117,12 +117,13 @@
                 };
                 break;
             }
-            if self.sends > 0 && !self.may_send_again() {
-                break;
-            }
+            // A repeat is taken from the budget only where somebody can get it.
             let Some(choice) = self.pick() else {
                 break;
             };
+            if self.sends > 0 && !self.may_send_again() {
+                break;
+            }
             if self.is_too_late(&choice) {
                 self.log_try(&choice, "too-late", "");
                 last_failure = RefusalKind::Overloaded;
@@ -213,7 +214,10 @@
         let mut state = front.state();
         let fronts = state.fronts;
         let meter = state.meter(&self.service);
-        meter.take(&front.settings.repeats, fronts, front.now(), front.now())
+        let now = front.now();
+        // The clock starts with the process.
+        let lived = now;
+        meter.take(&front.settings.repeats, fronts, lived, now)
     }
 
     pub(super) async fn deliver_whole(
--- a/http1/src/lib.rs
+++ b/http1/src/lib.rs
@@ -11,8 +11,9 @@
 mod head_fields;
 mod head_reader;
 mod http_client;
+mod small_server;
 
 pub use {
     body_decoder::*, body_framing::*, byte_link::*, head_error::*, head_fields::*, head_reader::*,
-    http_client::*,
+    http_client::*, small_server::*,
 };
--- /dev/null
+++ b/http1/src/small_server.rs
@@ -0,0 +1,81 @@
+use {
+    super::{read_request_head, ByteLink},
+    smol::{net::TcpListener, Async, Timer},
+    std::{net::SocketAddr, sync::Arc, time::Duration},
+};
+
+/// Longest head of a question, in bytes.
+const HEAD_LIMIT: usize = 8 << 10;
+/// Time for which a connection may rest.
+const REST_LIMIT: Duration = Duration::from_secs(30);
+
+/// A server for small questions, such as whether a process is ready.
+#[derive(Debug)]
+pub struct SmallServer {
+    listener: TcpListener,
+}
+
+impl SmallServer {
+    /// Binds to an address.
+    ///
+    /// # Errors
+    /// When the address cannot be bound.
+    pub async fn bind(address: SocketAddr) -> std::io::Result<Self> {
+        Ok(SmallServer {
+            listener: TcpListener::bind(address).await?,
+        })
+    }
+
+    /// Waits for the next connection; those that fail at once are passed over.
+    pub async fn next(&self) -> ByteLink {
+        loop {
+            let Ok((stream, _)) = self.listener.accept().await else {
+                continue;
+            };
+            let stream: Arc<Async<std::net::TcpStream>> = stream.into();
+            if let Some(Ok(link)) = Arc::into_inner(stream).map(ByteLink::new) {
+                return link;
+            }
+        }
+    }
+}
+
+/// Answers the questions of one connection; `answer` gives status and text for a path.
+pub async fn answer_small(
+    mut link: ByteLink,
+    answer: impl Fn(&str) -> (u16, String),
+) {
+    loop {
+        let head = match read_request_head(link.unused(), HEAD_LIMIT) {
+            Ok(Some((head, length))) => {
+                link.use_up(length);
+                head
+            }
+            Ok(None) if more_came(&mut link).await => continue,
+            Ok(None) | Err(_) => return,
+        };
+        let (status, text) = answer(&head.target);
+        let reason = if status == 200 {
+            "OK"
+        } else {
+            "Service Unavailable"
+        };
+        let length = text.len();
+        let answer = format!(
+            "HTTP/1.1 {status} {reason}\r\ncontent-type: text/plain\r\n\
+             content-length: {length}\r\n\r\n{text}"
+        );
+        if link.write_all(answer.as_bytes()).await.is_err() {
+            return;
+        }
+    }
+}
+
+async fn more_came(link: &mut ByteLink) -> bool {
+    let late = async {
+        Timer::after(REST_LIMIT).await;
+        false
+    };
+    let read = async { matches!(link.read_more().await, Ok(count) if count > 0) };
+    futures_lite::future::or(read, late).await
+}
