Refuse the least urgent prompts while others begin late and engines are half taken

Reports show none of it: 'waiting' is 0 to 2.

Change: each front gauges how many prompts begin late (or never) and refuses the least urgent rank in proportion, others only beyond half of that, and only where the best engine has half of its places taken.

Tests: lateness_gauge, free_places_taken.

--- a/core/src/serving/admission_rule.rs
+++ b/core/src/serving/admission_rule.rs
@@ -1,4 +1,8 @@
-use {super::EndpointChoice, crate::time::Micros, std::collections::HashMap};
+use {
+    super::{EndpointChoice, LatenessGauge},
+    crate::time::Micros,
+    std::collections::HashMap,
+};
 
 /// Part of a request's aim that an engine may read for others first.
 const AHEAD_PART: f64 = 0.6;
@@ -16,6 +20,8 @@
 #[derive(Debug, Clone, Default)]
 pub struct AdmissionRule {
     sizes: HashMap<String, f64>,
+    gauge: LatenessGauge,
+    lowest_rank: u8,
 }
 
 impl AdmissionRule {
@@ -34,6 +40,30 @@
         }
     }
 
+    /// Notes whether a prompt began in time, or never.
+    pub fn note_begin(
+        &mut self,
+        is_late: bool,
+    ) {
+        self.gauge.note(is_late);
+    }
+
+    /// The part of the least urgent prompts that is refused for lateness.
+    pub fn pressure(&self) -> f64 {
+        self.gauge.pressure()
+    }
+
+    /// Whether a prompt of a rank is refused as others begin late: only where even
+    /// the best engine for it has half of its places taken.
+    pub fn sheds(
+        &mut self,
+        rank: u8,
+        choice: &EndpointChoice,
+    ) -> bool {
+        self.lowest_rank = self.lowest_rank.max(rank);
+        choice.is_half_full && self.gauge.refuses(rank, self.lowest_rank)
+    }
+
     /// Whether a prompt of a route should be refused, if `choice` is the best
     /// engine for it.
     pub fn refuses(
--- a/core/src/serving/endpoint_pick.rs
+++ b/core/src/serving/endpoint_pick.rs
@@ -85,6 +85,8 @@
     pub candidates: u32,
     /// Whether it has a place free, as far as is known.
     pub has_place: bool,
+    /// Whether half of its places or more are taken.
+    pub is_half_full: bool,
 }
 
 /// What is known about a prompt's parts under one version of the weights.
@@ -187,6 +189,7 @@
         version: None,
         candidates: 0,
         has_place: entry.slots == 0 || entry.occupied(ask.now) < entry.slots,
+        is_half_full: entry.slots > 0 && entry.occupied(ask.now) * 2 >= entry.slots,
     };
     if let Some(prompt) = ask.prompt {
         weigh_engine(&mut choice, entry, prompt, ask, outlooks);
--- a/core/src/serving/mod.rs
+++ b/core/src/serving/mod.rs
@@ -9,6 +9,7 @@
 mod endpoint_pick;
 mod key_trust;
 mod kv_store;
+mod lateness_gauge;
 mod memory_map;
 mod part_memory;
 mod path_index;
@@ -25,7 +26,7 @@
 
 pub use {
     admission_rule::*, caller_limits::*, endpoint_book::*, endpoint_entry::*, endpoint_pick::*,
-    key_trust::*, kv_store::*, memory_map::*, part_memory::*, path_index::*, prompt_ask::*,
-    prompt_part::*, refusal_kind::*, repeat_meter::*, served_route::*, serving_config::*,
-    store_view::*, swap_planner::*, wall_name::*, weight_belief::*,
+    key_trust::*, kv_store::*, lateness_gauge::*, memory_map::*, part_memory::*, path_index::*,
+    prompt_ask::*, prompt_part::*, refusal_kind::*, repeat_meter::*, served_route::*,
+    serving_config::*, store_view::*, swap_planner::*, wall_name::*, weight_belief::*,
 };
--- a/core/tests/serving_limits.rs
+++ b/core/tests/serving_limits.rs
@@ -94,6 +94,7 @@
         version: Some(1),
         candidates: 1,
         has_place: true,
+        is_half_full: false,
     }
 }
 
@@ -116,6 +117,20 @@
     assert!(!rule.refuses("new", aim, &choice(0.0, 4)));
 }
 
+/// Late beginnings refuse prompts only where engines are half taken: with places
+/// free they are late for another reason, and refusing would not help them.
+#[test]
+fn free_places_taken() {
+    let mut rule = AdmissionRule::default();
+    for _ in 0..200 {
+        rule.note_begin(true);
+    }
+    let mut choice = choice(0.0, 0);
+    assert!(!(0..20).any(|_| rule.sheds(2, &choice)));
+    choice.is_half_full = true;
+    assert!((0..20).any(|_| rule.sheds(2, &choice)));
+}
+
 #[test]
 fn parts_forgotten_in_order() {
     let wall = WallTag(1);
--- a/entry/src/front/request_choice.rs
+++ b/entry/src/front/request_choice.rs
@@ -55,7 +55,8 @@
         let route = self.route();
         let mut state = self.front.state();
         state.admission.note(&route.name, prompt.tokens_in);
-        state.admission.refuses(&route.name, route.aim, choice)
+        let admission = &mut state.admission;
+        admission.refuses(&route.name, route.aim, choice) || admission.sheds(self.rank(), choice)
     }
 
     pub(super) fn group(&self) -> Option<&EngineGroup> {
--- a/entry/src/front/request_log.rs
+++ b/entry/src/front/request_log.rs
@@ -55,6 +55,7 @@
             parts = self.told_parts(choice).as_str(),
             weights = choice.version.unwrap_or(0),
             of = choice.candidates,
+            pressure = state.admission.pressure(),
             load_age_ms = load.map_or(-1, |load| now.since(load.at).as_millis() as i64);
             ""
         );
@@ -83,6 +84,10 @@
             config = self.config.version;
             ""
         );
+        let is_late = first.is_none() && now.since(came_at) > self.route().aim;
+        if is_late && self.ask.prompt.is_some() && self.sends > 0 {
+            front.state().admission.note_begin(true);
+        }
         front.metrics.count("requests", outcome);
         front.metrics.time("took", now.since(came_at).0);
         if let Some(first) = first {
--- a/entry/src/front/request_try.rs
+++ b/entry/src/front/request_try.rs
@@ -169,12 +169,19 @@
         answer: &OfferAnswer,
     ) -> TryEnd {
         let front = self.front;
+        let late_at = self.request.came_at + self.route().aim;
+        let is_prompt = self.ask.prompt.is_some() && !self.progress.is_begun;
         let mut began = None;
         let mut version = None;
         let mut tell = |news| match news {
             RelayNews::Begun => {
-                began = Some(front.now());
-                front.state().book.begun(choice.key, ticket);
+                let now = front.now();
+                began = Some(now);
+                let mut state = front.state();
+                state.book.begun(choice.key, ticket);
+                if is_prompt {
+                    state.admission.note_begin(now > late_at);
+                }
             }
             RelayNews::Version(new) => version = Some(new),
         };
