--- a/entry/src/front/front_state.rs
+++ b/entry/src/front/front_state.rs
@@ -24,6 +24,8 @@
     pub config: Option<Rc<ServingConfig>>,
     /// Endpoints.
     pub book: EndpointBook,
+    /// Whether the list of endpoints has been read in this life.
+    pub has_list: bool,
     /// Age of the configuration.
     pub trust: KeyTrust,
     /// What is refused while engines are behind.
@@ -55,6 +57,7 @@
         FrontState {
             config: None,
             book: EndpointBook::default(),
+            has_list: false,
             trust: KeyTrust::new(settings.key_limit),
             admission: AdmissionRule::default(),
             memory: MemoryMap::default(),
@@ -145,6 +148,7 @@
             return false;
         };
         let has_keys = !config.organisations.is_empty();
-        self.stops_since.is_none() && (!has_keys || self.trust.is_sound(now))
+        let knows_keys = !has_keys || self.trust.is_sound(now);
+        self.stops_since.is_none() && self.has_list && knows_keys
     }
 }
--- a/entry/src/front/list_watch.rs
+++ b/entry/src/front/list_watch.rs
@@ -17,6 +17,9 @@
 const LOOK_PAUSE: Micros = Micros::from_millis(500);
 /// The same where many fronts share what the store gives.
 const MANY_LOOK_PAUSE: Micros = Micros::from_millis(900);
+/// Pause before the next try where the list was never read: without it nothing
+/// can be served.
+const FIRST_LOOK_PAUSE: Micros = Micros::from_millis(150);
 /// Time limit of a look.
 const CALL_LIMIT: Duration = Duration::from_millis(1_500);
 /// A look that takes longer shows a store that is slow.
@@ -69,11 +72,18 @@
             Err(_) => {}
         }
         tidy(&front);
-        let pause = match front.state().has_many_fronts() {
-            true => MANY_LOOK_PAUSE,
-            false => LOOK_PAUSE,
-        };
-        Timer::after(to_duration(pause)).await;
+        Timer::after(to_duration(look_pause(&front))).await;
+    }
+}
+
+fn look_pause(front: &FrontContext) -> Micros {
+    let state = front.state();
+    if !state.has_list {
+        return FIRST_LOOK_PAUSE;
+    }
+    match state.has_many_fronts() {
+        true => MANY_LOOK_PAUSE,
+        false => LOOK_PAUSE,
     }
 }
 
@@ -96,7 +106,9 @@
         }
     }
     if is_whole {
-        changes.extend(front.state().book.take_all(&listed, is_steady));
+        let mut state = front.state();
+        changes.extend(state.book.take_all(&listed, is_steady));
+        state.has_list = true;
     }
     log_changes(front, &changes);
     Ok(())
