--- /dev/null
+++ b/core/src/role/entry_configs.rs
@@ -0,0 +1,109 @@
+//! What the platform says: configuration and boxes.
+
+use {
+    super::{BoxNotice, BoxRole, EntryAction, EntryCore, PlacementKind},
+    crate::{
+        conf::{ChangeRecord, FleetConfig},
+        route::EndpointKind,
+        time::Micros,
+    },
+    std::{collections::BTreeSet, sync::Arc},
+};
+
+impl EntryCore {
+    /// Applies changes that follow on the configuration; others are passed over.
+    pub(super) fn changes_read(
+        &mut self,
+        records: Vec<ChangeRecord>,
+        actions: &mut Vec<EntryAction>,
+    ) {
+        let mut config = (*self.config).clone();
+        for record in &records {
+            let follows = record.revision == config.revision + 1;
+            if follows && config.apply(&record.change).is_err() {
+                return;
+            }
+        }
+        self.history.note(records);
+        self.config_read(Arc::new(config), actions);
+    }
+
+    pub(super) fn config_read(
+        &mut self,
+        config: Arc<FleetConfig>,
+        actions: &mut Vec<EntryAction>,
+    ) {
+        // Revisions never go down, whoever the configuration comes from.
+        if config.revision <= self.config.revision {
+            return;
+        }
+        self.config = config;
+        self.roster.relabel(&self.config);
+        self.pools_stale = true;
+        self.notices_due = true;
+        self.log(
+            PlacementKind::ConfigInForce,
+            &self.config.revision.to_string(),
+            "newer than the one before".to_string(),
+            actions,
+        );
+        self.notify_agents(actions);
+        self.publish(actions);
+    }
+
+    pub(super) fn version_changed(
+        &mut self,
+        endpoint_id: &str,
+        version: String,
+    ) {
+        let Some(state) = self.roster.state(endpoint_id) else {
+            return;
+        };
+        if let EndpointKind::Engine { model, .. } = &state.kind {
+            let kind = EndpointKind::Engine {
+                model: model.clone(),
+                version,
+            };
+            self.roster.set_version(endpoint_id, &kind);
+            self.pools_stale = true;
+        }
+    }
+
+    pub(super) fn boxes_listed(
+        &mut self,
+        now: Micros,
+        boxes: Vec<BoxNotice>,
+        actions: &mut Vec<EntryAction>,
+    ) {
+        let leaving = boxes
+            .iter()
+            .filter(|b| b.role == BoxRole::Endpoint && b.leaving);
+        let leaving: BTreeSet<String> = leaving.map(|b| b.id.clone()).collect();
+        if leaving != self.leaving_boxes {
+            self.leaving_boxes = leaving;
+            self.notices_due = true;
+            self.notify_agents(actions);
+        }
+        self.note_domain(&boxes);
+        let entries = boxes.iter().filter(|b| b.role == BoxRole::Entry);
+        self.keeper
+            .note_entries(entries.map(|b| b.id.clone()).collect());
+        for id in self.stores.note_boxes(now, &boxes, actions) {
+            let reason = "not in the box list".to_string();
+            self.log(PlacementKind::StoreLost, &id, reason, actions);
+        }
+    }
+
+    pub(super) fn note_domain(
+        &mut self,
+        boxes: &[BoxNotice],
+    ) {
+        let mut entries = boxes.iter().filter(|b| b.role == BoxRole::Entry);
+        let own = entries.clone().find(|b| b.id == self.setup.box_id);
+        let Some(domain) = own.map(|b| &b.failure_domain) else {
+            return;
+        };
+        let near = entries.by_ref().filter(|b| &b.failure_domain == domain);
+        self.domain_entries = near.map(|b| b.id.clone()).collect();
+    }
+}
--- /dev/null
+++ b/core/src/role/entry_contacts.rs
@@ -0,0 +1,226 @@
+//! What agents and peers say.
+
+use {
+    super::{
+        AgentPulse, ConfigNotice, EntryAction, EntryCore, EventBatch, LoadChange, PlacementKind,
+        RosterChange, UpwardEvent,
+    },
+    crate::{
+        kept::PieceHolder, member::EntryBeacon, place::ReturnLabel, route::SentLoad, time::Micros,
+    },
+};
+
+impl EntryCore {
+    pub(super) fn agent_heard(
+        &mut self,
+        now: Micros,
+        beacon: crate::member::AgentBeacon,
+        own: SentLoad,
+        actions: &mut Vec<EntryAction>,
+    ) {
+        match self.roster.heard(&beacon, own, &self.config, now) {
+            RosterChange::None => {}
+            RosterChange::Load => self.table_stale = true,
+            RosterChange::Altered => {
+                self.roster.relabel(&self.config);
+                self.pools_stale = true;
+                self.publish(actions);
+            }
+            RosterChange::Joined => {
+                self.pools_stale = true;
+                if let Some(state) = self.roster.state(&beacon.endpoint_id) {
+                    actions.push(EntryAction::Connect(state.clone()));
+                }
+                let reason = format!("incarnation {}", beacon.incarnation);
+                self.log(
+                    PlacementKind::EndpointJoined,
+                    &beacon.endpoint_id,
+                    reason,
+                    actions,
+                );
+            }
+        }
+    }
+
+    pub(super) fn peer_heard(
+        &mut self,
+        now: Micros,
+        beacon: EntryBeacon,
+        actions: &mut Vec<EntryAction>,
+    ) {
+        let newer = beacon.revision > self.config.revision;
+        let peer = beacon.peer_address;
+        self.peers.heard(beacon, now);
+        self.first_peer.get_or_insert(now);
+        if newer {
+            actions.push(EntryAction::PullConfig { peer });
+        }
+    }
+
+    pub(super) fn stream_opened(
+        &mut self,
+        now: Micros,
+        endpoint_id: &str,
+        incarnation: u64,
+        actions: &mut Vec<EntryAction>,
+    ) {
+        let known = self.roster.state(endpoint_id).map(|s| s.incarnation);
+        if known != Some(incarnation) {
+            return;
+        }
+        self.roster.renew_key(endpoint_id);
+        self.pools_stale = true;
+        if let Some(entry) = self.roster.get_mut(endpoint_id) {
+            entry.linked = true;
+            entry.next_event = Some(0);
+            entry.heard_at = now;
+            entry.notified = None;
+        }
+        self.roster.judge(now);
+        self.notices_due = true;
+        self.notify_agents(actions);
+        self.publish(actions);
+    }
+
+    pub(super) fn link_lost(
+        &mut self,
+        now: Micros,
+        endpoint_id: &str,
+    ) {
+        if let Some(entry) = self.roster.get_mut(endpoint_id) {
+            entry.linked = false;
+            entry.awaited_since = None;
+            entry.next_event = None;
+            entry.loading = None;
+        }
+        self.roster.judge(now);
+        self.table_stale = true;
+    }
+
+    pub(super) fn pulse_seen(
+        &mut self,
+        now: Micros,
+        endpoint_id: &str,
+        pulse: AgentPulse,
+        own: SentLoad,
+    ) {
+        match self.roster.note_load(endpoint_id, pulse, own, now) {
+            LoadChange::None => {}
+            LoadChange::Load => self.table_stale = true,
+            LoadChange::Refusal => {
+                self.roster.relabel(&self.config);
+                self.pools_stale = true;
+            }
+        }
+    }
+
+    pub(super) fn agent_said(
+        &mut self,
+        now: Micros,
+        endpoint_id: &str,
+        incarnation: u64,
+        batch: EventBatch,
+        own: SentLoad,
+        actions: &mut Vec<EntryAction>,
+    ) {
+        if self.roster.state(endpoint_id).map(|s| s.incarnation) != Some(incarnation) {
+            return;
+        }
+        let Some(entry) = self.roster.get_mut(endpoint_id) else {
+            return;
+        };
+        let Some(expected) = entry.next_event else {
+            return;
+        };
+        if batch.first != expected {
+            entry.next_event = None;
+            actions.push(EntryAction::Resync {
+                endpoint_id: endpoint_id.to_string(),
+            });
+            return;
+        }
+        entry.next_event = Some(expected + batch.events.len() as u64);
+        self.table_stale |= !batch.events.is_empty();
+        for event in batch.events {
+            self.upward(now, endpoint_id, event, actions);
+        }
+        self.pulse_seen(now, endpoint_id, batch.pulse, own);
+        if self.pools_stale {
+            self.publish(actions);
+        }
+    }
+
+    pub(super) fn upward(
+        &mut self,
+        now: Micros,
+        endpoint_id: &str,
+        event: UpwardEvent,
+        actions: &mut Vec<EntryAction>,
+    ) {
+        let Some(key) = self.roster.get(endpoint_id).map(|e| e.key) else {
+            return;
+        };
+        match event {
+            UpwardEvent::Cached(piece) => {
+                self.pieces.add_bounded(piece, PieceHolder::Endpoint(key))
+            }
+            UpwardEvent::Evicted(piece) => {
+                self.pieces.remove(piece, &PieceHolder::Endpoint(key));
+            }
+            UpwardEvent::Cleared => {
+                self.roster.renew_key(endpoint_id);
+                self.pools_stale = true;
+            }
+            UpwardEvent::Stored(notice) => self.stores.stored(notice, &mut self.pieces),
+            UpwardEvent::Missing(notice) => self.stores.missing(&notice, &mut self.pieces),
+            UpwardEvent::PromptUsed(prompt) => {
+                let label = ReturnLabel {
+                    organisation: prompt.organisation,
+                    label: prompt.label,
+                };
+                self.prompts.saw(prompt.identity, label, now);
+            }
+            UpwardEvent::StoreFull { store } => {
+                self.evict_pieces(now, endpoint_id, &store, actions)
+            }
+            UpwardEvent::Version(version) => self.version_changed(endpoint_id, version),
+            UpwardEvent::OrderEnded(_) => {
+                if let Some(entry) = self.roster.get_mut(endpoint_id) {
+                    entry.loading = None;
+                }
+            }
+        }
+    }
+
+    pub(super) fn notify_agents(
+        &mut self,
+        actions: &mut Vec<EntryAction>,
+    ) {
+        if self.config.revision == 0 || !self.notices_due {
+            return;
+        }
+        self.notices_due = false;
+        let ids: Vec<String> = self.roster.iter().map(|(id, _)| id.clone()).collect();
+        for id in ids {
+            let notice = ConfigNotice {
+                revision: self.config.revision,
+                leaving: self.config.is_leaving(&id),
+                box_leaving: self.leaving_boxes.contains(&id),
+            };
+            let Some(entry) = self.roster.get_mut(&id) else {
+                continue;
+            };
+            let same = entry.notified.is_some_and(|n| {
+                n.leaving == notice.leaving && n.box_leaving == notice.box_leaving
+            });
+            if !entry.linked || same {
+                continue;
+            }
+            entry.notified = Some(notice);
+            actions.push(EntryAction::Notify {
+                endpoint_id: id,
+                notice,
+            });
+        }
+    }
+}
--- a/testbed/src/deploy/deployment.rs
+++ b/testbed/src/deploy/deployment.rs
@@ -1,9 +1,11 @@
 use {
-    super::{ChildProcess, DeploymentShape, EntryPlace, FreePorts, ProgramSet},
+    super::{
+        ChildProcess, DeploymentShape, EndpointPlace, EndpointStandIn, EntryPlace, FreePorts,
+        ProgramSet,
+    },
     crate::{
         engine::EngineStandIn,
-        proxy::FaultProxy,
-        stand_ins::{PlainService, PlatformStandIn, RunCounter, StoreBox},
+        stand_ins::{PlatformStandIn, RunCounter, StoreBox},
     },
     anyhow::Context,
     pitchhitch_core::conf::{ConfigChange, ModelConf, OrganisationConf, ServiceConf, VersionConf},
@@ -19,7 +21,6 @@
     smol::Timer,
     std::{
         fs,
-        net::SocketAddr,
         path::{Path, PathBuf},
         process::Output,
         sync::atomic::{AtomicU32, Ordering},
@@ -32,34 +33,10 @@
 pub(super) const LOOK: Duration = Duration::from_millis(20);
 const CALL_TIMEOUT: Duration = Duration::from_secs(5);
 const LOG_VARIABLE: &str = "PITCHHITCH_LOG";
-const BEACON_SECRET: &str = "secret of the testbed";
+pub(super) const BEACON_SECRET: &str = "secret of the testbed";
 
 static FOLDERS: AtomicU32 = AtomicU32::new(0);
 
-/// What stands behind an agent.
-#[derive(Debug)]
-pub enum EndpointStandIn {
-    /// A model engine.
-    Engine(EngineStandIn),
-    /// A plain service.
-    Service(PlainService),
-    /// Something in a process of its own.
-    External,
-}
-
-/// One endpoint with its agent.
-#[derive(Debug)]
-pub struct EndpointPlace {
-    /// Id of the endpoint.
-    pub id: String,
-    /// The endpoint.
-    pub stand_in: EndpointStandIn,
-    /// Between agent and endpoint, if the test wants it.
-    pub proxy: Option<FaultProxy>,
-    /// The agent.
-    pub agent: Option<ChildProcess>,
-}
-
 /// A running deployment. Everything ends when it is dropped.
 #[derive(Debug)]
 pub struct Deployment {
@@ -219,116 +196,7 @@
         Ok(())
     }
 
-    /// Adds an engine with its agent.
-    ///
-    /// # Errors
-    /// When it does not start.
-    pub async fn add_engine(
-        &mut self,
-        number: usize,
-        proxied: bool,
-    ) -> anyhow::Result<()> {
-        let engine = EngineStandIn::start(self.shape.engine(self.platform.address))?;
-        let kind = json!({"engine": {"model": self.shape.model, "version": self.shape.version}});
-        let group = self.engine_group();
-        let id = format!("{}-engine-{}", self.shape.name, number + 1);
-        let address = engine.address;
-        let stand_in = EndpointStandIn::Engine(engine);
-        self.add_endpoint(id, kind, group, address, stand_in, number, proxied)
-            .await
-    }
-
-    /// Adds a plain service with its agent.
-    ///
-    /// # Errors
-    /// When it does not start.
-    pub async fn add_service(
-        &mut self,
-        number: usize,
-        proxied: bool,
-    ) -> anyhow::Result<()> {
-        let service = PlainService::start(self.runs.clone())?;
-        let kind = json!({"service": {"service": self.shape.service}});
-        let group = format!("{}-services", self.shape.name);
-        let id = format!("{}-service-{}", self.shape.name, number + 1);
-        let address = service.address;
-        let stand_in = EndpointStandIn::Service(service);
-        self.add_endpoint(id, kind, group, address, stand_in, number, proxied)
-            .await
-    }
-
-    /// Adds an agent before an engine that runs in a process of its own.
-    ///
-    /// # Errors
-    /// When it does not start.
-    pub async fn add_external_engine(
-        &mut self,
-        number: usize,
-        address: SocketAddr,
-    ) -> anyhow::Result<()> {
-        let kind = json!({"engine": {"model": self.shape.model, "version": self.shape.version}});
-        let group = self.engine_group();
-        let id = format!("{}-engine-{}", self.shape.name, number + 1);
-        let stand_in = EndpointStandIn::External;
-        self.add_endpoint(id, kind, group, address, stand_in, number, false)
-            .await
-    }
-
-    /// Adds an agent before a plain service that runs in a process of its own.
-    ///
-    /// # Errors
-    /// When it does not start.
-    pub async fn add_external_service(
-        &mut self,
-        number: usize,
-        address: SocketAddr,
-    ) -> anyhow::Result<()> {
-        let kind = json!({"service": {"service": self.shape.service}});
-        let group = format!("{}-services", self.shape.name);
-        let id = format!("{}-service-{}", self.shape.name, number + 1);
-        let stand_in = EndpointStandIn::External;
-        self.add_endpoint(id, kind, group, address, stand_in, number, false)
-            .await
-    }
-
-    #[allow(clippy::too_many_arguments)]
-    async fn add_endpoint(
-        &mut self,
-        id: String,
-        kind: serde_json::Value,
-        group: String,
-        address: SocketAddr,
-        stand_in: EndpointStandIn,
-        number: usize,
-        proxied: bool,
-    ) -> anyhow::Result<()> {
-        let proxy = match proxied {
-            true => Some(FaultProxy::start(address).await?),
-            false => None,
-        };
-        let address = proxy.as_ref().map_or(address, |p| p.address);
-        let domain = &self.shape.failure_domains[number % self.shape.failure_domains.len()];
-        let settings = json!({
-            "endpoint_id": id, "failure_domain": domain, "group": group, "kind": kind,
-            "labels": {"site": if number % 2 == 0 { "a" } else { "b" }},
-            "listen": "127.0.0.1:0", "beacons": "127.0.0.1:0", "endpoint": address,
-            "table": self.platform.address, "boxes": self.platform.address,
-            "beacon_secret": BEACON_SECRET,
-            "slots": self.shape.slots, "queue_limit": 64,
-            "health_path": self.shape.health_path, "checks_orders": true,
-        });
-        self.write_settings(&id, &settings)?;
-        let agent = self.start_agent(&id)?;
-        self.endpoints.push(EndpointPlace {
-            id,
-            stand_in,
-            proxy,
-            agent: Some(agent),
-        });
-        Ok(())
-    }
-
-    fn write_settings(
+    pub(super) fn write_settings(
         &self,
         name: &str,
         settings: &serde_json::Value,
--- a/testbed/src/deploy/mod.rs
+++ b/testbed/src/deploy/mod.rs
@@ -4,6 +4,7 @@
 mod child_process;
 mod deployment;
 mod deployment_shape;
+mod endpoint_place;
 mod entry_place;
 mod fake_agents;
 mod free_ports;
@@ -11,6 +12,6 @@
 mod test_helpers;
 
 pub use {
-    child_engine::*, child_process::*, deployment::*, deployment_shape::*, entry_place::*,
-    fake_agents::*, free_ports::*, program_set::*,
+    child_engine::*, child_process::*, deployment::*, deployment_shape::*, endpoint_place::*,
+    entry_place::*, fake_agents::*, free_ports::*, program_set::*,
 };
