--- a/core/tests/lateness_gauge.rs
+++ b/core/tests/lateness_gauge.rs
@@ -27,7 +27,7 @@
 
 #[test]
 fn timely_all_taken() {
-    // One in ten late is what a sound day shows.
+    // One in ten late is more than sound seconds show.
     let mut gauge = after(1_000, 10);
     for rank in [URGENT, SMALL, LARGE] {
         assert_eq!(refused(&mut gauge, rank), 0, "rank {rank}");
