A prompt that never began counts as late; a rare rank shields nobody

Cause: the gauge of lateness was fed by a log function, which prompts that were answered "timed out" never reach; its comment says "or never". Engines that begin with nothing at all so put no pressure on. And the least urgent rank was the highest ever seen: one caller of rank 9 would have kept all others from being refused.

Ruled out: counting each refusal (one that was never sent says nothing of engines).

Conclusion: learn_unbegun runs once for each prompt, after whatever became of it; log_end only logs. RankShares keeps smoothed shares of ranks.

--- a/core/src/serving/admission_rule.rs
+++ b/core/src/serving/admission_rule.rs
@@ -1,5 +1,5 @@
 use {
-    super::{EndpointChoice, LatenessGauge},
+    super::{EndpointChoice, LatenessGauge, RankShares},
     crate::time::Micros,
     std::collections::HashMap,
 };
@@ -21,7 +21,7 @@
 pub struct AdmissionRule {
     sizes: HashMap<String, f64>,
     gauge: LatenessGauge,
-    lowest_rank: u8,
+    ranks: RankShares,
 }
 
 impl AdmissionRule {
@@ -60,8 +60,8 @@
         rank: u8,
         choice: &EndpointChoice,
     ) -> bool {
-        self.lowest_rank = self.lowest_rank.max(rank);
-        choice.is_half_full && self.gauge.refuses(rank, self.lowest_rank)
+        self.ranks.note(rank);
+        choice.is_half_full && self.gauge.refuses(rank, self.ranks.lowest())
     }
 
     /// Whether a prompt of a route should be refused, if `choice` is the best
--- a/core/src/serving/mod.rs
+++ b/core/src/serving/mod.rs
@@ -15,6 +15,7 @@
 mod path_index;
 mod prompt_ask;
 mod prompt_part;
+mod rank_shares;
 mod refusal_kind;
 mod repeat_meter;
 mod served_route;
@@ -27,6 +28,7 @@
 pub use {
     admission_rule::*, caller_limits::*, endpoint_book::*, endpoint_entry::*, endpoint_pick::*,
     key_trust::*, kv_store::*, lateness_gauge::*, memory_map::*, part_memory::*, path_index::*,
-    prompt_ask::*, prompt_part::*, refusal_kind::*, repeat_meter::*, served_route::*,
-    serving_config::*, store_view::*, swap_planner::*, wall_name::*, weight_belief::*,
+    prompt_ask::*, prompt_part::*, rank_shares::*, refusal_kind::*, repeat_meter::*,
+    served_route::*, serving_config::*, store_view::*, swap_planner::*, wall_name::*,
+    weight_belief::*,
 };
--- /dev/null
+++ b/core/tests/rank_shares.rs
@@ -0,0 +1,34 @@
+//! Which rank is the least urgent that makes up a part of the prompts.
+
+use pitchhitch_core::serving::RankShares;
+
+fn after(ranks: impl Iterator<Item = u8>) -> RankShares {
+    let mut shares = RankShares::default();
+    ranks.for_each(|rank| shares.note(rank));
+    shares
+}
+
+#[test]
+fn first_rank_counts() {
+    assert_eq!(after([3].into_iter()).lowest(), 3);
+}
+
+/// One caller of a rank that nobody else has does not shield the others.
+#[test]
+fn rare_rank_left_out() {
+    let shares = after((0..2_000).map(|number| if number % 100 == 0 { 9 } else { 2 }));
+    assert_eq!(shares.lowest(), 2);
+}
+
+#[test]
+fn common_ranks_count() {
+    let shares = after((0..2_000).map(|number| if number % 5 == 0 { 7 } else { 1 }));
+    assert_eq!(shares.lowest(), 7);
+}
+
+/// A rank that has gone out of use is forgotten.
+#[test]
+fn old_rank_forgotten() {
+    let shares = after((0..2_000).map(|number| if number < 1_000 { 5 } else { 1 }));
+    assert_eq!(shares.lowest(), 1);
+}
--- a/entry/src/front/request_log.rs
+++ b/entry/src/front/request_log.rs
@@ -84,10 +84,6 @@
             config = self.config.version;
             ""
         );
-        let is_late = first.is_none() && now.since(came_at) > self.route().aim;
-        if is_late && self.ask.prompt.is_some() && self.sends > 0 {
-            front.state().admission.note_begin(true);
-        }
         front.metrics.count("requests", outcome);
         front.metrics.time("took", now.since(came_at).0);
         if let Some(first) = first {
--- a/entry/src/front/request_run.rs
+++ b/entry/src/front/request_run.rs
@@ -87,7 +87,9 @@
         config: config.clone(),
         place,
     };
-    run.serve().await
+    let end = run.serve().await;
+    run.learn_unbegun();
+    end
 }
 
 fn spread_number(request_id: &str) -> u64 {
