--- a/agent/src/cli/agent_cli.rs
+++ b/agent/src/cli/agent_cli.rs
@@ -4,9 +4,9 @@
         beside::{run_beside, BesideSettings},
         conf::AgentSettings,
     },
-    getopts::Options,
+    getopts::{Matches, Options},
     pitchhitch_process::{flush_log, start_bounded_logging, start_logging, start_traffic},
-    std::{fs, process::ExitCode},
+    std::{env, fmt::Display, fs, process::ExitCode},
 };
 
 /// Variable that names the settings file on the platform's boxes.
@@ -18,6 +18,46 @@
 /// The process failed.
 const EXIT_FAILED: u8 = 1;
 
+/// What the agent stands beside.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum AgentMode {
+    /// An endpoint of our own deployments.
+    Endpoint,
+    /// An engine of the platform.
+    Engine,
+}
+
+impl AgentMode {
+    fn call(self) -> &'static str {
+        match self {
+            AgentMode::Endpoint => "pitchhitch-agent",
+            AgentMode::Engine => "pitchhitch-agent beside",
+        }
+    }
+
+    /// Where the settings are, if that is said.
+    fn settings_file(
+        self,
+        matches: &Matches,
+    ) -> Option<String> {
+        let named = matches.opt_str("settings");
+        match self {
+            AgentMode::Endpoint => named,
+            AgentMode::Engine => named.or_else(|| env::var(SETTINGS_VARIABLE).ok()),
+        }
+    }
+
+    fn usage(self) -> String {
+        let missing = match self {
+            AgentMode::Endpoint => "--settings FILE is missing".to_string(),
+            AgentMode::Engine => {
+                format!("name a settings file by --settings or in {SETTINGS_VARIABLE}")
+            }
+        };
+        format!("{missing}; see {} --help", self.call())
+    }
+}
+
 fn options() -> Options {
     let mut options = Options::new();
     options.optopt("s", "settings", "settings file, in JSON", "FILE");
@@ -29,102 +69,96 @@
 
 /// Runs the agent with the arguments of a command line.
 pub fn run(args: &[String]) -> ExitCode {
-    if args.first().is_some_and(|word| word == "beside") {
-        return run_beside_command(&args[1..]);
-    }
+    let (mode, args) = match args.split_first() {
+        Some((word, rest)) if word == "beside" => (AgentMode::Engine, rest),
+        _ => (AgentMode::Endpoint, args),
+    };
     let matches = match options().parse(args) {
         Ok(matches) => matches,
-        Err(error) => {
-            eprintln!("pitchhitch-agent: {error}; see pitchhitch-agent --help");
-            return ExitCode::from(EXIT_USAGE);
-        }
+        Err(error) => return end_usage(mode, format!("{error}; see {} --help", mode.call())),
     };
     if matches.opt_present("help") {
-        print!(
-            "{}",
-            options().usage("pitchhitch-agent [beside] --settings FILE")
-        );
-        println!("\n'beside' stands beside an engine of the platform; its settings file may also");
-        println!("be named by {SETTINGS_VARIABLE}.");
-        println!("\nExit codes: 0 done, 1 failed, 2 wrong call, 3 wrong settings");
+        print_help();
         return ExitCode::SUCCESS;
     }
     if matches.opt_present("version") {
         println!("pitchhitch-agent {}", env!("CARGO_PKG_VERSION"));
         return ExitCode::SUCCESS;
     }
-    let Some(file) = matches.opt_str("settings") else {
-        eprintln!("pitchhitch-agent: --settings FILE is missing; see pitchhitch-agent --help");
-        return ExitCode::from(EXIT_USAGE);
+    let Some(file) = mode.settings_file(&matches) else {
+        return end_usage(mode, mode.usage());
     };
-    let settings = match read_settings(&file) {
-        Ok(settings) => settings,
-        Err(text) => {
-            eprintln!("{text}");
-            return ExitCode::from(EXIT_SETTINGS);
-        }
+    let only_check = matches.opt_present("check");
+    let ended = match mode {
+        AgentMode::Endpoint => run_endpoint(&file, only_check),
+        AgentMode::Engine => run_engine(&file, only_check),
     };
-    if matches.opt_present("check") {
+    match ended {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(code) => code,
+    }
+}
+
+fn print_help() {
+    let usage = options().usage("pitchhitch-agent [beside] --settings FILE");
+    print!("{usage}");
+    println!("\n'beside' stands beside an engine of the platform; its settings file may also");
+    println!("be named by {SETTINGS_VARIABLE}.");
+    println!("\nExit codes: 0 done, 1 failed, 2 wrong call, 3 wrong settings");
+}
+
+fn run_endpoint(
+    file: &str,
+    only_check: bool,
+) -> Result<(), ExitCode> {
+    let settings = read_settings(file, AgentSettings::parse).map_err(end_settings)?;
+    if only_check {
         println!("{file}: no problems");
-        return ExitCode::SUCCESS;
+        return Ok(());
     }
     start_logging();
     start_traffic(settings.traffic_threads);
-    match smol::block_on(run_agent(settings)) {
-        Ok(()) => ExitCode::SUCCESS,
-        Err(error) => {
-            log::error!(event = "failed", error = format!("{error:#}").as_str(); "");
-            ExitCode::from(EXIT_FAILED)
-        }
-    }
+    smol::block_on(run_agent(settings)).map_err(end_failed)
 }
 
-fn run_beside_command(args: &[String]) -> ExitCode {
-    let matches = match options().parse(args) {
-        Ok(matches) => matches,
-        Err(error) => {
-            eprintln!("pitchhitch-agent beside: {error}; see pitchhitch-agent --help");
-            return ExitCode::from(EXIT_USAGE);
-        }
-    };
-    let named = matches.opt_str("settings");
-    let Some(file) = named.or_else(|| std::env::var(SETTINGS_VARIABLE).ok()) else {
-        eprintln!(
-            "pitchhitch-agent beside: name a settings file by --settings or in {SETTINGS_VARIABLE}"
-        );
-        return ExitCode::from(EXIT_USAGE);
-    };
-    let settings = match read_beside_settings(&file) {
-        Ok(settings) => settings,
-        Err(text) => {
-            eprintln!("{text}");
-            return ExitCode::from(EXIT_SETTINGS);
-        }
-    };
-    if matches.opt_present("check") {
+fn run_engine(
+    file: &str,
+    only_check: bool,
+) -> Result<(), ExitCode> {
+    let read = || read_settings(file, BesideSettings::parse);
+    let settings = read().map_err(end_settings)?;
+    if only_check {
         println!("{file}: no problems");
-        return ExitCode::SUCCESS;
+        return Ok(());
     }
     start_bounded_logging();
-    let reload = || read_beside_settings(&file);
-    match smol::block_on(run_beside(settings, &reload)) {
-        Ok(()) => ExitCode::SUCCESS,
-        Err(error) => {
-            log::error!(event = "failed", error = format!("{error:#}").as_str(); "");
-            flush_log();
-            ExitCode::from(EXIT_FAILED)
-        }
-    }
+    smol::block_on(run_beside(settings, &read)).map_err(end_failed)
 }
 
-fn read_beside_settings(file: &str) -> Result<BesideSettings, String> {
+fn read_settings<S, E: Display>(
+    file: &str,
+    parse: impl Fn(&str, &str) -> Result<S, E>,
+) -> Result<S, String> {
     let text = fs::read_to_string(file)
         .map_err(|e| format!("{file}: cannot be read: {e}; name a settings file that is there"))?;
-    BesideSettings::parse(file, &text).map_err(|e| e.to_string())
+    parse(file, &text).map_err(|e| e.to_string())
 }
 
-fn read_settings(file: &str) -> Result<AgentSettings, String> {
-    let text = fs::read_to_string(file)
-        .map_err(|e| format!("{file}: cannot be read: {e}; name a settings file that is there"))?;
-    AgentSettings::parse(file, &text).map_err(|e| e.to_string())
+fn end_usage(
+    mode: AgentMode,
+    text: String,
+) -> ExitCode {
+    eprintln!("{}: {text}", mode.call());
+    ExitCode::from(EXIT_USAGE)
+}
+
+fn end_settings(text: String) -> ExitCode {
+    eprintln!("{text}");
+    ExitCode::from(EXIT_SETTINGS)
+}
+
+fn end_failed(error: anyhow::Error) -> ExitCode {
+    log::error!(event = "failed", error = format!("{error:#}").as_str(); "");
+    flush_log();
+    ExitCode::from(EXIT_FAILED)
 }
--- a/agent/tests/command_line.rs
+++ b/agent/tests/command_line.rs
@@ -33,3 +33,14 @@
         String::from_utf8_lossy(&output.stderr)
     );
 }
+
+/// Both ways to run have the same help and version.
+#[test]
+fn beside_helps_too() {
+    for word in ["--help", "--version"] {
+        let own = run(&[word]);
+        let beside = run(&["beside", word]);
+        assert_eq!(beside.status.code(), Some(0), "{word}");
+        assert_eq!(beside.stdout, own.stdout, "{word}");
+    }
+}
--- a/core/src/role/agent_core.rs
+++ b/core/src/role/agent_core.rs
@@ -1,46 +1,32 @@
 use {
     super::{
-        AgentAction, AgentEvent, AgentIdentity, AgentPulse, CacheMirror, ConfigNotice,
-        EndpointOrder, GateRefusal, GateWork, NewsOutcome, OrderOutcome, ServiceMeter,
-        StampedOrder, UpwardEvent, WorkTicket,
+        agent_work::RunningWork, AgentAction, AgentEvent, AgentIdentity, AgentPulse, CacheMirror,
+        ConfigNotice, GateWork, NewsOutcome, ServiceMeter, UpwardEvent, WorkTicket,
     },
     crate::{
-        errors::ErrorKind,
-        lease::OrderFence,
-        limit::FairQueue,
-        member::AgentBeacon,
-        route::{EndpointKind, LoadReport},
-        time::Micros,
+        errors::ErrorKind, lease::OrderFence, limit::FairQueue, member::AgentBeacon,
+        route::LoadReport, time::Micros,
     },
     std::collections::BTreeMap,
 };
 
-#[derive(Debug, Clone)]
-struct RunningWork {
-    tokens: u32,
-    started_at: Micros,
-    sent_at: Option<Micros>,
-    first_token: bool,
-    alone: bool,
-}
-
 /// All decisions of an agent: the gate for requests, the fence for orders and
 /// the mirror of its engine's cache.
 #[derive(Debug)]
 pub struct AgentCore {
-    identity: AgentIdentity,
-    queue: FairQueue<WorkTicket>,
-    queued: BTreeMap<WorkTicket, GateWork>,
-    running: BTreeMap<WorkTicket, RunningWork>,
-    fence: OrderFence,
-    mirror: CacheMirror,
-    meter: ServiceMeter,
-    notice: ConfigNotice,
-    box_leaving: bool,
-    healthy: bool,
-    exporting: u32,
-    taken_up: u64,
-    loading: Option<String>,
+    pub(super) identity: AgentIdentity,
+    pub(super) queue: FairQueue<WorkTicket>,
+    pub(super) queued: BTreeMap<WorkTicket, GateWork>,
+    pub(super) running: BTreeMap<WorkTicket, RunningWork>,
+    pub(super) fence: OrderFence,
+    pub(super) mirror: CacheMirror,
+    pub(super) meter: ServiceMeter,
+    pub(super) notice: ConfigNotice,
+    pub(super) box_leaving: bool,
+    pub(super) healthy: bool,
+    pub(super) exporting: u32,
+    pub(super) taken_up: u64,
+    pub(super) loading: Option<String>,
 }
 
 impl AgentCore {
@@ -144,259 +130,6 @@
         }
     }
 
-    fn handed_over(
-        &mut self,
-        now: Micros,
-        ticket: WorkTicket,
-        work: GateWork,
-        actions: &mut Vec<AgentAction>,
-    ) {
-        self.taken_up = self.taken_up.max(ticket.0 + 1);
-        if let Some(kind) = self.refusal(now, &work) {
-            actions.push(AgentAction::Refuse(GateRefusal { ticket, kind }));
-            return;
-        }
-        self.queue
-            .push(&work.organisation, ticket, work.tokens, work.deadline);
-        self.queued.insert(ticket, work);
-    }
-
-    fn refusal(
-        &self,
-        now: Micros,
-        work: &GateWork,
-    ) -> Option<ErrorKind> {
-        if self.is_refusing() {
-            return Some(ErrorKind::EndpointLeaving);
-        }
-        if !self.has_version(work) {
-            return Some(ErrorKind::WrongVersion);
-        }
-        if !self.healthy {
-            return Some(ErrorKind::EndpointUnreachable);
-        }
-        if self.queue.len() >= self.identity.queue_limit as usize {
-            return Some(ErrorKind::EndpointFull);
-        }
-        let begins = now + self.expected_wait();
-        if begins > work.deadline {
-            return Some(ErrorKind::EndpointFull);
-        }
-        None
-    }
-
-    fn has_version(
-        &self,
-        work: &GateWork,
-    ) -> bool {
-        match (&self.identity.kind, &work.version) {
-            (EndpointKind::Engine { version, .. }, Some(wanted)) => {
-                version == wanted && self.loading.is_none()
-            }
-            (EndpointKind::Service { .. }, None) => true,
-            _ => false,
-        }
-    }
-
-    /// Time until work that comes now would be started.
-    fn expected_wait(&self) -> Micros {
-        let slots = self.identity.slots.max(1);
-        let ahead = self.running.len() + self.queue.len();
-        let rounds = (ahead as f32 / slots as f32).floor();
-        let by_slots = rounds * self.meter.service_time();
-        Micros(by_slots as u64)
-    }
-
-    fn start_queued(
-        &mut self,
-        now: Micros,
-        actions: &mut Vec<AgentAction>,
-    ) {
-        while self.running.len() < self.identity.slots as usize {
-            let Some(next) = self.queue.pop() else {
-                return;
-            };
-            let Some(work) = self.queued.remove(&next.key) else {
-                continue;
-            };
-            // A swap may have happened while the work was in line.
-            if !self.has_version(&work) {
-                actions.push(AgentAction::Refuse(GateRefusal {
-                    ticket: next.key,
-                    kind: ErrorKind::WrongVersion,
-                }));
-                continue;
-            }
-            let work = RunningWork {
-                tokens: work.tokens,
-                started_at: now,
-                sent_at: None,
-                first_token: false,
-                alone: false,
-            };
-            self.running.insert(next.key, work);
-            actions.push(AgentAction::Start(next.key));
-        }
-    }
-
-    fn sent(
-        &mut self,
-        now: Micros,
-        ticket: WorkTicket,
-    ) {
-        let computing = |r: &RunningWork| r.sent_at.is_some() && !r.first_token;
-        let busy = self.running.values().any(computing);
-        if let Some(work) = self.running.get_mut(&ticket) {
-            work.sent_at = Some(now);
-            work.alone = !busy;
-        }
-    }
-
-    fn first_token(
-        &mut self,
-        now: Micros,
-        ticket: WorkTicket,
-        computed: Option<u32>,
-    ) {
-        let Some(work) = self.running.get_mut(&ticket) else {
-            return;
-        };
-        if work.first_token {
-            return;
-        }
-        work.first_token = true;
-        let tokens = computed.unwrap_or(work.tokens);
-        if let Some(sent_at) = work.sent_at.filter(|_| work.alone) {
-            self.meter.saw_prefill(tokens, now.since(sent_at));
-        }
-    }
-
-    fn ended(
-        &mut self,
-        now: Micros,
-        ticket: WorkTicket,
-    ) {
-        if let Some(work) = self.running.remove(&ticket) {
-            self.meter.saw_request(now.since(work.started_at));
-            return;
-        }
-        if self.queue.remove(ticket) {
-            self.queued.remove(&ticket);
-        }
-    }
-
-    fn health_seen(
-        &mut self,
-        healthy: bool,
-        version: Option<String>,
-        actions: &mut Vec<AgentAction>,
-    ) {
-        if let Some(version) = version {
-            self.version_seen(version, actions);
-        }
-        if self.healthy && !healthy {
-            self.mirror.forget();
-            actions.push(AgentAction::Publish(vec![UpwardEvent::Cleared]));
-            self.refuse_queued(ErrorKind::EndpointUnreachable, actions);
-        }
-        if !self.healthy && healthy {
-            actions.push(AgentAction::ListCache);
-        }
-        self.healthy = healthy;
-    }
-
-    /// The engine says what it holds; that beats what the settings or an order said.
-    fn version_seen(
-        &mut self,
-        seen: String,
-        actions: &mut Vec<AgentAction>,
-    ) {
-        if self.loading.is_some() {
-            return;
-        }
-        if let EndpointKind::Engine { version, .. } = &mut self.identity.kind {
-            if *version != seen {
-                *version = seen.clone();
-                actions.push(AgentAction::Publish(vec![UpwardEvent::Version(seen)]));
-            }
-        }
-    }
-
-    fn noticed(
-        &mut self,
-        notice: ConfigNotice,
-        actions: &mut Vec<AgentAction>,
-    ) {
-        if notice.box_leaving && !self.box_leaving {
-            self.box_leaving = true;
-            self.refuse_queued(ErrorKind::EndpointLeaving, actions);
-        }
-        if notice.revision <= self.notice.revision {
-            return;
-        }
-        self.notice = notice;
-        if notice.leaving {
-            self.refuse_queued(ErrorKind::EndpointLeaving, actions);
-        }
-    }
-
-    fn ordered(
-        &mut self,
-        order: StampedOrder,
-        actions: &mut Vec<AgentAction>,
-    ) {
-        match self.fence.pass(order.stamp) {
-            Ok(()) => {
-                if let EndpointOrder::LoadVersion { version } = &order.order {
-                    self.loading = Some(version.clone());
-                    self.refuse_queued(ErrorKind::WrongVersion, actions);
-                    // No event, but everybody should see the new pulse at once.
-                    actions.push(AgentAction::Publish(Vec::new()));
-                }
-                actions.push(AgentAction::RunOrder(order));
-            }
-            Err(refusal) => actions.push(AgentAction::RefuseOrder(refusal)),
-        }
-    }
-
-    fn order_ended(
-        &mut self,
-        outcome: OrderOutcome,
-        actions: &mut Vec<AgentAction>,
-    ) {
-        self.loading = None;
-        let mut events = Vec::new();
-        if outcome.failure.is_none() {
-            if let EndpointKind::Engine { version, .. } = &mut self.identity.kind {
-                *version = outcome.version.clone();
-                events.push(UpwardEvent::Version(outcome.version.clone()));
-            }
-        }
-        events.push(UpwardEvent::OrderEnded(outcome));
-        actions.push(AgentAction::Publish(events));
-    }
-
-    fn refuse_queued(
-        &mut self,
-        kind: ErrorKind,
-        actions: &mut Vec<AgentAction>,
-    ) {
-        for ticket in self.queue.keys() {
-            self.refuse(ticket, kind, actions);
-        }
-    }
-
-    fn refuse(
-        &mut self,
-        ticket: WorkTicket,
-        kind: ErrorKind,
-        actions: &mut Vec<AgentAction>,
-    ) {
-        self.queue.remove(ticket);
-        self.queued.remove(&ticket);
-        actions.push(AgentAction::Refuse(GateRefusal { ticket, kind }));
-    }
-
     /// Whether new work is refused because the endpoint is leaving.
     pub fn is_refusing(&self) -> bool {
         self.notice.leaving || self.box_leaving
--- a/core/src/role/mod.rs
+++ b/core/src/role/mod.rs
@@ -4,6 +4,8 @@
 mod agent_core;
 mod agent_event;
 mod agent_identity;
+mod agent_orders;
+mod agent_work;
 mod cache_mirror;
 mod endpoint_order;
 mod endpoint_roster;
--- a/entry/src/command/explain.rs
+++ b/entry/src/command/explain.rs
@@ -2,7 +2,7 @@
     super::{entry_caller, pretty_json, CommandArgs, CommandShape},
     crate::{
         cli::CliError,
-        explain::{DecisionRecord, LogStory},
+        explain::{DecisionRecord, LogLine, LogStory},
         operators::{PieceReport, EXPLAIN_PREFIX, PIECE_PREFIX},
     },
     getopts::Options,
@@ -71,19 +71,16 @@
             "{file}: no line has request={request}; add the logs of the other boxes"
         )));
     }
-    for line in &story.own {
-        println!(
-            "{} {} {}: {}",
-            line.time(),
-            line.origin,
-            line.event(),
-            line.told()
-        );
-    }
+    print_lines(&story.own);
     if !story.around.is_empty() {
         println!("\nwhat was noticed of the endpoints it went to:");
     }
-    for line in &story.around {
+    print_lines(&story.around);
+    Ok(())
+}
+
+fn print_lines(lines: &[LogLine]) {
+    for line in lines {
         println!(
             "{} {} {}: {}",
             line.time(),
@@ -92,7 +89,6 @@
             line.told()
         );
     }
-    Ok(())
 }
 
 fn explain_request(
