Weights that engines have count as named where the row has gone back

Fronts that ran kept 4; all lost power, read 3 and ordered 3, while seven of nine engines had 4. 12 s later requests still began on 3.

Conclusion: a version that an engine reports and that no row names half a second later counts as named. When it was named is not known then, so no parts of older versions are fetched (they may be being freed).

--- a/core/src/serving/swap_planner.rs
+++ b/core/src/serving/swap_planner.rs
@@ -25,13 +25,17 @@
 const FETCH_ALL: Micros = Micros::from_secs(6);
 /// Time over which the fetches of its parts end, one after the other, as engines
 /// go over and stores need room for parts of the newer version. Together the
-/// sites' limit for older weights (12 and 15 s) and a little more; by trial,
-/// 8 and 10 s, 11 s or 15 s for all parts, and a third after 4 s lost.
+/// sites' limit for older weights (12 and 15 s) and a little more. By trial, and a
+/// compromise: longer is better right after a naming, shorter some seconds later.
 const FETCH_FADE: Micros = Micros::from_secs(10);
 /// Time from the end of the fetches until a part is freed, on another box: the
 /// longest fetch ([`VIEW_LIFE`]) and half a second.
 const FREE_MARGIN: Micros = Micros(VIEW_LIFE.0 + 500_000);
 
+/// Time after which a reading must show a naming that came before. By judgement:
+/// several times what the store takes.
+const ROW_LAG: Micros = Micros::from_millis(500);
+
 /// Spreads numbers evenly (an odd number near 2^64 over the golden ratio).
 const SPREAD_FACTOR: u64 = 0x9e37_79b9_7f4a_7c15;
 
@@ -54,6 +58,8 @@
 pub struct SwapPlanner {
     named: BTreeMap<String, u64>,
     namings: BTreeMap<(String, u64), Naming>,
+    /// Weights that engines had before this box read that they are named.
+    ahead: BTreeMap<(String, u64), Micros>,
     turns: BTreeMap<EndpointKey, SwapTurn>,
     missed: BTreeMap<EndpointKey, u32>,
 }
@@ -118,6 +124,28 @@
         true
     }
 
+    /// Takes that an engine has some weights; true where they count as named from
+    /// now on. Engines load only what was named, but the row that names it may have
+    /// gone back: an older naming can be carried out after a newer one.
+    ///
+    /// `proven_at` is when the last reading of the rows was sent. When it was named
+    /// is not known then, so no parts of older versions are fetched any more.
+    pub fn engine_has(
+        &mut self,
+        model: &str,
+        version: u64,
+        proven_at: Option<Micros>,
+        now: Micros,
+    ) -> bool {
+        if self.named(model).is_some_and(|named| version <= named) {
+            return false;
+        }
+        let seen = self.ahead.entry((model.to_string(), version));
+        let seen_at = *seen.or_insert(now);
+        let row_lacks_it = proven_at.is_some_and(|at| at > seen_at + ROW_LAG);
+        row_lacks_it && self.name(model, version, None, now)
+    }
+
     /// Whether a part made under a version may still be fetched from stores.
     ///
     /// They are freed some time after newer weights are named, whatever this box
--- a/core/tests/swap_planner.rs
+++ b/core/tests/swap_planner.rs
@@ -212,6 +212,35 @@
     assert_eq!((fetched(16_000), freed(19_100)), (0, 300));
 }
 
+/// Engines have weights that the store's row no longer names, as an older naming
+/// was carried out after the newer one; a box that starts sees only the older.
+#[test]
+fn engines_outlive_row() {
+    let mut planner = SwapPlanner::default();
+    planner.name("m", 3, None, at(0));
+    assert!(!planner.engine_has("m", 4, None, at(100)));
+    // A reading from before the engine was seen proves nothing.
+    assert!(!planner.engine_has("m", 4, Some(at(90)), at(2_000)));
+    assert_eq!(planner.named("m"), Some(3));
+    assert!(planner.engine_has("m", 4, Some(at(1_700)), at(2_000)));
+    assert_eq!(planner.named("m"), Some(4));
+    // Nobody knows since when others free parts of the older ones.
+    let part = PartId::parse("a1").expect("hex");
+    assert!(!planner.may_fetch("m", 3, part, Some(at(1_900)), at(2_000)));
+}
+
+/// An engine that is quicker than this box's reading of the row changes nothing.
+#[test]
+fn row_is_waited_for() {
+    let mut planner = SwapPlanner::default();
+    planner.name("m", 1, None, at(0));
+    assert!(!planner.engine_has("m", 2, Some(at(500)), at(1_000)));
+    planner.name("m", 2, Some(at(500)), at(1_200));
+    assert!(!planner.engine_has("m", 2, Some(at(1_900)), at(2_000)));
+    let part = PartId::parse("a1").expect("hex");
+    assert!(planner.may_fetch("m", 1, part, Some(at(1_900)), at(2_000)));
+}
+
 proptest! {
     #![proptest_config(ProptestConfig { cases: 2_000, ..ProptestConfig::default() })]
 
--- a/entry/src/front/beside_link.rs
+++ b/entry/src/front/beside_link.rs
@@ -148,7 +148,18 @@
             ""
         );
     }
+    let proven_at = state.trust.proven_at();
     for (model, version) in &digest.weights {
+        if state.planner.engine_has(model, *version, proven_at, now) {
+            log::warn!(
+                event = "weights-named",
+                model = model.as_str(),
+                version = *version,
+                source = "engine",
+                endpoint = entry.id.as_str();
+                ""
+            );
+        }
         if entry.weights.learn(model, *version) {
             // New weights drop what the engine kept.
             entry.parts.clear();
--- a/entry/src/front/operator_watch.rs
+++ b/entry/src/front/operator_watch.rs
@@ -75,7 +75,8 @@
                 log::info!(
                     event = "weights-named",
                     model = named.model.as_str(),
-                    version = named.version;
+                    version = named.version,
+                    source = "row";
                     ""
                 );
             }
