Traffic knows what a query is told

The status is read from the control state, which is up to a tick ahead of the view that traffic reads.

Ruled out: load as such.

Conclusion: a stale view is published before a query is answered.

--- a/entry/src/control/control_handle.rs
+++ b/entry/src/control/control_handle.rs
@@ -10,7 +10,8 @@
     std::fmt,
 };
 
-type CoreQuery = Box<dyn FnOnce(&mut EntryCore, Micros) + Send>;
+/// A question about the control state.
+pub(super) type CoreQuery = Box<dyn FnOnce(&mut EntryCore, Micros) + Send>;
 
 /// What the control thread takes.
 pub enum ControlMessage {
--- a/entry/src/control/control_loop.rs
+++ b/entry/src/control/control_loop.rs
@@ -1,7 +1,8 @@
 use {
     super::{
-        drop_plan, list_store, pull_config, send_drop, send_notice, send_order, ControlHandle,
-        ControlMessage, LeaseController, LeaseWrite, LinkKeeper, ViewPublisher,
+        control_handle::CoreQuery, drop_plan, list_store, pull_config, send_drop, send_notice,
+        send_order, ControlHandle, ControlMessage, LeaseController, LeaseWrite, LinkKeeper,
+        ViewPublisher,
     },
     async_channel::{Receiver, Sender},
     futures_lite::future,
@@ -120,11 +121,24 @@
                 let own = link.map(|l| l.sent()).unwrap_or_default();
                 self.step(EntryEvent::AgentHeard { beacon, own });
             }
-            ControlMessage::Query(query) => query(&mut self.core, self.clock.now()),
+            ControlMessage::Query(query) => self.answer(query),
             ControlMessage::Release(done) => self.release(done),
         }
     }
 
+    /// Whoever is told something may act on it at once: traffic must know it too.
+    fn answer(
+        &mut self,
+        query: CoreQuery,
+    ) {
+        let mut actions = Vec::new();
+        self.core.publish(&mut actions);
+        for action in actions {
+            self.act(action);
+        }
+        query(&mut self.core, self.clock.now());
+    }
+
     fn step(
         &mut self,
         event: EntryEvent,
