Namings of weights in a file of their own; like pieces of tests once

What is named, and until when parts of older weights are fetched, moved to weight_namings.rs as it was; whose turn it is stays.

Nothing behaves differently; no assertion changed.

--- a/core/src/serving/mod.rs
+++ b/core/src/serving/mod.rs
@@ -24,6 +24,7 @@
 mod swap_planner;
 mod wall_name;
 mod weight_belief;
+mod weight_namings;
 
 pub use {
     admission_rule::*, caller_limits::*, endpoint_book::*, endpoint_entry::*, endpoint_pick::*,
--- /dev/null
+++ b/core/src/serving/weight_namings.rs
@@ -0,0 +1,165 @@
+//! Which weights are named, and until when parts of older ones are fetched.
+
+use {
+    super::{EndpointEntry, PartId, SwapPlanner, VIEW_LIFE},
+    crate::time::Micros,
+};
+
+/// Time for which every part of a version is fetched from stores, from the last
+/// reading that showed no newer one: by then the first engines have that.
+const FETCH_ALL: Micros = Micros::from_secs(6);
+/// Time over which the fetches of its parts end, one after the other, as engines
+/// go over and stores need room for parts of the newer version. Together the
+/// sites' limit for older weights (12 and 15 s) and a little more. By trial, and a
+/// compromise: longer is better right after a naming, shorter some seconds later.
+const FETCH_FADE: Micros = Micros::from_secs(10);
+/// Time from the end of the fetches until a part is freed, on another box: the
+/// longest fetch ([`VIEW_LIFE`]) and half a second.
+const FREE_MARGIN: Micros = Micros(VIEW_LIFE.0 + 500_000);
+
+/// Time after which a reading must show a naming that came before. By judgement:
+/// several times what the store takes.
+const ROW_LAG: Micros = Micros::from_millis(500);
+
+/// Spreads numbers evenly (an odd number near 2^64 over the golden ratio).
+const SPREAD_FACTOR: u64 = 0x9e37_79b9_7f4a_7c15;
+
+/// When this box learned of named weights.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) struct Naming {
+    not_yet: Option<Micros>,
+    learned_at: Micros,
+}
+
+impl Naming {
+    /// The earliest time at which the weights may have been named.
+    fn since(&self) -> Micros {
+        self.not_yet.unwrap_or(self.learned_at)
+    }
+}
+
+/// For how long a part is fetched after newer weights may have been named; all
+/// boxes know it from the part alone.
+fn fetch_life(part: PartId) -> Micros {
+    // Ids may be counted up: neighbours must not end together.
+    let spread = part.number().wrapping_mul(SPREAD_FACTOR).rotate_left(32);
+    FETCH_ALL + Micros(spread % FETCH_FADE.0)
+}
+
+impl SwapPlanner {
+    /// Takes that weights are named; true where that is news.
+    ///
+    /// `not_yet` is when the last reading was sent that did not show them.
+    pub fn name(
+        &mut self,
+        model: &str,
+        version: u64,
+        not_yet: Option<Micros>,
+        now: Micros,
+    ) -> bool {
+        let before = self.named(model).unwrap_or(0);
+        if version <= before {
+            return false;
+        }
+        self.named.insert(model.to_string(), version);
+        let naming = Naming {
+            not_yet,
+            learned_at: now,
+        };
+        self.namings.insert((model.to_string(), version), naming);
+        true
+    }
+
+    /// Takes that an engine has some weights; true where they count as named from
+    /// now on. Engines load only what was named, but the row that names it may have
+    /// gone back: an older naming can be carried out after a newer one.
+    ///
+    /// `proven_at` is when the last reading of the rows was sent. When it was named
+    /// is not known then, so no parts of older versions are fetched any more.
+    pub fn engine_has(
+        &mut self,
+        model: &str,
+        version: u64,
+        proven_at: Option<Micros>,
+        now: Micros,
+    ) -> bool {
+        if self.named(model).is_some_and(|named| version <= named) {
+            return false;
+        }
+        let seen = self.ahead.entry((model.to_string(), version));
+        let seen_at = *seen.or_insert(now);
+        let row_lacks_it = proven_at.is_some_and(|at| at > seen_at + ROW_LAG);
+        row_lacks_it && self.name(model, version, None, now)
+    }
+
+    /// Whether a part made under a version may still be fetched from stores.
+    ///
+    /// They are freed some time after newer weights are named, whatever this box
+    /// has heard of it, so what counts is when it last knew of none.
+    pub fn may_fetch(
+        &self,
+        model: &str,
+        version: u64,
+        part: PartId,
+        proven_at: Option<Micros>,
+        now: Micros,
+    ) -> bool {
+        let known = match self.replaced_by(model, version) {
+            Some(naming) => naming.not_yet,
+            None => proven_at,
+        };
+        known.is_some_and(|at| now.since(at) < fetch_life(part))
+    }
+
+    /// Whether no box fetches a part made under a version any more.
+    pub fn may_free(
+        &self,
+        model: &str,
+        version: u64,
+        part: PartId,
+        now: Micros,
+    ) -> bool {
+        let naming = self.replaced_by(model, version);
+        let free_after = fetch_life(part) + FREE_MARGIN;
+        naming.is_some_and(|naming| now.since(naming.learned_at) > free_after)
+    }
+
+    fn replaced_by(
+        &self,
+        model: &str,
+        version: u64,
+    ) -> Option<&Naming> {
+        let later = (model.to_string(), version + 1)..=(model.to_string(), u64::MAX);
+        self.namings.range(later).next().map(|(_, naming)| naming)
+    }
+
+    /// The newest version named of a model.
+    pub fn named(
+        &self,
+        model: &str,
+    ) -> Option<u64> {
+        self.named.get(model).copied()
+    }
+
+    /// All named weights.
+    pub fn all_named(&self) -> impl Iterator<Item = (&str, u64)> {
+        self.named
+            .iter()
+            .map(|(model, version)| (model.as_str(), *version))
+    }
+
+    /// Whether an engine has weights that newer ones are named for since more
+    /// than `limit`.
+    pub fn is_expired(
+        &self,
+        entry: &EndpointEntry,
+        limit: Micros,
+        now: Micros,
+    ) -> bool {
+        self.named.keys().any(|model| {
+            let version = entry.weights.version(model);
+            let replaced = version.and_then(|version| self.replaced_by(model, version));
+            replaced.is_some_and(|naming| now.since(naming.since()) > limit)
+        })
+    }
+}
--- a/core/tests/silent_agents.rs
+++ b/core/tests/silent_agents.rs
@@ -28,9 +28,7 @@
     tick(&mut core, Micros::from_secs(3));
     assert!(!alive(&core));
     let actions = tick(&mut core, Micros::from_secs(5));
-    assert!(actions
-        .iter()
-        .any(|a| matches!(a, EntryAction::DropLink { .. })));
+    assert!(drops_link(&actions));
     let actions = tick(&mut core, Micros::from_secs(90));
     assert!(actions
         .iter()
@@ -41,20 +39,12 @@
 #[test]
 fn frozen_idle_endpoint_goes() {
     let mut core = linked();
-    let routed = EntryEvent::Routed {
-        endpoint_id: "e1".to_string(),
-        pieces: Vec::new(),
-    };
     // It was idle when it froze, so nothing of it was busy in any report.
-    core.step(Micros::from_secs(5), routed);
+    core.step(Micros::from_secs(5), routed());
     let actions = tick(&mut core, Micros::from_secs(6));
-    assert!(!actions
-        .iter()
-        .any(|a| matches!(a, EntryAction::DropLink { .. })));
+    assert!(!drops_link(&actions));
     let actions = tick(&mut core, Micros::from_secs(10));
-    assert!(actions
-        .iter()
-        .any(|a| matches!(a, EntryAction::DropLink { .. })));
+    assert!(drops_link(&actions));
 }
 
 fn routed() -> EntryEvent {
--- a/testbed/examples/figures/bench_place.rs
+++ b/testbed/examples/figures/bench_place.rs
@@ -3,7 +3,10 @@
 use {
     hdrhistogram::Histogram,
     pitchhitch_core::conf::OrganisationLimits,
-    pitchhitch_testbed::{deploy::DeploymentShape, replay::PromptCall},
+    pitchhitch_testbed::{
+        deploy::{ChildEngine, Deployment, DeploymentShape, EngineRates},
+        replay::PromptCall,
+    },
     std::net::SocketAddr,
 };
 
@@ -60,3 +63,18 @@
 pub fn histogram() -> anyhow::Result<Histogram<u64>> {
     Ok(Histogram::new(3)?)
 }
+
+/// An engine in a process of its own, with one thread and no time for prompts.
+pub async fn child_engine(
+    deployment: &Deployment,
+    number: usize,
+    decode_micros: u64,
+) -> anyhow::Result<ChildEngine> {
+    let rates = EngineRates {
+        prefill_micros: 0,
+        decode_micros,
+        threads: 1,
+    };
+    let name = format!("engine-{number}");
+    ChildEngine::start(rates, deployment.folder(), &name).await
+}
--- a/testbed/examples/figures/load_figures.rs
+++ b/testbed/examples/figures/load_figures.rs
@@ -1,11 +1,11 @@
 //! What an entry process carries, and what it needs.
 
 use {
-    crate::bench_place::{prompt, row, shape, MEBIBYTE},
+    crate::bench_place::{child_engine, prompt, row, shape, MEBIBYTE},
     anyhow::Context,
     pitchhitch_process::spawn,
     pitchhitch_testbed::{
-        deploy::{ChildEngine, Deployment, EngineRates, FakeAgents, FakeShape, ProgramSet},
+        deploy::{Deployment, FakeAgents, FakeShape, ProgramSet},
         replay::CallerClient,
     },
     smol::Timer,
@@ -29,13 +29,7 @@
     let mut deployment = Deployment::start(shape("short"), ProgramSet::itself()?).await?;
     let mut engines = Vec::new();
     for number in 0..AGENTS {
-        let rates = EngineRates {
-            prefill_micros: 0,
-            decode_micros: 0,
-            threads: 1,
-        };
-        let name = format!("engine-{number}");
-        let engine = ChildEngine::start(rates, deployment.folder(), &name).await?;
+        let engine = child_engine(&deployment, number, 0).await?;
         deployment
             .add_external_service(number, engine.address)
             .await?;
@@ -90,13 +84,7 @@
     let mut deployment = Deployment::start(shape("tokens"), ProgramSet::itself()?).await?;
     let mut engines = Vec::new();
     for number in 0..AGENTS {
-        let rates = EngineRates {
-            prefill_micros: 0,
-            decode_micros: 3_500,
-            threads: 1,
-        };
-        let name = format!("engine-{number}");
-        let engine = ChildEngine::start(rates, deployment.folder(), &name).await?;
+        let engine = child_engine(&deployment, number, 3_500).await?;
         deployment
             .add_external_engine(number, engine.address)
             .await?;
--- a/testbed/tests/lost_processes.rs
+++ b/testbed/tests/lost_processes.rs
@@ -31,16 +31,18 @@
     streams
 }
 
+/// Kills the agent of the first endpoint.
+fn kill_agent(deployment: &mut Deployment) {
+    let agent = deployment.endpoints[0].agent.as_mut();
+    agent.expect("agent").kill();
+}
+
 #[test]
 fn killed_agent_streams_resume() {
     block_on(async {
         let mut deployment = start("kill").await;
         let streams = streams(&deployment, 8).await;
-        deployment.endpoints[0]
-            .agent
-            .as_mut()
-            .expect("agent")
-            .kill();
+        kill_agent(&mut deployment);
         streams.all_right().await;
     });
 }
@@ -56,11 +58,7 @@
         let streams = streams(&deployment, 8).await;
         // The trouble comes when the deadline of all of them has passed.
         Timer::after(Duration::from_millis(DEADLINE_MS)).await;
-        deployment.endpoints[0]
-            .agent
-            .as_mut()
-            .expect("agent")
-            .kill();
+        kill_agent(&mut deployment);
         streams.all_right().await;
     });
 }
