Watch connections for silence by keep-alive and a limit on unacknowledged bytes

Cause: connections may go silent for good without a reset, while new ones work. A front noticed that on a stream or a sent prompt only at the deadline of the request; nothing of ours set a keep-alive. Ruled out: a time-out of our own on streams, as an engine that only takes its time must not end an answer. Change: each connection is watched by the system; outward 1 s of rest, one probe a second later, 1.5 s for unacknowledged bytes.

--- a/entry/src/front/front_process.rs
+++ b/entry/src/front/front_process.rs
@@ -5,7 +5,7 @@
     },
     anyhow::Context,
     pitchhitch_core::time::Micros,
-    pitchhitch_http1::ByteLink,
+    pitchhitch_http1::{ByteLink, SilenceLimit},
     pitchhitch_process::{flush_log, to_duration, ProcessSignal, SignalWatch},
     pitchhitch_wire::beside::BesideSocket,
     smol::{Async, Timer},
@@ -109,7 +109,7 @@
 ) {
     loop {
         match listener.accept().await {
-            Ok((stream, _)) => match ByteLink::new(stream) {
+            Ok((stream, _)) => match ByteLink::new(stream, &SilenceLimit::INWARD) {
                 Ok(link) => front.spawn(serve_caller(front.clone(), link)),
                 Err(error) => log_accept(&error),
             },
--- a/http1/src/byte_link.rs
+++ b/http1/src/byte_link.rs
@@ -1,4 +1,5 @@
 use {
+    super::SilenceLimit,
     futures_lite::future::poll_fn,
     smol::{Async, Timer},
     std::{
@@ -35,15 +36,19 @@
     ///
     /// # Errors
     /// When the system refuses an option of the socket.
-    pub fn new(io: Async<TcpStream>) -> io::Result<Self> {
+    pub fn new(
+        io: Async<TcpStream>,
+        silence: &SilenceLimit,
+    ) -> io::Result<Self> {
         io.get_ref().set_nodelay(true)?;
+        silence.watch(io.get_ref())?;
         Ok(ByteLink {
             io,
             unused: Vec::new(),
         })
     }
 
-    /// Opens a connection.
+    /// Opens a connection; it is watched by [`SilenceLimit::OUTWARD`].
     ///
     /// # Errors
     /// When the other side refuses, or does not answer within `limit`.
@@ -56,7 +61,7 @@
             Err(ErrorKind::TimedOut.into())
         };
         let io = futures_lite::future::or(Async::<TcpStream>::connect(address), late).await?;
-        ByteLink::new(io)
+        ByteLink::new(io, &SilenceLimit::OUTWARD)
     }
 
     /// The socket itself, for options.
--- a/http1/src/lib.rs
+++ b/http1/src/lib.rs
@@ -11,9 +11,10 @@
 mod head_fields;
 mod head_reader;
 mod http_client;
+mod silence_limit;
 mod small_server;
 
 pub use {
     body_decoder::*, body_framing::*, byte_link::*, head_error::*, head_fields::*, head_reader::*,
-    http_client::*, small_server::*,
+    http_client::*, silence_limit::*, small_server::*,
 };
--- a/http1/src/small_server.rs
+++ b/http1/src/small_server.rs
@@ -1,5 +1,5 @@
 use {
-    super::{read_request_head, ByteLink},
+    super::{read_request_head, ByteLink, SilenceLimit},
     smol::{net::TcpListener, Async, Timer},
     std::{net::SocketAddr, sync::Arc, time::Duration},
 };
@@ -33,7 +33,9 @@
                 continue;
             };
             let stream: Arc<Async<std::net::TcpStream>> = stream.into();
-            if let Some(Ok(link)) = Arc::into_inner(stream).map(ByteLink::new) {
+            let link = Arc::into_inner(stream);
+            let link = link.map(|stream| ByteLink::new(stream, &SilenceLimit::INWARD));
+            if let Some(Ok(link)) = link {
                 return link;
             }
         }
