Ask endpoints whose entries went and came back whether they serve

Cause: heartbeats that the platform's store carries out late make entries of living endpoints go. Also the reverse: an endpoint that had said that it leaves counted as new once a late heartbeat brought its row back. Change: such endpoints are asked at their health path by their id; who said that it leaves is remembered for 30 s.

--- a/core/src/serving/endpoint_book.rs
+++ b/core/src/serving/endpoint_book.rs
@@ -1,7 +1,7 @@
 use {
     super::{
-        EndpointEntry, EndpointNotice, EndpointStanding, PartMemory, SwapPlanner, SwapStage,
-        UnreadWork, WeightBelief,
+        EndpointEntry, EndpointNotice, EndpointReturn, EndpointStanding, PartMemory, SwapPlanner,
+        SwapStage, UnreadWork, WeightBelief,
     },
     crate::{retry::OutlierGuard, time::Micros},
     slotmap::{new_key_type, SlotMap},
@@ -27,6 +27,28 @@
     Lapses(String),
 }
 
+/// An endpoint that is to be asked whether it still serves.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct ReturnQuestion {
+    /// Its key.
+    pub key: EndpointKey,
+    /// Its id; another one at the address must not answer for it.
+    pub id: String,
+    /// Service that it belongs to.
+    pub service: String,
+    /// Where it answers.
+    pub address: SocketAddr,
+}
+
+/// Time for which an endpoint that left is remembered, so that a write of an
+/// earlier time does not bring it back: writes may come some seconds late.
+const REMEMBER_LEFT: Micros = Micros::from_secs(30);
+
+/// Pause before an endpoint that did not say that it serves is asked again; it
+/// doubles so many times. A question costs as a look at its health.
+const FIRST_ASK_PAUSE: Micros = Micros::from_millis(500);
+const ASK_DOUBLINGS: u32 = 4;
+
 /// Every endpoint that is known, by id: an address may be used again.
 #[derive(Debug, Clone, Default)]
 pub struct EndpointBook {
@@ -99,13 +121,7 @@
                     entry.weights.learn(model, *version);
                 }
             }
-            // Who was seen leaving does not come back under the same id.
-            let before = entry.standing;
-            if before == EndpointStanding::Leaving || before == wanted {
-                return None;
-            }
-            entry.standing = wanted;
-            return Some(change(wanted, &notice.id));
+            return restand(entry, wanted);
         }
         let mut weights = WeightBelief::default();
         for (model, version) in &notice.weights {
@@ -118,6 +134,8 @@
             domain: notice.domain.clone(),
             slots: notice.slots,
             standing: wanted,
+            comeback: comeback_of(wanted),
+            left_at: None,
             weights,
             load: None,
             parts: PartMemory::default(),
@@ -148,6 +166,9 @@
             entry.standing = EndpointStanding::Lapsed;
             return Some(BookChange::Lapses(id.to_string()));
         }
+        if entry.comeback != EndpointReturn::Never {
+            entry.comeback = EndpointReturn::Away;
+        }
         if !is_steady {
             return None;
         }
@@ -180,12 +201,69 @@
         changes
     }
 
-    /// Forgets endpoints that are gone and have none of our requests.
-    pub fn prune(&mut self) {
+    /// Endpoints whose entries went and came back, to be asked now.
+    pub fn ask_returned(
+        &mut self,
+        now: Micros,
+    ) -> Vec<ReturnQuestion> {
+        let mut questions = Vec::new();
+        for (key, entry) in &mut self.entries {
+            match entry.comeback {
+                EndpointReturn::Listed { denials, ask_at } if now >= ask_at => {
+                    entry.comeback = EndpointReturn::Asked { denials };
+                }
+                _ => continue,
+            }
+            questions.push(ReturnQuestion {
+                key,
+                id: entry.id.clone(),
+                service: entry.service.clone(),
+                address: entry.address,
+            });
+        }
+        questions
+    }
+
+    /// Takes what an endpoint answered; it is asked anew where it is not sure.
+    pub fn answered_return(
+        &mut self,
+        key: EndpointKey,
+        serves: bool,
+        now: Micros,
+    ) -> Option<BookChange> {
+        let entry = self.entries.get_mut(key)?;
+        let EndpointReturn::Asked { denials } = entry.comeback else {
+            return None;
+        };
+        if !serves {
+            let pause = Micros(FIRST_ASK_PAUSE.0 << denials.min(ASK_DOUBLINGS));
+            entry.comeback = EndpointReturn::Listed {
+                denials: denials + 1,
+                ask_at: now + pause,
+            };
+            return None;
+        }
+        entry.comeback = EndpointReturn::Away;
+        entry.standing = EndpointStanding::Serving;
+        entry.left_at = None;
+        Some(BookChange::Serves(entry.id.clone()))
+    }
+
+    /// Forgets endpoints that left some time ago and have none of our requests.
+    pub fn prune(
+        &mut self,
+        now: Micros,
+    ) {
         let entries = &mut self.entries;
         self.ids.retain(|_, key| {
-            let entry = &entries[*key];
-            let is_over = entry.standing == EndpointStanding::Leaving && entry.running == 0;
+            let entry = &mut entries[*key];
+            if entry.standing != EndpointStanding::Leaving {
+                return true;
+            }
+            let left_at = *entry.left_at.get_or_insert(now);
+            entry.parts = PartMemory::default();
+            entry.is_mirrored = false;
+            let is_over = entry.running == 0 && now.since(left_at) > REMEMBER_LEFT;
             if is_over {
                 entries.remove(*key);
             }
@@ -261,6 +339,36 @@
     }
 }
 
+/// Gives a known endpoint the standing that the list shows.
+fn restand(
+    entry: &mut EndpointEntry,
+    wanted: EndpointStanding,
+) -> Option<BookChange> {
+    if wanted == EndpointStanding::Leaving {
+        entry.comeback = EndpointReturn::Never;
+    }
+    let before = entry.standing;
+    if before == EndpointStanding::Leaving {
+        // Whose entry only went may be there all the same: it is asked.
+        if wanted == EndpointStanding::Serving && entry.comeback == EndpointReturn::Away {
+            entry.comeback = EndpointReturn::Listed {
+                denials: 0,
+                ask_at: Micros::ZERO,
+            };
+        }
+        return None;
+    }
+    entry.standing = wanted;
+    (before != wanted).then(|| change(wanted, &entry.id))
+}
+
+fn comeback_of(standing: EndpointStanding) -> EndpointReturn {
+    match standing {
+        EndpointStanding::Leaving => EndpointReturn::Never,
+        EndpointStanding::Serving | EndpointStanding::Lapsed => EndpointReturn::Away,
+    }
+}
+
 fn change(
     standing: EndpointStanding,
     id: &str,
--- a/core/src/serving/serving_config.rs
+++ b/core/src/serving/serving_config.rs
@@ -23,6 +23,8 @@
 pub struct ServedGroup {
     /// Most connections that one endpoint takes from all callers.
     pub max_connections: u32,
+    /// Path at which an endpoint says that it is well and not leaving.
+    pub health_path: Option<String>,
     /// Set where the endpoints are model engines.
     pub engine: Option<EngineGroup>,
 }
--- a/core/tests/endpoint_book.rs
+++ b/core/tests/endpoint_book.rs
@@ -41,6 +41,59 @@
     assert_eq!(standing(&book, "e"), Some(EndpointStanding::Leaving));
 }
 
+/// Heartbeats that got lost look like an endpoint that left: it is asked once its
+/// entry is back, and serves when it says so.
+#[test]
+fn returned_is_asked() {
+    let mut book = EndpointBook::default();
+    book.take(&notice("e", 1, false));
+    let key = book.key("e").expect("known");
+    book.gone("e", true);
+    assert!(book.ask_returned(Micros::ZERO).is_empty());
+    assert_eq!(book.take(&notice("e", 1, false)), None);
+    assert_eq!(standing(&book, "e"), Some(EndpointStanding::Leaving));
+    let questions = book.ask_returned(Micros::ZERO);
+    assert_eq!(questions.iter().map(|q| q.key).collect::<Vec<_>>(), [key]);
+    assert!(book.ask_returned(Micros::ZERO).is_empty(), "asked already");
+    assert_eq!(book.answered_return(key, false, Micros::ZERO), None);
+    assert!(book.ask_returned(Micros::ZERO).is_empty(), "a pause first");
+    assert_eq!(book.ask_returned(Micros::from_secs(1)).len(), 1);
+    assert_eq!(
+        book.answered_return(key, true, Micros::from_secs(1)),
+        Some(BookChange::Serves("e".to_string()))
+    );
+    assert_eq!(standing(&book, "e"), Some(EndpointStanding::Serving));
+}
+
+/// An answer that comes after the entry has gone once more proves nothing.
+#[test]
+fn gone_while_asked() {
+    let mut book = EndpointBook::default();
+    book.take(&notice("e", 1, false));
+    let key = book.key("e").expect("known");
+    book.gone("e", true);
+    book.take(&notice("e", 1, false));
+    book.ask_returned(Micros::ZERO);
+    book.gone("e", true);
+    assert_eq!(book.answered_return(key, true, Micros::ZERO), None);
+    assert_eq!(standing(&book, "e"), Some(EndpointStanding::Leaving));
+}
+
+/// Who said that it leaves is not asked; a late write does not bring it back,
+/// also where nothing of ours runs there any more.
+#[test]
+fn late_beat_no_return() {
+    let mut book = EndpointBook::default();
+    book.take(&notice("e", 1, false));
+    book.take(&notice("e", 1, true));
+    book.gone("e", true);
+    book.prune(Micros::ZERO);
+    book.prune(Micros::from_secs(6));
+    assert_eq!(book.take(&notice("e", 1, false)), None);
+    assert!(book.ask_returned(Micros::from_secs(6)).is_empty());
+    assert_eq!(standing(&book, "e"), Some(EndpointStanding::Leaving));
+}
+
 #[test]
 fn lapse_forgiven() {
     let mut book = EndpointBook::default();
@@ -83,7 +136,8 @@
     book.take(&notice("new", 1, false));
     let address = ([10, 0, 0, 1], 1).into();
     assert_eq!(book.key_at(address), book.key("new"));
-    book.prune();
+    book.prune(Micros::ZERO);
+    book.prune(Micros::from_secs(31));
     assert_eq!(book.key("old"), None);
 }
 
@@ -100,7 +154,8 @@
     };
     book.sent(key, work);
     book.gone("e", true);
-    book.prune();
+    book.prune(Micros::ZERO);
+    book.prune(Micros::from_secs(31));
     assert!(
         book.get(key).is_some(),
         "a request of ours still runs there"
@@ -108,7 +163,7 @@
     book.begun(key, 7);
     assert_eq!(book.get(key).map(|e| e.unread_tokens(9)), Some(0));
     book.ended(key, 7);
-    book.prune();
+    book.prune(Micros::from_secs(31));
     assert!(book.get(key).is_none());
 }
 
--- a/entry/src/front/list_watch.rs
+++ b/entry/src/front/list_watch.rs
@@ -1,5 +1,5 @@
 use {
-    super::{note_contact, FrontContext},
+    super::{ask_returned, note_contact, FrontContext},
     pitchhitch_core::{
         serving::{BookChange, EndpointNotice},
         time::Micros,
@@ -71,6 +71,7 @@
             Err(StoreError::HistoryGone | StoreError::Unreadable(_)) => seen = None,
             Err(_) => {}
         }
+        ask_returned(&front);
         tidy(&front);
         Timer::after(to_duration(look_pause(&front))).await;
     }
@@ -120,7 +121,7 @@
         .map_err(|error| StoreError::Unreadable(format!("{key}: {error}")))
 }
 
-fn log_changes(
+pub(super) fn log_changes(
     front: &FrontContext,
     changes: &[BookChange],
 ) {
@@ -146,7 +147,7 @@
     let now = front.now();
     let mut guard = front.state();
     let state = &mut *guard;
-    state.book.prune();
+    state.book.prune(now);
     let book = &state.book;
     state.pool.sweep(now, |key| book.get(key).is_some());
 }
--- a/entry/src/front/mod.rs
+++ b/entry/src/front/mod.rs
@@ -24,6 +24,7 @@
 mod request_moves;
 mod request_run;
 mod request_try;
+mod return_check;
 mod small_server;
 mod store_watch;
 mod stream_relay;
@@ -35,4 +36,4 @@
     request_run::*, small_server::*, store_watch::*, stream_relay::*, wake_reason::*,
 };
 pub use {front_process::*, front_settings::*};
-use {request_admit::*, request_try::*};
+use {request_admit::*, request_try::*, return_check::*};
--- a/entry/src/front/request_lessons.rs
+++ b/entry/src/front/request_lessons.rs
@@ -1,6 +1,6 @@
 use {
     super::{OfferAnswer, RequestRun},
-    pitchhitch_core::serving::{EndpointChoice, EndpointStanding},
+    pitchhitch_core::serving::{EndpointChoice, EndpointReturn, EndpointStanding},
 };
 
 impl RequestRun<'_> {
@@ -77,6 +77,7 @@
                 ""
             );
             entry.standing = EndpointStanding::Leaving;
+            entry.comeback = EndpointReturn::Never;
             state.pool.close_all(choice.key);
         }
     }
