Name a source also for parts that an engine is believed to keep

An engine lets parts go at any moment, and what stands behind a part that is gone is of no use either: one 512-token part that had given way made it read all 9,100. Nothing was named for parts that counted as kept, so they were read again, at fifty times the price of a fetch. Ruled out: fetches from stores that fail (first events of fetched prompts come when expected; none came too late, one found no room), prompts put back (42 of 4,838). Change: the cheapest source goes along for kept parts too; the engine takes from it only what it lacks. The log tells fetches from engines (`:e`) from those from stores (`:f`).

--- a/core/src/serving/memory_map.rs
+++ b/core/src/serving/memory_map.rs
@@ -42,6 +42,13 @@
     pub fetch_ms: f64,
 }
 
+impl PartSource {
+    /// Whether it is an engine, which may let the part go at any moment.
+    pub fn is_engine(&self) -> bool {
+        matches!(self.place, PartPlace::Engine(_))
+    }
+}
+
 /// A part of a prompt and the places that keep it.
 #[derive(Debug, Clone, PartialEq)]
 pub struct PartOutlook {
@@ -56,7 +63,10 @@
 pub struct PartFetch {
     /// Part.
     pub part: PromptPart,
-    /// Source and time, where it is fetched.
+    /// Whether the engine is believed to keep it; then it is only fetched where
+    /// the engine has let it go meanwhile.
+    pub is_kept: bool,
+    /// Source and time of a fetch; always there for a part that is not kept.
     pub source: Option<(PartSource, f64)>,
 }
 
@@ -186,7 +196,7 @@
         now: Micros,
     ) {
         for fetch in &plan.parts {
-            let Some((source, millis)) = &fetch.source else {
+            let Some((source, millis)) = fetch.source.as_ref().filter(|_| !fetch.is_kept) else {
                 continue;
             };
             if let PartPlace::Store(place) = source.place {
@@ -258,22 +268,20 @@
 ) -> PromptPlan {
     let mut plan = PromptPlan::default();
     for shared in outlook {
-        if entry.parts.tokens_of(wall, shared.part.id) >= shared.part.tokens {
-            plan.kept_tokens += shared.part.tokens;
-            plan.parts.push(PartFetch {
-                part: shared.part,
-                source: None,
-            });
-            continue;
+        let is_kept = entry.parts.tokens_of(wall, shared.part.id) >= shared.part.tokens;
+        let source = best_source(key, entry, &shared.sources);
+        match &source {
+            _ if is_kept => plan.kept_tokens += shared.part.tokens,
+            Some((_, millis)) => {
+                plan.fetched_tokens += shared.part.tokens;
+                plan.fetch_ms += millis;
+            }
+            None => break,
         }
-        let Some((source, millis)) = best_source(key, entry, &shared.sources) else {
-            break;
-        };
-        plan.fetched_tokens += shared.part.tokens;
-        plan.fetch_ms += millis;
         plan.parts.push(PartFetch {
             part: shared.part,
-            source: Some((source, millis)),
+            is_kept,
+            source,
         });
     }
     plan
--- a/core/tests/endpoint_pick.rs
+++ b/core/tests/endpoint_pick.rs
@@ -286,3 +286,26 @@
     let (source, _) = fetch.and_then(|f| f.source.as_ref()).expect("a fetch");
     assert_eq!(source.place, PartPlace::Engine(keeper));
 }
+
+/// What an engine is believed to keep may have given way: a place that has it is
+/// named all the same, at no cost where nothing is missing.
+#[test]
+fn kept_parts_spared() {
+    let mut fleet = Fleet::new();
+    fleet.fill_store();
+    fleet.keep("e1");
+    let choice = fleet.pick(&prompt(), &[]).expect("somebody");
+    assert_eq!(choice.key, fleet.key("e1"));
+    assert_eq!(choice.plan.kept_tokens, 9_100);
+    assert_eq!((choice.plan.fetched_tokens, choice.plan.fetch_ms), (0, 0.0));
+    for fetch in &choice.plan.parts {
+        assert!(fetch.is_kept);
+        let place = fetch.source.as_ref().map(|(source, _)| source.place);
+        assert_eq!(place, Some(PartPlace::Store(0)));
+    }
+    // Nothing is queued at the store for what is not expected to be fetched.
+    let wait = |memory: &MemoryMap| memory.views()[0].fetch_ms(0, NOW);
+    let before = wait(&fleet.memory);
+    fleet.memory.fetching(&choice.plan, NOW);
+    assert_eq!(wait(&fleet.memory), before);
+}
--- a/entry/src/front/request_log.rs
+++ b/entry/src/front/request_log.rs
@@ -1,7 +1,8 @@
 use {super::RequestRun, pitchhitch_core::serving::EndpointChoice};
 
 impl RequestRun<'_> {
-    /// The shared parts and what becomes of them: kept, fetched or read.
+    /// The shared parts and what becomes of them: kept, fetched from a store or an
+    /// engine, or read.
     pub(super) fn told_parts(
         &self,
         choice: &EndpointChoice,
@@ -15,8 +16,11 @@
         for (place, part) in parts[..parts.len().saturating_sub(1)].iter().enumerate() {
             let sign = match choice.plan.parts.get(place) {
                 None => 'r',
-                Some(fetch) if fetch.source.is_none() => 'k',
-                Some(_) => 'f',
+                Some(fetch) if fetch.is_kept => 'k',
+                Some(fetch) => match &fetch.source {
+                    Some((source, _)) if source.is_engine() => 'e',
+                    _ => 'f',
+                },
             };
             let comma = if place == 0 { "" } else { "," };
             told.push_str(&format!("{comma}{}:{sign}", part.id));
