Ask a store for its clock at once behind a list

Cause: a front that starts has read what a store keeps, but may fetch only once it knows the engines' clock, and that came with the next change or after 300 ms. Until then every shared part was read. Change: the first question behind a list is not held; it costs as a probe, once for each store and start.

--- a/entry/src/front/store_watch.rs
+++ b/entry/src/front/store_watch.rs
@@ -68,12 +68,19 @@
 ) {
     let mut client = KeptClient::new(address, CALL_LIMIT);
     let mut next: Option<u64> = None;
+    let mut is_listed_now = false;
     let mut is_lost = false;
     while let Some(plan) = look_plan(&front, address) {
+        // Behind a list the clock is wanted at once, not the next change.
+        let hold = match is_listed_now {
+            true => Micros::ZERO,
+            false => plan.hold,
+        };
         let step = match next {
-            Some(since) => read_changes(&front, &mut client, address, since, plan.hold).await,
+            Some(since) => read_changes(&front, &mut client, address, since, hold).await,
             None => read_list(&front, &mut client, address).await,
         };
+        is_listed_now = matches!(step, LookStep::Listed(_));
         let pause = match step {
             LookStep::Listed(from) => {
                 next = Some(from);
