--- a/core/src/serving/memory_map.rs
+++ b/core/src/serving/memory_map.rs
@@ -134,6 +134,14 @@
         &self.views
     }
 
+    /// Whether some store answers, but what is known of it is too old.
+    pub fn is_stale(
+        &self,
+        now: Micros,
+    ) -> bool {
+        self.views.iter().any(|view| view.is_stale(now))
+    }
+
     /// The shared parts of a prompt and where they can be fetched: the last
     /// part is the request's own and never comes back.
     pub fn outlook(
--- a/core/src/serving/mod.rs
+++ b/core/src/serving/mod.rs
@@ -20,6 +20,7 @@
 mod repeat_meter;
 mod served_route;
 mod serving_config;
+mod standstill_watch;
 mod store_view;
 mod swap_planner;
 mod wall_name;
@@ -30,6 +31,6 @@
     admission_rule::*, caller_limits::*, endpoint_book::*, endpoint_entry::*, endpoint_pick::*,
     key_trust::*, kv_store::*, lateness_gauge::*, memory_map::*, part_memory::*, path_index::*,
     prompt_ask::*, prompt_part::*, rank_shares::*, refusal_kind::*, repeat_meter::*,
-    served_route::*, serving_config::*, store_view::*, swap_planner::*, wall_name::*,
-    weight_belief::*,
+    served_route::*, serving_config::*, standstill_watch::*, store_view::*, swap_planner::*,
+    wall_name::*, weight_belief::*,
 };
--- a/core/src/serving/store_view.rs
+++ b/core/src/serving/store_view.rs
@@ -104,6 +104,15 @@
         (left > Micros::ZERO).then(|| clock + now.since(at).as_millis() + left.as_millis())
     }
 
+    /// Whether the store answered last time, but too long ago to be gone by: the
+    /// next answer is about to come.
+    pub fn is_stale(
+        &self,
+        now: Micros,
+    ) -> bool {
+        self.proven_at.is_some() && self.fetch_until_ms(now).is_none()
+    }
+
     /// Time to fetch so many bytes from within the store's domain, with the
     /// wait for what we have asked for before, in milliseconds.
     pub fn fetch_ms(
--- a/entry/src/front/front_process.rs
+++ b/entry/src/front/front_process.rs
@@ -4,7 +4,7 @@
         watch_stores, FrontContext, FrontSettings,
     },
     anyhow::Context,
-    pitchhitch_core::time::Micros,
+    pitchhitch_core::{serving::TICK, time::Micros},
     pitchhitch_http1::{ByteLink, SilenceLimit},
     pitchhitch_process::{flush_log, to_duration, ProcessSignal, SignalWatch},
     pitchhitch_wire::beside::BesideSocket,
@@ -23,8 +23,6 @@
 const LAST_MOMENT: Duration = Duration::from_millis(300);
 /// How often a stopping process looks whether it is idle.
 const IDLE_CHECK: Micros = Micros::from_millis(50);
-/// How often lines of the log are written out.
-const LOG_PAUSE: Micros = Micros::from_millis(100);
 /// Pause after a connection could not be accepted.
 const ACCEPT_PAUSE: Micros = Micros::from_millis(20);
 
@@ -60,7 +58,7 @@
     let socket = socket.with_context(|| format!("cannot listen on {}", settings.digests))?;
     front.spawn(hear_digests(front.clone(), socket.clone()));
     front.spawn(greet_engines(front.clone(), socket));
-    front.spawn(write_log());
+    front.spawn(keep_time(front.clone()));
     front.spawn(watch_operator(front.clone()));
     front.spawn(watch_list(front.clone()));
     front.spawn(watch_stores(front.clone()));
@@ -96,10 +94,16 @@
     }
 }
 
-async fn write_log() {
+/// Notices that the process stood still, and writes the lines of the log out.
+async fn keep_time(front: Rc<FrontContext>) {
     loop {
-        Timer::after(to_duration(LOG_PAUSE)).await;
+        let now = front.now();
+        if let Some(gap) = front.state().standstill.tick(now) {
+            log::warn!(event = "stood-still", gap_ms = gap.as_millis(); "");
+            front.metrics.count("standstills", "seen");
+        }
         flush_log();
+        Timer::after(to_duration(TICK)).await;
     }
 }
 
--- a/entry/src/front/front_state.rs
+++ b/entry/src/front/front_state.rs
@@ -3,7 +3,7 @@
     pitchhitch_core::{
         serving::{
             AdmissionRule, EndpointBook, KeyTrust, MemoryMap, RepeatMeter, ServingConfig,
-            SwapPlanner, WallName, WallTag,
+            StandstillWatch, SwapPlanner, WallName, WallTag,
         },
         time::Micros,
     },
@@ -36,6 +36,8 @@
     pub planner: SwapPlanner,
     /// Unused connections.
     pub pool: LinkPool,
+    /// Whether the process itself stood still.
+    pub standstill: StandstillWatch,
     /// Since when the process has been asked to stop.
     pub stops_since: Option<Micros>,
     /// Whether connections that rest are closed.
@@ -63,6 +65,7 @@
             memory: MemoryMap::default(),
             planner: SwapPlanner::default(),
             pool: LinkPool::default(),
+            standstill: StandstillWatch::default(),
             stops_since: None,
             closes_idle: false,
             body_bytes: 0,
@@ -92,6 +95,15 @@
         self.body_bytes -= body_bytes;
     }
 
+    /// Whether the process has just woken and what it knows of stores is not
+    /// fresh again yet.
+    pub fn is_unsettled(
+        &self,
+        now: Micros,
+    ) -> bool {
+        self.standstill.has_just_woken(now) && self.memory.is_stale(now)
+    }
+
     /// Whether so many fronts live that each should ask the store less often.
     pub fn has_many_fronts(&self) -> bool {
         self.fronts > MANY_FRONTS
--- a/entry/src/front/request_run.rs
+++ b/entry/src/front/request_run.rs
@@ -20,6 +20,11 @@
 /// may run it.
 const PROVEN_LIMIT: u32 = 2;
 
+/// Longest wait for stores to answer after a standstill, and the pause between
+/// two looks: a store answers within some milliseconds, unless the box is busy.
+const SETTLE_LIMIT: Micros = Micros::from_millis(150);
+const SETTLE_PAUSE: Micros = Micros::from_millis(10);
+
 /// What becomes of the caller's connection.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum RequestEnd {
@@ -108,7 +113,25 @@
         self.asked_close || self.front.state().stops_since.is_some()
     }
 
+    /// After a standstill all requests of that time come at once; where stores
+    /// are about to answer, prompts wait a moment for that instead of reading
+    /// what is kept there.
+    async fn settle(&self) {
+        if self.ask.prompt.is_none() {
+            return;
+        }
+        let from = self.front.now();
+        loop {
+            let now = self.front.now();
+            if now.since(from) >= SETTLE_LIMIT || !self.front.state().is_unsettled(now) {
+                return;
+            }
+            Timer::after(to_duration(SETTLE_PAUSE)).await;
+        }
+    }
+
     pub(super) async fn serve(&mut self) -> RequestEnd {
+        self.settle().await;
         let mut last_failure = RefusalKind::NoEndpoint;
         let mut held_answer: Option<WholeAnswer> = None;
         loop {
--- a/entry/src/front/store_watch.rs
+++ b/entry/src/front/store_watch.rs
@@ -68,11 +68,12 @@
 ) {
     let mut client = KeptClient::new(address, CALL_LIMIT);
     let mut next: Option<u64> = None;
-    let mut is_listed_now = false;
+    let mut asks_at_once = false;
     let mut is_lost = false;
     while let Some(plan) = look_plan(&front, address) {
-        // Behind a list the clock is wanted at once, not the next change.
-        let hold = match is_listed_now {
+        // Behind a list and after a standstill the clock is wanted at once, not the
+        // next change.
+        let hold = match asks_at_once {
             true => Micros::ZERO,
             false => plan.hold,
         };
@@ -80,7 +81,7 @@
             Some(since) => read_changes(&front, &mut client, address, since, hold).await,
             None => read_list(&front, &mut client, address).await,
         };
-        is_listed_now = matches!(step, LookStep::Listed(_));
+        let is_old = is_stale(&front, address);
         let pause = match step {
             LookStep::Listed(from) => {
                 next = Some(from);
@@ -88,7 +89,11 @@
             }
             LookStep::Changes(from) => {
                 next = Some(from);
-                plan.pause
+                if is_old {
+                    Micros::ZERO
+                } else {
+                    plan.pause
+                }
             }
             LookStep::Anew => {
                 next = None;
@@ -103,6 +108,11 @@
                 plan.pause
             }
         };
+        asks_at_once = match step {
+            LookStep::Listed(_) => true,
+            LookStep::Changes(_) => is_old,
+            LookStep::Anew | LookStep::Busy | LookStep::Lost => false,
+        };
         let lost_now = step == LookStep::Lost;
         if step != LookStep::Busy && lost_now != is_lost {
             is_lost = lost_now;
@@ -131,6 +141,18 @@
     front.state().memory.view_mut(address).is_some()
 }
 
+/// Whether the answer that has just come is too old already: it lay on the
+/// connection while the process stood still.
+fn is_stale(
+    front: &FrontContext,
+    address: SocketAddr,
+) -> bool {
+    let now = front.now();
+    let mut state = front.state();
+    let view = state.memory.view_mut(address);
+    view.is_some_and(|view| view.is_stale(now))
+}
+
 fn with_view(
     front: &FrontContext,
     address: SocketAddr,
