Testbed: no child starts while free ports are looked for

Cause: the same as in the platform's tests, left open there: a child that another thread starts holds the sockets of its parent until it runs its program, so a port that was found free may still be taken ("Address already in use").

--- a/testbed/src/deploy/child_process.rs
+++ b/testbed/src/deploy/child_process.rs
@@ -1,4 +1,5 @@
 use {
+    super::start_alone,
     anyhow::Context,
     pitchhitch_process::ProcessUsage,
     smol::Timer,
@@ -42,12 +43,12 @@
         log: &Path,
     ) -> anyhow::Result<Self> {
         let file: File = OpenOptions::new().create(true).append(true).open(log)?;
-        let child = command
+        command
             .stdin(Stdio::null())
             .stdout(file.try_clone()?)
-            .stderr(file)
-            .spawn()
-            .with_context(|| format!("cannot start {command:?}"))?;
+            .stderr(file);
+        let child = start_alone(&mut command);
+        let child = child.with_context(|| format!("cannot start {command:?}"))?;
         Ok(ChildProcess {
             child,
             log: log.to_path_buf(),
@@ -75,10 +76,9 @@
             ProcessSignal::Stop => "-STOP",
             ProcessSignal::Continue => "-CONT",
         };
-        let _ = Command::new("kill")
-            .arg(name)
-            .arg(self.pid().to_string())
-            .status();
+        let pid = self.pid().to_string();
+        let sender = start_alone(Command::new("kill").args([name, &pid]));
+        let _ = sender.and_then(|mut sender| sender.wait());
     }
 
     /// Waits until it has ended.
--- a/testbed/src/deploy/deployment.rs
+++ b/testbed/src/deploy/deployment.rs
@@ -1,7 +1,7 @@
 use {
     super::{
-        ChildProcess, DeploymentShape, EndpointPlace, EndpointStandIn, EntryPlace, FreePorts,
-        ProgramSet,
+        start_alone, ChildProcess, DeploymentShape, EndpointPlace, EndpointStandIn, EntryPlace,
+        FreePorts, ProgramSet,
     },
     crate::{
         engine::EngineStandIn,
@@ -22,7 +22,7 @@
     std::{
         fs,
         path::{Path, PathBuf},
-        process::Output,
+        process::{Output, Stdio},
         sync::atomic::{AtomicU32, Ordering},
         time::{Duration, Instant},
     },
@@ -278,7 +278,8 @@
             .arg("--settings")
             .arg(self.settings_file("operator"));
         command.args(&args[1..]);
-        let ran = smol::unblock(move || command.output()).await;
+        command.stdout(Stdio::piped()).stderr(Stdio::piped());
+        let ran = smol::unblock(move || start_alone(&mut command)?.wait_with_output()).await;
         ran.context("the command did not run")
     }
 
--- a/testbed/src/deploy/free_ports.rs
+++ b/testbed/src/deploy/free_ports.rs
@@ -1,17 +1,24 @@
-use std::{
-    io,
-    net::{IpAddr, SocketAddr, TcpListener, UdpSocket},
+use {
+    super::no_forks,
+    std::{
+        io,
+        net::{IpAddr, SocketAddr, TcpListener, UdpSocket},
+        sync::MutexGuard,
+    },
 };
 
 /// Ports of one address that the system names free.
 ///
 /// Each stays bound as long as this lives: the system names a port that was let
-/// go again, so two processes would be told the same one.
+/// go again, so two processes would be told the same one. No child starts meanwhile,
+/// as it would hold the ports for a moment longer.
 #[derive(Debug)]
 pub struct FreePorts {
     ip: IpAddr,
     listeners: Vec<TcpListener>,
     sockets: Vec<UdpSocket>,
+    // Let go last, as fields are dropped in this order.
+    _alone: MutexGuard<'static, ()>,
 }
 
 impl FreePorts {
@@ -24,6 +31,7 @@
             ip: IpAddr::from([127, byte(pid), byte(pid / 250), byte(deployment)]),
             listeners: Vec::new(),
             sockets: Vec::new(),
+            _alone: no_forks(),
         }
     }
 
--- a/testbed/src/deploy/mod.rs
+++ b/testbed/src/deploy/mod.rs
@@ -7,11 +7,12 @@
 mod endpoint_place;
 mod entry_place;
 mod fake_agents;
+mod fork_lock;
 mod free_ports;
 mod program_set;
 mod test_helpers;
 
 pub use {
     child_engine::*, child_process::*, deployment::*, deployment_shape::*, endpoint_place::*,
-    entry_place::*, fake_agents::*, free_ports::*, program_set::*,
+    entry_place::*, fake_agents::*, fork_lock::*, free_ports::*, program_set::*,
 };
--- a/testbed/tests/free_ports.rs
+++ b/testbed/tests/free_ports.rs
@@ -1,8 +1,22 @@
-//! Processes of one deployment are never told the same port.
+//! Processes of one deployment are told ports that nobody else has.
 
-use {pitchhitch_testbed::deploy::FreePorts, std::collections::HashSet};
+use {
+    pitchhitch_testbed::deploy::{start_alone, FreePorts},
+    std::{
+        collections::HashSet,
+        net::{SocketAddr, TcpListener},
+        process::Command,
+        sync::{
+            atomic::{AtomicBool, Ordering},
+            Arc,
+        },
+        thread,
+    },
+};
 
 const PORTS: usize = 600;
+const ROUNDS: usize = 1_500;
+const STARTERS: usize = 6;
 
 #[test]
 fn ports_differ() {
@@ -13,3 +27,32 @@
         assert!(named.insert(address), "{address} was named twice");
     }
 }
+
+fn found() -> Vec<SocketAddr> {
+    let mut ports = FreePorts::of_deployment(202);
+    let found = (0..4).map(|_| ports.tcp().expect("a free port"));
+    found.collect()
+}
+
+/// Ports that were found free can be taken, also while other tests start programs.
+#[test]
+fn ports_stay_free() {
+    let stop = Arc::new(AtomicBool::new(false));
+    let starters = (0..STARTERS).map(|_| {
+        let stop = stop.clone();
+        thread::spawn(move || {
+            while !stop.load(Ordering::Relaxed) {
+                let mut child = start_alone(&mut Command::new("true")).expect("started");
+                child.wait().expect("ended");
+            }
+        })
+    });
+    let starters: Vec<_> = starters.collect();
+    let is_taken = |ports: &Vec<SocketAddr>| ports.iter().any(|p| TcpListener::bind(p).is_err());
+    let taken = (0..ROUNDS).map(|_| found()).filter(is_taken).count();
+    stop.store(true, Ordering::Relaxed);
+    for starter in starters {
+        starter.join().expect("a starter");
+    }
+    assert_eq!(taken, 0, "of {ROUNDS} rounds");
+}
