--- a/core/src/serving/endpoint_book.rs
+++ b/core/src/serving/endpoint_book.rs
@@ -27,32 +27,14 @@
     Lapses(String),
 }
 
-/// An endpoint that is to be asked whether it still serves.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct ReturnQuestion {
-    /// Its key.
-    pub key: EndpointKey,
-    /// Its id; another one at the address must not answer for it.
-    pub id: String,
-    /// Service that it belongs to.
-    pub service: String,
-    /// Where it answers.
-    pub address: SocketAddr,
-}
-
 /// Time for which an endpoint that left is remembered, so that a write of an
 /// earlier time does not bring it back: writes may come some seconds late.
 const REMEMBER_LEFT: Micros = Micros::from_secs(30);
 
-/// Pause before an endpoint that did not say that it serves is asked again; it
-/// doubles so many times. A question costs as a look at its health.
-const FIRST_ASK_PAUSE: Micros = Micros::from_millis(500);
-const ASK_DOUBLINGS: u32 = 4;
-
 /// Every endpoint that is known, by id: an address may be used again.
 #[derive(Debug, Clone, Default)]
 pub struct EndpointBook {
-    entries: SlotMap<EndpointKey, EndpointEntry>,
+    pub(super) entries: SlotMap<EndpointKey, EndpointEntry>,
     ids: BTreeMap<String, EndpointKey>,
 }
 
@@ -121,7 +103,7 @@
                     entry.weights.learn(model, *version);
                 }
             }
-            return restand(entry, wanted);
+            return entry.restand(wanted).then(|| change(wanted, &notice.id));
         }
         let mut weights = WeightBelief::default();
         for (model, version) in &notice.weights {
@@ -134,7 +116,7 @@
             domain: notice.domain.clone(),
             slots: notice.slots,
             standing: wanted,
-            comeback: comeback_of(wanted),
+            comeback: EndpointReturn::of(wanted),
             left_at: None,
             weights,
             load: None,
@@ -201,54 +183,6 @@
         changes
     }
 
-    /// Endpoints whose entries went and came back, to be asked now.
-    pub fn ask_returned(
-        &mut self,
-        now: Micros,
-    ) -> Vec<ReturnQuestion> {
-        let mut questions = Vec::new();
-        for (key, entry) in &mut self.entries {
-            match entry.comeback {
-                EndpointReturn::Listed { denials, ask_at } if now >= ask_at => {
-                    entry.comeback = EndpointReturn::Asked { denials };
-                }
-                _ => continue,
-            }
-            questions.push(ReturnQuestion {
-                key,
-                id: entry.id.clone(),
-                service: entry.service.clone(),
-                address: entry.address,
-            });
-        }
-        questions
-    }
-
-    /// Takes what an endpoint answered; it is asked anew where it is not sure.
-    pub fn answered_return(
-        &mut self,
-        key: EndpointKey,
-        serves: bool,
-        now: Micros,
-    ) -> Option<BookChange> {
-        let entry = self.entries.get_mut(key)?;
-        let EndpointReturn::Asked { denials } = entry.comeback else {
-            return None;
-        };
-        if !serves {
-            let pause = Micros(FIRST_ASK_PAUSE.0 << denials.min(ASK_DOUBLINGS));
-            entry.comeback = EndpointReturn::Listed {
-                denials: denials + 1,
-                ask_at: now + pause,
-            };
-            return None;
-        }
-        entry.comeback = EndpointReturn::Away;
-        entry.standing = EndpointStanding::Serving;
-        entry.left_at = None;
-        Some(BookChange::Serves(entry.id.clone()))
-    }
-
     /// Forgets endpoints that left some time ago and have none of our requests.
     pub fn prune(
         &mut self,
@@ -339,36 +273,6 @@
     }
 }
 
-/// Gives a known endpoint the standing that the list shows.
-fn restand(
-    entry: &mut EndpointEntry,
-    wanted: EndpointStanding,
-) -> Option<BookChange> {
-    if wanted == EndpointStanding::Leaving {
-        entry.comeback = EndpointReturn::Never;
-    }
-    let before = entry.standing;
-    if before == EndpointStanding::Leaving {
-        // Whose entry only went may be there all the same: it is asked.
-        if wanted == EndpointStanding::Serving && entry.comeback == EndpointReturn::Away {
-            entry.comeback = EndpointReturn::Listed {
-                denials: 0,
-                ask_at: Micros::ZERO,
-            };
-        }
-        return None;
-    }
-    entry.standing = wanted;
-    (before != wanted).then(|| change(wanted, &entry.id))
-}
-
-fn comeback_of(standing: EndpointStanding) -> EndpointReturn {
-    match standing {
-        EndpointStanding::Leaving => EndpointReturn::Never,
-        EndpointStanding::Serving | EndpointStanding::Lapsed => EndpointReturn::Away,
-    }
-}
-
 fn change(
     standing: EndpointStanding,
     id: &str,
--- a/core/src/serving/endpoint_entry.rs
+++ b/core/src/serving/endpoint_entry.rs
@@ -1,5 +1,5 @@
 use {
-    super::{PartMemory, SwapStage, WeightBelief},
+    super::{EndpointReturn, PartMemory, SwapStage, WeightBelief},
     crate::{retry::OutlierGuard, time::Micros},
     serde::{Deserialize, Serialize},
     std::net::SocketAddr,
@@ -56,28 +56,6 @@
     Leaving,
 }
 
-/// What is known of an endpoint whose entry went without a word of its own, as
-/// also happens to those whose heartbeats got lost.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum EndpointReturn {
-    /// Its entry has not come back.
-    Away,
-    /// Its entry is back, as a late write of an earlier time could do too.
-    Listed {
-        /// Times that it was asked and did not say that it serves.
-        denials: u32,
-        /// When it is asked again.
-        ask_at: Micros,
-    },
-    /// The endpoint itself is being asked.
-    Asked {
-        /// Times that it was asked before.
-        denials: u32,
-    },
-    /// It has said that it leaves, or another one stands at its address.
-    Never,
-}
-
 /// A request of ours that an endpoint has and has not begun to answer.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct UnreadWork {
