A beacon carries the pulse

An agent's beacon named the same four fields as the pulse in its batches, one by one, and the roster put them together again. The beacon holds a pulse now; its layout changes, so the version of our own wire goes to 3 (processes of one build only ever meet there). Tests unchanged but for the constructors.

--- a/core/src/member/beacon.rs
+++ b/core/src/member/beacon.rs
@@ -1,8 +1,5 @@
 use {
-    crate::{
-        labels::LabelSet,
-        route::{EndpointKind, LoadReport},
-    },
+    crate::{labels::LabelSet, role::AgentPulse, route::EndpointKind},
     serde::{Deserialize, Serialize},
     std::net::SocketAddr,
 };
@@ -31,16 +28,10 @@
     pub address: SocketAddr,
     /// Start of the agent, in microseconds since 1970.
     pub incarnation: u64,
-    /// Whether the agent refuses new work.
-    pub refusing: bool,
-    /// Pieces that it still carries to a store box.
-    pub exporting: u32,
-    /// Hand-overs that the agent's gate has seen in this life.
-    pub taken_up: u64,
     /// Configuration revision that it knows of.
     pub revision: u64,
-    /// Load of the endpoint.
-    pub load: LoadReport,
+    /// Load of the endpoint, and what the agent does.
+    pub pulse: AgentPulse,
 }
 
 /// What an entry process says of itself.
--- a/core/src/role/agent_core.rs
+++ b/core/src/role/agent_core.rs
@@ -179,11 +179,8 @@
             labels: self.identity.labels.clone(),
             address: self.identity.address,
             incarnation: self.identity.incarnation,
-            refusing: self.is_refusing(),
-            exporting: self.exporting,
-            taken_up: self.taken_up,
             revision: self.notice.revision,
-            load: self.load(),
+            pulse: self.pulse(),
         }
     }
 }
--- a/core/src/role/endpoint_roster.rs
+++ b/core/src/role/endpoint_roster.rs
@@ -163,7 +163,7 @@
             Some(known) if beacon.incarnation == known => {}
             _ => {
                 self.insert(beacon, config, now);
-                self.note_load(&beacon.endpoint_id, pulse_of(beacon), own, now);
+                self.note_load(&beacon.endpoint_id, beacon.pulse, own, now);
                 return RosterChange::Joined;
             }
         }
@@ -174,7 +174,7 @@
         if let Some(entry) = self.entries.get_mut(&beacon.endpoint_id) {
             entry.revision = entry.revision.max(beacon.revision);
         }
-        match self.note_load(&beacon.endpoint_id, pulse_of(beacon), own, now) {
+        match self.note_load(&beacon.endpoint_id, beacon.pulse, own, now) {
             LoadChange::None => change,
             LoadChange::Load if change == RosterChange::None => RosterChange::Load,
             LoadChange::Load => change,
@@ -196,15 +196,15 @@
             labels: merged_labels(config, &beacon.endpoint_id, &beacon.labels),
             address: beacon.address,
             incarnation: beacon.incarnation,
-            leaving: beacon.refusing || config.is_leaving(&beacon.endpoint_id),
+            leaving: beacon.pulse.refusing || config.is_leaving(&beacon.endpoint_id),
         };
         let key = Arc::make_mut(&mut self.arena).insert(Arc::new(state));
         let entry = RosterEntry {
             key,
             own_labels: beacon.labels.clone(),
             linked: false,
-            refusing: beacon.refusing,
-            exporting: beacon.exporting,
+            refusing: beacon.pulse.refusing,
+            exporting: beacon.pulse.exporting,
             heard_at: now,
             awaited: None,
             next_event: None,
@@ -362,12 +362,3 @@
     labels.set("endpoint", endpoint_id);
     labels
 }
-
-fn pulse_of(beacon: &AgentBeacon) -> AgentPulse {
-    AgentPulse {
-        load: beacon.load,
-        refusing: beacon.refusing,
-        exporting: beacon.exporting,
-        taken_up: beacon.taken_up,
-    }
-}
--- a/core/tests/entry_world/mod.rs
+++ b/core/tests/entry_world/mod.rs
@@ -75,11 +75,13 @@
         labels: LabelSet::default(),
         address: "127.0.0.1:9".parse().expect("address"),
         incarnation,
-        refusing: false,
-        exporting: 0,
-        taken_up: 0,
         revision: 0,
-        load: load(0),
+        pulse: AgentPulse {
+            load: load(0),
+            refusing: false,
+            exporting: 0,
+            taken_up: 0,
+        },
     }
 }
 
--- a/testbed/examples/slopes/small_world.rs
+++ b/testbed/examples/slopes/small_world.rs
@@ -57,11 +57,13 @@
         labels: labels.into_iter().collect::<LabelSet>(),
         address: address(),
         incarnation: 1,
-        refusing: false,
-        exporting: 0,
-        taken_up: 0,
         revision: 1,
-        load: load(),
+        pulse: AgentPulse {
+            load: load(),
+            refusing: false,
+            exporting: 0,
+            taken_up: 0,
+        },
     }
 }
 
--- a/testbed/src/deploy/fake_agents.rs
+++ b/testbed/src/deploy/fake_agents.rs
@@ -86,11 +86,13 @@
             .collect::<LabelSet>(),
         address,
         incarnation: 1,
-        refusing: false,
-        exporting: 0,
-        taken_up: 0,
         revision: 0,
-        load: load(),
+        pulse: AgentPulse {
+            load: load(),
+            refusing: false,
+            exporting: 0,
+            taken_up: 0,
+        },
     }
 }
 
--- a/wire/src/codec/frame_codec.rs
+++ b/wire/src/codec/frame_codec.rs
@@ -5,7 +5,7 @@
 };
 
 /// Version of the messages; both ends must have the same.
-pub const WIRE_VERSION: u8 = 2;
+pub const WIRE_VERSION: u8 = 3;
 /// Bytes in front of each body: version and length.
 pub const HEADER_BYTES: usize = 5;
 /// Longest body, in bytes.
