An idle engine takes a prompt of any size

Cause: found in the last read: a route whose prompts take more than nine tenths of an engine's memory would have been refused for ever, also by engines with nothing to do. The sites' prompts are far from that (12,000 of 179,000 tokens). Change: free memory counts only where something is taken. coming_prompts_take_memory failed before (Some(90000) for None).

--- a/core/src/serving/admission_rule.rs
+++ b/core/src/serving/admission_rule.rs
@@ -9,9 +9,9 @@
 /// Tokens of prompts that may wait at an engine for memory: while more do, what
 /// runs is put back and read again, and nothing is in time. Found by trial.
 const WAITING_TOKENS: f64 = 14_000.0;
-/// Size from which a prompt of the least urgent rank is refused where its memory is not free, in tokens. It
-/// would be put back, or others for it: reading one such prompt anew costs as much
-/// as it earns. Smaller ones fit in, or wait for a moment only.
+/// Size from which a prompt of the least urgent rank is refused where its memory is
+/// not free, in tokens. It would be put back, or others for it: reading one such
+/// prompt anew costs as much as it earns. Smaller ones fit in, or wait for a moment.
 const LARGE_TOKENS: f64 = 4_000.0;
 /// Weight of one request in the mean size of its route.
 const SIZE_STEP: f64 = 0.05;
--- a/core/src/serving/endpoint_entry.rs
+++ b/core/src/serving/endpoint_entry.rs
@@ -192,14 +192,16 @@
     }
 
     /// Memory that stays for further prompts, in tokens, without the part that is
-    /// left for answers to grow; `None` where no fresh report tells.
+    /// left for answers to grow; `None` where no fresh report tells, and where
+    /// nothing is taken: then even the largest prompt is in nobody's way.
     pub fn free_tokens(
         &self,
         now: Micros,
     ) -> Option<u64> {
         let load = self.fresh_load(now)?;
         let room = load.total_tokens * FILLED_PART / 100;
-        Some(room.saturating_sub(load.used_tokens + self.coming_tokens(now)))
+        let taken = load.used_tokens + self.coming_tokens(now);
+        (taken > 0).then(|| room.saturating_sub(taken))
     }
 
     /// Requests that it runs or holds, as far as is known.
