A store that tells no clock is not asked without a pause

Cause: found in the last read: a view counted as stale also where its store had told no clock, and a stale view is asked for anew at once; with such a store that would never have stopped. Change: a view is stale by the age of its last answer alone. A store that is busy right behind its list is still asked for the clock. age_makes_stale fails with the check of before.

--- a/core/src/serving/store_view.rs
+++ b/core/src/serving/store_view.rs
@@ -110,7 +110,7 @@
         &self,
         now: Micros,
     ) -> bool {
-        self.proven_at.is_some() && self.fetch_until_ms(now).is_none()
+        self.proven_at.is_some_and(|at| now.since(at) >= VIEW_LIFE)
     }
 
     /// Time to fetch so many bytes from within the store's domain, with the
--- a/core/tests/store_view.rs
+++ b/core/tests/store_view.rs
@@ -44,6 +44,20 @@
     assert_eq!(view.fetch_until_ms(START + VIEW_LIFE), None);
 }
 
+/// A view is stale where the last answer is too old, not where the store has told
+/// no clock: whoever asks at once for that would never stop.
+#[test]
+fn age_makes_stale() {
+    let mut view = StoreView::new(store(1, 1_000));
+    assert!(!view.is_stale(START), "nothing is known yet");
+    view.answered(1, None, START, START);
+    assert_eq!(view.fetch_until_ms(START), None);
+    assert!(!view.is_stale(START + Micros::from_millis(100)));
+    assert!(view.is_stale(START + VIEW_LIFE));
+    view.lost();
+    assert!(!view.is_stale(START + VIEW_LIFE), "it does not answer");
+}
+
 #[test]
 fn lost_store_unused() {
     let mut view = StoreView::new(store(1, 1_000));
--- a/entry/src/front/store_watch.rs
+++ b/entry/src/front/store_watch.rs
@@ -111,7 +111,8 @@
         asks_at_once = match step {
             LookStep::Listed(_) => true,
             LookStep::Changes(_) => is_old,
-            LookStep::Anew | LookStep::Busy | LookStep::Lost => false,
+            LookStep::Busy => asks_at_once,
+            LookStep::Anew | LookStep::Lost => false,
         };
         let lost_now = step == LookStep::Lost;
         if step != LookStep::Busy && lost_now != is_lost {
