Keys serve on at a box that has lost the store, where the operators say so

Ruled out: readiness alone (the requests were refused, not moved elsewhere; all boxes were in the same state). Change: setting keys_fail_closed, filled from the deployment's bound, closed by default and where the template has nothing to fill in. Serving on leaves 503 for unknown keys and routes while knowledge is old; readiness follows the setting.

--- a/core/src/serving/key_trust.rs
+++ b/core/src/serving/key_trust.rs
@@ -1,4 +1,4 @@
-use crate::time::Micros;
+use {super::KeyPolicy, crate::time::Micros};
 
 /// Part of the limit up to which a box calls itself ready, in hundredths: the
 /// balancer needs two seconds to look elsewhere.
@@ -11,14 +11,20 @@
 #[derive(Debug, Clone, Copy)]
 pub struct KeyTrust {
     limit: Micros,
+    policy: KeyPolicy,
     proven_at: Option<Micros>,
 }
 
 impl KeyTrust {
-    /// Nothing is known yet; `limit` is the oldest knowledge that lets callers in.
-    pub fn new(limit: Micros) -> Self {
+    /// Nothing is known yet; `limit` is the age up to which knowledge counts as
+    /// fresh.
+    pub fn new(
+        limit: Micros,
+        policy: KeyPolicy,
+    ) -> Self {
         KeyTrust {
             limit,
+            policy,
             proven_at: None,
         }
     }
@@ -44,21 +50,43 @@
         self.proven_at.map(|at| now.since(at))
     }
 
+    /// Whether the knowledge is fresh enough to tell somebody that a key or a
+    /// route does not exist.
+    pub fn is_fresh(
+        &self,
+        now: Micros,
+    ) -> bool {
+        self.is_younger(self.limit, now)
+    }
+
     /// Whether callers may be let in by their keys.
-    pub fn holds(
+    pub fn lets_in(
         &self,
         now: Micros,
     ) -> bool {
-        self.age(now).is_some_and(|age| age < self.limit)
+        match self.policy {
+            KeyPolicy::FailClosed => self.is_fresh(now),
+            KeyPolicy::ServeOn => self.proven_at.is_some(),
+        }
     }
 
-    /// Whether the knowledge is fresh enough to ask for further callers: at
-    /// most [`SOUND_PART`] of what lets them in.
+    /// Whether further callers may be asked for. Where keys fail closed, the
+    /// knowledge is then at most [`SOUND_PART`] of the limit old.
     pub fn is_sound(
         &self,
         now: Micros,
     ) -> bool {
-        let limit = Micros(self.limit.0 * SOUND_PART / 100);
+        match self.policy {
+            KeyPolicy::FailClosed => self.is_younger(Micros(self.limit.0 * SOUND_PART / 100), now),
+            KeyPolicy::ServeOn => self.proven_at.is_some(),
+        }
+    }
+
+    fn is_younger(
+        &self,
+        limit: Micros,
+        now: Micros,
+    ) -> bool {
         self.age(now).is_some_and(|age| age < limit)
     }
 }
--- a/core/src/serving/mod.rs
+++ b/core/src/serving/mod.rs
@@ -8,6 +8,7 @@
 mod endpoint_entry;
 mod endpoint_pick;
 mod endpoint_return;
+mod key_policy;
 mod key_trust;
 mod kv_store;
 mod lateness_gauge;
@@ -30,7 +31,7 @@
 
 pub use {
     admission_rule::*, caller_limits::*, endpoint_book::*, endpoint_entry::*, endpoint_pick::*,
-    endpoint_return::*, key_trust::*, kv_store::*, lateness_gauge::*, memory_map::*,
+    endpoint_return::*, key_policy::*, key_trust::*, kv_store::*, lateness_gauge::*, memory_map::*,
     part_memory::*, path_index::*, prompt_ask::*, prompt_part::*, rank_shares::*, refusal_kind::*,
     repeat_meter::*, served_route::*, serving_config::*, standstill_watch::*, store_view::*,
     swap_planner::*, wall_name::*, weight_belief::*,
--- a/core/src/settings/settings_reader.rs
+++ b/core/src/settings/settings_reader.rs
@@ -147,6 +147,23 @@
         }
     }
 
+    /// A yes or no that a template may have spelled as a text, which is empty where
+    /// the template had nothing to fill in.
+    pub fn spelled_flag(
+        &mut self,
+        field: &'static str,
+        default: bool,
+    ) -> bool {
+        let spelled = match self.fields.get(field).and_then(Value::as_str) {
+            Some("true") => true,
+            Some("false") => false,
+            Some("") => default,
+            _ => return self.flag(field, default),
+        };
+        self.take(field);
+        spelled
+    }
+
     /// A value of any type that can be read from JSON.
     pub fn value<T: DeserializeOwned>(
         &mut self,
--- a/core/tests/settings_check.rs
+++ b/core/tests/settings_check.rs
@@ -46,3 +46,28 @@
     let error = read("[1]").expect_err("no object");
     assert!(error.contains("wanted one JSON object"), "{error}");
 }
+
+/// A template fills a text, or nothing where it does not know: then the default holds.
+#[test]
+fn spelled_flags() {
+    let read = |value: &str| {
+        let text = format!("{{\"closed\": {value}}}");
+        let mut reader = SettingsReader::parse("box.json", &text).expect("readable");
+        let flag = reader.spelled_flag("closed", true);
+        reader.finish().map(|()| flag).map_err(|e| e.to_string())
+    };
+    for (value, wanted) in [
+        ("true", true),
+        ("false", false),
+        ("\"true\"", true),
+        ("\"false\"", false),
+        ("\"\"", true),
+        ("null", true),
+    ] {
+        assert_eq!(read(value), Ok(wanted), "{value}");
+    }
+    for wrong in ["\"no\"", "0", "[]"] {
+        let error = read(wrong).expect_err("wrong");
+        assert!(error.starts_with("box.json: closed: found "), "{error}");
+    }
+}
--- a/entry/src/front/front_settings.rs
+++ b/entry/src/front/front_settings.rs
@@ -1,6 +1,6 @@
 use {
     pitchhitch_core::{
-        serving::RepeatBound,
+        serving::{KeyPolicy, RepeatBound},
         settings::{SettingsErrors, SettingsReader},
         time::Micros,
     },
@@ -26,8 +26,10 @@
     pub beside_port: u16,
     /// Where the platform's store answers.
     pub store: SocketAddr,
-    /// Oldest knowledge of keys that lets callers in.
+    /// Age up to which what is known of keys counts as fresh.
     pub key_limit: Micros,
+    /// What becomes of callers with keys past that age.
+    pub key_policy: KeyPolicy,
     /// Time from when newer weights are named until no request is sent to an
     /// engine with older ones any more.
     pub weights_limit: Micros,
@@ -57,6 +59,7 @@
     ) -> Result<Self, SettingsErrors> {
         let mut reader = SettingsReader::parse(file, text)?;
         let ratio = reader.value("repeat_ratio", Some(0.2), "a number from 0 to 1");
+        let fails_closed = reader.spelled_flag("keys_fail_closed", true);
         let settings = FrontSettings {
             box_id: reader.text("box_id"),
             failure_domain: reader.text("failure_domain"),
@@ -69,6 +72,10 @@
             key_limit: Micros::from_millis(
                 reader.number("key_limit_ms", 5_000, 100..=600_000) * KEY_LIMIT_PART / 100,
             ),
+            key_policy: match fails_closed {
+                true => KeyPolicy::FailClosed,
+                false => KeyPolicy::ServeOn,
+            },
             weights_limit: Micros::from_millis(reader.number(
                 "weights_limit_ms",
                 12_000,
--- a/entry/src/front/front_state.rs
+++ b/entry/src/front/front_state.rs
@@ -60,7 +60,7 @@
             config: None,
             book: EndpointBook::default(),
             has_list: false,
-            trust: KeyTrust::new(settings.key_limit),
+            trust: KeyTrust::new(settings.key_limit, settings.key_policy),
             admission: AdmissionRule::default(),
             memory: MemoryMap::default(),
             planner: SwapPlanner::default(),
--- a/entry/src/front/request_admit.rs
+++ b/entry/src/front/request_admit.rs
@@ -27,13 +27,14 @@
     if ask.request_id.is_empty() {
         return Err(RefusalKind::BadRequest);
     }
-    let is_fresh = state.trust.holds(front.now());
+    let now = front.now();
+    let is_fresh = state.trust.is_fresh(now);
     let place = config.place(ask).map_err(|kind| match is_fresh {
         true => kind,
         // A key or route that was added meanwhile may be meant.
         false => RefusalKind::StaleKeys,
     })?;
-    if place.is_keyed && !is_fresh {
+    if place.is_keyed && !state.trust.lets_in(now) {
         return Err(RefusalKind::StaleKeys);
     }
     drop(state);
