--- a/core/src/serving/admission_rule.rs
+++ b/core/src/serving/admission_rule.rs
@@ -1,48 +1,71 @@
 use {
-    super::{EndpointChoice, LatenessGauge, RankShares},
+    super::{
+        AdmissionAsk, AdmissionVerdict, EndpointChoice, EnginePace, LatenessGauge, RankShares,
+        RouteHabits,
+    },
     crate::time::Micros,
     std::collections::HashMap,
 };
 
-/// Part of a request's aim that an engine may read for others first.
-const AHEAD_PART: f64 = 0.6;
-/// Tokens of prompts that may wait at an engine for memory: while more do, what
-/// runs is put back and read again, and nothing is in time. Found by trial.
-const WAITING_TOKENS: f64 = 14_000.0;
-/// Size from which a prompt of the least urgent rank is refused where its memory is
-/// not free, in tokens. It would be put back, or others for it: reading one such
-/// prompt anew costs as much as it earns. Smaller ones fit in, or wait for a moment.
-const LARGE_TOKENS: f64 = 4_000.0;
-/// Weight of one request in the mean size of its route.
-const SIZE_STEP: f64 = 0.05;
+/// Part of a prompt's aim within which it must begin by the estimate, the reading
+/// of a usual prompt of its route included. Estimates miss by some hundred
+/// milliseconds; those that begin late take the time of those that would not.
+const BEGIN_PART: f64 = 0.6;
+/// The same for a caller that was refused before: it goes before who comes first
+/// now, as a second refusal is worth less than a first.
+const RETURN_BEGIN_PART: f64 = 1.0;
+/// Part of the aim that may always be spent before the reading begins: where the
+/// reading alone takes most of the aim, a refusal would not help anybody.
+const LEAST_QUEUE_PART: f64 = 0.25;
+/// Part of an engine's memory that prompts may wait for: while more do, what runs
+/// is put back and read again, and nothing is in time.
+const WAITING_PART: f64 = 0.2;
+/// Weight of one large prompt in the part that found no memory.
+const MEMORY_STEP: f64 = 0.03;
+/// Part of the large prompts that may find no memory before some is kept back:
+/// short crowds pass, and filled memory serves them best.
+const LACKING_PART: f64 = 0.35;
+/// Part of the memory that is kept back for each part of the large prompts that
+/// finds none beyond that. Where most are refused anyway, engines that are less
+/// full answer sooner, keep more parts and serve more: with four times the large
+/// prompts, 625 in time in place of 534, and 1,040 thousand tokens read again in
+/// place of 2,550 thousand.
+const KEPT_BACK: f64 = 0.7;
+/// Shortest and longest time after which a refused caller is asked back, in
+/// milliseconds: the way to another box, and the order of the longest queues.
+const SHORTEST_RETURN_MS: f64 = 40.0;
+const LONGEST_RETURN_MS: f64 = 2_000.0;
 
 /// Decides which prompts are refused at once, because an engine would begin with
 /// them too late: their callers do better to come back.
 ///
-/// Sizes count by route, not by request: a large request of a kind has the same
-/// chance as a small one.
+/// The load that it answers: for seconds more prompts come than engines read or
+/// have memory for. Each that is let in beyond that makes all others later. Sizes
+/// count by route, not by request: a large request of a kind has the same chance
+/// as a small one.
 #[derive(Debug, Clone, Default)]
 pub struct AdmissionRule {
-    sizes: HashMap<String, f64>,
+    routes: HashMap<String, RouteHabits>,
+    lacking_part: f64,
     gauge: LatenessGauge,
     ranks: RankShares,
 }
 
 impl AdmissionRule {
-    /// Notes a prompt of a route and a rank.
+    /// Notes a prompt that came: its size and what has to be read of it, in tokens.
     pub fn note(
         &mut self,
-        route: &str,
-        rank: u8,
+        ask: &AdmissionAsk<'_>,
         tokens: u32,
+        unread: u32,
     ) {
-        self.ranks.note(rank);
-        let tokens = f64::from(tokens);
-        match self.sizes.get_mut(route) {
-            Some(size) => *size += (tokens - *size) * SIZE_STEP,
-            None => {
-                self.sizes.insert(route.to_string(), tokens);
-            }
+        self.ranks.note(ask.rank);
+        if !self.routes.contains_key(ask.route) {
+            self.routes
+                .insert(ask.route.to_string(), RouteHabits::default());
+        }
+        if let Some(habits) = self.routes.get_mut(ask.route) {
+            habits.note(tokens, unread, ask.patience);
         }
     }
 
@@ -59,31 +82,127 @@
         self.gauge.pressure()
     }
 
-    /// Whether a prompt of a rank is refused as others begin late: only where even
-    /// the best engine for it has half of its places taken.
-    pub fn sheds(
+    /// The part of the large prompts that finds no memory.
+    pub fn lacking_part(&self) -> f64 {
+        self.lacking_part
+    }
+
+    /// Decides about a prompt, if `choice` is the best engine for it.
+    pub fn judge(
         &mut self,
-        rank: u8,
+        ask: &AdmissionAsk<'_>,
+        pace: &EnginePace,
+        choice: &EndpointChoice,
+    ) -> AdmissionVerdict {
+        if self.is_late(ask, pace, choice) || self.waits_long(ask, choice) {
+            return AdmissionVerdict::TooLate;
+        }
+        if self.needs_free_memory(ask, pace) {
+            let lacks_memory = self.lacks_memory(ask, choice);
+            let seen = if lacks_memory { 1.0 } else { 0.0 };
+            self.lacking_part += (seen - self.lacking_part) * MEMORY_STEP;
+            if lacks_memory {
+                return AdmissionVerdict::NoMemory;
+            }
+        }
+        match choice.is_half_full && self.gauge.refuses(ask.rank, self.ranks.lowest()) {
+            true => AdmissionVerdict::Shed,
+            false => AdmissionVerdict::Admitted,
+        }
+    }
+
+    /// Whether the prompt would begin too late. An engine that has nothing else to
+    /// read takes any: what it makes of them shows when the trouble is over.
+    fn is_late(
+        &self,
+        ask: &AdmissionAsk<'_>,
+        pace: &EnginePace,
         choice: &EndpointChoice,
     ) -> bool {
-        choice.is_half_full && self.gauge.refuses(rank, self.ranks.lowest())
+        let has_queue = choice.ahead_tokens > 0.0 || choice.waiting > 0;
+        has_queue && choice.queue_ms > self.longest_queue_ms(ask, pace)
     }
 
-    /// Whether a prompt of a route should be refused, if `choice` is the best
-    /// engine for it.
-    pub fn refuses(
+    fn longest_queue_ms(
         &self,
-        route: &str,
-        rank: u8,
-        aim: Micros,
+        ask: &AdmissionAsk<'_>,
+        pace: &EnginePace,
+    ) -> f64 {
+        let habits = self.routes.get(ask.route);
+        let read_ms = habits.map_or(0.0, RouteHabits::unread) * pace.token_ms();
+        let part = match self.is_return(ask) {
+            true => RETURN_BEGIN_PART,
+            false => BEGIN_PART,
+        };
+        let aim_ms = ask.aim.as_millis() as f64;
+        (aim_ms * part - read_ms).max(aim_ms * LEAST_QUEUE_PART)
+    }
+
+    fn is_return(
+        &self,
+        ask: &AdmissionAsk<'_>,
+    ) -> bool {
+        let habits = self.routes.get(ask.route);
+        habits.is_some_and(|habits| habits.is_return(ask.patience))
+    }
+
+    fn tokens(
+        &self,
+        ask: &AdmissionAsk<'_>,
+    ) -> f64 {
+        self.routes.get(ask.route).map_or(1.0, RouteHabits::tokens)
+    }
+
+    fn waits_long(
+        &self,
+        ask: &AdmissionAsk<'_>,
         choice: &EndpointChoice,
     ) -> bool {
-        let size = self.sizes.get(route).copied().unwrap_or(1.0).max(1.0);
-        let may_wait = (WAITING_TOKENS / size).max(1.0);
-        let is_late = choice.ahead_ms > aim.as_millis() as f64 * AHEAD_PART;
-        let lacks_memory = choice.free_tokens.is_some_and(|free| size > free as f64);
-        // Engines let more urgent ones in first, and put others back for them.
-        let is_last = size >= LARGE_TOKENS && rank >= self.ranks.lowest();
-        is_late || (is_last && lacks_memory) || f64::from(choice.waiting) > may_wait
+        let room = choice.total_tokens as f64 * WAITING_PART;
+        f64::from(choice.waiting) > (room / self.tokens(ask)).max(1.0)
+    }
+
+    /// Large prompts of the least urgent rank would be put back, or others for
+    /// them, where their memory is not free: reading one anew costs as much as it
+    /// earns. Smaller ones fit in, or wait for a moment; more urgent ones are let
+    /// in first.
+    fn needs_free_memory(
+        &self,
+        ask: &AdmissionAsk<'_>,
+        pace: &EnginePace,
+    ) -> bool {
+        self.tokens(ask) >= pace.prompt_tokens() && ask.rank >= self.ranks.lowest()
+    }
+
+    fn lacks_memory(
+        &self,
+        ask: &AdmissionAsk<'_>,
+        choice: &EndpointChoice,
+    ) -> bool {
+        let beyond = (self.lacking_part - LACKING_PART).max(0.0);
+        let kept_back = match self.is_return(ask) {
+            true => 0.0,
+            false => choice.total_tokens as f64 * KEPT_BACK * beyond,
+        };
+        let wanted = self.tokens(ask) + kept_back;
+        choice.free_tokens.is_some_and(|free| wanted > free as f64)
+    }
+
+    /// When a refused caller should come back: once the queue is short enough, or
+    /// the memory is free, as far as engines tell. `spread` from 0 to 1 keeps those
+    /// that are refused together from coming back together.
+    pub fn come_back(
+        &self,
+        ask: &AdmissionAsk<'_>,
+        pace: &EnginePace,
+        choice: &EndpointChoice,
+        spread: f64,
+    ) -> Micros {
+        let queue_ms = choice.queue_ms - self.longest_queue_ms(ask, pace);
+        let free = choice.free_tokens.map_or(f64::MAX, |free| free as f64);
+        let lacking = (self.tokens(ask) - free).max(0.0);
+        let memory_ms = lacking * pace.memory_ms(choice.used_tokens);
+        let millis = queue_ms.max(memory_ms) * (1.0 + spread);
+        Micros((millis.clamp(SHORTEST_RETURN_MS, LONGEST_RETURN_MS) * 1_000.0) as u64)
     }
 }
--- a/core/src/serving/endpoint_entry.rs
+++ b/core/src/serving/endpoint_entry.rs
@@ -1,5 +1,5 @@
 use {
-    super::{EndpointReturn, PartMemory, SwapStage, WeightBelief},
+    super::{EndpointReturn, EnginePace, PartMemory, SwapStage, WeightBelief},
     crate::{retry::OutlierGuard, time::Micros},
     serde::{Deserialize, Serialize},
     std::net::SocketAddr,
@@ -119,8 +119,6 @@
 /// Time that a request takes to show up in a report.
 const REPORT_LAG: Micros = Micros::from_millis(40);
 
-/// Tokens of a prompt, on average over the sites' kinds of request by their rates.
-const USUAL_PROMPT_TOKENS: u64 = 3_900;
 /// Part of an engine's memory that prompts may fill, in hundredths. Answers grow
 /// in the rest; where it is used up, an engine puts a prompt back and reads it anew.
 /// By trial: 100 is clearly worse, 80 to 94 are not told apart.
@@ -182,13 +180,18 @@
     }
 
     /// Memory for prompts that the last report does not count yet, in tokens: ours
-    /// that have not begun, and the unread ones of others.
+    /// that were sent since, and those that wait. What is being read has its memory.
     pub fn coming_tokens(
         &self,
         now: Micros,
+        pace: &EnginePace,
     ) -> u64 {
-        let ours = self.unread.iter().map(|work| u64::from(work.memory_tokens));
-        ours.sum::<u64>() + u64::from(self.unread_of_others(now)) * USUAL_PROMPT_TOKENS
+        let load = self.fresh_load(now);
+        let is_new = |work: &&UnreadWork| load.is_none_or(|l| work.sent_at + REPORT_LAG >= l.at);
+        let ours = self.unread.iter().filter(is_new);
+        let ours: u64 = ours.map(|work| u64::from(work.memory_tokens)).sum();
+        let waiting = load.map_or(0.0, |load| f64::from(load.waiting));
+        ours + (waiting * pace.prompt_tokens()) as u64
     }
 
     /// Memory that stays for further prompts, in tokens, without the part that is
@@ -197,10 +200,11 @@
     pub fn free_tokens(
         &self,
         now: Micros,
+        pace: &EnginePace,
     ) -> Option<u64> {
         let load = self.fresh_load(now)?;
         let room = load.total_tokens * FILLED_PART / 100;
-        let taken = load.used_tokens + self.coming_tokens(now);
+        let taken = load.used_tokens + self.coming_tokens(now, pace);
         (taken > 0).then(|| room.saturating_sub(taken))
     }
 
--- a/core/src/serving/endpoint_pick.rs
+++ b/core/src/serving/endpoint_pick.rs
@@ -1,45 +1,41 @@
 use {
     super::{
-        plan_prompt, EndpointBook, EndpointEntry, EndpointKey, EndpointStanding, PartOutlook,
-        PromptAsk, PromptPlan, SwapStage, WallTag,
+        plan_prompt, EndpointBook, EndpointEntry, EndpointKey, EndpointStanding, EnginePace,
+        PartOutlook, PromptAsk, PromptPlan, SwapStage, WallTag,
     },
     crate::time::Micros,
 };
 
-/// Tokens of a prompt that an engine reads in a millisecond beside its other
-/// work. The sites' sheets say 112; steps for running answers take the rest.
-pub const READ_TOKENS_PER_MS: f64 = 97.0;
-/// Tokens that a request of others still has to be read for, on average: the
-/// mean over the sites' kinds of request with half of the shared parts found.
-const USUAL_UNREAD_TOKENS: f64 = 1_900.0;
 /// Cost of crossing to another failure domain, in milliseconds: the way there
 /// and back, and the price of the bytes.
 const OTHER_DOMAIN_MS: f64 = 5.0;
-/// Cost of each request that runs, as it slows each step down, in milliseconds.
-const RUNNING_MS: f64 = 0.4;
+/// Cost of each request that runs, as it slows each step down: this part of what
+/// it takes to read a usual prompt.
+const RUNNING_PART: f64 = 0.02;
 /// What the home of a prompt gets ahead for each shared token that nobody has
-/// read, in milliseconds: boxes that know nothing of each other's choices then
-/// read it at the same place, once.
-const HOME_TOKEN_MS: f64 = 1.0 / READ_TOKENS_PER_MS;
-/// What the home gets ahead for each shared token in any case, in milliseconds:
-/// a part that many engines hold takes the room of others.
-const HOME_SHARED_MS: f64 = 0.25 / READ_TOKENS_PER_MS;
-/// Cost of a token that is fetched, beyond its time, in milliseconds: the price
-/// of the move, and the room that it takes from others.
-const FETCHED_MS: f64 = 0.25 / READ_TOKENS_PER_MS;
+/// read, in times of reading it: boxes that know nothing of each other's choices
+/// then read it at the same place, once.
+const HOME_UNREAD: f64 = 1.0;
+/// What the home gets ahead for each shared token in any case, in times of reading
+/// it: a part that many engines hold takes the room of others.
+const HOME_SHARED: f64 = 0.25;
+/// Cost of a token that is fetched, beyond its time, in times of reading it: the
+/// price of the move, and the room that it takes from others.
+const FETCHED: f64 = 0.25;
 /// Cost of an engine that has no place free, in milliseconds.
 const FULL_MS: f64 = 800.0;
-/// Cost of memory that is short, in milliseconds for each token: requests that
-/// run are put back and read anew.
-const SHORT_MEMORY_MS: f64 = 2.0 / READ_TOKENS_PER_MS;
+/// Cost of memory that is short, for each token, in times of reading it: requests
+/// that run are put back and read anew.
+const SHORT_MEMORY: f64 = 2.0;
 /// Cost of reading a token of a shared part, beyond the time that it takes, in
-/// milliseconds: the sites price it at some fifty times the cost of a fetch.
-const SHARED_UNREAD_MS: f64 = 1.0 / READ_TOKENS_PER_MS;
+/// times of reading it: what an engine reads again costs some fifty fetches.
+const SHARED_UNREAD: f64 = 1.0;
 /// Cost of weights that newer ones are named for, in milliseconds: what they
 /// make is worth less and less.
 const BEHIND_MS: f64 = 12.0;
-/// Longest answer, in tokens, that goes to an engine which ends its long runs.
-const LONG_ANSWER: u32 = 24;
+/// Longest answer that goes to an engine which ends its long runs, as a part of
+/// the usual answer.
+const SHORT_ANSWER: f64 = 0.5;
 /// Cost of one request that a plain service holds already, in milliseconds.
 const PLAIN_QUEUE_MS: f64 = 12.0;
 
@@ -56,6 +52,8 @@
     pub rank: u8,
     /// Endpoints that this request has been to.
     pub tried: &'a [EndpointKey],
+    /// What is learned of the engines.
+    pub pace: &'a EnginePace,
     /// Current time.
     pub now: Micros,
 }
@@ -67,12 +65,21 @@
     pub key: EndpointKey,
     /// Estimated time until the answer begins, in milliseconds.
     pub wait_ms: f64,
-    /// Time for which it reads for others first, in milliseconds.
+    /// Tokens that it reads for others first.
+    pub ahead_tokens: f64,
+    /// Time for which it does, in milliseconds.
     pub ahead_ms: f64,
+    /// Time until a prompt begins beside its own reading, as prompts of late have
+    /// taken, in milliseconds.
+    pub queue_ms: f64,
     /// Requests that wait at it for a place or for memory.
     pub waiting: u32,
     /// Memory that it has for further prompts, in tokens, where that is known.
     pub free_tokens: Option<u64>,
+    /// Memory that runs at it take, in tokens, where that is known.
+    pub used_tokens: u64,
+    /// All memory of it, in tokens, where that is known.
+    pub total_tokens: u64,
     /// Tokens that it will have to read.
     pub unread_tokens: u32,
     /// What it keeps already and what it fetches.
@@ -109,9 +116,9 @@
     ask: &PickAsk<'_>,
     outlooks: &[VersionOutlook],
 ) -> Option<EndpointChoice> {
-    let is_long = ask
-        .prompt
-        .is_some_and(|prompt| prompt.tokens_out > LONG_ANSWER);
+    let is_long = ask.prompt.is_some_and(|prompt| {
+        f64::from(prompt.tokens_out) > ask.pace.answer_tokens() * SHORT_ANSWER
+    });
     let sound = best_of(book, ask, outlooks, &|entry| {
         let drains = entry.stage == SwapStage::Draining;
         is_sound(entry, ask.now) && !(is_long && drains)
@@ -140,6 +147,7 @@
     admits: &dyn Fn(&EndpointEntry) -> bool,
 ) -> Option<EndpointChoice> {
     let home = home_number(ask);
+    let token_ms = ask.pace.token_ms();
     let mut best: Option<(f64, EndpointChoice)> = None;
     let mut best_home: Option<(u64, EndpointKey)> = None;
     let mut weighed = Vec::new();
@@ -163,8 +171,8 @@
             cost += OTHER_DOMAIN_MS;
         }
         if best_home.is_some_and(|(_, at)| at == *key) {
-            cost -= f64::from(choice.shared_unread) * HOME_TOKEN_MS;
-            cost -= f64::from(choice.shared_tokens) * HOME_SHARED_MS;
+            cost -= f64::from(choice.shared_unread) * token_ms * HOME_UNREAD;
+            cost -= f64::from(choice.shared_tokens) * token_ms * HOME_SHARED;
         }
         if best.as_ref().is_none_or(|(least, _)| cost < *least) {
             best = Some((cost, choice));
@@ -182,9 +190,13 @@
     let mut choice = EndpointChoice {
         key,
         wait_ms: f64::from(entry.running) * PLAIN_QUEUE_MS,
+        ahead_tokens: 0.0,
         ahead_ms: 0.0,
+        queue_ms: 0.0,
         waiting: 0,
         free_tokens: None,
+        used_tokens: 0,
+        total_tokens: 0,
         unread_tokens: 0,
         shared_tokens: 0,
         shared_unread: 0,
@@ -229,23 +241,30 @@
     choice.shared_tokens = shared;
     choice.shared_unread = shared.saturating_sub(at_hand);
     let now = ask.now;
-    let others = f64::from(entry.unread_of_others(now)) * USUAL_UNREAD_TOKENS;
-    let ahead = entry.unread_tokens(ask.rank) as f64 + others * others_before(ask.rank);
-    choice.ahead_ms = ahead / READ_TOKENS_PER_MS;
-    choice.wait_ms = choice.ahead_ms + f64::from(choice.unread_tokens) / READ_TOKENS_PER_MS;
+    let pace = ask.pace;
+    let token_ms = pace.token_ms();
+    let others = f64::from(entry.unread_of_others(now)) * pace.unread_tokens();
+    choice.ahead_tokens = entry.unread_tokens(ask.rank) as f64 + others * others_before(ask.rank);
+    choice.ahead_ms = choice.ahead_tokens * token_ms;
+    choice.wait_ms = choice.ahead_ms + f64::from(choice.unread_tokens) * token_ms;
     choice.wait_ms += choice.plan.fetch_ms;
-    choice.wait_ms += f64::from(choice.shared_unread) * SHARED_UNREAD_MS;
-    choice.wait_ms += f64::from(choice.plan.fetched_tokens) * FETCHED_MS;
-    choice.wait_ms += f64::from(entry.occupied(now)) * RUNNING_MS;
+    choice.queue_ms = choice.ahead_ms + pace.begin_ms();
+    choice.wait_ms += f64::from(choice.shared_unread) * token_ms * SHARED_UNREAD;
+    choice.wait_ms += f64::from(choice.plan.fetched_tokens) * token_ms * FETCHED;
+    let running_ms = pace.unread_tokens() * token_ms * RUNNING_PART;
+    choice.wait_ms += f64::from(entry.occupied(now)) * running_ms;
     if entry.is_behind {
         choice.wait_ms += BEHIND_MS;
     }
-    choice.free_tokens = entry.free_tokens(now);
+    choice.free_tokens = entry.free_tokens(now, pace);
     if let Some(load) = entry.fresh_load(now) {
         choice.waiting = load.waiting;
-        let wanted = load.used_tokens + entry.coming_tokens(now) + u64::from(prompt.tokens_in);
+        choice.used_tokens = load.used_tokens;
+        choice.total_tokens = load.total_tokens;
+        let wanted =
+            load.used_tokens + entry.coming_tokens(now, pace) + u64::from(prompt.tokens_in);
         let short = wanted.saturating_sub(load.total_tokens);
-        choice.wait_ms += short as f64 * SHORT_MEMORY_MS;
+        choice.wait_ms += short as f64 * token_ms * SHORT_MEMORY;
     }
 }
 
--- a/core/src/serving/mod.rs
+++ b/core/src/serving/mod.rs
@@ -2,12 +2,15 @@
 //! and organisation a request has, which endpoint takes it, what may be sent
 //! again, and how fresh the knowledge behind all that must be.
 
+mod admission_ask;
 mod admission_rule;
+mod admission_verdict;
 mod caller_limits;
 mod endpoint_book;
 mod endpoint_entry;
 mod endpoint_pick;
 mod endpoint_return;
+mod engine_pace;
 mod key_policy;
 mod key_trust;
 mod kv_store;
@@ -20,6 +23,7 @@
 mod rank_shares;
 mod refusal_kind;
 mod repeat_meter;
+mod route_habits;
 mod served_route;
 mod serving_config;
 mod standstill_watch;
@@ -30,9 +34,10 @@
 mod weight_namings;
 
 pub use {
-    admission_rule::*, caller_limits::*, endpoint_book::*, endpoint_entry::*, endpoint_pick::*,
-    endpoint_return::*, key_policy::*, key_trust::*, kv_store::*, lateness_gauge::*, memory_map::*,
-    part_memory::*, path_index::*, prompt_ask::*, prompt_part::*, rank_shares::*, refusal_kind::*,
-    repeat_meter::*, served_route::*, serving_config::*, standstill_watch::*, store_view::*,
+    admission_ask::*, admission_rule::*, admission_verdict::*, caller_limits::*, endpoint_book::*,
+    endpoint_entry::*, endpoint_pick::*, endpoint_return::*, engine_pace::*, key_policy::*,
+    key_trust::*, kv_store::*, lateness_gauge::*, memory_map::*, part_memory::*, path_index::*,
+    prompt_ask::*, prompt_part::*, rank_shares::*, refusal_kind::*, repeat_meter::*,
+    route_habits::*, served_route::*, serving_config::*, standstill_watch::*, store_view::*,
     swap_planner::*, wall_name::*, weight_belief::*,
 };
--- a/core/tests/endpoint_pick.rs
+++ b/core/tests/endpoint_pick.rs
@@ -3,8 +3,8 @@
 use pitchhitch_core::{
     serving::{
         pick_endpoint, EndpointBook, EndpointChoice, EndpointKey, EndpointNotice, EngineGroup,
-        EngineLoad, KvStore, MemoryMap, PartId, PartPlace, PickAsk, PromptAsk, PromptPart,
-        SwapStage, UnreadWork, VersionOutlook, WallTag,
+        EngineLoad, EnginePace, KvStore, MemoryMap, PartId, PartPlace, PickAsk, PromptAsk,
+        PromptPart, SwapStage, UnreadWork, VersionOutlook, WallTag,
     },
     time::Micros,
 };
@@ -130,6 +130,7 @@
                 .outlook(&self.book, &group(), WALL, &prompt.parts, NOW),
         }];
         let ask = PickAsk {
+            pace: &EnginePace::starting_at(1.0 / 97.0),
             service: "llm",
             domain: "a",
             prompt: Some(prompt),
@@ -320,7 +321,12 @@
         load.used_tokens = 60_000;
     });
     let key = fleet.key("e1");
-    let free = |fleet: &Fleet| fleet.book.get(key).and_then(|e| e.free_tokens(NOW));
+    let free = |fleet: &Fleet| {
+        fleet
+            .book
+            .get(key)
+            .and_then(|e| e.free_tokens(NOW, &EnginePace::default()))
+    };
     assert_eq!(free(&fleet), Some(30_000), "a tenth is left for answers");
     let work = UnreadWork {
         ticket: 1,
--- a/core/tests/serving_limits.rs
+++ b/core/tests/serving_limits.rs
@@ -2,8 +2,9 @@
 
 use pitchhitch_core::{
     serving::{
-        AdmissionRule, EndpointChoice, KeyPolicy, KeyTrust, PartId, PartMemory, PromptPart,
-        PromptPlan, RefusalKind, RepeatBound, RepeatMeter, WallTag,
+        AdmissionAsk, AdmissionRule, AdmissionVerdict, EndpointChoice, EnginePace, KeyPolicy,
+        KeyTrust, PartId, PartMemory, PromptPart, PromptPlan, RefusalKind, RepeatBound,
+        RepeatMeter, WallTag,
     },
     time::Micros,
 };
@@ -97,8 +98,12 @@
         key: Default::default(),
         wait_ms: ahead_ms,
         ahead_ms,
+        ahead_tokens: ahead_ms * 97.0,
+        queue_ms: ahead_ms,
         waiting,
         free_tokens: None,
+        used_tokens: 150_000,
+        total_tokens: 179_000,
         unread_tokens: 0,
         shared_tokens: 0,
         shared_unread: 0,
@@ -110,42 +115,74 @@
     }
 }
 
+fn ask(
+    route: &str,
+    rank: u8,
+) -> AdmissionAsk<'_> {
+    AdmissionAsk {
+        route,
+        rank,
+        aim: at(600),
+        patience: at(12_000),
+    }
+}
+
+fn refuses(
+    rule: &mut AdmissionRule,
+    ask: &AdmissionAsk<'_>,
+    choice: &EndpointChoice,
+) -> bool {
+    let pace = EnginePace::starting_at(1.0 / 97.0);
+    rule.judge(ask, &pace, choice) != AdmissionVerdict::Admitted
+}
+
+/// A rule that has seen a large kind of the least urgent rank and a small one.
+fn two_kinds(
+    tokens: u32,
+    unread: u32,
+) -> AdmissionRule {
+    let mut rule = AdmissionRule::default();
+    for _ in 0..100 {
+        rule.note(&ask("large", 2), tokens, unread);
+        rule.note(&ask("small", 1), 800, 200);
+    }
+    rule
+}
+
 /// With two of nine engines dark, memory was full of running prompts and nothing
 /// was in time for twenty seconds (first day of high load).
 #[test]
 fn large_kinds_first() {
-    let mut rule = AdmissionRule::default();
-    for _ in 0..100 {
-        rule.note("large", 2, 12_000);
-        rule.note("small", 1, 800);
-    }
-    let aim = at(600);
-    assert!(!rule.refuses("large", 2, aim, &choice(0.0, 1)));
-    assert!(rule.refuses("large", 2, aim, &choice(0.0, 4)));
-    assert!(!rule.refuses("small", 1, aim, &choice(0.0, 4)));
-    assert!(rule.refuses("small", 1, aim, &choice(0.0, 60)));
-    assert!(rule.refuses("small", 1, aim, &choice(400.0, 0)));
+    let mut rule = two_kinds(12_000, 3_000);
+    let large = ask("large", 2);
+    let small = ask("small", 1);
+    assert!(!refuses(&mut rule, &large, &choice(0.0, 1)));
+    assert!(refuses(&mut rule, &large, &choice(0.0, 4)));
+    assert!(!refuses(&mut rule, &small, &choice(0.0, 4)));
+    assert!(refuses(&mut rule, &small, &choice(0.0, 60)));
+    assert!(refuses(&mut rule, &small, &choice(400.0, 0)));
     // A route that is not known yet is not refused for its size.
-    assert!(!rule.refuses("new", 2, aim, &choice(0.0, 4)));
+    assert!(!refuses(&mut rule, &ask("new", 2), &choice(0.0, 4)));
+}
+
+fn with_free(free: u64) -> EndpointChoice {
+    EndpointChoice {
+        free_tokens: Some(free),
+        ..choice(0.0, 0)
+    }
 }
 
 /// Engines whose memory was full put 81 prompts of a day back and read them anew.
 #[test]
 fn memory_kept_free() {
-    let mut rule = AdmissionRule::default();
-    rule.note("large", 2, 12_000);
-    rule.note("small", 1, 800);
-    let aim = at(600);
-    let with_free = |free| EndpointChoice {
-        free_tokens: Some(free),
-        ..choice(0.0, 0)
-    };
-    assert!(!rule.refuses("large", 2, aim, &with_free(12_500)));
-    assert!(rule.refuses("large", 2, aim, &with_free(11_000)));
+    let mut rule = two_kinds(12_000, 3_000);
+    let large = ask("large", 2);
+    assert!(!refuses(&mut rule, &large, &with_free(12_500)));
+    assert!(refuses(&mut rule, &large, &with_free(11_000)));
     // A more urgent one is let in first.
-    assert!(!rule.refuses("large", 1, aim, &with_free(11_000)));
+    assert!(!refuses(&mut rule, &ask("large", 1), &with_free(11_000)));
     // A small one fits in, or waits for a moment only.
-    assert!(!rule.refuses("small", 1, aim, &with_free(0)));
+    assert!(!refuses(&mut rule, &ask("small", 1), &with_free(0)));
 }
 
 /// Late beginnings refuse prompts only where engines are half taken: with places
@@ -157,9 +194,9 @@
         rule.note_begin(true);
     }
     let mut choice = choice(0.0, 0);
-    assert!(!(0..20).any(|_| rule.sheds(2, &choice)));
+    assert!(!(0..20).any(|_| refuses(&mut rule, &ask("any", 2), &choice)));
     choice.is_half_full = true;
-    assert!((0..20).any(|_| rule.sheds(2, &choice)));
+    assert!((0..20).any(|_| refuses(&mut rule, &ask("any", 2), &choice)));
 }
 
 #[test]
--- /dev/null
+++ b/core/tests/worst_load.rs
@@ -0,0 +1,292 @@
+//! Loads that engines cannot serve, replayed on a small model of one engine: it
+//! reads prompts in turn, holds their memory while they answer, and answers slower
+//! the more of its time it reads.
+
+use {
+    pitchhitch_core::{
+        serving::{
+            AdmissionAsk, AdmissionRule, AdmissionVerdict, EndpointChoice, EnginePace, PromptPlan,
+        },
+        time::Micros,
+    },
+    std::collections::VecDeque,
+};
+
+const AIM_MS: f64 = 1_200.0;
+const MEMORY: f64 = 70_000.0;
+/// Memory that prompts may fill.
+const ROOM: f64 = MEMORY * 0.9;
+/// Time that an answer takes on an engine that reads nothing.
+const ANSWER_MS: f64 = 1_300.0;
+const PLAYED_MS: u32 = 30_000;
+
+#[derive(Debug, Clone, Copy)]
+struct Prompt {
+    came_at: f64,
+    tokens: f64,
+    unread: f64,
+}
+
+/// One engine on a clock of milliseconds.
+struct Engine {
+    read_per_ms: f64,
+    queue: VecDeque<Prompt>,
+    answering: Vec<(f64, f64)>,
+    in_time: u32,
+    late: u32,
+}
+
+impl Engine {
+    fn new(read_per_ms: f64) -> Self {
+        Engine {
+            read_per_ms,
+            queue: VecDeque::new(),
+            answering: Vec::new(),
+            in_time: 0,
+            late: 0,
+        }
+    }
+
+    fn used(&self) -> f64 {
+        self.answering.iter().map(|(tokens, _)| tokens).sum()
+    }
+
+    /// One millisecond: the first prompt is read, if its memory is free.
+    fn step(
+        &mut self,
+        now: f64,
+        pace: &mut EnginePace,
+    ) {
+        let used = self.used();
+        let first = self.queue.front_mut();
+        let reads = first.filter(|prompt| used + prompt.tokens <= MEMORY);
+        // Steps that read hold up the answers: a third of their speed is left.
+        let speed = if reads.is_some() { 0.33 } else { 1.0 };
+        for (_, left) in &mut self.answering {
+            *left -= speed;
+        }
+        self.answering.retain(|(_, left)| *left > 0.0);
+        let Some(prompt) = reads else {
+            return;
+        };
+        prompt.unread -= self.read_per_ms;
+        if prompt.unread > 0.0 {
+            return;
+        }
+        let begun = *prompt;
+        self.queue.pop_front();
+        self.answering.push((begun.tokens, ANSWER_MS));
+        pace.note_ended(begun.tokens as u32, ANSWER_MS * 2.0);
+        match now - begun.came_at <= AIM_MS {
+            true => self.in_time += 1,
+            false => self.late += 1,
+        }
+    }
+
+    fn choice(
+        &self,
+        pace: &EnginePace,
+    ) -> EndpointChoice {
+        let ahead_tokens: f64 = self.queue.iter().map(|prompt| prompt.unread).sum();
+        let waiting = self.queue.len().saturating_sub(1) as u32;
+        let coming: f64 = self.queue.iter().map(|prompt| prompt.tokens).sum();
+        let ahead_ms = ahead_tokens * pace.token_ms();
+        EndpointChoice {
+            key: Default::default(),
+            wait_ms: ahead_ms,
+            ahead_tokens,
+            ahead_ms,
+            queue_ms: ahead_ms + pace.begin_ms(),
+            waiting,
+            free_tokens: Some((ROOM - self.used() - coming).max(0.0) as u64),
+            used_tokens: self.used() as u64,
+            total_tokens: MEMORY as u64,
+            unread_tokens: 0,
+            shared_tokens: 0,
+            shared_unread: 0,
+            plan: PromptPlan::default(),
+            version: Some(1),
+            candidates: 1,
+            has_place: true,
+            is_half_full: true,
+        }
+    }
+}
+
+/// What became of a load.
+#[derive(Debug, PartialEq)]
+struct Outcome {
+    in_time: u32,
+    late: u32,
+    refused: u32,
+}
+
+/// Plays prompts that come each `gap_ms`; `admits` decides about each.
+fn play(
+    read_per_ms: f64,
+    gap_ms: u32,
+    size: (f64, f64),
+    mut pace: EnginePace,
+    admits: &mut dyn FnMut(&EndpointChoice, &EnginePace) -> bool,
+) -> Outcome {
+    let mut engine = Engine::new(read_per_ms);
+    let mut refused = 0;
+    let mut learned = VecDeque::new();
+    for now in 0..PLAYED_MS {
+        let at = f64::from(now);
+        if now % gap_ms == 0 {
+            let choice = engine.choice(&pace);
+            if admits(&choice, &pace) {
+                // What is learned comes when the prompt begins.
+                let to_read = choice.ahead_tokens + size.1;
+                learned.push_back((at, to_read));
+                engine.queue.push_back(Prompt {
+                    came_at: at,
+                    tokens: size.0,
+                    unread: size.1,
+                });
+                pace.note_sent(size.0 as u32, size.1 as u32, 60);
+            } else {
+                refused += 1;
+            }
+        }
+        let before = engine.in_time + engine.late;
+        engine.step(at, &mut pace);
+        if engine.in_time + engine.late > before {
+            if let Some((sent, to_read)) = learned.pop_front() {
+                pace.note_begun(to_read, at - sent);
+            }
+        }
+    }
+    Outcome {
+        in_time: engine.in_time,
+        late: engine.late,
+        refused,
+    }
+}
+
+fn ask() -> AdmissionAsk<'static> {
+    AdmissionAsk {
+        route: "large",
+        rank: 1,
+        aim: Micros::from_millis(AIM_MS as u64),
+        patience: Micros::from_secs(12),
+    }
+}
+
+/// The same load by the rule that the product uses.
+fn play_ruled(
+    read_per_ms: f64,
+    gap_ms: u32,
+    size: (f64, f64),
+    pace: EnginePace,
+) -> Outcome {
+    let mut rule = AdmissionRule::default();
+    play(read_per_ms, gap_ms, size, pace, &mut |choice, pace| {
+        rule.note(&ask(), size.0 as u32, size.1 as u32);
+        rule.judge(&ask(), pace, choice) == AdmissionVerdict::Admitted
+    })
+}
+
+/// Twice as much to read as an engine can: without a rule all but the first are
+/// late; by what prompts of late have taken, most of those let in are in time.
+#[test]
+fn reading_overloaded() {
+    let size = (2_400.0, 2_400.0);
+    let all = play(24.0, 50, size, EnginePace::default(), &mut |_, _| true);
+    assert!(all.in_time < 60 && all.late > 200, "{all:?}");
+    for wrong in [0.25, 1.0, 4.0] {
+        let pace = EnginePace::starting_at(wrong / 24.0);
+        let ruled = play_ruled(24.0, 50, size, pace);
+        assert!(ruled.in_time > all.in_time * 3, "{wrong}: {ruled:?}");
+        assert!(ruled.late * 4 < ruled.in_time, "{wrong}: {ruled:?}");
+    }
+}
+
+/// Four times the memory that an engine has: what is let in begins in time, and
+/// nothing waits for seconds.
+#[test]
+fn memory_overloaded() {
+    let size = (12_000.0, 4_000.0);
+    let all = play(48.0, 100, size, EnginePace::default(), &mut |_, _| true);
+    let ruled = play_ruled(48.0, 100, size, EnginePace::default());
+    assert!(ruled.in_time > all.in_time * 3, "{all:?} {ruled:?}");
+    assert!(ruled.late * 4 < ruled.in_time, "{ruled:?}");
+}
+
+/// Half of what the engine can do: nobody is refused.
+#[test]
+fn light_load_served() {
+    let ruled = play_ruled(48.0, 600, (9_000.0, 3_000.0), EnginePace::default());
+    assert_eq!((ruled.late, ruled.refused), (0, 0), "{ruled:?}");
+}
+
+/// After a crowd has passed, the engine takes prompts again at once, whatever was
+/// learned in it: nothing stays shut by an old lesson.
+#[test]
+fn idle_engine_takes_any() {
+    let mut pace = EnginePace::default();
+    for _ in 0..300 {
+        pace.note_begun(100.0, 5_000.0);
+    }
+    let mut rule = AdmissionRule::default();
+    rule.note(&ask(), 12_000, 12_000);
+    let idle = Engine::new(48.0).choice(&pace);
+    assert!(idle.queue_ms > AIM_MS);
+    let verdict = rule.judge(&ask(), &pace, &idle);
+    assert_eq!(verdict, AdmissionVerdict::Admitted);
+}
+
+/// Where most large prompts find no memory, some of it is kept back; a caller that
+/// was refused before gets it, and goes before who comes first now.
+#[test]
+fn memory_kept_back() {
+    let pace = EnginePace::default();
+    let mut rule = AdmissionRule::default();
+    rule.note(&ask(), 12_000, 4_000);
+    let with_free = |free| EndpointChoice {
+        free_tokens: Some(free),
+        ..Engine::new(48.0).choice(&pace)
+    };
+    let judge = |rule: &mut AdmissionRule, ask: &AdmissionAsk<'_>, free| {
+        rule.judge(ask, &pace, &with_free(free))
+    };
+    assert_eq!(judge(&mut rule, &ask(), 13_000), AdmissionVerdict::Admitted);
+    for _ in 0..200 {
+        assert_eq!(judge(&mut rule, &ask(), 100), AdmissionVerdict::NoMemory);
+    }
+    assert_eq!(judge(&mut rule, &ask(), 13_000), AdmissionVerdict::NoMemory);
+    let back = AdmissionAsk {
+        patience: Micros::from_secs(11),
+        ..ask()
+    };
+    assert_eq!(judge(&mut rule, &back, 13_000), AdmissionVerdict::Admitted);
+}
+
+/// Refused callers are asked back when the backlog will have gone, not before and
+/// not all at once.
+#[test]
+fn return_by_backlog() {
+    let mut pace = EnginePace::starting_at(0.02);
+    for _ in 0..200 {
+        pace.note_sent(12_000, 4_000, 60);
+        pace.note_ended(12_000, 2_000.0);
+    }
+    let mut rule = AdmissionRule::default();
+    rule.note(&ask(), 12_000, 4_000);
+    let come_back = |free: u64, queue_ms: f64, spread: f64| {
+        let choice = EndpointChoice {
+            free_tokens: Some(free),
+            queue_ms,
+            used_tokens: 60_000,
+            ..Engine::new(48.0).choice(&pace)
+        };
+        rule.come_back(&ask(), &pace, &choice, spread).as_millis()
+    };
+    // 12,000 tokens at 30 a millisecond.
+    assert!((350..=450).contains(&come_back(0, 0.0, 0.0)));
+    assert!(come_back(6_000, 0.0, 0.0) < come_back(0, 0.0, 0.0));
+    assert!(come_back(0, 1_500.0, 0.0) > 800);
+    assert!(come_back(0, 0.0, 1.0) >= come_back(0, 0.0, 0.0) * 2 - 1);
+    assert!(come_back(0, 1.0e9, 1.0) <= 2_000, "bounded");
+}
--- a/entry/src/front/front_state.rs
+++ b/entry/src/front/front_state.rs
@@ -2,8 +2,8 @@
     super::{FrontSettings, LinkPool},
     pitchhitch_core::{
         serving::{
-            AdmissionRule, EndpointBook, KeyTrust, MemoryMap, RepeatMeter, ServingConfig,
-            StandstillWatch, SwapPlanner, WallName, WallTag,
+            AdmissionRule, EndpointBook, EnginePace, KeyTrust, MemoryMap, RepeatMeter,
+            ServingConfig, StandstillWatch, SwapPlanner, WallName, WallTag,
         },
         time::Micros,
     },
@@ -30,6 +30,8 @@
     pub trust: KeyTrust,
     /// What is refused while engines are behind.
     pub admission: AdmissionRule,
+    /// What is learned of how engines take prompts.
+    pub pace: EnginePace,
     /// Stores and what is known of their content.
     pub memory: MemoryMap,
     /// Named weights and whose turn it is to load them.
@@ -62,6 +64,7 @@
             has_list: false,
             trust: KeyTrust::new(settings.key_limit, settings.key_policy),
             admission: AdmissionRule::default(),
+            pace: EnginePace::default(),
             memory: MemoryMap::default(),
             planner: SwapPlanner::default(),
             pool: LinkPool::default(),
--- a/entry/src/front/request_admit.rs
+++ b/entry/src/front/request_admit.rs
@@ -58,17 +58,30 @@
     }
 }
 
+/// An answer of our own that says that a request was not served.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct OwnRefusal {
+    /// Why.
+    pub kind: RefusalKind,
+    /// When the caller should come back, where that is known better than by kind.
+    pub come_back: Option<Micros>,
+    /// Whether the caller's connection ends.
+    pub closes: bool,
+    /// When the request came.
+    pub came_at: Micros,
+    /// How often it was sent.
+    pub sends: u32,
+}
+
 pub(super) async fn refuse(
     front: &FrontContext,
     caller: &ByteLink,
     ask: &RequestAsk,
-    kind: RefusalKind,
-    closes: bool,
-    came_at: Micros,
-    sends: u32,
+    refusal: OwnRefusal,
 ) -> RequestEnd {
-    let row = kind.row();
-    let closes = closes || row.closes;
+    let mut row = refusal.kind.row();
+    row.come_back = refusal.come_back.or(row.come_back);
+    let closes = refusal.closes || row.closes;
     let (version, key_age) = {
         let state = front.state();
         let version = state.config.as_ref().map_or(0, |config| config.version);
@@ -81,12 +94,13 @@
         status = row.status,
         config = version,
         config_age_ms = key_age.map_or(-1, |age| age.as_millis() as i64),
-        sends = sends,
-        held_ms = front.now().since(came_at).as_millis();
+        sends = refusal.sends,
+        held_ms = front.now().since(refusal.came_at).as_millis(),
+        back_ms = row.come_back.map_or(-1, |back| back.as_millis() as i64);
         ""
     );
     front.metrics.count("refused", row.word);
-    let answer = encode_refusal(kind, &row, &ask.request_id, closes);
+    let answer = encode_refusal(refusal.kind, &row, &ask.request_id, closes);
     let is_written = within(REFUSAL_LIMIT, caller.write_all(&answer)).await;
     match (closes, is_written) {
         (false, Some(Ok(()))) => RequestEnd::Keep,
--- a/entry/src/front/request_choice.rs
+++ b/entry/src/front/request_choice.rs
@@ -1,9 +1,9 @@
 use {
-    super::{FrontState, RequestRun},
+    super::{FrontState, RequestRun, USUAL_PATIENCE},
     pitchhitch_core::{
         serving::{
-            pick_endpoint, EndpointChoice, EngineGroup, PartOutlook, PartPlace, PickAsk,
-            VersionOutlook, WallName,
+            pick_endpoint, AdmissionAsk, AdmissionVerdict, EndpointChoice, EngineGroup,
+            PartOutlook, PartPlace, PickAsk, VersionOutlook, WallName,
         },
         time::Micros,
     },
@@ -43,22 +43,43 @@
         rank.unwrap_or(self.route().priority).min(LOWEST_RANK)
     }
 
-    /// Whether an endpoint would begin with the request too late. The next best
-    /// is not asked: it would read what this one keeps, and fall behind as well.
-    pub(super) fn is_too_late(
+    /// Decides whether a prompt goes to the endpoint that is best for it. The next
+    /// best is not asked: it would read what this one keeps, and fall behind as well.
+    pub(super) fn judge_admission(
         &self,
         choice: &EndpointChoice,
-    ) -> bool {
+    ) -> AdmissionVerdict {
         let Some(prompt) = self.ask.prompt.as_ref().filter(|_| self.sends == 0) else {
-            return false;
+            return AdmissionVerdict::Admitted;
         };
-        let route = self.route();
-        let mut state = self.front.state();
-        let rank = self.rank();
+        let mut guard = self.front.state();
+        let state = &mut *guard;
+        let ask = self.admission_ask();
         let admission = &mut state.admission;
-        admission.note(&route.name, rank, prompt.tokens_in);
-        let lacks_time_or_room = admission.refuses(&route.name, rank, route.aim, choice);
-        lacks_time_or_room || admission.sheds(rank, choice)
+        admission.note(&ask, prompt.tokens_in, choice.unread_tokens);
+        admission.judge(&ask, &state.pace, choice)
+    }
+
+    /// When a caller that was refused for load should come back.
+    pub(super) fn come_back(
+        &self,
+        choice: &EndpointChoice,
+    ) -> Micros {
+        let state = self.front.state();
+        let spread = (self.spread >> 11) as f64 / (1u64 << 53) as f64;
+        state
+            .admission
+            .come_back(&self.admission_ask(), &state.pace, choice, spread)
+    }
+
+    fn admission_ask(&self) -> AdmissionAsk<'_> {
+        let route = self.route();
+        AdmissionAsk {
+            route: &route.name,
+            rank: self.rank(),
+            aim: route.aim,
+            patience: self.ask.patience.unwrap_or(USUAL_PATIENCE),
+        }
     }
 
     pub(super) fn group(&self) -> Option<&EngineGroup> {
@@ -77,6 +98,7 @@
             prompt: self.ask.prompt.as_ref(),
             rank: self.rank(),
             tried: &self.tried,
+            pace: &state.pace,
             now,
         };
         pick_endpoint(&state.book, &ask, &outlooks)
--- a/entry/src/front/request_lessons.rs
+++ b/entry/src/front/request_lessons.rs
@@ -1,6 +1,9 @@
 use {
     super::{OfferAnswer, RequestRun},
-    pitchhitch_core::serving::{EndpointChoice, EndpointReturn, EndpointStanding},
+    pitchhitch_core::{
+        serving::{EndpointChoice, EndpointReturn, EndpointStanding},
+        time::Micros,
+    },
 };
 
 impl RequestRun<'_> {
@@ -21,6 +24,23 @@
         }
     }
 
+    /// Notes that an endpoint is done with the request, and for how long a prompt
+    /// held memory there.
+    pub(super) fn learn_ended(
+        &self,
+        choice: &EndpointChoice,
+        ticket: u64,
+        sent_at: Micros,
+    ) {
+        let mut state = self.front.state();
+        state.book.ended(choice.key, ticket);
+        let (Some(prompt), Some(_)) = (&self.ask.prompt, self.began_at) else {
+            return;
+        };
+        let held = self.front.now().since(sent_at).as_millis() as f64;
+        state.pace.note_ended(prompt.tokens_in, held);
+    }
+
     /// Notes a prompt that was sent and did not begin within its aim, whatever
     /// became of it; one that began was noted then.
     pub(super) fn learn_unbegun(&self) {
--- a/entry/src/front/request_log.rs
+++ b/entry/src/front/request_log.rs
@@ -49,7 +49,9 @@
             estimate_ms = choice.wait_ms as u64,
             ahead_ms = choice.ahead_ms as u64,
             running = entry.map_or(0, |entry| entry.occupied(now)),
+            queue_ms = choice.queue_ms as u64,
             waiting = choice.waiting,
+            free = choice.free_tokens.map_or(-1, |free| free as i64),
             used = load.map_or(0, |load| load.used_tokens),
             unread = choice.unread_tokens,
             shared_unread = choice.shared_unread,
@@ -60,6 +62,8 @@
             weights = choice.version.unwrap_or(0),
             of = choice.candidates,
             pressure = state.admission.pressure(),
+            lacking = state.admission.lacking_part(),
+            token_us = (state.pace.token_ms() * 1_000.0) as u64,
             load_age_ms = load.map_or(-1, |load| now.since(load.at).as_millis() as i64);
             ""
         );
--- a/entry/src/front/request_run.rs
+++ b/entry/src/front/request_run.rs
@@ -1,10 +1,13 @@
 use {
     super::{
-        admit, refuse, write_to_caller, FrontContext, OfferFailure, StreamProgress, TryEnd,
-        WholeAnswer, WholeRequest,
+        admit, refuse, write_to_caller, FrontContext, OfferFailure, OwnRefusal, StreamProgress,
+        TryEnd, WholeAnswer, WholeRequest,
     },
     pitchhitch_core::{
-        serving::{EndpointKey, RefusalKind, RequestAsk, RequestPlace, ServedRoute, ServingConfig},
+        serving::{
+            AdmissionVerdict, EndpointKey, RefusalKind, RequestAsk, RequestPlace, ServedRoute,
+            ServingConfig,
+        },
         time::Micros,
     },
     pitchhitch_http1::ByteLink,
@@ -15,7 +18,7 @@
 };
 
 /// Time that a caller waits where it does not say.
-const USUAL_PATIENCE: Micros = Micros::from_secs(30);
+pub(super) const USUAL_PATIENCE: Micros = Micros::from_secs(30);
 /// Endpoints that may prove that they did not run a request, beyond those that
 /// may run it.
 const PROVEN_LIMIT: u32 = 2;
@@ -43,6 +46,7 @@
     pub(super) config: Rc<ServingConfig>,
     pub(super) place: RequestPlace,
     pub(super) service: String,
+    pub(super) spread: u64,
     pub(super) ends_at: Micros,
     pub(super) timer: Timer,
     pub(super) tried: Vec<EndpointKey>,
@@ -66,7 +70,16 @@
         || !request.head.is_current;
     let (config, place) = match admitted {
         Ok(admitted) => admitted,
-        Err(kind) => return refuse(front, caller, &ask, kind, closes, request.came_at, 0).await,
+        Err(kind) => {
+            let refusal = OwnRefusal {
+                kind,
+                come_back: None,
+                closes,
+                came_at: request.came_at,
+                sends: 0,
+            };
+            return refuse(front, caller, &ask, refusal).await;
+        }
     };
     let route = &config.routes[place.route];
     let patience = ask.patience.unwrap_or(USUAL_PATIENCE);
@@ -80,6 +93,7 @@
         caller,
         request: &request,
         service,
+        spread,
         ends_at,
         timer: Timer::after(to_duration(left)),
         tried: Vec::new(),
@@ -134,6 +148,7 @@
         self.settle().await;
         let mut last_failure = RefusalKind::NoEndpoint;
         let mut held_answer: Option<WholeAnswer> = None;
+        let mut come_back = None;
         loop {
             if self.front.now() >= self.ends_at {
                 last_failure = match self.may_have_run {
@@ -149,9 +164,11 @@
             if self.sends > 0 && !self.may_send_again() {
                 break;
             }
-            if self.is_too_late(&choice) {
-                self.log_try(&choice, "too-late", "");
+            let verdict = self.judge_admission(&choice);
+            if verdict != AdmissionVerdict::Admitted {
+                self.log_try(&choice, verdict.word(), "");
                 last_failure = RefusalKind::Overloaded;
+                come_back = Some(self.come_back(&choice));
                 break;
             }
             let Some(mut offer) = self.open(&choice).await else {
@@ -201,10 +218,13 @@
             self.front,
             self.caller,
             &self.ask,
-            last_failure,
-            closes,
-            came_at,
-            self.sends,
+            OwnRefusal {
+                kind: last_failure,
+                come_back,
+                closes,
+                came_at,
+                sends: self.sends,
+            },
         )
         .await
     }
--- a/entry/src/front/request_try.rs
+++ b/entry/src/front/request_try.rs
@@ -64,6 +64,7 @@
     ) -> TryEnd {
         let front = self.front;
         let bytes = self.encode(choice);
+        let sent_at = front.now();
         let ticket = {
             let mut state = front.state();
             let ticket = state.ticket();
@@ -72,9 +73,15 @@
                 tokens: choice.unread_tokens,
                 memory_tokens: self.ask.prompt.as_ref().map_or(0, |p| p.tokens_in),
                 rank: self.rank(),
-                sent_at: front.now(),
+                sent_at,
             };
             state.book.sent(choice.key, work);
+            if let Some(prompt) = &self.ask.prompt {
+                let unread = choice.unread_tokens;
+                state
+                    .pace
+                    .note_sent(prompt.tokens_in, unread, prompt.tokens_out);
+            }
             ticket
         };
         self.sends += 1;
@@ -84,11 +91,14 @@
             send_offer(offer, &bytes, &request_id, self.caller, &mut self.timer).await;
         self.may_have_run += u32::from(may_have_run);
         let end = match answer {
-            Ok(answer) => self.take_answer(choice, ticket, offer, answer).await,
+            Ok(answer) => {
+                self.take_answer(choice, ticket, sent_at, offer, answer)
+                    .await
+            }
             Err(OfferFailure::CallerGone) => TryEnd::CallerGone,
             Err(failure) => TryEnd::Broken(failure),
         };
-        front.state().book.ended(choice.key, ticket);
+        self.learn_ended(choice, ticket, sent_at);
         self.after_try(choice, &end);
         end
     }
@@ -117,6 +127,7 @@
         &mut self,
         choice: &EndpointChoice,
         ticket: u64,
+        sent_at: Micros,
         offer: &mut OpenOffer,
         answer: OfferAnswer,
     ) -> TryEnd {
@@ -134,7 +145,9 @@
             return TryEnd::Broken(OfferFailure::Garbled);
         }
         if is_success && self.route().is_stream {
-            return self.take_stream(choice, ticket, offer, &answer).await;
+            return self
+                .take_stream(choice, ticket, sent_at, offer, &answer)
+                .await;
         }
         if self.progress.is_begun {
             return TryEnd::Broken(OfferFailure::Lost);
@@ -166,12 +179,15 @@
         &mut self,
         choice: &EndpointChoice,
         ticket: u64,
+        sent_at: Micros,
         offer: &mut OpenOffer,
         answer: &OfferAnswer,
     ) -> TryEnd {
         let front = self.front;
         let late_at = self.request.came_at + self.route().aim;
         let is_prompt = self.ask.prompt.is_some() && !self.progress.is_begun;
+        let to_read = choice.ahead_tokens + f64::from(choice.unread_tokens);
+        let is_first = is_prompt && self.sends == 1;
         let mut began = None;
         let mut version = None;
         let mut tell = |news| match news {
@@ -180,6 +196,10 @@
                 began = Some(now);
                 let mut state = front.state();
                 state.book.begun(choice.key, ticket);
+                if is_first {
+                    let took = now.since(sent_at).as_millis() as f64;
+                    state.pace.note_begun(to_read, took - choice.plan.fetch_ms);
+                }
                 if is_prompt {
                     state.admission.note_begin(now > late_at);
                 }
