State is handed on to fronts that start while the platform's store is away

Ruled out: sending it by datagrams (a configuration is longer than one); asking the store more often (it is away). Change: fronts answer /state at their control and digest addresses; processes beside engines keep a copy and answer too, found by the digests they go on sending. What is handed on keeps its age, is taken only where it is not older, and the store wins once it answers. A keyed hash proves it to be ours where peer_secret is set. What is being read at engines counts with half of a usual prompt.

--- a/agent/src/beside/beside_context.rs
+++ b/agent/src/beside/beside_context.rs
@@ -1,5 +1,5 @@
 use {
-    super::{BesideMetrics, BesideSettings},
+    super::{BesideMetrics, BesideSettings, StateKeeper},
     pitchhitch_core::{
         serving::{EngineLoad, PartId, WallTag},
         time::Micros,
@@ -43,6 +43,8 @@
     pub clock_ms: Option<u64>,
     /// Id of the engine's life, as fronts tell it.
     pub engine_id: Option<String>,
+    /// Copy of what fronts know.
+    pub keeper: StateKeeper,
     /// Wanted weights by model.
     pub wanted: BTreeMap<String, Wanted>,
     /// Changes of kept parts that no digest has told yet.
--- a/agent/src/beside/beside_process.rs
+++ b/agent/src/beside/beside_process.rs
@@ -1,7 +1,7 @@
 use {
     super::{
-        give_orders, hear_fronts, send_digests, serve_metrics, watch_engine, watch_kept,
-        BesideContext, BesideSettings,
+        give_orders, hear_fronts, keep_state, send_digests, serve_metrics, serve_state,
+        watch_engine, watch_kept, BesideContext, BesideSettings,
     },
     anyhow::Context,
     pitchhitch_process::{flush_log, ProcessSignal, SignalWatch},
@@ -31,6 +31,10 @@
             .await
             .with_context(|| format!("cannot listen on {metrics}"))?;
     }
+    serve_state(beside.clone())
+        .await
+        .with_context(|| format!("cannot listen on {}", beside.settings.listen))?;
+    beside.spawn(keep_state(beside.clone()));
     beside.spawn(watch_engine(beside.clone()));
     beside.spawn(watch_kept(beside.clone()));
     beside.spawn(hear_fronts(beside.clone()));
--- a/agent/src/beside/beside_settings.rs
+++ b/agent/src/beside/beside_settings.rs
@@ -1,5 +1,6 @@
 use {
     pitchhitch_core::settings::{SettingsErrors, SettingsReader},
+    pitchhitch_wire::beacon::BeaconKey,
     std::net::SocketAddr,
 };
 
@@ -18,6 +19,8 @@
     pub store: SocketAddr,
     /// Where metrics are read.
     pub metrics: Option<SocketAddr>,
+    /// Key that proves handed state to be of one of ours, where a secret is set.
+    pub peer_key: Option<BeaconKey>,
 }
 
 impl BesideSettings {
@@ -30,6 +33,7 @@
         text: &str,
     ) -> Result<Self, SettingsErrors> {
         let mut reader = SettingsReader::parse(file, text)?;
+        let secret = reader.optional_text("peer_secret");
         let settings = BesideSettings {
             box_id: reader.text("box_id"),
             failure_domain: reader.text("failure_domain"),
@@ -37,6 +41,7 @@
             listen: reader.address("listen"),
             store: reader.address("store"),
             metrics: reader.optional_address("metrics"),
+            peer_key: secret.map(|secret| BeaconKey::from_secret(&secret)),
         };
         reader.finish()?;
         Ok(settings)
--- a/agent/src/beside/digest_sender.rs
+++ b/agent/src/beside/digest_sender.rs
@@ -26,6 +26,8 @@
                 let now = beside.now();
                 let mut state = beside.state();
                 state.heard(from, now);
+                let domain = &beside.settings.failure_domain;
+                state.keeper.heard(&hello, from, domain, now);
                 if hello.wants_all {
                     state.newcomers.insert(from);
                 }
--- /dev/null
+++ b/agent/src/beside/state_keeper.rs
@@ -0,0 +1,195 @@
+use {
+    super::BesideContext,
+    pitchhitch_core::time::Micros,
+    pitchhitch_http1::{answer_small, HttpCall, HttpClient, SmallServer},
+    pitchhitch_process::to_duration,
+    pitchhitch_wire::beside::{FrontHello, HandedState, STATE_PATH},
+    smol::Timer,
+    std::{net::SocketAddr, rc::Rc, time::Duration},
+};
+
+/// Pause between two looks at whether the copy is behind: states change a few
+/// times a minute, and a copy is only needed when all fronts start anew.
+const LOOK_PAUSE: Micros = Micros::from_millis(1_000);
+/// Time limit of a question to a front.
+const ASK_LIMIT: Duration = Duration::from_millis(400);
+/// Time for which what a front said of its state counts.
+const OFFER_LIFE: Micros = Micros::from_millis(2_000);
+
+/// A front that can hand its state on.
+#[derive(Debug, Clone, Copy)]
+struct StateOffer {
+    front: SocketAddr,
+    mark: u64,
+    heard_at: Micros,
+    is_near: bool,
+}
+
+/// A copy of what fronts know, for those that start while the platform's store is
+/// away and no other front is left.
+#[derive(Debug, Default)]
+pub(crate) struct StateKeeper {
+    offer: Option<StateOffer>,
+    copy: Option<StateCopy>,
+}
+
+/// A state that was taken from a front.
+#[derive(Debug)]
+struct StateCopy {
+    state: HandedState,
+    mark: u64,
+    /// When its age was right.
+    at: Micros,
+}
+
+impl StateKeeper {
+    /// Notes what a front says of its state. One of the own failure domain goes
+    /// before others: the bytes between domains cost more.
+    pub fn heard(
+        &mut self,
+        hello: &FrontHello,
+        from: SocketAddr,
+        domain: &str,
+        now: Micros,
+    ) {
+        let Some((mark, age)) = hello.state else {
+            return;
+        };
+        let offer = StateOffer {
+            front: from,
+            mark,
+            heard_at: now,
+            is_near: hello.domain == domain,
+        };
+        let same = self.copy.as_mut().filter(|copy| copy.mark == mark);
+        // The same content, proven again.
+        if let Some(copy) = same.filter(|copy| age < copy.state.age + now.since(copy.at)) {
+            copy.state.age = age;
+            copy.at = now;
+        }
+        let known = self.offer.filter(|o| now.since(o.heard_at) < OFFER_LIFE);
+        if known.is_none_or(|known| offer.is_near || !known.is_near) {
+            self.offer = Some(offer);
+        }
+    }
+
+    /// The front to ask for its state, where the copy is behind.
+    fn wanted(
+        &self,
+        now: Micros,
+    ) -> Option<SocketAddr> {
+        let offer = self.offer?;
+        let is_fresh = now.since(offer.heard_at) < OFFER_LIFE;
+        let has_same = self.copy.as_ref().is_some_and(|c| c.mark == offer.mark);
+        (is_fresh && !has_same).then_some(offer.front)
+    }
+
+    /// Keeps a state, unless the one that is kept has a newer configuration.
+    fn keep(
+        &mut self,
+        state: HandedState,
+        now: Micros,
+    ) -> bool {
+        let kept = self.copy.as_ref().map_or(0, |copy| copy.state.version);
+        let is_news = state.version >= kept;
+        if is_news {
+            let mark = state.mark();
+            let at = now;
+            self.copy = Some(StateCopy { state, mark, at });
+        }
+        is_news
+    }
+
+    /// The copy with its age as of now.
+    fn aged(
+        &self,
+        now: Micros,
+    ) -> Option<HandedState> {
+        let copy = self.copy.as_ref()?;
+        let mut state = copy.state.clone();
+        state.age = state.age + now.since(copy.at);
+        Some(state)
+    }
+}
+
+/// Keeps the copy up with the fronts.
+pub(crate) async fn keep_state(beside: Rc<BesideContext>) {
+    loop {
+        Timer::after(to_duration(LOOK_PAUSE)).await;
+        let wanted = beside.state().keeper.wanted(beside.now());
+        if let Some(front) = wanted {
+            ask_front(&beside, front).await;
+        }
+    }
+}
+
+async fn ask_front(
+    beside: &BesideContext,
+    front: SocketAddr,
+) {
+    let mut client = HttpClient::new(front, ASK_LIMIT);
+    let call = HttpCall {
+        method: "GET",
+        target: STATE_PATH,
+        ..HttpCall::default()
+    };
+    let asked_at = beside.now();
+    let Some(bytes) = client.sound_body(call).await else {
+        return;
+    };
+    let address = front.to_string();
+    match HandedState::open(&bytes, beside.settings.peer_key.as_ref()) {
+        Ok(state) => {
+            let version = state.version;
+            let taken = beside.state().keeper.keep(state, asked_at);
+            log::info!(
+                event = "state-kept",
+                front = address.as_str(),
+                version = version,
+                taken = taken,
+                bytes = bytes.len();
+                ""
+            );
+        }
+        Err(error) => {
+            let error = error.to_string();
+            log::warn!(event = "state-refused", front = address.as_str(), error = error.as_str(); "");
+        }
+    }
+}
+
+/// Hands the copy on to fronts that ask, where fronts are heard.
+///
+/// # Errors
+/// When the address cannot be bound.
+pub(crate) async fn serve_state(beside: Rc<BesideContext>) -> std::io::Result<()> {
+    let server = SmallServer::bind(beside.settings.listen).await?;
+    let context = beside.clone();
+    beside.spawn(async move {
+        loop {
+            let link = server.next().await;
+            let asked = context.clone();
+            context.spawn(async move {
+                answer_small(link, |target| told(&asked, target)).await;
+            });
+        }
+    });
+    Ok(())
+}
+
+fn told(
+    beside: &BesideContext,
+    target: &str,
+) -> (u16, Vec<u8>) {
+    let state = beside.state().keeper.aged(beside.now());
+    let state = state.filter(|_| target == STATE_PATH);
+    let sealed = state.map(|state| state.seal(beside.settings.peer_key.as_ref()));
+    match sealed {
+        Some(Ok(bytes)) => {
+            beside.state().metrics.count("states", "told");
+            (200, bytes)
+        }
+        // What was read from bytes can be written as bytes.
+        Some(Err(_)) | None => (503, Vec::new()),
+    }
+}
--- a/core/src/serving/endpoint_book.rs
+++ b/core/src/serving/endpoint_book.rs
@@ -81,6 +81,21 @@
             .filter_map(|key| Some((*key, self.entries.get(*key)?)))
     }
 
+    /// All endpoints as the list would tell them, for a box that cannot read it.
+    /// Those that left are among them, so that nobody takes them for serving.
+    pub fn notices(&self) -> Vec<EndpointNotice> {
+        let notice = |(_, entry): (EndpointKey, &EndpointEntry)| EndpointNotice {
+            id: entry.id.clone(),
+            service: entry.service.clone(),
+            address: Some(entry.address),
+            domain: entry.domain.clone(),
+            slots: entry.slots,
+            is_leaving: entry.standing == EndpointStanding::Leaving,
+            weights: Vec::new(),
+        };
+        self.iter().map(notice).collect()
+    }
+
     /// Takes what the list says of an endpoint.
     pub fn take(
         &mut self,
--- a/core/src/serving/endpoint_entry.rs
+++ b/core/src/serving/endpoint_entry.rs
@@ -6,7 +6,7 @@
 };
 
 /// What the platform's list says of one endpoint.
-#[derive(Debug, Clone, Default, PartialEq, Eq)]
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct EndpointNotice {
     /// Id of this life of the endpoint.
     pub id: String,
@@ -35,6 +35,8 @@
     pub waiting: u32,
     /// Requests that have made nothing yet: waiting, or being read.
     pub unread: u32,
+    /// Those of them that are being read.
+    pub reading: u32,
     /// Memory in use that cannot give way, in tokens.
     pub used_tokens: u64,
     /// All memory, in tokens.
@@ -119,6 +121,9 @@
 /// Time that a request takes to show up in a report.
 const REPORT_LAG: Micros = Micros::from_millis(40);
 
+/// Part of a prompt that is being read which has been read already, on average.
+const READ_PART: f64 = 0.5;
+
 /// Part of an engine's memory that prompts may fill, in hundredths. Answers grow
 /// in the rest; where it is used up, an engine puts a prompt back and reads it anew.
 /// By trial: 100 is clearly worse, 80 to 94 are not told apart.
@@ -169,6 +174,21 @@
         load.unread.saturating_sub(own)
     }
 
+    /// Tokens that the endpoint still has to read for others: a usual prompt for each
+    /// that waits, and half of one for each that is being read.
+    pub fn tokens_of_others(
+        &self,
+        now: Micros,
+        pace: &EnginePace,
+    ) -> f64 {
+        let Some(load) = self.fresh_load(now).filter(|load| load.unread > 0) else {
+            return 0.0;
+        };
+        let reading = f64::from(load.reading) / f64::from(load.unread);
+        let others = f64::from(self.unread_of_others(now));
+        others * (1.0 - reading * READ_PART) * pace.unread_tokens()
+    }
+
     /// Tokens that our requests still have to be read for, of those that go
     /// before a request of this rank.
     pub fn unread_tokens(
--- a/core/src/serving/endpoint_pick.rs
+++ b/core/src/serving/endpoint_pick.rs
@@ -243,7 +243,7 @@
     let now = ask.now;
     let pace = ask.pace;
     let token_ms = pace.token_ms();
-    let others = f64::from(entry.unread_of_others(now)) * pace.unread_tokens();
+    let others = entry.tokens_of_others(now, pace);
     choice.ahead_tokens = entry.unread_tokens(ask.rank) as f64 + others * others_before(ask.rank);
     choice.ahead_ms = choice.ahead_tokens * token_ms;
     choice.wait_ms = choice.ahead_ms + f64::from(choice.unread_tokens) * token_ms;
--- a/core/src/serving/key_trust.rs
+++ b/core/src/serving/key_trust.rs
@@ -13,6 +13,15 @@
     limit: Micros,
     policy: KeyPolicy,
     proven_at: Option<Micros>,
+    handed: Option<HandedTrust>,
+}
+
+/// Knowledge that another box handed on: its age then, and when that was. The age
+/// may go back to before this process started.
+#[derive(Debug, Clone, Copy)]
+struct HandedTrust {
+    age: Micros,
+    at: Micros,
 }
 
 impl KeyTrust {
@@ -26,6 +35,7 @@
             limit,
             policy,
             proven_at: None,
+            handed: None,
         }
     }
 
@@ -37,7 +47,19 @@
         self.proven_at = self.proven_at.max(Some(sent_at));
     }
 
-    /// When the last whole read was sent.
+    /// Notes knowledge that another box handed on; it keeps its age.
+    pub fn handed_on(
+        &mut self,
+        age: Micros,
+        now: Micros,
+    ) {
+        let is_younger = self.age(now).is_none_or(|known| age < known);
+        if is_younger {
+            self.handed = Some(HandedTrust { age, at: now });
+        }
+    }
+
+    /// When the last whole read of this process was sent.
     pub fn proven_at(&self) -> Option<Micros> {
         self.proven_at
     }
@@ -47,7 +69,12 @@
         &self,
         now: Micros,
     ) -> Option<Micros> {
-        self.proven_at.map(|at| now.since(at))
+        let own = self.proven_at.map(|at| now.since(at));
+        let handed = self.handed.map(|handed| handed.age + now.since(handed.at));
+        match (own, handed) {
+            (Some(own), Some(handed)) => Some(own.min(handed)),
+            _ => own.or(handed),
+        }
     }
 
     /// Whether the knowledge is fresh enough to tell somebody that a key or a
@@ -66,7 +93,7 @@
     ) -> bool {
         match self.policy {
             KeyPolicy::FailClosed => self.is_fresh(now),
-            KeyPolicy::ServeOn => self.proven_at.is_some(),
+            KeyPolicy::ServeOn => self.age(now).is_some(),
         }
     }
 
@@ -78,7 +105,7 @@
     ) -> bool {
         match self.policy {
             KeyPolicy::FailClosed => self.is_younger(Micros(self.limit.0 * SOUND_PART / 100), now),
-            KeyPolicy::ServeOn => self.proven_at.is_some(),
+            KeyPolicy::ServeOn => self.age(now).is_some(),
         }
     }
 
--- a/entry/src/front/beside_link.rs
+++ b/entry/src/front/beside_link.rs
@@ -1,5 +1,5 @@
 use {
-    super::{FrontContext, FrontState},
+    super::{own_state, FrontContext, FrontState},
     pitchhitch_core::{
         serving::{EndpointEntry, EndpointKey, EndpointStanding},
         time::Micros,
@@ -12,6 +12,8 @@
 
 /// How often turns are planned anew.
 const PLAN_PAUSE: Micros = Micros::from_millis(100);
+/// Processes beside engines that are remembered.
+const BESIDES_LIMIT: usize = 64;
 /// Time between two hellos to an engine; a turn is told at once.
 const HELLO_PAUSE: Micros = Micros::from_millis(400);
 
@@ -64,6 +66,7 @@
 }
 
 fn hellos(front: &FrontContext) -> Vec<(SocketAddr, FrontHello)> {
+    let handed = own_state(front).map(|state| (state.mark(), state.age));
     let state = front.state();
     let Some(config) = &state.config else {
         return Vec::new();
@@ -76,7 +79,7 @@
     let engines = state.book.iter().filter(|(_, entry)| is_engine(entry));
     let hello = |(key, entry): (EndpointKey, &EndpointEntry)| {
         let to = SocketAddr::new(entry.address.ip(), front.settings.beside_port);
-        (to, make_hello(front, &state, key, entry))
+        (to, make_hello(front, &state, key, entry, handed))
     };
     engines.map(hello).collect()
 }
@@ -86,6 +89,7 @@
     state: &FrontState,
     key: EndpointKey,
     entry: &EndpointEntry,
+    handed: Option<(u64, Micros)>,
 ) -> FrontHello {
     let turn = state.planner.turn(key);
     let wanted = state
@@ -98,7 +102,9 @@
         });
     FrontHello {
         front: front.settings.box_id.clone(),
+        domain: front.settings.failure_domain.clone(),
         engine_id: Some(entry.id.clone()),
+        state: handed,
         wanted: wanted.collect(),
         wants_all: !entry.is_mirrored,
     }
@@ -111,7 +117,10 @@
 ) {
     loop {
         match socket.receive::<EngineDigest>().await {
-            Ok((digest, _)) => take_digest(&front, digest),
+            Ok((digest, from)) => {
+                note_beside(&front, from);
+                take_digest(&front, digest);
+            }
             Err(error) => {
                 let error = error.to_string();
                 log::warn!(event = "digest-failed", error = error.as_str(); "");
@@ -121,6 +130,17 @@
     }
 }
 
+/// Remembers who was heard, as long as state may have to be asked for.
+fn note_beside(
+    front: &FrontContext,
+    from: SocketAddr,
+) {
+    let mut state = front.state();
+    if state.besides.len() < BESIDES_LIMIT {
+        state.besides.insert(from);
+    }
+}
+
 fn take_digest(
     front: &FrontContext,
     digest: EngineDigest,
--- a/entry/src/front/front_process.rs
+++ b/entry/src/front/front_process.rs
@@ -1,7 +1,7 @@
 use {
     super::{
-        greet_engines, hear_digests, serve_caller, serve_small, watch_list, watch_operator,
-        watch_stores, FrontContext, FrontSettings,
+        ask_peers, greet_engines, hand_state_on, hear_digests, serve_caller, serve_small,
+        watch_list, watch_operator, watch_stores, FrontContext, FrontSettings,
     },
     anyhow::Context,
     pitchhitch_core::{serving::TICK, time::Micros},
@@ -56,6 +56,15 @@
     }
     let socket = BesideSocket::bind(settings.digests).await;
     let socket = socket.with_context(|| format!("cannot listen on {}", settings.digests))?;
+    serve_small(front.clone(), settings.digests, hand_state_on)
+        .await
+        .with_context(|| format!("cannot listen on {}", settings.digests))?;
+    if let Some(control) = settings.control {
+        serve_small(front.clone(), control, hand_state_on)
+            .await
+            .with_context(|| format!("cannot listen on {control}"))?;
+    }
+    front.spawn(ask_peers(front.clone()));
     front.spawn(hear_digests(front.clone(), socket.clone()));
     front.spawn(greet_engines(front.clone(), socket));
     front.spawn(keep_time(front.clone()));
@@ -133,18 +142,18 @@
 fn answer_ready(
     front: &FrontContext,
     _target: &str,
-) -> (u16, String) {
+) -> (u16, Vec<u8>) {
     match front.state().is_ready(front.now()) {
-        true => (200, "ready\n".to_string()),
-        false => (503, "not ready\n".to_string()),
+        true => (200, b"ready\n".to_vec()),
+        false => (503, b"not ready\n".to_vec()),
     }
 }
 
 fn answer_metrics(
     front: &FrontContext,
     _target: &str,
-) -> (u16, String) {
-    (200, front.metrics.text())
+) -> (u16, Vec<u8>) {
+    (200, front.metrics.text().into_bytes())
 }
 
 /// A planned stop: the balancer is told, then what is open is served to its end.
--- a/entry/src/front/front_settings.rs
+++ b/entry/src/front/front_settings.rs
@@ -4,6 +4,7 @@
         settings::{SettingsErrors, SettingsReader},
         time::Micros,
     },
+    pitchhitch_wire::beacon::BeaconKey,
     std::{net::SocketAddr, time::Duration},
 };
 
@@ -22,6 +23,12 @@
     pub metrics: Option<SocketAddr>,
     /// Where the processes beside engines are heard.
     pub digests: SocketAddr,
+    /// Where others that start ask for its state, besides `digests`.
+    pub control: Option<SocketAddr>,
+    /// Fronts that may hand state on to one that cannot reach the store.
+    pub seeds: Vec<SocketAddr>,
+    /// Key that proves handed state to be of one of ours, where a secret is set.
+    pub peer_key: Option<BeaconKey>,
     /// Port of the processes beside engines.
     pub beside_port: u16,
     /// Where the platform's store answers.
@@ -59,6 +66,8 @@
     ) -> Result<Self, SettingsErrors> {
         let mut reader = SettingsReader::parse(file, text)?;
         let ratio = reader.value("repeat_ratio", Some(0.2), "a number from 0 to 1");
+        let seeds = reader.value("seeds", Some(Vec::new()), "a list of addresses and ports");
+        let secret = reader.optional_text("peer_secret");
         let fails_closed = reader.spelled_flag("keys_fail_closed", true);
         let settings = FrontSettings {
             box_id: reader.text("box_id"),
@@ -67,6 +76,9 @@
             ready: reader.address("ready"),
             metrics: reader.optional_address("metrics"),
             digests: reader.address("digests"),
+            control: reader.optional_address("control"),
+            seeds: seeds.unwrap_or_default(),
+            peer_key: secret.map(|secret| BeaconKey::from_secret(&secret)),
             beside_port: reader.number("beside_port", 7_700, 1..=65_535) as u16,
             store: reader.address("store"),
             key_limit: Micros::from_millis(
--- a/entry/src/front/front_state.rs
+++ b/entry/src/front/front_state.rs
@@ -7,7 +7,11 @@
         },
         time::Micros,
     },
-    std::{collections::HashMap, rc::Rc},
+    std::{
+        collections::{BTreeSet, HashMap},
+        net::SocketAddr,
+        rc::Rc,
+    },
 };
 
 /// Fronts that may live, until the processes beside engines say how many do.
@@ -22,6 +26,10 @@
 pub(crate) struct FrontState {
     /// Configuration in force.
     pub config: Option<Rc<ServingConfig>>,
+    /// Its text, as the store holds it, to be handed on.
+    pub config_text: Vec<u8>,
+    /// Processes beside engines that were heard: they may hand state on.
+    pub besides: BTreeSet<SocketAddr>,
     /// Endpoints.
     pub book: EndpointBook,
     /// Whether the list of endpoints has been read in this life.
@@ -60,6 +68,8 @@
     pub fn new(settings: &FrontSettings) -> Self {
         FrontState {
             config: None,
+            config_text: Vec::new(),
+            besides: BTreeSet::new(),
             book: EndpointBook::default(),
             has_list: false,
             trust: KeyTrust::new(settings.key_limit, settings.key_policy),
--- a/entry/src/front/mod.rs
+++ b/entry/src/front/mod.rs
@@ -16,6 +16,7 @@
 mod list_watch;
 mod offer;
 mod operator_watch;
+mod peer_state;
 mod plain_answer;
 mod request_admit;
 mod request_choice;
@@ -36,4 +37,4 @@
     request_run::*, small_server::*, store_watch::*, stream_relay::*, wake_reason::*,
 };
 pub use {front_process::*, front_settings::*};
-use {request_admit::*, request_try::*, return_check::*};
+use {peer_state::*, request_admit::*, request_try::*, return_check::*};
--- a/entry/src/front/operator_watch.rs
+++ b/entry/src/front/operator_watch.rs
@@ -62,7 +62,8 @@
         let unreadable = |e: serde_json::Error| StoreError::Unreadable(format!("{key}: {e}"));
         match decode_row(RowTable::Operator, row).map_err(unreadable)? {
             RowNews::Config(text) => {
-                take_config(front, decode_config(&text).map_err(unreadable)?);
+                let config = decode_config(&text).map_err(unreadable)?;
+                take_config(front, config, text, "row");
             }
             RowNews::Weights(named) => {
                 let now = front.now();
@@ -88,9 +89,11 @@
 }
 
 /// A configuration never goes back in one life of the process.
-fn take_config(
+pub(super) fn take_config(
     front: &FrontContext,
     config: ServingConfig,
+    text: Vec<u8>,
+    source: &str,
 ) {
     let mut state = front.state();
     let before = state.config.as_ref().map_or(0, |config| config.version);
@@ -100,6 +103,7 @@
         version = config.version,
         before = before,
         taken = is_news,
+        source = source,
         routes = config.routes.len(),
         organisations = config.organisations.len(),
         keys = config.keys.len(),
@@ -109,6 +113,7 @@
     if is_news {
         state.memory.set_stores(&config.stores);
         state.config = Some(Rc::new(config));
+        state.config_text = text;
     }
 }
 
--- /dev/null
+++ b/entry/src/front/peer_state.rs
@@ -0,0 +1,167 @@
+use {
+    super::{log_changes, take_config, FrontContext},
+    pitchhitch_core::time::Micros,
+    pitchhitch_http1::{HttpCall, HttpClient},
+    pitchhitch_platform::decode_config,
+    pitchhitch_process::to_duration,
+    pitchhitch_wire::beside::{HandedState, STATE_PATH},
+    smol::Timer,
+    std::{net::SocketAddr, rc::Rc, time::Duration},
+};
+
+/// Time limit of a question: peers are a millisecond or two away, and one that is
+/// frozen must not hold up the next.
+const ASK_LIMIT: Duration = Duration::from_millis(250);
+/// Pause between two questions.
+const ASK_PAUSE: Micros = Micros::from_millis(100);
+/// Time from the start for which peers are asked in any case: the store's row may
+/// have gone back, or may show an older configuration for a moment.
+const FIRST_QUESTIONS: Micros = Micros::from_millis(1_500);
+
+/// What this front can hand on but for the text of the configuration; nothing
+/// until it knows all of it.
+pub(super) fn own_state(front: &FrontContext) -> Option<HandedState> {
+    let state = front.state();
+    let config = state.config.as_ref().filter(|_| state.has_list)?;
+    let weights = state.planner.all_named();
+    Some(HandedState {
+        config: Vec::new(),
+        version: config.version,
+        age: state.trust.age(front.now())?,
+        weights: weights.map(|(model, v)| (model.to_string(), v)).collect(),
+        endpoints: state.book.notices(),
+    })
+}
+
+/// Answers a process that asks for the state.
+pub(super) fn hand_state_on(
+    front: &FrontContext,
+    target: &str,
+) -> (u16, Vec<u8>) {
+    let state = own_state(front).filter(|_| target == STATE_PATH);
+    let with_text = state.map(|state| HandedState {
+        config: front.state().config_text.clone(),
+        ..state
+    });
+    let sealed = with_text.map(|state| state.seal(front.settings.peer_key.as_ref()));
+    match sealed {
+        Some(Ok(bytes)) => (200, bytes),
+        Some(Err(error)) => {
+            let error = error.to_string();
+            log::warn!(event = "state-unsent", error = error.as_str(); "");
+            (503, Vec::new())
+        }
+        None => (503, Vec::new()),
+    }
+}
+
+/// Asks peers for what they know, until the store or one of them has told it.
+pub(super) async fn ask_peers(front: Rc<FrontContext>) {
+    let mut turn = 0;
+    loop {
+        let peers = peers(&front);
+        let is_over = front.now() > FIRST_QUESTIONS && knows_all(&front);
+        if is_over {
+            return;
+        }
+        if let Some(peer) = peers.get(turn % peers.len().max(1)) {
+            if ask_peer(&front, *peer).await && front.state().has_list {
+                return;
+            }
+        }
+        turn += 1;
+        Timer::after(to_duration(ASK_PAUSE)).await;
+    }
+}
+
+fn knows_all(front: &FrontContext) -> bool {
+    let state = front.state();
+    state.config.is_some() && state.has_list
+}
+
+/// Seeds, and the processes beside engines that have been heard.
+fn peers(front: &FrontContext) -> Vec<SocketAddr> {
+    let settings = &front.settings;
+    let state = front.state();
+    let besides = state.besides.iter().copied();
+    let seeds = settings.seeds.iter().copied();
+    let is_own = |peer: &SocketAddr| *peer == settings.digests || Some(*peer) == settings.control;
+    besides.chain(seeds).filter(|peer| !is_own(peer)).collect()
+}
+
+/// Asks one peer; true where it told a state of one of ours.
+async fn ask_peer(
+    front: &FrontContext,
+    peer: SocketAddr,
+) -> bool {
+    let mut client = HttpClient::new(peer, ASK_LIMIT);
+    let call = HttpCall {
+        method: "GET",
+        target: STATE_PATH,
+        ..HttpCall::default()
+    };
+    let Some(bytes) = client.sound_body(call).await else {
+        return false;
+    };
+    let opened = HandedState::open(&bytes, front.settings.peer_key.as_ref());
+    let outcome = opened
+        .map_err(|error| error.to_string())
+        .and_then(|state| take_state(front, state));
+    let (word, error) = match &outcome {
+        Ok(()) => ("taken", ""),
+        Err(error) => ("refused", error.as_str()),
+    };
+    let address = peer.to_string();
+    let age_ms = front.state().trust.age(front.now());
+    log::info!(
+        event = "peer-state",
+        peer = address.as_str(),
+        outcome = word,
+        error = error,
+        bytes = bytes.len(),
+        config_age_ms = age_ms.map_or(-1, |age| age.as_millis() as i64);
+        ""
+    );
+    front.metrics.count("peer_states", word);
+    outcome.is_ok()
+}
+
+/// Takes what a peer knows: nothing that is older than what is known here.
+fn take_state(
+    front: &FrontContext,
+    handed: HandedState,
+) -> Result<(), String> {
+    let config = decode_config(&handed.config).map_err(|error| error.to_string())?;
+    if config.version != handed.version {
+        return Err(format!(
+            "configuration {} in a state of {}",
+            config.version, handed.version
+        ));
+    }
+    let before = front.state().config.as_ref().map_or(0, |c| c.version);
+    if config.version < before {
+        return Err(format!(
+            "configuration {} is older than {before}",
+            config.version
+        ));
+    }
+    take_config(front, config, handed.config, "peer");
+    let now = front.now();
+    let mut guard = front.state();
+    let state = &mut *guard;
+    state.trust.handed_on(handed.age, now);
+    for (model, version) in &handed.weights {
+        state.planner.name(model, *version, None, now);
+    }
+    if state.has_list {
+        return Ok(());
+    }
+    let notices = handed.endpoints.iter();
+    let changes: Vec<_> = notices
+        .filter_map(|notice| state.book.take(notice))
+        .collect();
+    state.has_list = true;
+    drop(guard);
+    log_changes(front, &changes);
+    Ok(())
+}
--- a/entry/src/front/small_server.rs
+++ b/entry/src/front/small_server.rs
@@ -4,8 +4,8 @@
     std::{net::SocketAddr, rc::Rc},
 };
 
-/// What the front says to a path: status and text.
-pub(crate) type SmallAnswer = fn(&FrontContext, &str) -> (u16, String);
+/// What the front says to a path: status and body.
+pub(crate) type SmallAnswer = fn(&FrontContext, &str) -> (u16, Vec<u8>);
 
 /// Answers small questions, such as whether the process is ready.
 ///
--- a/http1/src/small_server.rs
+++ b/http1/src/small_server.rs
@@ -42,10 +42,10 @@
     }
 }
 
-/// Answers the questions of one connection; `answer` gives status and text for a path.
-pub async fn answer_small(
+/// Answers the questions of one connection; `answer` gives status and body for a path.
+pub async fn answer_small<Body: Into<Vec<u8>>>(
     mut link: ByteLink,
-    answer: impl Fn(&str) -> (u16, String),
+    answer: impl Fn(&str) -> (u16, Body),
 ) {
     loop {
         let head = match read_request_head(link.unused(), HEAD_LIMIT) {
@@ -56,18 +56,21 @@
             Ok(None) if more_came(&mut link).await => continue,
             Ok(None) | Err(_) => return,
         };
-        let (status, text) = answer(&head.target);
+        let (status, body) = answer(&head.target);
+        let body: Vec<u8> = body.into();
         let reason = if status == 200 {
             "OK"
         } else {
             "Service Unavailable"
         };
-        let length = text.len();
-        let answer = format!(
+        let length = body.len();
+        let head = format!(
             "HTTP/1.1 {status} {reason}\r\ncontent-type: text/plain\r\n\
-             content-length: {length}\r\n\r\n{text}"
+             content-length: {length}\r\n\r\n"
         );
-        if link.write_all(answer.as_bytes()).await.is_err() {
+        let mut bytes = head.into_bytes();
+        bytes.extend_from_slice(&body);
+        if link.write_all(&bytes).await.is_err() {
             return;
         }
     }
--- a/wire/src/beside/front_hello.rs
+++ b/wire/src/beside/front_hello.rs
@@ -1,4 +1,7 @@
-use serde::{Deserialize, Serialize};
+use {
+    pitchhitch_core::time::Micros,
+    serde::{Deserialize, Serialize},
+};
 
 /// Weights that an engine should have.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -20,6 +23,10 @@
     pub engine_id: Option<String>,
     /// Weights that the engine should have.
     pub wanted: Vec<WantedWeights>,
+    /// Failure domain of the front.
+    pub domain: String,
+    /// Mark and age of the state that it can hand on.
+    pub state: Option<(u64, Micros)>,
     /// Whether the front wants to be told all that the engine keeps.
     pub wants_all: bool,
 }
--- /dev/null
+++ b/wire/src/beside/handed_state.rs
@@ -0,0 +1,104 @@
+use {
+    crate::{
+        beacon::BeaconKey,
+        codec::{decode_body, encode_body},
+    },
+    pitchhitch_core::{serving::EndpointNotice, time::Micros},
+    serde::{Deserialize, Serialize},
+    thiserror::Error,
+};
+
+/// Path at which a process hands its state on.
+pub const STATE_PATH: &str = "/state";
+/// Bytes of the keyed hash behind a state.
+const HASH_BYTES: usize = 32;
+
+/// What a front knows from the platform's store, for one that cannot reach it.
+///
+/// It is only ever a copy with an age: whoever takes it counts the age on, takes
+/// nothing that is older than its own, and goes by the store once that answers.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct HandedState {
+    /// Configuration, as the store holds it.
+    pub config: Vec<u8>,
+    /// Version of the configuration.
+    pub version: u64,
+    /// Time since the reading that showed it to be the newest was sent.
+    pub age: Micros,
+    /// Named weights by model.
+    pub weights: Vec<(String, u64)>,
+    /// Endpoints, those that leave included.
+    pub endpoints: Vec<EndpointNotice>,
+}
+
+/// Why bytes are no state of one of ours.
+#[derive(Debug, Error, PartialEq, Eq)]
+pub enum StateError {
+    /// The keyed hash is missing or wrong.
+    #[error("the keyed hash is missing or wrong; do all settings name the same peer_secret?")]
+    Unsealed,
+    /// The bytes are no state.
+    #[error("the state cannot be read: {0}; do all boxes run the same build?")]
+    Malformed(String),
+}
+
+impl HandedState {
+    /// A number that differs where the content does; the age does not count.
+    pub fn mark(&self) -> u64 {
+        let aged = (&self.version, &self.weights, &self.endpoints);
+        // What cannot be written has no number of its own, and is not asked for.
+        let Ok(bytes) = encode_body(&aged) else {
+            return 0;
+        };
+        let hash = blake3::hash(&bytes);
+        let mut first = [0; 8];
+        first.copy_from_slice(&hash.as_bytes()[..8]);
+        u64::from_le_bytes(first)
+    }
+
+    /// The state as bytes, with a keyed hash where a key is set.
+    ///
+    /// # Errors
+    /// [`StateError::Malformed`] where it is too long.
+    pub fn seal(
+        &self,
+        key: Option<&BeaconKey>,
+    ) -> Result<Vec<u8>, StateError> {
+        let mut bytes = encode_body(self).map_err(|e| StateError::Malformed(e.to_string()))?;
+        if let Some(key) = key {
+            let hash = key.hash(&bytes);
+            bytes.extend_from_slice(hash.as_bytes());
+        }
+        Ok(bytes)
+    }
+
+    /// Reads a state; where a key is set, only one that carries its hash.
+    ///
+    /// # Errors
+    /// [`StateError`] for anything else.
+    pub fn open(
+        bytes: &[u8],
+        key: Option<&BeaconKey>,
+    ) -> Result<Self, StateError> {
+        let body = match key {
+            None => bytes,
+            Some(key) => checked_body(bytes, key)?,
+        };
+        decode_body(body).map_err(|e| StateError::Malformed(e.to_string()))
+    }
+}
+
+fn checked_body<'a>(
+    bytes: &'a [u8],
+    key: &BeaconKey,
+) -> Result<&'a [u8], StateError> {
+    let length = bytes.len().checked_sub(HASH_BYTES);
+    let (body, found) = bytes.split_at(length.ok_or(StateError::Unsealed)?);
+    let mut hash = [0; HASH_BYTES];
+    hash.copy_from_slice(found);
+    // Comparing two blake3 hashes takes the same time wherever they differ.
+    match key.hash(body) == blake3::Hash::from(hash) {
+        true => Ok(body),
+        false => Err(StateError::Unsealed),
+    }
+}
--- a/wire/src/beside/mod.rs
+++ b/wire/src/beside/mod.rs
@@ -4,5 +4,6 @@
 mod beside_socket;
 mod engine_digest;
 mod front_hello;
+mod handed_state;
 
-pub use {beside_socket::*, engine_digest::*, front_hello::*};
+pub use {beside_socket::*, engine_digest::*, front_hello::*, handed_state::*};
