Questions to the platform's store are paced by the operators' bounds

Change: drain_limit_ms is a setting (from the platform's drain_ms); the list is read each 0.4 of it, a question for changes is held for 0.33 of the limit on keys. The count of fronts decides neither any more. Test store_pace.rs (3.4 calls a second before, 2.0 allowed).

--- a/entry/src/front/front_settings.rs
+++ b/entry/src/front/front_settings.rs
@@ -37,6 +37,8 @@
     pub key_limit: Micros,
     /// What becomes of callers with keys past that age.
     pub key_policy: KeyPolicy,
+    /// Time from when an endpoint is known to leave until it must get nothing new.
+    pub drain_limit: Micros,
     /// Time from when newer weights are named until no request is sent to an
     /// engine with older ones any more.
     pub weights_limit: Micros,
@@ -55,7 +57,26 @@
 /// Time that a request may wait at an engine before it begins.
 const WEIGHTS_MARGIN: Micros = Micros::from_millis(2_500);
 
+/// Part of the drain limit that passes between two looks at the list of endpoints, in
+/// hundredths. Each look has its price; the rest is for an answer of the store that
+/// is slow and for what is on its way to the endpoint.
+const LIST_PAUSE_PART: u64 = 40;
+/// Part of the limit on keys for which a question for changes is held at the store, in
+/// hundredths: an answer proves how fresh the keys are as of when it was asked, and the
+/// next one must come well before that is too old.
+const CHANGE_WAIT_PART: u64 = 33;
+
 impl FrontSettings {
+    /// Pause between two looks at the list of endpoints.
+    pub fn list_pause(&self) -> Micros {
+        Micros(self.drain_limit.0 * LIST_PAUSE_PART / 100)
+    }
+
+    /// Time for which a question for changes is held at the store.
+    pub fn change_wait(&self) -> Micros {
+        Micros(self.key_limit.0 * CHANGE_WAIT_PART / 100)
+    }
+
     /// Reads the text of a settings file.
     ///
     /// # Errors
@@ -88,6 +109,7 @@
                 true => KeyPolicy::FailClosed,
                 false => KeyPolicy::ServeOn,
             },
+            drain_limit: Micros::from_millis(reader.number("drain_limit_ms", 2_000, 100..=600_000)),
             weights_limit: Micros::from_millis(reader.number(
                 "weights_limit_ms",
                 12_000,
--- a/entry/src/front/front_state.rs
+++ b/entry/src/front/front_state.rs
@@ -16,8 +16,6 @@
 
 /// Fronts that may live, until the processes beside engines say how many do.
 const USUAL_FRONTS: u32 = 4;
-/// Fronts from which each asks the store less often.
-const MANY_FRONTS: u32 = 8;
 /// Salts whose tags are remembered.
 const WALL_LIMIT: usize = 1_000;
 
@@ -117,11 +115,6 @@
         self.standstill.has_just_woken(now) && self.memory.is_stale(now)
     }
 
-    /// Whether so many fronts live that each should ask the store less often.
-    pub fn has_many_fronts(&self) -> bool {
-        self.fronts > MANY_FRONTS
-    }
-
     /// A number for a request that no other has.
     pub fn ticket(&mut self) -> u64 {
         self.next_ticket += 1;
--- a/entry/src/front/list_watch.rs
+++ b/entry/src/front/list_watch.rs
@@ -12,11 +12,6 @@
     std::{rc::Rc, time::Duration},
 };
 
-/// Pause between two looks at the list. Each endpoint changes its entry about
-/// every second, so a held call would come back at once all the time.
-const LOOK_PAUSE: Micros = Micros::from_millis(500);
-/// The same where many fronts share what the store gives.
-const MANY_LOOK_PAUSE: Micros = Micros::from_millis(900);
 /// Pause before the next try where the list was never read: without it nothing
 /// can be served.
 const FIRST_LOOK_PAUSE: Micros = Micros::from_millis(150);
@@ -77,14 +72,12 @@
     }
 }
 
+/// Each endpoint changes its entry about every second, so a held call would come back
+/// at once all the time: the list is looked at by a pace of its own.
 fn look_pause(front: &FrontContext) -> Micros {
-    let state = front.state();
-    if !state.has_list {
-        return FIRST_LOOK_PAUSE;
-    }
-    match state.has_many_fronts() {
-        true => MANY_LOOK_PAUSE,
-        false => LOOK_PAUSE,
+    match front.state().has_list {
+        true => front.settings.list_pause(),
+        false => FIRST_LOOK_PAUSE,
     }
 }
 
--- a/entry/src/front/operator_watch.rs
+++ b/entry/src/front/operator_watch.rs
@@ -9,11 +9,6 @@
     std::{rc::Rc, time::Duration},
 };
 
-/// Time that a call is held at the store while nothing changes. Each answer
-/// proves how fresh the keys are, so it must stay well under their limit.
-const CHANGE_WAIT: Duration = Duration::from_millis(700);
-/// The same where many fronts share what the store gives.
-const MANY_CHANGE_WAIT: Duration = Duration::from_millis(1_400);
 /// Time limit of a call, beyond that.
 const CALL_LIMIT: Duration = Duration::from_millis(1_500);
 /// Pause after a call that failed.
@@ -22,14 +17,11 @@
 /// Keeps the configuration fresh.
 pub(crate) async fn watch_operator(front: Rc<FrontContext>) {
     let mut client = StoreClient::new(front.settings.store, CALL_LIMIT);
+    let wait = to_duration(front.settings.change_wait());
     let mut seen: Option<u64> = None;
     let mut is_lost = false;
     loop {
         let sent_at = front.now();
-        let wait = match front.state().has_many_fronts() {
-            true => MANY_CHANGE_WAIT,
-            false => CHANGE_WAIT,
-        };
         let read = match seen {
             Some(after) => client.read_changes(RowTable::Operator, after, wait).await,
             None => client.read_all(RowTable::Operator).await,
--- /dev/null
+++ b/entry/tests/store_pace.rs
@@ -0,0 +1,38 @@
+//! How often a front asks the platform's store follows from the operators' bounds.
+
+use pitchhitch_entry::front::FrontSettings;
+
+/// Calls of one front in a second at most; each has its price, and all fronts share
+/// what the store gives.
+const CALLS_A_SECOND: f64 = 2.0;
+
+fn settings(
+    drain_limit_ms: u64,
+    key_limit_ms: u64,
+) -> FrontSettings {
+    let text = format!(
+        r#"{{"box_id": "b", "failure_domain": "d", "callers": "127.0.0.1:1", "ready": "127.0.0.1:2",
+            "digests": "127.0.0.1:3", "store": "127.0.0.1:4",
+            "drain_limit_ms": {drain_limit_ms}, "key_limit_ms": {key_limit_ms}}}"#
+    );
+    FrontSettings::parse("front.json", &text).expect("settings")
+}
+
+/// Two looks at the list, one of which gets no answer, fit into the time in which an
+/// endpoint that leaves must get nothing new; three questions into the age of keys.
+#[test]
+fn bounds_are_kept() {
+    for (drain_limit, key_limit) in [(500, 1_000), (2_000, 5_000), (4_000, 60_000)] {
+        let settings = settings(drain_limit, key_limit);
+        assert!(settings.list_pause().as_millis() * 2 < drain_limit);
+        assert!(settings.change_wait().as_millis() * 3 < key_limit);
+    }
+}
+
+#[test]
+fn usual_bounds_few_calls() {
+    let settings = settings(2_000, 5_000);
+    let pauses = [settings.list_pause(), settings.change_wait()];
+    let calls: f64 = pauses.iter().map(|pause| 1e6 / pause.0 as f64).sum();
+    assert!(calls <= CALLS_A_SECOND, "{calls} a second");
+}
