Requests count at an endpoint before a connection is there; the refusal for lateness goes

Cause: a front chose an endpoint, opened a connection (a way there and back), and only then counted the request there. Prompts that come in the same moment all saw the engine as idle: of 30 at once 30 were sent to one engine (test unbegun_hold_back, which failed first), and parts that the first of them would read were read at several engines. Change: the place is reserved with the choice and released where no connection opens. Its tests gave way to ones of what does its work: late_prompts (an engine that begins nothing: callers behind it are refused at once, with Retry-After, and not sent; before: a figure in the log rose), least_urgent_pay_first and refused_in_short_runs (worst_load), free_engines_taken (serving_limits).

--- a/core/src/serving/admission_rule.rs
+++ b/core/src/serving/admission_rule.rs
@@ -1,8 +1,5 @@
 use {
-    super::{
-        AdmissionAsk, AdmissionVerdict, EndpointChoice, EnginePace, LatenessGauge, RankShares,
-        RouteHabits,
-    },
+    super::{AdmissionAsk, AdmissionVerdict, EndpointChoice, EnginePace, RankShares, RouteHabits},
     crate::time::Micros,
     std::collections::HashMap,
 };
@@ -47,7 +44,6 @@
 pub struct AdmissionRule {
     routes: HashMap<String, RouteHabits>,
     lacking_part: f64,
-    gauge: LatenessGauge,
     ranks: RankShares,
 }
 
@@ -69,19 +65,6 @@
         }
     }
 
-    /// Notes whether a prompt began in time, or never.
-    pub fn note_begin(
-        &mut self,
-        is_late: bool,
-    ) {
-        self.gauge.note(is_late);
-    }
-
-    /// The part of the least urgent prompts that is refused for lateness.
-    pub fn pressure(&self) -> f64 {
-        self.gauge.pressure()
-    }
-
     /// The part of the large prompts that finds no memory.
     pub fn lacking_part(&self) -> f64 {
         self.lacking_part
@@ -105,10 +88,7 @@
                 return AdmissionVerdict::NoMemory;
             }
         }
-        match choice.is_half_full && self.gauge.refuses(ask.rank, self.ranks.lowest()) {
-            true => AdmissionVerdict::Shed,
-            false => AdmissionVerdict::Admitted,
-        }
+        AdmissionVerdict::Admitted
     }
 
     /// Whether the prompt would begin too late. An engine that has nothing else to
--- a/core/src/serving/admission_verdict.rs
+++ b/core/src/serving/admission_verdict.rs
@@ -7,8 +7,6 @@
     TooLate,
     /// Memory for prompts of its kind is not free.
     NoMemory,
-    /// It is refused as others of late began after their aim.
-    Shed,
 }
 
 impl AdmissionVerdict {
@@ -18,7 +16,6 @@
             AdmissionVerdict::Admitted => "admitted",
             AdmissionVerdict::TooLate => "too-late",
             AdmissionVerdict::NoMemory => "no-memory",
-            AdmissionVerdict::Shed => "shed",
         }
     }
 }
--- a/core/src/serving/endpoint_pick.rs
+++ b/core/src/serving/endpoint_pick.rs
@@ -94,8 +94,6 @@
     pub candidates: u32,
     /// Whether it has a place free, as far as is known.
     pub has_place: bool,
-    /// Whether half of its places or more are taken.
-    pub is_half_full: bool,
 }
 
 /// What is known about a prompt's parts under one version of the weights.
@@ -191,7 +189,6 @@
         key,
         wait_ms: f64::from(entry.running) * PLAIN_QUEUE_MS,
         has_place: entry.slots == 0 || entry.occupied(ask.now) < entry.slots,
-        is_half_full: entry.slots > 0 && entry.occupied(ask.now) * 2 >= entry.slots,
         ..EndpointChoice::default()
     };
     if let Some(prompt) = ask.prompt {
--- a/entry/src/front/mod.rs
+++ b/entry/src/front/mod.rs
@@ -37,4 +37,4 @@
     request_run::*, small_server::*, store_watch::*, stream_relay::*, wake_reason::*,
 };
 pub use {front_process::*, front_settings::*};
-use {peer_state::*, request_admit::*, request_try::*, return_check::*};
+use {peer_state::*, request_admit::*, request_moves::*, request_try::*, return_check::*};
--- a/entry/src/front/request_lessons.rs
+++ b/entry/src/front/request_lessons.rs
@@ -41,16 +41,6 @@
         state.pace.note_ended(prompt.tokens_in, held);
     }
 
-    /// Notes a prompt that was sent and did not begin within its aim, whatever
-    /// became of it; one that began was noted then.
-    pub(super) fn learn_unbegun(&self) {
-        let is_sent_prompt = self.ask.prompt.is_some() && self.sends > 0;
-        let held = self.front.now().since(self.request.came_at);
-        if is_sent_prompt && self.began_at.is_none() && held > self.route().aim {
-            self.front.state().admission.note_begin(true);
-        }
-    }
-
     pub(super) fn learn_version(
         &self,
         choice: &EndpointChoice,
--- a/entry/src/front/request_log.rs
+++ b/entry/src/front/request_log.rs
@@ -61,7 +61,6 @@
             parts = self.told_parts(choice).as_str(),
             weights = choice.version.unwrap_or(0),
             of = choice.candidates,
-            pressure = state.admission.pressure(),
             lacking = state.admission.lacking_part(),
             token_us = (state.pace.token_ms() * 1_000.0) as u64,
             load_age_ms = load.map_or(-1, |load| now.since(load.at).as_millis() as i64);
--- a/entry/src/front/request_moves.rs
+++ b/entry/src/front/request_moves.rs
@@ -19,18 +19,15 @@
 }
 
 impl RequestRun<'_> {
+    /// The request as the endpoint gets it.
     pub(super) fn encode(
         &self,
         choice: &EndpointChoice,
+        moves: &PartMoves,
     ) -> Vec<u8> {
         let front = self.front;
         let now = front.now();
-        let mut guard = front.state();
-        let state = &mut *guard;
-        let moves = match (&self.ask.prompt, choice.version) {
-            (Some(prompt), Some(version)) => self.plan_moves(state, prompt, choice, version, now),
-            _ => PartMoves::default(),
-        };
+        let state = front.state();
         let entry = state.book.get(choice.key);
         let organisation = self
             .place
@@ -63,8 +60,23 @@
         encode_request(&self.request.head, &self.request.body, &order)
     }
 
-    /// What the engine fetches before it reads, and saves once it has read.
-    pub(super) fn plan_moves(
+    /// What the engine fetches before it reads, and saves once it has read; nothing
+    /// for what is no prompt, or for weights that are not known.
+    pub(super) fn moves_for(
+        &self,
+        choice: &EndpointChoice,
+    ) -> PartMoves {
+        let now = self.front.now();
+        let mut state = self.front.state();
+        match (&self.ask.prompt, choice.version) {
+            (Some(prompt), Some(version)) => {
+                self.plan_moves(&mut state, prompt, choice, version, now)
+            }
+            _ => PartMoves::default(),
+        }
+    }
+
+    fn plan_moves(
         &self,
         state: &mut FrontState,
         prompt: &PromptAsk,
--- a/entry/src/front/request_run.rs
+++ b/entry/src/front/request_run.rs
@@ -106,9 +106,7 @@
         config: config.clone(),
         place,
     };
-    let end = run.serve().await;
-    run.learn_unbegun();
-    end
+    run.serve().await
 }
 
 fn spread_number(request_id: &str) -> u64 {
@@ -171,11 +169,13 @@
                 come_back = Some(self.come_back(&choice));
                 break;
             }
+            let place = self.reserve(&choice);
             let Some(mut offer) = self.open(&choice).await else {
+                self.release(&choice, &place);
                 self.tried.push(choice.key);
                 continue;
             };
-            let end = self.try_endpoint(&choice, &mut offer).await;
+            let end = self.try_endpoint(&choice, &place, &mut offer).await;
             self.give_back(&choice, offer);
             self.tried.push(choice.key);
             match end {
--- a/entry/src/front/request_try.rs
+++ b/entry/src/front/request_try.rs
@@ -1,7 +1,7 @@
 use {
     super::{
         read_plain_answer, read_rest, relay_stream, send_offer, write_to_caller, OfferAnswer,
-        OfferFailure, OpenOffer, RelayNews, RequestRun, WholeAnswer,
+        OfferFailure, OpenOffer, PartMoves, RelayNews, RequestRun, WholeAnswer,
     },
     pitchhitch_core::{
         serving::{EndpointChoice, EndpointStanding, UnreadWork},
@@ -15,6 +15,12 @@
 /// two, and nothing has been sent yet.
 const OPEN_LIMIT: Micros = Micros::from_millis(250);
 
+/// What is counted for a request at the endpoint that it is about to be sent to.
+pub(super) struct ReservedPlace {
+    ticket: u64,
+    moves: PartMoves,
+}
+
 /// What one endpoint made of the request.
 pub(super) enum TryEnd {
     /// The caller has its answer, whole.
@@ -57,33 +63,70 @@
         (entry.standing != EndpointStanding::Leaving).then(|| OpenOffer::new(link))
     }
 
+    /// Counts the request at the endpoint before a connection is there: requests that
+    /// come in the meantime must see it. Of thirty prompts that came at once, each was
+    /// sent to an engine believed idle; now those that would begin too late are refused.
+    pub(super) fn reserve(
+        &self,
+        choice: &EndpointChoice,
+    ) -> ReservedPlace {
+        let front = self.front;
+        let moves = self.moves_for(choice);
+        let mut state = front.state();
+        let ticket = state.ticket();
+        let work = UnreadWork {
+            ticket,
+            tokens: choice.unread_tokens,
+            memory_tokens: self.ask.prompt.as_ref().map_or(0, |p| p.tokens_in),
+            rank: self.rank(),
+            sent_at: front.now(),
+        };
+        state.book.sent(choice.key, work);
+        ReservedPlace { ticket, moves }
+    }
+
+    /// Takes back what was counted for a request that is not sent, and the parts that
+    /// the endpoint would have kept then.
+    pub(super) fn release(
+        &self,
+        choice: &EndpointChoice,
+        place: &ReservedPlace,
+    ) {
+        let mut guard = self.front.state();
+        let state = &mut *guard;
+        state.book.ended(choice.key, place.ticket);
+        let (Some(prompt), Some(version)) = (&self.ask.prompt, choice.version) else {
+            return;
+        };
+        let wall = state.wall(&self.wall(version).salt());
+        let planned = &choice.plan.parts;
+        let is_kept = |at: usize| planned.get(at).is_some_and(|fetch| fetch.is_kept);
+        if let Some(entry) = state.book.get_mut(choice.key) {
+            for (at, part) in prompt.parts.iter().enumerate() {
+                if !is_kept(at) {
+                    entry.parts.set(wall, part.id, 0);
+                }
+            }
+        }
+    }
+
     pub(super) async fn try_endpoint(
         &mut self,
         choice: &EndpointChoice,
+        place: &ReservedPlace,
         offer: &mut OpenOffer,
     ) -> TryEnd {
         let front = self.front;
-        let bytes = self.encode(choice);
+        let ticket = place.ticket;
+        let bytes = self.encode(choice, &place.moves);
         let sent_at = front.now();
-        let ticket = {
+        if let Some(prompt) = &self.ask.prompt {
+            let unread = choice.unread_tokens;
             let mut state = front.state();
-            let ticket = state.ticket();
-            let work = UnreadWork {
-                ticket,
-                tokens: choice.unread_tokens,
-                memory_tokens: self.ask.prompt.as_ref().map_or(0, |p| p.tokens_in),
-                rank: self.rank(),
-                sent_at,
-            };
-            state.book.sent(choice.key, work);
-            if let Some(prompt) = &self.ask.prompt {
-                let unread = choice.unread_tokens;
-                state
-                    .pace
-                    .note_sent(prompt.tokens_in, unread, prompt.tokens_out);
-            }
-            ticket
-        };
+            state
+                .pace
+                .note_sent(prompt.tokens_in, unread, prompt.tokens_out);
+        }
         self.sends += 1;
         self.log_try(choice, "sent", "");
         let request_id = self.ask.request_id.clone();
@@ -184,7 +227,6 @@
         answer: &OfferAnswer,
     ) -> TryEnd {
         let front = self.front;
-        let late_at = self.request.came_at + self.route().aim;
         let is_prompt = self.ask.prompt.is_some() && !self.progress.is_begun;
         let to_read = choice.ahead_tokens + f64::from(choice.unread_tokens);
         let is_first = is_prompt && self.sends == 1;
@@ -200,9 +242,6 @@
                     let took = now.since(sent_at).as_millis() as f64;
                     state.pace.note_begun(to_read, took - choice.plan.fetch_ms);
                 }
-                if is_prompt {
-                    state.admission.note_begin(now > late_at);
-                }
             }
             RelayNews::Version(new) => version = Some(new),
         };
