One server for small questions, one question for handed state

Cause: the loop that answers readiness, metrics and handed state stood twice (fronts, processes beside engines), and so did the call that asks for state; found by a search for equal lines. Change: serve_small in http1 runs its connections itself and takes any context; ask_state in wire is used by both sides.

--- a/agent/src/beside/beside_process.rs
+++ b/agent/src/beside/beside_process.rs
@@ -1,13 +1,14 @@
 use {
     super::{
-        give_orders, hand_copy_on, hear_fronts, keep_state, send_digests, serve_small,
-        tell_figures, watch_engine, watch_kept, BesideContext, BesideSettings,
+        give_orders, hand_copy_on, hear_fronts, keep_state, send_digests, tell_figures,
+        watch_engine, watch_kept, BesideContext, BesideSettings,
     },
     anyhow::Context,
+    pitchhitch_http1::{serve_small, SmallAnswer},
     pitchhitch_process::{flush_log, ProcessSignal, SignalWatch},
     pitchhitch_wire::beside::BesideSocket,
     smol::Timer,
-    std::time::Duration,
+    std::{net::SocketAddr, rc::Rc, time::Duration},
 };
 
 /// How often lines of the log are written out.
@@ -27,14 +28,9 @@
     let socket = socket.with_context(|| format!("cannot listen on {}", settings.listen))?;
     let beside = BesideContext::new(settings, socket);
     if let Some(metrics) = beside.settings.metrics {
-        serve_small(beside.clone(), metrics, tell_figures)
-            .await
-            .with_context(|| format!("cannot listen on {metrics}"))?;
+        answer_at(&beside, metrics, tell_figures).await?;
     }
-    let listen = beside.settings.listen;
-    serve_small(beside.clone(), listen, hand_copy_on)
-        .await
-        .with_context(|| format!("cannot listen on {listen}"))?;
+    answer_at(&beside, beside.settings.listen, hand_copy_on).await?;
     beside.spawn(keep_state(beside.clone()));
     beside.spawn(watch_engine(beside.clone()));
     beside.spawn(watch_kept(beside.clone()));
@@ -61,6 +57,17 @@
     Ok(())
 }
 
+/// Answers small questions at an address, as long as the process runs.
+async fn answer_at(
+    beside: &Rc<BesideContext>,
+    address: SocketAddr,
+    answer: SmallAnswer<BesideContext>,
+) -> anyhow::Result<()> {
+    let serving = serve_small(address, beside.clone(), answer).await;
+    beside.spawn(serving.with_context(|| format!("cannot listen on {address}"))?);
+    Ok(())
+}
+
 /// New settings are checked and compared; what they change needs a restart.
 async fn wait_for_stop(
     beside: &BesideContext,
--- a/agent/src/beside/mod.rs
+++ b/agent/src/beside/mod.rs
@@ -10,11 +10,10 @@
 mod engine_watch;
 mod kept_watch;
 mod order_giver;
-mod small_server;
 mod state_keeper;
 
 pub(crate) use {
     beside_context::*, beside_metrics::*, digest_sender::*, engine_watch::*, kept_watch::*,
-    order_giver::*, small_server::*, state_keeper::*,
+    order_giver::*, state_keeper::*,
 };
 pub use {beside_process::*, beside_settings::*};
--- a/agent/src/beside/state_keeper.rs
+++ b/agent/src/beside/state_keeper.rs
@@ -1,9 +1,8 @@
 use {
     super::BesideContext,
     pitchhitch_core::time::Micros,
-    pitchhitch_http1::{HttpCall, HttpClient},
     pitchhitch_process::to_duration,
-    pitchhitch_wire::beside::{FrontHello, HandedState, STATE_PATH},
+    pitchhitch_wire::beside::{ask_state, FrontHello, HandedState, STATE_PATH},
     smol::Timer,
     std::{net::SocketAddr, rc::Rc, time::Duration},
 };
@@ -127,18 +126,13 @@
     beside: &BesideContext,
     front: SocketAddr,
 ) {
-    let mut client = HttpClient::new(front, ASK_LIMIT);
-    let call = HttpCall {
-        method: "GET",
-        target: STATE_PATH,
-        ..HttpCall::default()
-    };
     let asked_at = beside.now();
-    let Some(bytes) = client.sound_body(call).await else {
+    let key = beside.settings.peer_key.as_ref();
+    let Some(answer) = ask_state(front, ASK_LIMIT, key).await else {
         return;
     };
     let address = front.to_string();
-    match HandedState::open(&bytes, beside.settings.peer_key.as_ref()) {
+    match answer.state {
         Ok(state) => {
             let version = state.version;
             let taken = beside.state().keeper.keep(state, asked_at);
@@ -147,7 +141,7 @@
                 front = address.as_str(),
                 version = version,
                 taken = taken,
-                bytes = bytes.len();
+                bytes = answer.bytes;
                 ""
             );
         }
--- a/entry/src/front/front_process.rs
+++ b/entry/src/front/front_process.rs
@@ -1,16 +1,16 @@
 use {
     super::{
-        ask_peers, greet_engines, hand_state_on, hear_digests, serve_caller, serve_small,
-        watch_list, watch_operator, watch_stores, FrontContext, FrontSettings,
+        ask_peers, greet_engines, hand_state_on, hear_digests, serve_caller, watch_list,
+        watch_operator, watch_stores, FrontContext, FrontSettings,
     },
     anyhow::Context,
     pitchhitch_core::{serving::TICK, time::Micros},
-    pitchhitch_http1::{ByteLink, SilenceLimit},
+    pitchhitch_http1::{serve_small, ByteLink, SilenceLimit, SmallAnswer},
     pitchhitch_process::{flush_log, to_duration, ProcessSignal, SignalWatch},
     pitchhitch_wire::beside::BesideSocket,
     smol::{Async, Timer},
     std::{
-        net::TcpListener,
+        net::{SocketAddr, TcpListener},
         rc::Rc,
         time::{Duration, Instant},
     },
@@ -46,23 +46,15 @@
     let mut signals = SignalWatch::start().context("cannot watch signals")?;
     let callers = TcpListener::bind(settings.callers);
     let callers = callers.with_context(|| format!("cannot listen on {}", settings.callers))?;
-    serve_small(front.clone(), settings.ready, answer_ready)
-        .await
-        .with_context(|| format!("cannot listen on {}", settings.ready))?;
+    answer_at(&front, settings.ready, answer_ready).await?;
     if let Some(metrics) = settings.metrics {
-        serve_small(front.clone(), metrics, answer_metrics)
-            .await
-            .with_context(|| format!("cannot listen on {metrics}"))?;
+        answer_at(&front, metrics, answer_metrics).await?;
     }
     let socket = BesideSocket::bind(settings.digests).await;
     let socket = socket.with_context(|| format!("cannot listen on {}", settings.digests))?;
-    serve_small(front.clone(), settings.digests, hand_state_on)
-        .await
-        .with_context(|| format!("cannot listen on {}", settings.digests))?;
+    answer_at(&front, settings.digests, hand_state_on).await?;
     if let Some(control) = settings.control {
-        serve_small(front.clone(), control, hand_state_on)
-            .await
-            .with_context(|| format!("cannot listen on {control}"))?;
+        answer_at(&front, control, hand_state_on).await?;
     }
     front.spawn(ask_peers(front.clone()));
     front.spawn(hear_digests(front.clone(), socket.clone()));
@@ -88,6 +80,17 @@
     Ok(())
 }
 
+/// Answers small questions at an address, as long as the process runs.
+async fn answer_at(
+    front: &Rc<FrontContext>,
+    address: SocketAddr,
+    answer: SmallAnswer<FrontContext>,
+) -> anyhow::Result<()> {
+    let serving = serve_small(address, front.clone(), answer).await;
+    front.spawn(serving.with_context(|| format!("cannot listen on {address}"))?);
+    Ok(())
+}
+
 /// New settings are checked and compared; what they change needs a restart,
 /// which the platform does one box after the other.
 fn note_reload(
--- a/entry/src/front/mod.rs
+++ b/entry/src/front/mod.rs
@@ -26,7 +26,6 @@
 mod request_run;
 mod request_try;
 mod return_check;
-mod small_server;
 mod store_watch;
 mod stream_relay;
 mod wake_reason;
@@ -34,7 +33,7 @@
 pub(crate) use {
     beside_link::*, caller_conn::*, event_splitter::*, front_context::*, front_metrics::*,
     front_state::*, link_pool::*, list_watch::*, offer::*, operator_watch::*, plain_answer::*,
-    request_run::*, small_server::*, store_watch::*, stream_relay::*, wake_reason::*,
+    request_run::*, store_watch::*, stream_relay::*, wake_reason::*,
 };
 pub use {front_process::*, front_settings::*};
 use {peer_state::*, request_admit::*, request_moves::*, request_try::*, return_check::*};
--- a/entry/src/front/peer_state.rs
+++ b/entry/src/front/peer_state.rs
@@ -1,10 +1,9 @@
 use {
     super::{log_changes, take_config, FrontContext},
     pitchhitch_core::time::Micros,
-    pitchhitch_http1::{HttpCall, HttpClient},
     pitchhitch_platform::decode_config,
     pitchhitch_process::to_duration,
-    pitchhitch_wire::beside::{HandedState, STATE_PATH},
+    pitchhitch_wire::beside::{ask_state, HandedState, STATE_PATH},
     smol::Timer,
     std::{net::SocketAddr, rc::Rc, time::Duration},
 };
@@ -94,17 +93,12 @@
     front: &FrontContext,
     peer: SocketAddr,
 ) -> bool {
-    let mut client = HttpClient::new(peer, ASK_LIMIT);
-    let call = HttpCall {
-        method: "GET",
-        target: STATE_PATH,
-        ..HttpCall::default()
-    };
-    let Some(bytes) = client.sound_body(call).await else {
+    let key = front.settings.peer_key.as_ref();
+    let Some(answer) = ask_state(peer, ASK_LIMIT, key).await else {
         return false;
     };
-    let opened = HandedState::open(&bytes, front.settings.peer_key.as_ref());
-    let outcome = opened
+    let outcome = answer
+        .state
         .map_err(|error| error.to_string())
         .and_then(|state| take_state(front, state));
     let (word, error) = match &outcome {
@@ -118,7 +112,7 @@
         peer = address.as_str(),
         outcome = word,
         error = error,
-        bytes = bytes.len(),
+        bytes = answer.bytes,
         config_age_ms = age_ms.map_or(-1, |age| age.as_millis() as i64);
         ""
     );
--- a/http1/src/small_server.rs
+++ b/http1/src/small_server.rs
@@ -1,7 +1,7 @@
 use {
     super::{read_request_head, ByteLink, SilenceLimit},
-    smol::{net::TcpListener, Async, Timer},
-    std::{net::SocketAddr, sync::Arc, time::Duration},
+    smol::{net::TcpListener, Async, LocalExecutor, Timer},
+    std::{future::Future, net::SocketAddr, rc::Rc, sync::Arc, time::Duration},
 };
 
 /// Longest head of a question, in bytes.
@@ -42,6 +42,34 @@
     }
 }
 
+/// What a process says to a path: status and body.
+pub type SmallAnswer<Context> = fn(&Context, &str) -> (u16, Vec<u8>);
+
+/// Binds to an address; the future that comes back answers small questions there, such
+/// as whether a process is ready, for as long as it is run.
+///
+/// # Errors
+/// When the address cannot be bound.
+pub async fn serve_small<Context: 'static>(
+    address: SocketAddr,
+    context: Rc<Context>,
+    answer: SmallAnswer<Context>,
+) -> std::io::Result<impl Future<Output = ()>> {
+    let server = SmallServer::bind(address).await?;
+    let connections = LocalExecutor::new();
+    Ok(async move {
+        let accept = async {
+            loop {
+                let link = server.next().await;
+                let asked = context.clone();
+                let answers = answer_small(link, move |target| answer(&asked, target));
+                connections.spawn(answers).detach();
+            }
+        };
+        connections.run(accept).await
+    })
+}
+
 /// Answers the questions of one connection; `answer` gives status and body for a path.
 pub async fn answer_small<Body: Into<Vec<u8>>>(
     mut link: ByteLink,
