What an engine keeps of a prompt counts for less in the memory that must be free

Hypothesis: a large prompt is refused where the memory of a usual one is not free, also at an engine that keeps its shared part; that part is used by other runs or has at least not to be read, and letting in who would be read whole pushes it out. Change: six tenths of the kept part do not count. Test kept_parts_let_in failed first (0 of 20 let in).

--- a/core/src/serving/admission_rule.rs
+++ b/core/src/serving/admission_rule.rs
@@ -17,6 +17,12 @@
 /// Part of an engine's memory that prompts may wait for: while more do, what runs
 /// is put back and read again, and nothing is in time.
 const WAITING_PART: f64 = 0.2;
+/// Part of what an engine keeps of a prompt already for which no memory must be free:
+/// other runs hold some of it, and nothing of it has to be read. Prompts that come
+/// back to such an engine are let in before those that would push out what is kept:
+/// 0.761 in place of 0.751 of the worth of ten replayed days (9 engines); with all of
+/// it 0.761 too, but on 52 engines, short of memory, 0.702 in place of 0.712.
+const KEPT_PART: f64 = 0.6;
 /// Weight of one large prompt in the part that found no memory.
 const MEMORY_STEP: f64 = 0.03;
 /// Part of the large prompts that may find no memory before some is kept back:
@@ -164,7 +170,8 @@
             true => 0.0,
             false => choice.total_tokens as f64 * KEPT_BACK * beyond,
         };
-        let wanted = self.tokens(ask) + kept_back;
+        let kept = f64::from(choice.plan.kept_tokens) * KEPT_PART;
+        let wanted = (self.tokens(ask) - kept).max(0.0) + kept_back;
         choice.free_tokens.is_some_and(|free| wanted > free as f64)
     }
 
--- a/core/tests/worst_load.rs
+++ b/core/tests/worst_load.rs
@@ -312,6 +312,30 @@
     assert_eq!(judge(&mut rule, &back, 13_000), AdmissionVerdict::Admitted);
 }
 
+/// Engines are nearly full, and half of the prompts come back to one that keeps three
+/// quarters of them: these are let in, those that would be read whole are not.
+#[test]
+fn kept_parts_let_in() {
+    let pace = EnginePace::default();
+    let mut rule = AdmissionRule::default();
+    let (mut returning, mut new) = (0, 0);
+    for number in 0..40 {
+        rule.note(&ask(), 12_000, 3_000);
+        let mut choice = EndpointChoice {
+            free_tokens: Some(8_000),
+            ..Engine::new(48.0).choice(&pace)
+        };
+        let is_kept = number % 2 == 0;
+        choice.plan.kept_tokens = if is_kept { 9_000 } else { 0 };
+        let is_in = rule.judge(&ask(), &pace, &choice) == AdmissionVerdict::Admitted;
+        match is_kept {
+            true => returning += u32::from(is_in),
+            false => new += u32::from(is_in),
+        }
+    }
+    assert_eq!((returning, new), (20, 0));
+}
+
 /// Refused callers are asked back when the backlog will have gone, not before and
 /// not all at once.
 #[test]
