--- a/entry/src/command/explain.rs
+++ b/entry/src/command/explain.rs
@@ -2,7 +2,7 @@
     super::{entry_caller, pretty_json, CommandArgs, CommandShape},
     crate::{
         cli::CliError,
-        explain::{DecisionRecord, LogLine, LogStory},
+        explain::{DecisionRecord, LogLine, LogStory, PartReads},
         operators::{PieceReport, EXPLAIN_PREFIX, PIECE_PREFIX},
     },
     getopts::Options,
@@ -16,11 +16,13 @@
 const SHAPE: CommandShape = CommandShape {
     usage:
         "explain --settings FILE REQUEST-ID\n       pitchhitch explain --settings FILE --piece KEY\n       \
-         pitchhitch explain --log FILE REQUEST-ID",
+         pitchhitch explain --log FILE REQUEST-ID\n       \
+         pitchhitch explain --log FILE --reads",
     about: "Tells why a recent request went where it went, or who holds a kept piece.\n\
             Decisions are kept in the memory of the entry process that made them; what was\n\
             lost with a process cannot be told.\n\
-            With --log the story is read from log lines of any number of processes.",
+            With --log the story is read from log lines of any number of processes;\n\
+            --reads adds up why engines read shared parts of prompts.",
 };
 
 /// Runs `pitchhitch explain`.
@@ -36,12 +38,21 @@
         "read log lines from here, - for standard input",
         "FILE",
     );
+    options.optflag("", "reads", "with --log: why shared parts were read");
     let Some(args) = CommandArgs::read(SHAPE, options, args)? else {
         return Ok(());
     };
+    let wants_reads = args.matches.opt_present("reads");
     if let Some(file) = args.matches.opt_str("log") {
+        if wants_reads {
+            return explain_reads(&file);
+        }
         return explain_log(&file, args.free(0, "REQUEST-ID")?);
     }
+    if wants_reads {
+        let help = "--reads needs --log FILE, the lines of the fronts";
+        return Err(CliError::Usage(help.to_string()));
+    }
     let settings = args.operator()?;
     let caller = entry_caller(&settings)?;
     match args.matches.opt_str("piece") {
@@ -50,22 +61,57 @@
     }
 }
 
-fn explain_log(
+fn unread(
     file: &str,
-    request: &str,
-) -> Result<(), CliError> {
-    let unread = |e: io::Error| CliError::Failed(format!("{file}: cannot be read: {e}"));
-    let lines: Box<dyn BufRead> = match file {
+    error: &io::Error,
+) -> CliError {
+    CliError::Failed(format!("{file}: cannot be read: {error}"))
+}
+
+fn open_log(file: &str) -> Result<Box<dyn BufRead>, CliError> {
+    Ok(match file {
         "-" => Box::new(io::stdin().lock()),
-        file => Box::new(BufReader::new(File::open(file).map_err(unread)?)),
-    };
-    let story = LogStory::gather(lines, request).map_err(unread)?;
-    if story.broken > 0 {
-        eprintln!(
-            "{file}: {} lines are no log lines of pitchhitch; passed over",
-            story.broken
+        name => {
+            let opened = File::open(name).map_err(|e| unread(file, &e))?;
+            Box::new(BufReader::new(opened))
+        }
+    })
+}
+
+fn tell_broken(
+    file: &str,
+    broken: u64,
+) {
+    if broken > 0 {
+        eprintln!("{file}: {broken} lines are no log lines of pitchhitch; passed over");
+    }
+}
+
+fn explain_reads(file: &str) -> Result<(), CliError> {
+    let reads = PartReads::gather(open_log(file)?).map_err(|e| unread(file, &e))?;
+    tell_broken(file, reads.broken);
+    if reads.by_cause.is_empty() {
+        return Err(CliError::Failed(format!(
+            "{file}: no prompt was sent that had shared parts to read; add the logs of all fronts"
+        )));
+    }
+    for (cause, sum) in &reads.by_cause {
+        println!(
+            "{:>12.0} tokens {:>8} parts: {}",
+            sum.tokens,
+            sum.parts,
+            cause.words()
         );
     }
+    Ok(())
+}
+
+fn explain_log(
+    file: &str,
+    request: &str,
+) -> Result<(), CliError> {
+    let story = LogStory::gather(open_log(file)?, request).map_err(|e| unread(file, &e))?;
+    tell_broken(file, story.broken);
     if story.own.is_empty() {
         return Err(CliError::Failed(format!(
             "{file}: no line has request={request}; add the logs of the other boxes"
--- a/entry/src/explain/mod.rs
+++ b/entry/src/explain/mod.rs
@@ -4,5 +4,6 @@
 mod decision_ring;
 mod log_line;
 mod log_story;
+mod part_reads;
 
-pub use {decision_record::*, decision_ring::*, log_line::*, log_story::*};
+pub use {decision_record::*, decision_ring::*, log_line::*, log_story::*, part_reads::*};
--- /dev/null
+++ b/entry/tests/part_reads.rs
@@ -0,0 +1,100 @@
+//! Why shared parts of prompts were read, from the lines of all fronts.
+
+use {
+    pitchhitch_entry::explain::{PartReads, ReadCause, ReadSum},
+    std::process::Command,
+};
+
+/// A line of a front about a prompt that it sent at so many milliseconds.
+fn sent(
+    front: &str,
+    at_ms: u32,
+    request: &str,
+    parts: &str,
+    weights: u32,
+) -> String {
+    let (second, millis) = (at_ms / 1_000, at_ms % 1_000);
+    format!(
+        "{front} time=2026-02-26T06:46:{second:02}.{millis:03}Z level=INFO event=try request={request} \
+         outcome=sent shared_unread=1000 parts={parts} weights={weights}\n"
+    )
+}
+
+fn began(
+    request: &str,
+    first_ms: u32,
+) -> String {
+    format!("f1 time=2026-02-26T06:46:59.000Z level=INFO event=end request={request} first_ms={first_ms}\n")
+}
+
+fn log() -> String {
+    let lines = [
+        sent("f1", 1_000, "r1", "aa:r,bb:r", 1),
+        began("r1", 400),
+        // The first has not begun yet.
+        sent("12.5 f1", 1_200, "r2", "aa:k,bb:r", 1),
+        began("r2", 100),
+        sent("f2", 1_250, "r3", "aa:f,bb:r", 1),
+        began("r3", 10),
+        sent("f2", 9_000, "r4", "bb:r", 1),
+        began("r4", 10),
+        sent("f2", 40_000, "r5", "bb:r", 1),
+        // Other weights.
+        sent("f2", 41_000, "r6", "bb:r", 2),
+        "nonsense\n".to_string(),
+    ];
+    lines.concat()
+}
+
+#[test]
+fn causes_told_apart() {
+    let reads = PartReads::gather(log().as_bytes()).expect("lines");
+    let expected = [
+        (ReadCause::First, 3, 2_000.0),
+        (ReadCause::AtOnceSameFront, 1, 1_000.0),
+        (ReadCause::AtOnceOtherFront, 1, 1_000.0),
+        (ReadCause::KeptNowhere, 1, 1_000.0),
+        (ReadCause::LongAgo, 1, 1_000.0),
+    ];
+    let expected = expected.map(|(cause, parts, tokens)| (cause, ReadSum { parts, tokens }));
+    assert_eq!(reads.by_cause, expected.into_iter().collect());
+    assert_eq!(reads.broken, 1);
+}
+
+/// Lines of many fronts come in any order.
+#[test]
+fn order_does_not_matter() {
+    let mut lines: Vec<String> = log().lines().map(|line| format!("{line}\n")).collect();
+    lines.reverse();
+    let reversed = PartReads::gather(lines.concat().as_bytes()).expect("lines");
+    assert_eq!(
+        reversed,
+        PartReads::gather(log().as_bytes()).expect("lines")
+    );
+}
+
+#[test]
+fn command_tells() {
+    let file = std::env::temp_dir().join(format!("pitchhitch-reads-{}.txt", std::process::id()));
+    std::fs::write(&file, log()).expect("file");
+    let run = |args: &[&str]| {
+        let program = env!("CARGO_BIN_EXE_pitchhitch");
+        Command::new(program).args(args).output().expect("run")
+    };
+    let path = file.to_str().expect("path");
+    let told = run(&["explain", "--log", path, "--reads"]);
+    std::fs::write(&file, "nonsense\n").expect("file");
+    let nothing = run(&["explain", "--log", path, "--reads"]);
+    let no_log = run(&["explain", "--reads"]);
+    std::fs::remove_file(&file).expect("removed");
+    let text = String::from_utf8_lossy(&told.stdout).to_string();
+    assert!(told.status.success());
+    assert!(
+        text.contains("1000 tokens        1 parts: read within 20 s"),
+        "{text}"
+    );
+    assert_eq!(nothing.status.code(), Some(1));
+    assert!(String::from_utf8_lossy(&nothing.stderr).contains("add the logs of all fronts"));
+    assert!(!no_log.status.success());
+    assert!(String::from_utf8_lossy(&no_log.stderr).contains("--log FILE"));
+}
