--- a/entry/src/front/front_settings.rs
+++ b/entry/src/front/front_settings.rs
@@ -67,16 +67,22 @@
 /// third, a replayed outage of 6 s was worth 0.74 and 0.75 on two deployments whose keys
 /// fail closed, held for a quarter 0.82 and 0.82.
 const CHANGE_WAIT_PART: u64 = 25;
+/// Longest pause between two looks at the list, however long endpoints may take to
+/// leave: new ones are found by it too.
+const LONGEST_LIST_PAUSE: Micros = Micros::from_millis(2_000);
+/// Longest time for which a question is held, however old keys may be: a connection
+/// that has gone silent shows only after it, and new configurations wait for that.
+const LONGEST_CHANGE_WAIT: Micros = Micros::from_millis(1_400);
 
 impl FrontSettings {
     /// Pause between two looks at the list of endpoints.
     pub fn list_pause(&self) -> Micros {
-        Micros(self.drain_limit.0 * LIST_PAUSE_PART / 100)
+        Micros(self.drain_limit.0 * LIST_PAUSE_PART / 100).min(LONGEST_LIST_PAUSE)
     }
 
     /// Time for which a question for changes is held at the store.
     pub fn change_wait(&self) -> Micros {
-        Micros(self.key_limit.0 * CHANGE_WAIT_PART / 100)
+        Micros(self.key_limit.0 * CHANGE_WAIT_PART / 100).min(LONGEST_CHANGE_WAIT)
     }
 
     /// Reads the text of a settings file.
--- a/entry/tests/store_pace.rs
+++ b/entry/tests/store_pace.rs
@@ -43,6 +43,15 @@
     }
 }
 
+/// Where the bounds are long, new endpoints and configurations are still found soon.
+#[test]
+fn long_bounds_asked_on() {
+    let settings = settings(600_000, 600_000);
+    for pause in [settings.list_pause(), settings.change_wait()] {
+        assert!(pause.as_millis() <= 2_000, "{pause:?}");
+    }
+}
+
 #[test]
 fn usual_bounds_few_calls() {
     let settings = settings(2_000, 5_000);
