--- a/core/src/serving/weight_namings.rs
+++ b/core/src/serving/weight_namings.rs
@@ -141,6 +141,17 @@
         self.named.get(model).copied()
     }
 
+    /// Longest time for which the newest weights of a model may have been named.
+    pub fn named_age(
+        &self,
+        model: &str,
+        now: Micros,
+    ) -> Option<Micros> {
+        let newest = (model.to_string(), self.named(model)?);
+        let naming = self.namings.get(&newest)?;
+        Some(now.since(naming.since()))
+    }
+
     /// All named weights.
     pub fn all_named(&self) -> impl Iterator<Item = (&str, u64)> {
         self.named
--- a/entry/src/front/request_log.rs
+++ b/entry/src/front/request_log.rs
@@ -1,4 +1,7 @@
-use {super::RequestRun, pitchhitch_core::serving::EndpointChoice};
+use {
+    super::{FrontState, RequestRun},
+    pitchhitch_core::{serving::EndpointChoice, time::Micros},
+};
 
 impl RequestRun<'_> {
     /// The shared parts and what becomes of them: kept, fetched from a store or an
@@ -60,6 +63,8 @@
             fetch_ms = choice.plan.fetch_ms as u64,
             parts = self.told_parts(choice).as_str(),
             weights = choice.version.unwrap_or(0),
+            named = self.named_version(&state).unwrap_or(0),
+            named_age_ms = self.named_age(&state, now).map_or(-1, |age| age.as_millis() as i64),
             of = choice.candidates,
             lacking = state.admission.lacking_part(),
             token_us = (state.pace.token_ms() * 1_000.0) as u64,
@@ -69,6 +74,23 @@
         front.metrics.count("tries", outcome);
     }
 
+    fn named_version(
+        &self,
+        state: &FrontState,
+    ) -> Option<u64> {
+        state.planner.named(&self.ask.prompt.as_ref()?.model)
+    }
+
+    fn named_age(
+        &self,
+        state: &FrontState,
+        now: Micros,
+    ) -> Option<Micros> {
+        state
+            .planner
+            .named_age(&self.ask.prompt.as_ref()?.model, now)
+    }
+
     pub(super) fn log_end(
         &self,
         outcome: &str,
