Weights are bounded at each choice, by what is known of the naming's age

Cause: whether an endpoint's weights are too old was worked out every 0.1 s and kept with it; an endpoint that had just been listed had no such mark, and a missing mark counted as allowed. Class: what is not known yet counts as allowed. The same cause stood in two more places: a front that starts counted the age of a naming from its own start, and an engine of unknown weights got prompts that expected none. Ruled out, by lines: a wait at the engine (56 ms), a front that had just started, unknown weights, for the requests seen. Change: bounds are asked of the planner for each choice (WeightBounds) and no mark is kept; the age of a naming is handed on with the state, what nobody tells within 2 s counts as named for too long; an engine of unknown weights is sent prompts that expect the newest ones once older ones have had their time. Two tests asked the removed marks (old_weights_expire, expired_never): they ask the bounds now, the second also that an engine with newer weights is still taken.

--- a/agent/src/beside/state_keeper.rs
+++ b/agent/src/beside/state_keeper.rs
@@ -63,6 +63,7 @@
         let same = self.copy.as_mut().filter(|copy| copy.mark == mark);
         // The same content, proven again.
         if let Some(copy) = same.filter(|copy| age < copy.state.age + now.since(copy.at)) {
+            copy.state.grow_older(now.since(copy.at));
             copy.state.age = age;
             copy.at = now;
         }
@@ -106,7 +107,7 @@
     ) -> Option<HandedState> {
         let copy = self.copy.as_ref()?;
         let mut state = copy.state.clone();
-        state.age = state.age + now.since(copy.at);
+        state.grow_older(now.since(copy.at));
         Some(state)
     }
 }
--- a/core/src/serving/endpoint_book.rs
+++ b/core/src/serving/endpoint_book.rs
@@ -140,8 +140,6 @@
             guard: OutlierGuard::default(),
             answered_at: None,
             stage: SwapStage::Idle,
-            is_behind: false,
-            is_expired: false,
             running: 0,
             unread: Vec::new(),
         });
@@ -220,17 +218,13 @@
         });
     }
 
-    /// Marks which endpoints are about to load new weights, and which lack some.
+    /// Marks which endpoints are about to load new weights.
     pub fn mark_swaps(
         &mut self,
         planner: &SwapPlanner,
-        limit: Micros,
-        now: Micros,
     ) {
         for (key, entry) in &mut self.entries {
             entry.stage = planner.stage(key);
-            entry.is_behind = planner.is_behind(entry);
-            entry.is_expired = planner.is_expired(entry, limit, now);
         }
     }
 
--- a/core/src/serving/endpoint_entry.rs
+++ b/core/src/serving/endpoint_entry.rs
@@ -106,10 +106,6 @@
     pub answered_at: Option<Micros>,
     /// Where it stands with named weights.
     pub stage: SwapStage,
-    /// Whether newer weights than its own are named.
-    pub is_behind: bool,
-    /// Whether its weights are too old for any request to begin on them.
-    pub is_expired: bool,
     /// Requests of ours that it has.
     pub running: u32,
     /// Those of them that it has not begun to answer.
--- a/core/src/serving/endpoint_pick.rs
+++ b/core/src/serving/endpoint_pick.rs
@@ -1,7 +1,7 @@
 use {
     super::{
         plan_prompt, EndpointBook, EndpointEntry, EndpointKey, EndpointStanding, EnginePace,
-        PartOutlook, PromptAsk, PromptPlan, SwapStage, WallTag,
+        PartOutlook, PromptAsk, PromptPlan, SwapStage, WallTag, WeightBounds,
     },
     crate::time::Micros,
 };
@@ -54,6 +54,8 @@
     pub tried: &'a [EndpointKey],
     /// What is learned of the engines.
     pub pace: &'a EnginePace,
+    /// Weights that the prompt may begin on.
+    pub weights: WeightBounds,
     /// Current time.
     pub now: Micros,
 }
@@ -88,7 +90,7 @@
     pub shared_tokens: u32,
     /// Tokens of shared parts that it will have to read.
     pub shared_unread: u32,
-    /// Version of the weights that it is believed to have.
+    /// Version of the weights that is expected of it.
     pub version: Option<u64>,
     /// Endpoints that were weighed.
     pub candidates: u32,
@@ -151,7 +153,8 @@
     let mut weighed = Vec::new();
     for (key, entry) in book.iter() {
         let serves = entry.service == ask.service && entry.standing != EndpointStanding::Leaving;
-        let is_out = entry.is_expired || ask.tried.contains(&key);
+        let version = ask.prompt.and_then(|p| entry.weights.version(&p.model));
+        let is_out = !ask.weights.allows(version) || ask.tried.contains(&key);
         if !serves || is_out || !admits(entry) {
             continue;
         }
@@ -207,7 +210,8 @@
     ask: &PickAsk<'_>,
     outlooks: &[VersionOutlook],
 ) {
-    choice.version = entry.weights.version(&prompt.model);
+    let version = entry.weights.version(&prompt.model);
+    choice.version = ask.weights.expected(version);
     let known = outlooks
         .iter()
         .find(|outlook| Some(outlook.version) == choice.version);
@@ -238,7 +242,7 @@
     choice.wait_ms += f64::from(choice.plan.fetched_tokens) * token_ms * FETCHED;
     let running_ms = pace.unread_tokens() * token_ms * RUNNING_PART;
     choice.wait_ms += f64::from(entry.occupied(now)) * running_ms;
-    if entry.is_behind {
+    if ask.weights.is_behind(version) {
         choice.wait_ms += BEHIND_MS;
     }
     choice.free_tokens = entry.free_tokens(now, pace);
--- a/core/src/serving/mod.rs
+++ b/core/src/serving/mod.rs
@@ -30,6 +30,7 @@
 mod swap_planner;
 mod wall_name;
 mod weight_belief;
+mod weight_bounds;
 mod weight_namings;
 
 pub use {
@@ -38,5 +39,5 @@
     key_trust::*, kv_store::*, memory_map::*, part_memory::*, path_index::*, prompt_ask::*,
     prompt_part::*, rank_shares::*, refusal_kind::*, repeat_meter::*, route_habits::*,
     served_route::*, serving_config::*, standstill_watch::*, store_view::*, swap_planner::*,
-    wall_name::*, weight_belief::*,
+    wall_name::*, weight_belief::*, weight_bounds::*,
 };
--- a/core/src/serving/swap_planner.rs
+++ b/core/src/serving/swap_planner.rs
@@ -80,14 +80,6 @@
         }
     }
 
-    /// Whether an engine lacks named weights.
-    pub fn is_behind(
-        &self,
-        entry: &EndpointEntry,
-    ) -> bool {
-        self.lack(entry).is_some()
-    }
-
     /// Gives turns anew; returns those of engines that are told to load now.
     pub fn plan(
         &mut self,
--- a/core/src/serving/weight_namings.rs
+++ b/core/src/serving/weight_namings.rs
@@ -1,7 +1,7 @@
 //! Which weights are named, and until when parts of older ones are fetched.
 
 use {
-    super::{EndpointEntry, PartId, SwapPlanner, VIEW_LIFE},
+    super::{PartId, SwapPlanner, WeightBounds, VIEW_LIFE},
     crate::time::Micros,
 };
 
@@ -24,17 +24,52 @@
 /// Spreads numbers evenly (an odd number near 2^64 over the golden ratio).
 const SPREAD_FACTOR: u64 = 0x9e37_79b9_7f4a_7c15;
 
+/// Time in which others tell a box for how long weights have been named that were
+/// named before it started. What nobody tells counts as named for too long then: a box
+/// that counted from its own start let requests begin on replaced weights for a whole
+/// limit more.
+const TELL_LIMIT: Micros = Micros::from_secs(2);
+
 /// When this box learned of named weights.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) struct Naming {
     not_yet: Option<Micros>,
     learned_at: Micros,
+    told: Option<ToldAge>,
+}
+
+/// For how long at most weights had been named, as others tell, and when they did. It
+/// may reach back to before this process started.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+struct ToldAge {
+    age: Micros,
+    at: Micros,
 }
 
 impl Naming {
-    /// The earliest time at which the weights may have been named.
-    fn since(&self) -> Micros {
-        self.not_yet.unwrap_or(self.learned_at)
+    /// For how long at most the weights have been named, where that is known.
+    fn age(
+        &self,
+        now: Micros,
+    ) -> Option<Micros> {
+        let read = self.not_yet.map(|at| now.since(at));
+        let told = self.told.map(|told| told.age + now.since(told.at));
+        match (read, told) {
+            (Some(read), Some(told)) => Some(read.min(told)),
+            _ => read.or(told),
+        }
+    }
+
+    /// Whether the weights may have been named for longer than `limit`.
+    fn is_over(
+        &self,
+        limit: Micros,
+        now: Micros,
+    ) -> bool {
+        match self.age(now) {
+            Some(age) => age > limit,
+            None => now.since(self.learned_at) > TELL_LIMIT.min(limit),
+        }
     }
 }
 
@@ -65,11 +100,37 @@
         let naming = Naming {
             not_yet,
             learned_at: now,
+            told: None,
         };
         self.namings.insert((model.to_string(), version), naming);
         true
     }
 
+    /// Takes that the newest weights of a model have been named for `age` at most.
+    pub fn tell_age(
+        &mut self,
+        model: &str,
+        age: Micros,
+        now: Micros,
+    ) {
+        let Some(version) = self.named(model) else {
+            return;
+        };
+        let naming = self.namings.get_mut(&(model.to_string(), version));
+        if let Some(naming) = naming.filter(|naming| naming.age(now).is_none_or(|a| age < a)) {
+            naming.told = Some(ToldAge { age, at: now });
+        }
+    }
+
+    /// Whether it is known of all newest weights for how long at most they have been named.
+    pub fn knows_ages(
+        &self,
+        now: Micros,
+    ) -> bool {
+        let mut named = self.named.keys();
+        named.all(|model| self.named_age(model, now).is_some())
+    }
+
     /// Takes that an engine has some weights; true where they count as named from
     /// now on. Engines load only what was named, but the row that names it may have
     /// gone back: an older naming can be carried out after a newer one.
@@ -141,7 +202,8 @@
         self.named.get(model).copied()
     }
 
-    /// Longest time for which the newest weights of a model may have been named.
+    /// Longest time for which the newest weights of a model may have been named, where
+    /// that is known.
     pub fn named_age(
         &self,
         model: &str,
@@ -149,7 +211,7 @@
     ) -> Option<Micros> {
         let newest = (model.to_string(), self.named(model)?);
         let naming = self.namings.get(&newest)?;
-        Some(now.since(naming.since()))
+        naming.age(now)
     }
 
     /// All named weights.
@@ -159,18 +221,23 @@
             .map(|(model, version)| (model.as_str(), *version))
     }
 
-    /// Whether an engine has weights that newer ones are named for since more
-    /// than `limit`.
-    pub fn is_expired(
+    /// Which versions a request may begin on, where weights may be used for `limit` after
+    /// newer ones were named.
+    ///
+    /// Asked for each choice: what was worked out for each engine from time to time was
+    /// missing for those that had just been listed, and prompts began on replaced weights.
+    pub fn bounds(
         &self,
-        entry: &EndpointEntry,
+        model: &str,
         limit: Micros,
         now: Micros,
-    ) -> bool {
-        self.named.keys().any(|model| {
-            let version = entry.weights.version(model);
-            let replaced = version.and_then(|version| self.replaced_by(model, version));
-            replaced.is_some_and(|naming| now.since(naming.since()) > limit)
-        })
+    ) -> WeightBounds {
+        let all = (model.to_string(), 0)..=(model.to_string(), u64::MAX);
+        let over = self.namings.range(all).rev();
+        let mut over = over.filter(|(_, naming)| naming.is_over(limit, now));
+        WeightBounds {
+            newest: self.named(model),
+            oldest: over.next().map(|((_, version), _)| *version),
+        }
     }
 }
--- a/core/tests/endpoint_pick.rs
+++ b/core/tests/endpoint_pick.rs
@@ -4,7 +4,7 @@
     serving::{
         pick_endpoint, EndpointBook, EndpointChoice, EndpointKey, EndpointNotice, EngineGroup,
         EngineLoad, EnginePace, KvStore, MemoryMap, PartId, PartPlace, PickAsk, PromptAsk,
-        PromptPart, SwapStage, UnreadWork, VersionOutlook, WallTag,
+        PromptPart, SwapStage, UnreadWork, VersionOutlook, WallTag, WeightBounds,
     },
     time::Micros,
 };
@@ -15,6 +15,7 @@
 struct Fleet {
     book: EndpointBook,
     memory: MemoryMap,
+    bounds: WeightBounds,
 }
 
 fn part(
@@ -49,6 +50,7 @@
         let mut fleet = Fleet {
             book: EndpointBook::default(),
             memory: MemoryMap::default(),
+            bounds: WeightBounds::default(),
         };
         for (place, id) in ["e1", "e2", "e3"].iter().enumerate() {
             fleet.book.take(&EndpointNotice {
@@ -131,6 +133,7 @@
         }];
         let ask = PickAsk {
             pace: &EnginePace::starting_at(1.0 / 97.0),
+            weights: self.bounds,
             service: "llm",
             domain: "a",
             prompt: Some(prompt),
@@ -211,11 +214,16 @@
 #[test]
 fn expired_never() {
     let mut fleet = Fleet::new();
-    for id in ["e1", "e2", "e3"] {
-        let key = fleet.key(id);
-        fleet.book.get_mut(key).expect("entry").is_expired = true;
-    }
+    fleet.bounds = WeightBounds {
+        newest: Some(2),
+        oldest: Some(2),
+    };
     assert_eq!(fleet.pick(&prompt(), &[]), None);
+    let key = fleet.key("e2");
+    let entry = fleet.book.get_mut(key).expect("entry");
+    entry.weights.learn("m", 2);
+    let choice = fleet.pick(&prompt(), &[]).expect("one has them");
+    assert_eq!((choice.key, choice.version), (key, Some(2)));
 }
 
 #[test]
--- a/core/tests/swap_planner.rs
+++ b/core/tests/swap_planner.rs
@@ -187,12 +187,11 @@
 /// it had waited at its engine (granitsa, second trouble day).
 #[test]
 fn old_weights_expire() {
-    let book = book(1, 0, at(0));
     let mut planner = SwapPlanner::default();
     planner.name("m", 2, Some(at(900)), at(1_000));
-    let (_, entry) = book.iter().next().expect("one");
-    assert!(!planner.is_expired(entry, at(9_500), at(10_400)));
-    assert!(planner.is_expired(entry, at(9_500), at(10_401)));
+    let allows = |time: u64| planner.bounds("m", at(9_500), at(time)).allows(Some(1));
+    assert!(allows(10_400));
+    assert!(!allows(10_401));
 }
 
 /// While engines go over to newer weights, parts of the older ones are fetched
--- a/entry/src/front/beside_link.rs
+++ b/entry/src/front/beside_link.rs
@@ -50,9 +50,7 @@
     let mut guard = front.state();
     let state = &mut *guard;
     let begun = state.planner.plan(&state.book, now);
-    state
-        .book
-        .mark_swaps(&state.planner, front.settings.weights_limit, now);
+    state.book.mark_swaps(&state.planner);
     for (key, turn) in &begun {
         log::info!(
             event = "swap-turn",
--- a/entry/src/front/operator_watch.rs
+++ b/entry/src/front/operator_watch.rs
@@ -62,9 +62,13 @@
                 let mut guard = front.state();
                 let state = &mut *guard;
                 let not_yet = state.trust.proven_at();
-                state
+                let is_news = state
                     .planner
                     .name(&named.model, named.version, not_yet, now);
+                // What was known before, by whomever, did not show it yet.
+                if let Some(age) = state.trust.age(now).filter(|_| is_news) {
+                    state.planner.tell_age(&named.model, age, now);
+                }
                 log::info!(
                     event = "weights-named",
                     model = named.model.as_str(),
--- a/entry/src/front/peer_state.rs
+++ b/entry/src/front/peer_state.rs
@@ -1,9 +1,9 @@
 use {
     super::{log_changes, take_config, FrontContext},
-    pitchhitch_core::time::Micros,
+    pitchhitch_core::{serving::SwapPlanner, time::Micros},
     pitchhitch_platform::decode_config,
     pitchhitch_process::to_duration,
-    pitchhitch_wire::beside::{ask_state, HandedState, STATE_PATH},
+    pitchhitch_wire::beside::{ask_state, HandedNaming, HandedState, STATE_PATH},
     smol::Timer,
     std::{net::SocketAddr, rc::Rc, time::Duration},
 };
@@ -16,18 +16,25 @@
 /// Time from the start for which peers are asked in any case: the store's row may
 /// have gone back, or may show an older configuration for a moment.
 const FIRST_QUESTIONS: Micros = Micros::from_millis(1_500);
+/// Pause between two questions where only the age of namings is still to be told.
+const AGE_PAUSE: Micros = Micros::from_millis(400);
 
 /// What this front can hand on but for the text of the configuration; nothing
 /// until it knows all of it.
 pub(super) fn own_state(front: &FrontContext) -> Option<HandedState> {
     let state = front.state();
     let config = state.config.as_ref().filter(|_| state.has_list)?;
-    let weights = state.planner.all_named();
+    let now = front.now();
+    let naming = |(model, version): (&str, u64)| HandedNaming {
+        model: model.to_string(),
+        version,
+        age: state.planner.named_age(model, now),
+    };
     Some(HandedState {
         config: Vec::new(),
         version: config.version,
-        age: state.trust.age(front.now())?,
-        weights: weights.map(|(model, v)| (model.to_string(), v)).collect(),
+        age: state.trust.age(now)?,
+        weights: state.planner.all_named().map(naming).collect(),
         endpoints: state.book.notices(),
     })
 }
@@ -63,13 +70,17 @@
         if is_over {
             return;
         }
+        let mut pause = ASK_PAUSE;
         if let Some(peer) = peers.get(turn % peers.len().max(1)) {
             if ask_peer(&front, *peer).await && front.state().has_list {
-                return;
+                if front.state().planner.knows_ages(front.now()) {
+                    return;
+                }
+                pause = AGE_PAUSE;
             }
         }
         turn += 1;
-        Timer::after(to_duration(ASK_PAUSE)).await;
+        Timer::after(to_duration(pause)).await;
     }
 }
 
@@ -120,6 +131,25 @@
     outcome.is_ok()
 }
 
+/// Takes weights that a peer knows to be named. Where it does not know of newer ones
+/// that are known here, they were named after its reading of the store.
+fn take_naming(
+    planner: &mut SwapPlanner,
+    naming: &HandedNaming,
+    proven_age: Micros,
+    now: Micros,
+) {
+    planner.name(&naming.model, naming.version, None, now);
+    let is_newest = planner.named(&naming.model) == Some(naming.version);
+    let age = match is_newest {
+        true => naming.age,
+        false => Some(proven_age),
+    };
+    if let Some(age) = age {
+        planner.tell_age(&naming.model, age, now);
+    }
+}
+
 /// Takes what a peer knows: nothing that is older than what is known here.
 fn take_state(
     front: &FrontContext,
@@ -144,8 +174,8 @@
     let mut guard = front.state();
     let state = &mut *guard;
     state.trust.handed_on(handed.age, now);
-    for (model, version) in &handed.weights {
-        state.planner.name(model, *version, None, now);
+    for naming in &handed.weights {
+        take_naming(&mut state.planner, naming, handed.age, now);
     }
     if state.has_list {
         return Ok(());
--- a/entry/src/front/request_choice.rs
+++ b/entry/src/front/request_choice.rs
@@ -3,7 +3,7 @@
     pitchhitch_core::{
         serving::{
             pick_endpoint, AdmissionAsk, AdmissionVerdict, EndpointChoice, EngineGroup,
-            PartOutlook, PartPlace, PickAsk, VersionOutlook, WallName,
+            PartOutlook, PartPlace, PickAsk, VersionOutlook, WallName, WeightBounds,
         },
         time::Micros,
     },
@@ -99,11 +99,24 @@
             rank: self.rank(),
             tried: &self.tried,
             pace: &state.pace,
+            weights: self.weight_bounds(state, now),
             now,
         };
         pick_endpoint(&state.book, &ask, &outlooks)
     }
 
+    fn weight_bounds(
+        &self,
+        state: &FrontState,
+        now: Micros,
+    ) -> WeightBounds {
+        let limit = self.front.settings.weights_limit;
+        let prompt = self.ask.prompt.as_ref();
+        prompt.map_or_else(WeightBounds::default, |prompt| {
+            state.planner.bounds(&prompt.model, limit, now)
+        })
+    }
+
     /// Where the parts of the prompt are kept, for each version that some
     /// engine has.
     pub(super) fn outlooks(
--- a/wire/src/beside/handed_state.rs
+++ b/wire/src/beside/handed_state.rs
@@ -1,4 +1,5 @@
 use {
+    super::HandedNaming,
     crate::{
         beacon::BeaconKey,
         codec::{decode_body, encode_body},
@@ -25,8 +26,8 @@
     pub version: u64,
     /// Time since the reading that showed it to be the newest was sent.
     pub age: Micros,
-    /// Named weights by model.
-    pub weights: Vec<(String, u64)>,
+    /// Named weights.
+    pub weights: Vec<HandedNaming>,
     /// Endpoints, those that leave included.
     pub endpoints: Vec<EndpointNotice>,
 }
@@ -43,11 +44,23 @@
 }
 
 impl HandedState {
-    /// A number that differs where the content does; the age does not count.
+    /// Makes it older: `span` has passed since its ages were right.
+    pub fn grow_older(
+        &mut self,
+        span: Micros,
+    ) {
+        self.age = self.age + span;
+        for naming in &mut self.weights {
+            naming.age = naming.age.map(|age| age + span);
+        }
+    }
+
+    /// A number that differs where the content does; ages do not count.
     pub fn mark(&self) -> u64 {
-        let aged = (&self.version, &self.weights, &self.endpoints);
+        let weights = self.weights.iter().map(|n| (&n.model, n.version));
+        let ageless = (&self.version, weights.collect::<Vec<_>>(), &self.endpoints);
         // What cannot be written has no number of its own, and is not asked for.
-        let Ok(bytes) = encode_body(&aged) else {
+        let Ok(bytes) = encode_body(&ageless) else {
             return 0;
         };
         let hash = blake3::hash(&bytes);
