Log the time given to a fetch, and the clock at a free

Cause: lines lacked the two times that tell the hypotheses of the freed part apart. Ruled out: nothing yet. Change: fetch_until_ms in try, clock_ms in kept-free and engine-back.

--- a/agent/src/beside/engine_watch.rs
+++ b/agent/src/beside/engine_watch.rs
@@ -28,7 +28,8 @@
         match report {
             Some(report) => {
                 if failures >= SILENT_AFTER {
-                    log::info!(event = "engine-back", failures = failures; "");
+                    let clock_ms = report.clock_ms.map_or(-1, |clock| clock as i64);
+                    log::info!(event = "engine-back", failures = failures, clock_ms = clock_ms; "");
                 }
                 failures = 0;
                 beside.state().metrics.count("reports", "sound");
--- a/core/src/serving/store_view.rs
+++ b/core/src/serving/store_view.rs
@@ -93,6 +93,15 @@
         }
     }
 
+    /// Time on the engines' clock, as far as this store has told it.
+    pub fn clock_ms(
+        &self,
+        now: Micros,
+    ) -> Option<u64> {
+        let (clock, at) = self.clock?;
+        Some(clock + now.since(at).as_millis())
+    }
+
     /// Time on the engines' clock by which a fetch must have ended, and whether
     /// there is time for one at all.
     pub fn fetch_until_ms(
@@ -100,8 +109,8 @@
         now: Micros,
     ) -> Option<u64> {
         let left = (self.proven_at? + VIEW_LIFE).since(now);
-        let (clock, at) = self.clock?;
-        (left > Micros::ZERO).then(|| clock + now.since(at).as_millis() + left.as_millis())
+        let clock_ms = self.clock_ms(now)?;
+        (left > Micros::ZERO).then(|| clock_ms + left.as_millis())
     }
 
     /// Whether the store answered last time, but too long ago to be gone by: the
--- a/entry/src/front/request_log.rs
+++ b/entry/src/front/request_log.rs
@@ -33,6 +33,17 @@
         choice: &EndpointChoice,
         outcome: &str,
         cause: &str,
+    ) {
+        self.log_send(choice, outcome, cause, None);
+    }
+
+    /// Logs a try, with the time by which fetches from stores must have ended.
+    pub(super) fn log_send(
+        &self,
+        choice: &EndpointChoice,
+        outcome: &str,
+        cause: &str,
+        fetch_until_ms: Option<u64>,
     ) {
         let front = self.front;
         let state = front.state();
@@ -59,6 +70,7 @@
             fetched = choice.plan.fetched_tokens,
             fetch_ms = choice.plan.fetch_ms as u64,
             parts = self.told_parts(choice).as_str(),
+            fetch_until_ms = fetch_until_ms.map_or(-1, |until| until as i64),
             weights = choice.version.unwrap_or(0),
             of = choice.candidates,
             lacking = state.admission.lacking_part(),
--- a/entry/src/front/request_moves.rs
+++ b/entry/src/front/request_moves.rs
@@ -15,7 +15,7 @@
 pub(super) struct PartMoves {
     fetch: Vec<Option<PartAddress>>,
     save: Vec<Option<PartAddress>>,
-    until_ms: Option<u64>,
+    pub(super) until_ms: Option<u64>,
 }
 
 impl RequestRun<'_> {
--- a/entry/src/front/request_try.rs
+++ b/entry/src/front/request_try.rs
@@ -128,7 +128,7 @@
                 .note_sent(prompt.tokens_in, unread, prompt.tokens_out);
         }
         self.sends += 1;
-        self.log_try(choice, "sent", "");
+        self.log_send(choice, "sent", "", place.moves.until_ms);
         let request_id = self.ask.request_id.clone();
         let (answer, may_have_run) =
             send_offer(offer, &bytes, &request_id, self.caller, &mut self.timer).await;
--- a/entry/src/front/store_watch.rs
+++ b/entry/src/front/store_watch.rs
@@ -243,12 +243,14 @@
         let Some((parts, epoch)) = old_parts(&front, address) else {
             continue;
         };
+        let clock_ms = store_clock(&front, address);
         let is_freed = client.free(&parts, epoch).await;
         log::info!(
             event = "kept-free",
             store = address.to_string().as_str(),
             epoch = epoch,
             parts = parts.len(),
+            clock_ms = clock_ms.map_or(-1, |clock| clock as i64),
             freed = is_freed;
             ""
         );
@@ -264,6 +266,16 @@
     }
 }
 
+/// Time on the engines' clock, to set a free beside the times that fetches were given.
+fn store_clock(
+    front: &FrontContext,
+    address: SocketAddr,
+) -> Option<u64> {
+    let now = front.now();
+    let mut state = front.state();
+    state.memory.view_mut(address)?.clock_ms(now)
+}
+
 fn old_parts(
     front: &FrontContext,
     address: SocketAddr,
