Free a part only once engines prove that their fetches are over

Cause: the time given to a fetch does not end one that was under way when its engine stood still: it ends when the engine wakes, and the part had been freed. Class: the age of knowledge at one box taken for proof of what another box does. Change: ReadProofs follows the reports of each engine on the engines' clock. Parts of replaced weights are freed once each engine that may have been told has been awake for the longest fetch, up to a time behind the last one; a minute later where one does not prove it. A front that did not see the time before a naming does not know who was told and waits that minute. Engines that have newer weights are not waited for.

--- a/core/src/serving/mod.rs
+++ b/core/src/serving/mod.rs
@@ -15,11 +15,13 @@
 mod key_trust;
 mod kv_store;
 mod memory_map;
+mod part_fate;
 mod part_memory;
 mod path_index;
 mod prompt_ask;
 mod prompt_part;
 mod rank_shares;
+mod read_proofs;
 mod refusal_kind;
 mod repeat_meter;
 mod route_habits;
@@ -35,8 +37,8 @@
 pub use {
     admission_ask::*, admission_rule::*, admission_verdict::*, caller_limits::*, endpoint_book::*,
     endpoint_entry::*, endpoint_pick::*, endpoint_return::*, engine_pace::*, key_policy::*,
-    key_trust::*, kv_store::*, memory_map::*, part_memory::*, path_index::*, prompt_ask::*,
-    prompt_part::*, rank_shares::*, refusal_kind::*, repeat_meter::*, route_habits::*,
-    served_route::*, serving_config::*, standstill_watch::*, store_view::*, swap_planner::*,
-    wall_name::*, weight_belief::*,
+    key_trust::*, kv_store::*, memory_map::*, part_fate::*, part_memory::*, path_index::*,
+    prompt_ask::*, prompt_part::*, rank_shares::*, read_proofs::*, refusal_kind::*,
+    repeat_meter::*, route_habits::*, served_route::*, serving_config::*, standstill_watch::*,
+    store_view::*, swap_planner::*, wall_name::*, weight_belief::*,
 };
--- /dev/null
+++ b/core/src/serving/part_fate.rs
@@ -0,0 +1,10 @@
+/// What becomes of a part whose weights have been replaced.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum PartFate {
+    /// It may still be fetched.
+    Fetched,
+    /// Nobody is told to fetch it any more, but some engine may still do so.
+    Held,
+    /// Nobody can read it: it may be freed.
+    Over,
+}
--- /dev/null
+++ b/core/src/serving/read_proofs.rs
@@ -0,0 +1,142 @@
+use {
+    super::{WeightBelief, VIEW_LIFE},
+    crate::time::Micros,
+    std::{collections::BTreeMap, net::SocketAddr},
+};
+
+/// Time between two reports up to which an engine counts as awake all the while:
+/// three times that of reports of an engine that has no news.
+pub const AWAKE_GAP: Micros = Micros::from_millis(800);
+
+/// Time that an engine must have been awake: the longest fetch that was under way
+/// when it woke, and a standstill that reports do not show.
+const AWAKE_FOR: Micros = Micros(VIEW_LIFE.0 + AWAKE_GAP.0);
+
+/// What shows that fetches of one engine are over.
+#[derive(Debug, Clone, Default)]
+struct AwakeSpan {
+    weights: WeightBelief,
+    from_ms: u64,
+    seen_ms: u64,
+    proven_ms: u64,
+}
+
+impl AwakeSpan {
+    fn learn(
+        &mut self,
+        model: &str,
+        version: u64,
+    ) {
+        let known = self.weights.version(model);
+        if known.is_none_or(|known| known < version) {
+            self.weights.learn(model, version);
+        }
+    }
+
+    fn heard(
+        &mut self,
+        clock_ms: u64,
+    ) {
+        // Reports may overtake each other.
+        if clock_ms <= self.seen_ms {
+            return;
+        }
+        if clock_ms - self.seen_ms > AWAKE_GAP.as_millis() {
+            self.from_ms = clock_ms;
+        }
+        self.seen_ms = clock_ms;
+        if clock_ms - self.from_ms >= AWAKE_FOR.as_millis() {
+            self.proven_ms = clock_ms;
+        }
+    }
+
+    /// Whether it may have been told to fetch parts of a version: who has newer
+    /// weights refuses what it had not begun.
+    fn may_fetch(
+        &self,
+        model: &str,
+        version: u64,
+    ) -> bool {
+        match self.weights.is_known() {
+            true => self.weights.version(model).is_some_and(|v| v <= version),
+            false => true,
+        }
+    }
+}
+
+/// Until when fetches of parts are proven to be over, engine by engine.
+///
+/// An engine throws a fetch away that begins too late. It does not throw away one that
+/// was under way when it stood still: that ends when it wakes, at any later time. So the
+/// time that a fetch was given proves nothing; reports of an engine that was awake since do.
+///
+/// All times are on the engines' clock. Engines are told by address, which no two have
+/// at a time: a report from there is one of the engine that is meant, or of one after it.
+#[derive(Debug, Clone, Default)]
+pub struct ReadProofs {
+    engines: BTreeMap<SocketAddr, AwakeSpan>,
+}
+
+impl ReadProofs {
+    /// Takes that there is an engine, and what weights it is believed to have.
+    pub fn know(
+        &mut self,
+        address: SocketAddr,
+        weights: &WeightBelief,
+    ) {
+        let span = self.engines.entry(address).or_default();
+        for (model, version) in weights.iter() {
+            span.learn(model, version);
+        }
+    }
+
+    /// Takes a report of an engine, made at `clock_ms`.
+    pub fn heard(
+        &mut self,
+        address: SocketAddr,
+        weights: &[(String, u64)],
+        clock_ms: Option<u64>,
+    ) {
+        let span = self.engines.entry(address).or_default();
+        for (model, version) in weights {
+            span.learn(model, *version);
+        }
+        if let Some(clock_ms) = clock_ms {
+            span.heard(clock_ms);
+        }
+    }
+
+    /// Takes that something else than an engine answers at an address now.
+    pub fn forget(
+        &mut self,
+        address: SocketAddr,
+    ) {
+        self.engines.remove(&address);
+    }
+
+    /// The time for which this holds: what was told to fetch parts of a version and
+    /// should have ended by then has ended. Nobody is left to wait for where it is
+    /// the end of all times.
+    pub fn over_until_ms(
+        &self,
+        model: &str,
+        version: u64,
+    ) -> u64 {
+        let spans = self.engines.values();
+        let told = spans.filter(|span| span.may_fetch(model, version));
+        told.map(|span| span.proven_ms).min().unwrap_or(u64::MAX)
+    }
+
+    /// Engines that have not proven it for longer than the others, for the log.
+    pub fn last_proven(
+        &self,
+        model: &str,
+        version: u64,
+    ) -> Vec<SocketAddr> {
+        let until_ms = self.over_until_ms(model, version);
+        let engines = self.engines.iter();
+        let last = engines
+            .filter(|(_, span)| span.may_fetch(model, version) && span.proven_ms == until_ms);
+        last.map(|(address, _)| *address).collect()
+    }
+}
--- a/core/src/serving/store_view.rs
+++ b/core/src/serving/store_view.rs
@@ -27,6 +27,7 @@
     epoch_seen_at: Micros,
     proven_at: Option<Micros>,
     clock: Option<(u64, Micros)>,
+    latest_clock: Option<(u64, Micros)>,
     pending: HashMap<(WallTag, PartId), (u32, Micros)>,
     pending_tokens: u64,
     busy_until: Micros,
@@ -42,6 +43,7 @@
             epoch_seen_at: Micros::ZERO,
             proven_at: None,
             clock: None,
+            latest_clock: None,
             pending: HashMap::new(),
             pending_tokens: 0,
             busy_until: Micros::ZERO,
@@ -63,6 +65,8 @@
         now: Micros,
     ) -> bool {
         self.clock = clock_ms.map(|clock| (clock, now));
+        let latest = clock_ms.map(|clock| (clock, sent_at));
+        self.latest_clock = latest.or(self.latest_clock);
         let is_new = self.epoch != Some(epoch);
         if is_new {
             self.epoch = Some(epoch);
@@ -102,6 +106,16 @@
         Some(clock + now.since(at).as_millis())
     }
 
+    /// Time on the engines' clock that is not over yet: had the store answered at
+    /// once, it would be so late.
+    pub fn latest_clock_ms(
+        &self,
+        now: Micros,
+    ) -> Option<u64> {
+        let (clock, at) = self.latest_clock?;
+        Some(clock + now.since(at).as_millis() + 1)
+    }
+
     /// Time on the engines' clock by which a fetch must have ended, and whether
     /// there is time for one at all.
     pub fn fetch_until_ms(
--- a/core/src/serving/weight_belief.rs
+++ b/core/src/serving/weight_belief.rs
@@ -28,6 +28,18 @@
         true
     }
 
+    /// All models, and the version of each.
+    pub fn iter(&self) -> impl Iterator<Item = (&str, u64)> {
+        self.versions
+            .iter()
+            .map(|(model, version)| (model.as_str(), *version))
+    }
+
+    /// Whether anything is known of the engine's weights.
+    pub fn is_known(&self) -> bool {
+        !self.versions.is_empty()
+    }
+
     /// Whether the engine is known to serve a model.
     pub fn serves(
         &self,
--- a/core/src/serving/weight_namings.rs
+++ b/core/src/serving/weight_namings.rs
@@ -1,7 +1,7 @@
 //! Which weights are named, and until when parts of older ones are fetched.
 
 use {
-    super::{EndpointEntry, PartId, SwapPlanner, VIEW_LIFE},
+    super::{EndpointEntry, PartFate, PartId, SwapPlanner, AWAKE_GAP, VIEW_LIFE},
     crate::time::Micros,
 };
 
@@ -14,8 +14,13 @@
 /// compromise: longer is better right after a naming, shorter some seconds later.
 const FETCH_FADE: Micros = Micros::from_secs(10);
 /// Time from the end of the fetches until a part is freed, on another box: the
-/// longest fetch ([`VIEW_LIFE`]) and half a second.
-const FREE_MARGIN: Micros = Micros(VIEW_LIFE.0 + 500_000);
+/// longest fetch ([`VIEW_LIFE`]) and a standstill that reports do not show.
+const FREE_MARGIN: Micros = Micros(VIEW_LIFE.0 + AWAKE_GAP.0);
+/// Time from then on for which a part is held where some engine does not prove that
+/// its fetches are over: it may stand still, or be gone for good, and stores that are
+/// full of such parts take nothing else. By judgement: several times the longest
+/// standstill that was seen (9 s).
+const HOLD_LIMIT: Micros = Micros::from_secs(60);
 
 /// Time after which a reading must show a naming that came before. By judgement:
 /// several times what the store takes.
@@ -111,17 +116,36 @@
         known.is_some_and(|at| now.since(at) < fetch_life(part))
     }
 
-    /// Whether no box fetches a part made under a version any more.
-    pub fn may_free(
+    /// What becomes of a part made under a version. It may be freed once no box tells an
+    /// engine to fetch it, and those that were told have proven that they are done.
+    ///
+    /// `reads_over_ms` tells for what time they have ([`super::ReadProofs::over_until_ms`]),
+    /// `clock_ms` is a time on the engines' clock that is not over at `now`.
+    pub fn fate(
         &self,
         model: &str,
         version: u64,
         part: PartId,
+        reads_over_ms: u64,
+        clock_ms: Option<u64>,
         now: Micros,
-    ) -> bool {
-        let naming = self.replaced_by(model, version);
-        let free_after = fetch_life(part) + FREE_MARGIN;
-        naming.is_some_and(|naming| now.since(naming.learned_at) > free_after)
+    ) -> PartFate {
+        let Some(naming) = self.replaced_by(model, version) else {
+            return PartFate::Fetched;
+        };
+        let over_at = naming.learned_at + fetch_life(part) + FREE_MARGIN;
+        if now <= over_at {
+            return PartFate::Fetched;
+        }
+        let past = now.since(over_at);
+        // A box that knows nothing of the time before does not know who was told.
+        let knows_told = naming.not_yet.is_some();
+        let over_ms = clock_ms.map(|clock| clock.saturating_sub(past.as_millis()));
+        let is_proven = over_ms.is_some_and(|over| reads_over_ms > over);
+        match past > HOLD_LIMIT || (knows_told && is_proven) {
+            true => PartFate::Over,
+            false => PartFate::Held,
+        }
     }
 
     fn replaced_by(
--- a/entry/src/front/front_state.rs
+++ b/entry/src/front/front_state.rs
@@ -2,7 +2,7 @@
     super::{FrontSettings, LinkPool},
     pitchhitch_core::{
         serving::{
-            AdmissionRule, EndpointBook, EnginePace, KeyTrust, MemoryMap, RepeatMeter,
+            AdmissionRule, EndpointBook, EnginePace, KeyTrust, MemoryMap, ReadProofs, RepeatMeter,
             ServingConfig, StandstillWatch, SwapPlanner, WallName, WallTag,
         },
         time::Micros,
@@ -40,6 +40,8 @@
     pub pace: EnginePace,
     /// Stores and what is known of their content.
     pub memory: MemoryMap,
+    /// Until when engines' fetches are proven to be over.
+    pub reads: ReadProofs,
     /// Named weights and whose turn it is to load them.
     pub planner: SwapPlanner,
     /// Unused connections.
@@ -74,6 +76,7 @@
             admission: AdmissionRule::default(),
             pace: EnginePace::default(),
             memory: MemoryMap::default(),
+            reads: ReadProofs::default(),
             planner: SwapPlanner::default(),
             pool: LinkPool::default(),
             standstill: StandstillWatch::default(),
--- a/entry/src/front/request_moves.rs
+++ b/entry/src/front/request_moves.rs
@@ -92,18 +92,24 @@
                 continue;
             };
             let is_store = matches!(source.place, PartPlace::Store(_));
+            let mut until = None;
+            if let PartPlace::Store(place) = source.place {
+                let view = state.memory.view_at(place);
+                until = view.and_then(|view| view.fetch_until_ms(now));
+                if until.is_none() {
+                    // Without a time it would be fetched whenever its turn comes.
+                    moves.fetch.push(None);
+                    continue;
+                }
+            }
             moves.fetch.push(Some(PartAddress {
                 address: source.address,
                 tokens: is_store.then_some(fetch.part.tokens),
             }));
-            if let PartPlace::Store(place) = source.place {
-                let view = state.memory.view_at(place);
-                let until = view.and_then(|view| view.fetch_until_ms(now));
-                moves.until_ms = match (moves.until_ms, until) {
-                    (Some(before), Some(until)) => Some(before.min(until)),
-                    (before, until) => until.or(before),
-                };
-            }
+            moves.until_ms = match (moves.until_ms, until) {
+                (Some(before), Some(until)) => Some(before.min(until)),
+                (before, until) => until.or(before),
+            };
         }
         moves.fetch.resize(prompt.parts.len(), None);
         state.memory.fetching(&choice.plan, now);
--- a/entry/src/front/store_watch.rs
+++ b/entry/src/front/store_watch.rs
@@ -1,7 +1,7 @@
 use {
     super::FrontContext,
     pitchhitch_core::{
-        serving::{LookPlan, PartId, StoreView},
+        serving::{EndpointStanding, LookPlan, PartFate, PartId, StoreView, WallName},
         time::Micros,
     },
     pitchhitch_platform::{KeptChange, KeptClient, KeptFailure},
@@ -20,6 +20,8 @@
 const FREE_LIMIT: usize = 200;
 /// Pause between two calls that free.
 const FREE_PAUSE: Micros = Micros::from_millis(300);
+/// Looks that find parts held in a row before it is told: each proof lags a little.
+const HELD_LOOKS: u32 = 5;
 
 /// What came of a question to a store.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -238,11 +240,21 @@
     address: SocketAddr,
 ) {
     let mut client = KeptClient::new(address, CALL_LIMIT);
+    let mut held_looks = 0;
     while has_view(&front, address) {
         Timer::after(to_duration(FREE_PAUSE)).await;
-        let Some((parts, epoch)) = old_parts(&front, address) else {
+        note_engines(&front);
+        let Some(OldParts { parts, epoch, held }) = old_parts(&front, address) else {
             continue;
         };
+        let was_told = held_looks >= HELD_LOOKS;
+        held_looks = held.as_ref().map_or(0, |_| held_looks + 1);
+        if was_told != (held_looks >= HELD_LOOKS) {
+            log_held(&front, address, held.as_ref());
+        }
+        if parts.is_empty() {
+            continue;
+        }
         let clock_ms = store_clock(&front, address);
         let is_freed = client.free(&parts, epoch).await;
         log::info!(
@@ -266,6 +278,41 @@
     }
 }
 
+/// Takes which engines there are: those of which nothing is heard count as well.
+fn note_engines(front: &FrontContext) {
+    let mut guard = front.state();
+    let state = &mut *guard;
+    let Some(config) = &state.config else {
+        return;
+    };
+    for (_, entry) in state.book.iter() {
+        let group = config.groups.get(&entry.service);
+        if group.is_some_and(|group| group.engine.is_some()) {
+            state.reads.know(entry.address, &entry.weights);
+        } else if entry.standing != EndpointStanding::Leaving {
+            state.reads.forget(entry.address);
+        }
+    }
+}
+
+fn log_held(
+    front: &FrontContext,
+    address: SocketAddr,
+    held: Option<&WallName>,
+) {
+    let state = front.state();
+    let last = held.map(|wall| state.reads.last_proven(&wall.model, wall.version));
+    let last: Vec<String> = last.iter().flatten().map(SocketAddr::to_string).collect();
+    log::info!(
+        event = "kept-held",
+        store = address.to_string().as_str(),
+        held = held.is_some(),
+        version = held.map_or(0, |wall| wall.version),
+        waits_for = last.join(",").as_str();
+        ""
+    );
+}
+
 /// Time on the engines' clock, to set a free beside the times that fetches were given.
 fn store_clock(
     front: &FrontContext,
@@ -276,27 +323,44 @@
     state.memory.view_mut(address)?.clock_ms(now)
 }
 
+/// Parts at a store whose weights have been replaced.
+struct OldParts {
+    /// Those that are freed now.
+    parts: Vec<(String, PartId)>,
+    /// Life of the store that this is known of.
+    epoch: u64,
+    /// Weights of some that are held until engines prove that they are done.
+    held: Option<WallName>,
+}
+
 fn old_parts(
     front: &FrontContext,
     address: SocketAddr,
-) -> Option<(Vec<(String, PartId)>, u64)> {
+) -> Option<OldParts> {
     let now = front.now();
-    let mut state = front.state();
-    let walls = state.walls();
-    let state = &mut *state;
-    let planner = &state.planner;
+    let mut guard = front.state();
+    let walls = guard.walls();
+    let state = &mut *guard;
+    let (planner, reads) = (&state.planner, &state.reads);
     let view = state.memory.view_mut(address)?;
     let epoch = view.epoch()?;
+    let clock_ms = view.latest_clock_ms(now);
     let mut parts = Vec::new();
+    let mut held = None;
     for (wall, tag) in walls {
         if planner.named(&wall.model) <= Some(wall.version) {
             continue;
         }
         let salt = wall.salt();
-        let may_free = |id: &PartId| planner.may_free(&wall.model, wall.version, *id, now);
-        let inside = view.parts.inside(tag).into_iter().filter(may_free);
-        parts.extend(inside.map(|id| (salt.clone(), id)));
+        let over_ms = reads.over_until_ms(&wall.model, wall.version);
+        for id in view.parts.inside(tag) {
+            match planner.fate(&wall.model, wall.version, id, over_ms, clock_ms, now) {
+                PartFate::Fetched => {}
+                PartFate::Held => held = Some(wall.clone()),
+                PartFate::Over => parts.push((salt.clone(), id)),
+            }
+        }
     }
     parts.truncate(FREE_LIMIT);
-    (!parts.is_empty()).then_some((parts, epoch))
+    Some(OldParts { parts, epoch, held })
 }
