Forget engines that ended long ago; free nothing before the list is read

Cause: an engine that is gone for good would have held parts up for a minute at every naming for ever; a front that has not read the list does not know whom to wait for; a service that the configuration drops may still have engines that read. Ruled out: nothing. Change: ReadProofs::prune, has_list before a free.

--- a/core/src/serving/read_proofs.rs
+++ b/core/src/serving/read_proofs.rs
@@ -8,14 +8,25 @@
 /// three times that of reports of an engine that has no news.
 pub const AWAKE_GAP: Micros = Micros::from_millis(800);
 
+/// Time for which a part is held, once nobody is told to fetch it, where some engine
+/// does not prove that its fetches are over: it may stand still, or be gone for good,
+/// and stores that are full of such parts take nothing else. By judgement: several
+/// times the longest standstill that was seen (9 s).
+pub const HOLD_LIMIT: Micros = Micros::from_secs(60);
+
 /// Time that an engine must have been awake: the longest fetch that was under way
 /// when it woke, and a standstill that reports do not show.
 const AWAKE_FOR: Micros = Micros(VIEW_LIFE.0 + AWAKE_GAP.0);
 
+/// Time after which an engine that nobody lists or hears of is not waited for: parts
+/// are held no longer for any engine.
+const FORGET_AFTER: Micros = HOLD_LIMIT;
+
 /// What shows that fetches of one engine are over.
 #[derive(Debug, Clone, Default)]
 struct AwakeSpan {
     weights: WeightBelief,
+    known_at: Micros,
     from_ms: u64,
     seen_ms: u64,
     proven_ms: u64,
@@ -83,8 +94,10 @@
         &mut self,
         address: SocketAddr,
         weights: &WeightBelief,
+        now: Micros,
     ) {
         let span = self.engines.entry(address).or_default();
+        span.known_at = now;
         for (model, version) in weights.iter() {
             span.learn(model, version);
         }
@@ -96,8 +109,10 @@
         address: SocketAddr,
         weights: &[(String, u64)],
         clock_ms: Option<u64>,
+        now: Micros,
     ) {
         let span = self.engines.entry(address).or_default();
+        span.known_at = now;
         for (model, version) in weights {
             span.learn(model, *version);
         }
@@ -106,6 +121,15 @@
         }
     }
 
+    /// Forgets engines that nothing is known of any more.
+    pub fn prune(
+        &mut self,
+        now: Micros,
+    ) {
+        self.engines
+            .retain(|_, span| now.since(span.known_at) <= FORGET_AFTER);
+    }
+
     /// Takes that something else than an engine answers at an address now.
     pub fn forget(
         &mut self,
--- a/core/src/serving/weight_namings.rs
+++ b/core/src/serving/weight_namings.rs
@@ -1,7 +1,7 @@
 //! Which weights are named, and until when parts of older ones are fetched.
 
 use {
-    super::{EndpointEntry, PartFate, PartId, SwapPlanner, AWAKE_GAP, VIEW_LIFE},
+    super::{EndpointEntry, PartFate, PartId, SwapPlanner, AWAKE_GAP, HOLD_LIMIT, VIEW_LIFE},
     crate::time::Micros,
 };
 
@@ -16,11 +16,6 @@
 /// Time from the end of the fetches until a part is freed, on another box: the
 /// longest fetch ([`VIEW_LIFE`]) and a standstill that reports do not show.
 const FREE_MARGIN: Micros = Micros(VIEW_LIFE.0 + AWAKE_GAP.0);
-/// Time from then on for which a part is held where some engine does not prove that
-/// its fetches are over: it may stand still, or be gone for good, and stores that are
-/// full of such parts take nothing else. By judgement: several times the longest
-/// standstill that was seen (9 s).
-const HOLD_LIMIT: Micros = Micros::from_secs(60);
 
 /// Time after which a reading must show a naming that came before. By judgement:
 /// several times what the store takes.
--- a/core/tests/read_proofs.rs
+++ b/core/tests/read_proofs.rs
@@ -4,6 +4,7 @@
     pitchhitch_core::{
         serving::{
             KvStore, PartFate, PartId, ReadProofs, StoreView, SwapPlanner, WeightBelief, AWAKE_GAP,
+            HOLD_LIMIT,
         },
         time::Micros,
     },
@@ -32,7 +33,12 @@
     to_ms: u64,
 ) {
     for clock_ms in (from_ms..=to_ms).step_by(250) {
-        reads.heard(engine(place), &weights(version), Some(clock_ms));
+        reads.heard(
+            engine(place),
+            &weights(version),
+            Some(clock_ms),
+            at(clock_ms),
+        );
     }
 }
 
@@ -61,7 +67,7 @@
     assert_eq!(reads.over_until_ms("m", 1), woken + 3_000);
     // What lay on the way while the box stood still comes late and proves nothing.
     hear(&mut reads, 0, 1, 11_000, 12_000);
-    reads.heard(engine(0), &weights(1), None);
+    reads.heard(engine(0), &weights(1), None, at(1));
     assert_eq!(reads.over_until_ms("m", 1), woken + 3_000);
 }
 
@@ -69,20 +75,31 @@
 fn newer_weights_excused() {
     let mut reads = ReadProofs::default();
     let mut belief = WeightBelief::default();
-    reads.know(engine(0), &belief);
+    reads.know(engine(0), &belief, at(0));
     assert_eq!(
         reads.over_until_ms("m", 1),
         0,
         "it may have been told anything"
     );
     belief.learn("m", 2);
-    reads.know(engine(0), &belief);
+    reads.know(engine(0), &belief, at(0));
     assert_eq!(reads.over_until_ms("m", 1), u64::MAX);
     assert_eq!(reads.over_until_ms("m", 2), 0);
     reads.forget(engine(0));
     assert_eq!(reads.over_until_ms("m", 2), u64::MAX);
 }
 
+/// Engines that ended long ago must not hold parts up at each naming.
+#[test]
+fn ended_engines_forgotten() {
+    let mut reads = ReadProofs::default();
+    hear(&mut reads, 0, 1, 10_000, 11_000);
+    reads.prune(at(11_000) + HOLD_LIMIT);
+    assert_eq!(reads.over_until_ms("m", 1), 0);
+    reads.prune(at(11_001) + HOLD_LIMIT);
+    assert_eq!(reads.over_until_ms("m", 1), u64::MAX);
+}
+
 /// Who is silent for good must not fill the stores for good; who does not know what
 /// was told before its own time waits as long.
 #[test]
@@ -209,12 +226,15 @@
 }
 
 impl SmallFront {
-    fn new(engines: &[SmallEngine]) -> Self {
+    fn new(
+        engines: &[SmallEngine],
+        now: u64,
+    ) -> Self {
         let mut reads = ReadProofs::default();
         for (place, small) in engines.iter().enumerate() {
             let mut belief = WeightBelief::default();
             belief.learn("m", small.version);
-            reads.know(engine(place), &belief);
+            reads.know(engine(place), &belief, at(now));
         }
         SmallFront {
             planner: SwapPlanner::default(),
@@ -267,7 +287,7 @@
             ..SmallEngine::default()
         };
         let engines = vec![small; ENGINES];
-        let fronts = (0..FRONTS).map(|_| SmallFront::new(&engines)).collect();
+        let fronts = (0..FRONTS).map(|_| SmallFront::new(&engines, 0)).collect();
         SmallWorld {
             now: STEP_MS,
             named: 1,
@@ -337,7 +357,7 @@
                 small.still_until = small.still_until.max(now + for_ms);
             }
             Happening::NewFront { front } => {
-                self.fronts[*front] = SmallFront::new(&self.engines);
+                self.fronts[*front] = SmallFront::new(&self.engines, now);
             }
         }
     }
@@ -361,7 +381,7 @@
             }
             for (place, version, clock_ms) in front.inbox.drain(..) {
                 let reads = &mut front.reads;
-                reads.heard(engine(place), &weights(version), Some(clock_ms));
+                reads.heard(engine(place), &weights(version), Some(clock_ms), at(now));
             }
             if now % LOOK_MS == 0 {
                 front.look(named, now);
--- a/entry/src/front/beside_link.rs
+++ b/entry/src/front/beside_link.rs
@@ -151,7 +151,7 @@
     state.fronts = digest.fronts.max(1);
     state
         .reads
-        .heard(digest.engine, &digest.weights, digest.clock_ms);
+        .heard(digest.engine, &digest.weights, digest.clock_ms, now);
     let Some(key) = state.book.key_at(digest.engine) else {
         return;
     };
--- a/entry/src/front/store_watch.rs
+++ b/entry/src/front/store_watch.rs
@@ -280,19 +280,23 @@
 
 /// Takes which engines there are: those of which nothing is heard count as well.
 fn note_engines(front: &FrontContext) {
+    let now = front.now();
     let mut guard = front.state();
     let state = &mut *guard;
     let Some(config) = &state.config else {
         return;
     };
     for (_, entry) in state.book.iter() {
-        let group = config.groups.get(&entry.service);
-        if group.is_some_and(|group| group.engine.is_some()) {
-            state.reads.know(entry.address, &entry.weights);
+        let Some(group) = config.groups.get(&entry.service) else {
+            continue;
+        };
+        if group.engine.is_some() {
+            state.reads.know(entry.address, &entry.weights, now);
         } else if entry.standing != EndpointStanding::Leaving {
             state.reads.forget(entry.address);
         }
     }
+    state.reads.prune(now);
 }
 
 fn log_held(
@@ -339,6 +343,10 @@
 ) -> Option<OldParts> {
     let now = front.now();
     let mut guard = front.state();
+    if !guard.has_list {
+        // Nobody knows yet which engines may have been told.
+        return None;
+    }
     let walls = guard.walls();
     let state = &mut *guard;
     let (planner, reads) = (&state.planner, &state.reads);
