--- a/core/tests/weight_bounds.rs
+++ b/core/tests/weight_bounds.rs
@@ -45,9 +45,9 @@
     assert!(!planner.knows_ages(at(100)));
     assert_eq!(oldest(&planner, 100 + ASKS_FOR), None);
     assert_eq!(oldest(&planner, 101 + ASKS_FOR), Some(2));
-    planner.tell(&told(2, Some(1), Some(at(4_000))), at(200));
+    planner.tell(&told(2, Some(1), Some(at(4_000))), at(200), at(200));
     assert!(planner.knows_ages(at(200)));
-    planner.tell(&told(1, Some(0), Some(at(4_100))), at(200));
+    planner.tell(&told(1, Some(0), Some(at(4_100))), at(200), at(200));
     assert_eq!(oldest(&planner, 5_200), Some(1));
     assert_eq!(oldest(&planner, 5_201), Some(2));
 }
@@ -70,11 +70,11 @@
 fn older_namings_told() {
     let mut planner = SwapPlanner::default();
     planner.name("m", 3, None, at(100));
-    planner.tell(&told(3, Some(2), Some(at(600))), at(200));
+    planner.tell(&told(3, Some(2), Some(at(600))), at(200), at(200));
     // Nobody tells when 2 was named: what is older counts as too old.
     assert_eq!(oldest(&planner, 101 + ASKS_FOR), Some(2));
-    planner.tell(&told(2, Some(1), Some(at(3_000))), at(200));
-    planner.tell(&told(1, None, None), at(200));
+    planner.tell(&told(2, Some(1), Some(at(3_000))), at(200), at(200));
+    planner.tell(&told(1, None, None), at(200), at(200));
     assert_eq!(oldest(&planner, 6_200), Some(1));
     assert_eq!(oldest(&planner, 6_201), Some(2));
     assert_eq!(oldest(&planner, 8_601), Some(3));
@@ -89,9 +89,9 @@
     let mut planner = SwapPlanner::default();
     planner.name("m", 1, None, at(0));
     planner.name("m", 3, Some(at(1_000)), at(5_000));
-    planner.tell(&told(3, None, Some(at(10))), at(5_000));
+    planner.tell(&told(3, None, Some(at(10))), at(5_000), at(5_000));
     assert_eq!(planner.named_age("m", at(5_000)), Some(at(4_000)));
-    planner.tell(&told(3, Some(2), Some(at(10))), at(5_000));
+    planner.tell(&told(3, Some(2), Some(at(10))), at(5_000), at(5_000));
     assert_eq!(planner.named_age("m", at(5_000)), Some(at(10)));
     assert_eq!(oldest(&planner, 5_001 + ASKS_FOR), Some(2));
 }
@@ -159,7 +159,8 @@
         for (now, kind, lag) in steps {
             let arrived = on_its_way.iter().filter(|(at, ..)| *at <= now);
             for (_, asked_at, namings) in arrived.cloned().collect::<Vec<_>>() {
-                namings.iter().for_each(|told| planner.tell(told, at(asked_at - started)));
+                let asked_at = at(asked_at - started);
+                namings.iter().for_each(|told| planner.tell(told, asked_at, at(now - started)));
                 learned_at = learned_at.or(Some(now));
             }
             on_its_way.retain(|(at, ..)| *at > now);
--- a/entry/src/front/peer_state.rs
+++ b/entry/src/front/peer_state.rs
@@ -151,11 +151,12 @@
         ));
     }
     take_config(front, config, handed.config, "peer");
+    let now = front.now();
     let mut guard = front.state();
     let state = &mut *guard;
     state.trust.handed_on(handed.age, asked_at);
     for naming in &handed.weights {
-        state.planner.tell(naming, asked_at);
+        state.planner.tell(naming, asked_at, now);
     }
     if state.has_list {
         return Ok(());
