Rows of another writer name nobody, and all others hold

Cause: one row of the endpoint list or of the operator's table that could not be read failed its whole page, which was read anew for ever: no endpoint that was listed later served, a broken naming kept newer configurations and the proof of keys away, and a row whose value was no base64 was left out in silence, so that a known endpoint went on as before. Entries of unknown state counted as leaving for good; a list was read as an entry by position.

Ruled out: services that the configuration doesn't know (no request is ever meant for them; the test lists one).

Change: each row is taken by itself. A known endpoint whose row is another writer's gets nothing, as one whose entry went, and is asked once a good entry is back. A broken configuration leaves the one in force; it proves no keys, so that the setting keys_fail_closed decides.

--- a/core/src/serving/endpoint_book.rs
+++ b/core/src/serving/endpoint_book.rs
@@ -92,6 +92,7 @@
             slots: entry.slots,
             is_leaving: entry.standing == EndpointStanding::Leaving,
             weights: Vec::new(),
+            ..EndpointNotice::default()
         };
         self.iter().map(notice).collect()
     }
--- a/core/src/serving/endpoint_entry.rs
+++ b/core/src/serving/endpoint_entry.rs
@@ -22,6 +22,10 @@
     pub is_leaving: bool,
     /// Models and the versions of their weights.
     pub weights: Vec<(String, u64)>,
+    /// Start of this life of the endpoint, in milliseconds since 1970, where told.
+    pub born: Option<u64>,
+    /// Version of the row that says so; it rises with each change of the list.
+    pub row_version: u64,
 }
 
 /// What the process beside an engine reports of it.
--- a/core/tests/endpoint_book.rs
+++ b/core/tests/endpoint_book.rs
@@ -18,6 +18,7 @@
         slots: 8,
         is_leaving,
         weights: vec![("m".to_string(), 1)],
+        ..EndpointNotice::default()
     }
 }
 
--- a/core/tests/endpoint_pick.rs
+++ b/core/tests/endpoint_pick.rs
@@ -59,6 +59,7 @@
                 slots: 128,
                 is_leaving: false,
                 weights: vec![("m".to_string(), 1)],
+                ..EndpointNotice::default()
             });
             fleet.load(id, |_| {});
         }
--- a/core/tests/swap_planner.rs
+++ b/core/tests/swap_planner.rs
@@ -31,6 +31,7 @@
             slots: 128,
             is_leaving: false,
             weights: vec![("m".to_string(), 1)],
+            ..EndpointNotice::default()
         });
         let key = book.key(&id).expect("known");
         book.get_mut(key).expect("entry").load = Some(EngineLoad {
--- a/entry/src/front/list_watch.rs
+++ b/entry/src/front/list_watch.rs
@@ -1,12 +1,10 @@
 use {
-    super::{ask_returned, note_contact, FrontContext},
+    super::{ask_returned, note_contact, ForeignRows, FrontContext},
     pitchhitch_core::{
         serving::{BookChange, EndpointNotice},
         time::Micros,
     },
-    pitchhitch_platform::{
-        decode_row, RowNews, RowPage, RowTable, StoreClient, StoreError, StoreRow,
-    },
+    pitchhitch_platform::{decode_row, RowNews, RowPage, RowTable, StoreClient, StoreError},
     pitchhitch_process::to_duration,
     smol::Timer,
     std::{rc::Rc, time::Duration},
@@ -26,6 +24,7 @@
 /// Keeps the list of endpoints fresh.
 pub(crate) async fn watch_list(front: Rc<FrontContext>) {
     let mut client = StoreClient::new(front.settings.store, CALL_LIMIT);
+    let mut foreign = ForeignRows::new("list");
     let mut seen: Option<u64> = None;
     let mut is_lost = false;
     let mut trouble_at: Option<Micros> = None;
@@ -47,11 +46,9 @@
         let outcome = match read {
             Ok(page) => {
                 let version = page.version;
-                let taken = take_page(&front, page, seen.is_none(), is_steady);
-                if taken.is_ok() {
-                    seen = Some(version);
-                }
-                taken
+                take_page(&front, page, seen.is_none(), is_steady, &mut foreign);
+                seen = Some(version);
+                Ok(())
             }
             Err(error) => Err(error),
         };
@@ -86,11 +83,23 @@
     page: RowPage,
     is_whole: bool,
     is_steady: bool,
-) -> Result<(), StoreError> {
+    foreign: &mut ForeignRows,
+) {
     let mut listed: Vec<EndpointNotice> = Vec::new();
     let mut changes = Vec::new();
     for row in page.rows {
-        match read_row(row)? {
+        let key = row.key.clone();
+        let news = match decode_row(RowTable::Endpoints, row) {
+            Ok(news) => news,
+            Err(fault) => {
+                foreign.note(front, &key, &fault);
+                // It is there and names nobody: that is no lapse of the store's.
+                changes.extend(front.state().book.gone(&key, true));
+                continue;
+            }
+        };
+        foreign.is_over(&key);
+        match news {
             RowNews::Endpoint(notice) if is_whole => listed.push(notice),
             RowNews::Endpoint(notice) => changes.extend(front.state().book.take(&notice)),
             RowNews::EndpointGone(id) => {
@@ -105,13 +114,6 @@
         state.has_list = true;
     }
     log_changes(front, &changes);
-    Ok(())
-}
-
-fn read_row(row: StoreRow) -> Result<RowNews, StoreError> {
-    let key = row.key.clone();
-    decode_row(RowTable::Endpoints, row)
-        .map_err(|error| StoreError::Unreadable(format!("{key}: {error}")))
 }
 
 pub(super) fn log_changes(
--- a/entry/src/front/mod.rs
+++ b/entry/src/front/mod.rs
@@ -7,6 +7,7 @@
 mod beside_link;
 mod caller_conn;
 mod event_splitter;
+mod foreign_rows;
 mod front_context;
 mod front_metrics;
 mod front_process;
@@ -35,5 +36,8 @@
     front_state::*, link_pool::*, list_watch::*, offer::*, operator_watch::*, plain_answer::*,
     request_run::*, store_watch::*, stream_relay::*, wake_reason::*,
 };
+use {
+    foreign_rows::*, peer_state::*, request_admit::*, request_moves::*, request_try::*,
+    return_check::*,
+};
 pub use {front_process::*, front_settings::*};
-use {peer_state::*, request_admit::*, request_moves::*, request_try::*, return_check::*};
--- a/entry/src/front/operator_watch.rs
+++ b/entry/src/front/operator_watch.rs
@@ -1,8 +1,9 @@
 use {
-    super::FrontContext,
+    super::{ForeignRows, FrontContext},
     pitchhitch_core::{serving::ServingConfig, time::Micros},
     pitchhitch_platform::{
-        decode_config, decode_row, RowNews, RowPage, RowTable, StoreClient, StoreError,
+        decode_config, decode_row, NamedWeights, RowFault, RowNews, RowPage, RowTable, StoreClient,
+        StoreError, StoreRow, CONFIG_KEY,
     },
     pitchhitch_process::to_duration,
     smol::Timer,
@@ -18,6 +19,7 @@
 pub(crate) async fn watch_operator(front: Rc<FrontContext>) {
     let mut client = StoreClient::new(front.settings.store, CALL_LIMIT);
     let wait = to_duration(front.settings.change_wait());
+    let mut foreign = ForeignRows::new("operator");
     let mut seen: Option<u64> = None;
     let mut is_lost = false;
     loop {
@@ -29,7 +31,8 @@
         let outcome = match read {
             Ok(page) => {
                 seen = Some(seen.unwrap_or(0).max(page.version));
-                take_rows(&front, page, sent_at)
+                take_rows(&front, page, sent_at, &mut foreign);
+                Ok(())
             }
             Err(error) => Err(error),
         };
@@ -48,38 +51,56 @@
     front: &FrontContext,
     page: RowPage,
     sent_at: Micros,
-) -> Result<(), StoreError> {
+    foreign: &mut ForeignRows,
+) {
     for row in page.rows {
         let key = row.key.clone();
-        let unreadable = |e: serde_json::Error| StoreError::Unreadable(format!("{key}: {e}"));
-        match decode_row(RowTable::Operator, row).map_err(unreadable)? {
-            RowNews::Config(text) => {
-                let config = decode_config(&text).map_err(unreadable)?;
-                take_config(front, config, text, "row");
-            }
-            RowNews::Weights(named) => {
-                let now = front.now();
-                let mut guard = front.state();
-                let state = &mut *guard;
-                let not_yet = state.trust.proven_at();
-                state
-                    .planner
-                    .name(&named.model, named.version, not_yet, now);
-                log::info!(
-                    event = "weights-named",
-                    model = named.model.as_str(),
-                    version = named.version,
-                    source = "row";
-                    ""
-                );
-            }
-            _ => {}
+        match take_operator_row(front, row) {
+            Ok(()) => foreign.is_over(&key),
+            Err(fault) => foreign.note(front, &key, &fault),
+        }
+    }
+    // A configuration that cannot be read may take keys away.
+    if !foreign.has(CONFIG_KEY) {
+        front.state().trust.proven(sent_at);
+    }
+}
+
+fn take_operator_row(
+    front: &FrontContext,
+    row: StoreRow,
+) -> Result<(), RowFault> {
+    match decode_row(RowTable::Operator, row)? {
+        RowNews::Config(text) => {
+            let config = decode_config(&text)?;
+            take_config(front, config, text, "row");
         }
+        RowNews::Weights(named) => name_weights(front, &named),
+        _ => {}
     }
-    front.state().trust.proven(sent_at);
     Ok(())
 }
 
+fn name_weights(
+    front: &FrontContext,
+    named: &NamedWeights,
+) {
+    let now = front.now();
+    let mut guard = front.state();
+    let state = &mut *guard;
+    let not_yet = state.trust.proven_at();
+    state
+        .planner
+        .name(&named.model, named.version, not_yet, now);
+    log::info!(
+        event = "weights-named",
+        model = named.model.as_str(),
+        version = named.version,
+        source = "row";
+        ""
+    );
+}
+
 /// A configuration never goes back in one life of the process.
 pub(super) fn take_config(
     front: &FrontContext,
