Endpoints that start again under their id begin a new life

Cause: an id stood for one life. A restart under the same id kept parts, load, failures and newer weights of the life before; one that had said that it leaves stayed out for good; a late write of the earlier life counted. With two ids at one address (no restart under the id) the first by name got hellos and digests, orders went to both by turns (421), and digests that came out of order set load and weights back.

Ending the older of two ids without birth: nothing proves it; it gets no hello any more.

Change: "born" is read from entries, reports and events of kept parts. The first of them that tells of a later start voids what was known; the list's first word on it decides whether it serves. Earlier births change nothing. A ready entry ends older ones of its address and service. The present one of an address is the one born later, or whose row was written last; hellos name its birth. Beside an engine, events are asked from the first number after a restart. Digests carry birth and a count of changes: overtaken ones are dropped, lost changes asked for anew. Failures of requests sent to the earlier life are not held against the next.

--- a/agent/src/beside/beside_context.rs
+++ b/agent/src/beside/beside_context.rs
@@ -1,7 +1,7 @@
 use {
     super::{BesideMetrics, BesideSettings, StateKeeper},
     pitchhitch_core::{
-        serving::{EngineLoad, PartId, WallTag},
+        serving::{EngineLoad, LifeOrder, PartId, WallTag},
         time::Micros,
     },
     pitchhitch_process::ProcessClock,
@@ -41,8 +41,14 @@
     pub orders_taken: u64,
     /// Time on the engines' clock, in milliseconds, at the last report.
     pub clock_ms: Option<u64>,
-    /// Id of the engine's life, as fronts tell it.
+    /// Id of the engine, as fronts tell it.
     pub engine_id: Option<String>,
+    /// Start of the life that they mean by it, in milliseconds since 1970.
+    pub id_born: Option<u64>,
+    /// Start of the engine's life, as it tells it itself.
+    pub born: Option<u64>,
+    /// Times that the engine was found to have forgotten what it kept.
+    pub forgotten: u64,
     /// Copy of what fronts know.
     pub keeper: StateKeeper,
     /// Wanted weights by model.
@@ -72,11 +78,60 @@
 
     /// The engine keeps nothing of what it kept before.
     pub fn forget(&mut self) {
+        self.forgotten += 1;
         self.kept.clear();
         self.pending.clear();
         self.forgets = true;
     }
 
+    /// Takes which life the engine tells of; false where that one is over, and what
+    /// came with it says nothing.
+    pub fn note_life(
+        &mut self,
+        born: Option<u64>,
+    ) -> bool {
+        let order = LifeOrder::of(self.born, born);
+        if order == LifeOrder::Earlier {
+            return false;
+        }
+        self.born = born.or(self.born);
+        if order == LifeOrder::Later {
+            log::info!(event = "engine-reborn", born = born.unwrap_or(0); "");
+            // The next report tells these of the life that has begun.
+            self.load = EngineLoad::default();
+            self.weights.clear();
+            self.orders_taken = 0;
+            self.forget();
+        }
+        true
+    }
+
+    /// Takes which engine a front means; true where that is news. Fronts may know of
+    /// an engine that was at the address before.
+    pub fn note_id(
+        &mut self,
+        id: &str,
+        born: Option<u64>,
+    ) -> bool {
+        let is_news = self.engine_id.as_deref() != Some(id);
+        let known = self.id_born.filter(|_| self.engine_id.is_some());
+        let is_older = LifeOrder::of(known, born) == LifeOrder::Earlier;
+        let is_unproven = known.is_some() && born <= known;
+        if is_older || (is_news && is_unproven) {
+            return false;
+        }
+        self.id_born = born.or(known);
+        if is_news {
+            self.engine_id = Some(id.to_string());
+        }
+        is_news
+    }
+
+    /// Whether what the engine keeps has changed since the last digest.
+    pub fn has_changes(&self) -> bool {
+        self.forgets || !self.pending.is_empty()
+    }
+
     /// Notes that a front was heard.
     pub fn heard(
         &mut self,
--- a/agent/src/beside/digest_sender.rs
+++ b/agent/src/beside/digest_sender.rs
@@ -18,6 +18,15 @@
 /// Parts in one digest.
 const PARTS_LIMIT: usize = 400;
 
+/// Digests sent in this life.
+#[derive(Debug, Clone, Copy, Default)]
+struct DigestCount {
+    /// All of them.
+    number: u64,
+    /// Those with changes of parts.
+    changes: u64,
+}
+
 /// Takes what fronts say.
 pub(crate) async fn hear_fronts(beside: Rc<BesideContext>) {
     loop {
@@ -47,10 +56,15 @@
     hello: FrontHello,
     now: Micros,
 ) {
-    if hello.engine_id.is_some() && hello.engine_id != state.engine_id {
-        let id = hello.engine_id.as_deref().unwrap_or_default();
-        log::info!(event = "engine-id", engine = id, front = hello.front.as_str(); "");
-        state.engine_id = hello.engine_id;
+    let id = hello.engine_id.as_deref();
+    if let Some(id) = id.filter(|id| state.note_id(id, hello.engine_born)) {
+        log::info!(
+            event = "engine-id",
+            engine = id,
+            born = hello.engine_born.unwrap_or(0),
+            front = hello.front.as_str();
+            ""
+        );
     }
     for named in hello.wanted {
         let wanted = state.wanted.entry(named.model.clone()).or_default();
@@ -77,7 +91,7 @@
 
 /// Tells all fronts what the engine does.
 pub(crate) async fn send_digests(beside: Rc<BesideContext>) {
-    let mut number = 0;
+    let mut count = DigestCount::default();
     let mut told = EngineLoad::default();
     let mut told_at = Micros::ZERO;
     let mut pause = LOOK_PAUSE;
@@ -89,20 +103,23 @@
             0..MANY_FRONTS => LOOK_PAUSE,
             _ => LOOK_PAUSE_MANY,
         };
-        tell_newcomers(&beside, &mut number, fronts.len() as u32).await;
+        tell_newcomers(&beside, &mut count, fronts.len() as u32).await;
         let load = EngineLoad {
             at: Micros::ZERO,
             ..beside.state().load
         };
-        let is_news = load != told || !beside.state().pending.is_empty();
+        let has_changes = beside.state().has_changes();
+        let is_news = load != told || has_changes;
         if fronts.is_empty() || (!is_news && now.since(told_at) < QUIET_LIMIT) {
             continue;
         }
         told = load;
         told_at = now;
-        number += 1;
+        count.number += 1;
+        count.changes += u64::from(has_changes);
         let parts = take_pending(&beside);
-        let mut digest = make_digest(&beside, load, number, fronts.len() as u32, parts);
+        let mut digest = make_digest(&beside, load, count, fronts.len() as u32, parts);
+        digest.is_change = has_changes;
         digest.forgets = std::mem::take(&mut beside.state().forgets);
         for front in fronts {
             send(&beside, &digest, front).await;
@@ -113,7 +130,7 @@
 /// Tells fronts that have just come all that the engine keeps.
 async fn tell_newcomers(
     beside: &BesideContext,
-    number: &mut u64,
+    count: &mut DigestCount,
     fronts: u32,
 ) {
     let newcomers = std::mem::take(&mut beside.state().newcomers);
@@ -131,8 +148,8 @@
     }
     let last = pieces.len() - 1;
     for (place, parts) in pieces.into_iter().enumerate() {
-        *number += 1;
-        let mut digest = make_digest(beside, load, *number, fronts, parts);
+        count.number += 1;
+        let mut digest = make_digest(beside, load, *count, fronts, parts);
         digest.is_whole = place == last;
         for front in &newcomers {
             send(beside, &digest, *front).await;
@@ -156,7 +173,7 @@
 fn make_digest(
     beside: &BesideContext,
     load: EngineLoad,
-    number: u64,
+    count: DigestCount,
     fronts: u32,
     parts: Vec<DigestPart>,
 ) -> EngineDigest {
@@ -164,7 +181,10 @@
     EngineDigest {
         engine: beside.settings.engine,
         life: beside.clock.incarnation(),
-        number,
+        number: count.number,
+        changes: count.changes,
+        is_change: false,
+        born: state.born,
         load,
         weights: state.weights.clone(),
         clock_ms: state.clock_ms,
--- a/agent/src/beside/engine_watch.rs
+++ b/agent/src/beside/engine_watch.rs
@@ -52,6 +52,9 @@
     report: EngineReport,
 ) {
     let mut state = beside.state();
+    if !state.note_life(report.born) {
+        return;
+    }
     if state.weights != report.weights {
         for (model, version) in &report.weights {
             log::info!(event = "weights", model = model.as_str(), version = *version; "");
--- a/agent/src/beside/kept_watch.rs
+++ b/agent/src/beside/kept_watch.rs
@@ -22,7 +22,13 @@
     let mut client = KeptClient::new(beside.settings.engine, CALL_LIMIT);
     let mut next = 0;
     let mut epoch = None;
+    let mut forgotten = 0;
     loop {
+        // Changes count from the start of the engine's life.
+        if beside.state().forgotten != forgotten {
+            forgotten = beside.state().forgotten;
+            next = 0;
+        }
         if epoch.is_some() {
             Timer::after(LOOK_PAUSE).await;
         }
@@ -30,11 +36,19 @@
             Timer::after(FAILED_PAUSE).await;
             continue;
         };
+        if !beside.state().note_life(changes.born) {
+            Timer::after(FAILED_PAUSE).await;
+            continue;
+        }
         if epoch.is_some_and(|epoch| epoch != changes.epoch) {
             log::info!(event = "engine-restarted", epoch = changes.epoch; "");
             beside.state().forget();
         }
         epoch = Some(changes.epoch);
+        // Asked from a number of the earlier life, it told only what is behind that.
+        if beside.state().forgotten != forgotten {
+            continue;
+        }
         next = changes.next;
         take_changes(&beside, &changes);
     }
--- a/core/src/serving/endpoint_book.rs
+++ b/core/src/serving/endpoint_book.rs
@@ -1,14 +1,11 @@
 use {
     super::{
-        EndpointEntry, EndpointNotice, EndpointReturn, EndpointStanding, PartMemory, SwapPlanner,
-        SwapStage, UnreadWork, WeightBelief,
+        EndpointEntry, EndpointLife, EndpointNotice, EndpointReturn, EndpointStanding, PartMemory,
+        SwapPlanner, SwapStage, UnreadWork, WeightBelief,
     },
     crate::{retry::OutlierGuard, time::Micros},
     slotmap::{new_key_type, SlotMap},
-    std::{
-        collections::{BTreeMap, HashSet},
-        net::SocketAddr,
-    },
+    std::collections::{BTreeMap, HashSet},
 };
 
 new_key_type! {
@@ -25,6 +22,9 @@
     Leaves(String),
     /// An endpoint's entry went while the list cannot be trusted.
     Lapses(String),
+    /// An endpoint has started again and serves; its earlier life's connections are
+    /// of no use.
+    Restarts(String),
 }
 
 /// Time for which an endpoint that left is remembered, so that a write of an
@@ -63,17 +63,6 @@
         self.entries.get_mut(key)
     }
 
-    /// Key of the endpoint that serves at an address now.
-    pub fn key_at(
-        &self,
-        address: SocketAddr,
-    ) -> Option<EndpointKey> {
-        let mut serving = self.iter().filter(|(_, entry)| {
-            entry.address == address && entry.standing != EndpointStanding::Leaving
-        });
-        serving.next().map(|(key, _)| key)
-    }
-
     /// All endpoints in the order of their ids.
     pub fn iter(&self) -> impl Iterator<Item = (EndpointKey, &EndpointEntry)> {
         self.ids
@@ -92,7 +81,9 @@
             slots: entry.slots,
             is_leaving: entry.standing == EndpointStanding::Leaving,
             weights: Vec::new(),
-            ..EndpointNotice::default()
+            born: entry.life.listed,
+            // It rises with each heartbeat, and a copy counts as news by its content.
+            row_version: 0,
         };
         self.iter().map(notice).collect()
     }
@@ -108,18 +99,7 @@
         };
         let address = notice.address?;
         if let Some(key) = self.key(&notice.id) {
-            let entry = &mut self.entries[key];
-            for (model, version) in &notice.weights {
-                // The list lags behind answers and reports, so it never sets back.
-                if entry
-                    .weights
-                    .version(model)
-                    .is_none_or(|known| known < *version)
-                {
-                    entry.weights.learn(model, *version);
-                }
-            }
-            return entry.restand(wanted).then(|| change(wanted, &notice.id));
+            return self.entries[key].take_notice(notice, wanted);
         }
         let mut weights = WeightBelief::default();
         for (model, version) in &notice.weights {
@@ -134,6 +114,12 @@
             standing: wanted,
             comeback: EndpointReturn::of(wanted),
             left_at: None,
+            life: EndpointLife {
+                born: notice.born,
+                listed: notice.born,
+                row_version: notice.row_version,
+                ..EndpointLife::default()
+            },
             weights,
             load: None,
             parts: PartMemory::default(),
@@ -147,7 +133,7 @@
             unread: Vec::new(),
         });
         self.ids.insert(notice.id.clone(), key);
-        Some(change(wanted, &notice.id))
+        Some(change(wanted, notice.id.clone()))
     }
 
     /// Takes that an endpoint is on the list no more; `is_steady` says whether
@@ -289,13 +275,13 @@
     }
 }
 
-fn change(
+pub(super) fn change(
     standing: EndpointStanding,
-    id: &str,
+    id: String,
 ) -> BookChange {
     match standing {
-        EndpointStanding::Serving => BookChange::Serves(id.to_string()),
-        EndpointStanding::Lapsed => BookChange::Lapses(id.to_string()),
-        EndpointStanding::Leaving => BookChange::Leaves(id.to_string()),
+        EndpointStanding::Serving => BookChange::Serves(id),
+        EndpointStanding::Lapsed => BookChange::Lapses(id),
+        EndpointStanding::Leaving => BookChange::Leaves(id),
     }
 }
--- a/core/src/serving/endpoint_entry.rs
+++ b/core/src/serving/endpoint_entry.rs
@@ -1,5 +1,5 @@
 use {
-    super::{EndpointReturn, EnginePace, PartMemory, SwapStage, WeightBelief},
+    super::{EndpointLife, EndpointReturn, EnginePace, PartMemory, SwapStage, WeightBelief},
     crate::{retry::OutlierGuard, time::Micros},
     serde::{Deserialize, Serialize},
     std::net::SocketAddr,
@@ -8,7 +8,7 @@
 /// What the platform's list says of one endpoint.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct EndpointNotice {
-    /// Id of this life of the endpoint.
+    /// Id; where starts are told, all lives of the endpoint have the same.
     pub id: String,
     /// Service that it belongs to.
     pub service: String,
@@ -80,7 +80,7 @@
 /// All that is known of one endpoint.
 #[derive(Debug, Clone)]
 pub struct EndpointEntry {
-    /// Id of this life of the endpoint.
+    /// Id; where starts are told, all lives of the endpoint have the same.
     pub id: String,
     /// Service that it belongs to.
     pub service: String,
@@ -96,6 +96,8 @@
     pub comeback: EndpointReturn,
     /// Since when it is known to be leaving.
     pub left_at: Option<Micros>,
+    /// Which of its lives is known.
+    pub life: EndpointLife,
     /// Versions of its weights.
     pub weights: WeightBelief,
     /// Last report from beside it.
--- /dev/null
+++ b/core/src/serving/endpoint_life.rs
@@ -0,0 +1,253 @@
+use {
+    super::{
+        change, BookChange, EndpointBook, EndpointEntry, EndpointKey, EndpointNotice,
+        EndpointReturn, EndpointStanding, PartMemory, SwapStage, WeightBelief,
+    },
+    crate::{retry::OutlierGuard, time::Micros},
+    std::{collections::BTreeMap, net::SocketAddr},
+};
+
+/// Time for which a digest of an earlier life of its sender counts as late; after that
+/// the sender's clock has been set back.
+const LATE_SENDER: Micros = Micros::from_millis(1_500);
+
+/// How the life that somebody tells of stands to the one that is known.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum LifeOrder {
+    /// It is over: what is told of it says nothing.
+    Earlier,
+    /// It is the same, as far as is known.
+    Same,
+    /// Nothing that was known holds any more.
+    Later,
+}
+
+impl LifeOrder {
+    /// Compares the starts of two lives; where one is not told they count as one.
+    pub fn of(
+        known: Option<u64>,
+        told: Option<u64>,
+    ) -> Self {
+        match (known, told) {
+            (Some(known), Some(told)) if told < known => LifeOrder::Earlier,
+            (Some(known), Some(told)) if told > known => LifeOrder::Later,
+            _ => LifeOrder::Same,
+        }
+    }
+}
+
+/// Place of a digest among those of its sender.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct DigestMark {
+    /// Life of the sender.
+    pub life: u64,
+    /// Number of the digest in that life.
+    pub number: u64,
+    /// Digests with changes of parts so far, this one included.
+    pub changes: u64,
+    /// When it came.
+    pub at: Micros,
+}
+
+/// What a digest is worth by its place.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum DigestOrder {
+    /// It is the next one, or only load was told in those that are missing.
+    Next,
+    /// Changes of parts are missing before it.
+    Gap,
+    /// A later one has come before it.
+    Overtaken,
+}
+
+/// Which life of an endpoint is known, and who told of it.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct EndpointLife {
+    /// Start of the latest life that anybody told of, in milliseconds since 1970.
+    pub born: Option<u64>,
+    /// Start of the life that the list tells of.
+    pub listed: Option<u64>,
+    /// Version of its last row in the list.
+    pub row_version: u64,
+    /// Lives that have ended since it is known; what a request learned in one of
+    /// them says nothing of this one.
+    pub ended: u32,
+    /// The latest digest.
+    pub digest: Option<DigestMark>,
+}
+
+impl EndpointLife {
+    /// Takes the place of a digest that tells of this life; `is_change` says whether
+    /// it has changes of parts.
+    pub fn note_digest(
+        &mut self,
+        told: DigestMark,
+        is_change: bool,
+    ) -> DigestOrder {
+        let Some(known) = self.digest else {
+            self.digest = Some(told);
+            return DigestOrder::Next;
+        };
+        let is_late = told.life < known.life && told.at.since(known.at) < LATE_SENDER;
+        if is_late || (told.life == known.life && told.number <= known.number) {
+            return DigestOrder::Overtaken;
+        }
+        self.digest = Some(told);
+        let expected = known.changes + u64::from(is_change);
+        match told.life == known.life && told.changes == expected {
+            true => DigestOrder::Next,
+            false => DigestOrder::Gap,
+        }
+    }
+}
+
+impl EndpointEntry {
+    /// Takes what the list says of an endpoint that is known.
+    pub(super) fn take_notice(
+        &mut self,
+        notice: &EndpointNotice,
+        wanted: EndpointStanding,
+    ) -> Option<BookChange> {
+        let order = LifeOrder::of(self.life.born, notice.born);
+        // A write of the earlier life may be carried out seconds late.
+        if order == LifeOrder::Earlier {
+            return None;
+        }
+        let is_later = order == LifeOrder::Later;
+        if is_later {
+            self.begin_life(notice.born);
+        }
+        let is_first_word = LifeOrder::of(self.life.listed, notice.born) == LifeOrder::Later;
+        self.life.born = notice.born.or(self.life.born);
+        self.life.listed = notice.born.or(self.life.listed);
+        self.life.row_version = notice.row_version.max(self.life.row_version);
+        for (model, version) in &notice.weights {
+            // The list lags behind answers and reports, so it never sets back.
+            if self
+                .weights
+                .version(model)
+                .is_none_or(|known| known < *version)
+            {
+                self.weights.learn(model, *version);
+            }
+        }
+        if is_first_word {
+            return self.stand_anew(notice, wanted, is_later);
+        }
+        self.restand(wanted)
+            .then(|| change(wanted, self.id.clone()))
+    }
+
+    /// Takes the first word of the list on a later life: what the earlier one said of
+    /// its end is over.
+    fn stand_anew(
+        &mut self,
+        notice: &EndpointNotice,
+        wanted: EndpointStanding,
+        is_later: bool,
+    ) -> Option<BookChange> {
+        let before = self.standing;
+        self.service.clone_from(&notice.service);
+        self.domain.clone_from(&notice.domain);
+        self.address = notice.address.unwrap_or(self.address);
+        self.slots = notice.slots;
+        self.standing = wanted;
+        self.comeback = EndpointReturn::of(wanted);
+        self.left_at = None;
+        let id = self.id.clone();
+        match (wanted, before) {
+            (EndpointStanding::Serving, _) if is_later => Some(BookChange::Restarts(id)),
+            _ if before != wanted => Some(change(wanted, id)),
+            _ => None,
+        }
+    }
+
+    /// Begins a later life: the endpoint holds and knows nothing of before. Requests
+    /// of ours count until they end.
+    fn begin_life(
+        &mut self,
+        born: Option<u64>,
+    ) {
+        self.weights = WeightBelief::default();
+        self.load = None;
+        self.parts = PartMemory::default();
+        self.is_mirrored = false;
+        self.guard = OutlierGuard::default();
+        self.answered_at = None;
+        self.stage = SwapStage::Idle;
+        self.is_behind = false;
+        self.is_expired = false;
+        self.life.born = born;
+        self.life.ended += 1;
+    }
+}
+
+impl EndpointBook {
+    /// Takes of which life of an endpoint a digest tells. Where that is a later one,
+    /// the endpoint stands as before until the list tells of it too.
+    pub fn hear_life(
+        &mut self,
+        key: EndpointKey,
+        born: Option<u64>,
+    ) -> LifeOrder {
+        let Some(entry) = self.entries.get_mut(key) else {
+            return LifeOrder::Earlier;
+        };
+        let order = LifeOrder::of(entry.life.born, born);
+        match order {
+            LifeOrder::Earlier => {}
+            LifeOrder::Same => entry.life.born = born.or(entry.life.born),
+            LifeOrder::Later => entry.begin_life(born),
+        }
+        order
+    }
+
+    /// Ends endpoints at whose address the list tells of one of the same service that
+    /// was born later: nothing of them is there any more, whatever their entries say.
+    pub fn end_overtaken(&mut self) -> Vec<BookChange> {
+        let mut latest: BTreeMap<(SocketAddr, &str), u64> = BTreeMap::new();
+        for entry in self.entries.values() {
+            if let (EndpointStanding::Serving, Some(born)) = (entry.standing, entry.life.listed) {
+                let known = latest.entry(place(entry)).or_insert(born);
+                *known = born.max(*known);
+            }
+        }
+        let is_over = |(_, entry): &(EndpointKey, &EndpointEntry)| {
+            let newest = latest.get(&place(entry)).copied();
+            LifeOrder::of(newest, entry.life.listed) == LifeOrder::Earlier
+        };
+        let over: Vec<EndpointKey> = self.iter().filter(is_over).map(|(key, _)| key).collect();
+        let mut changes = Vec::new();
+        for key in over {
+            let entry = &mut self.entries[key];
+            entry.comeback = EndpointReturn::Never;
+            if entry.standing != EndpointStanding::Leaving {
+                entry.standing = EndpointStanding::Leaving;
+                changes.push(BookChange::Leaves(entry.id.clone()));
+            }
+        }
+        changes
+    }
+
+    /// Key of the endpoint that is at an address now, of those that `may_be` admits.
+    ///
+    /// The entry of one that crashed may still be there beside that of its successor:
+    /// the one born later is present, or the one that was listed last.
+    pub fn present_at(
+        &self,
+        address: SocketAddr,
+        may_be: impl Fn(&EndpointEntry) -> bool,
+    ) -> Option<EndpointKey> {
+        let at_address = self.iter().filter(|(_, entry)| {
+            let is_there = entry.address == address;
+            is_there && entry.standing != EndpointStanding::Leaving && may_be(entry)
+        });
+        let rank = |entry: &EndpointEntry| (entry.life.listed, entry.life.row_version);
+        let present = at_address.max_by_key(|(_, entry)| rank(entry));
+        present.map(|(key, _)| key)
+    }
+}
+
+fn place(entry: &EndpointEntry) -> (SocketAddr, &str) {
+    (entry.address, entry.service.as_str())
+}
--- a/core/src/serving/mod.rs
+++ b/core/src/serving/mod.rs
@@ -8,6 +8,7 @@
 mod caller_limits;
 mod endpoint_book;
 mod endpoint_entry;
+mod endpoint_life;
 mod endpoint_pick;
 mod endpoint_return;
 mod engine_pace;
@@ -34,9 +35,9 @@
 
 pub use {
     admission_ask::*, admission_rule::*, admission_verdict::*, caller_limits::*, endpoint_book::*,
-    endpoint_entry::*, endpoint_pick::*, endpoint_return::*, engine_pace::*, key_policy::*,
-    key_trust::*, kv_store::*, memory_map::*, part_memory::*, path_index::*, prompt_ask::*,
-    prompt_part::*, rank_shares::*, refusal_kind::*, repeat_meter::*, route_habits::*,
-    served_route::*, serving_config::*, standstill_watch::*, store_view::*, swap_planner::*,
-    wall_name::*, weight_belief::*,
+    endpoint_entry::*, endpoint_life::*, endpoint_pick::*, endpoint_return::*, engine_pace::*,
+    key_policy::*, key_trust::*, kv_store::*, memory_map::*, part_memory::*, path_index::*,
+    prompt_ask::*, prompt_part::*, rank_shares::*, refusal_kind::*, repeat_meter::*,
+    route_habits::*, served_route::*, serving_config::*, standstill_watch::*, store_view::*,
+    swap_planner::*, wall_name::*, weight_belief::*,
 };
--- a/core/tests/endpoint_book.rs
+++ b/core/tests/endpoint_book.rs
@@ -136,7 +136,7 @@
     book.gone("old", true);
     book.take(&notice("new", 1, false));
     let address = ([10, 0, 0, 1], 1).into();
-    assert_eq!(book.key_at(address), book.key("new"));
+    assert_eq!(book.present_at(address, |_| true), book.key("new"));
     book.prune(Micros::ZERO);
     book.prune(Micros::from_secs(31));
     assert_eq!(book.key("old"), None);
--- a/entry/src/front/beside_link.rs
+++ b/entry/src/front/beside_link.rs
@@ -1,19 +1,17 @@
 use {
     super::{own_state, FrontContext, FrontState},
     pitchhitch_core::{
-        serving::{EndpointEntry, EndpointKey, EndpointStanding},
+        serving::{EndpointEntry, EndpointKey, ServingConfig},
         time::Micros,
     },
     pitchhitch_process::to_duration,
-    pitchhitch_wire::beside::{BesideSocket, EngineDigest, FrontHello, WantedWeights},
+    pitchhitch_wire::beside::{BesideSocket, FrontHello, WantedWeights},
     smol::Timer,
     std::{net::SocketAddr, rc::Rc},
 };
 
 /// How often turns are planned anew.
 const PLAN_PAUSE: Micros = Micros::from_millis(100);
-/// Processes beside engines that are remembered.
-const BESIDES_LIMIT: usize = 64;
 /// Time between two hellos to an engine; a turn is told at once.
 const HELLO_PAUSE: Micros = Micros::from_millis(400);
 
@@ -71,12 +69,12 @@
     let Some(config) = &state.config else {
         return Vec::new();
     };
-    let is_engine = |entry: &EndpointEntry| {
-        let group = config.groups.get(&entry.service);
-        let serves = entry.standing != EndpointStanding::Leaving;
-        serves && group.is_some_and(|group| group.engine.is_some())
+    let is_present = |key: EndpointKey, entry: &EndpointEntry| {
+        let may_be = |other: &EndpointEntry| is_engine(config, other);
+        state.book.present_at(entry.address, may_be) == Some(key)
     };
-    let engines = state.book.iter().filter(|(_, entry)| is_engine(entry));
+    let engines = state.book.iter();
+    let engines = engines.filter(|(key, entry)| is_present(*key, entry));
     let hello = |(key, entry): (EndpointKey, &EndpointEntry)| {
         let to = SocketAddr::new(entry.address.ip(), front.settings.beside_port);
         (to, make_hello(front, &state, key, entry, handed))
@@ -84,6 +82,15 @@
     engines.map(hello).collect()
 }
 
+/// Whether an endpoint is an engine: entries of services that nobody knows are none.
+pub(super) fn is_engine(
+    config: &ServingConfig,
+    entry: &EndpointEntry,
+) -> bool {
+    let group = config.groups.get(&entry.service);
+    group.is_some_and(|group| group.engine.is_some())
+}
+
 fn make_hello(
     front: &FrontContext,
     state: &FrontState,
@@ -104,100 +111,10 @@
         front: front.settings.box_id.clone(),
         domain: front.settings.failure_domain.clone(),
         engine_id: Some(entry.id.clone()),
+        // What a digest tells may be of another id at the address.
+        engine_born: entry.life.listed,
         state: handed,
         wanted: wanted.collect(),
         wants_all: !entry.is_mirrored,
     }
 }
-
-/// Takes what the processes beside engines tell.
-pub(crate) async fn hear_digests(
-    front: Rc<FrontContext>,
-    socket: BesideSocket,
-) {
-    loop {
-        match socket.receive::<EngineDigest>().await {
-            Ok((digest, from)) => {
-                note_beside(&front, from);
-                take_digest(&front, digest);
-            }
-            Err(error) => {
-                let error = error.to_string();
-                log::warn!(event = "digest-failed", error = error.as_str(); "");
-                Timer::after(to_duration(PLAN_PAUSE)).await;
-            }
-        }
-    }
-}
-
-/// Remembers who was heard, as long as state may have to be asked for.
-fn note_beside(
-    front: &FrontContext,
-    from: SocketAddr,
-) {
-    let mut state = front.state();
-    if state.besides.len() < BESIDES_LIMIT {
-        state.besides.insert(from);
-    }
-}
-
-fn take_digest(
-    front: &FrontContext,
-    digest: EngineDigest,
-) {
-    let now = front.now();
-    let mut guard = front.state();
-    let state = &mut *guard;
-    state.fronts = digest.fronts.max(1);
-    let Some(key) = state.book.key_at(digest.engine) else {
-        return;
-    };
-    let Some(entry) = state.book.get_mut(key) else {
-        return;
-    };
-    let was_silent = entry.load.is_some_and(|load| load.is_silent);
-    let mut load = digest.load;
-    load.at = now;
-    entry.load = Some(load);
-    if load.is_silent != was_silent {
-        log::info!(
-            event = "engine-silent",
-            endpoint = entry.id.as_str(),
-            silent = load.is_silent,
-            digest = digest.number;
-            ""
-        );
-    }
-    let proven_at = state.trust.proven_at();
-    for (model, version) in &digest.weights {
-        if state.planner.engine_has(model, *version, proven_at, now) {
-            log::warn!(
-                event = "weights-named",
-                model = model.as_str(),
-                version = *version,
-                source = "engine",
-                endpoint = entry.id.as_str();
-                ""
-            );
-        }
-        if entry.weights.learn(model, *version) {
-            // New weights drop what the engine kept.
-            entry.parts.clear();
-            log::info!(
-                event = "weights-seen",
-                endpoint = entry.id.as_str(),
-                model = model.as_str(),
-                version = *version,
-                source = "digest";
-                ""
-            );
-        }
-    }
-    if digest.forgets {
-        entry.parts.clear();
-    }
-    entry.is_mirrored |= digest.is_whole;
-    for part in &digest.parts {
-        entry.parts.set(part.wall, part.id, part.tokens);
-    }
-}
--- /dev/null
+++ b/entry/src/front/digest_watch.rs
@@ -0,0 +1,167 @@
+use {
+    super::{is_engine, log_changes, FrontContext, FrontState},
+    pitchhitch_core::{
+        serving::{BookChange, DigestMark, DigestOrder, EndpointEntry, EndpointKey, LifeOrder},
+        time::Micros,
+    },
+    pitchhitch_wire::beside::{BesideSocket, EngineDigest},
+    smol::Timer,
+    std::{net::SocketAddr, rc::Rc, time::Duration},
+};
+
+/// Pause after a socket that failed.
+const FAILED_PAUSE: Duration = Duration::from_millis(100);
+/// Processes beside engines that are remembered.
+const BESIDES_LIMIT: usize = 64;
+
+/// Takes what the processes beside engines tell.
+pub(crate) async fn hear_digests(
+    front: Rc<FrontContext>,
+    socket: BesideSocket,
+) {
+    loop {
+        match socket.receive::<EngineDigest>().await {
+            Ok((digest, from)) => {
+                note_beside(&front, from);
+                let change = take_digest(&front, digest);
+                log_changes(&front, change.as_slice());
+            }
+            Err(error) => {
+                let error = error.to_string();
+                log::warn!(event = "digest-failed", error = error.as_str(); "");
+                Timer::after(FAILED_PAUSE).await;
+            }
+        }
+    }
+}
+
+/// Remembers who was heard, as long as state may have to be asked for.
+fn note_beside(
+    front: &FrontContext,
+    from: SocketAddr,
+) {
+    let mut state = front.state();
+    if state.besides.len() < BESIDES_LIMIT {
+        state.besides.insert(from);
+    }
+}
+
+/// Takes a digest; returns whether it tells that the engine has started again.
+fn take_digest(
+    front: &FrontContext,
+    digest: EngineDigest,
+) -> Option<BookChange> {
+    let now = front.now();
+    let mut guard = front.state();
+    let state = &mut *guard;
+    state.fronts = digest.fronts.max(1);
+    let config = state.config.as_deref();
+    let may_be = |entry: &EndpointEntry| config.is_none_or(|config| is_engine(config, entry));
+    let key = state.book.present_at(digest.engine, may_be)?;
+    let order = state.book.hear_life(key, digest.born);
+    if order == LifeOrder::Earlier {
+        front.metrics.count("digests", "earlier-life");
+        return None;
+    }
+    let entry = state.book.get_mut(key)?;
+    let change = (order == LifeOrder::Later).then(|| BookChange::Restarts(entry.id.clone()));
+    match note_place(entry, &digest, now) {
+        DigestOrder::Overtaken => {
+            front.metrics.count("digests", "overtaken");
+            return change;
+        }
+        DigestOrder::Gap => {
+            // All that is kept is asked for anew, with the next hello.
+            front.metrics.count("digests", "gap");
+            entry.is_mirrored = false;
+        }
+        DigestOrder::Next => {}
+    }
+    take_load(entry, &digest, now);
+    take_weights(state, key, &digest, now);
+    take_parts(state.book.get_mut(key)?, &digest);
+    change
+}
+
+fn note_place(
+    entry: &mut EndpointEntry,
+    digest: &EngineDigest,
+    now: Micros,
+) -> DigestOrder {
+    let mark = DigestMark {
+        life: digest.life,
+        number: digest.number,
+        changes: digest.changes,
+        at: now,
+    };
+    entry.life.note_digest(mark, digest.is_change)
+}
+
+fn take_load(
+    entry: &mut EndpointEntry,
+    digest: &EngineDigest,
+    now: Micros,
+) {
+    let was_silent = entry.load.is_some_and(|load| load.is_silent);
+    let mut load = digest.load;
+    load.at = now;
+    entry.load = Some(load);
+    if load.is_silent != was_silent {
+        log::info!(
+            event = "engine-silent",
+            endpoint = entry.id.as_str(),
+            silent = load.is_silent,
+            digest = digest.number;
+            ""
+        );
+    }
+}
+
+fn take_weights(
+    state: &mut FrontState,
+    key: EndpointKey,
+    digest: &EngineDigest,
+    now: Micros,
+) {
+    let proven_at = state.trust.proven_at();
+    let Some(entry) = state.book.get_mut(key) else {
+        return;
+    };
+    for (model, version) in &digest.weights {
+        if state.planner.engine_has(model, *version, proven_at, now) {
+            log::warn!(
+                event = "weights-named",
+                model = model.as_str(),
+                version = *version,
+                source = "engine",
+                endpoint = entry.id.as_str();
+                ""
+            );
+        }
+        if entry.weights.learn(model, *version) {
+            // New weights drop what the engine kept.
+            entry.parts.clear();
+            log::info!(
+                event = "weights-seen",
+                endpoint = entry.id.as_str(),
+                model = model.as_str(),
+                version = *version,
+                source = "digest";
+                ""
+            );
+        }
+    }
+}
+
+fn take_parts(
+    entry: &mut EndpointEntry,
+    digest: &EngineDigest,
+) {
+    if digest.forgets {
+        entry.parts.clear();
+    }
+    entry.is_mirrored |= digest.is_whole;
+    for part in &digest.parts {
+        entry.parts.set(part.wall, part.id, part.tokens);
+    }
+}
--- a/entry/src/front/list_watch.rs
+++ b/entry/src/front/list_watch.rs
@@ -113,6 +113,7 @@
         changes.extend(state.book.take_all(&listed, is_steady));
         state.has_list = true;
     }
+    changes.extend(front.state().book.end_overtaken());
     log_changes(front, &changes);
 }
 
@@ -125,14 +126,18 @@
             BookChange::Serves(id) => ("serves", id),
             BookChange::Leaves(id) => ("leaves", id),
             BookChange::Lapses(id) => ("lapses", id),
+            BookChange::Restarts(id) => ("restarted", id),
         };
-        log::info!(event = "endpoint", endpoint = id.as_str(), standing = what; "");
+        let mut state = front.state();
+        let key = state.book.key(id);
+        let entry = key.and_then(|key| state.book.get(key));
+        let born = entry.and_then(|entry| entry.life.born).unwrap_or(0);
+        log::info!(event = "endpoint", endpoint = id.as_str(), standing = what, born = born; "");
         front.metrics.count("endpoint_changes", what);
-        if what == "leaves" {
-            let mut state = front.state();
-            if let Some(key) = state.book.key(id) {
-                state.pool.close_all(key);
-            }
+        // Those of an earlier life lead nowhere.
+        let is_closed = matches!(what, "leaves" | "restarted");
+        if let Some(key) = key.filter(|_| is_closed) {
+            state.pool.close_all(key);
         }
     }
 }
--- a/entry/src/front/mod.rs
+++ b/entry/src/front/mod.rs
@@ -6,6 +6,7 @@
 
 mod beside_link;
 mod caller_conn;
+mod digest_watch;
 mod event_splitter;
 mod foreign_rows;
 mod front_context;
@@ -32,9 +33,9 @@
 mod wake_reason;
 
 pub(crate) use {
-    beside_link::*, caller_conn::*, event_splitter::*, front_context::*, front_metrics::*,
-    front_state::*, link_pool::*, list_watch::*, offer::*, operator_watch::*, plain_answer::*,
-    request_run::*, store_watch::*, stream_relay::*, wake_reason::*,
+    beside_link::*, caller_conn::*, digest_watch::*, event_splitter::*, front_context::*,
+    front_metrics::*, front_state::*, link_pool::*, list_watch::*, offer::*, operator_watch::*,
+    plain_answer::*, request_run::*, store_watch::*, stream_relay::*, wake_reason::*,
 };
 use {
     foreign_rows::*, peer_state::*, request_admit::*, request_moves::*, request_try::*,
--- a/entry/src/front/peer_state.rs
+++ b/entry/src/front/peer_state.rs
@@ -151,9 +151,10 @@
         return Ok(());
     }
     let notices = handed.endpoints.iter();
-    let changes: Vec<_> = notices
+    let mut changes: Vec<_> = notices
         .filter_map(|notice| state.book.take(notice))
         .collect();
+    changes.extend(state.book.end_overtaken());
     state.has_list = true;
     drop(guard);
     log_changes(front, &changes);
--- a/entry/src/front/request_lessons.rs
+++ b/entry/src/front/request_lessons.rs
@@ -1,5 +1,5 @@
 use {
-    super::{OfferAnswer, RequestRun},
+    super::{FrontState, OfferAnswer, RequestRun},
     pitchhitch_core::{
         serving::{EndpointChoice, EndpointReturn, EndpointStanding},
         time::Micros,
@@ -7,6 +7,17 @@
 };
 
 impl RequestRun<'_> {
+    /// Whether the endpoint still lives the life in which it was chosen: requests that
+    /// a crash broke off took the engine that had started again out for seconds.
+    pub(super) fn is_of_life(
+        &self,
+        state: &FrontState,
+        choice: &EndpointChoice,
+    ) -> bool {
+        let entry = state.book.get(choice.key);
+        entry.is_some_and(|entry| entry.life.ended == self.life)
+    }
+
     pub(super) fn judge(
         &self,
         choice: &EndpointChoice,
@@ -14,6 +25,9 @@
     ) {
         let front = self.front;
         let mut state = front.state();
+        if !self.is_of_life(&state, choice) {
+            return;
+        }
         if state.book.judged(choice.key, is_sound, front.now()) {
             let id = state
                 .book
@@ -48,6 +62,9 @@
         version: u64,
     ) {
         let mut state = self.front.state();
+        if !self.is_of_life(&state, choice) {
+            return;
+        }
         let Some(entry) = state.book.get_mut(choice.key) else {
             return;
         };
--- a/entry/src/front/request_run.rs
+++ b/entry/src/front/request_run.rs
@@ -50,6 +50,8 @@
     pub(super) ends_at: Micros,
     pub(super) timer: Timer,
     pub(super) tried: Vec<EndpointKey>,
+    /// Lives of the endpoint that had ended when it was chosen.
+    pub(super) life: u32,
     pub(super) sends: u32,
     pub(super) may_have_run: u32,
     pub(super) progress: StreamProgress,
@@ -97,6 +99,7 @@
         ends_at,
         timer: Timer::after(to_duration(left)),
         tried: Vec::new(),
+        life: 0,
         sends: 0,
         may_have_run: 0,
         progress: StreamProgress::default(),
--- a/entry/src/front/request_try.rs
+++ b/entry/src/front/request_try.rs
@@ -67,12 +67,14 @@
     /// come in the meantime must see it. Of thirty prompts that came at once, each was
     /// sent to an engine believed idle; now those that would begin too late are refused.
     pub(super) fn reserve(
-        &self,
+        &mut self,
         choice: &EndpointChoice,
     ) -> ReservedPlace {
         let front = self.front;
         let moves = self.moves_for(choice);
         let mut state = front.state();
+        let entry = state.book.get(choice.key);
+        self.life = entry.map_or(0, |entry| entry.life.ended);
         let ticket = state.ticket();
         let work = UnreadWork {
             ticket,
@@ -312,8 +314,8 @@
         offer: OpenOffer,
     ) {
         let front = self.front;
-        if offer.is_kept {
-            let mut state = front.state();
+        let mut state = front.state();
+        if offer.is_kept && self.is_of_life(&state, choice) {
             state
                 .pool
                 .put(choice.key, offer.link, offer.keeps_for, front.now());
--- a/wire/src/beside/engine_digest.rs
+++ b/wire/src/beside/engine_digest.rs
@@ -24,6 +24,12 @@
     pub life: u64,
     /// Number of this digest in that life.
     pub number: u64,
+    /// Digests with changes of parts so far in that life, this one included.
+    pub changes: u64,
+    /// Whether it is one of them; those that tell all that is kept are not.
+    pub is_change: bool,
+    /// Start of the engine's life, in milliseconds since 1970, where it tells that.
+    pub born: Option<u64>,
     /// Load of the engine; its time is the sender's and means nothing here.
     pub load: EngineLoad,
     /// Models and versions of their weights.
--- a/wire/src/beside/front_hello.rs
+++ b/wire/src/beside/front_hello.rs
@@ -19,8 +19,10 @@
 pub struct FrontHello {
     /// Box of the front.
     pub front: String,
-    /// Id of the engine's life, as the platform lists it.
+    /// Id of the engine, as the platform lists it.
     pub engine_id: Option<String>,
+    /// Start of its life that is listed, in milliseconds since 1970, where that is told.
+    pub engine_born: Option<u64>,
     /// Weights that the engine should have.
     pub wanted: Vec<WantedWeights>,
     /// Failure domain of the front.
