Fronts that lag do not bring back the id that was at an address before

Cause: without "born", fronts read of a new id up to half a second apart, and the process beside the engine took whatever the last hello said: two ids by turns, an order to the dead one.

Change: hellos carry the version of the entry's row. Another id is taken only if it was born later, or its row was written later.

--- a/agent/src/beside/beside_context.rs
+++ b/agent/src/beside/beside_context.rs
@@ -43,8 +43,9 @@
     pub clock_ms: Option<u64>,
     /// Id of the engine, as fronts tell it.
     pub engine_id: Option<String>,
-    /// Start of the life that they mean by it, in milliseconds since 1970.
-    pub id_born: Option<u64>,
+    /// Start of the life that they mean by it, in milliseconds since 1970, and the
+    /// version of its row.
+    pub id_rank: (Option<u64>, u64),
     /// Start of the engine's life, as it tells it itself.
     pub born: Option<u64>,
     /// Times that the engine was found to have forgotten what it kept.
@@ -106,21 +107,19 @@
         true
     }
 
-    /// Takes which engine a front means; true where that is news. Fronts may know of
-    /// an engine that was at the address before.
+    /// Takes which engine a front means; true where that is news. Fronts that lag
+    /// still mean the one that was at the address before: the one born later counts,
+    /// or the one whose row was written last.
     pub fn note_id(
         &mut self,
         id: &str,
-        born: Option<u64>,
+        rank: (Option<u64>, u64),
     ) -> bool {
         let is_news = self.engine_id.as_deref() != Some(id);
-        let known = self.id_born.filter(|_| self.engine_id.is_some());
-        let is_older = LifeOrder::of(known, born) == LifeOrder::Earlier;
-        let is_unproven = known.is_some() && born <= known;
-        if is_older || (is_news && is_unproven) {
+        if is_news && self.engine_id.is_some() && rank <= self.id_rank {
             return false;
         }
-        self.id_born = born.or(known);
+        self.id_rank = rank.max(self.id_rank);
         if is_news {
             self.engine_id = Some(id.to_string());
         }
--- a/agent/src/beside/digest_sender.rs
+++ b/agent/src/beside/digest_sender.rs
@@ -57,7 +57,8 @@
     now: Micros,
 ) {
     let id = hello.engine_id.as_deref();
-    if let Some(id) = id.filter(|id| state.note_id(id, hello.engine_born)) {
+    let rank = (hello.engine_born, hello.engine_row);
+    if let Some(id) = id.filter(|id| state.note_id(id, rank)) {
         log::info!(
             event = "engine-id",
             engine = id,
--- a/entry/src/front/beside_link.rs
+++ b/entry/src/front/beside_link.rs
@@ -113,6 +113,7 @@
         engine_id: Some(entry.id.clone()),
         // What a digest tells may be of another id at the address.
         engine_born: entry.life.listed,
+        engine_row: entry.life.row_version,
         state: handed,
         wanted: wanted.collect(),
         wants_all: !entry.is_mirrored,
--- a/wire/src/beside/front_hello.rs
+++ b/wire/src/beside/front_hello.rs
@@ -23,6 +23,8 @@
     pub engine_id: Option<String>,
     /// Start of its life that is listed, in milliseconds since 1970, where that is told.
     pub engine_born: Option<u64>,
+    /// Version of its last row in the list; 0 where a peer told of it.
+    pub engine_row: u64,
     /// Weights that the engine should have.
     pub wanted: Vec<WantedWeights>,
     /// Failure domain of the front.
