--- a/entry/src/front/list_watch.rs
+++ b/entry/src/front/list_watch.rs
@@ -1,12 +1,10 @@
 use {
-    super::{ask_returned, note_contact, FrontContext},
+    super::{ask_returned, note_contact, ForeignRows, FrontContext},
     pitchhitch_core::{
         serving::{BookChange, EndpointNotice},
         time::Micros,
     },
-    pitchhitch_platform::{
-        decode_row, RowNews, RowPage, RowTable, StoreClient, StoreError, StoreRow,
-    },
+    pitchhitch_platform::{decode_row, RowNews, RowPage, RowTable, StoreClient, StoreError},
     pitchhitch_process::to_duration,
     smol::Timer,
     std::{rc::Rc, time::Duration},
@@ -26,6 +24,7 @@
 /// Keeps the list of endpoints fresh.
 pub(crate) async fn watch_list(front: Rc<FrontContext>) {
     let mut client = StoreClient::new(front.settings.store, CALL_LIMIT);
+    let mut foreign = ForeignRows::new("list");
     let mut seen: Option<u64> = None;
     let mut is_lost = false;
     let mut trouble_at: Option<Micros> = None;
@@ -47,11 +46,9 @@
         let outcome = match read {
             Ok(page) => {
                 let version = page.version;
-                let taken = take_page(&front, page, seen.is_none(), is_steady);
-                if taken.is_ok() {
-                    seen = Some(version);
-                }
-                taken
+                take_page(&front, page, seen.is_none(), is_steady, &mut foreign);
+                seen = Some(version);
+                Ok(())
             }
             Err(error) => Err(error),
         };
@@ -86,11 +83,23 @@
     page: RowPage,
     is_whole: bool,
     is_steady: bool,
-) -> Result<(), StoreError> {
+    foreign: &mut ForeignRows,
+) {
     let mut listed: Vec<EndpointNotice> = Vec::new();
     let mut changes = Vec::new();
     for row in page.rows {
-        match read_row(row)? {
+        let key = row.key.clone();
+        let news = match decode_row(RowTable::Endpoints, row) {
+            Ok(news) => news,
+            Err(fault) => {
+                foreign.note(front, &key, &fault);
+                // It is there and names nobody: that is no lapse of the store's.
+                changes.extend(front.state().book.gone(&key, true));
+                continue;
+            }
+        };
+        foreign.is_over(&key);
+        match news {
             RowNews::Endpoint(notice) if is_whole => listed.push(notice),
             RowNews::Endpoint(notice) => changes.extend(front.state().book.take(&notice)),
             RowNews::EndpointGone(id) => {
@@ -104,14 +113,8 @@
         changes.extend(state.book.take_all(&listed, is_steady));
         state.has_list = true;
     }
+    changes.extend(front.state().book.end_overtaken());
     log_changes(front, &changes);
-    Ok(())
-}
-
-fn read_row(row: StoreRow) -> Result<RowNews, StoreError> {
-    let key = row.key.clone();
-    decode_row(RowTable::Endpoints, row)
-        .map_err(|error| StoreError::Unreadable(format!("{key}: {error}")))
 }
 
 pub(super) fn log_changes(
@@ -123,14 +126,18 @@
             BookChange::Serves(id) => ("serves", id),
             BookChange::Leaves(id) => ("leaves", id),
             BookChange::Lapses(id) => ("lapses", id),
+            BookChange::Restarts(id) => ("restarted", id),
         };
-        log::info!(event = "endpoint", endpoint = id.as_str(), standing = what; "");
+        let mut state = front.state();
+        let key = state.book.key(id);
+        let entry = key.and_then(|key| state.book.get(key));
+        let born = entry.and_then(|entry| entry.life.born).unwrap_or(0);
+        log::info!(event = "endpoint", endpoint = id.as_str(), standing = what, born = born; "");
         front.metrics.count("endpoint_changes", what);
-        if what == "leaves" {
-            let mut state = front.state();
-            if let Some(key) = state.book.key(id) {
-                state.pool.close_all(key);
-            }
+        // Those of an earlier life lead nowhere.
+        let is_closed = matches!(what, "leaves" | "restarted");
+        if let Some(key) = key.filter(|_| is_closed) {
+            state.pool.close_all(key);
         }
     }
 }
