Greetings count from the digest that their front had heard

Cause: a greeting's own age counted from its receipt, so one that waited while a process stood still renewed its copy of keys and namings, and a turn to load that was given long ago counted as given now. Ruled out: a wrong clock (spans only). Change: a greeting names the last digest its front had heard (DigestEcho); it is at most as old as that. Without it nothing is proven and no turn is taken.

--- a/agent/src/beside/beside_context.rs
+++ b/agent/src/beside/beside_context.rs
@@ -1,5 +1,5 @@
 use {
-    super::{BesideMetrics, BesideSettings, StateKeeper},
+    super::{BesideMetrics, BesideSettings, SentDigests, StateKeeper},
     pitchhitch_core::{
         serving::{EngineLoad, LifeOrder, PartId, WallTag},
         time::Micros,
@@ -50,6 +50,8 @@
     pub born: Option<u64>,
     /// Times that the engine was found to have forgotten what it kept.
     pub forgotten: u64,
+    /// When digests were sent.
+    pub sent: SentDigests,
     /// Copy of what fronts know.
     pub keeper: StateKeeper,
     /// Wanted weights by model.
--- a/agent/src/beside/digest_sender.rs
+++ b/agent/src/beside/digest_sender.rs
@@ -2,7 +2,7 @@
     super::{BesideContext, BesideState},
     pitchhitch_core::{serving::EngineLoad, time::Micros},
     pitchhitch_process::to_duration,
-    pitchhitch_wire::beside::{DigestPart, EngineDigest, FrontHello},
+    pitchhitch_wire::beside::{DigestEcho, DigestPart, EngineDigest, FrontHello},
     smol::Timer,
     std::{net::SocketAddr, rc::Rc, time::Duration},
 };
@@ -36,11 +36,12 @@
                 let mut state = beside.state();
                 state.heard(from, now);
                 let domain = &beside.settings.failure_domain;
-                state.keeper.heard(&hello, from, domain, now);
+                let age = state.sent.greeting_age(hello.echo, now);
+                state.keeper.heard(&hello, age, from, domain, now);
                 if hello.wants_all {
                     state.newcomers.insert(from);
                 }
-                take_hello(&mut state, hello, now);
+                take_hello(&mut state, hello, age, now);
             }
             Err(error) => {
                 let error = error.to_string();
@@ -54,6 +55,7 @@
 fn take_hello(
     state: &mut BesideState,
     hello: FrontHello,
+    age: Option<Micros>,
     now: Micros,
 ) {
     let id = hello.engine_id.as_deref();
@@ -84,8 +86,9 @@
             wanted.version = named.version;
             wanted.turn_at = None;
         }
-        if named.is_turn {
-            wanted.turn_at = Some(now);
+        // A turn that was given long ago may be somebody else's now.
+        if let Some(age) = age.filter(|_| named.is_turn) {
+            wanted.turn_at = wanted.turn_at.max(Some(now.since(age)));
         }
     }
 }
@@ -178,11 +181,14 @@
     fronts: u32,
     parts: Vec<DigestPart>,
 ) -> EngineDigest {
-    let state = beside.state();
+    let life = beside.clock.incarnation();
+    let number = count.number;
+    let mut state = beside.state();
+    state.sent.note(DigestEcho { life, number }, beside.now());
     EngineDigest {
         engine: beside.settings.engine,
-        life: beside.clock.incarnation(),
-        number: count.number,
+        life,
+        number,
         changes: count.changes,
         is_change: false,
         born: state.born,
--- a/agent/src/beside/mod.rs
+++ b/agent/src/beside/mod.rs
@@ -10,10 +10,11 @@
 mod engine_watch;
 mod kept_watch;
 mod order_giver;
+mod sent_digests;
 mod state_keeper;
 
 pub(crate) use {
     beside_context::*, beside_metrics::*, digest_sender::*, engine_watch::*, kept_watch::*,
-    order_giver::*, state_keeper::*,
+    order_giver::*, sent_digests::*, state_keeper::*,
 };
 pub use {beside_process::*, beside_settings::*};
--- a/agent/src/beside/state_keeper.rs
+++ b/agent/src/beside/state_keeper.rs
@@ -41,12 +41,30 @@
     at: Micros,
 }
 
+impl StateCopy {
+    /// Takes that the same content was the newest so long ago.
+    fn prove(
+        &mut self,
+        age: Micros,
+        now: Micros,
+    ) {
+        let passed = now.since(self.at);
+        if age < self.state.age + passed {
+            self.state.grow_older(passed);
+            self.state.age = age;
+            self.at = now;
+        }
+    }
+}
+
 impl StateKeeper {
-    /// Notes what a front says of its state. One of the own failure domain goes
-    /// before others: the bytes between domains cost more.
+    /// Notes what a front says of its state; `sent_age` is for how long at most that was
+    /// on its way. One of the own failure domain goes before others: the bytes between
+    /// domains cost more.
     pub fn heard(
         &mut self,
         hello: &FrontHello,
+        sent_age: Option<Micros>,
         from: SocketAddr,
         domain: &str,
         now: Micros,
@@ -61,11 +79,8 @@
             is_near: hello.domain == domain,
         };
         let same = self.copy.as_mut().filter(|copy| copy.mark == mark);
-        // The same content, proven again.
-        if let Some(copy) = same.filter(|copy| age < copy.state.age + now.since(copy.at)) {
-            copy.state.grow_older(now.since(copy.at));
-            copy.state.age = age;
-            copy.at = now;
+        if let (Some(copy), Some(sent_age)) = (same, sent_age) {
+            copy.prove(age + sent_age, now);
         }
         let known = self.offer.filter(|o| now.since(o.heard_at) < OFFER_LIFE);
         if known.is_none_or(|known| offer.is_near || !known.is_near) {
--- a/entry/src/front/beside_link.rs
+++ b/entry/src/front/beside_link.rs
@@ -5,7 +5,7 @@
         time::Micros,
     },
     pitchhitch_process::to_duration,
-    pitchhitch_wire::beside::{BesideSocket, FrontHello, WantedWeights},
+    pitchhitch_wire::beside::{BesideSocket, DigestEcho, FrontHello, WantedWeights},
     smol::Timer,
     std::{net::SocketAddr, rc::Rc},
 };
@@ -113,6 +113,10 @@
         engine_born: entry.life.listed,
         engine_row: entry.life.row_version,
         state: handed,
+        echo: entry.life.digest.map(|digest| DigestEcho {
+            life: digest.life,
+            number: digest.number,
+        }),
         wanted: wanted.collect(),
         wants_all: !entry.is_mirrored,
     }
--- a/wire/src/beside/front_hello.rs
+++ b/wire/src/beside/front_hello.rs
@@ -14,6 +14,16 @@
     pub is_turn: bool,
 }
 
+/// The last digest that a front had heard when it wrote a greeting: it cannot have been
+/// written before that was sent.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct DigestEcho {
+    /// Life of the sender of the digest.
+    pub life: u64,
+    /// Number of the digest in that life.
+    pub number: u64,
+}
+
 /// What a front tells the process beside an engine; it also asks for digests.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct FrontHello {
@@ -31,6 +41,8 @@
     pub domain: String,
     /// Mark and age of the state that it can hand on.
     pub state: Option<(u64, Micros)>,
+    /// Last digest that the front has heard of this engine.
+    pub echo: Option<DigestEcho>,
     /// Whether the front wants to be told all that the engine keeps.
     pub wants_all: bool,
 }
