A load model on a virtual clock, first form

Ruled out: the model of one engine in core's test, which has no choice between engines. Change: testbed::load_model, load_lab, loads.

--- /dev/null
+++ b/testbed/examples/load_lab/aim_plot.rs
@@ -0,0 +1,94 @@
+use {
+    pitchhitch_testbed::load_model::{LoadFile, LoadTally, SecondTally},
+    plotters::{coord::Shift, prelude::*},
+    std::path::Path,
+};
+
+/// Width and height of one panel, in pixels.
+const PANEL_SIZE: (u32, u32) = (560, 360);
+/// Panels that stand side by side.
+const PANELS_WIDE: usize = 2;
+
+/// The runs of one setting.
+pub struct AimPanel {
+    /// Name of the setting.
+    pub name: String,
+    /// Runs, one for each seed.
+    pub tallies: Vec<LoadTally>,
+}
+
+/// Draws the part in aim by the second in which requests came, over all seeds, a
+/// line for each kind and a panel for each setting.
+pub fn draw_aims(
+    out: &Path,
+    load: &LoadFile,
+    panels: &[AimPanel],
+) -> anyhow::Result<()> {
+    let wide = panels.len().clamp(1, PANELS_WIDE);
+    let high = panels.len().div_ceil(wide).max(1);
+    let size = (PANEL_SIZE.0 * wide as u32, PANEL_SIZE.1 * high as u32);
+    let area = SVGBackend::new(out, size).into_drawing_area();
+    area.fill(&WHITE)?;
+    let places = area.split_evenly((high, wide));
+    for (panel, place) in panels.iter().zip(&places) {
+        draw_panel(place, load, panel)?;
+    }
+    area.present()?;
+    Ok(())
+}
+
+fn draw_panel(
+    place: &DrawingArea<SVGBackend<'_>, Shift>,
+    load: &LoadFile,
+    panel: &AimPanel,
+) -> anyhow::Result<()> {
+    let mut chart = ChartBuilder::on(place)
+        .margin(12)
+        .x_label_area_size(36)
+        .y_label_area_size(46)
+        .caption(&panel.name, ("sans-serif", 16))
+        .build_cartesian_2d(0.0..load.length_s, 0.0..1.02)?;
+    chart
+        .configure_mesh()
+        .x_desc("second in which it was asked")
+        .y_desc("part in aim")
+        .draw()?;
+    for (number, kind) in load.kinds.iter().enumerate() {
+        let color = Palette99::pick(number).to_rgba();
+        chart
+            .draw_series(LineSeries::new(
+                aim_line(panel, number),
+                color.stroke_width(2),
+            ))?
+            .label(kind.name.as_str())
+            .legend(move |(x, y)| PathElement::new([(x, y), (x + 14, y)], color));
+    }
+    chart
+        .configure_series_labels()
+        .position(SeriesLabelPosition::LowerRight)
+        .border_style(BLACK)
+        .background_style(WHITE.mix(0.8))
+        .draw()?;
+    Ok(())
+}
+
+fn aim_line(
+    panel: &AimPanel,
+    kind: usize,
+) -> Vec<(f64, f64)> {
+    let mut seconds: Vec<SecondTally> = Vec::new();
+    for tally in &panel.tallies {
+        let of_kind = &tally.kinds[kind].seconds;
+        seconds.resize(seconds.len().max(of_kind.len()), SecondTally::default());
+        for (sum, second) in seconds.iter_mut().zip(of_kind) {
+            sum.owed += second.owed;
+            sum.in_aim += second.in_aim;
+        }
+    }
+    let numbered = seconds.iter().enumerate();
+    let asked = numbered.filter(|(_, second)| second.owed > 0);
+    let part = |second: &SecondTally| f64::from(second.in_aim) / f64::from(second.owed);
+    asked
+        .map(|(number, second)| (number as f64 + 0.5, part(second)))
+        .collect()
+}
--- /dev/null
+++ b/testbed/examples/load_lab/lab_options.rs
@@ -0,0 +1,80 @@
+use {
+    anyhow::{ensure, Context},
+    getopts::Options,
+    pitchhitch_testbed::load_model::ModelMechanism,
+    std::path::PathBuf,
+};
+
+/// What is played.
+#[derive(Debug)]
+pub struct LabOptions {
+    /// File of the load.
+    pub load: PathBuf,
+    /// Mechanisms that are left out, one at a time.
+    pub without: Vec<ModelMechanism>,
+    /// Whether each mechanism is left out in turn, and the table has a row for each.
+    pub is_each: bool,
+    /// Seeds.
+    pub seeds: Vec<u64>,
+    /// File of a plot.
+    pub svg: Option<PathBuf>,
+}
+
+impl LabOptions {
+    /// Reads the arguments of the command.
+    pub fn parse(args: &[String]) -> anyhow::Result<Self> {
+        let mut options = Options::new();
+        options.reqopt("", "load", "the load, a TOML file", "FILE");
+        options.optmulti(
+            "",
+            "without",
+            "leave this out; may be repeated",
+            "MECHANISM",
+        );
+        options.optflag(
+            "",
+            "each",
+            "leave each mechanism out in turn, a row for each",
+        );
+        options.optopt(
+            "",
+            "seeds",
+            "seeds from the first to the last (1..20)",
+            "A..B",
+        );
+        options.optopt("", "svg", "plot the part in aim over time", "OUT.svg");
+        let usage = options.usage("use: load_lab --load FILE");
+        let found = options.parse(args).context(usage)?;
+        let names = found.opt_strs("without");
+        let without: anyhow::Result<_> = names.iter().map(|n| ModelMechanism::named(n)).collect();
+        Ok(LabOptions {
+            load: found.opt_str("load").unwrap_or_default().into(),
+            without: without?,
+            is_each: found.opt_present("each"),
+            seeds: read_seeds(&found.opt_str("seeds").unwrap_or_else(|| "1..20".into()))?,
+            svg: found.opt_str("svg").map(PathBuf::from),
+        })
+    }
+
+    /// The settings to play: all mechanisms first, then without each that is named.
+    pub fn settings(&self) -> Vec<Option<ModelMechanism>> {
+        let without = match self.is_each {
+            true => ModelMechanism::ALL.to_vec(),
+            false => self.without.clone(),
+        };
+        let whole = std::iter::once(None);
+        whole.chain(without.into_iter().map(Some)).collect()
+    }
+}
+
+/// Reads `FIRST..LAST`, both of them played, or one seed.
+fn read_seeds(text: &str) -> anyhow::Result<Vec<u64>> {
+    let (first, last) = text.split_once("..").unwrap_or((text, text));
+    let number = |text: &str| {
+        let number = text.trim().parse::<u64>();
+        number.with_context(|| format!("seeds: {text} is no number"))
+    };
+    let seeds: Vec<u64> = (number(first)?..=number(last)?).collect();
+    ensure!(!seeds.is_empty(), "seeds: write them as 1..20");
+    Ok(seeds)
+}
--- a/testbed/src/lib.rs
+++ b/testbed/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod check;
 pub mod deploy;
 pub mod engine;
+pub mod load_model;
 pub mod proxy;
 pub mod replay;
 pub mod stand_ins;
--- /dev/null
+++ b/testbed/src/load_model/model_front.rs
@@ -0,0 +1,359 @@
+use {
+    super::{EngineSpec, KindSpec, ModelMechanism, ModelStore},
+    pitchhitch_core::{
+        serving::{
+            pick_endpoint, AdmissionAsk, AdmissionRule, AdmissionVerdict, EndpointBook,
+            EndpointChoice, EndpointKey, EndpointNotice, EngineGroup, EnginePace, MemoryMap,
+            PickAsk, PromptAsk, UnreadWork, VersionOutlook, WallTag, WeightBounds,
+        },
+        time::Micros,
+    },
+    std::net::SocketAddr,
+};
+
+/// The one model that all engines serve, and the one version of its weights.
+const MODEL: &str = "m";
+const VERSION: u64 = 1;
+/// The one wall inside which parts are shared.
+pub const WALL: WallTag = WallTag(1);
+const SERVICE: &str = "engines";
+/// When refused callers are asked back, where that is not worked out.
+const FIXED_RETURN: Micros = Micros::from_millis(500);
+
+/// A request as a front sees it.
+#[derive(Debug, Clone, Copy)]
+pub struct FrontAsk<'a> {
+    /// Its kind.
+    pub kind: &'a KindSpec,
+    /// Its prompt.
+    pub prompt: &'a PromptAsk,
+    /// Time that its caller still has.
+    pub patience: Micros,
+    /// Engines that it has been to, by number.
+    pub tried: &'a [usize],
+    /// A number between 0 and 1 that spreads returns.
+    pub spread: f64,
+}
+
+/// What a front does about a request.
+#[derive(Debug, Clone)]
+pub enum FrontVerdict {
+    /// It goes to an engine.
+    Sent(Box<FrontSend>),
+    /// It is refused, and asked back after a time.
+    Refused(Micros),
+    /// No engine is left.
+    NoEngine,
+}
+
+/// A request that goes to an engine.
+#[derive(Debug, Clone)]
+pub struct FrontSend {
+    /// Number of the engine.
+    pub engine: usize,
+    /// The choice.
+    pub choice: EndpointChoice,
+    /// Its ticket in the front's book.
+    pub ticket: u64,
+    /// Stores in which its shared parts are to be saved.
+    pub saves: Vec<Option<SocketAddr>>,
+}
+
+/// One front: the deciding code of the product, with its state.
+#[derive(Debug)]
+pub struct ModelFront {
+    /// Failure domain, by number.
+    pub domain: usize,
+    /// Engines, as this front knows them.
+    pub book: EndpointBook,
+    /// Stores, as this front knows them.
+    pub memory: MemoryMap,
+    /// What it has learned of engines.
+    pub pace: EnginePace,
+    admission: AdmissionRule,
+    keys: Vec<EndpointKey>,
+    group: EngineGroup,
+    tickets: u64,
+    left_out: Option<ModelMechanism>,
+}
+
+impl ModelFront {
+    /// A front that has just learned of all engines and stores.
+    pub fn new(
+        domain: usize,
+        domains: usize,
+        spec: &EngineSpec,
+        stores: &[ModelStore],
+        left_out: Option<ModelMechanism>,
+    ) -> Self {
+        let mut book = EndpointBook::default();
+        let mut keys = Vec::new();
+        for engine in 0..spec.count {
+            let notice = engine_notice(engine, domains, spec);
+            book.take(&notice);
+            keys.extend(book.key(&notice.id));
+        }
+        let mut memory = MemoryMap::default();
+        let notices: Vec<_> = stores.iter().map(ModelStore::notice).collect();
+        if left_out != Some(ModelMechanism::Stores) {
+            memory.set_stores(&notices);
+        }
+        ModelFront {
+            domain,
+            book,
+            memory,
+            pace: EnginePace::default(),
+            admission: AdmissionRule::default(),
+            keys,
+            group: EngineGroup {
+                slots: spec.places,
+                capacity_tokens: spec.memory_tokens,
+                token_bytes: spec.token_bytes,
+                link_mbps: spec.link_mbps,
+                models: vec![MODEL.to_string()],
+            },
+            tickets: 0,
+            left_out,
+        }
+    }
+
+    /// Key of an engine in the book.
+    pub fn key(
+        &self,
+        engine: usize,
+    ) -> EndpointKey {
+        self.keys[engine]
+    }
+
+    /// Number of an engine in the book.
+    pub fn engine(
+        &self,
+        key: EndpointKey,
+    ) -> Option<usize> {
+        self.keys.iter().position(|known| *known == key)
+    }
+
+    fn is_without(
+        &self,
+        mechanism: ModelMechanism,
+    ) -> bool {
+        self.left_out == Some(mechanism)
+    }
+
+    /// Decides about a request.
+    pub fn decide(
+        &mut self,
+        ask: &FrontAsk<'_>,
+        now: Micros,
+    ) -> FrontVerdict {
+        let Some(choice) = self.pick(ask, now) else {
+            return FrontVerdict::NoEngine;
+        };
+        // Only a first send is judged: what has been let in is carried through.
+        if ask.tried.is_empty() && self.judge(ask, &choice) != AdmissionVerdict::Admitted {
+            return FrontVerdict::Refused(self.come_back(ask, &choice));
+        }
+        match self.engine(choice.key) {
+            Some(engine) => FrontVerdict::Sent(Box::new(self.send(ask, engine, choice, now))),
+            None => FrontVerdict::NoEngine,
+        }
+    }
+
+    fn pick(
+        &self,
+        ask: &FrontAsk<'_>,
+        now: Micros,
+    ) -> Option<EndpointChoice> {
+        let outlooks = self.outlooks(ask.prompt, now);
+        let mut prompt = ask.prompt.clone();
+        if self.is_without(ModelMechanism::Home) {
+            prompt.parts.clear();
+        }
+        let tried: Vec<EndpointKey> = ask.tried.iter().map(|at| self.key(*at)).collect();
+        let pick = PickAsk {
+            service: SERVICE,
+            domain: &domain_name(self.domain),
+            prompt: Some(&prompt),
+            rank: ask.kind.rank,
+            tried: &tried,
+            pace: &self.pace,
+            weights: WeightBounds::default(),
+            now,
+        };
+        pick_endpoint(&self.book, &pick, &outlooks)
+    }
+
+    fn outlooks(
+        &self,
+        prompt: &PromptAsk,
+        now: Micros,
+    ) -> Vec<VersionOutlook> {
+        if self.is_without(ModelMechanism::Affinity) {
+            return Vec::new();
+        }
+        let (book, group) = (&self.book, &self.group);
+        let mut parts = self.memory.outlook(book, group, WALL, &prompt.parts, now);
+        if self.is_without(ModelMechanism::Fetches) {
+            parts.iter_mut().for_each(|part| part.sources.clear());
+        }
+        vec![VersionOutlook {
+            version: VERSION,
+            wall: WALL,
+            parts,
+        }]
+    }
+
+    fn judge(
+        &mut self,
+        ask: &FrontAsk<'_>,
+        choice: &EndpointChoice,
+    ) -> AdmissionVerdict {
+        let asked = self.admission_ask(ask);
+        let (tokens, unread) = (ask.prompt.tokens_in, choice.unread_tokens);
+        self.admission.note(&asked, tokens, unread);
+        if self.is_without(ModelMechanism::Admission) {
+            return AdmissionVerdict::Admitted;
+        }
+        let choice = self.seen_choice(choice);
+        self.admission.judge(&asked, &self.pace, &choice)
+    }
+
+    /// The choice as the admission sees it, without what is left out.
+    fn seen_choice(
+        &self,
+        choice: &EndpointChoice,
+    ) -> EndpointChoice {
+        let mut seen = choice.clone();
+        match self.left_out {
+            Some(ModelMechanism::LateRule) => seen.queue_ms = 0.0,
+            Some(ModelMechanism::WaitingRule) => seen.waiting = 0,
+            Some(ModelMechanism::MemoryRule) => seen.free_tokens = None,
+            Some(ModelMechanism::KeptMemory) => seen.plan.kept_tokens = 0,
+            _ => {}
+        }
+        seen
+    }
+
+    fn admission_ask<'a>(
+        &self,
+        ask: &FrontAsk<'a>,
+    ) -> AdmissionAsk<'a> {
+        let patience = match self.is_without(ModelMechanism::ReturnOrder) {
+            true => ask.kind.deadline(),
+            false => ask.patience,
+        };
+        AdmissionAsk {
+            route: &ask.kind.name,
+            rank: ask.kind.rank,
+            aim: ask.kind.aim(),
+            patience,
+        }
+    }
+
+    fn come_back(
+        &self,
+        ask: &FrontAsk<'_>,
+        choice: &EndpointChoice,
+    ) -> Micros {
+        if self.is_without(ModelMechanism::ComeBack) {
+            return FIXED_RETURN;
+        }
+        let asked = self.admission_ask(ask);
+        let choice = self.seen_choice(choice);
+        self.admission
+            .come_back(&asked, &self.pace, &choice, ask.spread)
+    }
+
+    fn send(
+        &mut self,
+        ask: &FrontAsk<'_>,
+        engine: usize,
+        choice: EndpointChoice,
+        now: Micros,
+    ) -> FrontSend {
+        let prompt = ask.prompt;
+        self.tickets += 1;
+        let work = UnreadWork {
+            ticket: self.tickets,
+            tokens: choice.unread_tokens,
+            memory_tokens: prompt.tokens_in,
+            rank: ask.kind.rank,
+            sent_at: now,
+        };
+        self.book.sent(choice.key, work);
+        self.memory.fetching(&choice.plan, now);
+        let saves = self.memory.plan_saves(WALL, &prompt.parts, now);
+        if let Some(entry) = self.book.get_mut(choice.key) {
+            let capacity = self.group.capacity_tokens;
+            entry.parts.touch(WALL, &prompt.parts, capacity);
+        }
+        let unread = choice.unread_tokens;
+        self.pace
+            .note_sent(prompt.tokens_in, unread, prompt.tokens_out);
+        FrontSend {
+            engine,
+            choice,
+            ticket: self.tickets,
+            saves,
+        }
+    }
+
+    /// Hears that an answer has begun.
+    pub fn begun(
+        &mut self,
+        send: &FrontSend,
+        took: Micros,
+        is_first: bool,
+    ) {
+        self.book.begun(send.choice.key, send.ticket);
+        if is_first && !self.is_without(ModelMechanism::LearnedPace) {
+            let tokens = send.choice.ahead_tokens + f64::from(send.choice.unread_tokens);
+            let millis = took.as_millis() as f64 - send.choice.plan.fetch_ms;
+            self.pace.note_begun(tokens, millis);
+        }
+    }
+
+    /// Hears that an answer has ended, or learns that it is lost; `held` is for
+    /// how long the engine had it, where it had begun.
+    pub fn ended(
+        &mut self,
+        send: &FrontSend,
+        tokens_in: u32,
+        held: Option<Micros>,
+    ) {
+        self.book.ended(send.choice.key, send.ticket);
+        if let Some(held) = held {
+            self.pace.note_ended(tokens_in, held.as_millis() as f64);
+        }
+    }
+}
+
+/// The prompt of a request as its front reads it.
+pub fn prompt_ask(call: &super::PromptCall) -> PromptAsk {
+    PromptAsk {
+        model: MODEL.to_string(),
+        tokens_in: call.tokens_in(),
+        tokens_out: call.tokens_out,
+        parts: call.parts.clone(),
+    }
+}
+
+fn engine_notice(
+    engine: usize,
+    domains: usize,
+    spec: &EngineSpec,
+) -> EndpointNotice {
+    EndpointNotice {
+        id: format!("engine-{engine}"),
+        service: SERVICE.to_string(),
+        address: Some(SocketAddr::from(([10, 0, 0, engine as u8], 80))),
+        domain: domain_name(engine % domains),
+        slots: spec.places,
+        is_leaving: false,
+        weights: vec![(MODEL.to_string(), VERSION)],
+    }
+}
+
+fn domain_name(domain: usize) -> String {
+    format!("domain-{domain}")
+}
--- /dev/null
+++ b/testbed/src/load_model/world_engines.rs
@@ -0,0 +1,224 @@
+use {
+    super::{load_world::millis, EngineNews, EngineRun, LoadWorld, ModelEvent, SendKey, WALL},
+    pitchhitch_core::{
+        serving::{EngineLoad, PartId},
+        time::Micros,
+    },
+};
+
+/// Time until a front learns that an engine went down, by its connection.
+const LOSS_AFTER: Micros = Micros::from_millis(5);
+
+impl LoadWorld<'_> {
+    /// A request is at its engine, which fetches what it was told to.
+    pub(super) fn reaches(
+        &mut self,
+        send: SendKey,
+    ) {
+        if !self.is_current(send) {
+            return;
+        }
+        let Some(engine) = self.engine_of(send) else {
+            return;
+        };
+        if self.engines[engine].is_down {
+            self.lose(send);
+            return;
+        }
+        let there_at = self.start_fetches(send, engine);
+        self.engines[engine].unready += 1;
+        let first = millis(self.load.engines.first_ms);
+        self.queue.put(there_at + first, ModelEvent::Ready(send));
+    }
+
+    fn engine_of(
+        &self,
+        send: SendKey,
+    ) -> Option<usize> {
+        let sent = self.states[send.call.0].sent.as_ref();
+        sent.map(|sent| sent.engine)
+    }
+
+    fn lose(
+        &mut self,
+        send: SendKey,
+    ) {
+        self.states[send.call.0].is_lost = true;
+        self.queue
+            .put(self.now + LOSS_AFTER, ModelEvent::Lost(send));
+    }
+
+    /// A request may be read.
+    pub(super) fn ready(
+        &mut self,
+        send: SendKey,
+    ) {
+        let state = &self.states[send.call.0];
+        if state.is_lost || state.sends != send.send {
+            return;
+        }
+        let Some(engine) = self.engine_of(send) else {
+            return;
+        };
+        self.engines[engine].unready = self.engines[engine].unready.saturating_sub(1);
+        if !self.is_current(send) {
+            return;
+        }
+        let call = &self.calls[send.call.0];
+        let run = EngineRun {
+            key: send,
+            rank: self.load.kinds[call.kind].rank,
+            order: 0,
+            parts: call.parts.clone(),
+            wanted: call.tokens_out,
+            made: 0,
+            pinned: 0,
+            own: 0,
+            to_read: 0,
+            reads_now: 0,
+            made_at: None,
+            longest_pause: Micros::ZERO,
+        };
+        if self.engines[engine].take(run) {
+            self.step(engine);
+        } else {
+            self.lose(send);
+        }
+    }
+
+    /// Begins a step, if the engine has something to do and does nothing.
+    fn step(
+        &mut self,
+        engine: usize,
+    ) {
+        let mut news = Vec::new();
+        let took = self.engines[engine].begin_step(&mut news);
+        if let Some(took) = took {
+            let life = self.engines[engine].life;
+            self.queue
+                .put(self.now + took, ModelEvent::StepEnds(engine, life));
+        }
+        self.hear(engine, news);
+    }
+
+    /// An engine ends a step and begins the next.
+    pub(super) fn step_ends(
+        &mut self,
+        engine: usize,
+        life: u32,
+    ) {
+        if self.engines[engine].life != life {
+            return;
+        }
+        let mut news = Vec::new();
+        self.engines[engine].end_step(self.now, &mut news);
+        self.hear(engine, news);
+        self.step(engine);
+    }
+
+    fn hear(
+        &mut self,
+        engine: usize,
+        news: Vec<EngineNews>,
+    ) {
+        for news in news {
+            match news {
+                EngineNews::Begun(send) => self.tell(engine, send, ModelEvent::Begun(send)),
+                EngineNews::Ended(send, pause) => {
+                    self.tell(engine, send, ModelEvent::Ended(send, pause));
+                }
+                EngineNews::ReadShared(part) => {
+                    if !self.read_before.insert(part.id) {
+                        self.tally.read_again += u64::from(part.tokens);
+                    }
+                }
+                EngineNews::Whole(send) => self.start_saves(send),
+                EngineNews::PutBack => self.tally.put_back += 1,
+            }
+        }
+    }
+
+    fn tell(
+        &mut self,
+        engine: usize,
+        send: SendKey,
+        event: ModelEvent,
+    ) {
+        let hop = self.hop(self.states[send.call.0].front, engine);
+        self.queue.put(self.now + hop, event);
+    }
+
+    /// An engine takes stock, which fronts hear later.
+    pub(super) fn reports(
+        &mut self,
+        engine: usize,
+    ) {
+        let spec = &self.load.engines;
+        let load = self.engines[engine].report();
+        let changes = self.engines[engine].memory.take_changes();
+        let heard_at = self.now + millis(spec.report_lag_ms);
+        let reported = ModelEvent::Reported(engine, load, changes);
+        self.queue.put(heard_at, reported);
+        let next_at = self.now + millis(spec.report_every_ms.max(1.0));
+        self.queue.put(next_at, ModelEvent::Reports(engine));
+    }
+
+    /// Fronts hear an engine's report.
+    pub(super) fn reported(
+        &mut self,
+        engine: usize,
+        load: EngineLoad,
+        changes: &[(PartId, u32)],
+    ) {
+        for front in &mut self.fronts {
+            let key = front.key(engine);
+            let Some(entry) = front.book.get_mut(key) else {
+                continue;
+            };
+            entry.load = Some(EngineLoad {
+                at: self.now,
+                ..load
+            });
+            if load.is_silent {
+                entry.parts.clear();
+            }
+            for (id, tokens) in changes {
+                entry.parts.set(WALL, *id, *tokens);
+            }
+        }
+    }
+
+    /// The first so many engines go down with all that they hold.
+    pub(super) fn go_down(
+        &mut self,
+        engines: usize,
+    ) {
+        let count = engines.min(self.engines.len());
+        for engine in 0..count {
+            self.engines[engine].go_down();
+            self.coming[engine].clear();
+        }
+        for number in 0..self.states.len() {
+            let state = &self.states[number];
+            let send = SendKey {
+                call: super::CallKey(number),
+                send: state.sends,
+            };
+            let is_there = state.sent.as_ref().is_some_and(|sent| sent.engine < count);
+            if is_there && state.outcome.is_none() && !state.is_lost {
+                self.lose(send);
+            }
+        }
+    }
+
+    /// They come back, empty.
+    pub(super) fn come_up(
+        &mut self,
+        engines: usize,
+    ) {
+        let count = engines.min(self.engines.len());
+        for engine in &mut self.engines[..count] {
+            engine.is_down = false;
+        }
+    }
+}
--- /dev/null
+++ b/testbed/src/load_model/world_moves.rs
@@ -0,0 +1,158 @@
+use {
+    super::{load_world::STORE_ANSWERS, LoadWorld, ModelEvent, SendKey, WALL},
+    pitchhitch_core::{
+        serving::{move_ms, PartPlace, PromptPart},
+        time::Micros,
+    },
+};
+
+/// Factor on a move between failure domains.
+const OTHER_DOMAIN_FACTOR: f64 = 2.0;
+/// The one life of each store.
+const STORE_LIFE: u64 = 1;
+
+impl LoadWorld<'_> {
+    /// Starts the moves that a request's front asked for; tells when all is there.
+    /// From the first part that cannot be had, all is read.
+    pub(super) fn start_fetches(
+        &mut self,
+        send: SendKey,
+        engine: usize,
+    ) -> Micros {
+        let mut there_at = self.now;
+        let sent = self.states[send.call.0].sent.as_ref();
+        let plan = sent.map(|sent| sent.choice.plan.parts.clone());
+        for fetch in plan.unwrap_or_default() {
+            let part = fetch.part;
+            if self.engines[engine].memory.keeps(part.id) {
+                continue;
+            }
+            let coming = self.coming[engine].get(&part.id).copied();
+            let source = fetch.source.map(|(source, _)| source.place);
+            let moved = coming.or_else(|| self.start_move(send, source?, engine, part));
+            let Some(moved_at) = moved else {
+                break;
+            };
+            there_at = there_at.max(moved_at);
+        }
+        there_at
+    }
+
+    /// Starts to move a part to an engine; tells when it is there, or nothing where
+    /// the source has it no more.
+    fn start_move(
+        &mut self,
+        send: SendKey,
+        source: PartPlace,
+        engine: usize,
+        part: PromptPart,
+    ) -> Option<Micros> {
+        let spec = &self.load.engines;
+        let bytes = u64::from(part.tokens) * spec.token_bytes;
+        let (domain, first_ms, link_mbps, link_until) = match source {
+            PartPlace::Store(place) => {
+                let store = self.stores.get_mut(place).filter(|s| s.keeps(part.id))?;
+                let (spec, link_until) = (&store.spec, &mut store.link_until);
+                (spec.domain, spec.first_ms, spec.link_mbps, link_until)
+            }
+            PartPlace::Engine(key) => {
+                let front = self.states[send.call.0].front;
+                let from = self.fronts[front].engine(key)?;
+                let source = &mut self.engines[from];
+                if source.is_down || !source.memory.keeps(part.id) {
+                    return None;
+                }
+                let domain = from % self.load.domains;
+                let link_until = &mut source.link_until;
+                (domain, spec.move_first_ms, spec.link_mbps, link_until)
+            }
+        };
+        let factor = match domain == engine % self.load.domains {
+            true => 1.0,
+            false => OTHER_DOMAIN_FACTOR,
+        };
+        let took_ms = (first_ms + move_ms(bytes, link_mbps)) * factor;
+        let from = self.now.max(*link_until);
+        let there_at = from + Micros((took_ms * 1e3) as u64);
+        *link_until = there_at;
+        self.coming[engine].insert(part.id, there_at);
+        self.queue.put(there_at, ModelEvent::Fetched(engine, part));
+        Some(there_at)
+    }
+
+    /// A part that an engine fetched is there.
+    pub(super) fn fetched(
+        &mut self,
+        engine: usize,
+        part: PromptPart,
+    ) {
+        let is_awaited = self.coming[engine].remove(&part.id).is_some();
+        if is_awaited && self.engines[engine].memory.keep_fetched(part) {
+            self.tally.fetched += u64::from(part.tokens);
+        }
+    }
+
+    /// An engine has all parts of a prompt and saves those that it was asked to.
+    pub(super) fn start_saves(
+        &mut self,
+        send: SendKey,
+    ) {
+        let state = &self.states[send.call.0];
+        let saves = state.sent.as_ref().map(|sent| sent.saves.clone());
+        let shared = self.calls[send.call.0].shared();
+        for (part, save) in shared.iter().zip(saves.unwrap_or_default()) {
+            let place = self.stores.iter().position(|s| Some(s.address) == save);
+            let Some(place) = place else {
+                continue;
+            };
+            let store = &mut self.stores[place];
+            let bytes = u64::from(part.tokens) * self.load.engines.token_bytes;
+            let took_ms = store.spec.first_ms + move_ms(bytes, store.spec.link_mbps);
+            let from = self.now.max(store.link_until);
+            store.link_until = from + Micros((took_ms * 1e3) as u64);
+            let saved = ModelEvent::Saved(place, *part);
+            self.queue.put(store.link_until, saved);
+        }
+    }
+
+    /// A part is saved, if the store has room.
+    pub(super) fn saved(
+        &mut self,
+        place: usize,
+        part: PromptPart,
+    ) {
+        let store = &mut self.stores[place];
+        if store.save(part) {
+            let lag = Micros((store.spec.news_lag_ms * 1e3) as u64);
+            let heard = ModelEvent::SavedHeard(place, part);
+            self.queue.put(self.now + lag, heard);
+        }
+    }
+
+    /// Fronts hear that a store has a part.
+    pub(super) fn saved_heard(
+        &mut self,
+        place: usize,
+        part: PromptPart,
+    ) {
+        for front in &mut self.fronts {
+            if let Some(view) = front.memory.view_at(place) {
+                view.set(WALL, part.id, part.tokens);
+            }
+        }
+    }
+
+    /// Fronts hear that all stores live as they did.
+    pub(super) fn stores_answer(&mut self) {
+        let clock_ms = Some(self.now.as_millis());
+        for front in &mut self.fronts {
+            for place in 0..self.stores.len() {
+                if let Some(view) = front.memory.view_at(place) {
+                    view.answered(STORE_LIFE, clock_ms, self.now, self.now);
+                }
+            }
+        }
+        let next_at = self.now + STORE_ANSWERS;
+        self.queue.put(next_at, ModelEvent::StoresAnswer);
+    }
+}
