--- a/testbed/src/load_model/engine_memory.rs
+++ b/testbed/src/load_model/engine_memory.rs
@@ -113,6 +113,20 @@
         }
     }
 
+    /// Lets one part go that nobody runs on.
+    pub fn forget(
+        &mut self,
+        id: PartId,
+    ) {
+        let Some(part) = self.parts.get(&id).copied().filter(|part| part.pins == 0) else {
+            return;
+        };
+        self.parts.remove(&id);
+        self.loose_by_use.remove(&part.used);
+        self.loose -= part.blocks;
+        self.changes.push((id, 0));
+    }
+
     /// Lets parts give way until so many tokens are free; false, and nothing
     /// gone, where that is impossible.
     pub fn make_room(
--- a/testbed/src/load_model/engine_spec.rs
+++ b/testbed/src/load_model/engine_spec.rs
@@ -26,6 +26,9 @@
     pub pair_ms: f64,
     /// Time until a prompt that came may be read, in milliseconds.
     pub first_ms: f64,
+    /// Tokens that are sent together.
+    #[serde(default = "one_token")]
+    pub event_tokens: u32,
     /// Factors on the time of a step; engines take them in turn.
     #[serde(default)]
     pub slowness: Vec<f64>,
@@ -41,6 +44,10 @@
     pub report_lag_ms: f64,
 }
 
+fn one_token() -> u32 {
+    1
+}
+
 impl EngineSpec {
     /// Factor on the steps of one engine.
     pub fn slowness_of(
--- a/testbed/src/load_model/load_file.rs
+++ b/testbed/src/load_model/load_file.rs
@@ -78,6 +78,10 @@
     /// Length of a swing, in seconds.
     #[serde(default = "one_swing")]
     pub swing_s: f64,
+    /// A shared part that is read within this time of its last use counts as read
+    /// again, in seconds.
+    #[serde(default = "usual_again")]
+    pub again_s: f64,
     /// Ways.
     pub hops: HopSpec,
     /// Engines.
@@ -99,6 +103,10 @@
     1.0
 }
 
+fn usual_again() -> f64 {
+    20.0
+}
+
 fn one_swing() -> f64 {
     11.0
 }
--- a/testbed/src/load_model/load_tally.rs
+++ b/testbed/src/load_model/load_tally.rs
@@ -93,7 +93,7 @@
 pub struct LoadTally {
     /// Counts by kind.
     pub kinds: Vec<KindTally>,
-    /// Tokens of shared parts that were read though some engine had read them before.
+    /// Tokens of shared parts that were read though some engine had used them lately.
     pub read_again: u64,
     /// Tokens of shared parts that were fetched.
     pub fetched: u64,
--- a/testbed/src/load_model/load_world.rs
+++ b/testbed/src/load_model/load_world.rs
@@ -8,7 +8,7 @@
         serving::{PartId, PromptAsk},
         time::Micros,
     },
-    std::collections::{BTreeMap, HashSet},
+    std::collections::{BTreeMap, HashMap},
 };
 
 /// Time between two proofs that stores still live as they did.
@@ -51,8 +51,8 @@
     pub(super) stores: Vec<ModelStore>,
     /// Parts on their way to each engine, and when they are there.
     pub(super) coming: Vec<BTreeMap<PartId, Micros>>,
-    /// Parts that some engine has read.
-    pub(super) read_before: HashSet<PartId>,
+    /// When each shared part was used last at any engine.
+    pub(super) used_at: HashMap<PartId, Micros>,
     pub(super) tally: LoadTally,
     /// Requests of which it is not known yet what becomes of them.
     pub(super) open: usize,
@@ -109,7 +109,7 @@
             engines: (0..spec.count).map(|n| ModelEngine::new(spec, n)).collect(),
             stores,
             coming: vec![BTreeMap::new(); spec.count],
-            read_before: HashSet::new(),
+            used_at: HashMap::new(),
             tally,
             open: calls.len(),
             calls,
--- a/testbed/src/load_model/model_engine.rs
+++ b/testbed/src/load_model/model_engine.rs
@@ -274,7 +274,7 @@
             return;
         };
         let run = &mut self.running[place];
-        run.make(now);
+        run.make(now, self.spec.event_tokens);
         if run.made == 1 {
             news.push(EngineNews::Begun(run.key));
         }
@@ -313,6 +313,11 @@
         for part in run.parts[..run.pinned].iter().rev() {
             self.memory.unpin(part.id);
         }
+        if run.pinned == run.parts.len() {
+            if let Some(own) = run.parts.last() {
+                self.memory.forget(own.id);
+            }
+        }
         run.pinned = 0;
     }
 }
--- a/testbed/src/load_model/world_moves.rs
+++ b/testbed/src/load_model/world_moves.rs
@@ -8,6 +8,8 @@
 
 /// Factor on a move between failure domains.
 const OTHER_DOMAIN_FACTOR: f64 = 2.0;
+/// An engine does not begin a move that would wait for longer: it reads the part.
+const LONGEST_WAIT: Micros = Micros::from_secs(2);
 /// The one life of each store.
 const STORE_LIFE: u64 = 1;
 
@@ -49,6 +51,7 @@
     ) -> Option<Micros> {
         let spec = &self.load.engines;
         let bytes = u64::from(part.tokens) * spec.token_bytes;
+        let own_until = self.engines[engine].link_until;
         let (domain, first_ms, link_mbps, link_until) = match source {
             PartPlace::Store(place) => {
                 let store = self.stores.get_mut(place).filter(|s| s.keeps(part.id))?;
@@ -72,9 +75,13 @@
             false => OTHER_DOMAIN_FACTOR,
         };
         let took_ms = (first_ms + move_ms(bytes, link_mbps)) * factor;
-        let from = self.now.max(*link_until);
+        let from = self.now.max(*link_until).max(own_until);
+        if from.since(self.now) > LONGEST_WAIT {
+            return None;
+        }
         let there_at = from + Micros((took_ms * 1e3) as u64);
         *link_until = there_at;
+        self.engines[engine].link_until = there_at;
         self.coming[engine].insert(part.id, there_at);
         self.queue.put(there_at, ModelEvent::Fetched(engine, part));
         Some(there_at)
