--- a/testbed/examples/load_lab/aim_plot.rs
+++ b/testbed/examples/load_lab/aim_plot.rs
@@ -1,5 +1,6 @@
 use {
-    pitchhitch_testbed::load_model::{LoadFile, LoadTally, SecondTally},
+    super::SettingRuns,
+    pitchhitch_testbed::load_model::{LoadFile, SecondTally},
     plotters::{coord::Shift, prelude::*},
     std::path::Path,
 };
@@ -9,29 +10,21 @@
 /// Panels that stand side by side.
 const PANELS_WIDE: usize = 2;
 
-/// The runs of one setting.
-pub struct AimPanel {
-    /// Name of the setting.
-    pub name: String,
-    /// Runs, one for each seed.
-    pub tallies: Vec<LoadTally>,
-}
-
 /// Draws the part in aim by the second in which requests came, over all seeds, a
 /// line for each kind and a panel for each setting.
 pub fn draw_aims(
     out: &Path,
     load: &LoadFile,
-    panels: &[AimPanel],
+    runs: &[SettingRuns],
 ) -> anyhow::Result<()> {
-    let wide = panels.len().clamp(1, PANELS_WIDE);
-    let high = panels.len().div_ceil(wide).max(1);
+    let wide = runs.len().clamp(1, PANELS_WIDE);
+    let high = runs.len().div_ceil(wide).max(1);
     let size = (PANEL_SIZE.0 * wide as u32, PANEL_SIZE.1 * high as u32);
     let area = SVGBackend::new(out, size).into_drawing_area();
     area.fill(&WHITE)?;
     let places = area.split_evenly((high, wide));
-    for (panel, place) in panels.iter().zip(&places) {
-        draw_panel(place, load, panel)?;
+    for (setting, place) in runs.iter().zip(&places) {
+        draw_panel(place, load, setting)?;
     }
     area.present()?;
     Ok(())
@@ -40,13 +33,13 @@
 fn draw_panel(
     place: &DrawingArea<SVGBackend<'_>, Shift>,
     load: &LoadFile,
-    panel: &AimPanel,
+    setting: &SettingRuns,
 ) -> anyhow::Result<()> {
     let mut chart = ChartBuilder::on(place)
         .margin(12)
         .x_label_area_size(36)
         .y_label_area_size(46)
-        .caption(&panel.name, ("sans-serif", 16))
+        .caption(&setting.name, ("sans-serif", 16))
         .build_cartesian_2d(0.0..load.length_s, 0.0..1.02)?;
     chart
         .configure_mesh()
@@ -57,7 +50,7 @@
         let color = Palette99::pick(number).to_rgba();
         chart
             .draw_series(LineSeries::new(
-                aim_line(panel, number),
+                aim_line(setting, number),
                 color.stroke_width(2),
             ))?
             .label(kind.name.as_str())
@@ -73,11 +66,11 @@
 }
 
 fn aim_line(
-    panel: &AimPanel,
+    setting: &SettingRuns,
     kind: usize,
 ) -> Vec<(f64, f64)> {
     let mut seconds: Vec<SecondTally> = Vec::new();
-    for tally in &panel.tallies {
+    for tally in &setting.tallies {
         let of_kind = &tally.kinds[kind].seconds;
         seconds.resize(seconds.len().max(of_kind.len()), SecondTally::default());
         for (sum, second) in seconds.iter_mut().zip(of_kind) {
--- a/testbed/examples/load_lab/each_table.rs
+++ b/testbed/examples/load_lab/each_table.rs
@@ -1,53 +1,64 @@
 use {
-    super::AimPanel,
+    super::SettingRuns,
     pitchhitch_testbed::load_model::{FigureSpread, KindTally, LoadFile, LoadTally},
     std::fmt::Write,
 };
 
-/// A row for each setting: of each kind the median part in aim and the requests
-/// refused, late and failed, summed over the seeds; then medians of the rest.
+/// A row for each setting, the first of which is compared with. Of each kind: the
+/// median part in aim, and the seeds under which more and fewer were in aim than in
+/// the first; late, refused and failed, summed over the seeds. Then medians.
 pub fn each_table(
     load: &LoadFile,
-    panels: &[AimPanel],
+    runs: &[SettingRuns],
 ) -> String {
     let mut text = String::from("| setting |");
     for kind in &load.kinds {
         let name = &kind.name;
-        let _ = write!(text, " {name} in aim | late | refused | failed |");
+        let _ = write!(
+            text,
+            " {name} in aim (seeds +/-) | late | refused | failed |"
+        );
     }
     text.push_str(" read again, 1,000 tokens | put back |\n|---|");
     text.push_str(&"---|".repeat(load.kinds.len() * 4 + 2));
     text.push('\n');
-    for panel in panels {
-        let _ = write!(text, "| {} |", panel.name);
+    for setting in runs {
+        let _ = write!(text, "| {} |", setting.name);
         for place in 0..load.kinds.len() {
-            text.push_str(&kind_cells(panel, place));
+            text.push_str(&kind_cells(&runs[0], setting, place));
         }
-        let again = median(panel, |tally| tally.read_again as f64 / 1e3);
-        let put_back = median(panel, |tally| f64::from(tally.put_back));
+        let again = median(setting, |tally| tally.read_again as f64 / 1e3);
+        let put_back = median(setting, |tally| f64::from(tally.put_back));
         let _ = writeln!(text, " {again:.0} | {put_back:.0} |");
     }
     text
 }
 
 fn median(
-    panel: &AimPanel,
+    setting: &SettingRuns,
     figure: impl Fn(&LoadTally) -> f64,
 ) -> f64 {
-    FigureSpread::of(panel.tallies.iter().map(figure)).median
+    FigureSpread::of(setting.tallies.iter().map(figure)).median
 }
 
 fn kind_cells(
-    panel: &AimPanel,
+    first: &SettingRuns,
+    setting: &SettingRuns,
     place: usize,
 ) -> String {
-    let part = median(panel, |tally| tally.kinds[place].aim_part());
+    let part = median(setting, |tally| tally.kinds[place].aim_part());
+    let pairs = || first.tallies.iter().zip(&setting.tallies);
+    let count = |(before, after): (&LoadTally, &LoadTally)| {
+        (before.kinds[place].in_aim, after.kinds[place].in_aim)
+    };
+    let more = pairs().map(count).filter(|(b, a)| a > b).count();
+    let fewer = pairs().map(count).filter(|(b, a)| a < b).count();
     let sum = |count: fn(&KindTally) -> u32| -> u32 {
-        let kinds = panel.tallies.iter().map(|tally| &tally.kinds[place]);
+        let kinds = setting.tallies.iter().map(|tally| &tally.kinds[place]);
         kinds.map(count).sum()
     };
     let late = sum(|kind| kind.late);
     let refused = sum(|kind| kind.refused);
     let failed = sum(|kind| kind.failed);
-    format!(" {part:.3} | {late} | {refused} | {failed} |")
+    format!(" {part:.3} ({more}/{fewer}) | {late} | {refused} | {failed} |")
 }
--- a/testbed/src/load_model/load_world.rs
+++ b/testbed/src/load_model/load_world.rs
@@ -39,7 +39,7 @@
 
 /// A load that is played under one seed.
 #[derive(Debug)]
-pub struct LoadWorld<'a> {
+pub(super) struct LoadWorld<'a> {
     pub(super) load: &'a LoadFile,
     pub(super) now: Micros,
     pub(super) queue: EventQueue,
@@ -76,6 +76,7 @@
     world.tally
 }
 
+/// A time in milliseconds with fractions.
 pub(super) fn millis(millis: f64) -> Micros {
     Micros((millis * 1e3) as u64)
 }
--- a/testbed/src/load_model/mod.rs
+++ b/testbed/src/load_model/mod.rs
@@ -7,6 +7,7 @@
 mod engine_run;
 mod engine_spec;
 mod event_queue;
+mod front_ask;
 mod kind_spec;
 mod load_file;
 mod load_table;
@@ -23,7 +24,7 @@
 mod world_moves;
 
 pub use {
-    call_plan::*, engine_memory::*, engine_run::*, engine_spec::*, event_queue::*, kind_spec::*,
-    load_file::*, load_table::*, load_tally::*, load_world::*, model_engine::*, model_front::*,
-    model_mechanism::*, model_store::*, prompt_call::*, size_spec::*,
+    call_plan::*, engine_memory::*, engine_run::*, engine_spec::*, event_queue::*, front_ask::*,
+    kind_spec::*, load_file::*, load_table::*, load_tally::*, load_world::*, model_engine::*,
+    model_front::*, model_mechanism::*, model_store::*, prompt_call::*, size_spec::*,
 };
--- a/testbed/src/load_model/model_front.rs
+++ b/testbed/src/load_model/model_front.rs
@@ -1,5 +1,5 @@
 use {
-    super::{EngineSpec, KindSpec, ModelMechanism, ModelStore},
+    super::{EngineSpec, FrontAsk, FrontSend, FrontVerdict, ModelMechanism, ModelStore},
     pitchhitch_core::{
         serving::{
             pick_endpoint, AdmissionAsk, AdmissionRule, AdmissionVerdict, EndpointBook,
@@ -12,7 +12,7 @@
 };
 
 /// The one model that all engines serve, and the one version of its weights.
-const MODEL: &str = "m";
+pub(super) const MODEL: &str = "m";
 const VERSION: u64 = 1;
 /// The one wall inside which parts are shared.
 pub const WALL: WallTag = WallTag(1);
@@ -20,45 +20,6 @@
 /// When refused callers are asked back, where that is not worked out.
 const FIXED_RETURN: Micros = Micros::from_millis(500);
 
-/// A request as a front sees it.
-#[derive(Debug, Clone, Copy)]
-pub struct FrontAsk<'a> {
-    /// Its kind.
-    pub kind: &'a KindSpec,
-    /// Its prompt.
-    pub prompt: &'a PromptAsk,
-    /// Time that its caller still has.
-    pub patience: Micros,
-    /// Engines that it has been to, by number.
-    pub tried: &'a [usize],
-    /// A number between 0 and 1 that spreads returns.
-    pub spread: f64,
-}
-
-/// What a front does about a request.
-#[derive(Debug, Clone)]
-pub enum FrontVerdict {
-    /// It goes to an engine.
-    Sent(Box<FrontSend>),
-    /// It is refused, and asked back after a time.
-    Refused(Micros),
-    /// No engine is left.
-    NoEngine,
-}
-
-/// A request that goes to an engine.
-#[derive(Debug, Clone)]
-pub struct FrontSend {
-    /// Number of the engine.
-    pub engine: usize,
-    /// The choice.
-    pub choice: EndpointChoice,
-    /// Its ticket in the front's book.
-    pub ticket: u64,
-    /// Stores in which its shared parts are to be saved.
-    pub saves: Vec<Option<SocketAddr>>,
-}
-
 /// One front: the deciding code of the product, with its state.
 #[derive(Debug)]
 pub struct ModelFront {
@@ -328,16 +289,6 @@
     }
 }
 
-/// The prompt of a request as its front reads it.
-pub fn prompt_ask(call: &super::PromptCall) -> PromptAsk {
-    PromptAsk {
-        model: MODEL.to_string(),
-        tokens_in: call.tokens_in(),
-        tokens_out: call.tokens_out,
-        parts: call.parts.clone(),
-    }
-}
-
 fn engine_notice(
     engine: usize,
     domains: usize,
--- a/testbed/src/load_model/world_moves.rs
+++ b/testbed/src/load_model/world_moves.rs
@@ -1,5 +1,8 @@
 use {
-    super::{load_world::STORE_ANSWERS, LoadWorld, ModelEvent, SendKey, WALL},
+    super::{
+        load_world::{millis, STORE_ANSWERS},
+        LoadWorld, ModelEvent, SendKey, WALL,
+    },
     pitchhitch_core::{
         serving::{move_ms, PartPlace, PromptPart},
         time::Micros,
@@ -74,13 +77,14 @@
             true => 1.0,
             false => OTHER_DOMAIN_FACTOR,
         };
-        let took_ms = (first_ms + move_ms(bytes, link_mbps)) * factor;
         let from = self.now.max(*link_until).max(own_until);
         if from.since(self.now) > LONGEST_WAIT {
             return None;
         }
-        let there_at = from + Micros((took_ms * 1e3) as u64);
-        *link_until = there_at;
+        let took_ms = first_ms + move_ms(bytes, link_mbps);
+        let there_at = from + millis(took_ms * factor);
+        // A longer way delays a move, but does not keep the link of its source.
+        *link_until = from + millis(took_ms);
         self.engines[engine].link_until = there_at;
         self.coming[engine].insert(part.id, there_at);
         self.queue.put(there_at, ModelEvent::Fetched(engine, part));
@@ -116,7 +120,7 @@
             let bytes = u64::from(part.tokens) * self.load.engines.token_bytes;
             let took_ms = store.spec.first_ms + move_ms(bytes, store.spec.link_mbps);
             let from = self.now.max(store.link_until);
-            store.link_until = from + Micros((took_ms * 1e3) as u64);
+            store.link_until = from + millis(took_ms);
             let saved = ModelEvent::Saved(place, *part);
             self.queue.put(store.link_until, saved);
         }
@@ -130,7 +134,7 @@
     ) {
         let store = &mut self.stores[place];
         if store.save(part) {
-            let lag = Micros((store.spec.news_lag_ms * 1e3) as u64);
+            let lag = millis(store.spec.news_lag_ms);
             let heard = ModelEvent::SavedHeard(place, part);
             self.queue.put(self.now + lag, heard);
         }
