--- a/testbed/src/load_model/call_plan.rs
+++ b/testbed/src/load_model/call_plan.rs
@@ -9,6 +9,9 @@
     rand_pcg::Pcg64,
 };
 
+/// Time for which all runs before requests come: fronts save nothing to stores
+/// that they have just begun to look at.
+pub const LEAD_TIME: Micros = Micros::from_secs(10);
 /// Mean time between requests that come together, in milliseconds. Assumed.
 const CLUMP_MS: f64 = 10.0;
 /// Seed of the sizes of subjects: they belong to the load, not to a run.
@@ -89,7 +92,7 @@
     at_s: f64,
     random: &mut Pcg64,
 ) -> PromptCall {
-    let at = Micros((at_s * 1e6) as u64);
+    let at = LEAD_TIME + Micros((at_s * 1e6) as u64);
     let mut parts: Vec<PromptPart> = Vec::new();
     for (level, shared) in kind.shared.iter().enumerate() {
         parts.push(draw_shared(place, level, shared, random));
--- a/testbed/src/load_model/event_queue.rs
+++ b/testbed/src/load_model/event_queue.rs
@@ -17,6 +17,15 @@
     pub send: u32,
 }
 
+/// An engine between two times that it went down.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct EngineLife {
+    /// Number of the engine.
+    pub engine: usize,
+    /// Number of its life; it rises when the engine goes down.
+    pub life: u32,
+}
+
 /// Something that happens in a model.
 #[derive(Debug, Clone)]
 pub enum ModelEvent {
@@ -24,12 +33,12 @@
     Asks(CallKey),
     /// A request is at its engine.
     Reaches(SendKey),
-    /// A request may be read: what is fetched for it is there.
-    Ready(SendKey),
+    /// A request may be read at its engine: what is fetched for it is there.
+    Ready(SendKey, EngineLife),
     /// A part that an engine fetches is there.
     Fetched(usize, PromptPart),
-    /// An engine ends a step; the number is that of the engine's life.
-    StepEnds(usize, u32),
+    /// An engine ends a step.
+    StepEnds(EngineLife),
     /// A front hears that an answer has begun.
     Begun(SendKey),
     /// A front hears that an answer has ended, and its longest pause.
--- a/testbed/src/load_model/load_world.rs
+++ b/testbed/src/load_model/load_world.rs
@@ -2,7 +2,7 @@
     super::{
         plan_calls, prompt_ask, CallKey, CallOutcome, EventQueue, FrontSend, KindTally, LoadFile,
         LoadTally, ModelEngine, ModelEvent, ModelFront, ModelMechanism, ModelStore, PromptCall,
-        SendKey,
+        SendKey, LEAD_TIME,
     },
     pitchhitch_core::{
         serving::{PartId, PromptAsk},
@@ -27,7 +27,7 @@
     pub tried: Vec<usize>,
     /// Sends, over all tries.
     pub sends: u32,
-    /// The last send.
+    /// The last send, while the request is on its front's book.
     pub sent: Option<FrontSend>,
     /// When it was sent last.
     pub sent_at: Micros,
@@ -138,7 +138,7 @@
         }
         self.queue.put(Micros::ZERO, ModelEvent::StoresAnswer);
         for outage in &self.load.outages {
-            let from = millis(outage.from_s * 1e3);
+            let from = LEAD_TIME + millis(outage.from_s * 1e3);
             let until = from + millis(outage.for_s * 1e3);
             self.queue.put(from, ModelEvent::GoDown(outage.engines));
             self.queue.put(until, ModelEvent::ComeUp(outage.engines));
@@ -152,9 +152,9 @@
         match event {
             ModelEvent::Asks(call) => self.asks(call),
             ModelEvent::Reaches(send) => self.reaches(send),
-            ModelEvent::Ready(send) => self.ready(send),
+            ModelEvent::Ready(send, at) => self.ready(send, at),
             ModelEvent::Fetched(engine, part) => self.fetched(engine, part),
-            ModelEvent::StepEnds(engine, life) => self.step_ends(engine, life),
+            ModelEvent::StepEnds(at) => self.step_ends(at),
             ModelEvent::Begun(send) => self.begun(send),
             ModelEvent::Ended(send, pause) => self.ended(send, pause),
             ModelEvent::Lost(send) => self.lost(send),
--- a/testbed/src/load_model/model_engine.rs
+++ b/testbed/src/load_model/model_engine.rs
@@ -84,15 +84,14 @@
     }
 
     /// Goes down; all that it held is lost.
-    pub fn go_down(&mut self) -> Vec<SendKey> {
-        let runs = self.waiting.drain(..).chain(self.running.drain(..));
-        let lost = runs.map(|run| run.key).collect();
+    pub fn go_down(&mut self) {
+        self.waiting.clear();
+        self.running.clear();
         self.memory = EngineMemory::new(self.spec.memory_tokens, self.spec.block_tokens);
         self.is_down = true;
         self.is_stepping = false;
         self.unready = 0;
         self.life += 1;
-        lost
     }
 
     /// What a report says now.
--- a/testbed/src/load_model/world_calls.rs
+++ b/testbed/src/load_model/world_calls.rs
@@ -1,7 +1,7 @@
 use {
     super::{
         load_world::millis, CallKey, CallOutcome, FrontAsk, FrontSend, FrontVerdict, LoadWorld,
-        ModelEvent, SendKey,
+        ModelEvent, SendKey, LEAD_TIME,
     },
     pitchhitch_core::time::Micros,
 };
@@ -110,9 +110,9 @@
             return;
         }
         let key = send.call;
-        self.release(key);
+        let sent = self.release(key);
         let state = &self.states[key.0];
-        if let Some(sent) = &state.sent {
+        if let Some(sent) = sent {
             let book = &mut self.fronts[state.front].book;
             book.judged(sent.choice.key, true, self.now);
         }
@@ -142,12 +142,11 @@
         if state.outcome.is_some() || state.sends != send.send {
             return;
         }
-        self.release(key);
-        let kind = &self.load.kinds[self.calls[key.0].kind];
-        let state = &mut self.states[key.0];
-        let Some(sent) = &state.sent else {
+        let Some(sent) = self.release(key) else {
             return;
         };
+        let kind = &self.load.kinds[self.calls[key.0].kind];
+        let state = &mut self.states[key.0];
         let book = &mut self.fronts[state.front].book;
         book.judged(sent.choice.key, false, self.now);
         state.tried.push(sent.engine);
@@ -167,12 +166,10 @@
         if self.states[key.0].outcome.is_some() {
             return;
         }
-        self.release(key);
-        let state = &self.states[key.0];
-        if let Some(sent) = &state.sent {
+        if let Some(sent) = self.release(key) {
             let send = SendKey {
                 call: key,
-                send: state.sends,
+                send: self.states[key.0].sends,
             };
             self.engines[sent.engine].cancel(send);
         }
@@ -183,13 +180,13 @@
     fn release(
         &mut self,
         key: CallKey,
-    ) {
-        let state = &self.states[key.0];
+    ) -> Option<FrontSend> {
+        let state = &mut self.states[key.0];
+        let sent = state.sent.take()?;
         let held = state.began_at.map(|_| self.now.since(state.sent_at));
-        if let Some(sent) = &state.sent {
-            let tokens_in = self.prompts[key.0].tokens_in;
-            self.fronts[state.front].ended(sent, tokens_in, held);
-        }
+        let tokens_in = self.prompts[key.0].tokens_in;
+        self.fronts[state.front].ended(&sent, tokens_in, held);
+        Some(sent)
     }
 
     fn decide_outcome(
@@ -199,7 +196,7 @@
     ) {
         let call = &self.calls[key.0];
         self.states[key.0].outcome = Some(outcome);
-        let second = call.at.as_secs_f64() as usize;
+        let second = call.at.since(LEAD_TIME).as_secs_f64() as usize;
         self.tally.kinds[call.kind].note(outcome, second);
         self.open -= 1;
     }
--- a/testbed/src/load_model/world_engines.rs
+++ b/testbed/src/load_model/world_engines.rs
@@ -1,5 +1,8 @@
 use {
-    super::{load_world::millis, EngineNews, EngineRun, LoadWorld, ModelEvent, SendKey, WALL},
+    super::{
+        load_world::millis, CallKey, EngineLife, EngineNews, EngineRun, LoadWorld, ModelEvent,
+        SendKey, WALL,
+    },
     pitchhitch_core::{
         serving::{EngineLoad, PartId, PromptPart},
         time::Micros,
@@ -28,7 +31,8 @@
         let there_at = self.start_fetches(send, engine);
         self.engines[engine].unready += 1;
         let first = millis(self.load.engines.first_ms);
-        self.queue.put(there_at + first, ModelEvent::Ready(send));
+        let ready = ModelEvent::Ready(send, self.life_of(engine));
+        self.queue.put(there_at + first, ready);
     }
 
     fn engine_of(
@@ -39,6 +43,14 @@
         sent.map(|sent| sent.engine)
     }
 
+    fn life_of(
+        &self,
+        engine: usize,
+    ) -> EngineLife {
+        let life = self.engines[engine].life;
+        EngineLife { engine, life }
+    }
+
     fn lose(
         &mut self,
         send: SendKey,
@@ -52,15 +64,13 @@
     pub(super) fn ready(
         &mut self,
         send: SendKey,
+        at: EngineLife,
     ) {
-        let state = &self.states[send.call.0];
-        if state.is_lost || state.sends != send.send {
+        let engine = at.engine;
+        if self.life_of(engine) != at {
             return;
         }
-        let Some(engine) = self.engine_of(send) else {
-            return;
-        };
-        self.engines[engine].unready = self.engines[engine].unready.saturating_sub(1);
+        self.engines[engine].unready -= 1;
         if !self.is_current(send) {
             return;
         }
@@ -94,9 +104,8 @@
         let mut news = Vec::new();
         let took = self.engines[engine].begin_step(&mut news);
         if let Some(took) = took {
-            let life = self.engines[engine].life;
-            self.queue
-                .put(self.now + took, ModelEvent::StepEnds(engine, life));
+            let ends = ModelEvent::StepEnds(self.life_of(engine));
+            self.queue.put(self.now + took, ends);
         }
         self.hear(engine, news);
     }
@@ -104,10 +113,10 @@
     /// An engine ends a step and begins the next.
     pub(super) fn step_ends(
         &mut self,
-        engine: usize,
-        life: u32,
+        at: EngineLife,
     ) {
-        if self.engines[engine].life != life {
+        let engine = at.engine;
+        if self.life_of(engine) != at {
             return;
         }
         let mut news = Vec::new();
@@ -220,7 +229,7 @@
         for number in 0..self.states.len() {
             let state = &self.states[number];
             let send = SendKey {
-                call: super::CallKey(number),
+                call: CallKey(number),
                 send: state.sends,
             };
             let is_there = state.sent.as_ref().is_some_and(|sent| sent.engine < count);
