--- a/agent/src/beside/engine_watch.rs
+++ b/agent/src/beside/engine_watch.rs
@@ -28,7 +28,8 @@
         match report {
             Some(report) => {
                 if failures >= SILENT_AFTER {
-                    log::info!(event = "engine-back", failures = failures; "");
+                    let clock_ms = report.clock_ms.map_or(-1, |clock| clock as i64);
+                    log::info!(event = "engine-back", failures = failures, clock_ms = clock_ms; "");
                 }
                 failures = 0;
                 beside.state().metrics.count("reports", "sound");
@@ -52,6 +53,9 @@
     report: EngineReport,
 ) {
     let mut state = beside.state();
+    if !state.note_life(report.born) {
+        return;
+    }
     if state.weights != report.weights {
         for (model, version) in &report.weights {
             log::info!(event = "weights", model = model.as_str(), version = *version; "");
