Load model: notices of engines leave out what the model does not tell

Cause: notices have gained the start of a life and the row's version. Change: the rest of a notice is its default.

--- a/testbed/src/load_model/model_front.rs
+++ b/testbed/src/load_model/model_front.rs
@@ -300,8 +300,8 @@
         address: Some(SocketAddr::from(([10, 0, 0, engine as u8], 80))),
         domain: domain_name(engine % domains),
         slots: spec.places,
-        is_leaving: false,
         weights: vec![(MODEL.to_string(), VERSION)],
+        ..EndpointNotice::default()
     }
 }
 
