--- /dev/null
+++ b/testbed/examples/load_lab/main.rs
@@ -0,0 +1,39 @@
+//! Plays a load on the model of engines, fronts and callers, with and without
+//! mechanisms of the product:
+//! `cargo run --release -p pitchhitch-testbed --example load_lab -- --load FILE
+//! [--without MECHANISM]... [--each] [--seeds 1..20] [--svg OUT.svg]`
+
+mod aim_plot;
+mod each_table;
+mod lab_options;
+mod setting_runs;
+
+use {
+    aim_plot::draw_aims,
+    each_table::each_table,
+    lab_options::LabOptions,
+    pitchhitch_testbed::load_model::{load_table, LoadFile},
+    setting_runs::SettingRuns,
+    std::env,
+};
+
+fn main() -> anyhow::Result<()> {
+    let args: Vec<String> = env::args().skip(1).collect();
+    let options = LabOptions::parse(&args)?;
+    let load = LoadFile::read(&options.load)?;
+    let settings = options.settings().into_iter();
+    let play = |left_out| SettingRuns::play(&load, &options.seeds, left_out);
+    let runs: Vec<SettingRuns> = settings.map(play).collect();
+    if options.is_each {
+        print!("{}", each_table(&load, &runs));
+    } else {
+        for setting in &runs {
+            println!("{}, {} seeds", setting.name, setting.tallies.len());
+            println!("{}", load_table(&load, &setting.tallies));
+        }
+    }
+    if let Some(out) = &options.svg {
+        draw_aims(out, &load, &runs)?;
+    }
+    Ok(())
+}
