--- a/agent/src/beside/state_keeper.rs
+++ b/agent/src/beside/state_keeper.rs
@@ -63,6 +63,7 @@
         let same = self.copy.as_mut().filter(|copy| copy.mark == mark);
         // The same content, proven again.
         if let Some(copy) = same.filter(|copy| age < copy.state.age + now.since(copy.at)) {
+            copy.state.grow_older(now.since(copy.at));
             copy.state.age = age;
             copy.at = now;
         }
@@ -83,14 +84,15 @@
         (is_fresh && !has_same).then_some(offer.front)
     }
 
-    /// Keeps a state, unless the one that is kept has a newer configuration.
+    /// Keeps a state, unless the one that is kept has a newer configuration or newer
+    /// weights: a front that has just started may have read rows that had gone back.
     fn keep(
         &mut self,
         state: HandedState,
         now: Micros,
     ) -> bool {
-        let kept = self.copy.as_ref().map_or(0, |copy| copy.state.version);
-        let is_news = state.version >= kept;
+        let goes_back = |copy: &StateCopy| state.goes_back_from(&copy.state);
+        let is_news = !self.copy.as_ref().is_some_and(goes_back);
         if is_news {
             let mark = state.mark();
             let at = now;
@@ -106,7 +108,7 @@
     ) -> Option<HandedState> {
         let copy = self.copy.as_ref()?;
         let mut state = copy.state.clone();
-        state.age = state.age + now.since(copy.at);
+        state.grow_older(now.since(copy.at));
         Some(state)
     }
 }
--- a/core/src/serving/endpoint_life.rs
+++ b/core/src/serving/endpoint_life.rs
@@ -175,8 +175,6 @@
         self.guard = OutlierGuard::default();
         self.answered_at = None;
         self.stage = SwapStage::Idle;
-        self.is_behind = false;
-        self.is_expired = false;
         self.life.born = born;
         self.life.ended += 1;
     }
--- a/entry/src/front/digest_watch.rs
+++ b/entry/src/front/digest_watch.rs
@@ -57,14 +57,18 @@
     state.fronts = digest.fronts.max(1);
     let config = state.config.as_deref();
     let may_be = |entry: &EndpointEntry| config.is_none_or(|config| is_engine(config, entry));
-    let key = state.book.present_at(digest.engine, may_be)?;
-    let order = state.book.hear_life(key, digest.born);
-    if order == LifeOrder::Earlier {
+    let key = state.book.present_at(digest.engine, may_be);
+    let order = key.map(|key| state.book.hear_life(key, digest.born));
+    if order == Some(LifeOrder::Earlier) {
         front.metrics.count("digests", "earlier-life");
         return None;
     }
+    state
+        .reads
+        .heard(digest.engine, &digest.weights, digest.clock_ms, now);
+    let key = key?;
     let entry = state.book.get_mut(key)?;
-    let change = (order == LifeOrder::Later).then(|| BookChange::Restarts(entry.id.clone()));
+    let change = (order == Some(LifeOrder::Later)).then(|| BookChange::Restarts(entry.id.clone()));
     match note_place(entry, &digest, now) {
         DigestOrder::Overtaken => {
             front.metrics.count("digests", "overtaken");
--- a/entry/src/front/peer_state.rs
+++ b/entry/src/front/peer_state.rs
@@ -1,6 +1,6 @@
 use {
     super::{log_changes, take_config, FrontContext},
-    pitchhitch_core::time::Micros,
+    pitchhitch_core::{serving::TELL_LIMIT, time::Micros},
     pitchhitch_platform::decode_config,
     pitchhitch_process::to_duration,
     pitchhitch_wire::beside::{ask_state, HandedState, STATE_PATH},
@@ -16,18 +16,20 @@
 /// Time from the start for which peers are asked in any case: the store's row may
 /// have gone back, or may show an older configuration for a moment.
 const FIRST_QUESTIONS: Micros = Micros::from_millis(1_500);
+/// Pause between two questions where only the age of namings is still to be told.
+const AGE_PAUSE: Micros = Micros::from_millis(400);
 
 /// What this front can hand on but for the text of the configuration; nothing
 /// until it knows all of it.
 pub(super) fn own_state(front: &FrontContext) -> Option<HandedState> {
     let state = front.state();
     let config = state.config.as_ref().filter(|_| state.has_list)?;
-    let weights = state.planner.all_named();
+    let now = front.now();
     Some(HandedState {
         config: Vec::new(),
         version: config.version,
-        age: state.trust.age(front.now())?,
-        weights: weights.map(|(model, v)| (model.to_string(), v)).collect(),
+        age: state.trust.age(now)?,
+        weights: state.planner.told_namings(now),
         endpoints: state.book.notices(),
     })
 }
@@ -59,17 +61,23 @@
     let mut turn = 0;
     loop {
         let peers = peers(&front);
-        let is_over = front.now() > FIRST_QUESTIONS && knows_all(&front);
-        if is_over {
+        let now = front.now();
+        let knows_ages = front.state().planner.knows_ages(now);
+        let may_end = knows_ages || now > TELL_LIMIT;
+        if now > FIRST_QUESTIONS && may_end && knows_all(&front) {
             return;
         }
+        let mut pause = ASK_PAUSE;
         if let Some(peer) = peers.get(turn % peers.len().max(1)) {
             if ask_peer(&front, *peer).await && front.state().has_list {
-                return;
+                if front.state().planner.knows_ages(front.now()) {
+                    return;
+                }
+                pause = AGE_PAUSE;
             }
         }
         turn += 1;
-        Timer::after(to_duration(ASK_PAUSE)).await;
+        Timer::after(to_duration(pause)).await;
     }
 }
 
@@ -94,13 +102,14 @@
     peer: SocketAddr,
 ) -> bool {
     let key = front.settings.peer_key.as_ref();
+    let asked_at = front.now();
     let Some(answer) = ask_state(peer, ASK_LIMIT, key).await else {
         return false;
     };
     let outcome = answer
         .state
         .map_err(|error| error.to_string())
-        .and_then(|state| take_state(front, state));
+        .and_then(|state| take_state(front, state, asked_at));
     let (word, error) = match &outcome {
         Ok(()) => ("taken", ""),
         Err(error) => ("refused", error.as_str()),
@@ -120,10 +129,12 @@
     outcome.is_ok()
 }
 
-/// Takes what a peer knows: nothing that is older than what is known here.
+/// Takes what a peer knows: nothing that is older than what is known here. Its ages count
+/// from the question: this process or the peer may have stood still since.
 fn take_state(
     front: &FrontContext,
     handed: HandedState,
+    asked_at: Micros,
 ) -> Result<(), String> {
     let config = decode_config(&handed.config).map_err(|error| error.to_string())?;
     if config.version != handed.version {
@@ -143,9 +154,9 @@
     let now = front.now();
     let mut guard = front.state();
     let state = &mut *guard;
-    state.trust.handed_on(handed.age, now);
-    for (model, version) in &handed.weights {
-        state.planner.name(model, *version, None, now);
+    state.trust.handed_on(handed.age, asked_at);
+    for naming in &handed.weights {
+        state.planner.tell(naming, asked_at, now);
     }
     if state.has_list {
         return Ok(());
--- a/wire/src/beside/handed_state.rs
+++ b/wire/src/beside/handed_state.rs
@@ -3,7 +3,10 @@
         beacon::BeaconKey,
         codec::{decode_body, encode_body},
     },
-    pitchhitch_core::{serving::EndpointNotice, time::Micros},
+    pitchhitch_core::{
+        serving::{EndpointNotice, ToldNaming},
+        time::Micros,
+    },
     serde::{Deserialize, Serialize},
     thiserror::Error,
 };
@@ -25,8 +28,8 @@
     pub version: u64,
     /// Time since the reading that showed it to be the newest was sent.
     pub age: Micros,
-    /// Named weights by model.
-    pub weights: Vec<(String, u64)>,
+    /// Named weights, the newest of each model among them.
+    pub weights: Vec<ToldNaming>,
     /// Endpoints, those that leave included.
     pub endpoints: Vec<EndpointNotice>,
 }
@@ -43,11 +46,37 @@
 }
 
 impl HandedState {
-    /// A number that differs where the content does; the age does not count.
+    /// Makes it older: `span` has passed since its ages were right.
+    pub fn grow_older(
+        &mut self,
+        span: Micros,
+    ) {
+        self.age = self.age + span;
+        for naming in &mut self.weights {
+            naming.age = naming.age.map(|age| age + span);
+        }
+    }
+
+    /// Whether another state has a newer configuration, or newer weights of some model.
+    pub fn goes_back_from(
+        &self,
+        other: &HandedState,
+    ) -> bool {
+        let newest = |state: &HandedState, model: &str| {
+            let namings = state.weights.iter().filter(|told| told.model == model);
+            namings.map(|told| told.version).max()
+        };
+        let mut models = other.weights.iter().map(|told| told.model.as_str());
+        self.version < other.version
+            || models.any(|model| newest(self, model) < newest(other, model))
+    }
+
+    /// A number that differs where the content does; ages do not count.
     pub fn mark(&self) -> u64 {
-        let aged = (&self.version, &self.weights, &self.endpoints);
+        let weights = self.weights.iter().map(|n| (&n.model, n.version));
+        let ageless = (&self.version, weights.collect::<Vec<_>>(), &self.endpoints);
         // What cannot be written has no number of its own, and is not asked for.
-        let Ok(bytes) = encode_body(&aged) else {
+        let Ok(bytes) = encode_body(&ageless) else {
             return 0;
         };
         let hash = blake3::hash(&bytes);
