--- a/entry/src/front/operator_watch.rs
+++ b/entry/src/front/operator_watch.rs
@@ -89,14 +89,11 @@
     let mut guard = front.state();
     let state = &mut *guard;
     let not_yet = state.trust.proven_at();
-    let is_news = state
-        .planner
-        .name(&named.model, named.version, not_yet, now);
+    let planner = &mut state.planner;
+    let is_news = planner.name(&named.model, named.version, not_yet, now);
     // What was known before, by whomever, did not show it yet.
     if let Some(age) = state.trust.age(now).filter(|_| is_news) {
-        state
-            .planner
-            .tell_age(&named.model, named.version, age, now);
+        planner.tell_age(&named.model, named.version, age, now);
     }
     log::info!(
         event = "weights-named",
