An engine that starts again has proven nothing of its fetches

Cause: what shows that fetches are over is kept by address and only rises. After a restart an engine may have older weights, and would not be waited for where it fetches parts for them; proofs of its earlier life counted.

Change: a restart voids the proof where there is one.

Figures: core/tests/read_proofs.rs, restart_proves_nothing: a new function, not run before; 7 of 7 pass. Programs' tests of lives and addresses pass.

--- a/core/src/serving/read_proofs.rs
+++ b/core/src/serving/read_proofs.rs
@@ -130,6 +130,21 @@
             .retain(|_, span| now.since(span.known_at) <= FORGET_AFTER);
     }
 
+    /// Takes that an engine has started again: it may have older weights than before,
+    /// and has proven nothing since.
+    pub fn restarted(
+        &mut self,
+        address: SocketAddr,
+        now: Micros,
+    ) {
+        if let Some(span) = self.engines.get_mut(&address) {
+            *span = AwakeSpan {
+                known_at: now,
+                ..AwakeSpan::default()
+            };
+        }
+    }
+
     /// Takes that something else than an engine answers at an address now.
     pub fn forget(
         &mut self,
--- a/core/tests/read_proofs.rs
+++ b/core/tests/read_proofs.rs
@@ -55,6 +55,33 @@
     assert_eq!(reads.last_proven("m", 1), vec![engine(1)]);
 }
 
+/// An engine that starts again may have older weights, and fetch for them.
+#[test]
+fn restart_proves_nothing() {
+    let mut reads = ReadProofs::default();
+    hear(&mut reads, 0, 2, 10_000, 13_000);
+    hear(&mut reads, 1, 1, 10_000, 13_000);
+    assert_eq!(
+        reads.over_until_ms("m", 1),
+        13_000,
+        "the first has newer ones"
+    );
+    reads.restarted(engine(0), at(13_000));
+    assert_eq!(reads.over_until_ms("m", 1), 0);
+    hear(&mut reads, 0, 1, 13_000, 15_000);
+    assert_eq!(
+        reads.over_until_ms("m", 1),
+        0,
+        "it has not been awake for long"
+    );
+    hear(&mut reads, 0, 1, 15_250, 16_000);
+    assert_eq!(
+        reads.over_until_ms("m", 1),
+        13_000,
+        "the other has not proven more"
+    );
+}
+
 /// A fetch that was under way when the engine stood still goes on when it wakes.
 #[test]
 fn gap_begins_anew() {
--- a/entry/src/front/digest_watch.rs
+++ b/entry/src/front/digest_watch.rs
@@ -55,9 +55,6 @@
     let mut guard = front.state();
     let state = &mut *guard;
     state.fronts = digest.fronts.max(1);
-    state
-        .reads
-        .heard(digest.engine, &digest.weights, digest.clock_ms, now);
     let config = state.config.as_deref();
     let may_be = |entry: &EndpointEntry| config.is_none_or(|config| is_engine(config, entry));
     let key = state.book.present_at(digest.engine, may_be);
--- a/entry/src/front/list_watch.rs
+++ b/entry/src/front/list_watch.rs
@@ -132,9 +132,13 @@
         let key = state.book.key(id);
         let entry = key.and_then(|key| state.book.get(key));
         let born = entry.and_then(|entry| entry.life.born).unwrap_or(0);
+        let address = entry.map(|entry| entry.address);
         log::info!(event = "endpoint", endpoint = id.as_str(), standing = what, born = born; "");
         front.metrics.count("endpoint_changes", what);
-        // Those of an earlier life lead nowhere.
+        if let Some(address) = address.filter(|_| what == "restarted") {
+            state.reads.restarted(address, front.now());
+        }
+        // Connections of an earlier life lead nowhere.
         let is_closed = matches!(what, "leaves" | "restarted");
         if let Some(key) = key.filter(|_| is_closed) {
             state.pool.close_all(key);
