Two engines that follow each other at an address count as one with the older weights

Cause: weights noted by address only rose, so an engine whose naming had gone back to older weights would not have been waited for. Ruled out: nothing. Change: ReadProofs::know takes all engines of the book at once; what serves at an address now excuses the engine before it.

--- a/core/src/serving/read_proofs.rs
+++ b/core/src/serving/read_proofs.rs
@@ -33,17 +33,6 @@
 }
 
 impl AwakeSpan {
-    fn learn(
-        &mut self,
-        model: &str,
-        version: u64,
-    ) {
-        let known = self.weights.version(model);
-        if known.is_none_or(|known| known < version) {
-            self.weights.learn(model, version);
-        }
-    }
-
     fn heard(
         &mut self,
         clock_ms: u64,
@@ -89,17 +78,24 @@
 }
 
 impl ReadProofs {
-    /// Takes that there is an engine, and what weights it is believed to have.
-    pub fn know(
+    /// Takes which engines there are, and what weights each is believed to have. Two
+    /// that follow each other at an address count as one with the older weights.
+    pub fn know<'a>(
         &mut self,
-        address: SocketAddr,
-        weights: &WeightBelief,
+        engines: impl Iterator<Item = (SocketAddr, &'a WeightBelief)>,
         now: Micros,
     ) {
-        let span = self.engines.entry(address).or_default();
-        span.known_at = now;
-        for (model, version) in weights.iter() {
-            span.learn(model, version);
+        let mut known: BTreeMap<SocketAddr, WeightBelief> = BTreeMap::new();
+        for (address, weights) in engines {
+            match known.get_mut(&address) {
+                Some(before) => before.lower(weights),
+                None => drop(known.insert(address, weights.clone())),
+            }
+        }
+        for (address, weights) in known {
+            let span = self.engines.entry(address).or_default();
+            span.weights = weights;
+            span.known_at = now;
         }
     }
 
@@ -107,15 +103,11 @@
     pub fn heard(
         &mut self,
         address: SocketAddr,
-        weights: &[(String, u64)],
         clock_ms: Option<u64>,
         now: Micros,
     ) {
         let span = self.engines.entry(address).or_default();
         span.known_at = now;
-        for (model, version) in weights {
-            span.learn(model, *version);
-        }
         if let Some(clock_ms) = clock_ms {
             span.heard(clock_ms);
         }
--- a/core/src/serving/weight_belief.rs
+++ b/core/src/serving/weight_belief.rs
@@ -28,11 +28,22 @@
         true
     }
 
-    /// All models, and the version of each.
-    pub fn iter(&self) -> impl Iterator<Item = (&str, u64)> {
-        self.versions
-            .iter()
-            .map(|(model, version)| (model.as_str(), *version))
+    /// Takes what is known of another engine that may be meant as well: of each model
+    /// the older version, and nothing where nothing is known of one of them.
+    pub fn lower(
+        &mut self,
+        other: &WeightBelief,
+    ) {
+        if !other.is_known() {
+            self.versions.clear();
+        }
+        if !self.is_known() {
+            return;
+        }
+        for (model, version) in &other.versions {
+            let known = self.versions.entry(model.clone()).or_insert(*version);
+            *known = (*known).min(*version);
+        }
     }
 
     /// Whether anything is known of the engine's weights.
--- a/core/tests/read_proofs.rs
+++ b/core/tests/read_proofs.rs
@@ -20,25 +20,21 @@
     ([10, 0, 0, 1], place as u16 + 1).into()
 }
 
-fn weights(version: u64) -> Vec<(String, u64)> {
-    vec![("m".to_string(), version)]
+fn belief(version: u64) -> WeightBelief {
+    let mut belief = WeightBelief::default();
+    belief.learn("m", version);
+    belief
 }
 
 /// Reports of an engine from one time on the engines' clock to another.
 fn hear(
     reads: &mut ReadProofs,
     place: usize,
-    version: u64,
     from_ms: u64,
     to_ms: u64,
 ) {
     for clock_ms in (from_ms..=to_ms).step_by(250) {
-        reads.heard(
-            engine(place),
-            &weights(version),
-            Some(clock_ms),
-            at(clock_ms),
-        );
+        reads.heard(engine(place), Some(clock_ms), at(clock_ms));
     }
 }
 
@@ -46,11 +42,11 @@
 fn awake_engines_prove() {
     let mut reads = ReadProofs::default();
     assert_eq!(reads.over_until_ms("m", 1), u64::MAX, "there is nobody");
-    hear(&mut reads, 0, 1, 10_000, 12_500);
+    hear(&mut reads, 0, 10_000, 12_500);
     assert_eq!(reads.over_until_ms("m", 1), 0, "it may just have woken");
-    hear(&mut reads, 0, 1, 12_750, 13_000);
+    hear(&mut reads, 0, 12_750, 13_000);
     assert_eq!(reads.over_until_ms("m", 1), 13_000);
-    hear(&mut reads, 1, 1, 10_000, 11_000);
+    hear(&mut reads, 1, 10_000, 11_000);
     assert_eq!(reads.over_until_ms("m", 1), 0, "each must prove it");
     assert_eq!(reads.last_proven("m", 1), vec![engine(1)]);
 }
@@ -59,32 +55,37 @@
 #[test]
 fn gap_begins_anew() {
     let mut reads = ReadProofs::default();
-    hear(&mut reads, 0, 1, 10_000, 13_000);
+    hear(&mut reads, 0, 10_000, 13_000);
     let woken = 13_000 + AWAKE_GAP.as_millis() + 1;
-    hear(&mut reads, 0, 1, woken, woken + 2_750);
+    hear(&mut reads, 0, woken, woken + 2_750);
     assert_eq!(reads.over_until_ms("m", 1), 13_000);
-    hear(&mut reads, 0, 1, woken + 3_000, woken + 3_000);
+    hear(&mut reads, 0, woken + 3_000, woken + 3_000);
     assert_eq!(reads.over_until_ms("m", 1), woken + 3_000);
     // What lay on the way while the box stood still comes late and proves nothing.
-    hear(&mut reads, 0, 1, 11_000, 12_000);
-    reads.heard(engine(0), &weights(1), None, at(1));
+    hear(&mut reads, 0, 11_000, 12_000);
+    reads.heard(engine(0), None, at(1));
     assert_eq!(reads.over_until_ms("m", 1), woken + 3_000);
 }
 
 #[test]
 fn newer_weights_excused() {
     let mut reads = ReadProofs::default();
-    let mut belief = WeightBelief::default();
-    reads.know(engine(0), &belief, at(0));
+    let mut know = |beliefs: &[WeightBelief], version: u64| {
+        let engines = beliefs.iter().map(|belief| (engine(0), belief));
+        reads.know(engines, at(0));
+        reads.over_until_ms("m", version)
+    };
+    let unknown = WeightBelief::default();
     assert_eq!(
-        reads.over_until_ms("m", 1),
+        know(std::slice::from_ref(&unknown), 1),
         0,
-        "it may have been told anything"
+        "told who knows what"
     );
-    belief.learn("m", 2);
-    reads.know(engine(0), &belief, at(0));
-    assert_eq!(reads.over_until_ms("m", 1), u64::MAX);
-    assert_eq!(reads.over_until_ms("m", 2), 0);
+    assert_eq!(know(&[belief(2)], 1), u64::MAX);
+    assert_eq!(know(&[belief(2)], 2), 0);
+    // Two follow each other at an address: the one before may still fetch.
+    assert_eq!(know(&[belief(2), belief(1)], 1), 0);
+    assert_eq!(know(&[belief(2), unknown], 1), 0);
     reads.forget(engine(0));
     assert_eq!(reads.over_until_ms("m", 2), u64::MAX);
 }
@@ -93,7 +94,7 @@
 #[test]
 fn ended_engines_forgotten() {
     let mut reads = ReadProofs::default();
-    hear(&mut reads, 0, 1, 10_000, 11_000);
+    hear(&mut reads, 0, 10_000, 11_000);
     reads.prune(at(11_000) + HOLD_LIMIT);
     assert_eq!(reads.over_until_ms("m", 1), 0);
     reads.prune(at(11_001) + HOLD_LIMIT);
@@ -218,6 +219,7 @@
 struct SmallFront {
     planner: SwapPlanner,
     reads: ReadProofs,
+    beliefs: Vec<WeightBelief>,
     view: StoreView,
     proven_at: Option<Micros>,
     /// Reports on the way to it: engine, weights, clock.
@@ -226,19 +228,11 @@
 }
 
 impl SmallFront {
-    fn new(
-        engines: &[SmallEngine],
-        now: u64,
-    ) -> Self {
-        let mut reads = ReadProofs::default();
-        for (place, small) in engines.iter().enumerate() {
-            let mut belief = WeightBelief::default();
-            belief.learn("m", small.version);
-            reads.know(engine(place), &belief, at(now));
-        }
+    fn new(engines: &[SmallEngine]) -> Self {
         SmallFront {
             planner: SwapPlanner::default(),
-            reads,
+            reads: ReadProofs::default(),
+            beliefs: engines.iter().map(|small| belief(small.version)).collect(),
             view: StoreView::new(KvStore {
                 name: "s".to_string(),
                 address: ([10, 9, 0, 1], 1).into(),
@@ -264,6 +258,9 @@
             self.planner.name("m", named, self.proven_at, at(now));
         }
         self.proven_at = Some(at(now));
+        let beliefs = self.beliefs.iter().enumerate();
+        let engines = beliefs.map(|(place, belief)| (engine(place), belief));
+        self.reads.know(engines, at(now));
         // The answer lay on the way for one look.
         let sent_at = at(now.saturating_sub(LOOK_MS));
         self.view
@@ -287,7 +284,7 @@
             ..SmallEngine::default()
         };
         let engines = vec![small; ENGINES];
-        let fronts = (0..FRONTS).map(|_| SmallFront::new(&engines, 0)).collect();
+        let fronts = (0..FRONTS).map(|_| SmallFront::new(&engines)).collect();
         SmallWorld {
             now: STEP_MS,
             named: 1,
@@ -357,7 +354,7 @@
                 small.still_until = small.still_until.max(now + for_ms);
             }
             Happening::NewFront { front } => {
-                self.fronts[*front] = SmallFront::new(&self.engines, now);
+                self.fronts[*front] = SmallFront::new(&self.engines);
             }
         }
     }
@@ -380,8 +377,8 @@
                 continue;
             }
             for (place, version, clock_ms) in front.inbox.drain(..) {
-                let reads = &mut front.reads;
-                reads.heard(engine(place), &weights(version), Some(clock_ms), at(now));
+                front.beliefs[place].learn("m", version);
+                front.reads.heard(engine(place), Some(clock_ms), at(now));
             }
             if now % LOOK_MS == 0 {
                 front.look(named, now);
--- a/entry/src/front/beside_link.rs
+++ b/entry/src/front/beside_link.rs
@@ -149,9 +149,7 @@
     let mut guard = front.state();
     let state = &mut *guard;
     state.fronts = digest.fronts.max(1);
-    state
-        .reads
-        .heard(digest.engine, &digest.weights, digest.clock_ms, now);
+    state.reads.heard(digest.engine, digest.clock_ms, now);
     let Some(key) = state.book.key_at(digest.engine) else {
         return;
     };
--- a/entry/src/front/store_watch.rs
+++ b/entry/src/front/store_watch.rs
@@ -286,16 +286,24 @@
     let Some(config) = &state.config else {
         return;
     };
+    let mut engines = Vec::new();
+    let mut others = HashSet::new();
     for (_, entry) in state.book.iter() {
         let Some(group) = config.groups.get(&entry.service) else {
             continue;
         };
         if group.engine.is_some() {
-            state.reads.know(entry.address, &entry.weights, now);
+            engines.push((entry.address, &entry.weights));
         } else if entry.standing != EndpointStanding::Leaving {
-            state.reads.forget(entry.address);
+            others.insert(entry.address);
         }
     }
+    // What serves at an address now shows that the engine before it has ended.
+    engines.retain(|(address, _)| !others.contains(address));
+    state.reads.know(engines.into_iter(), now);
+    for address in others {
+        state.reads.forget(address);
+    }
     state.reads.prune(now);
 }
 
