--- a/entry/src/front/digest_watch.rs
+++ b/entry/src/front/digest_watch.rs
@@ -63,9 +63,7 @@
         front.metrics.count("digests", "earlier-life");
         return None;
     }
-    state
-        .reads
-        .heard(digest.engine, &digest.weights, digest.clock_ms, now);
+    state.reads.heard(digest.engine, digest.clock_ms, now);
     let key = key?;
     let entry = state.book.get_mut(key)?;
     let change = (order == Some(LifeOrder::Later)).then(|| BookChange::Restarts(entry.id.clone()));
