Who is present at which address is looked up once for all greetings

Cause: each greeting searched the whole list for its address: as many steps as engines squared, ten times a second. Ruled out: nothing. Change: EndpointBook::present, one pass; present_at is the same for one address.

--- a/core/src/serving/endpoint_life.rs
+++ b/core/src/serving/endpoint_life.rs
@@ -236,13 +236,28 @@
         address: SocketAddr,
         may_be: impl Fn(&EndpointEntry) -> bool,
     ) -> Option<EndpointKey> {
-        let at_address = self.iter().filter(|(_, entry)| {
-            let is_there = entry.address == address;
-            is_there && entry.standing != EndpointStanding::Leaving && may_be(entry)
-        });
+        let is_there = |entry: &EndpointEntry| entry.address == address && may_be(entry);
+        self.present(is_there).remove(&address)
+    }
+
+    /// Keys of the endpoints that are at their addresses now, of those that `may_be` admits;
+    /// see [`EndpointBook::present_at`]. One pass for all, as greetings go out several times
+    /// a second.
+    pub fn present(
+        &self,
+        may_be: impl Fn(&EndpointEntry) -> bool,
+    ) -> BTreeMap<SocketAddr, EndpointKey> {
         let rank = |entry: &EndpointEntry| (entry.life.listed, entry.life.row_version);
-        let present = at_address.max_by_key(|(_, entry)| rank(entry));
-        present.map(|(key, _)| key)
+        let is_there =
+            |entry: &EndpointEntry| entry.standing != EndpointStanding::Leaving && may_be(entry);
+        let mut present: BTreeMap<SocketAddr, EndpointKey> = BTreeMap::new();
+        for (key, entry) in self.iter().filter(|(_, entry)| is_there(entry)) {
+            let known = present.get(&entry.address).and_then(|key| self.get(*key));
+            if known.is_none_or(|known| rank(known) <= rank(entry)) {
+                present.insert(entry.address, key);
+            }
+        }
+        present
     }
 }
 
--- a/entry/src/front/beside_link.rs
+++ b/entry/src/front/beside_link.rs
@@ -67,17 +67,13 @@
     let Some(config) = &state.config else {
         return Vec::new();
     };
-    let is_present = |key: EndpointKey, entry: &EndpointEntry| {
-        let may_be = |other: &EndpointEntry| is_engine(config, other);
-        state.book.present_at(entry.address, may_be) == Some(key)
+    let present = state.book.present(|entry| is_engine(config, entry));
+    let hello = |(address, key): (&SocketAddr, &EndpointKey)| {
+        let entry = state.book.get(*key)?;
+        let to = SocketAddr::new(address.ip(), front.settings.beside_port);
+        Some((to, make_hello(front, &state, *key, entry, handed)))
     };
-    let engines = state.book.iter();
-    let engines = engines.filter(|(key, entry)| is_present(*key, entry));
-    let hello = |(key, entry): (EndpointKey, &EndpointEntry)| {
-        let to = SocketAddr::new(entry.address.ip(), front.settings.beside_port);
-        (to, make_hello(front, &state, key, entry, handed))
-    };
-    engines.map(hello).collect()
+    present.iter().filter_map(hello).collect()
 }
 
 /// Whether an endpoint is an engine: entries of services that nobody knows are none.
