--- a/core/tests/swap_planner.rs
+++ b/core/tests/swap_planner.rs
@@ -185,7 +185,7 @@
 }
 
 /// A request began on version 1 more than 12 s after version 2 was acknowledged:
-/// it had waited at its engine (granitsa, second trouble day).
+/// it had waited at its engine.
 #[test]
 fn old_weights_expire() {
     let mut planner = SwapPlanner::default();
--- a/entry/src/front/mod.rs
+++ b/entry/src/front/mod.rs
@@ -18,6 +18,7 @@
 mod list_watch;
 mod offer;
 mod operator_watch;
+mod part_freeing;
 mod peer_state;
 mod plain_answer;
 mod request_admit;
@@ -38,7 +39,7 @@
     plain_answer::*, request_run::*, store_watch::*, stream_relay::*, wake_reason::*,
 };
 use {
-    foreign_rows::*, peer_state::*, request_admit::*, request_moves::*, request_try::*,
-    return_check::*,
+    foreign_rows::*, part_freeing::*, peer_state::*, request_admit::*, request_moves::*,
+    request_try::*, return_check::*,
 };
 pub use {front_process::*, front_settings::*};
--- a/entry/src/front/store_watch.rs
+++ b/entry/src/front/store_watch.rs
@@ -1,7 +1,7 @@
 use {
-    super::FrontContext,
+    super::{free_old_parts, FrontContext},
     pitchhitch_core::{
-        serving::{EndpointStanding, LookPlan, PartFate, PartId, StoreView, WallName},
+        serving::{LookPlan, StoreView},
         time::Micros,
     },
     pitchhitch_platform::{KeptChange, KeptClient, KeptFailure},
@@ -11,17 +11,11 @@
 };
 
 /// Time limit of a question, beyond the time it is held.
-const CALL_LIMIT: Duration = Duration::from_millis(500);
+pub(super) const CALL_LIMIT: Duration = Duration::from_millis(500);
 /// Pause after a question that was one too many for a store.
 const BUSY_PAUSE: Micros = Micros::from_millis(120);
 /// How often it is looked for new stores.
 const STORES_PAUSE: Micros = Micros::from_millis(60);
-/// Parts freed by one call.
-const FREE_LIMIT: usize = 200;
-/// Pause between two calls that free.
-const FREE_PAUSE: Micros = Micros::from_millis(300);
-/// Looks that find parts held in a row before it is told: each proof lags a little.
-const HELD_LOOKS: u32 = 5;
 
 /// What came of a question to a store.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -137,7 +131,8 @@
     Some(view.store.look_plan(fronts))
 }
 
-fn has_view(
+/// Whether the configuration still names a store.
+pub(super) fn has_view(
     front: &FrontContext,
     address: SocketAddr,
 ) -> bool {
@@ -233,150 +228,3 @@
         }
     }
 }
-
-/// Frees parts that were made under weights which nobody fetches for any more.
-async fn free_old_parts(
-    front: Rc<FrontContext>,
-    address: SocketAddr,
-) {
-    let mut client = KeptClient::new(address, CALL_LIMIT);
-    let mut held_looks = 0;
-    while has_view(&front, address) {
-        Timer::after(to_duration(FREE_PAUSE)).await;
-        note_engines(&front);
-        let Some(OldParts { parts, epoch, held }) = old_parts(&front, address) else {
-            continue;
-        };
-        let was_told = held_looks >= HELD_LOOKS;
-        held_looks = held.as_ref().map_or(0, |_| held_looks + 1);
-        if was_told != (held_looks >= HELD_LOOKS) {
-            log_held(&front, address, held.as_ref());
-        }
-        if parts.is_empty() {
-            continue;
-        }
-        let clock_ms = store_clock(&front, address);
-        let is_freed = client.free(&parts, epoch).await;
-        log::info!(
-            event = "kept-free",
-            store = address.to_string().as_str(),
-            epoch = epoch,
-            parts = parts.len(),
-            clock_ms = clock_ms.map_or(-1, |clock| clock as i64),
-            freed = is_freed;
-            ""
-        );
-        if is_freed {
-            let mut state = front.state();
-            for (salt, id) in &parts {
-                let wall = state.wall(salt);
-                if let Some(view) = state.memory.view_mut(address) {
-                    view.set(wall, *id, 0);
-                }
-            }
-        }
-    }
-}
-
-/// Takes which engines there are: those of which nothing is heard count as well.
-fn note_engines(front: &FrontContext) {
-    let now = front.now();
-    let mut guard = front.state();
-    let state = &mut *guard;
-    let Some(config) = &state.config else {
-        return;
-    };
-    let mut engines = Vec::new();
-    let mut others = HashSet::new();
-    for (_, entry) in state.book.iter() {
-        let Some(group) = config.groups.get(&entry.service) else {
-            continue;
-        };
-        if group.engine.is_some() {
-            engines.push((entry.address, &entry.weights));
-        } else if entry.standing != EndpointStanding::Leaving {
-            others.insert(entry.address);
-        }
-    }
-    // What serves at an address now shows that the engine before it has ended.
-    engines.retain(|(address, _)| !others.contains(address));
-    state.reads.know(engines.into_iter(), now);
-    for address in others {
-        state.reads.forget(address);
-    }
-    state.reads.prune(now);
-}
-
-fn log_held(
-    front: &FrontContext,
-    address: SocketAddr,
-    held: Option<&WallName>,
-) {
-    let state = front.state();
-    let last = held.map(|wall| state.reads.last_proven(&wall.model, wall.version));
-    let last: Vec<String> = last.iter().flatten().map(SocketAddr::to_string).collect();
-    log::info!(
-        event = "kept-held",
-        store = address.to_string().as_str(),
-        held = held.is_some(),
-        version = held.map_or(0, |wall| wall.version),
-        waits_for = last.join(",").as_str();
-        ""
-    );
-}
-
-/// Time on the engines' clock, to set a free beside the times that fetches were given.
-fn store_clock(
-    front: &FrontContext,
-    address: SocketAddr,
-) -> Option<u64> {
-    let now = front.now();
-    let mut state = front.state();
-    state.memory.view_mut(address)?.clock_ms(now)
-}
-
-/// Parts at a store whose weights have been replaced.
-struct OldParts {
-    /// Those that are freed now.
-    parts: Vec<(String, PartId)>,
-    /// Life of the store that this is known of.
-    epoch: u64,
-    /// Weights of some that are held until engines prove that they are done.
-    held: Option<WallName>,
-}
-
-fn old_parts(
-    front: &FrontContext,
-    address: SocketAddr,
-) -> Option<OldParts> {
-    let now = front.now();
-    let mut guard = front.state();
-    if !guard.has_list {
-        // Nobody knows yet which engines may have been told.
-        return None;
-    }
-    let walls = guard.walls();
-    let state = &mut *guard;
-    let (planner, reads) = (&state.planner, &state.reads);
-    let view = state.memory.view_mut(address)?;
-    let epoch = view.epoch()?;
-    let clock_ms = view.latest_clock_ms(now);
-    let mut parts = Vec::new();
-    let mut held = None;
-    for (wall, tag) in walls {
-        if planner.named(&wall.model) <= Some(wall.version) {
-            continue;
-        }
-        let salt = wall.salt();
-        let over_ms = reads.over_until_ms(&wall.model, wall.version);
-        for id in view.parts.inside(tag) {
-            match planner.fate(&wall.model, wall.version, id, over_ms, clock_ms, now) {
-                PartFate::Fetched => {}
-                PartFate::Held => held = Some(wall.clone()),
-                PartFate::Over => parts.push((salt.clone(), id)),
-            }
-        }
-    }
-    parts.truncate(FREE_LIMIT);
-    Some(OldParts { parts, epoch, held })
-}
