Ages that others told stand once

Cause: keys and namings each had a struct and a match for the lesser of an own age and a told one. Change: ToldAge serves both.

--- a/core/src/serving/key_trust.rs
+++ b/core/src/serving/key_trust.rs
@@ -1,4 +1,7 @@
-use {super::KeyPolicy, crate::time::Micros};
+use {
+    super::{told_age::ToldAge, KeyPolicy},
+    crate::time::Micros,
+};
 
 /// Part of the limit up to which a box calls itself ready, in hundredths: the
 /// balancer needs two seconds to look elsewhere.
@@ -13,15 +16,7 @@
     limit: Micros,
     policy: KeyPolicy,
     proven_at: Option<Micros>,
-    handed: Option<HandedTrust>,
-}
-
-/// Knowledge that another box handed on: its age then, and when that was. The age
-/// may go back to before this process started.
-#[derive(Debug, Clone, Copy)]
-struct HandedTrust {
-    age: Micros,
-    at: Micros,
+    handed: Option<ToldAge>,
 }
 
 impl KeyTrust {
@@ -55,7 +50,7 @@
     ) {
         let is_younger = self.age(now).is_none_or(|known| age < known);
         if is_younger {
-            self.handed = Some(HandedTrust { age, at: now });
+            self.handed = Some(ToldAge { age, at: now });
         }
     }
 
@@ -69,12 +64,7 @@
         &self,
         now: Micros,
     ) -> Option<Micros> {
-        let own = self.proven_at.map(|at| now.since(at));
-        let handed = self.handed.map(|handed| handed.age + now.since(handed.at));
-        match (own, handed) {
-            (Some(own), Some(handed)) => Some(own.min(handed)),
-            _ => own.or(handed),
-        }
+        ToldAge::least(self.proven_at, self.handed, now)
     }
 
     /// Whether somebody may be told that a key or a route does not exist: only by
--- a/core/src/serving/mod.rs
+++ b/core/src/serving/mod.rs
@@ -31,6 +31,7 @@
 mod standstill_watch;
 mod store_view;
 mod swap_planner;
+mod told_age;
 mod told_naming;
 mod wall_name;
 mod weight_belief;
--- a/core/src/serving/weight_namings.rs
+++ b/core/src/serving/weight_namings.rs
@@ -2,7 +2,8 @@
 
 use {
     super::{
-        PartFate, PartId, SwapPlanner, ToldNaming, WeightBounds, AWAKE_GAP, HOLD_LIMIT, VIEW_LIFE,
+        told_age::ToldAge, PartFate, PartId, SwapPlanner, ToldNaming, WeightBounds, AWAKE_GAP,
+        HOLD_LIMIT, VIEW_LIFE,
     },
     crate::time::Micros,
     std::ops::RangeInclusive,
@@ -46,26 +47,13 @@
     told: Option<ToldAge>,
 }
 
-/// For how long at most weights had been named, as others tell, and when they did. It
-/// may reach back to before this process started.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-struct ToldAge {
-    age: Micros,
-    at: Micros,
-}
-
 impl Naming {
     /// For how long at most the weights have been named, where that is known.
     fn age(
         &self,
         now: Micros,
     ) -> Option<Micros> {
-        let read = self.not_yet.map(|at| now.since(at));
-        let told = self.told.map(|told| told.age + now.since(told.at));
-        match (read, told) {
-            (Some(read), Some(told)) => Some(read.min(told)),
-            _ => read.or(told),
-        }
+        ToldAge::least(self.not_yet, self.told, now)
     }
 
     /// Whether the weights may have been named for longer than `limit`.
