A stream that waits at an engine is given up before its weights' time is over

Cause: 2.5 s of the limit are kept for the wait at an engine, and nothing ended a longer wait: the engine began five seconds after it had got a resumed stream. Class: a bound that is assumed and not held. Ruled out: the choice, which was in time. Change: for streams sent for weights that newer ones are named for, the first events must come within the time that is left (begin_left, 0.4 s before the limit); then the connection is closed (OfferFailure::Overdue) and the stream goes on elsewhere where it may be resumed. Not covered: newer weights that are named while a stream waits for longer than the whole limit.

--- a/core/src/serving/weight_namings.rs
+++ b/core/src/serving/weight_namings.rs
@@ -301,6 +301,20 @@
             .map(|(model, version)| (model.as_str(), *version))
     }
 
+    /// Time until no request may begin on a version any more; `None` where no newer one is
+    /// named. It counts from when this box learned of it where nobody knows the age.
+    pub fn begin_left(
+        &self,
+        model: &str,
+        version: u64,
+        limit: Micros,
+        now: Micros,
+    ) -> Option<Micros> {
+        let naming = self.replaced_by(model, version)?;
+        let known_for = now.since(naming.learned_at);
+        Some(limit.since(naming.age(now).unwrap_or(known_for)))
+    }
+
     /// Which versions a request may begin on, where weights may be used for `limit` after
     /// newer ones were named.
     ///
--- a/core/tests/weight_bounds.rs
+++ b/core/tests/weight_bounds.rs
@@ -96,6 +96,22 @@
     assert_eq!(oldest(&planner, 5_001 + ASKS_FOR), Some(2));
 }
 
+/// A stream that waits at an engine has until the first of the newer weights were named for
+/// the limit.
+#[test]
+fn time_to_begin() {
+    let mut planner = SwapPlanner::default();
+    planner.name("m", 1, None, at(0));
+    planner.name("m", 2, Some(at(1_000)), at(1_500));
+    planner.name("m", 3, Some(at(4_000)), at(4_500));
+    let left = |version: u64, time: u64| planner.begin_left("m", version, LIMIT, at(time));
+    assert_eq!(left(3, 5_000), None);
+    assert_eq!(left(2, 5_000), Some(at(8_000)));
+    assert_eq!(left(1, 5_000), Some(at(5_000)));
+    assert_eq!(left(1, 20_000), Some(at(0)));
+    assert_eq!(left(0, 5_000), Some(at(4_000)), "as long as it is known");
+}
+
 /// No naming is older than one that this box has read the absence of.
 #[test]
 fn first_naming_seen() {
--- a/entry/src/front/front_settings.rs
+++ b/entry/src/front/front_settings.rs
@@ -42,6 +42,9 @@
     /// Time from when newer weights are named until no request is sent to an
     /// engine with older ones any more.
     pub weights_limit: Micros,
+    /// Time from then until no request begins on them any more: what waits at an engine
+    /// is given up.
+    pub begin_limit: Micros,
     /// What may be sent again.
     pub repeats: RepeatBound,
     /// Time between SIGTERM and the end of the process by force.
@@ -56,6 +59,9 @@
 
 /// Time that a request may wait at an engine before it begins.
 const WEIGHTS_MARGIN: Micros = Micros::from_millis(2_500);
+/// Time in which an engine has noticed that a request was given up, and what it began
+/// before has been heard of.
+const BEGIN_MARGIN: Micros = Micros::from_millis(400);
 
 /// Part of the drain limit that passes between two looks at the list of endpoints, in
 /// hundredths. Each look has its price; the rest is for an answer of the store that
@@ -97,6 +103,8 @@
         let ratio = reader.value("repeat_ratio", Some(0.2), "a number from 0 to 1");
         let seeds = reader.value("seeds", Some(Vec::new()), "a list of addresses and ports");
         let secret = reader.optional_text("peer_secret");
+        let weights_limit = reader.number("weights_limit_ms", 12_000, 100..=600_000);
+        let weights_limit = Micros::from_millis(weights_limit);
         let fails_closed = reader.spelled_flag("keys_fail_closed", true);
         let settings = FrontSettings {
             box_id: reader.text("box_id"),
@@ -118,12 +126,8 @@
                 false => KeyPolicy::ServeOn,
             },
             drain_limit: Micros::from_millis(reader.number("drain_limit_ms", 2_000, 100..=600_000)),
-            weights_limit: Micros::from_millis(reader.number(
-                "weights_limit_ms",
-                12_000,
-                100..=600_000,
-            ))
-            .since(WEIGHTS_MARGIN),
+            weights_limit: weights_limit.since(WEIGHTS_MARGIN),
+            begin_limit: weights_limit.since(BEGIN_MARGIN),
             repeats: RepeatBound {
                 window: Micros::from_secs(reader.number("repeat_window_s", 10, 1..=3_600)),
                 ratio: ratio.unwrap_or_default(),
--- a/entry/src/front/offer.rs
+++ b/entry/src/front/offer.rs
@@ -23,6 +23,8 @@
     Garbled,
     /// The time of the request is over.
     Late,
+    /// The time of the endpoint's weights is over, and it has not begun.
+    Overdue,
     /// The caller has gone.
     CallerGone,
 }
--- a/entry/src/front/request_run.rs
+++ b/entry/src/front/request_run.rs
@@ -241,9 +241,10 @@
             OfferFailure::Late if self.may_have_run == 0 => RefusalKind::NeverSent,
             OfferFailure::Late => RefusalKind::TimedOut,
             OfferFailure::Garbled => RefusalKind::BadAnswer,
-            OfferFailure::NotSent | OfferFailure::Lost | OfferFailure::CallerGone => {
-                RefusalKind::EndpointLost
-            }
+            OfferFailure::NotSent
+            | OfferFailure::Lost
+            | OfferFailure::Overdue
+            | OfferFailure::CallerGone => RefusalKind::EndpointLost,
         }
     }
 
--- a/entry/src/front/request_try.rs
+++ b/entry/src/front/request_try.rs
@@ -9,6 +9,7 @@
     },
     pitchhitch_http1::{BodyFraming, ByteLink},
     pitchhitch_process::to_duration,
+    std::time::Duration,
 };
 
 /// Longest wait for a connection to an endpoint: a way takes a millisecond or
@@ -132,6 +133,7 @@
         self.sends += 1;
         self.log_send(choice, "sent", "", place.moves.until_ms);
         let request_id = self.ask.request_id.clone();
+        self.timer.set_after(self.begin_time(choice));
         let (answer, may_have_run) =
             send_offer(offer, &bytes, &request_id, self.caller, &mut self.timer).await;
         self.may_have_run += u32::from(may_have_run);
@@ -143,11 +145,45 @@
             Err(OfferFailure::CallerGone) => TryEnd::CallerGone,
             Err(failure) => TryEnd::Broken(failure),
         };
+        self.timer.set_after(self.time_left());
+        let end = match end {
+            TryEnd::Broken(OfferFailure::Late) if front.now() < self.ends_at => {
+                TryEnd::Broken(OfferFailure::Overdue)
+            }
+            end => end,
+        };
         self.learn_ended(choice, ticket, sent_at);
         self.after_try(choice, &end);
         end
     }
 
+    /// Time that is left for the request.
+    fn time_left(&self) -> Duration {
+        to_duration(self.ends_at.since(self.front.now()))
+    }
+
+    /// Time in which the endpoint must begin a stream. A stream that waits at an engine for
+    /// longer would begin on weights that newer ones have replaced for too long.
+    fn begin_time(
+        &self,
+        choice: &EndpointChoice,
+    ) -> Duration {
+        let front = self.front;
+        let (Some(prompt), Some(version)) = (&self.ask.prompt, choice.version) else {
+            return self.time_left();
+        };
+        if !self.route().is_stream {
+            return self.time_left();
+        }
+        let limit = front.settings.begin_limit;
+        let state = front.state();
+        let planner = &state.planner;
+        let left = planner.begin_left(&prompt.model, version, limit, front.now());
+        left.map_or(self.time_left(), |left| {
+            to_duration(left).min(self.time_left())
+        })
+    }
+
     pub(super) fn after_try(
         &mut self,
         choice: &EndpointChoice,
@@ -253,7 +289,10 @@
         }
         let caller = &mut *self.caller;
         let progress = &mut self.progress;
-        let end = relay_stream(offer, answer, progress, caller, &mut self.timer, &mut tell).await;
+        let ends_at = self.ends_at;
+        let left = || to_duration(ends_at.since(front.now()));
+        let timer = &mut self.timer;
+        let end = relay_stream(offer, answer, progress, caller, timer, &left, &mut tell).await;
         self.began_at = self.began_at.or(began);
         if let (Some(version), Some(prompt)) = (version, &self.ask.prompt) {
             self.learn_version(choice, &prompt.model.clone(), version);
--- a/entry/src/front/stream_relay.rs
+++ b/entry/src/front/stream_relay.rs
@@ -6,6 +6,7 @@
     pitchhitch_http1::{write_chunk, BodyDecoder, ByteLink, LAST_CHUNK},
     pitchhitch_platform::{encode_answer_head, AnswerLength},
     smol::Timer,
+    std::time::Duration,
 };
 
 /// The caller's side of one stream, over all endpoints that feed it.
@@ -32,13 +33,15 @@
 
 /// Passes a stream on, event by event, until it ends.
 ///
-/// A part of an event never goes out, except at the sound end of a stream.
+/// A part of an event never goes out, except at the sound end of a stream. Once the first
+/// events have come the stream has the time that is `left` for the request.
 pub(crate) async fn relay_stream(
     offer: &mut OpenOffer,
     answer: &OfferAnswer,
     progress: &mut StreamProgress,
     caller: &mut ByteLink,
     timer: &mut Timer,
+    left: &dyn Fn() -> Duration,
     tell: &mut dyn FnMut(RelayNews),
 ) -> Result<(), OfferFailure> {
     let mut decoder = BodyDecoder::new(answer.framing);
@@ -55,6 +58,7 @@
         }
         if is_first && !events.is_empty() {
             is_first = false;
+            timer.set_after(left());
             tell(RelayNews::Begun);
         }
         let is_done = decoder.is_done();
