Test of gone callers: which engine a stream takes is not assumed

The test started four and waited until both engines ran some. Ruled out: a stream that failed or was lost (four begun, none resumed). Change: the set-up starts more streams until both engines run some, so what the tests ask for is not left to chance; what they check is unchanged, the numbers are those of the streams that were started.

--- a/testbed/src/replay/stream_set.rs
+++ b/testbed/src/replay/stream_set.rs
@@ -8,6 +8,7 @@
 /// Streams that run at the same time, over all entry processes.
 #[derive(Debug)]
 pub struct StreamSet {
+    client: CallerClient,
     tasks: Vec<Task<CallOutcome>>,
     answer_tokens: u32,
     version: String,
@@ -20,19 +21,34 @@
         count: usize,
         answer_tokens: u32,
     ) -> Self {
-        let client = CallerClient::default();
-        let entries = deployment.entry_places.len();
-        let mut tasks = Vec::new();
-        for number in 0..count {
-            let call = deployment.prompt(number % entries, &prompt_text(number), answer_tokens);
-            let client = client.clone();
-            tasks.push(spawn(async move { client.chat(&call).await }));
-        }
-        StreamSet {
-            tasks,
+        let mut set = StreamSet {
+            client: CallerClient::default(),
+            tasks: Vec::new(),
             answer_tokens,
             version: deployment.shape.version.clone(),
+        };
+        for _ in 0..count {
+            set.add(deployment);
         }
+        set
+    }
+
+    /// Starts one more.
+    pub fn add(
+        &mut self,
+        deployment: &Deployment,
+    ) {
+        let number = self.tasks.len();
+        let entry = number % deployment.entry_places.len();
+        let call = deployment.prompt(entry, &prompt_text(number), self.answer_tokens);
+        let client = self.client.clone();
+        let task = spawn(async move { client.chat(&call).await });
+        self.tasks.push(task);
+    }
+
+    /// How many were started.
+    pub fn count(&self) -> usize {
+        self.tasks.len()
     }
 
     /// Waits for all of them; panics unless each is whole and right.
--- a/testbed/tests/lost_processes.rs
+++ b/testbed/tests/lost_processes.rs
@@ -14,21 +14,40 @@
 };
 
 const TOKENS: u32 = 300;
+/// Streams that all choose one of two idle engines by chance: none in our lifetime.
+const MOST_STREAMS: usize = 32;
 
 async fn start(name: &str) -> Deployment {
     Deployment::for_test(DeploymentShape::streaming(name)).await
 }
 
-/// Starts streams and waits until both engines work on some.
+/// Starts so many streams, and more until both engines work on some: idle engines are
+/// told apart by chance, so that a few streams that start at once may all be at one.
 async fn streams(
     deployment: &Deployment,
     count: usize,
 ) -> StreamSet {
-    let streams = StreamSet::start(deployment, count, TOKENS);
+    let mut streams = StreamSet::start(deployment, count, TOKENS);
     let running = |e: &EngineStandIn| e.core.running.load(Ordering::Relaxed) > 0;
-    let all = || deployment.engines().all(running);
-    deployment.wait_until("streams on both engines", all).await;
-    streams
+    loop {
+        all_begun(deployment, &streams).await;
+        if deployment.engines().all(running) {
+            return streams;
+        }
+        assert!(streams.count() < MOST_STREAMS, "all are at one engine");
+        streams.add(deployment);
+    }
+}
+
+/// Waits until all are at an engine: a caller that is gone before has nothing to cancel.
+async fn all_begun(
+    deployment: &Deployment,
+    streams: &StreamSet,
+) {
+    let begun = || sum_engines(deployment, |e| &e.core.counts.begun);
+    deployment
+        .wait_until("all to run", || begun() == streams.count() as u64)
+        .await;
 }
 
 /// Kills the agent of the first endpoint.
@@ -114,20 +133,15 @@
     block_on(async {
         let deployment = start("gone").await;
         let streams = streams(&deployment, 4).await;
-        // A caller that is gone before its request is read has nothing to cancel.
-        deployment
-            .wait_until("all four to run", || {
-                sum_engines(&deployment, |e| &e.core.counts.begun) == 4
-            })
-            .await;
+        let count = streams.count() as u64;
         drop(streams);
         deployment
             .wait_until("the engines to stop", || {
-                sum_engines(&deployment, |e| &e.core.counts.cancelled) == 4
+                sum_engines(&deployment, |e| &e.core.counts.cancelled) == count
             })
             .await;
         // None of them was taken up again elsewhere.
-        assert_eq!(sum_engines(&deployment, |e| &e.core.counts.begun), 4);
+        assert_eq!(sum_engines(&deployment, |e| &e.core.counts.begun), count);
     });
 }
 
