--- a/core/tests/endpoint_book.rs
+++ b/core/tests/endpoint_book.rs
@@ -120,6 +120,29 @@
     assert_eq!(standing(&book, "e"), Some(EndpointStanding::Leaving));
 }
 
+/// A front that starts while the store is away takes what a peer knows. One whose entry
+/// had only gone was handed on as one that leaves for good, so when its entry came back the
+/// new front sent it nothing for 30 seconds, while all others did after one question.
+#[test]
+fn away_handed_on() {
+    let mut peer = EndpointBook::default();
+    peer.take(&notice("away", 1, false));
+    peer.gone("away", true);
+    peer.take(&notice("left", 2, false));
+    peer.take(&notice("left", 2, true));
+    let mut book = EndpointBook::default();
+    for told in peer.notices() {
+        book.take(&told);
+    }
+    for id in ["away", "left"] {
+        assert_eq!(standing(&book, id), Some(EndpointStanding::Leaving));
+        assert_eq!(book.take(&notice(id, 1, false)), None);
+    }
+    let questions = book.ask_returned(Micros::ZERO);
+    let asked: Vec<&str> = questions.iter().map(|q| q.id.as_str()).collect();
+    assert_eq!(asked, ["away"]);
+}
+
 #[test]
 fn whole_list_compared() {
     let mut book = EndpointBook::default();
