Endpoints whose entries only went are greeted on and may load

Cause: fronts greeted, heard and planned turns only for endpoints that the list shows. An engine whose box stood still until its entry went, and which woke while the platform's store was away, heard nothing of the newer weights until it was listed again (27 s after the naming, 12 s allowed). Class: what is not on the list counts as not there. Ruled out: the platform's list being late (the first turn came 0.1 s after the list showed it again), old weights named late. Change: EndpointEntry::may_be_there (listed, or gone without a word of its own) decides whom a front greets, whose digests it takes and who gets a turn to load, once it is heard; it gets no requests, as before. Of two at one address the listed one goes first. A notice says is_away where an endpoint only went.

--- a/core/src/serving/endpoint_book.rs
+++ b/core/src/serving/endpoint_book.rs
@@ -79,7 +79,8 @@
             address: Some(entry.address),
             domain: entry.domain.clone(),
             slots: entry.slots,
-            is_leaving: entry.standing == EndpointStanding::Leaving,
+            is_leaving: !entry.may_be_there(),
+            is_away: entry.standing == EndpointStanding::Leaving && entry.may_be_there(),
             weights: Vec::new(),
             born: entry.life.listed,
             // It rises with each heartbeat, and a copy counts as news by its content.
@@ -93,12 +94,16 @@
         &mut self,
         notice: &EndpointNotice,
     ) -> Option<BookChange> {
-        let wanted = match notice.is_leaving {
+        let wanted = match notice.is_leaving || notice.is_away {
             true => EndpointStanding::Leaving,
             false => EndpointStanding::Serving,
         };
         let address = notice.address?;
         if let Some(key) = self.key(&notice.id) {
+            if notice.is_away {
+                // This box has heard of it by itself.
+                return None;
+            }
             return self.entries[key].take_notice(notice, wanted);
         }
         let mut weights = WeightBelief::default();
@@ -112,7 +117,12 @@
             domain: notice.domain.clone(),
             slots: notice.slots,
             standing: wanted,
-            comeback: EndpointReturn::of(wanted),
+            // One that is away is asked when its entry is back: counted as leaving for
+            // good, it got nothing until it was forgotten.
+            comeback: match notice.is_away {
+                true => EndpointReturn::Away,
+                false => EndpointReturn::of(wanted),
+            },
             left_at: None,
             life: EndpointLife {
                 born: notice.born,
--- a/core/src/serving/endpoint_entry.rs
+++ b/core/src/serving/endpoint_entry.rs
@@ -20,6 +20,10 @@
     pub slots: u32,
     /// Whether it is leaving.
     pub is_leaving: bool,
+    /// Whether it only is on the list no more, without having said that it leaves; told
+    /// only by what another box hands on.
+    #[serde(default)]
+    pub is_away: bool,
     /// Models and the versions of their weights.
     pub weights: Vec<(String, u64)>,
     /// Start of this life of the endpoint, in milliseconds since 1970, where told.
--- a/core/src/serving/endpoint_life.rs
+++ b/core/src/serving/endpoint_life.rs
@@ -230,7 +230,8 @@
     /// Key of the endpoint that is at an address now, of those that `may_be` admits.
     ///
     /// The entry of one that crashed may still be there beside that of its successor:
-    /// the one born later is present, or the one that was listed last.
+    /// the one born later is present, or the one that was listed last. One whose entry
+    /// only went is present where no other is.
     pub fn present_at(
         &self,
         address: SocketAddr,
@@ -247,9 +248,11 @@
         &self,
         may_be: impl Fn(&EndpointEntry) -> bool,
     ) -> BTreeMap<SocketAddr, EndpointKey> {
-        let rank = |entry: &EndpointEntry| (entry.life.listed, entry.life.row_version);
-        let is_there =
-            |entry: &EndpointEntry| entry.standing != EndpointStanding::Leaving && may_be(entry);
+        let rank = |entry: &EndpointEntry| {
+            let is_listed = entry.standing != EndpointStanding::Leaving;
+            (is_listed, entry.life.listed, entry.life.row_version)
+        };
+        let is_there = |entry: &EndpointEntry| entry.may_be_there() && may_be(entry);
         let mut present: BTreeMap<SocketAddr, EndpointKey> = BTreeMap::new();
         for (key, entry) in self.iter().filter(|(_, entry)| is_there(entry)) {
             let known = present.get(&entry.address).and_then(|key| self.get(*key));
--- a/core/src/serving/endpoint_return.rs
+++ b/core/src/serving/endpoint_return.rs
@@ -55,6 +55,12 @@
 }
 
 impl EndpointEntry {
+    /// Whether it may be there: it is on the list, or its entry went without a word
+    /// of its own.
+    pub fn may_be_there(&self) -> bool {
+        self.standing != EndpointStanding::Leaving || self.comeback != EndpointReturn::Never
+    }
+
     /// Takes the standing that the list shows; true where that changes its own.
     pub(super) fn restand(
         &mut self,
--- a/core/src/serving/swap_planner.rs
+++ b/core/src/serving/swap_planner.rs
@@ -123,7 +123,7 @@
                 .filter(|other| service(**other) == service(key));
             let running = book.get(key).map_or(0, |entry| entry.occupied(now));
             let count = others.count();
-            let limit = service(key).map_or(0, |service| loads_at_once(book, service));
+            let limit = service(key).map_or(0, |service| loads_at_once(book, service, now));
             let Some(turn) = self.turns.get_mut(&key) else {
                 continue;
             };
@@ -171,10 +171,7 @@
     ) {
         let missed = &mut self.missed;
         self.turns.retain(|key, turn| {
-            let entry = book
-                .get(*key)
-                .filter(|e| e.standing != EndpointStanding::Leaving);
-            let Some(entry) = entry else {
+            let Some(entry) = book.get(*key).filter(|e| e.may_be_there()) else {
                 return false;
             };
             let has = entry.weights.version(&turn.model);
@@ -197,9 +194,10 @@
         book: &EndpointBook,
         now: Micros,
     ) -> Option<(EndpointKey, SwapTurn)> {
+        // One that is heard loads also where its entry only went: an engine whose box had
+        // stood still kept replaced weights for as long as the list did not show it again.
         let waits = |(key, entry): &(EndpointKey, &EndpointEntry)| {
-            let heard = entry.fresh_load(now).is_some_and(|load| !load.is_silent);
-            entry.standing != EndpointStanding::Leaving && heard && !self.turns.contains_key(key)
+            is_heard(entry, now) && entry.may_be_there() && !self.turns.contains_key(key)
         };
         let mut next: Option<(TurnRank, EndpointKey, SwapTurn)> = None;
         for (key, entry) in book.iter().filter(waits) {
@@ -210,7 +208,7 @@
                 book.get(**other)
                     .is_some_and(|other| other.service == entry.service)
             };
-            let loads = loads_at_once(book, &entry.service);
+            let loads = loads_at_once(book, &entry.service, now);
             let limit = loads + DRAINS_AT_ONCE.max(loads / LOADS_A_DRAIN);
             if self.turns.keys().filter(in_group).count() >= limit {
                 continue;
@@ -233,10 +231,20 @@
 fn loads_at_once(
     book: &EndpointBook,
     service: &str,
+    now: Micros,
 ) -> usize {
-    let serves = |entry: &&EndpointEntry| {
-        entry.service == service && entry.standing != EndpointStanding::Leaving
+    let is_there = |entry: &EndpointEntry| {
+        let is_listed = entry.standing != EndpointStanding::Leaving;
+        is_listed || (entry.may_be_there() && is_heard(entry, now))
     };
+    let serves = |entry: &&EndpointEntry| entry.service == service && is_there(entry);
     let engines = book.iter().map(|(_, entry)| entry).filter(serves).count();
     LOADS_AT_ONCE.max(engines / ENGINES_A_LOAD)
 }
+
+fn is_heard(
+    entry: &EndpointEntry,
+    now: Micros,
+) -> bool {
+    entry.fresh_load(now).is_some_and(|load| !load.is_silent)
+}
--- a/core/tests/endpoint_book.rs
+++ b/core/tests/endpoint_book.rs
@@ -155,10 +155,15 @@
 #[test]
 fn address_reused() {
     let mut book = EndpointBook::default();
-    book.take(&notice("old", 1, false));
+    book.take(&EndpointNotice {
+        row_version: 9,
+        ..notice("old", 1, false)
+    });
     book.gone("old", true);
-    book.take(&notice("new", 1, false));
     let address = ([10, 0, 0, 1], 1).into();
+    assert_eq!(book.present_at(address, |_| true), book.key("old"));
+    // What is on the list goes before what only may be there, whenever it was listed.
+    book.take(&notice("new", 1, false));
     assert_eq!(book.present_at(address, |_| true), book.key("new"));
     book.prune(Micros::ZERO);
     book.prune(Micros::from_secs(31));
--- a/core/tests/endpoint_lives.rs
+++ b/core/tests/endpoint_lives.rs
@@ -29,7 +29,7 @@
         is_leaving,
         weights: vec![("m".to_string(), 1)],
         born,
-        row_version: 0,
+        ..EndpointNotice::default()
     }
 }
 
--- a/core/tests/swap_planner.rs
+++ b/core/tests/swap_planner.rs
@@ -75,6 +75,28 @@
         .learn("m", version);
 }
 
+/// Whose entry only went may load once it is heard, with the others as many at once as
+/// ever; one that said that it leaves, or that nobody hears, may not.
+#[test]
+fn away_engines_load() {
+    let mut book = book(4, 0, at(0));
+    for id in ["e0", "e1", "e2"] {
+        book.gone(id, true);
+    }
+    let listed = book.notices().into_iter().find(|told| told.id == "e3");
+    book.take(&EndpointNotice {
+        is_leaving: true,
+        ..listed.expect("told")
+    });
+    let silent = book.key("e2").and_then(|key| book.get_mut(key));
+    silent.expect("entry").load = None;
+    let mut planner = SwapPlanner::default();
+    planner.name("m", 2, Some(at(0)), at(0));
+    planner.plan(&book, at(0));
+    let told: Vec<EndpointKey> = ["e0", "e1"].iter().filter_map(|id| book.key(id)).collect();
+    assert_eq!(loading(&book, &planner), told);
+}
+
 #[test]
 fn two_at_once() {
     let mut book = book(9, 0, at(0));
--- a/entry/src/front/beside_link.rs
+++ b/entry/src/front/beside_link.rs
@@ -1,7 +1,7 @@
 use {
     super::{own_state, FrontContext, FrontState},
     pitchhitch_core::{
-        serving::{EndpointEntry, EndpointKey, ServingConfig},
+        serving::{EndpointEntry, EndpointKey, EndpointStanding, ServingConfig},
         time::Micros,
     },
     pitchhitch_process::to_duration,
@@ -114,6 +114,7 @@
             number: digest.number,
         }),
         wanted: wanted.collect(),
-        wants_all: !entry.is_mirrored,
+        // Parts of one that is away are not kept, so they are asked for when it is back.
+        wants_all: !entry.is_mirrored && entry.standing != EndpointStanding::Leaving,
     }
 }
