Processes beside engines tell fronts that greet no more which engine they stand beside

Cause: a front learns of engines from the list (or a peer that knows it) alone. Fronts that started while an engine's box stood still did not know of it, and the platform's store went away before they read its new entry: nobody told the engine to load. Class: as before, what is not on the list counts as not there. Hypotheses 2 (two loads at once) and 3 (the list read late after the store is back) ruled out as causes: the loads took 1.3 s each and end before the traffic does once all three fronts give turns; 3 is true and left as it is. Change: a process beside an engine remembers the fronts that it heard for 60 s and what the last state that named its engine said of it; those that have not greeted for 1.5 s (as proven by the digest that the greeting names: greetings wait while the box stands still) are told once a second. A front that has read the list takes it as one that is away: greeted, told to load, without requests. Only from the engine's own address, and only of a group of engines.

--- a/agent/src/beside/beside_context.rs
+++ b/agent/src/beside/beside_context.rs
@@ -1,7 +1,7 @@
 use {
     super::{BesideMetrics, BesideSettings, SentDigests, StateKeeper},
     pitchhitch_core::{
-        serving::{EngineLoad, LifeOrder, PartId, WallTag},
+        serving::{EndpointNotice, EngineLoad, LifeOrder, PartId, WallTag},
         time::Micros,
     },
     pitchhitch_process::ProcessClock,
@@ -18,6 +18,15 @@
 
 /// Time for which a front that is not heard still gets digests.
 const FRONT_LIFE: Micros = Micros::from_secs(5);
+/// Time after which a front that greets no more is told which engine this is: some greetings
+/// of its pace may get lost.
+const SILENT_AFTER: Micros = Micros::from_millis(1_500);
+/// Pause between two such words.
+const ANNOUNCE_PAUSE: Micros = Micros::from_secs(1);
+/// Time for which a front that is not heard is remembered, and how many at most. A box that
+/// stands still for longer is found by the list alone.
+const REMEMBER_FRONT: Micros = Micros::from_secs(60);
+const FRONTS_LIMIT: usize = 256;
 /// Changes of kept parts that wait for the next digest at most.
 const PENDING_LIMIT: usize = 4_000;
 
@@ -30,6 +39,15 @@
     pub turn_at: Option<Micros>,
 }
 
+/// When a front was heard.
+#[derive(Debug, Clone, Copy)]
+struct FrontContact {
+    heard_at: Micros,
+    /// When it greeted at the latest, as far as is proven: greetings wait while this box
+    /// stands still.
+    greeted_at: Micros,
+}
+
 /// What the tasks share.
 #[derive(Debug, Default)]
 pub(crate) struct BesideState {
@@ -64,7 +82,8 @@
     pub metrics: BesideMetrics,
     /// Fronts that want to be told all that the engine keeps.
     pub newcomers: BTreeSet<SocketAddr>,
-    fronts: HashMap<SocketAddr, Micros>,
+    fronts: HashMap<SocketAddr, FrontContact>,
+    announced_at: Option<Micros>,
     kept: HashMap<(WallTag, PartId), u32>,
 }
 
@@ -133,13 +152,28 @@
         self.forgets || !self.pending.is_empty()
     }
 
-    /// Notes that a front was heard.
+    /// Notes that a front was heard, with a greeting that was on its way for `age` at most
+    /// where that is known. `is_first` says whether it names no digest of ours yet.
     pub fn heard(
         &mut self,
         front: SocketAddr,
+        age: Option<Micros>,
+        is_first: bool,
         now: Micros,
     ) {
-        self.fronts.insert(front, now);
+        let known = self.fronts.get(&front);
+        if known.is_none() && self.fronts.len() >= FRONTS_LIMIT {
+            return;
+        }
+        let proven_at = match is_first {
+            true => now,
+            false => age.map_or(Micros::ZERO, |age| now.since(age)),
+        };
+        let contact = FrontContact {
+            heard_at: now,
+            greeted_at: known.map_or(proven_at, |known| known.greeted_at.max(proven_at)),
+        };
+        self.fronts.insert(front, contact);
     }
 
     /// Fronts that get digests.
@@ -148,12 +182,40 @@
         now: Micros,
     ) -> Vec<SocketAddr> {
         self.fronts
-            .retain(|_, heard| now.since(*heard) < FRONT_LIFE);
-        let mut fronts: Vec<SocketAddr> = self.fronts.keys().copied().collect();
+            .retain(|_, contact| now.since(contact.heard_at) < REMEMBER_FRONT);
+        self.fronts_where(|contact| now.since(contact.heard_at) < FRONT_LIFE)
+    }
+
+    fn fronts_where(
+        &self,
+        holds: impl Fn(&FrontContact) -> bool,
+    ) -> Vec<SocketAddr> {
+        let fitting = self.fronts.iter().filter(|(_, contact)| holds(contact));
+        let mut fronts: Vec<SocketAddr> = fitting.map(|(front, _)| *front).collect();
         fronts.sort_unstable();
         fronts
     }
 
+    /// What fronts knew of the engine, and those that greet no more, where it is time to
+    /// tell them.
+    pub fn announcement(
+        &mut self,
+        now: Micros,
+    ) -> Option<(EndpointNotice, Vec<SocketAddr>)> {
+        let is_due = |at: Micros| now.since(at) >= ANNOUNCE_PAUSE;
+        if !self.announced_at.is_none_or(is_due) {
+            return None;
+        }
+        let silent = self.fronts_where(|contact| now.since(contact.greeted_at) >= SILENT_AFTER);
+        if silent.is_empty() {
+            return None;
+        }
+        let id = self.engine_id.as_deref()?;
+        let notice = self.keeper.own_endpoint(id)?.clone();
+        self.announced_at = Some(now);
+        Some((notice, silent))
+    }
+
     /// Notes a change of what the engine keeps.
     pub fn push_change(
         &mut self,
--- a/agent/src/beside/digest_sender.rs
+++ b/agent/src/beside/digest_sender.rs
@@ -34,9 +34,9 @@
             Ok((hello, from)) => {
                 let now = beside.now();
                 let mut state = beside.state();
-                state.heard(from, now);
                 let domain = &beside.settings.failure_domain;
                 let age = state.sent.greeting_age(hello.echo, now);
+                state.heard(from, age, hello.echo.is_none(), now);
                 state.keeper.heard(&hello, age, from, domain, now);
                 if hello.wants_all {
                     state.newcomers.insert(from);
@@ -108,6 +108,7 @@
             _ => LOOK_PAUSE_MANY,
         };
         tell_newcomers(&beside, &mut count, fronts.len() as u32).await;
+        announce(&beside, &mut count, fronts.len() as u32).await;
         let load = EngineLoad {
             at: Micros::ZERO,
             ..beside.state().load
@@ -161,6 +162,36 @@
     }
 }
 
+/// Tells fronts that greet no more which engine this is. Fronts that started while this box
+/// stood still know of no such engine until the list shows it: with the platform's store away
+/// it kept replaced weights for 27 s.
+async fn announce(
+    beside: &BesideContext,
+    count: &mut DigestCount,
+    fronts: u32,
+) {
+    let now = beside.now();
+    let Some((endpoint, silent)) = beside.state().announcement(now) else {
+        return;
+    };
+    log::info!(
+        event = "announced",
+        engine = endpoint.id.as_str(),
+        fronts = silent.len();
+        ""
+    );
+    let load = EngineLoad {
+        at: Micros::ZERO,
+        ..beside.state().load
+    };
+    count.number += 1;
+    let mut digest = make_digest(beside, load, *count, fronts, Vec::new());
+    digest.endpoint = Some(endpoint);
+    for front in silent {
+        send(beside, &digest, front).await;
+    }
+}
+
 /// A digest that is lost costs freshness only.
 async fn send(
     beside: &BesideContext,
@@ -199,6 +230,7 @@
         forgets: false,
         is_whole: false,
         parts,
+        endpoint: None,
     }
 }
 
--- a/agent/src/beside/state_keeper.rs
+++ b/agent/src/beside/state_keeper.rs
@@ -1,6 +1,6 @@
 use {
     super::BesideContext,
-    pitchhitch_core::time::Micros,
+    pitchhitch_core::{serving::EndpointNotice, time::Micros},
     pitchhitch_process::to_duration,
     pitchhitch_wire::beside::{ask_state, FrontHello, HandedState, STATE_PATH},
     smol::Timer,
@@ -30,6 +30,8 @@
 pub(crate) struct StateKeeper {
     offer: Option<StateOffer>,
     copy: Option<StateCopy>,
+    /// What the last state that named the own engine said of it.
+    own: Option<EndpointNotice>,
 }
 
 /// A state that was taken from a front.
@@ -104,11 +106,14 @@
     fn keep(
         &mut self,
         state: HandedState,
+        is_own: impl Fn(&EndpointNotice) -> bool,
         now: Micros,
     ) -> bool {
         let goes_back = |copy: &StateCopy| state.goes_back_from(&copy.state);
         let is_news = !self.copy.as_ref().is_some_and(goes_back);
         if is_news {
+            let own = state.endpoints.iter().find(|told| is_own(told));
+            self.own = own.cloned().or(self.own.take());
             let mark = state.mark();
             let at = now;
             self.copy = Some(StateCopy { state, mark, at });
@@ -116,6 +121,17 @@
         is_news
     }
 
+    /// What the last state that named the own engine said of it, unless it left. A front
+    /// that started while this box stood still tells of no such engine.
+    pub fn own_endpoint(
+        &self,
+        id: &str,
+    ) -> Option<&EndpointNotice> {
+        self.own
+            .as_ref()
+            .filter(|own| own.id == id && !own.is_leaving)
+    }
+
     /// The copy with its age as of now.
     fn aged(
         &self,
@@ -152,7 +168,7 @@
     match answer.state {
         Ok(state) => {
             let version = state.version;
-            let taken = beside.state().keeper.keep(state, asked_at);
+            let taken = keep(beside, state, asked_at);
             log::info!(
                 event = "state-kept",
                 front = address.as_str(),
@@ -169,6 +185,18 @@
     }
 }
 
+fn keep(
+    beside: &BesideContext,
+    handed: HandedState,
+    asked_at: Micros,
+) -> bool {
+    let mut state = beside.state();
+    let id = state.engine_id.clone();
+    let address = Some(beside.settings.engine);
+    let is_own = |told: &EndpointNotice| Some(&told.id) == id.as_ref() && told.address == address;
+    state.keeper.keep(handed, is_own, asked_at)
+}
+
 /// Hands the copy on to a front that asks.
 pub(crate) fn hand_copy_on(
     beside: &BesideContext,
--- a/core/src/serving/endpoint_book.rs
+++ b/core/src/serving/endpoint_book.rs
@@ -22,6 +22,8 @@
     Leaves(String),
     /// An endpoint's entry went while the list cannot be trusted.
     Lapses(String),
+    /// An endpoint that is on no list is there: it gets no requests.
+    Away(String),
     /// An endpoint has started again and serves; its earlier life's connections are
     /// of no use.
     Restarts(String),
@@ -63,6 +65,16 @@
         self.entries.get_mut(key)
     }
 
+    /// How many endpoints are known.
+    pub fn len(&self) -> usize {
+        self.entries.len()
+    }
+
+    /// Whether none is known.
+    pub fn is_empty(&self) -> bool {
+        self.entries.is_empty()
+    }
+
     /// All endpoints in the order of their ids.
     pub fn iter(&self) -> impl Iterator<Item = (EndpointKey, &EndpointEntry)> {
         self.ids
@@ -141,7 +153,11 @@
             unread: Vec::new(),
         });
         self.ids.insert(notice.id.clone(), key);
-        Some(change(wanted, notice.id.clone()))
+        let id = notice.id.clone();
+        match notice.is_away {
+            true => Some(BookChange::Away(id)),
+            false => Some(change(wanted, id)),
+        }
     }
 
     /// Takes that an endpoint is on the list no more; `is_steady` says whether
--- a/entry/src/front/digest_watch.rs
+++ b/entry/src/front/digest_watch.rs
@@ -1,7 +1,10 @@
 use {
     super::{is_engine, log_changes, FrontContext, FrontState},
     pitchhitch_core::{
-        serving::{BookChange, DigestMark, DigestOrder, EndpointEntry, EndpointKey, LifeOrder},
+        serving::{
+            BookChange, DigestMark, DigestOrder, EndpointEntry, EndpointKey, EndpointNotice,
+            LifeOrder,
+        },
         time::Micros,
     },
     pitchhitch_wire::beside::{BesideSocket, EngineDigest},
@@ -11,6 +14,9 @@
 
 /// Pause after a socket that failed.
 const FAILED_PAUSE: Duration = Duration::from_millis(100);
+/// Endpoints from which on none is taken that is on no list: twice those that the design
+/// is for.
+const ENDPOINTS_LIMIT: usize = 20_000;
 /// Processes beside engines that are remembered.
 const BESIDES_LIMIT: usize = 64;
 
@@ -23,6 +29,8 @@
         match socket.receive::<EngineDigest>().await {
             Ok((digest, from)) => {
                 note_beside(&front, from);
+                let change = take_announced(&front, &digest, from);
+                log_changes(&front, change.as_slice());
                 let change = take_digest(&front, digest);
                 log_changes(&front, change.as_slice());
             }
@@ -46,6 +54,34 @@
     }
 }
 
+/// Takes that there is an engine which is on no list: it gets no requests, but is
+/// greeted and told to load.
+fn take_announced(
+    front: &FrontContext,
+    digest: &EngineDigest,
+    from: SocketAddr,
+) -> Option<BookChange> {
+    let told = digest.endpoint.as_ref()?;
+    let mut guard = front.state();
+    let state = &mut *guard;
+    // Whoever is told of here gets greetings: nobody brings those upon others.
+    let is_own = told.address == Some(digest.engine) && digest.engine.ip() == from.ip();
+    let groups = state.config.as_ref().map(|config| &config.groups);
+    let group = groups.and_then(|groups| groups.get(&told.service));
+    let is_engine = group.is_some_and(|group| group.engine.is_some());
+    // Before the list is read, it is on no list for that reason alone.
+    if !is_own || !is_engine || !state.has_list || state.book.len() >= ENDPOINTS_LIMIT {
+        front.metrics.count("announcements", "refused");
+        return None;
+    }
+    front.metrics.count("announcements", "taken");
+    state.book.take(&EndpointNotice {
+        is_away: true,
+        weights: digest.weights.clone(),
+        ..told.clone()
+    })
+}
+
 /// Takes a digest; returns whether it tells that the engine has started again.
 fn take_digest(
     front: &FrontContext,
--- a/entry/src/front/list_watch.rs
+++ b/entry/src/front/list_watch.rs
@@ -126,6 +126,7 @@
             BookChange::Serves(id) => ("serves", id),
             BookChange::Leaves(id) => ("leaves", id),
             BookChange::Lapses(id) => ("lapses", id),
+            BookChange::Away(id) => ("away", id),
             BookChange::Restarts(id) => ("restarted", id),
         };
         let mut state = front.state();
