--- a/agent/src/beside/beside_context.rs
+++ b/agent/src/beside/beside_context.rs
@@ -84,6 +84,7 @@
     pub newcomers: BTreeSet<SocketAddr>,
     fronts: HashMap<SocketAddr, FrontContact>,
     announced_at: Option<Micros>,
+    silent_fronts: usize,
     kept: HashMap<(WallTag, PartId), u32>,
 }
 
@@ -207,12 +208,16 @@
             return None;
         }
         let silent = self.fronts_where(|contact| now.since(contact.greeted_at) >= SILENT_AFTER);
-        if silent.is_empty() {
-            return None;
-        }
         let id = self.engine_id.as_deref()?;
         let notice = self.keeper.own_endpoint(id)?.clone();
         self.announced_at = Some(now);
+        if silent.len() != self.silent_fronts {
+            self.silent_fronts = silent.len();
+            log::info!(event = "announced", engine = id, fronts = silent.len(); "");
+        }
+        if silent.is_empty() {
+            return None;
+        }
         Some((notice, silent))
     }
 
--- a/agent/src/beside/digest_sender.rs
+++ b/agent/src/beside/digest_sender.rs
@@ -174,12 +174,6 @@
     let Some((endpoint, silent)) = beside.state().announcement(now) else {
         return;
     };
-    log::info!(
-        event = "announced",
-        engine = endpoint.id.as_str(),
-        fronts = silent.len();
-        ""
-    );
     let load = EngineLoad {
         at: Micros::ZERO,
         ..beside.state().load
