A store that is lost is asked for answers at once

Cause: a front asks the platform's store for changes with a question that is held (a quarter of the limit on keys), and lets each call take 1.5 s more. Change: CallLimit: after a call that was lost the next is not held and may take 0.4 s, doubling up to 1.5 s, so that a slow store is still read (slow_store_read); for the list as well. More calls while the store is away: one each 0.55 to 1.65 s in place of one each 3 s.

--- a/entry/src/front/list_watch.rs
+++ b/entry/src/front/list_watch.rs
@@ -1,5 +1,5 @@
 use {
-    super::{ask_returned, note_contact, ForeignRows, FrontContext},
+    super::{ask_returned, note_contact, CallLimit, ForeignRows, FrontContext},
     pitchhitch_core::{
         serving::{BookChange, EndpointNotice},
         time::Micros,
@@ -13,8 +13,6 @@
 /// Pause before the next try where the list was never read: without it nothing
 /// can be served.
 const FIRST_LOOK_PAUSE: Micros = Micros::from_millis(150);
-/// Time limit of a look.
-const CALL_LIMIT: Duration = Duration::from_millis(1_500);
 /// A look that takes longer shows a store that is slow.
 const SLOW_LOOK: Micros = Micros::from_millis(400);
 /// Time without trouble after which the list is trusted again: endpoints enter
@@ -23,13 +21,15 @@
 
 /// Keeps the list of endpoints fresh.
 pub(crate) async fn watch_list(front: Rc<FrontContext>) {
-    let mut client = StoreClient::new(front.settings.store, CALL_LIMIT);
+    let mut limit = CallLimit::default();
+    let mut client = StoreClient::new(front.settings.store, limit.next());
     let mut foreign = ForeignRows::new("list");
     let mut seen: Option<u64> = None;
     let mut is_lost = false;
     let mut trouble_at: Option<Micros> = None;
     loop {
         let sent_at = front.now();
+        client.set_limit(limit.next());
         let read = match seen {
             Some(after) => {
                 client
@@ -38,6 +38,7 @@
             }
             None => client.read_all(RowTable::Endpoints).await,
         };
+        limit.note(&read);
         let now = front.now();
         if read.is_err() || now.since(sent_at) > SLOW_LOOK {
             trouble_at = Some(now);
--- a/entry/src/front/mod.rs
+++ b/entry/src/front/mod.rs
@@ -5,6 +5,7 @@
 //! path and the controllers are tasks of one executor and share plain state.
 
 mod beside_link;
+mod call_limit;
 mod caller_conn;
 mod digest_watch;
 mod event_splitter;
@@ -39,7 +40,7 @@
     plain_answer::*, request_run::*, store_watch::*, stream_relay::*, wake_reason::*,
 };
 use {
-    foreign_rows::*, part_freeing::*, peer_state::*, request_admit::*, request_moves::*,
-    request_try::*, return_check::*,
+    call_limit::*, foreign_rows::*, part_freeing::*, peer_state::*, request_admit::*,
+    request_moves::*, request_try::*, return_check::*,
 };
 pub use {front_process::*, front_settings::*};
--- a/entry/src/front/operator_watch.rs
+++ b/entry/src/front/operator_watch.rs
@@ -1,5 +1,5 @@
 use {
-    super::{ForeignRows, FrontContext},
+    super::{CallLimit, ForeignRows, FrontContext},
     pitchhitch_core::{serving::ServingConfig, time::Micros},
     pitchhitch_platform::{
         decode_config, decode_row, NamedWeights, RowFault, RowNews, RowPage, RowTable, StoreClient,
@@ -7,27 +7,29 @@
     },
     pitchhitch_process::to_duration,
     smol::Timer,
-    std::{rc::Rc, time::Duration},
+    std::rc::Rc,
 };
 
-/// Time limit of a call, beyond that.
-const CALL_LIMIT: Duration = Duration::from_millis(1_500);
 /// Pause after a call that failed.
 const RETRY_PAUSE: Micros = Micros::from_millis(150);
 
 /// Keeps the configuration fresh.
 pub(crate) async fn watch_operator(front: Rc<FrontContext>) {
-    let mut client = StoreClient::new(front.settings.store, CALL_LIMIT);
+    let mut limit = CallLimit::default();
+    let mut client = StoreClient::new(front.settings.store, limit.next());
     let wait = to_duration(front.settings.change_wait());
     let mut foreign = ForeignRows::new("operator");
     let mut seen: Option<u64> = None;
     let mut is_lost = false;
     loop {
         let sent_at = front.now();
+        client.set_limit(limit.next());
+        let hold = limit.hold(wait);
         let read = match seen {
-            Some(after) => client.read_changes(RowTable::Operator, after, wait).await,
+            Some(after) => client.read_changes(RowTable::Operator, after, hold).await,
             None => client.read_all(RowTable::Operator).await,
         };
+        limit.note(&read);
         let outcome = match read {
             Ok(page) => {
                 seen = Some(seen.unwrap_or(0).max(page.version));
--- a/http1/src/http_client.rs
+++ b/http1/src/http_client.rs
@@ -72,6 +72,14 @@
         }
     }
 
+    /// Lets each later call take so long.
+    pub fn set_limit(
+        &mut self,
+        limit: Duration,
+    ) {
+        self.limit = limit;
+    }
+
     /// Makes a call. After any failure the next one takes a new connection:
     /// an answer that still comes belongs to nobody.
     ///
