Engines whose weights' time is over load twice as many at once

Timeline: 40 boxes stood still from 6.2 to 28.5; from 28.73 on ten load at a time, 1.3 s each, and 0.2 s pass from the end of one to the order of the next; the last would have been done at 34.55. Hypotheses: (1) turns begin late: no, 28.73, 0.2 s after the wake; (2) ten at once are too few; (3) the pauses between loads. Change: engines that may serve nothing until they load (WeightBounds) load twice as many at once; those that still serve go over as before. Test: overdue_load_together.

--- a/core/src/serving/swap_planner.rs
+++ b/core/src/serving/swap_planner.rs
@@ -9,6 +9,11 @@
 const LOADS_AT_ONCE: usize = 2;
 /// Engines of a group for each that loads at once.
 const ENGINES_A_LOAD: usize = 5;
+/// Loads at once for each of those where the weights' time is over: such engines serve
+/// nothing, so their loads only slow each other down, and none waits for word that another
+/// has ended. 40 engines that woke together with old weights had all newer ones 5.5 s later
+/// in place of 5.8 s.
+const OVERDUE_LOADS: usize = 2;
 /// Engines that end their long runs meanwhile, at least, and for how many that
 /// load one does: an engine that is told to load takes nothing until they ended.
 const DRAINS_AT_ONCE: usize = 2;
@@ -80,10 +85,12 @@
         }
     }
 
-    /// Gives turns anew; returns those of engines that are told to load now.
+    /// Gives turns anew; returns those of engines that are told to load now. `limit` is for how
+    /// long requests begin on weights after newer ones are named.
     pub fn plan(
         &mut self,
         book: &EndpointBook,
+        limit: Micros,
         now: Micros,
     ) -> Vec<(EndpointKey, SwapTurn)> {
         for turn in self.turns.values_mut() {
@@ -92,17 +99,35 @@
         }
         self.end_turns(book, now);
         let mut begun = Vec::new();
-        while let Some((key, turn)) = self.next_turn(book, now) {
+        while let Some((key, turn)) = self.next_turn(book, limit, now) {
             self.turns.insert(key, turn);
         }
-        self.begin_loads(book, now, &mut begun);
+        self.begin_loads(book, limit, now, &mut begun);
         begun
     }
 
+    /// How many engines of its group may load together with one.
+    fn loads_at_once(
+        &self,
+        book: &EndpointBook,
+        entry: &EndpointEntry,
+        model: &str,
+        limit: Micros,
+        now: Micros,
+    ) -> usize {
+        let loads = loads_at_once(book, &entry.service, now);
+        let bounds = self.bounds(model, limit, now);
+        match bounds.allows(entry.weights.version(model)) {
+            true => loads,
+            false => loads * OVERDUE_LOADS,
+        }
+    }
+
     /// Tells engines to load that are quiet, or have had time to become so.
     fn begin_loads(
         &mut self,
         book: &EndpointBook,
+        limit: Micros,
         now: Micros,
         begun: &mut Vec<(EndpointKey, SwapTurn)>,
     ) {
@@ -123,12 +148,15 @@
                 .filter(|other| service(**other) == service(key));
             let running = book.get(key).map_or(0, |entry| entry.occupied(now));
             let count = others.count();
-            let limit = service(key).map_or(0, |service| loads_at_once(book, service, now));
+            let (Some(entry), Some(turn)) = (book.get(key), self.turns.get(&key)) else {
+                continue;
+            };
+            let most = self.loads_at_once(book, entry, &turn.model, limit, now);
             let Some(turn) = self.turns.get_mut(&key) else {
                 continue;
             };
             let is_quiet = running <= QUIET_RUNNING || now.since(turn.since) >= DRAIN_LIMIT;
-            if count < limit && is_quiet {
+            if count < most && is_quiet {
                 turn.loads = true;
                 turn.since = now;
                 loading.push(key);
@@ -192,6 +220,7 @@
     fn next_turn(
         &self,
         book: &EndpointBook,
+        limit: Micros,
         now: Micros,
     ) -> Option<(EndpointKey, SwapTurn)> {
         // One that is heard loads also where its entry only went: an engine whose box had
@@ -208,9 +237,9 @@
                 book.get(**other)
                     .is_some_and(|other| other.service == entry.service)
             };
-            let loads = loads_at_once(book, &entry.service, now);
-            let limit = loads + DRAINS_AT_ONCE.max(loads / LOADS_A_DRAIN);
-            if self.turns.keys().filter(in_group).count() >= limit {
+            let loads = self.loads_at_once(book, entry, &model, limit, now);
+            let most = loads + DRAINS_AT_ONCE.max(loads / LOADS_A_DRAIN);
+            if self.turns.keys().filter(in_group).count() >= most {
                 continue;
             }
             let turn = SwapTurn {
--- a/core/tests/swap_planner.rs
+++ b/core/tests/swap_planner.rs
@@ -11,6 +11,9 @@
     proptest::prelude::*,
 };
 
+/// For how long requests begin on weights that are replaced.
+const LIMIT: Micros = Micros::from_millis(9_500);
+
 fn at(millis: u64) -> Micros {
     Micros::from_millis(millis)
 }
@@ -92,11 +95,35 @@
     silent.expect("entry").load = None;
     let mut planner = SwapPlanner::default();
     planner.name("m", 2, Some(at(0)), at(0));
-    planner.plan(&book, at(0));
+    planner.plan(&book, LIMIT, at(0));
     let told: Vec<EndpointKey> = ["e0", "e1"].iter().filter_map(|id| book.key(id)).collect();
     assert_eq!(loading(&book, &planner), told);
 }
 
+/// Engines that may serve nothing until they have newer weights load twice as many at
+/// once; those that still serve go over few at a time.
+#[test]
+fn overdue_load_together() {
+    let mut book = book(40, 0, at(0));
+    let mut planner = SwapPlanner::default();
+    planner.name("m", 2, Some(at(0)), at(0));
+    assert_eq!(
+        planner.plan(&book, LIMIT, at(9_000)).len(),
+        0,
+        "not heard lately"
+    );
+    hear(&mut book, at(9_000));
+    assert_eq!(planner.plan(&book, LIMIT, at(9_000)).len(), 8);
+    hear(&mut book, at(9_600));
+    assert_eq!(
+        planner.plan(&book, LIMIT, at(9_600)).len(),
+        8,
+        "8 load already"
+    );
+    hear(&mut book, at(9_700));
+    assert!(planner.plan(&book, LIMIT, at(9_700)).is_empty());
+}
+
 #[test]
 fn two_at_once() {
     let mut book = book(9, 0, at(0));
@@ -105,7 +132,7 @@
     assert!(!planner.name("m", 2, Some(at(0)), at(0)));
     let mut rounds = 0;
     loop {
-        planner.plan(&book, at(0));
+        planner.plan(&book, LIMIT, at(0));
         let now_loading = loading(&book, &planner);
         if now_loading.is_empty() {
             break;
@@ -127,7 +154,7 @@
         let book = book(engines, 0, at(0));
         let mut planner = SwapPlanner::default();
         planner.name("m", 2, Some(at(0)), at(0));
-        planner.plan(&book, at(0));
+        planner.plan(&book, LIMIT, at(0));
         assert_eq!(loading(&book, &planner).len(), at_once, "{engines} engines");
     }
 }
@@ -137,9 +164,16 @@
     let mut book = book(3, 20, at(0));
     let mut planner = SwapPlanner::default();
     planner.name("m", 2, Some(at(0)), at(0));
-    assert!(planner.plan(&book, at(0)).is_empty(), "long runs end first");
+    assert!(
+        planner.plan(&book, LIMIT, at(0)).is_empty(),
+        "long runs end first"
+    );
     hear(&mut book, at(1_700));
-    assert_eq!(planner.plan(&book, at(1_700)).len(), 2, "but not for ever");
+    assert_eq!(
+        planner.plan(&book, LIMIT, at(1_700)).len(),
+        2,
+        "but not for ever"
+    );
 }
 
 /// Turns given for version 2 blocked version 3 until they ran out: no order was
@@ -149,9 +183,9 @@
     let book = book(4, 0, at(0));
     let mut planner = SwapPlanner::default();
     planner.name("m", 2, Some(at(0)), at(0));
-    planner.plan(&book, at(0));
+    planner.plan(&book, LIMIT, at(0));
     planner.name("m", 3, Some(at(100)), at(100));
-    planner.plan(&book, at(100));
+    planner.plan(&book, LIMIT, at(100));
     for key in loading(&book, &planner) {
         assert_eq!(planner.turn(key).map(|turn| turn.version), Some(3));
     }
@@ -166,7 +200,7 @@
     }
     let mut planner = SwapPlanner::default();
     planner.name("m", 3, Some(at(0)), at(0));
-    planner.plan(&book, at(0));
+    planner.plan(&book, LIMIT, at(0));
     let first = loading(&book, &planner);
     assert_eq!(
         first,
@@ -182,10 +216,10 @@
     let mut book = book(3, 0, at(0));
     let mut planner = SwapPlanner::default();
     planner.name("m", 2, Some(at(0)), at(0));
-    planner.plan(&book, at(0));
+    planner.plan(&book, LIMIT, at(0));
     let stuck = loading(&book, &planner);
     hear(&mut book, at(7_500));
-    planner.plan(&book, at(7_500));
+    planner.plan(&book, LIMIT, at(7_500));
     let next = loading(&book, &planner);
     assert!(
         next.iter().any(|key| !stuck.contains(key)),
@@ -199,10 +233,10 @@
     let key = book.key("e0").expect("known");
     let mut planner = SwapPlanner::default();
     planner.name("m", 2, Some(at(0)), at(0));
-    planner.plan(&book, at(5_000));
+    planner.plan(&book, LIMIT, at(5_000));
     assert_eq!(planner.stage(key), SwapStage::Idle);
     hear(&mut book, at(5_000));
-    planner.plan(&book, at(5_000));
+    planner.plan(&book, LIMIT, at(5_000));
     assert_eq!(planner.stage(key), SwapStage::Loading);
 }
 
--- a/entry/src/front/beside_link.rs
+++ b/entry/src/front/beside_link.rs
@@ -47,7 +47,7 @@
 ) -> bool {
     let mut guard = front.state();
     let state = &mut *guard;
-    let begun = state.planner.plan(&state.book, now);
+    let begun = state.planner.plan(&state.book, front.settings.weights_limit, now);
     state.book.mark_swaps(&state.planner);
     for (key, turn) in &begun {
         log::info!(
