--- a/core/tests/away_endpoints.rs
+++ b/core/tests/away_endpoints.rs
@@ -9,6 +9,9 @@
     time::Micros,
 };
 
+/// For how long requests begin on weights that are replaced.
+const LIMIT: Micros = Micros::from_millis(9_500);
+
 fn at(millis: u64) -> Micros {
     Micros::from_millis(millis)
 }
@@ -72,7 +75,7 @@
 fn gone_turn_passes() {
     let mut book = book(4, 0);
     let mut planner = planner();
-    planner.plan(&book, at(0));
+    planner.plan(&book, LIMIT, at(0));
     let keys = |ids: [&str; 2]| ids.map(|id| book.key(id).expect("known"));
     let (ended, others) = (keys(["e0", "e1"]), keys(["e2", "e3"]));
     assert_eq!(loading(&book, &planner), ended);
@@ -82,7 +85,7 @@
     for place in [2, 3] {
         hear(&mut book, place, 0, at(2_000));
     }
-    planner.plan(&book, at(2_000));
+    planner.plan(&book, LIMIT, at(2_000));
     assert_eq!(loading(&book, &planner), others);
 }
 
@@ -92,12 +95,12 @@
 fn away_turn_lasts() {
     let mut book = book(1, 20);
     let mut planner = planner();
-    planner.plan(&book, at(0));
+    planner.plan(&book, LIMIT, at(0));
     book.gone("e0", true);
     hear(&mut book, 0, 20, at(1_000));
-    planner.plan(&book, at(1_000));
+    planner.plan(&book, LIMIT, at(1_000));
     hear(&mut book, 0, 20, at(1_700));
-    assert_eq!(planner.plan(&book, at(1_700)).len(), 1);
+    assert_eq!(planner.plan(&book, LIMIT, at(1_700)).len(), 1);
 }
 
 /// As many load at once as the group's size allows; those whose entries went are of the
@@ -114,7 +117,7 @@
             book.get_mut(key).expect("entry").load = None;
         }
         let mut planner = planner();
-        planner.plan(&book, at(0));
+        planner.plan(&book, LIMIT, at(0));
         assert_eq!(loading(&book, &planner).len(), at_once, "{heard} heard");
     }
 }
