--- a/agent/src/beside/beside_context.rs
+++ b/agent/src/beside/beside_context.rs
@@ -23,8 +23,8 @@
 const SILENT_AFTER: Micros = Micros::from_millis(1_500);
 /// Pause between two such words.
 const ANNOUNCE_PAUSE: Micros = Micros::from_secs(1);
-/// Time for which a front that is not heard is remembered, and how many at most. A box that
-/// stands still for longer is found by the list alone.
+/// Time for which a front that is not heard is remembered, and how many fronts there may be
+/// for that. A box that stands still for longer is found by the list alone.
 const REMEMBER_FRONT: Micros = Micros::from_secs(60);
 const FRONTS_LIMIT: usize = 256;
 /// Changes of kept parts that wait for the next digest at most.
@@ -64,6 +64,8 @@
     /// Start of the life that they mean by it, in milliseconds since 1970, and the
     /// version of its row.
     pub id_rank: (Option<u64>, u64),
+    /// Engine that leaves, and what is meant by its id as above.
+    pub left: Option<(String, (Option<u64>, u64))>,
     /// Start of the engine's life, as it tells it itself.
     pub born: Option<u64>,
     /// Times that the engine was found to have forgotten what it kept.
@@ -148,6 +150,23 @@
         is_news
     }
 
+    /// Takes what a front says of an engine's end. Fronts that lag still mean that it
+    /// serves; only a later row or life takes the end back.
+    pub fn note_end(
+        &mut self,
+        id: &str,
+        rank: (Option<u64>, u64),
+        is_leaving: bool,
+    ) {
+        let is_known = self.left.as_ref().is_some_and(|(left, _)| left == id);
+        let is_later = self.left.as_ref().is_none_or(|(_, left)| rank > *left);
+        if is_leaving && (!is_known || is_later) {
+            self.left = Some((id.to_string(), rank));
+        } else if !is_leaving && is_known && is_later {
+            self.left = None;
+        }
+    }
+
     /// Whether what the engine keeps has changed since the last digest.
     pub fn has_changes(&self) -> bool {
         self.forgets || !self.pending.is_empty()
@@ -162,10 +181,12 @@
         is_first: bool,
         now: Micros,
     ) {
-        let known = self.fronts.get(&front);
-        if known.is_none() && self.fronts.len() >= FRONTS_LIMIT {
-            return;
+        if self.fronts.len() >= FRONTS_LIMIT {
+            // Those that live are all told; of the others the latest ones are remembered.
+            self.fronts
+                .retain(|_, contact| now.since(contact.heard_at) < FRONT_LIFE);
         }
+        let known = self.fronts.get(&front);
         let proven_at = match is_first {
             true => now,
             false => age.map_or(Micros::ZERO, |age| now.since(age)),
@@ -209,6 +230,9 @@
         }
         let silent = self.fronts_where(|contact| now.since(contact.greeted_at) >= SILENT_AFTER);
         let id = self.engine_id.as_deref()?;
+        if self.left.as_ref().is_some_and(|(left, _)| left == id) {
+            return None;
+        }
         let notice = self.keeper.own_endpoint(id)?.clone();
         self.announced_at = Some(now);
         if silent.len() != self.silent_fronts {
--- a/agent/src/beside/digest_sender.rs
+++ b/agent/src/beside/digest_sender.rs
@@ -69,6 +69,9 @@
             ""
         );
     }
+    if let Some(id) = id {
+        state.note_end(id, rank, hello.is_leaving);
+    }
     for named in hello.wanted {
         let wanted = state.wanted.entry(named.model.clone()).or_default();
         // Hellos may overtake each other: a version never goes back.
--- a/core/src/serving/endpoint_book.rs
+++ b/core/src/serving/endpoint_book.rs
@@ -92,7 +92,7 @@
             domain: entry.domain.clone(),
             slots: entry.slots,
             is_leaving: !entry.may_be_there(),
-            is_away: entry.standing == EndpointStanding::Leaving && entry.may_be_there(),
+            is_away: !entry.is_listed() && entry.may_be_there(),
             weights: Vec::new(),
             born: entry.life.listed,
             // It rises with each heartbeat, and a copy counts as news by its content.
@@ -112,11 +112,13 @@
         };
         let address = notice.address?;
         if let Some(key) = self.key(&notice.id) {
+            let entry = &mut self.entries[key];
             if notice.is_away {
                 // This box has heard of it by itself.
-                return None;
+                let is_news = entry.take_away_word(notice);
+                return is_news.then(|| BookChange::Away(entry.id.clone()));
             }
-            return self.entries[key].take_notice(notice, wanted);
+            return entry.take_notice(notice, wanted);
         }
         let mut weights = WeightBelief::default();
         for (model, version) in &notice.weights {
@@ -209,7 +211,8 @@
         changes
     }
 
-    /// Forgets endpoints that left some time ago and have none of our requests.
+    /// Forgets endpoints that left some time ago and have none of our requests. One that is
+    /// heard is there.
     pub fn prune(
         &mut self,
         now: Micros,
@@ -220,6 +223,9 @@
             if entry.standing != EndpointStanding::Leaving {
                 return true;
             }
+            if entry.may_be_there() && entry.fresh_load(now).is_some() {
+                entry.left_at = Some(now);
+            }
             let left_at = *entry.left_at.get_or_insert(now);
             entry.parts = PartMemory::default();
             entry.is_mirrored = false;
--- a/core/src/serving/endpoint_entry.rs
+++ b/core/src/serving/endpoint_entry.rs
@@ -22,7 +22,6 @@
     pub is_leaving: bool,
     /// Whether it only is on the list no more, without having said that it leaves; told
     /// only by what another box hands on.
-    #[serde(default)]
     pub is_away: bool,
     /// Models and the versions of their weights.
     pub weights: Vec<(String, u64)>,
--- a/core/src/serving/endpoint_life.rs
+++ b/core/src/serving/endpoint_life.rs
@@ -138,6 +138,22 @@
             .then(|| change(wanted, self.id.clone()))
     }
 
+    /// Takes that it is there without being on a list; true where that is news: it was
+    /// known to have left, in an earlier life.
+    pub(super) fn take_away_word(
+        &mut self,
+        notice: &EndpointNotice,
+    ) -> bool {
+        let is_later = LifeOrder::of(self.life.born, notice.born) == LifeOrder::Later;
+        if self.may_be_there() || !is_later {
+            return false;
+        }
+        self.begin_life(notice.born);
+        self.comeback = EndpointReturn::Away;
+        self.left_at = None;
+        true
+    }
+
     /// Takes the first word of the list on a later life: what the earlier one said of
     /// its end is over.
     fn stand_anew(
@@ -248,10 +264,8 @@
         &self,
         may_be: impl Fn(&EndpointEntry) -> bool,
     ) -> BTreeMap<SocketAddr, EndpointKey> {
-        let rank = |entry: &EndpointEntry| {
-            let is_listed = entry.standing != EndpointStanding::Leaving;
-            (is_listed, entry.life.listed, entry.life.row_version)
-        };
+        let rank =
+            |entry: &EndpointEntry| (entry.is_listed(), entry.life.listed, entry.life.row_version);
         let is_there = |entry: &EndpointEntry| entry.may_be_there() && may_be(entry);
         let mut present: BTreeMap<SocketAddr, EndpointKey> = BTreeMap::new();
         for (key, entry) in self.iter().filter(|(_, entry)| is_there(entry)) {
--- a/core/src/serving/endpoint_return.rs
+++ b/core/src/serving/endpoint_return.rs
@@ -55,10 +55,15 @@
 }
 
 impl EndpointEntry {
+    /// Whether it is on the list, as far as that can be trusted.
+    pub fn is_listed(&self) -> bool {
+        self.standing != EndpointStanding::Leaving
+    }
+
     /// Whether it may be there: it is on the list, or its entry went without a word
     /// of its own.
     pub fn may_be_there(&self) -> bool {
-        self.standing != EndpointStanding::Leaving || self.comeback != EndpointReturn::Never
+        self.is_listed() || self.comeback != EndpointReturn::Never
     }
 
     /// Takes the standing that the list shows; true where that changes its own.
--- a/core/src/serving/swap_planner.rs
+++ b/core/src/serving/swap_planner.rs
@@ -1,5 +1,5 @@
 use {
-    super::{weight_namings::Naming, EndpointBook, EndpointEntry, EndpointKey, EndpointStanding},
+    super::{weight_namings::Naming, EndpointBook, EndpointEntry, EndpointKey},
     crate::time::Micros,
     std::collections::BTreeMap,
 };
@@ -49,8 +49,8 @@
     pub loads: bool,
 }
 
-/// Turns missed, version, id.
-type TurnRank = (u32, u64, String);
+/// Turns missed, whether it is on no list, version, id.
+type TurnRank = (u32, bool, u64, String);
 
 /// Where an engine stands with named weights.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
@@ -165,8 +165,8 @@
         }
     }
 
-    /// Order of turns, the same at all boxes: those that missed one go last, and
-    /// the oldest weights first, as their time runs out first.
+    /// Order of turns, the same at all boxes: those that missed one go last, those that get
+    /// no requests after the others, and the oldest weights first, as their time runs out first.
     fn rank(
         &self,
         key: EndpointKey,
@@ -175,7 +175,7 @@
     ) -> TurnRank {
         let missed = self.missed.get(&key).copied().unwrap_or(0);
         let version = entry.weights.version(&turn.model).unwrap_or(0);
-        (missed, version, entry.id.clone())
+        (missed, !entry.is_listed(), version, entry.id.clone())
     }
 
     fn lack(
@@ -199,7 +199,7 @@
     ) {
         let missed = &mut self.missed;
         self.turns.retain(|key, turn| {
-            let Some(entry) = book.get(*key).filter(|e| e.may_be_there()) else {
+            let Some(entry) = book.get(*key).filter(|e| is_there(e, now)) else {
                 return false;
             };
             let has = entry.weights.version(&turn.model);
@@ -262,15 +262,20 @@
     service: &str,
     now: Micros,
 ) -> usize {
-    let is_there = |entry: &EndpointEntry| {
-        let is_listed = entry.standing != EndpointStanding::Leaving;
-        is_listed || (entry.may_be_there() && is_heard(entry, now))
-    };
-    let serves = |entry: &&EndpointEntry| entry.service == service && is_there(entry);
+    let serves = |entry: &&EndpointEntry| entry.service == service && is_there(entry, now);
     let engines = book.iter().map(|(_, entry)| entry).filter(serves).count();
     LOADS_AT_ONCE.max(engines / ENGINES_A_LOAD)
 }
 
+/// Whether an endpoint counts: one that is on no list only where it is heard, as it may have
+/// ended: its turn would keep others from theirs.
+fn is_there(
+    entry: &EndpointEntry,
+    now: Micros,
+) -> bool {
+    entry.is_listed() || (entry.may_be_there() && is_heard(entry, now))
+}
+
 fn is_heard(
     entry: &EndpointEntry,
     now: Micros,
--- a/core/tests/away_endpoints.rs
+++ b/core/tests/away_endpoints.rs
@@ -3,8 +3,8 @@
 
 use pitchhitch_core::{
     serving::{
-        EndpointBook, EndpointKey, EndpointNotice, EndpointStanding, EngineLoad, SwapPlanner,
-        SwapStage,
+        BookChange, EndpointBook, EndpointKey, EndpointNotice, EndpointStanding, EngineLoad,
+        SwapPlanner, SwapStage,
     },
     time::Micros,
 };
@@ -136,3 +136,58 @@
     assert_eq!(entry.standing, EndpointStanding::Serving);
     assert!(entry.may_be_there());
 }
+
+/// Of two places to load in, both went to engines that get no requests, whose entries had
+/// gone because they leave; those that serve waited, and got no prompts once their weights' time
+/// was over.
+#[test]
+fn listed_go_first() {
+    let mut book = book(4, 0);
+    for place in [0, 1] {
+        book.gone(&format!("e{place}"), true);
+    }
+    let mut planner = planner();
+    planner.plan(&book, LIMIT, at(0));
+    let listed = ["e2", "e3"].map(|id| book.key(id).expect("known"));
+    assert_eq!(loading(&book, &planner), listed);
+}
+
+/// An engine that had left is told of in a later life, before the list shows that: it is there.
+/// What is told of the life that ended says nothing.
+#[test]
+fn later_life_told() {
+    let mut book = EndpointBook::default();
+    let life = |born: u64| EndpointNotice {
+        born: Some(born),
+        ..notice(0)
+    };
+    book.take(&life(100));
+    book.take(&EndpointNotice {
+        is_leaving: true,
+        ..life(100)
+    });
+    let away = |born: u64| EndpointNotice {
+        is_away: true,
+        ..life(born)
+    };
+    assert_eq!(book.take(&away(100)), None);
+    let news = book.take(&away(200));
+    assert_eq!(news, Some(BookChange::Away("e0".to_string())));
+    let entry = book.key("e0").and_then(|key| book.get(key)).expect("known");
+    assert!(entry.may_be_there() && !entry.is_listed());
+}
+
+/// One whose entry went is forgotten after a while, but not while it is heard.
+#[test]
+fn heard_not_forgotten() {
+    let mut book = book(2, 0);
+    for place in [0, 1] {
+        book.gone(&format!("e{place}"), true);
+    }
+    for second in 0..60 {
+        hear(&mut book, 0, 0, Micros::from_secs(second));
+        book.prune(Micros::from_secs(second));
+    }
+    assert!(book.key("e0").is_some());
+    assert!(book.key("e1").is_none());
+}
--- a/entry/src/front/beside_link.rs
+++ b/entry/src/front/beside_link.rs
@@ -1,12 +1,11 @@
 use {
     super::{own_state, FrontContext, FrontState},
     pitchhitch_core::{
-        serving::{EndpointEntry, EndpointKey, EndpointStanding, ServingConfig},
+        serving::{EndpointEntry, EndpointKey, ServingConfig},
         time::Micros,
     },
     pitchhitch_process::to_duration,
     pitchhitch_wire::beside::{BesideSocket, DigestEcho, FrontHello, WantedWeights},
-    smol::Timer,
     std::{net::SocketAddr, rc::Rc},
 };
 
@@ -22,11 +21,12 @@
     socket: BesideSocket,
 ) {
     let mut greeted_at: Option<Micros> = None;
+    let mut is_woken = false;
     loop {
         let now = front.now();
         let has_news = plan_turns(&front, now);
         let is_due = greeted_at.is_none_or(|at| now.since(at) >= HELLO_PAUSE);
-        if has_news || is_due {
+        if has_news || is_woken || is_due {
             greeted_at = Some(now);
             for (to, hello) in hellos(&front) {
                 // A hello that is lost is followed by the next one.
@@ -36,7 +36,7 @@
                 }
             }
         }
-        Timer::after(to_duration(PLAN_PAUSE)).await;
+        is_woken = front.greeting_due.wait(to_duration(PLAN_PAUSE)).await;
     }
 }
 
@@ -47,7 +47,9 @@
 ) -> bool {
     let mut guard = front.state();
     let state = &mut *guard;
-    let begun = state.planner.plan(&state.book, front.settings.weights_limit, now);
+    let begun = state
+        .planner
+        .plan(&state.book, front.settings.weights_limit, now);
     state.book.mark_swaps(&state.planner);
     for (key, turn) in &begun {
         log::info!(
@@ -67,7 +69,11 @@
     let Some(config) = &state.config else {
         return Vec::new();
     };
-    let present = state.book.present(|entry| is_engine(config, entry));
+    let mut present = state.book.present(|entry| is_engine(config, entry));
+    // The process beside an engine that leaves would tell others that it is there.
+    for (key, entry) in state.book.iter().filter(|(_, e)| is_engine(config, e)) {
+        present.entry(entry.address).or_insert(key);
+    }
     let hello = |(address, key): (&SocketAddr, &EndpointKey)| {
         let entry = state.book.get(*key)?;
         let to = SocketAddr::new(address.ip(), front.settings.beside_port);
@@ -93,9 +99,11 @@
     handed: Option<(u64, Micros)>,
 ) -> FrontHello {
     let turn = state.planner.turn(key);
+    let is_leaving = !entry.may_be_there();
     let wanted = state
         .planner
         .all_named()
+        .filter(|_| !is_leaving)
         .map(|(model, version)| WantedWeights {
             model: model.to_string(),
             version,
@@ -113,8 +121,9 @@
             life: digest.life,
             number: digest.number,
         }),
+        is_leaving,
         wanted: wanted.collect(),
         // Parts of one that is away are not kept, so they are asked for when it is back.
-        wants_all: !entry.is_mirrored && entry.standing != EndpointStanding::Leaving,
+        wants_all: !entry.is_mirrored && entry.is_listed(),
     }
 }
--- a/entry/src/front/digest_watch.rs
+++ b/entry/src/front/digest_watch.rs
@@ -90,7 +90,10 @@
     let now = front.now();
     let mut guard = front.state();
     let state = &mut *guard;
-    state.fronts = digest.fronts.max(1);
+    if digest.endpoint.is_none() {
+        // A front that is told of an engine is not among those that it hears.
+        state.fronts = digest.fronts.max(1);
+    }
     let config = state.config.as_deref();
     let may_be = |entry: &EndpointEntry| config.is_none_or(|config| is_engine(config, entry));
     let key = state.book.present_at(digest.engine, may_be);
--- a/entry/src/front/front_context.rs
+++ b/entry/src/front/front_context.rs
@@ -1,7 +1,7 @@
 use {
     super::{FrontMetrics, FrontSettings, FrontState},
     pitchhitch_core::time::Micros,
-    pitchhitch_process::ProcessClock,
+    pitchhitch_process::{ProcessClock, WakeSignal},
     smol::LocalExecutor,
     std::{
         cell::{RefCell, RefMut},
@@ -19,6 +19,9 @@
     pub clock: ProcessClock,
     /// Counters and histograms.
     pub metrics: FrontMetrics,
+    /// Wakes the greeting of engines: one that leaves is not announced to others once the
+    /// process beside it knows, whatever becomes of this front.
+    pub greeting_due: WakeSignal,
     state: RefCell<FrontState>,
     executor: LocalExecutor<'static>,
 }
@@ -31,6 +34,7 @@
             settings,
             clock: ProcessClock::start(),
             metrics: FrontMetrics::default(),
+            greeting_due: WakeSignal::default(),
             executor: LocalExecutor::new(),
         })
     }
--- a/entry/src/front/list_watch.rs
+++ b/entry/src/front/list_watch.rs
@@ -140,6 +140,9 @@
         if let Some(address) = address.filter(|_| what == "restarted") {
             state.reads.restarted(address, front.now());
         }
+        if what == "leaves" {
+            front.greeting_due.wake();
+        }
         // Connections of an earlier life lead nowhere.
         let is_closed = matches!(what, "leaves" | "restarted");
         if let Some(key) = key.filter(|_| is_closed) {
--- a/process/src/lib.rs
+++ b/process/src/lib.rs
@@ -9,8 +9,9 @@
 mod signal_watch;
 mod stop_signal;
 mod task_pool;
+mod wake_signal;
 
 pub use {
     log_setup::*, metric_set::*, process_clock::*, process_usage::*, signal_watch::*,
-    stop_signal::*, task_pool::*,
+    stop_signal::*, task_pool::*, wake_signal::*,
 };
--- a/wire/src/beside/front_hello.rs
+++ b/wire/src/beside/front_hello.rs
@@ -35,6 +35,8 @@
     pub engine_born: Option<u64>,
     /// Version of its last row in the list; 0 where a peer told of it.
     pub engine_row: u64,
+    /// Whether the engine leaves: it loads nothing any more, and nobody is told of it.
+    pub is_leaving: bool,
     /// Weights that the engine should have.
     pub wanted: Vec<WantedWeights>,
     /// Failure domain of the front.
