Learning an engine's weights stands in one function

Cause: what follows when an engine is found to have other weights (its kept parts are forgotten, event=weights-seen) stood in digest_watch.rs and again in request_lessons.rs. Ruled out: asking the planner (engine_has) there as well. Only digests do that today; an answer's version would then count as named, which is a change of behaviour. Change: learn_weights in entry/src/front/weight_lesson.rs; both call it. Checked: tests of pitchhitch-entry and pitchhitch-platform, all passed.

--- a/entry/src/front/digest_watch.rs
+++ b/entry/src/front/digest_watch.rs
@@ -1,5 +1,5 @@
 use {
-    super::{is_engine, log_changes, FrontContext, FrontState},
+    super::{is_engine, learn_weights, log_changes, FrontContext, FrontState},
     pitchhitch_core::{
         serving::{BookChange, DigestMark, DigestOrder, EndpointEntry, EndpointKey, LifeOrder},
         time::Micros,
@@ -140,18 +140,7 @@
                 ""
             );
         }
-        if entry.weights.learn(model, *version) {
-            // New weights drop what the engine kept.
-            entry.parts.clear();
-            log::info!(
-                event = "weights-seen",
-                endpoint = entry.id.as_str(),
-                model = model.as_str(),
-                version = *version,
-                source = "digest";
-                ""
-            );
-        }
+        learn_weights(entry, model, *version, "digest");
     }
 }
 
--- a/entry/src/front/mod.rs
+++ b/entry/src/front/mod.rs
@@ -32,6 +32,7 @@
 mod store_watch;
 mod stream_relay;
 mod wake_reason;
+mod weight_lesson;
 
 pub(crate) use {
     beside_link::*, caller_conn::*, digest_watch::*, event_splitter::*, front_context::*,
@@ -40,6 +41,6 @@
 };
 use {
     foreign_rows::*, part_freeing::*, peer_state::*, request_admit::*, request_moves::*,
-    request_try::*, return_check::*,
+    request_try::*, return_check::*, weight_lesson::*,
 };
 pub use {front_process::*, front_settings::*};
--- a/entry/src/front/request_lessons.rs
+++ b/entry/src/front/request_lessons.rs
@@ -1,5 +1,5 @@
 use {
-    super::{FrontState, OfferAnswer, RequestRun},
+    super::{learn_weights, FrontState, OfferAnswer, RequestRun},
     pitchhitch_core::{
         serving::{EndpointChoice, EndpointReturn, EndpointStanding},
         time::Micros,
@@ -65,20 +65,8 @@
         if !self.is_of_life(&state, choice) {
             return;
         }
-        let Some(entry) = state.book.get_mut(choice.key) else {
-            return;
-        };
-        if entry.weights.learn(model, version) {
-            // New weights drop what the engine kept.
-            entry.parts.clear();
-            log::info!(
-                event = "weights-seen",
-                endpoint = entry.id.as_str(),
-                model = model,
-                version = version,
-                source = "answer";
-                ""
-            );
+        if let Some(entry) = state.book.get_mut(choice.key) {
+            learn_weights(entry, model, version, "answer");
         }
     }
 
--- /dev/null
+++ b/entry/src/front/weight_lesson.rs
@@ -0,0 +1,23 @@
+use pitchhitch_core::serving::EndpointEntry;
+
+/// Takes that an engine has some weights; `source` says who told it, for the log.
+pub(super) fn learn_weights(
+    entry: &mut EndpointEntry,
+    model: &str,
+    version: u64,
+    source: &str,
+) {
+    if !entry.weights.learn(model, version) {
+        return;
+    }
+    // New weights drop what the engine kept.
+    entry.parts.clear();
+    log::info!(
+        event = "weights-seen",
+        endpoint = entry.id.as_str(),
+        model = model,
+        version = version,
+        source = source;
+        ""
+    );
+}
