Greetings ask for the mark of the state, not for the state

Cause: own_state gave a state without its text, of which greetings took only mark and age, and the answer to /state took it and put the text in. Ruled out: a kept mark. It would be stale with every change of the configuration, of the namings that are handed on, and of what the book hands on of each entry (standing, comeback, life, address, slots); entries are changed in many places and through get_mut, so nothing counts those changes. Change: state_mark for greetings; own_state, text and all, for the answer; textless_state below both. Nothing is saved by it, a round's list of endpoints is made as before. A question for another path is answered before any state is made.

--- a/entry/src/front/beside_link.rs
+++ b/entry/src/front/beside_link.rs
@@ -1,5 +1,5 @@
 use {
-    super::{own_state, FrontContext, FrontState},
+    super::{state_mark, FrontContext, FrontState},
     pitchhitch_core::{
         serving::{EndpointEntry, EndpointKey, EndpointStanding, ServingConfig},
         time::Micros,
@@ -62,7 +62,7 @@
 }
 
 fn hellos(front: &FrontContext) -> Vec<(SocketAddr, FrontHello)> {
-    let handed = own_state(front).map(|state| (state.mark(), state.age));
+    let handed = state_mark(front);
     let state = front.state();
     let Some(config) = &state.config else {
         return Vec::new();
--- a/entry/src/front/peer_state.rs
+++ b/entry/src/front/peer_state.rs
@@ -19,9 +19,20 @@
 /// Pause between two questions where only the age of namings is still to be told.
 const AGE_PAUSE: Micros = Micros::from_millis(400);
 
-/// What this front can hand on but for the text of the configuration; nothing
-/// until it knows all of it.
-pub(super) fn own_state(front: &FrontContext) -> Option<HandedState> {
+/// Number and age of what this front can hand on, for greetings; nothing until it
+/// knows all of it.
+///
+/// The number is worked out for each round: one that is kept would have to be given up
+/// with the configuration, with each naming, and with whatever of an entry is handed on
+/// (its standing, whether it may come back, its life), and entries are changed in many
+/// places.
+pub(super) fn state_mark(front: &FrontContext) -> Option<(u64, Micros)> {
+    let state = textless_state(front)?;
+    Some((state.mark(), state.age))
+}
+
+/// What this front can hand on but for the text of the configuration.
+fn textless_state(front: &FrontContext) -> Option<HandedState> {
     let state = front.state();
     let config = state.config.as_ref().filter(|_| state.has_list)?;
     let now = front.now();
@@ -34,17 +45,24 @@
     })
 }
 
+/// What this front can hand on.
+fn own_state(front: &FrontContext) -> Option<HandedState> {
+    let state = textless_state(front)?;
+    Some(HandedState {
+        config: front.state().config_text.clone(),
+        ..state
+    })
+}
+
 /// Answers a process that asks for the state.
 pub(super) fn hand_state_on(
     front: &FrontContext,
     target: &str,
 ) -> (u16, Vec<u8>) {
-    let state = own_state(front).filter(|_| target == STATE_PATH);
-    let with_text = state.map(|state| HandedState {
-        config: front.state().config_text.clone(),
-        ..state
-    });
-    let sealed = with_text.map(|state| state.seal(front.settings.peer_key.as_ref()));
+    if target != STATE_PATH {
+        return (503, Vec::new());
+    }
+    let sealed = own_state(front).map(|state| state.seal(front.settings.peer_key.as_ref()));
     match sealed {
         Some(Ok(bytes)) => (200, bytes),
         Some(Err(error)) => {
