The roster's entry and its changes have files of their own

Change: RosterEntry with AwaitedWord in roster_entry.rs; what a report, a beacon and a judgement give in roster_change.rs. Moved unchanged, but that AwaitedWord::after is seen by the roster.

--- a/core/src/role/endpoint_roster.rs
+++ b/core/src/role/endpoint_roster.rs
@@ -1,5 +1,5 @@
 use {
-    super::{AgentPulse, ConfigNotice},
+    super::{AgentPulse, LoadChange, RosterChange, RosterEntry, RosterVerdict},
     crate::{
         conf::FleetConfig,
         labels::LabelSet,
@@ -22,57 +22,6 @@
 /// Silence after which the endpoint is taken out of the table.
 pub const REMOVE_AFTER: Micros = Micros::from_secs(60);
 
-/// One endpoint as the control state has it.
-#[derive(Debug, Clone)]
-pub struct RosterEntry {
-    /// Its key in the arena.
-    pub key: EndpointKey,
-    /// Labels from the agent's settings, without those of the operators.
-    pub own_labels: LabelSet,
-    /// Whether its link is up and its event stream open.
-    pub linked: bool,
-    /// Whether its agent says that it refuses new work.
-    pub refusing: bool,
-    /// Pieces that its agent still exports.
-    pub exporting: u32,
-    /// When its agent was last heard, by beacon or link.
-    pub heard_at: Micros,
-    /// Word that it owes since it was sent something.
-    pub awaited: Option<AwaitedWord>,
-    /// Number that the next event of its stream must have.
-    pub next_event: Option<u64>,
-    /// Configuration revision that its agent has confirmed.
-    pub revision: u64,
-    /// Notice that was sent to it last.
-    pub notified: Option<ConfigNotice>,
-    /// Version that an order under way will give it.
-    pub loading: Option<String>,
-    /// Watches its failures.
-    pub guard: OutlierGuard,
-}
-
-/// Word that an agent with work must give soon, by beacon or link.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct AwaitedWord {
-    /// Since when it is owed.
-    pub since: Micros,
-    /// Hand-overs that a report must count to be about all that was sent there.
-    pub taken_up: u64,
-}
-
-impl AwaitedWord {
-    /// What is still owed after a report. One that was on its way when the agent
-    /// took work up shows that it was alive then, and says nothing of that work.
-    fn after(
-        self,
-        pulse: AgentPulse,
-        now: Micros,
-    ) -> Option<AwaitedWord> {
-        let open = pulse.taken_up < self.taken_up;
-        open.then_some(AwaitedWord { since: now, ..self })
-    }
-}
-
 /// All endpoints that this process knows, with their load.
 #[derive(Debug, Default)]
 pub struct EndpointRoster {
@@ -83,41 +32,6 @@
     entries: BTreeMap<String, RosterEntry>,
 }
 
-/// What a report of load changed.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum LoadChange {
-    /// Nothing.
-    None,
-    /// The load.
-    Load,
-    /// The endpoint began or ceased to refuse work.
-    Refusal,
-}
-
-/// Endpoints about which something must be done.
-#[derive(Debug, Clone, Default, PartialEq, Eq)]
-pub struct RosterVerdict {
-    /// Silent for good.
-    pub gone: Vec<String>,
-    /// Silent although their link is up.
-    pub hung_links: Vec<String>,
-    /// Whether any endpoint's load must be published anew.
-    pub changed: bool,
-}
-
-/// What a beacon changed.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub enum RosterChange {
-    /// Nothing.
-    None,
-    /// Nothing but load.
-    Load,
-    /// The endpoint is new or in a new life; it must be linked.
-    Joined,
-    /// Something that pools depend on.
-    Altered,
-}
-
 impl EndpointRoster {
     /// The entry of one endpoint.
     pub fn get(
--- a/core/src/role/mod.rs
+++ b/core/src/role/mod.rs
@@ -19,6 +19,8 @@
 mod gate_work;
 mod load_controller;
 mod prompt_memory;
+mod roster_change;
+mod roster_entry;
 mod service_meter;
 mod shard_keeper;
 mod store_roster;
@@ -26,6 +28,6 @@
 pub use {
     agent_action::*, agent_core::*, agent_event::*, agent_identity::*, cache_mirror::*,
     endpoint_order::*, endpoint_roster::*, entry_action::*, entry_core::*, entry_event::*,
-    event_batch::*, gate_work::*, load_controller::*, prompt_memory::*, service_meter::*,
-    shard_keeper::*, store_roster::*,
+    event_batch::*, gate_work::*, load_controller::*, prompt_memory::*, roster_change::*,
+    roster_entry::*, service_meter::*, shard_keeper::*, store_roster::*,
 };
