Until when requests may begin on replaced weights: a file of its own

Change: begin_left and bounds are in begin_limits.rs, unchanged; what they need of namings is seen in core/src/serving.

--- a/core/src/serving/mod.rs
+++ b/core/src/serving/mod.rs
@@ -5,6 +5,7 @@
 mod admission_ask;
 mod admission_rule;
 mod admission_verdict;
+mod begin_limits;
 mod caller_limits;
 mod endpoint_book;
 mod endpoint_entry;
--- a/core/src/serving/weight_namings.rs
+++ b/core/src/serving/weight_namings.rs
@@ -2,8 +2,8 @@
 
 use {
     super::{
-        told_age::ToldAge, PartFate, PartId, SwapPlanner, ToldNaming, WeightBounds, AWAKE_GAP,
-        HOLD_LIMIT, VIEW_LIFE,
+        told_age::ToldAge, PartFate, PartId, SwapPlanner, ToldNaming, AWAKE_GAP, HOLD_LIMIT,
+        VIEW_LIFE,
     },
     crate::time::Micros,
     std::ops::RangeInclusive,
@@ -41,15 +41,15 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) struct Naming {
     /// Newest version until then, where that is known; 0 where none was named.
-    after: Option<u64>,
+    pub(super) after: Option<u64>,
     not_yet: Option<Micros>,
-    learned_at: Micros,
+    pub(super) learned_at: Micros,
     told: Option<ToldAge>,
 }
 
 impl Naming {
     /// For how long at most the weights have been named, where that is known.
-    fn age(
+    pub(super) fn age(
         &self,
         now: Micros,
     ) -> Option<Micros> {
@@ -57,7 +57,7 @@
     }
 
     /// Whether the weights may have been named for longer than `limit`.
-    fn is_over(
+    pub(super) fn is_over(
         &self,
         limit: Micros,
         now: Micros,
@@ -69,7 +69,7 @@
     }
 
     /// Whether others had the time to tell what this box does not know.
-    fn is_untold(
+    pub(super) fn is_untold(
         &self,
         limit: Micros,
         now: Micros,
@@ -265,7 +265,7 @@
         }
     }
 
-    fn replaced_by(
+    pub(super) fn replaced_by(
         &self,
         model: &str,
         version: u64,
@@ -300,51 +300,8 @@
             .iter()
             .map(|(model, version)| (model.as_str(), *version))
     }
-
-    /// Time until no request may begin on a version any more; `None` where no newer one is
-    /// named. It counts from when this box learned of it where nobody knows the age.
-    pub fn begin_left(
-        &self,
-        model: &str,
-        version: u64,
-        limit: Micros,
-        now: Micros,
-    ) -> Option<Micros> {
-        let naming = self.replaced_by(model, version)?;
-        let known_for = now.since(naming.learned_at);
-        Some(limit.since(naming.age(now).unwrap_or(known_for)))
-    }
-
-    /// Which versions a request may begin on, where weights may be used for `limit` after
-    /// newer ones were named.
-    ///
-    /// Asked for each choice: a mark that is worked out for each engine from time to time
-    /// is missing for one that has just been listed, and lets prompts begin too late.
-    pub fn bounds(
-        &self,
-        model: &str,
-        limit: Micros,
-        now: Micros,
-    ) -> WeightBounds {
-        let namings = self.namings.range(versions_of(model));
-        let too_old = |((_, version), naming): (&(String, u64), &Naming)| {
-            if naming.is_over(limit, now) {
-                return Some(*version);
-            }
-            // Of versions before those that it replaced nothing is known, unless their
-            // naming is known as well.
-            let after = naming.after.unwrap_or(*version);
-            let is_told = self.namings.contains_key(&(model.to_string(), after));
-            let is_gap = naming.after.is_none() || (after > 0 && !is_told);
-            (is_gap && naming.is_untold(limit, now)).then_some(after)
-        };
-        WeightBounds {
-            newest: self.named(model),
-            oldest: namings.filter_map(too_old).max(),
-        }
-    }
 }
 
-fn versions_of(model: &str) -> RangeInclusive<(String, u64)> {
+pub(super) fn versions_of(model: &str) -> RangeInclusive<(String, u64)> {
     (model.to_string(), 0)..=(model.to_string(), u64::MAX)
 }
