--- /dev/null
+++ b/core/tests/worst_engine/mod.rs
@@ -0,0 +1,178 @@
+//! A small model of one engine: it reads prompts in turn, holds their memory while they
+//! answer, and answers slower the more of its time it reads.
+
+use {
+    pitchhitch_core::{
+        serving::{AdmissionAsk, AdmissionRule, AdmissionVerdict, EndpointChoice, EnginePace},
+        time::Micros,
+    },
+    std::collections::VecDeque,
+};
+
+pub const AIM_MS: f64 = 1_200.0;
+const MEMORY: f64 = 70_000.0;
+/// Memory that prompts may fill.
+pub const ROOM: f64 = MEMORY * 0.9;
+/// Time that an answer takes on an engine that reads nothing.
+const ANSWER_MS: f64 = 1_300.0;
+const PLAYED_MS: u32 = 30_000;
+
+#[derive(Debug, Clone, Copy)]
+struct Prompt {
+    came_at: f64,
+    tokens: f64,
+    unread: f64,
+}
+
+/// One engine on a clock of milliseconds.
+pub struct Engine {
+    read_per_ms: f64,
+    queue: VecDeque<Prompt>,
+    answering: Vec<(f64, f64)>,
+    in_time: u32,
+    late: u32,
+}
+
+impl Engine {
+    pub fn new(read_per_ms: f64) -> Self {
+        Engine {
+            read_per_ms,
+            queue: VecDeque::new(),
+            answering: Vec::new(),
+            in_time: 0,
+            late: 0,
+        }
+    }
+
+    fn used(&self) -> f64 {
+        self.answering.iter().map(|(tokens, _)| tokens).sum()
+    }
+
+    /// One millisecond: the first prompt is read, if its memory is free.
+    fn step(
+        &mut self,
+        now: f64,
+        pace: &mut EnginePace,
+    ) {
+        let used = self.used();
+        let first = self.queue.front_mut();
+        let reads = first.filter(|prompt| used + prompt.tokens <= MEMORY);
+        // Steps that read hold up the answers: a third of their speed is left.
+        let speed = if reads.is_some() { 0.33 } else { 1.0 };
+        for (_, left) in &mut self.answering {
+            *left -= speed;
+        }
+        self.answering.retain(|(_, left)| *left > 0.0);
+        let Some(prompt) = reads else {
+            return;
+        };
+        prompt.unread -= self.read_per_ms;
+        if prompt.unread > 0.0 {
+            return;
+        }
+        let begun = *prompt;
+        self.queue.pop_front();
+        self.answering.push((begun.tokens, ANSWER_MS));
+        pace.note_ended(begun.tokens as u32, ANSWER_MS * 2.0);
+        match now - begun.came_at <= AIM_MS {
+            true => self.in_time += 1,
+            false => self.late += 1,
+        }
+    }
+
+    pub fn choice(
+        &self,
+        pace: &EnginePace,
+    ) -> EndpointChoice {
+        let ahead_tokens: f64 = self.queue.iter().map(|prompt| prompt.unread).sum();
+        let waiting = self.queue.len().saturating_sub(1) as u32;
+        let coming: f64 = self.queue.iter().map(|prompt| prompt.tokens).sum();
+        let ahead_ms = ahead_tokens * pace.token_ms();
+        EndpointChoice {
+            wait_ms: ahead_ms,
+            ahead_tokens,
+            ahead_ms,
+            queue_ms: ahead_ms + pace.begin_ms(),
+            waiting,
+            free_tokens: Some((ROOM - self.used() - coming).max(0.0) as u64),
+            used_tokens: self.used() as u64,
+            total_tokens: MEMORY as u64,
+            ..EndpointChoice::default()
+        }
+    }
+}
+
+/// What became of a load.
+#[derive(Debug, PartialEq)]
+pub struct Outcome {
+    pub in_time: u32,
+    pub late: u32,
+    pub refused: u32,
+}
+
+/// Plays prompts that come each `gap_ms`; `admits` decides about each.
+pub fn play(
+    read_per_ms: f64,
+    gap_ms: u32,
+    size: (f64, f64),
+    mut pace: EnginePace,
+    admits: &mut dyn FnMut(&EndpointChoice, &EnginePace) -> bool,
+) -> Outcome {
+    let mut engine = Engine::new(read_per_ms);
+    let mut refused = 0;
+    let mut learned = VecDeque::new();
+    for now in 0..PLAYED_MS {
+        let at = f64::from(now);
+        if now % gap_ms == 0 {
+            let choice = engine.choice(&pace);
+            if admits(&choice, &pace) {
+                // What is learned comes when the prompt begins.
+                let to_read = choice.ahead_tokens + size.1;
+                learned.push_back((at, to_read));
+                engine.queue.push_back(Prompt {
+                    came_at: at,
+                    tokens: size.0,
+                    unread: size.1,
+                });
+                pace.note_sent(size.0 as u32, size.1 as u32, 60);
+            } else {
+                refused += 1;
+            }
+        }
+        let before = engine.in_time + engine.late;
+        engine.step(at, &mut pace);
+        if engine.in_time + engine.late > before {
+            if let Some((sent, to_read)) = learned.pop_front() {
+                pace.note_begun(to_read, at - sent);
+            }
+        }
+    }
+    Outcome {
+        in_time: engine.in_time,
+        late: engine.late,
+        refused,
+    }
+}
+
+pub fn ask() -> AdmissionAsk<'static> {
+    AdmissionAsk {
+        route: "large",
+        rank: 1,
+        aim: Micros::from_millis(AIM_MS as u64),
+        patience: Micros::from_secs(12),
+    }
+}
+
+/// The same load by the rule that the product uses.
+pub fn play_ruled(
+    read_per_ms: f64,
+    gap_ms: u32,
+    size: (f64, f64),
+    pace: EnginePace,
+) -> Outcome {
+    let mut rule = AdmissionRule::default();
+    play(read_per_ms, gap_ms, size, pace, &mut |choice, pace| {
+        rule.note(&ask(), size.0 as u32, size.1 as u32);
+        rule.judge(&ask(), pace, choice) == AdmissionVerdict::Admitted
+    })
+}
