What a test deployment finds at the platform has a file of its own

Change: list_boxes, config_store, change and configure are in platform_setup.rs, unchanged but for a counter of their own for change ids (folders and changes had shared one; ids only have to differ).

--- a/testbed/src/deploy/deployment.rs
+++ b/testbed/src/deploy/deployment.rs
@@ -8,15 +8,8 @@
         stand_ins::{PlatformStandIn, RunCounter, StoreBox},
     },
     anyhow::Context,
-    pitchhitch_core::conf::{ConfigChange, ModelConf, OrganisationConf, ServiceConf, VersionConf},
     pitchhitch_entry::operators::{StatusReport, STATUS_PATH},
-    pitchhitch_services::{
-        boxes::{BoxRow, ListedRole},
-        config::{ChangeRequest, ConfigStore},
-        http::HttpCaller,
-        objects::ObjectClient,
-        table::TableClient,
-    },
+    pitchhitch_services::http::HttpCaller,
     serde_json::json,
     smol::Timer,
     std::{
@@ -31,7 +24,7 @@
 /// Longest wait for a condition.
 pub const PATIENCE: Duration = Duration::from_secs(30);
 pub(super) const LOOK: Duration = Duration::from_millis(20);
-const CALL_TIMEOUT: Duration = Duration::from_secs(5);
+pub(super) const CALL_TIMEOUT: Duration = Duration::from_secs(5);
 const LOG_VARIABLE: &str = "PITCHHITCH_LOG";
 pub(super) const BEACON_SECRET: &str = "secret of the testbed";
 
@@ -102,100 +95,11 @@
         Ok(deployment)
     }
 
-    fn list_boxes(&self) {
-        for place in &self.entry_places {
-            self.platform.state.list_box(BoxRow {
-                id: place.id.clone(),
-                role: ListedRole::Entry,
-                group: String::new(),
-                failure_domain: place.failure_domain.clone(),
-                address: place.beacons,
-                leaving: false,
-            });
-        }
-        self.platform.state.list_box(BoxRow {
-            id: format!("{}-store", self.shape.name),
-            role: ListedRole::Store,
-            group: self.engine_group(),
-            failure_domain: self.shape.failure_domains[0].clone(),
-            address: self.store.address,
-            leaving: false,
-        });
-        self.platform
-            .state
-            .add_weights(&self.shape.model, &self.shape.version);
-    }
-
     /// Group of the engines.
     pub fn engine_group(&self) -> String {
         format!("{}-engines", self.shape.name)
     }
 
-    /// The store of the configuration.
-    pub fn config_store(&self) -> ConfigStore {
-        ConfigStore::new(
-            TableClient::new(self.platform.address, CALL_TIMEOUT),
-            ObjectClient::new(self.platform.address, CALL_TIMEOUT),
-        )
-    }
-
-    /// Makes one change; gives its revision.
-    ///
-    /// # Errors
-    /// When it is not accepted.
-    pub async fn change(
-        &self,
-        change: ConfigChange,
-    ) -> anyhow::Result<u64> {
-        let number = FOLDERS.fetch_add(1, Ordering::Relaxed);
-        let request = ChangeRequest {
-            change_id: format!("testbed-{number}"),
-            operator: "testbed".to_string(),
-            at_secs: 0,
-            change,
-            expected: None,
-        };
-        let accepted = self
-            .config_store()
-            .change(&request, CALL_TIMEOUT, u64::from(number))
-            .await;
-        Ok(accepted?.revision)
-    }
-
-    async fn configure(&self) -> anyhow::Result<()> {
-        for number in 1..=self.shape.organisations {
-            let name = self.shape.organisation(number);
-            let key = self.shape.key(&name);
-            let conf = OrganisationConf {
-                key_hashes: vec![blake3::hash(key.as_bytes()).to_hex().to_string()],
-                weights: self.shape.weights,
-                limits: self.shape.limits,
-                ..OrganisationConf::default()
-            };
-            let conf = Some(conf);
-            self.change(ConfigChange::Organisation { name, conf })
-                .await?;
-        }
-        let versions = [(self.shape.version.clone(), VersionConf::default())];
-        let model = ModelConf {
-            active: self.shape.version.clone(),
-            versions: versions.into_iter().collect(),
-            token_bytes: self.shape.token_bytes,
-        };
-        let name = self.shape.model.clone();
-        self.change(ConfigChange::Model {
-            name,
-            conf: Some(model),
-        })
-        .await?;
-        let name = self.shape.service.clone();
-        let conf = Some(ServiceConf {
-            prefix: self.shape.service_prefix.clone(),
-        });
-        self.change(ConfigChange::Service { name, conf }).await?;
-        Ok(())
-    }
-
     pub(super) fn write_settings(
         &self,
         name: &str,
--- a/testbed/src/deploy/mod.rs
+++ b/testbed/src/deploy/mod.rs
@@ -9,6 +9,7 @@
 mod fake_agents;
 mod fork_lock;
 mod free_ports;
+mod platform_setup;
 mod program_set;
 mod test_helpers;
 
--- /dev/null
+++ b/testbed/src/deploy/platform_setup.rs
@@ -0,0 +1,105 @@
+use {
+    super::{Deployment, CALL_TIMEOUT},
+    pitchhitch_core::conf::{ConfigChange, ModelConf, OrganisationConf, ServiceConf, VersionConf},
+    pitchhitch_services::{
+        boxes::{BoxRow, ListedRole},
+        config::{ChangeRequest, ConfigStore},
+        objects::ObjectClient,
+        table::TableClient,
+    },
+    std::sync::atomic::{AtomicU32, Ordering},
+};
+
+static CHANGES: AtomicU32 = AtomicU32::new(0);
+
+/// What a deployment finds at the platform.
+impl Deployment {
+    pub(super) fn list_boxes(&self) {
+        for place in &self.entry_places {
+            self.platform.state.list_box(BoxRow {
+                id: place.id.clone(),
+                role: ListedRole::Entry,
+                group: String::new(),
+                failure_domain: place.failure_domain.clone(),
+                address: place.beacons,
+                leaving: false,
+            });
+        }
+        self.platform.state.list_box(BoxRow {
+            id: format!("{}-store", self.shape.name),
+            role: ListedRole::Store,
+            group: self.engine_group(),
+            failure_domain: self.shape.failure_domains[0].clone(),
+            address: self.store.address,
+            leaving: false,
+        });
+        self.platform
+            .state
+            .add_weights(&self.shape.model, &self.shape.version);
+    }
+
+    /// The store of the configuration.
+    pub fn config_store(&self) -> ConfigStore {
+        ConfigStore::new(
+            TableClient::new(self.platform.address, CALL_TIMEOUT),
+            ObjectClient::new(self.platform.address, CALL_TIMEOUT),
+        )
+    }
+
+    /// Makes one change; gives its revision.
+    ///
+    /// # Errors
+    /// When it is not accepted.
+    pub async fn change(
+        &self,
+        change: ConfigChange,
+    ) -> anyhow::Result<u64> {
+        let number = CHANGES.fetch_add(1, Ordering::Relaxed);
+        let request = ChangeRequest {
+            change_id: format!("testbed-{number}"),
+            operator: "testbed".to_string(),
+            at_secs: 0,
+            change,
+            expected: None,
+        };
+        let accepted = self
+            .config_store()
+            .change(&request, CALL_TIMEOUT, u64::from(number))
+            .await;
+        Ok(accepted?.revision)
+    }
+
+    pub(super) async fn configure(&self) -> anyhow::Result<()> {
+        for number in 1..=self.shape.organisations {
+            let name = self.shape.organisation(number);
+            let key = self.shape.key(&name);
+            let conf = OrganisationConf {
+                key_hashes: vec![blake3::hash(key.as_bytes()).to_hex().to_string()],
+                weights: self.shape.weights,
+                limits: self.shape.limits,
+                ..OrganisationConf::default()
+            };
+            let conf = Some(conf);
+            self.change(ConfigChange::Organisation { name, conf })
+                .await?;
+        }
+        let versions = [(self.shape.version.clone(), VersionConf::default())];
+        let model = ModelConf {
+            active: self.shape.version.clone(),
+            versions: versions.into_iter().collect(),
+            token_bytes: self.shape.token_bytes,
+        };
+        let name = self.shape.model.clone();
+        self.change(ConfigChange::Model {
+            name,
+            conf: Some(model),
+        })
+        .await?;
+        let name = self.shape.service.clone();
+        let conf = Some(ServiceConf {
+            prefix: self.shape.service_prefix.clone(),
+        });
+        self.change(ConfigChange::Service { name, conf }).await?;
+        Ok(())
+    }
+}
