Taking an endpoint's answer has a file of its own

Change: take_answer, take_stream, pass_over and keep_link are in request_answer.rs, unchanged. Checked: tests of pitchhitch-platform, 89 passed; of pitchhitch-entry and pitchhitch-testbed, 60 passed; none failed.

--- a/entry/src/front/mod.rs
+++ b/entry/src/front/mod.rs
@@ -22,6 +22,7 @@
 mod peer_state;
 mod plain_answer;
 mod request_admit;
+mod request_answer;
 mod request_choice;
 mod request_lessons;
 mod request_log;
