--- a/entry/src/front/mod.rs
+++ b/entry/src/front/mod.rs
@@ -23,6 +23,7 @@
 mod peer_state;
 mod plain_answer;
 mod request_admit;
+mod request_answer;
 mod request_choice;
 mod request_lessons;
 mod request_log;
@@ -33,6 +34,7 @@
 mod store_watch;
 mod stream_relay;
 mod wake_reason;
+mod weight_lesson;
 
 pub(crate) use {
     beside_link::*, caller_conn::*, digest_watch::*, event_splitter::*, front_context::*,
@@ -41,6 +43,6 @@
 };
 use {
     call_limit::*, foreign_rows::*, part_freeing::*, peer_state::*, request_admit::*,
-    request_moves::*, request_try::*, return_check::*,
+    request_moves::*, request_try::*, return_check::*, weight_lesson::*,
 };
 pub use {front_process::*, front_settings::*};
