A front that starts is told how long stores have lived, and saves at once

Cause: nothing is saved to a store until its life has lasted for 2.4 s, as some box may still take what the life before kept for whole (2 s). A front counted that from when it first saw the life, so each start cost 2.4 s of saves though the store had lived for hours. Ruled out: shortening the wait (it is the proof that no partly written part is read); counting the told age from the question, as greatest ages are: it is a least age, and a peer that stands still between question and answer would make it too high (frozen_asker_waits). Change: StoreView::life and tell_life; HandedState carries the lives of stores; fronts hand on what they know, processes beside engines their copy, counted on from when it came. A life of another number proves nothing. Marks of states leave lives out, so no copy is pulled anew. Why it is as safe as before: a front that was told saves at time t only if t is SAVE_AFTER past a moment at which the life that it sees had already begun, which is what a front that watched for so long proves. Left: where all boxes lose power nobody is left to tell; the wait stays.

--- a/agent/src/beside/state_keeper.rs
+++ b/agent/src/beside/state_keeper.rs
@@ -37,8 +37,10 @@
 struct StateCopy {
     state: HandedState,
     mark: u64,
-    /// When its age was right.
+    /// When its age was right, or before.
     at: Micros,
+    /// When it had come.
+    taken_at: Micros,
 }
 
 impl StateCopy {
@@ -104,14 +106,19 @@
     fn keep(
         &mut self,
         state: HandedState,
+        asked_at: Micros,
         now: Micros,
     ) -> bool {
         let goes_back = |copy: &StateCopy| state.goes_back_from(&copy.state);
         let is_news = !self.copy.as_ref().is_some_and(goes_back);
         if is_news {
             let mark = state.mark();
-            let at = now;
-            self.copy = Some(StateCopy { state, mark, at });
+            self.copy = Some(StateCopy {
+                state,
+                mark,
+                at: asked_at,
+                taken_at: now,
+            });
         }
         is_news
     }
@@ -124,6 +131,7 @@
         let copy = self.copy.as_ref()?;
         let mut state = copy.state.clone();
         state.grow_older(now.since(copy.at));
+        state.live_on(now.since(copy.taken_at));
         Some(state)
     }
 }
@@ -152,7 +160,8 @@
     match answer.state {
         Ok(state) => {
             let version = state.version;
-            let taken = beside.state().keeper.keep(state, asked_at);
+            let now = beside.now();
+            let taken = beside.state().keeper.keep(state, asked_at, now);
             log::info!(
                 event = "state-kept",
                 front = address.as_str(),
--- a/core/src/serving/mod.rs
+++ b/core/src/serving/mod.rs
@@ -32,6 +32,7 @@
 mod store_view;
 mod swap_planner;
 mod told_age;
+mod told_life;
 mod told_naming;
 mod wall_name;
 mod weight_belief;
@@ -44,6 +45,6 @@
     key_policy::*, key_trust::*, kv_store::*, memory_map::*, part_fate::*, part_memory::*,
     path_index::*, prompt_ask::*, prompt_part::*, rank_shares::*, read_proofs::*, refusal_kind::*,
     repeat_meter::*, route_habits::*, served_route::*, serving_config::*, standstill_watch::*,
-    store_view::*, swap_planner::*, told_naming::*, wall_name::*, weight_belief::*,
+    store_view::*, swap_planner::*, told_life::*, told_naming::*, wall_name::*, weight_belief::*,
     weight_bounds::*, weight_namings::*,
 };
--- a/core/src/serving/store_view.rs
+++ b/core/src/serving/store_view.rs
@@ -1,5 +1,5 @@
 use {
-    super::{KvStore, PartId, PartMemory, WallTag},
+    super::{KvStore, PartId, PartMemory, ToldLife, WallTag},
     crate::time::Micros,
     std::collections::HashMap,
 };
@@ -8,8 +8,8 @@
 /// question was sent until a fetch must have ended. A store that restarts is
 /// empty, and a part that is being written anew must not be taken for whole.
 pub const VIEW_LIFE: Micros = Micros::from_millis(2_000);
-/// Time for which nothing is saved to a store after a new life of it was seen:
-/// by then no view of the life before is gone by any more.
+/// Time that a life of a store must have lasted before anything is saved there: by then
+/// no view of the life before is gone by any more.
 pub const SAVE_AFTER: Micros = Micros::from_millis(2_400);
 /// Time in which a save that we asked for shows up.
 const SAVE_SHOWS: Micros = Micros::from_secs(3);
@@ -25,6 +25,8 @@
     pub parts: PartMemory,
     epoch: Option<u64>,
     epoch_seen_at: Micros,
+    /// What another box told of a life, and when that had come here.
+    told: Option<(ToldLife, Micros)>,
     proven_at: Option<Micros>,
     clock: Option<(u64, Micros)>,
     latest_clock: Option<(u64, Micros)>,
@@ -41,6 +43,7 @@
             parts: PartMemory::default(),
             epoch: None,
             epoch_seen_at: Micros::ZERO,
+            told: None,
             proven_at: None,
             clock: None,
             latest_clock: None,
@@ -55,6 +58,48 @@
         self.epoch
     }
 
+    /// The life that is known, and for how long at least it has lasted: since an answer
+    /// showed it here, or as another box has told.
+    pub fn life(
+        &self,
+        now: Micros,
+    ) -> Option<ToldLife> {
+        let epoch = self.epoch?;
+        let seen_for = now.since(self.epoch_seen_at);
+        let told = self.told.filter(|(told, _)| told.epoch == epoch);
+        let told_for = told.map(|(told, at)| told.lasted + now.since(at));
+        Some(ToldLife {
+            address: self.store.address,
+            epoch,
+            lasted: told_for.map_or(seen_for, |told| told.max(seen_for)),
+        })
+    }
+
+    /// Takes what another box told of a life; it had come here at `at`.
+    ///
+    /// A front that starts sees every life for the first time and saves nothing for
+    /// [`SAVE_AFTER`]; with this it saves from its first request on where a box that it
+    /// asked has watched the same life for that long. A least age counts from when it came:
+    /// counted from the question, as greatest ages are, it would be too high by however long
+    /// the other box stood still before it answered.
+    pub fn tell_life(
+        &mut self,
+        told: &ToldLife,
+        at: Micros,
+    ) {
+        let is_better = match self.told {
+            None => true,
+            Some((known, known_at)) if known.epoch == told.epoch => {
+                known.lasted + at.since(known_at) < told.lasted
+            }
+            // A box that is behind knows an earlier life.
+            Some((known, _)) => self.epoch != Some(known.epoch),
+        };
+        if is_better {
+            self.told = Some((*told, at));
+        }
+    }
+
     /// Notes an answer of the store to a question sent at `sent_at`; true where
     /// it shows a new life, of which nothing is known.
     pub fn answered(
@@ -163,7 +208,7 @@
         tokens: u32,
         now: Micros,
     ) -> bool {
-        let is_settled = self.epoch.is_some() && now.since(self.epoch_seen_at) > SAVE_AFTER;
+        let is_settled = self.life(now).is_some_and(|life| life.lasted > SAVE_AFTER);
         let is_known = self.proven_at.is_some_and(|at| now.since(at) < VIEW_LIFE);
         let used = self.parts.tokens() + self.pending_tokens + u64::from(tokens);
         is_settled && is_known && used * 100 <= self.store.capacity_tokens * FILL_PART
--- /dev/null
+++ b/core/tests/told_lives.rs
@@ -0,0 +1,113 @@
+//! For how long a store has lived, as boxes tell each other.
+
+use {
+    pitchhitch_core::{
+        serving::{KvStore, MemoryMap, StoreView, ToldLife, SAVE_AFTER},
+        time::Micros,
+    },
+    std::net::SocketAddr,
+};
+
+const START: Micros = Micros::from_secs(10);
+const PORT: u16 = 1;
+
+fn at(millis: u64) -> Micros {
+    Micros::from_millis(millis)
+}
+
+fn address() -> SocketAddr {
+    ([10, 9, 0, 1], PORT).into()
+}
+
+fn store() -> KvStore {
+    KvStore {
+        name: "s1".to_string(),
+        address: address(),
+        domain: "a".to_string(),
+        capacity_tokens: 1_000,
+        link_mbps: 130_000.0,
+        first_ms: 6.0,
+        is_managed: true,
+        held_calls: 12,
+    }
+}
+
+fn life(
+    epoch: u64,
+    lasted: Micros,
+) -> ToldLife {
+    ToldLife {
+        address: address(),
+        epoch,
+        lasted,
+    }
+}
+
+/// Whoever is told that the life it sees has lasted for long enough saves at once, whether
+/// it is told before or after its first look.
+#[test]
+fn told_saves_at_once() {
+    let long = life(1, SAVE_AFTER + Micros(1));
+    let mut before = StoreView::new(store());
+    before.tell_life(&long, START);
+    assert!(!before.takes(10, START), "it has not answered");
+    before.answered(1, Some(1), START, START);
+    assert!(before.takes(10, START));
+    let mut after = StoreView::new(store());
+    after.answered(1, Some(1), START, START);
+    assert!(!after.takes(10, START));
+    after.tell_life(&long, START);
+    assert!(after.takes(10, START));
+}
+
+/// What is told of another life proves nothing: a box that is behind knows the one before,
+/// and a store that restarts must be waited for again.
+#[test]
+fn other_life_proves_nothing() {
+    let hours = Micros::from_secs(7_200);
+    let mut view = StoreView::new(store());
+    view.tell_life(&life(1, hours), START);
+    view.answered(2, Some(1), START, START);
+    assert!(!view.takes(10, START));
+    view.tell_life(&life(2, hours), START);
+    view.tell_life(&life(1, hours + hours), START);
+    assert!(
+        view.takes(10, START),
+        "the one that is behind changes nothing"
+    );
+    view.answered(3, Some(1), START, START);
+    assert!(!view.takes(10, START));
+    let waited = START + SAVE_AFTER + Micros(1);
+    view.answered(3, Some(1), waited, waited);
+    assert!(view.takes(10, waited));
+}
+
+/// The greater of two least ages counts, and both count on.
+#[test]
+fn greatest_counts() {
+    let mut view = StoreView::new(store());
+    view.answered(1, Some(1), START, START);
+    view.tell_life(&life(1, at(900)), START);
+    view.tell_life(&life(1, at(300)), START + at(100));
+    let later = START + at(500);
+    assert_eq!(view.life(later), Some(life(1, at(1_400))));
+    view.tell_life(&life(1, at(1_500)), later);
+    assert_eq!(view.life(later + at(50)), Some(life(1, at(1_550))));
+}
+
+#[test]
+fn lives_by_address() {
+    let mut map = MemoryMap::default();
+    map.set_stores(&[store()]);
+    let hours = Micros::from_secs(7_200);
+    map.tell_life(&life(1, hours), START);
+    assert_eq!(map.lives(START), Vec::new(), "it has not answered here");
+    let other = ToldLife {
+        address: ([10, 9, 0, 2], PORT).into(),
+        ..life(2, hours)
+    };
+    map.tell_life(&other, START);
+    let view = map.view_mut(address()).expect("view");
+    view.answered(1, Some(1), START, START);
+    assert_eq!(map.lives(START + at(5)), vec![life(1, hours + at(5))]);
+}
--- a/entry/src/front/peer_state.rs
+++ b/entry/src/front/peer_state.rs
@@ -31,6 +31,7 @@
         age: state.trust.age(now)?,
         weights: state.planner.told_namings(now),
         endpoints: state.book.notices(),
+        lives: state.memory.lives(now),
     })
 }
 
@@ -130,7 +131,8 @@
 }
 
 /// Takes what a peer knows: nothing that is older than what is known here. Its ages count
-/// from the question: this process or the peer may have stood still since.
+/// from the question, as this process or the peer may have stood still since; so the stores'
+/// lives, of which the least age counts, count from now.
 fn take_state(
     front: &FrontContext,
     handed: HandedState,
@@ -158,6 +160,10 @@
     for naming in &handed.weights {
         state.planner.tell(naming, asked_at, now);
     }
+    // With the namings that the peer knows, as parts of replaced weights are not saved.
+    for life in &handed.lives {
+        state.memory.tell_life(life, now);
+    }
     if state.has_list {
         return Ok(());
     }
--- a/wire/src/beside/handed_state.rs
+++ b/wire/src/beside/handed_state.rs
@@ -4,7 +4,7 @@
         codec::{decode_body, encode_body},
     },
     pitchhitch_core::{
-        serving::{EndpointNotice, ToldNaming},
+        serving::{EndpointNotice, ToldLife, ToldNaming},
         time::Micros,
     },
     serde::{Deserialize, Serialize},
@@ -32,6 +32,8 @@
     pub weights: Vec<ToldNaming>,
     /// Endpoints, those that leave included.
     pub endpoints: Vec<EndpointNotice>,
+    /// Lives of the stores of kept parts.
+    pub lives: Vec<ToldLife>,
 }
 
 /// Why bytes are no state of one of ours.
@@ -46,7 +48,8 @@
 }
 
 impl HandedState {
-    /// Makes it older: `span` has passed since its ages were right.
+    /// Makes it older: at most `span` has passed since its ages were right. The stores' lives
+    /// stay, as least ages must not grow by more than has passed ([`Self::live_on`]).
     pub fn grow_older(
         &mut self,
         span: Micros,
@@ -57,6 +60,16 @@
         }
     }
 
+    /// Lets the stores' lives last on: at least `span` has passed since they were right.
+    pub fn live_on(
+        &mut self,
+        span: Micros,
+    ) {
+        for life in &mut self.lives {
+            life.lasted = life.lasted + span;
+        }
+    }
+
     /// Whether another state has a newer configuration, or newer weights of some model.
     pub fn goes_back_from(
         &self,
@@ -71,7 +84,8 @@
             || models.any(|model| newest(self, model) < newest(other, model))
     }
 
-    /// A number that differs where the content does; ages do not count.
+    /// A number that differs where the content does; ages do not count, nor do lives of
+    /// stores: fronts learn of a new one one by one, and each copy would be pulled anew.
     pub fn mark(&self) -> u64 {
         let weights = self.weights.iter().map(|n| (&n.model, n.version));
         let ageless = (&self.version, weights.collect::<Vec<_>>(), &self.endpoints);
--- a/wire/tests/handed_state.rs
+++ b/wire/tests/handed_state.rs
@@ -1,7 +1,10 @@
 //! What one process hands another of its knowledge: ages, marks and what goes back.
 
 use {
-    pitchhitch_core::{serving::ToldNaming, time::Micros},
+    pitchhitch_core::{
+        serving::{ToldLife, ToldNaming},
+        time::Micros,
+    },
     pitchhitch_wire::beside::HandedState,
 };
 
@@ -61,3 +64,25 @@
     };
     assert!(before.goes_back_from(&newer) && !newer.goes_back_from(&before));
 }
+
+/// Lives of stores last on by what has passed at least: a span that may be too long makes
+/// all else older, and not them. No copy is pulled anew for them.
+#[test]
+fn lives_last_on() {
+    let life = |lasted_ms| ToldLife {
+        address: ([10, 9, 0, 1], 1).into(),
+        epoch: 7,
+        lasted: Micros::from_millis(lasted_ms),
+    };
+    let young = HandedState {
+        lives: vec![life(300)],
+        ..state(Vec::new())
+    };
+    let mut old = young.clone();
+    old.grow_older(Micros::from_millis(2_000));
+    assert_eq!(old.lives, vec![life(300)]);
+    old.live_on(Micros::from_millis(1_500));
+    assert_eq!(old.lives, vec![life(1_800)]);
+    assert_eq!(old.mark(), young.mark());
+    assert_eq!(young.mark(), state(Vec::new()).mark());
+}
