An engine that says it was born earlier is believed if it alone goes on talking

Cause: lives of an engine are ordered by born, a time on the clock of its box. An engine that starts again after that clock was set back was born before the life that is known; all that it told (load, weights, count of orders, parts) was dropped as a late word of an earlier life, until its clock had caught up. Orders got 409 every 0.4 s, fronts gave it turns to load every 7 s and sent it nothing that needs its weights. Ruled out: lost orders (the first got 202), lost digests (they came). Change: LifeWatch; who says itself that it was born earlier counts as late for 1.5 s, then as the later life. For reports and changes beside the engine and for digests at fronts. Late rows of the list are ignored as before (rows are written seconds late).

--- a/agent/src/beside/beside_context.rs
+++ b/agent/src/beside/beside_context.rs
@@ -1,7 +1,7 @@
 use {
     super::{BesideMetrics, BesideSettings, SentDigests, StateKeeper},
     pitchhitch_core::{
-        serving::{EngineLoad, LifeOrder, PartId, WallTag},
+        serving::{EngineLoad, LifeOrder, LifeWatch, PartId, WallTag},
         time::Micros,
     },
     pitchhitch_process::ProcessClock,
@@ -48,6 +48,8 @@
     pub id_rank: (Option<u64>, u64),
     /// Start of the engine's life, as it tells it itself.
     pub born: Option<u64>,
+    /// What it tells of lives that were born earlier.
+    pub watch: LifeWatch,
     /// Times that the engine was found to have forgotten what it kept.
     pub forgotten: u64,
     /// When digests were sent.
@@ -92,8 +94,9 @@
     pub fn note_life(
         &mut self,
         born: Option<u64>,
+        now: Micros,
     ) -> bool {
-        let order = LifeOrder::of(self.born, born);
+        let order = self.watch.order(self.born, born, now);
         if order == LifeOrder::Earlier {
             return false;
         }
--- a/agent/src/beside/engine_watch.rs
+++ b/agent/src/beside/engine_watch.rs
@@ -52,8 +52,9 @@
     beside: &BesideContext,
     report: EngineReport,
 ) {
+    let now = beside.now();
     let mut state = beside.state();
-    if !state.note_life(report.born) {
+    if !state.note_life(report.born, now) {
         return;
     }
     if state.weights != report.weights {
--- a/agent/src/beside/kept_watch.rs
+++ b/agent/src/beside/kept_watch.rs
@@ -36,7 +36,8 @@
             Timer::after(FAILED_PAUSE).await;
             continue;
         };
-        if !beside.state().note_life(changes.born) {
+        let now = beside.now();
+        if !beside.state().note_life(changes.born, now) {
             Timer::after(FAILED_PAUSE).await;
             continue;
         }
--- a/core/src/serving/endpoint_life.rs
+++ b/core/src/serving/endpoint_life.rs
@@ -1,7 +1,7 @@
 use {
     super::{
         change, BookChange, EndpointBook, EndpointEntry, EndpointKey, EndpointNotice,
-        EndpointReturn, EndpointStanding, PartMemory, SwapStage, WeightBelief,
+        EndpointReturn, EndpointStanding, LifeWatch, PartMemory, SwapStage, WeightBelief,
     },
     crate::{retry::OutlierGuard, time::Micros},
     std::{collections::BTreeMap, net::SocketAddr},
@@ -74,6 +74,8 @@
     pub ended: u32,
     /// The latest digest.
     pub digest: Option<DigestMark>,
+    /// What digests tell of lives that were born earlier.
+    pub watch: LifeWatch,
 }
 
 impl EndpointLife {
@@ -187,11 +189,12 @@
         &mut self,
         key: EndpointKey,
         born: Option<u64>,
+        now: Micros,
     ) -> LifeOrder {
         let Some(entry) = self.entries.get_mut(key) else {
             return LifeOrder::Earlier;
         };
-        let order = LifeOrder::of(entry.life.born, born);
+        let order = entry.life.watch.order(entry.life.born, born, now);
         match order {
             LifeOrder::Earlier => {}
             LifeOrder::Same => entry.life.born = born.or(entry.life.born),
--- a/core/src/serving/mod.rs
+++ b/core/src/serving/mod.rs
@@ -15,6 +15,7 @@
 mod key_policy;
 mod key_trust;
 mod kv_store;
+mod life_watch;
 mod memory_map;
 mod part_fate;
 mod part_memory;
@@ -42,9 +43,9 @@
 pub use {
     admission_ask::*, admission_rule::*, admission_verdict::*, caller_limits::*, endpoint_book::*,
     endpoint_entry::*, endpoint_life::*, endpoint_pick::*, endpoint_return::*, engine_pace::*,
-    key_policy::*, key_trust::*, kv_store::*, memory_map::*, part_fate::*, part_memory::*,
-    path_index::*, prompt_ask::*, prompt_part::*, rank_shares::*, read_proofs::*, refusal_kind::*,
-    repeat_meter::*, route_habits::*, served_route::*, serving_config::*, standstill_watch::*,
-    store_view::*, swap_planner::*, told_life::*, told_naming::*, wall_name::*, weight_belief::*,
-    weight_bounds::*, weight_namings::*,
+    key_policy::*, key_trust::*, kv_store::*, life_watch::*, memory_map::*, part_fate::*,
+    part_memory::*, path_index::*, prompt_ask::*, prompt_part::*, rank_shares::*, read_proofs::*,
+    refusal_kind::*, repeat_meter::*, route_habits::*, served_route::*, serving_config::*,
+    standstill_watch::*, store_view::*, swap_planner::*, told_life::*, told_naming::*,
+    wall_name::*, weight_belief::*, weight_bounds::*, weight_namings::*,
 };
--- a/core/tests/endpoint_lives.rs
+++ b/core/tests/endpoint_lives.rs
@@ -155,12 +155,15 @@
 #[test]
 fn digest_first() {
     let (mut book, key) = known(Some(5));
-    assert_eq!(book.hear_life(key, Some(4)), LifeOrder::Earlier);
-    assert_eq!(book.hear_life(key, Some(5)), LifeOrder::Same);
+    assert_eq!(
+        book.hear_life(key, Some(4), Micros::ZERO),
+        LifeOrder::Earlier
+    );
+    assert_eq!(book.hear_life(key, Some(5), Micros::ZERO), LifeOrder::Same);
     assert!(!book.get(key).is_some_and(forgot));
-    assert_eq!(book.hear_life(key, Some(6)), LifeOrder::Later);
+    assert_eq!(book.hear_life(key, Some(6), Micros::ZERO), LifeOrder::Later);
     assert!(book.get(key).is_some_and(forgot));
-    assert_eq!(book.hear_life(key, None), LifeOrder::Same);
+    assert_eq!(book.hear_life(key, None, Micros::ZERO), LifeOrder::Same);
     // The list still tells of the life that is over, and may tell of its end.
     assert_eq!(book.take(&notice("e", Some(5), true)), None);
     assert_eq!(book.take(&notice("e", Some(6), false)), None);
@@ -176,7 +179,7 @@
 fn word_behind_digest() {
     let (mut book, key) = known(Some(5));
     book.take(&notice("e", Some(5), true));
-    book.hear_life(key, Some(6));
+    book.hear_life(key, Some(6), Micros::ZERO);
     assert_eq!(
         book.get(key).map(|e| e.standing),
         Some(EndpointStanding::Leaving)
--- /dev/null
+++ b/core/tests/life_watch.rs
@@ -0,0 +1,78 @@
+//! Lives of a process that are told apart by clocks that can be set back.
+
+use {
+    pitchhitch_core::{
+        serving::{LifeOrder, LifeWatch},
+        time::Micros,
+    },
+    proptest::prelude::*,
+};
+
+fn at(millis: u64) -> Micros {
+    Micros::from_millis(millis)
+}
+
+/// One that alone goes on talking is the later one, however early it was born.
+#[test]
+fn set_back_believed() {
+    let mut watch = LifeWatch::default();
+    let (ahead, right) = (Some(3_600_200), Some(300));
+    assert_eq!(watch.order(ahead, right, at(0)), LifeOrder::Earlier);
+    assert_eq!(watch.order(ahead, right, at(700)), LifeOrder::Earlier);
+    assert_eq!(watch.order(ahead, right, at(1_500)), LifeOrder::Later);
+    assert_eq!(watch.order(right, right, at(1_600)), LifeOrder::Same);
+}
+
+/// A word of the known life in between shows that the other was late.
+#[test]
+fn late_words_ignored() {
+    let mut watch = LifeWatch::default();
+    let (known, late) = (Some(200), Some(100));
+    for second in 0..10 {
+        let from = second * 1_000;
+        assert_eq!(watch.order(known, late, at(from)), LifeOrder::Earlier);
+        assert_eq!(watch.order(known, late, at(from + 400)), LifeOrder::Earlier);
+        assert_eq!(watch.order(known, known, at(from + 500)), LifeOrder::Same);
+    }
+}
+
+/// Two late words of two lives do not make one that goes on.
+#[test]
+fn each_for_itself() {
+    let mut watch = LifeWatch::default();
+    assert_eq!(watch.order(Some(200), Some(100), at(0)), LifeOrder::Earlier);
+    let other = watch.order(Some(200), Some(150), at(2_000));
+    assert_eq!(other, LifeOrder::Earlier);
+    assert_eq!(
+        watch.order(Some(200), Some(300), at(2_100)),
+        LifeOrder::Later
+    );
+    assert_eq!(watch.order(Some(300), None, at(2_200)), LifeOrder::Same);
+}
+
+proptest! {
+    /// Whatever the clock of a box does, the life that talks is the known one two seconds
+    /// after it began; words of the life before come up to a second late.
+    #[test]
+    fn known_in_time(
+        borns in proptest::collection::vec(0..5_u64, 1..12),
+        late_ms in 0..1_000_u64,
+    ) {
+        let mut watch = LifeWatch::default();
+        let mut known = None;
+        let mut before = None;
+        for (place, born) in borns.iter().enumerate() {
+            let starts = place as u64 * 6_000;
+            for step in 0..60 {
+                let now = starts + step * 100;
+                let is_late_word = step % 3 == 1 && step * 100 < late_ms;
+                let told = if is_late_word { before } else { Some(*born) };
+                if watch.order(known, told, at(now)) == LifeOrder::Later || known.is_none() {
+                    known = told;
+                }
+                prop_assert!(step * 100 < late_ms + 2_000 || known == Some(*born));
+            }
+            before = Some(*born);
+        }
+    }
+}
--- a/entry/src/front/digest_watch.rs
+++ b/entry/src/front/digest_watch.rs
@@ -58,7 +58,7 @@
     let config = state.config.as_deref();
     let may_be = |entry: &EndpointEntry| config.is_none_or(|config| is_engine(config, entry));
     let key = state.book.present_at(digest.engine, may_be);
-    let order = key.map(|key| state.book.hear_life(key, digest.born));
+    let order = key.map(|key| state.book.hear_life(key, digest.born, now));
     if order == Some(LifeOrder::Earlier) {
         front.metrics.count("digests", "earlier-life");
         return None;
