--- a/agent/src/beside/state_keeper.rs
+++ b/agent/src/beside/state_keeper.rs
@@ -39,8 +39,10 @@
 struct StateCopy {
     state: HandedState,
     mark: u64,
-    /// When its age was right.
+    /// When its age was right, or before.
     at: Micros,
+    /// When it had come.
+    taken_at: Micros,
 }
 
 impl StateCopy {
@@ -107,6 +109,7 @@
         &mut self,
         state: HandedState,
         is_own: impl Fn(&EndpointNotice) -> bool,
+        asked_at: Micros,
         now: Micros,
     ) -> bool {
         let goes_back = |copy: &StateCopy| state.goes_back_from(&copy.state);
@@ -115,8 +118,12 @@
             let own = state.endpoints.iter().find(|told| is_own(told));
             self.own = own.cloned().or(self.own.take());
             let mark = state.mark();
-            let at = now;
-            self.copy = Some(StateCopy { state, mark, at });
+            self.copy = Some(StateCopy {
+                state,
+                mark,
+                at: asked_at,
+                taken_at: now,
+            });
         }
         is_news
     }
@@ -140,6 +147,7 @@
         let copy = self.copy.as_ref()?;
         let mut state = copy.state.clone();
         state.grow_older(now.since(copy.at));
+        state.live_on(now.since(copy.taken_at));
         Some(state)
     }
 }
@@ -194,7 +202,7 @@
     let id = state.engine_id.clone();
     let address = Some(beside.settings.engine);
     let is_own = |told: &EndpointNotice| Some(&told.id) == id.as_ref() && told.address == address;
-    state.keeper.keep(handed, is_own, asked_at)
+    state.keeper.keep(handed, is_own, asked_at, beside.now())
 }
 
 /// Hands the copy on to a front that asks.
