Single mechanisms of the serving decisions can be left out by a setting

Change: `without` of the front's settings (none by default, experiments only) takes names of a closed enum, ServingMechanism; an unknown name is an error with file, field and the names that there are. Choice, admission, pace and memory map each ask a MechanismSet at the decision. The load model had the enum (ModelMechanism) and left things out around the decisions: it now hands the same set to the code that decides, and its own enum and workarounds are gone. New names: kept-back, outlier-guard, suspicion.

Ruled out: leaving out weights (turns, bounds, begin limit) and the budget of repeats, which keep promises and aren't for worth.

Tests changed: core/tests/endpoint_pick.rs names the new field of PickAsk (empty set); testbed/tests/load_model.rs uses the renamed enum, its loops cover 15 names in place of 12.

--- a/core/src/serving/admission_rule.rs
+++ b/core/src/serving/admission_rule.rs
@@ -1,5 +1,8 @@
 use {
-    super::{AdmissionAsk, AdmissionVerdict, EndpointChoice, EnginePace, RankShares, RouteHabits},
+    super::{
+        AdmissionAsk, AdmissionVerdict, EndpointChoice, EnginePace, MechanismSet, RankShares,
+        RouteHabits, ServingMechanism,
+    },
     crate::time::Micros,
     std::collections::HashMap,
 };
@@ -38,6 +41,8 @@
 /// milliseconds: the way to another box, and the order of the longest queues.
 const SHORTEST_RETURN_MS: f64 = 40.0;
 const LONGEST_RETURN_MS: f64 = 2_000.0;
+/// When refused callers are asked back where that is not worked out.
+const FIXED_RETURN: Micros = Micros::from_millis(500);
 
 /// Decides which prompts are refused at once, because an engine would begin with
 /// them too late: their callers do better to come back.
@@ -51,9 +56,18 @@
     routes: HashMap<String, RouteHabits>,
     lacking_part: f64,
     ranks: RankShares,
+    left_out: MechanismSet,
 }
 
 impl AdmissionRule {
+    /// A rule that does without some mechanisms.
+    pub fn without(left_out: MechanismSet) -> Self {
+        AdmissionRule {
+            left_out,
+            ..AdmissionRule::default()
+        }
+    }
+
     /// Notes a prompt that came: its size and what has to be read of it, in tokens.
     pub fn note(
         &mut self,
@@ -83,6 +97,9 @@
         pace: &EnginePace,
         choice: &EndpointChoice,
     ) -> AdmissionVerdict {
+        if self.left_out.has(ServingMechanism::Admission) {
+            return AdmissionVerdict::Admitted;
+        }
         if self.is_late(ask, pace, choice) || self.waits_long(ask, choice) {
             return AdmissionVerdict::TooLate;
         }
@@ -114,6 +131,9 @@
         ask: &AdmissionAsk<'_>,
         pace: &EnginePace,
     ) -> f64 {
+        if self.left_out.has(ServingMechanism::LateRule) {
+            return f64::INFINITY;
+        }
         let habits = self.routes.get(ask.route);
         let read_ms = habits.map_or(0.0, RouteHabits::unread) * pace.token_ms();
         let part = match self.is_return(ask) {
@@ -129,7 +149,8 @@
         ask: &AdmissionAsk<'_>,
     ) -> bool {
         let habits = self.routes.get(ask.route);
-        habits.is_some_and(|habits| habits.is_return(ask.patience))
+        let is_return = habits.is_some_and(|habits| habits.is_return(ask.patience));
+        is_return && !self.left_out.has(ServingMechanism::ReturnOrder)
     }
 
     fn tokens(
@@ -145,7 +166,8 @@
         choice: &EndpointChoice,
     ) -> bool {
         let room = choice.total_tokens as f64 * WAITING_PART;
-        f64::from(choice.waiting) > (room / self.tokens(ask)).max(1.0)
+        let waits_long = f64::from(choice.waiting) > (room / self.tokens(ask)).max(1.0);
+        waits_long && !self.left_out.has(ServingMechanism::WaitingRule)
     }
 
     /// Large prompts of the least urgent rank would be put back, or others for
@@ -165,14 +187,37 @@
         ask: &AdmissionAsk<'_>,
         choice: &EndpointChoice,
     ) -> bool {
-        let beyond = (self.lacking_part - LACKING_PART).max(0.0);
-        let kept_back = match self.is_return(ask) {
+        let kept = match self.left_out.has(ServingMechanism::KeptMemory) {
             true => 0.0,
-            false => choice.total_tokens as f64 * KEPT_BACK * beyond,
+            false => f64::from(choice.plan.kept_tokens) * KEPT_PART,
         };
-        let kept = f64::from(choice.plan.kept_tokens) * KEPT_PART;
-        let wanted = (self.tokens(ask) - kept).max(0.0) + kept_back;
-        choice.free_tokens.is_some_and(|free| wanted > free as f64)
+        let wanted = (self.tokens(ask) - kept).max(0.0) + self.kept_back(ask, choice);
+        self.free_tokens(choice)
+            .is_some_and(|free| wanted > free as f64)
+    }
+
+    /// Memory that is kept back from the prompt, in tokens.
+    fn kept_back(
+        &self,
+        ask: &AdmissionAsk<'_>,
+        choice: &EndpointChoice,
+    ) -> f64 {
+        if self.is_return(ask) || self.left_out.has(ServingMechanism::KeptBack) {
+            return 0.0;
+        }
+        let beyond = (self.lacking_part - LACKING_PART).max(0.0);
+        choice.total_tokens as f64 * KEPT_BACK * beyond
+    }
+
+    /// Memory that is free for prompts, in tokens, where that is known and counts.
+    fn free_tokens(
+        &self,
+        choice: &EndpointChoice,
+    ) -> Option<u64> {
+        match self.left_out.has(ServingMechanism::MemoryRule) {
+            true => None,
+            false => choice.free_tokens,
+        }
     }
 
     /// When a refused caller should come back: once the queue is short enough, or
@@ -185,8 +230,13 @@
         choice: &EndpointChoice,
         spread: f64,
     ) -> Micros {
+        if self.left_out.has(ServingMechanism::ComeBack) {
+            return FIXED_RETURN;
+        }
         let queue_ms = choice.queue_ms - self.longest_queue_ms(ask, pace);
-        let free = choice.free_tokens.map_or(f64::MAX, |free| free as f64);
+        let free = self
+            .free_tokens(choice)
+            .map_or(f64::MAX, |free| free as f64);
         let lacking = (self.tokens(ask) - free).max(0.0);
         let memory_ms = lacking * pace.memory_ms(choice.used_tokens);
         let millis = queue_ms.max(memory_ms) * (1.0 + spread);
--- a/core/src/serving/endpoint_pick.rs
+++ b/core/src/serving/endpoint_pick.rs
@@ -1,9 +1,10 @@
 use {
     super::{
         plan_prompt, EndpointBook, EndpointEntry, EndpointKey, EndpointStanding, EnginePace,
-        PartOutlook, PromptAsk, PromptPlan, SwapStage, WallTag, WeightBounds,
+        MechanismSet, PartOutlook, PromptAsk, PromptPlan, ServingMechanism, SwapStage, WallTag,
+        WeightBounds,
     },
-    crate::time::Micros,
+    crate::{retry::OutlierGuard, time::Micros},
 };
 
 /// Cost of crossing to another failure domain, in milliseconds: the way there
@@ -56,6 +57,8 @@
     pub pace: &'a EnginePace,
     /// Weights that the prompt may begin on.
     pub weights: WeightBounds,
+    /// Mechanisms that are left out.
+    pub left_out: MechanismSet,
     /// Current time.
     pub now: Micros,
 }
@@ -121,7 +124,7 @@
     });
     let sound = best_of(book, ask, outlooks, &|entry| {
         let drains = entry.stage == SwapStage::Draining;
-        is_sound(entry, ask.now) && !(is_long && drains)
+        is_sound(entry, ask) && !(is_long && drains)
     });
     if sound.is_some() {
         return sound;
@@ -132,12 +135,25 @@
 
 fn is_sound(
     entry: &EndpointEntry,
-    now: Micros,
+    ask: &PickAsk<'_>,
 ) -> bool {
+    let now = ask.now;
     let load = entry.fresh_load(now);
     let is_away = load.is_some_and(|load| load.is_silent || load.is_swapping);
     let is_loading = entry.stage == SwapStage::Loading;
-    !is_away && !is_loading && !entry.is_suspect(now) && !entry.guard.is_out(now)
+    let is_suspect = !ask.left_out.has(ServingMechanism::Suspicion) && entry.is_suspect(now);
+    !is_away && !is_loading && !is_suspect && !guard_of(entry, ask).is_out(now)
+}
+
+/// What watches the endpoint's failures; one that has seen none, where it is left out.
+fn guard_of(
+    entry: &EndpointEntry,
+    ask: &PickAsk<'_>,
+) -> OutlierGuard {
+    match ask.left_out.has(ServingMechanism::OutlierGuard) {
+        true => OutlierGuard::default(),
+        false => entry.guard,
+    }
 }
 
 fn best_of(
@@ -167,7 +183,7 @@
     for (key, entry) in &weighed {
         let mut choice = weigh(*key, entry, ask, outlooks);
         choice.candidates = weighed.len() as u32;
-        let mut cost = choice.wait_ms * f64::from(entry.guard.penalty(ask.now));
+        let mut cost = choice.wait_ms * f64::from(guard_of(entry, ask).penalty(ask.now));
         if entry.domain != ask.domain {
             cost += OTHER_DOMAIN_MS;
         }
@@ -215,18 +231,16 @@
     let known = outlooks
         .iter()
         .find(|outlook| Some(outlook.version) == choice.version);
+    let known = known.filter(|_| !ask.left_out.has(ServingMechanism::Affinity));
     if let Some(outlook) = known {
         choice.plan = plan_prompt(choice.key, entry, outlook.wall, &outlook.parts);
     }
     let at_hand = choice.plan.kept_tokens + choice.plan.fetched_tokens;
     choice.unread_tokens = prompt.tokens_in.saturating_sub(at_hand);
-    let shared = prompt
-        .parts
-        .iter()
-        .rev()
-        .skip(1)
-        .map(|part| part.tokens)
-        .sum::<u32>();
+    let shared = match ask.left_out.has(ServingMechanism::Home) {
+        true => 0,
+        false => shared_tokens(prompt),
+    };
     choice.shared_tokens = shared;
     choice.shared_unread = shared.saturating_sub(at_hand);
     let now = ask.now;
@@ -257,6 +271,11 @@
     }
 }
 
+fn shared_tokens(prompt: &PromptAsk) -> u32 {
+    let shared = prompt.parts.iter().rev().skip(1);
+    shared.map(|part| part.tokens).sum()
+}
+
 /// Part of the others' tokens that goes before a request of this rank: of the
 /// sites' tokens a fifth is of the most urgent rank, and most is of the third.
 fn others_before(rank: u8) -> f64 {
--- a/core/src/serving/engine_pace.rs
+++ b/core/src/serving/engine_pace.rs
@@ -1,3 +1,5 @@
+use super::{MechanismSet, ServingMechanism};
+
 /// Time to read a token until prompts have shown it, in milliseconds. Engines on
 /// which this was measured read 24 to 190 tokens in a millisecond; the first
 /// hundred prompts set it right from four times too much or too little.
@@ -40,6 +42,7 @@
     unread_tokens: f64,
     answer_tokens: f64,
     held_ms: f64,
+    left_out: MechanismSet,
 }
 
 impl Default for EnginePace {
@@ -49,6 +52,14 @@
 }
 
 impl EnginePace {
+    /// Nothing is learned yet, and some mechanisms are done without.
+    pub fn without(left_out: MechanismSet) -> Self {
+        EnginePace {
+            left_out,
+            ..EnginePace::default()
+        }
+    }
+
     /// Nothing is learned yet; a token is believed to take `token_ms` milliseconds.
     pub fn starting_at(token_ms: f64) -> Self {
         let mut pace = EnginePace {
@@ -61,6 +72,7 @@
             unread_tokens: START_UNREAD_TOKENS,
             answer_tokens: START_ANSWER_TOKENS,
             held_ms: START_HELD_MS,
+            left_out: MechanismSet::default(),
         };
         // Two points on the line that is believed in.
         for tokens in [0.0, START_PROMPT_TOKENS] {
@@ -103,6 +115,9 @@
         tokens: f64,
         millis: f64,
     ) {
+        if self.left_out.has(ServingMechanism::LearnedPace) {
+            return;
+        }
         let expected = self.begin_ms() + tokens * self.token_ms();
         let millis = millis.clamp(0.0, expected.max(1.0) * OUTLIER);
         for sum in [
--- /dev/null
+++ b/core/src/serving/mechanism_set.rs
@@ -0,0 +1,37 @@
+use super::ServingMechanism;
+
+/// Mechanisms that are left out; none by default.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct MechanismSet {
+    bits: u32,
+}
+
+impl MechanismSet {
+    /// The set of these.
+    pub fn of(mechanisms: impl IntoIterator<Item = ServingMechanism>) -> Self {
+        let bits = mechanisms.into_iter().map(bit);
+        MechanismSet {
+            bits: bits.fold(0, |all, one| all | one),
+        }
+    }
+
+    /// Whether a mechanism is among them.
+    pub fn has(
+        self,
+        mechanism: ServingMechanism,
+    ) -> bool {
+        self.bits & bit(mechanism) != 0
+    }
+
+    /// Names of those that are among them, as one text; empty where none is.
+    pub fn names(self) -> String {
+        let members = ServingMechanism::ALL.into_iter();
+        let members = members.filter(|mechanism| self.has(*mechanism));
+        let names: Vec<&str> = members.map(ServingMechanism::name).collect();
+        names.join(",")
+    }
+}
+
+fn bit(mechanism: ServingMechanism) -> u32 {
+    1 << mechanism as u32
+}
--- a/core/src/serving/memory_map.rs
+++ b/core/src/serving/memory_map.rs
@@ -1,7 +1,7 @@
 use {
     super::{
         move_ms, EndpointBook, EndpointEntry, EndpointKey, EndpointStanding, EngineGroup, KvStore,
-        PromptPart, StoreView, WallTag,
+        MechanismSet, PromptPart, ServingMechanism, StoreView, WallTag,
     },
     crate::time::Micros,
     std::net::SocketAddr,
@@ -88,9 +88,18 @@
 #[derive(Debug, Clone, Default)]
 pub struct MemoryMap {
     views: Vec<StoreView>,
+    left_out: MechanismSet,
 }
 
 impl MemoryMap {
+    /// Nothing is known yet, and some mechanisms are done without.
+    pub fn without(left_out: MechanismSet) -> Self {
+        MemoryMap {
+            left_out,
+            ..MemoryMap::default()
+        }
+    }
+
     /// Takes the stores of a configuration; what is known of those that stay is kept.
     pub fn set_stores(
         &mut self,
@@ -171,6 +180,9 @@
     ) -> Vec<PartSource> {
         let bytes = u64::from(part.tokens) * group.token_bytes;
         let mut sources = Vec::new();
+        if self.left_out.has(ServingMechanism::Fetches) {
+            return sources;
+        }
         for (place, view) in self.views.iter().enumerate() {
             let is_whole = view.parts.tokens_of(wall, part.id) >= part.tokens;
             if is_whole && view.fetch_until_ms(now).is_some() {
@@ -237,7 +249,7 @@
         now: Micros,
     ) -> Option<SocketAddr> {
         let has = |view: &StoreView| view.has_or_gets(wall, part.id, part.tokens);
-        if self.views.iter().any(has) {
+        if self.left_out.has(ServingMechanism::Stores) || self.views.iter().any(has) {
             return None;
         }
         let mut best: Option<(f64, &mut StoreView)> = None;
--- a/core/src/serving/mod.rs
+++ b/core/src/serving/mod.rs
@@ -15,6 +15,7 @@
 mod key_policy;
 mod key_trust;
 mod kv_store;
+mod mechanism_set;
 mod memory_map;
 mod part_fate;
 mod part_memory;
@@ -28,6 +29,7 @@
 mod route_habits;
 mod served_route;
 mod serving_config;
+mod serving_mechanism;
 mod standstill_watch;
 mod store_view;
 mod swap_planner;
@@ -41,9 +43,9 @@
 pub use {
     admission_ask::*, admission_rule::*, admission_verdict::*, caller_limits::*, endpoint_book::*,
     endpoint_entry::*, endpoint_life::*, endpoint_pick::*, endpoint_return::*, engine_pace::*,
-    key_policy::*, key_trust::*, kv_store::*, memory_map::*, part_fate::*, part_memory::*,
-    path_index::*, prompt_ask::*, prompt_part::*, rank_shares::*, read_proofs::*, refusal_kind::*,
-    repeat_meter::*, route_habits::*, served_route::*, serving_config::*, standstill_watch::*,
-    store_view::*, swap_planner::*, told_naming::*, wall_name::*, weight_belief::*,
-    weight_bounds::*, weight_namings::*,
+    key_policy::*, key_trust::*, kv_store::*, mechanism_set::*, memory_map::*, part_fate::*,
+    part_memory::*, path_index::*, prompt_ask::*, prompt_part::*, rank_shares::*, read_proofs::*,
+    refusal_kind::*, repeat_meter::*, route_habits::*, served_route::*, serving_config::*,
+    serving_mechanism::*, standstill_watch::*, store_view::*, swap_planner::*, told_naming::*,
+    wall_name::*, weight_belief::*, weight_bounds::*, weight_namings::*,
 };
--- a/core/tests/endpoint_pick.rs
+++ b/core/tests/endpoint_pick.rs
@@ -3,8 +3,8 @@
 use pitchhitch_core::{
     serving::{
         pick_endpoint, EndpointBook, EndpointChoice, EndpointKey, EndpointNotice, EngineGroup,
-        EngineLoad, EnginePace, KvStore, MemoryMap, PartId, PartPlace, PickAsk, PromptAsk,
-        PromptPart, SwapStage, UnreadWork, VersionOutlook, WallTag, WeightBounds,
+        EngineLoad, EnginePace, KvStore, MechanismSet, MemoryMap, PartId, PartPlace, PickAsk,
+        PromptAsk, PromptPart, SwapStage, UnreadWork, VersionOutlook, WallTag, WeightBounds,
     },
     time::Micros,
 };
@@ -135,6 +135,7 @@
         let ask = PickAsk {
             pace: &EnginePace::starting_at(1.0 / 97.0),
             weights: self.bounds,
+            left_out: MechanismSet::default(),
             service: "llm",
             domain: "a",
             prompt: Some(prompt),
--- a/entry/src/front/front_process.rs
+++ b/entry/src/front/front_process.rs
@@ -4,7 +4,10 @@
         watch_operator, watch_stores, FrontContext, FrontSettings,
     },
     anyhow::Context,
-    pitchhitch_core::{serving::TICK, time::Micros},
+    pitchhitch_core::{
+        serving::{MechanismSet, TICK},
+        time::Micros,
+    },
     pitchhitch_http1::{serve_small, ByteLink, SilenceLimit, SmallAnswer},
     pitchhitch_process::{flush_log, to_duration, ProcessSignal, SignalWatch},
     pitchhitch_wire::beside::BesideSocket,
@@ -72,6 +75,10 @@
         program = env!("CARGO_PKG_VERSION");
         ""
     );
+    if settings.left_out != MechanismSet::default() {
+        let names = settings.left_out.names();
+        log::warn!(event = "left-out", mechanisms = names.as_str(); "");
+    }
     while signals.next().await.context("cannot watch signals")? == ProcessSignal::Reload {
         note_reload(&front, reload);
     }
--- a/entry/src/front/front_settings.rs
+++ b/entry/src/front/front_settings.rs
@@ -1,6 +1,6 @@
 use {
     pitchhitch_core::{
-        serving::{KeyPolicy, RepeatBound},
+        serving::{KeyPolicy, MechanismSet, RepeatBound, ServingMechanism},
         settings::{SettingsErrors, SettingsReader},
         time::Micros,
     },
@@ -51,6 +51,8 @@
     pub stop_limit: Duration,
     /// Memory that the process may take, in megabytes.
     pub memory_mb: u64,
+    /// Mechanisms of the decisions that are left out, for experiments.
+    pub left_out: MechanismSet,
 }
 
 /// Part of the platform's bound on old keys that is used, in hundredths: the
@@ -135,6 +137,7 @@
             },
             stop_limit: Duration::from_secs(reader.number("stop_limit_s", 8, 1..=3_600)),
             memory_mb: reader.number("memory_mb", 128, 16..=1_000_000),
+            left_out: read_left_out(&mut reader),
         };
         if !(0.0..=1.0).contains(&settings.repeats.ratio) {
             let found = settings.repeats.ratio.to_string();
@@ -144,3 +147,17 @@
         Ok(settings)
     }
 }
+
+/// Reads which mechanisms are left out; a name that is none is a problem.
+fn read_left_out(reader: &mut SettingsReader) -> MechanismSet {
+    let wanted = format!("a list of {}", ServingMechanism::names());
+    let names: Option<Vec<String>> = reader.value("without", Some(Vec::new()), &wanted);
+    let mut mechanisms = Vec::new();
+    for name in names.unwrap_or_default() {
+        match ServingMechanism::named(&name) {
+            Ok(mechanism) => mechanisms.push(mechanism),
+            Err(_) => reader.refuse("without", &name, &wanted),
+        }
+    }
+    MechanismSet::of(mechanisms)
+}
--- a/entry/src/front/request_choice.rs
+++ b/entry/src/front/request_choice.rs
@@ -100,6 +100,7 @@
             tried: &self.tried,
             pace: &state.pace,
             weights: self.weight_bounds(state, now),
+            left_out: front.settings.left_out,
             now,
         };
         pick_endpoint(&state.book, &ask, &outlooks)
--- a/testbed/examples/load_lab/lab_options.rs
+++ b/testbed/examples/load_lab/lab_options.rs
@@ -1,7 +1,7 @@
 use {
     anyhow::{ensure, Context},
     getopts::Options,
-    pitchhitch_testbed::load_model::ModelMechanism,
+    pitchhitch_core::serving::ServingMechanism,
     std::path::PathBuf,
 };
 
@@ -11,7 +11,7 @@
     /// File of the load.
     pub load: PathBuf,
     /// Mechanisms that are left out, one at a time.
-    pub without: Vec<ModelMechanism>,
+    pub without: Vec<ServingMechanism>,
     /// Whether each mechanism is left out in turn, and the table has a row for each.
     pub is_each: bool,
     /// Seeds.
@@ -46,7 +46,8 @@
         let usage = options.usage("use: load_lab --load FILE");
         let found = options.parse(args).context(usage)?;
         let names = found.opt_strs("without");
-        let without: anyhow::Result<_> = names.iter().map(|n| ModelMechanism::named(n)).collect();
+        let named = |name: &String| ServingMechanism::named(name).map_err(anyhow::Error::msg);
+        let without: anyhow::Result<_> = names.iter().map(named).collect();
         Ok(LabOptions {
             load: found.opt_str("load").unwrap_or_default().into(),
             without: without?,
@@ -57,9 +58,9 @@
     }
 
     /// The settings to play: all mechanisms first, then without each that is named.
-    pub fn settings(&self) -> Vec<Option<ModelMechanism>> {
+    pub fn settings(&self) -> Vec<Option<ServingMechanism>> {
         let without = match self.is_each {
-            true => ModelMechanism::ALL.to_vec(),
+            true => ServingMechanism::ALL.to_vec(),
             false => self.without.clone(),
         };
         let whole = std::iter::once(None);
--- a/testbed/examples/load_lab/setting_runs.rs
+++ b/testbed/examples/load_lab/setting_runs.rs
@@ -1,5 +1,6 @@
 use {
-    pitchhitch_testbed::load_model::{play_load, LoadFile, LoadTally, ModelMechanism},
+    pitchhitch_core::serving::ServingMechanism,
+    pitchhitch_testbed::load_model::{play_load, LoadFile, LoadTally},
     std::thread,
 };
 
@@ -19,7 +20,7 @@
     pub fn play(
         load: &LoadFile,
         seeds: &[u64],
-        left_out: Option<ModelMechanism>,
+        left_out: Option<ServingMechanism>,
     ) -> Self {
         let name = left_out.map_or_else(
             || "whole".to_string(),
@@ -35,7 +36,7 @@
 fn play_seeds(
     load: &LoadFile,
     seeds: &[u64],
-    left_out: Option<ModelMechanism>,
+    left_out: Option<ServingMechanism>,
 ) -> Vec<LoadTally> {
     let play = |seed: &u64| play_load(load, *seed, left_out);
     let part = seeds.len().div_ceil(AT_ONCE).max(1);
--- a/testbed/src/load_model/load_world.rs
+++ b/testbed/src/load_model/load_world.rs
@@ -1,11 +1,10 @@
 use {
     super::{
         plan_calls, prompt_ask, CallKey, CallOutcome, EventQueue, FrontSend, KindTally, LoadFile,
-        LoadTally, ModelEngine, ModelEvent, ModelFront, ModelMechanism, ModelStore, PromptCall,
-        SendKey, LEAD_TIME,
+        LoadTally, ModelEngine, ModelEvent, ModelFront, ModelStore, PromptCall, SendKey, LEAD_TIME,
     },
     pitchhitch_core::{
-        serving::{PartId, PromptAsk},
+        serving::{MechanismSet, PartId, PromptAsk, ServingMechanism},
         time::Micros,
     },
     std::collections::{BTreeMap, HashMap},
@@ -62,7 +61,7 @@
 pub fn play_load(
     load: &LoadFile,
     seed: u64,
-    left_out: Option<ModelMechanism>,
+    left_out: Option<ServingMechanism>,
 ) -> LoadTally {
     let mut world = LoadWorld::new(load, seed, left_out);
     world.schedule();
@@ -85,8 +84,9 @@
     fn new(
         load: &'a LoadFile,
         seed: u64,
-        left_out: Option<ModelMechanism>,
+        left_out: Option<ServingMechanism>,
     ) -> Self {
+        let left_out = MechanismSet::of(left_out);
         let calls = plan_calls(load, seed);
         let spec = &load.engines;
         let numbered = load.stores.iter().enumerate();
--- a/testbed/src/load_model/mod.rs
+++ b/testbed/src/load_model/mod.rs
@@ -15,7 +15,6 @@
 mod load_world;
 mod model_engine;
 mod model_front;
-mod model_mechanism;
 mod model_store;
 mod prompt_call;
 mod size_spec;
@@ -26,5 +25,5 @@
 pub use {
     call_plan::*, engine_memory::*, engine_run::*, engine_spec::*, event_queue::*, front_ask::*,
     kind_spec::*, load_file::*, load_table::*, load_tally::*, load_world::*, model_engine::*,
-    model_front::*, model_mechanism::*, model_store::*, prompt_call::*, size_spec::*,
+    model_front::*, model_store::*, prompt_call::*, size_spec::*,
 };
--- a/testbed/src/load_model/model_front.rs
+++ b/testbed/src/load_model/model_front.rs
@@ -1,10 +1,10 @@
 use {
-    super::{EngineSpec, FrontAsk, FrontSend, FrontVerdict, ModelMechanism, ModelStore},
+    super::{EngineSpec, FrontAsk, FrontSend, FrontVerdict, ModelStore},
     pitchhitch_core::{
         serving::{
             pick_endpoint, AdmissionAsk, AdmissionRule, AdmissionVerdict, EndpointBook,
-            EndpointChoice, EndpointKey, EndpointNotice, EngineGroup, EnginePace, MemoryMap,
-            PickAsk, PromptAsk, UnreadWork, VersionOutlook, WallTag, WeightBounds,
+            EndpointChoice, EndpointKey, EndpointNotice, EngineGroup, EnginePace, MechanismSet,
+            MemoryMap, PickAsk, PromptAsk, UnreadWork, VersionOutlook, WallTag, WeightBounds,
         },
         time::Micros,
     },
@@ -17,8 +17,6 @@
 /// The one wall inside which parts are shared.
 pub const WALL: WallTag = WallTag(1);
 const SERVICE: &str = "engines";
-/// When refused callers are asked back, where that is not worked out.
-const FIXED_RETURN: Micros = Micros::from_millis(500);
 
 /// One front: the deciding code of the product, with its state.
 #[derive(Debug)]
@@ -35,7 +33,7 @@
     keys: Vec<EndpointKey>,
     group: EngineGroup,
     tickets: u64,
-    left_out: Option<ModelMechanism>,
+    left_out: MechanismSet,
 }
 
 impl ModelFront {
@@ -45,7 +43,7 @@
         domains: usize,
         spec: &EngineSpec,
         stores: &[ModelStore],
-        left_out: Option<ModelMechanism>,
+        left_out: MechanismSet,
     ) -> Self {
         let mut book = EndpointBook::default();
         let mut keys = Vec::new();
@@ -54,17 +52,15 @@
             book.take(&notice);
             keys.extend(book.key(&notice.id));
         }
-        let mut memory = MemoryMap::default();
+        let mut memory = MemoryMap::without(left_out);
         let notices: Vec<_> = stores.iter().map(ModelStore::notice).collect();
-        if left_out != Some(ModelMechanism::Stores) {
-            memory.set_stores(&notices);
-        }
+        memory.set_stores(&notices);
         ModelFront {
             domain,
             book,
             memory,
-            pace: EnginePace::default(),
-            admission: AdmissionRule::default(),
+            pace: EnginePace::without(left_out),
+            admission: AdmissionRule::without(left_out),
             keys,
             group: EngineGroup {
                 slots: spec.places,
@@ -94,13 +90,6 @@
         self.keys.iter().position(|known| *known == key)
     }
 
-    fn is_without(
-        &self,
-        mechanism: ModelMechanism,
-    ) -> bool {
-        self.left_out == Some(mechanism)
-    }
-
     /// Decides about a request.
     pub fn decide(
         &mut self,
@@ -126,19 +115,16 @@
         now: Micros,
     ) -> Option<EndpointChoice> {
         let outlooks = self.outlooks(ask.prompt, now);
-        let mut prompt = ask.prompt.clone();
-        if self.is_without(ModelMechanism::Home) {
-            prompt.parts.clear();
-        }
         let tried: Vec<EndpointKey> = ask.tried.iter().map(|at| self.key(*at)).collect();
         let pick = PickAsk {
             service: SERVICE,
             domain: &domain_name(self.domain),
-            prompt: Some(&prompt),
+            prompt: Some(ask.prompt),
             rank: ask.kind.rank,
             tried: &tried,
             pace: &self.pace,
             weights: WeightBounds::default(),
+            left_out: self.left_out,
             now,
         };
         pick_endpoint(&self.book, &pick, &outlooks)
@@ -149,14 +135,8 @@
         prompt: &PromptAsk,
         now: Micros,
     ) -> Vec<VersionOutlook> {
-        if self.is_without(ModelMechanism::Affinity) {
-            return Vec::new();
-        }
         let (book, group) = (&self.book, &self.group);
-        let mut parts = self.memory.outlook(book, group, WALL, &prompt.parts, now);
-        if self.is_without(ModelMechanism::Fetches) {
-            parts.iter_mut().for_each(|part| part.sources.clear());
-        }
+        let parts = self.memory.outlook(book, group, WALL, &prompt.parts, now);
         vec![VersionOutlook {
             version: VERSION,
             wall: WALL,
@@ -169,46 +149,10 @@
         ask: &FrontAsk<'_>,
         choice: &EndpointChoice,
     ) -> AdmissionVerdict {
-        let asked = self.admission_ask(ask);
+        let asked = admission_ask(ask);
         let (tokens, unread) = (ask.prompt.tokens_in, choice.unread_tokens);
         self.admission.note(&asked, tokens, unread);
-        if self.is_without(ModelMechanism::Admission) {
-            return AdmissionVerdict::Admitted;
-        }
-        let choice = self.seen_choice(choice);
-        self.admission.judge(&asked, &self.pace, &choice)
-    }
-
-    /// The choice as the admission sees it, without what is left out.
-    fn seen_choice(
-        &self,
-        choice: &EndpointChoice,
-    ) -> EndpointChoice {
-        let mut seen = choice.clone();
-        match self.left_out {
-            Some(ModelMechanism::LateRule) => seen.queue_ms = 0.0,
-            Some(ModelMechanism::WaitingRule) => seen.waiting = 0,
-            Some(ModelMechanism::MemoryRule) => seen.free_tokens = None,
-            Some(ModelMechanism::KeptMemory) => seen.plan.kept_tokens = 0,
-            _ => {}
-        }
-        seen
-    }
-
-    fn admission_ask<'a>(
-        &self,
-        ask: &FrontAsk<'a>,
-    ) -> AdmissionAsk<'a> {
-        let patience = match self.is_without(ModelMechanism::ReturnOrder) {
-            true => ask.kind.deadline(),
-            false => ask.patience,
-        };
-        AdmissionAsk {
-            route: &ask.kind.name,
-            rank: ask.kind.rank,
-            aim: ask.kind.aim(),
-            patience,
-        }
+        self.admission.judge(&asked, &self.pace, choice)
     }
 
     fn come_back(
@@ -216,13 +160,9 @@
         ask: &FrontAsk<'_>,
         choice: &EndpointChoice,
     ) -> Micros {
-        if self.is_without(ModelMechanism::ComeBack) {
-            return FIXED_RETURN;
-        }
-        let asked = self.admission_ask(ask);
-        let choice = self.seen_choice(choice);
+        let asked = admission_ask(ask);
         self.admission
-            .come_back(&asked, &self.pace, &choice, ask.spread)
+            .come_back(&asked, &self.pace, choice, ask.spread)
     }
 
     fn send(
@@ -267,7 +207,7 @@
         is_first: bool,
     ) {
         self.book.begun(send.choice.key, send.ticket);
-        if is_first && !self.is_without(ModelMechanism::LearnedPace) {
+        if is_first {
             let tokens = send.choice.ahead_tokens + f64::from(send.choice.unread_tokens);
             let millis = took.as_millis() as f64 - send.choice.plan.fetch_ms;
             self.pace.note_begun(tokens, millis);
@@ -289,6 +229,15 @@
     }
 }
 
+fn admission_ask<'a>(ask: &FrontAsk<'a>) -> AdmissionAsk<'a> {
+    AdmissionAsk {
+        route: &ask.kind.name,
+        rank: ask.kind.rank,
+        aim: ask.kind.aim(),
+        patience: ask.patience,
+    }
+}
+
 fn engine_notice(
     engine: usize,
     domains: usize,
--- a/testbed/tests/load_model.rs
+++ b/testbed/tests/load_model.rs
@@ -1,6 +1,9 @@
 //! The model of engines, fronts and callers on a virtual clock.
 
-use pitchhitch_testbed::load_model::{play_load, LoadFile, LoadTally, ModelMechanism};
+use {
+    pitchhitch_core::serving::ServingMechanism,
+    pitchhitch_testbed::load_model::{play_load, LoadFile, LoadTally},
+};
 
 const USUAL: &str = include_str!("../loads/usual.toml");
 const WAVE: &str = include_str!("../loads/wave.toml");
@@ -11,7 +14,7 @@
 
 fn sum_in_aim(
     load: &LoadFile,
-    left_out: Option<ModelMechanism>,
+    left_out: Option<ServingMechanism>,
 ) -> u32 {
     let tallies = (1..=5).map(|seed| play_load(load, seed, left_out));
     let in_aim = |tally: LoadTally| tally.kinds.iter().map(|kind| kind.in_aim).sum::<u32>();
@@ -36,7 +39,7 @@
     load.outages = LoadFile::parse(&format!("{USUAL}{OUTAGE}"))
         .unwrap()
         .outages;
-    let without = ModelMechanism::ALL.into_iter().map(Some);
+    let without = ServingMechanism::ALL.into_iter().map(Some);
     for left_out in std::iter::once(None).chain(without) {
         let tally = play_load(&load, 3, left_out);
         for kind in &tally.kinds {
@@ -64,7 +67,7 @@
 fn overload_admission() {
     let load = load(WAVE);
     let whole = sum_in_aim(&load, None);
-    let without = sum_in_aim(&load, Some(ModelMechanism::Admission));
+    let without = sum_in_aim(&load, Some(ServingMechanism::Admission));
     assert!(whole > without, "{whole} in aim, without {without}");
 }
 
@@ -72,14 +75,17 @@
 fn kept_parts() {
     let load = load(USUAL);
     let again = |left_out| play_load(&load, 1, left_out).read_again;
-    assert!(again(None) < again(Some(ModelMechanism::Affinity)));
+    assert!(again(None) < again(Some(ServingMechanism::Affinity)));
 }
 
 #[test]
 fn wrong_names() {
-    assert!(ModelMechanism::named("no-such").is_err());
-    for mechanism in ModelMechanism::ALL {
-        assert_eq!(ModelMechanism::named(mechanism.name()).unwrap(), mechanism);
+    assert!(ServingMechanism::named("no-such").is_err());
+    for mechanism in ServingMechanism::ALL {
+        assert_eq!(
+            ServingMechanism::named(mechanism.name()).unwrap(),
+            mechanism
+        );
     }
     assert!(LoadFile::parse(&USUAL.replace("fronts = 6", "fronts = 0")).is_err());
     assert!(LoadFile::parse(&USUAL.replace("fronts = 6", "frontiers = 6")).is_err());
