--- a/core/tests/pick_fleet/mod.rs
+++ b/core/tests/pick_fleet/mod.rs
@@ -3,8 +3,8 @@
 use pitchhitch_core::{
     serving::{
         pick_endpoint, EndpointBook, EndpointChoice, EndpointKey, EndpointNotice, EngineGroup,
-        EngineLoad, EnginePace, KvStore, MemoryMap, PartId, PickAsk, PromptAsk, PromptPart,
-        VersionOutlook, WallTag, WeightBounds,
+        EngineLoad, EnginePace, KvStore, MechanismSet, MemoryMap, PartId, PickAsk, PromptAsk,
+        PromptPart, VersionOutlook, WallTag, WeightBounds,
     },
     time::Micros,
 };
@@ -134,6 +134,7 @@
         }];
         let ask = PickAsk {
             pace: &EnginePace::starting_at(1.0 / 97.0),
+            left_out: MechanismSet::default(),
             weights: self.bounds,
             service: "llm",
             domain: "a",
