--- a/core/tests/early_saves.rs
+++ b/core/tests/early_saves.rs
@@ -1,39 +1,17 @@
 //! In a small world of a store and fronts that tell each other of its life, whatever starts
 //! again or stands still, nothing is saved while the life before may be taken for this one.
 
+mod told_store;
+
 use {
     pitchhitch_core::{
-        serving::{KvStore, MemoryMap, StoreView, ToldLife, SAVE_AFTER, VIEW_LIFE},
+        serving::{MemoryMap, StoreView, ToldLife, SAVE_AFTER, VIEW_LIFE},
         time::Micros,
     },
     proptest::prelude::*,
-    std::net::SocketAddr,
+    told_store::{address, at, store, START},
 };
 
-const START: Micros = Micros::from_secs(10);
-const PORT: u16 = 1;
-
-fn at(millis: u64) -> Micros {
-    Micros::from_millis(millis)
-}
-
-fn address() -> SocketAddr {
-    ([10, 9, 0, 1], PORT).into()
-}
-
-fn store() -> KvStore {
-    KvStore {
-        name: "s1".to_string(),
-        address: address(),
-        domain: "a".to_string(),
-        capacity_tokens: 1_000,
-        link_mbps: 130_000.0,
-        first_ms: 6.0,
-        is_managed: true,
-        held_calls: 12,
-    }
-}
-
 /// Length of a step of the small world, in milliseconds.
 const STEP_MS: u64 = 50;
 /// Steps that it lasts.
--- a/core/tests/told_lives.rs
+++ b/core/tests/told_lives.rs
@@ -1,37 +1,15 @@
 //! For how long a store has lived, as boxes tell each other.
 
+mod told_store;
+
 use {
     pitchhitch_core::{
-        serving::{KvStore, MemoryMap, StoreView, ToldLife, SAVE_AFTER},
+        serving::{MemoryMap, StoreView, ToldLife, SAVE_AFTER},
         time::Micros,
     },
-    std::net::SocketAddr,
+    told_store::{address, at, store, PORT, START},
 };
 
-const START: Micros = Micros::from_secs(10);
-const PORT: u16 = 1;
-
-fn at(millis: u64) -> Micros {
-    Micros::from_millis(millis)
-}
-
-fn address() -> SocketAddr {
-    ([10, 9, 0, 1], PORT).into()
-}
-
-fn store() -> KvStore {
-    KvStore {
-        name: "s1".to_string(),
-        address: address(),
-        domain: "a".to_string(),
-        capacity_tokens: 1_000,
-        link_mbps: 130_000.0,
-        first_ms: 6.0,
-        is_managed: true,
-        held_calls: 12,
-    }
-}
-
 fn life(
     epoch: u64,
     lasted: Micros,
