--- a/agent/src/beside/beside_context.rs
+++ b/agent/src/beside/beside_context.rs
@@ -93,6 +93,14 @@
 }
 
 impl BesideState {
+    /// Load of the engine as it is told: the time of the report means nothing to others.
+    pub fn told_load(&self) -> EngineLoad {
+        EngineLoad {
+            at: Micros::ZERO,
+            ..self.load
+        }
+    }
+
     /// All that the engine keeps.
     pub fn kept(&self) -> Vec<DigestPart> {
         let kept = self.kept.iter().map(|((wall, id), tokens)| DigestPart {
--- a/agent/src/beside/digest_sender.rs
+++ b/agent/src/beside/digest_sender.rs
@@ -112,10 +112,7 @@
         };
         tell_newcomers(&beside, &mut count, fronts.len() as u32).await;
         announce(&beside, &mut count, fronts.len() as u32).await;
-        let load = EngineLoad {
-            at: Micros::ZERO,
-            ..beside.state().load
-        };
+        let load = beside.state().told_load();
         let has_changes = beside.state().has_changes();
         let is_news = load != told || has_changes;
         if fronts.is_empty() || (!is_news && now.since(told_at) < QUIET_LIMIT) {
@@ -146,10 +143,7 @@
         return;
     }
     let kept = beside.state().kept();
-    let load = EngineLoad {
-        at: Micros::ZERO,
-        ..beside.state().load
-    };
+    let load = beside.state().told_load();
     let mut pieces: Vec<Vec<DigestPart>> = kept.chunks(PARTS_LIMIT).map(<[_]>::to_vec).collect();
     if pieces.is_empty() {
         pieces.push(Vec::new());
@@ -177,10 +171,7 @@
     let Some((endpoint, silent)) = beside.state().announcement(now) else {
         return;
     };
-    let load = EngineLoad {
-        at: Micros::ZERO,
-        ..beside.state().load
-    };
+    let load = beside.state().told_load();
     count.number += 1;
     let mut digest = make_digest(beside, load, *count, fronts, Vec::new());
     digest.endpoint = Some(endpoint);
