Fronts tell when an engine ends under requests, and which request comes again

Cause of the change: the incident's lines could not tell whether two requests were the same one, nor that an engine had ended, nor how long what broke off had been running. A front that loses a run now asks the endpoint for a connection, once for all runs that broke off together, and writes event=run-lost with fingerprint (method, host, target, caller, body), ended, sent_ms and begun_ms.

--- a/core/src/serving/mod.rs
+++ b/core/src/serving/mod.rs
@@ -28,6 +28,7 @@
 mod read_proofs;
 mod refusal_kind;
 mod repeat_meter;
+mod request_fingerprint;
 mod route_habits;
 mod served_route;
 mod serving_config;
@@ -48,8 +49,8 @@
     endpoint_entry::*, endpoint_life::*, endpoint_pick::*, endpoint_return::*, engine_pace::*,
     key_policy::*, key_trust::*, kv_store::*, life_watch::*, mechanism_set::*, memory_map::*,
     part_fate::*, part_memory::*, path_index::*, prompt_ask::*, prompt_part::*, rank_shares::*,
-    read_proofs::*, refusal_kind::*, repeat_meter::*, route_habits::*, served_route::*,
-    serving_config::*, serving_mechanism::*, standstill_watch::*, store_view::*, swap_planner::*,
-    told_life::*, told_naming::*, wall_name::*, weight_belief::*, weight_bounds::*,
-    weight_namings::*,
+    read_proofs::*, refusal_kind::*, repeat_meter::*, request_fingerprint::*, route_habits::*,
+    served_route::*, serving_config::*, serving_mechanism::*, standstill_watch::*, store_view::*,
+    swap_planner::*, told_life::*, told_naming::*, wall_name::*, weight_belief::*,
+    weight_bounds::*, weight_namings::*,
 };
--- a/entry/src/front/front_state.rs
+++ b/entry/src/front/front_state.rs
@@ -1,9 +1,9 @@
 use {
-    super::{FrontSettings, LinkPool},
+    super::{EndProbe, FrontSettings, LinkPool},
     pitchhitch_core::{
         serving::{
-            AdmissionRule, EndpointBook, EnginePace, KeyTrust, MemoryMap, ReadProofs, RepeatMeter,
-            ServingConfig, StandstillWatch, SwapPlanner, WallName, WallTag,
+            AdmissionRule, EndpointBook, EndpointKey, EnginePace, KeyTrust, MemoryMap, ReadProofs,
+            RepeatMeter, ServingConfig, StandstillWatch, SwapPlanner, WallName, WallTag,
         },
         time::Micros,
     },
@@ -46,6 +46,8 @@
     pub planner: SwapPlanner,
     /// Unused connections.
     pub pool: LinkPool,
+    /// Whether endpoints that broke connections off have ended.
+    pub ends: HashMap<EndpointKey, EndProbe>,
     /// Whether the process itself stood still.
     pub standstill: StandstillWatch,
     /// Since when the process has been asked to stop.
@@ -79,6 +81,7 @@
             reads: ReadProofs::default(),
             planner: SwapPlanner::default(),
             pool: LinkPool::default(),
+            ends: HashMap::new(),
             standstill: StandstillWatch::default(),
             stops_since: None,
             closes_idle: false,
--- a/entry/src/front/list_watch.rs
+++ b/entry/src/front/list_watch.rs
@@ -159,4 +159,5 @@
     state.book.prune(now);
     let book = &state.book;
     state.pool.sweep(now, |key| book.get(key).is_some());
+    state.ends.retain(|key, _| book.get(*key).is_some());
 }
--- a/entry/src/front/mod.rs
+++ b/entry/src/front/mod.rs
@@ -8,6 +8,7 @@
 mod call_limit;
 mod caller_conn;
 mod digest_watch;
+mod end_probe;
 mod event_splitter;
 mod foreign_rows;
 mod front_context;
@@ -31,18 +32,20 @@
 mod request_run;
 mod request_try;
 mod return_check;
+mod run_lost;
 mod store_watch;
 mod stream_relay;
 mod wake_reason;
 mod weight_lesson;
 
 pub(crate) use {
-    beside_link::*, caller_conn::*, digest_watch::*, event_splitter::*, front_context::*,
-    front_metrics::*, front_state::*, link_pool::*, list_watch::*, offer::*, operator_watch::*,
-    plain_answer::*, request_run::*, store_watch::*, stream_relay::*, wake_reason::*,
+    beside_link::*, caller_conn::*, digest_watch::*, end_probe::*, event_splitter::*,
+    front_context::*, front_metrics::*, front_state::*, link_pool::*, list_watch::*, offer::*,
+    operator_watch::*, plain_answer::*, request_run::*, store_watch::*, stream_relay::*,
+    wake_reason::*,
 };
 use {
     call_limit::*, foreign_rows::*, part_freeing::*, peer_state::*, request_admit::*,
-    request_moves::*, request_try::*, return_check::*, weight_lesson::*,
+    request_moves::*, request_try::*, return_check::*, run_lost::*, weight_lesson::*,
 };
 pub use {front_process::*, front_settings::*};
--- a/entry/src/front/request_answer.rs
+++ b/entry/src/front/request_answer.rs
@@ -99,6 +99,7 @@
         let left = || to_duration(ends_at.since(front.now()));
         let timer = &mut self.timer;
         let end = relay_stream(offer, answer, progress, caller, timer, &left, &mut tell).await;
+        self.run.began_at = began;
         self.began_at = self.began_at.or(began);
         if let (Some(version), Some(prompt)) = (version, &self.ask.prompt) {
             self.learn_version(choice, &prompt.model.clone(), version);
--- a/entry/src/front/request_run.rs
+++ b/entry/src/front/request_run.rs
@@ -1,7 +1,7 @@
 use {
     super::{
-        admit, refuse, write_to_caller, FrontContext, OfferFailure, OwnRefusal, StreamProgress,
-        TryEnd, WholeAnswer, WholeRequest,
+        admit, refuse, write_to_caller, FrontContext, OfferFailure, OwnRefusal, RunTimes,
+        StreamProgress, TryEnd, WholeAnswer, WholeRequest,
     },
     pitchhitch_core::{
         serving::{
@@ -52,6 +52,8 @@
     pub(super) tried: Vec<EndpointKey>,
     /// Lives of the endpoint that had ended when it was chosen.
     pub(super) life: u32,
+    /// Times of the latest run.
+    pub(super) run: RunTimes,
     pub(super) sends: u32,
     pub(super) may_have_run: u32,
     pub(super) progress: StreamProgress,
@@ -100,6 +102,7 @@
         timer: Timer::after(to_duration(left)),
         tried: Vec::new(),
         life: 0,
+        run: RunTimes::default(),
         sends: 0,
         may_have_run: 0,
         progress: StreamProgress::default(),
@@ -200,6 +203,9 @@
                     held_answer = Some(answer);
                 }
                 TryEnd::Broken(failure) => {
+                    if failure == OfferFailure::Lost {
+                        self.note_lost(&choice).await;
+                    }
                     last_failure = self.failure_kind(failure);
                     if failure == OfferFailure::Late || !self.can_repeat() {
                         break;
--- a/entry/src/front/request_try.rs
+++ b/entry/src/front/request_try.rs
@@ -1,5 +1,5 @@
 use {
-    super::{send_offer, OfferFailure, OpenOffer, PartMoves, RequestRun, WholeAnswer},
+    super::{send_offer, OfferFailure, OpenOffer, PartMoves, RequestRun, RunTimes, WholeAnswer},
     pitchhitch_core::{
         serving::{EndpointChoice, EndpointStanding, UnreadWork},
         time::Micros,
@@ -120,6 +120,10 @@
         let ticket = place.ticket;
         let bytes = self.encode(choice, &place.moves);
         let sent_at = front.now();
+        self.run = RunTimes {
+            sent_at,
+            began_at: None,
+        };
         if let Some(prompt) = &self.ask.prompt {
             let unread = choice.unread_tokens;
             let mut state = front.state();
