An endpoint that left is asked where the list shows it serving by an earlier life

Cause: the list alone does not tell a late row of an earlier life from one that started again after its clock was set back, so neither was believed, and the second got no requests until it was forgotten after 30 s.

--- a/core/src/serving/endpoint_book.rs
+++ b/core/src/serving/endpoint_book.rs
@@ -137,6 +137,7 @@
                 true => EndpointReturn::Away,
                 false => EndpointReturn::of(wanted),
             },
+            set_back: None,
             left_at: None,
             life: EndpointLife {
                 born: notice.born,
--- a/core/src/serving/endpoint_entry.rs
+++ b/core/src/serving/endpoint_entry.rs
@@ -97,6 +97,9 @@
     pub standing: EndpointStanding,
     /// Whether it may come back, once it is leaving.
     pub comeback: EndpointReturn,
+    /// What the list says of it since it left, of a life that was born earlier: a late write,
+    /// or the word of one whose clock was set back. It is asked which.
+    pub set_back: Option<EndpointNotice>,
     /// Since when it is known to be leaving.
     pub left_at: Option<Micros>,
     /// Which of its lives is known.
--- a/core/src/serving/endpoint_life.rs
+++ b/core/src/serving/endpoint_life.rs
@@ -113,8 +113,12 @@
         let order = LifeOrder::of(self.life.born, notice.born);
         // A write of the earlier life may be carried out seconds late.
         if order == LifeOrder::Earlier {
+            if wanted == EndpointStanding::Serving {
+                self.doubt_end(notice);
+            }
             return None;
         }
+        self.set_back = None;
         let is_later = order == LifeOrder::Later;
         if is_later {
             self.begin_life(notice.born);
@@ -158,7 +162,7 @@
 
     /// Takes the first word of the list on a later life: what the earlier one said of
     /// its end is over.
-    fn stand_anew(
+    pub(super) fn stand_anew(
         &mut self,
         notice: &EndpointNotice,
         wanted: EndpointStanding,
@@ -182,7 +186,7 @@
 
     /// Begins a later life: the endpoint holds and knows nothing of before. Requests
     /// of ours count until they end.
-    fn begin_life(
+    pub(super) fn begin_life(
         &mut self,
         born: Option<u64>,
     ) {
--- a/core/src/serving/endpoint_return.rs
+++ b/core/src/serving/endpoint_return.rs
@@ -1,5 +1,7 @@
 use {
-    super::{BookChange, EndpointBook, EndpointEntry, EndpointKey, EndpointStanding},
+    super::{
+        BookChange, EndpointBook, EndpointEntry, EndpointKey, EndpointNotice, EndpointStanding,
+    },
     crate::time::Micros,
     std::net::SocketAddr,
 };
@@ -66,6 +68,11 @@
         self.is_listed() || self.comeback != EndpointReturn::Never
     }
 
+    fn asked_address(&self) -> SocketAddr {
+        let told = self.set_back.as_ref().and_then(|notice| notice.address);
+        told.unwrap_or(self.address)
+    }
+
     /// Takes the standing that the list shows; true where that changes its own.
     pub(super) fn restand(
         &mut self,
@@ -90,6 +97,29 @@
     }
 }
 
+impl EndpointEntry {
+    /// Takes that the list shows it as serving by a life that was born before the one that
+    /// left. Taken for a late write alone, one that started again after its clock was set
+    /// back got no requests until it was forgotten, 30 s later.
+    pub(super) fn doubt_end(
+        &mut self,
+        notice: &EndpointNotice,
+    ) {
+        let is_asked = matches!(
+            self.comeback,
+            EndpointReturn::Listed { .. } | EndpointReturn::Asked { .. }
+        );
+        if self.standing != EndpointStanding::Leaving || is_asked {
+            return;
+        }
+        self.set_back = Some(notice.clone());
+        self.comeback = EndpointReturn::Listed {
+            denials: 0,
+            ask_at: Micros::ZERO,
+        };
+    }
+}
+
 impl EndpointBook {
     /// Endpoints whose entries went and came back, to be asked now.
     pub fn ask_returned(
@@ -108,7 +138,7 @@
                 key,
                 id: entry.id.clone(),
                 service: entry.service.clone(),
-                address: entry.address,
+                address: entry.asked_address(),
             });
         }
         questions
@@ -125,6 +155,11 @@
         let EndpointReturn::Asked { denials } = entry.comeback else {
             return None;
         };
+        if !serves && entry.set_back.take().is_some() {
+            // It was a late write: one whose clock was set back goes on writing.
+            entry.comeback = EndpointReturn::Never;
+            return None;
+        }
         if !serves {
             let pause = Micros(FIRST_ASK_PAUSE.0 << denials.min(ASK_DOUBLINGS));
             entry.comeback = EndpointReturn::Listed {
@@ -133,6 +168,12 @@
             };
             return None;
         }
+        if let Some(notice) = entry.set_back.take() {
+            entry.begin_life(notice.born);
+            entry.life.listed = notice.born;
+            entry.life.row_version = notice.row_version;
+            return entry.stand_anew(&notice, EndpointStanding::Serving, true);
+        }
         entry.comeback = EndpointReturn::Away;
         entry.standing = EndpointStanding::Serving;
         entry.left_at = None;
