Ages and deadlines go on while a box is suspended

Cause: the clock of a process was the steady one, which stands still while the box is suspended: what is known of keys, weights and leases would pass for younger than it is, and the watch for standstills would see nothing. Change: ProcessClock reads the clock since boot; DeadlineTimer, which ends a request's waits, looks at it at least once a second, as timers of the system stand still too; a planned stop counts by it.

--- a/entry/src/front/front_process.rs
+++ b/entry/src/front/front_process.rs
@@ -12,11 +12,7 @@
     pitchhitch_process::{flush_log, to_duration, ProcessSignal, SignalWatch},
     pitchhitch_wire::beside::BesideSocket,
     smol::{Async, Timer},
-    std::{
-        net::TcpListener,
-        rc::Rc,
-        time::{Duration, Instant},
-    },
+    std::{net::TcpListener, rc::Rc, time::Duration},
 };
 
 /// Time for the balancer to notice that the process is not ready: it asks once
@@ -157,7 +153,6 @@
 
 /// A planned stop: the balancer is told, then what is open is served to its end.
 async fn stop(front: &FrontContext) {
-    let asked = Instant::now();
     let now = front.now();
     front.state().stops_since = Some(now);
     log::info!(event = "stopping", running = front.state().running; "");
@@ -166,10 +161,18 @@
     // Resting connections get time to see that they are to close.
     Timer::after(Duration::from_millis(700)).await;
     let limit = front.settings.stop_limit.saturating_sub(LAST_MOMENT);
-    while front.state().running > 0 && asked.elapsed() < limit {
+    while front.state().running > 0 && waited(front, now) < limit {
         Timer::after(to_duration(IDLE_CHECK)).await;
     }
     let cut_off = front.state().running;
-    let waited_ms = asked.elapsed().as_millis() as u64;
+    let waited_ms = waited(front, now).as_millis() as u64;
     log::info!(event = "stopped", cut_off = cut_off, waited_ms = waited_ms; "");
 }
+
+/// Time since the stop was asked for; the platform counts while the box is suspended too.
+fn waited(
+    front: &FrontContext,
+    asked_at: Micros,
+) -> Duration {
+    to_duration(front.now().since(asked_at))
+}
--- a/entry/src/front/offer.rs
+++ b/entry/src/front/offer.rs
@@ -3,7 +3,7 @@
     pitchhitch_core::time::Micros,
     pitchhitch_http1::{read_answer_head, AnswerHead, BodyDecoder, BodyFraming, ByteLink},
     pitchhitch_platform::{decode_marks, AnswerMarks},
-    smol::Timer,
+    pitchhitch_process::DeadlineTimer,
 };
 
 /// Longest head of an answer, in bytes.
@@ -73,7 +73,7 @@
     bytes: &[u8],
     request_id: &str,
     caller: &mut ByteLink,
-    timer: &mut Timer,
+    timer: &mut DeadlineTimer,
 ) -> (Result<OfferAnswer, OfferFailure>, bool) {
     let mut sent = 0;
     let mut surplus = 0;
@@ -113,7 +113,7 @@
     request_id: &str,
     surplus: &mut u32,
     caller: &mut ByteLink,
-    timer: &mut Timer,
+    timer: &mut DeadlineTimer,
 ) -> Result<Option<OfferAnswer>, OfferFailure> {
     loop {
         let found = read_answer_head(offer.link.unused(), HEAD_LIMIT);
@@ -151,7 +151,7 @@
     body: &mut Vec<u8>,
     limit: usize,
     caller: &mut ByteLink,
-    timer: &mut Timer,
+    timer: &mut DeadlineTimer,
 ) -> Result<(), OfferFailure> {
     let mut decoder = BodyDecoder::new(framing);
     loop {
--- a/entry/src/front/plain_answer.rs
+++ b/entry/src/front/plain_answer.rs
@@ -2,7 +2,7 @@
     super::{read_rest, OfferAnswer, OfferFailure, OpenOffer},
     pitchhitch_http1::{BodyFraming, ByteLink},
     pitchhitch_platform::{encode_answer_head, AnswerLength},
-    smol::Timer,
+    pitchhitch_process::DeadlineTimer,
 };
 
 /// Longest answer that is held until it is whole, in bytes. The usual plain
@@ -25,7 +25,7 @@
     has_no_body: bool,
     closes: bool,
     caller: &mut ByteLink,
-    timer: &mut Timer,
+    timer: &mut DeadlineTimer,
 ) -> Result<WholeAnswer, OfferFailure> {
     let framing = if has_no_body {
         BodyFraming::Empty
--- a/entry/src/front/request_run.rs
+++ b/entry/src/front/request_run.rs
@@ -12,7 +12,7 @@
     },
     pitchhitch_http1::ByteLink,
     pitchhitch_platform::decode_ask,
-    pitchhitch_process::to_duration,
+    pitchhitch_process::{to_duration, DeadlineTimer},
     smol::Timer,
     std::rc::Rc,
 };
@@ -48,7 +48,7 @@
     pub(super) service: String,
     pub(super) spread: u64,
     pub(super) ends_at: Micros,
-    pub(super) timer: Timer,
+    pub(super) timer: DeadlineTimer,
     pub(super) tried: Vec<EndpointKey>,
     /// The latest run.
     pub(super) run: LatestRun,
@@ -101,7 +101,7 @@
         service,
         spread,
         ends_at,
-        timer: Timer::after(to_duration(left)),
+        timer: DeadlineTimer::after(front.clock, to_duration(left)),
         tried: Vec::new(),
         run: LatestRun::default(),
         known_as: None,
--- a/entry/src/front/stream_relay.rs
+++ b/entry/src/front/stream_relay.rs
@@ -5,7 +5,7 @@
     },
     pitchhitch_http1::{write_chunk, BodyDecoder, ByteLink, LAST_CHUNK},
     pitchhitch_platform::{encode_answer_head, AnswerLength},
-    smol::Timer,
+    pitchhitch_process::DeadlineTimer,
     std::time::Duration,
 };
 
@@ -40,7 +40,7 @@
     answer: &OfferAnswer,
     progress: &mut StreamProgress,
     caller: &mut ByteLink,
-    timer: &mut Timer,
+    timer: &mut DeadlineTimer,
     left: &dyn Fn() -> Duration,
     tell: &mut dyn FnMut(RelayNews),
 ) -> Result<(), OfferFailure> {
@@ -93,7 +93,7 @@
     answer: &OfferAnswer,
     progress: &mut StreamProgress,
     caller: &mut ByteLink,
-    timer: &mut Timer,
+    timer: &mut DeadlineTimer,
 ) -> Result<(), OfferFailure> {
     let mut out = Vec::with_capacity(events.len() + 32);
     if !progress.is_begun {
--- a/entry/src/front/wake_reason.rs
+++ b/entry/src/front/wake_reason.rs
@@ -1,7 +1,7 @@
 use {
     futures_lite::future::poll_fn,
     pitchhitch_http1::ByteLink,
-    smol::Timer,
+    pitchhitch_process::DeadlineTimer,
     std::{future::Future, pin::Pin, task::Poll},
 };
 
@@ -26,7 +26,7 @@
     endpoint: &ByteLink,
     wants_write: bool,
     caller: &mut ByteLink,
-    timer: &mut Timer,
+    timer: &mut DeadlineTimer,
 ) -> WakeReason {
     loop {
         let watches = caller.unused().len() < AHEAD_LIMIT;
@@ -59,7 +59,7 @@
 pub(crate) async fn write_to_caller(
     caller: &ByteLink,
     bytes: &[u8],
-    timer: &mut Timer,
+    timer: &mut DeadlineTimer,
 ) -> bool {
     // Most of the time all of it goes out at once.
     let sent = match caller.try_write(bytes) {
--- a/process/src/lib.rs
+++ b/process/src/lib.rs
@@ -2,6 +2,7 @@
 //! lines, metrics and the signal to stop.
 
 mod bounded_output;
+mod deadline_timer;
 mod log_setup;
 mod metric_set;
 mod process_clock;
@@ -12,6 +13,6 @@
 mod wake_signal;
 
 pub use {
-    log_setup::*, metric_set::*, process_clock::*, process_usage::*, signal_watch::*,
-    stop_signal::*, task_pool::*, wake_signal::*,
+    deadline_timer::*, log_setup::*, metric_set::*, process_clock::*, process_usage::*,
+    signal_watch::*, stop_signal::*, task_pool::*, wake_signal::*,
 };
--- a/process/src/process_clock.rs
+++ b/process/src/process_clock.rs
@@ -1,28 +1,44 @@
 use {
     pitchhitch_core::time::Micros,
-    std::time::{Duration, Instant, SystemTime, UNIX_EPOCH},
+    rustix::time::{clock_gettime, ClockId},
+    std::time::{Duration, SystemTime, UNIX_EPOCH},
 };
 
-/// The clock of one process: it counts from the start and never goes back.
+/// What a clock shows, counted from some fixed moment.
+pub type ClockReading = fn() -> Duration;
+
+/// The clock of one process: it counts from the start, never goes back, and goes on while
+/// the box is suspended.
+///
+/// By the steady clock, which stands still then, a box that was suspended for ten seconds
+/// would take what it knows of keys, weights and leases for ten seconds younger than it is.
 #[derive(Debug, Clone, Copy)]
 pub struct ProcessClock {
-    started: Instant,
+    read: ClockReading,
+    started: Duration,
     incarnation: u64,
 }
 
 impl ProcessClock {
     /// Starts the clock.
     pub fn start() -> Self {
+        ProcessClock::start_by(since_boot)
+    }
+
+    /// Starts a clock by another one.
+    pub fn start_by(read: ClockReading) -> Self {
         let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH);
         ProcessClock {
-            started: Instant::now(),
+            read,
+            started: read(),
             incarnation: since_epoch.map_or(1, |d| d.as_micros() as u64),
         }
     }
 
     /// Time since the start.
     pub fn now(&self) -> Micros {
-        Micros(self.started.elapsed().as_micros() as u64)
+        let passed = (self.read)().saturating_sub(self.started);
+        Micros(passed.as_micros() as u64)
     }
 
     /// Start of the process, in microseconds since 1970.
@@ -31,6 +47,11 @@
     }
 }
 
+fn since_boot() -> Duration {
+    let read = clock_gettime(ClockId::Boottime);
+    Duration::new(read.tv_sec as u64, read.tv_nsec as u32)
+}
+
 /// Seconds since 1970, for people.
 pub fn wall_seconds() -> u64 {
     let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH);
