What is held back stands in the platform's store, for when all boxes lose power at once

Cause: the copies beside engines outlive fronts, not a loss of power of all boxes; then a request that ends engines would end three more. Change: a front writes its own row (held/BOX) when its own observation holds a request back, and each front reads these rows at its start, before it serves.

--- a/entry/src/front/front_context.rs
+++ b/entry/src/front/front_context.rs
@@ -22,6 +22,8 @@
     /// Wakes the greeting of engines: one that leaves is not announced to others once the
     /// process beside it knows, whatever becomes of this front.
     pub greeting_due: WakeSignal,
+    /// Wakes the writing of requests that are held back.
+    pub held_due: WakeSignal,
     state: RefCell<FrontState>,
     executor: LocalExecutor<'static>,
 }
@@ -35,6 +37,7 @@
             clock: ProcessClock::start(),
             metrics: FrontMetrics::default(),
             greeting_due: WakeSignal::default(),
+            held_due: WakeSignal::default(),
             executor: LocalExecutor::new(),
         })
     }
--- a/entry/src/front/front_process.rs
+++ b/entry/src/front/front_process.rs
@@ -1,6 +1,6 @@
 use {
     super::{
-        ask_peers, greet_engines, hand_state_on, hear_digests, serve_caller, watch_list,
+        ask_peers, greet_engines, hand_state_on, hear_digests, keep_held, serve_caller, watch_list,
         watch_operator, watch_stores, FrontContext, FrontSettings,
     },
     anyhow::Context,
@@ -61,6 +61,7 @@
     front.spawn(keep_time(front.clone()));
     front.spawn(watch_operator(front.clone()));
     front.spawn(watch_list(front.clone()));
+    front.spawn(keep_held(front.clone()));
     front.spawn(watch_stores(front.clone()));
     front.spawn(accept(front.clone(), Async::new(callers)?));
     log::info!(
--- a/entry/src/front/front_state.rs
+++ b/entry/src/front/front_state.rs
@@ -58,6 +58,8 @@
     pub trials: TrialTable,
     /// Whether somebody has told of all such requests in this life.
     pub knows_suspects: bool,
+    /// Whether the store has told which are held back, in this life.
+    pub has_held_rows: bool,
     /// Whether the process itself stood still.
     pub standstill: StandstillWatch,
     /// Since when the process has been asked to stop.
@@ -95,6 +97,7 @@
             suspects: SuspectBook::default(),
             trials: TrialTable::default(),
             knows_suspects: false,
+            has_held_rows: false,
             standstill: StandstillWatch::default(),
             stops_since: None,
             closes_idle: false,
@@ -135,7 +138,8 @@
     }
 
     /// Whether the process has just started and is about to be told under which requests
-    /// endpoints ended: the processes beside engines answer its first greeting.
+    /// endpoints ended: the processes beside engines answer its first greeting, and the store
+    /// tells which requests are held back.
     pub fn awaits_suspects(
         &self,
         now: Micros,
@@ -144,7 +148,8 @@
             return false;
         };
         // The clock starts with the process.
-        let is_open = !self.knows_suspects && now < TOLD_WITHIN;
+        let is_told = self.knows_suspects && self.has_held_rows;
+        let is_open = !is_told && now < TOLD_WITHIN;
         is_open && self.book.iter().any(|(_, entry)| is_engine(config, entry))
     }
 
--- /dev/null
+++ b/entry/src/front/held_rows.rs
@@ -0,0 +1,139 @@
+use {
+    super::{CallLimit, FrontContext},
+    pitchhitch_core::{
+        serving::{SuspectStanding, ToldSuspect},
+        time::Micros,
+    },
+    pitchhitch_platform::{RowPage, RowTable, RowValue, StoreClient, StoreError},
+    pitchhitch_process::{to_duration, wall_seconds},
+    pitchhitch_wire::codec::{decode_body, encode_body},
+    serde::{Deserialize, Serialize},
+    smol::Timer,
+    std::{rc::Rc, time::Duration},
+};
+
+/// Pause after a call that failed.
+const RETRY_PAUSE: Micros = Micros::from_millis(250);
+/// Longest wait for something to write; only ends the task's wait, and nothing else.
+const WRITE_WAIT: Duration = Duration::from_secs(60);
+/// Beginning of the keys of these rows; each front has one.
+const KEY_PREFIX: &str = "held/";
+/// Requests in one row: some 100 bytes each, and a row takes 64 kB.
+const ROW_LIMIT: usize = 200;
+
+/// Requests that a front holds back, for when all boxes have lost their power at once.
+#[derive(Debug, Serialize, Deserialize)]
+struct HeldRow {
+    /// When it was written, in seconds since 1970.
+    wall_secs: u64,
+    /// Requests, with ages as of then.
+    suspects: Vec<ToldSuspect>,
+}
+
+/// Reads which requests are held back, then writes each change of those that this front
+/// holds back itself.
+pub(super) async fn keep_held(front: Rc<FrontContext>) {
+    let mut limit = CallLimit::default();
+    let mut client = StoreClient::new(front.settings.store, limit.next());
+    loop {
+        client.set_limit(limit.next());
+        let read = client.read_all(RowTable::Own).await;
+        limit.note(&read);
+        if let Ok(page) = read {
+            take_rows(&front, page);
+            break;
+        }
+        Timer::after(to_duration(RETRY_PAUSE)).await;
+    }
+    front.state().has_held_rows = true;
+    loop {
+        if !front.held_due.wait(WRITE_WAIT).await {
+            continue;
+        }
+        while let Err(error) = write_row(&front, &mut client, &mut limit).await {
+            log_written(&error.to_string(), 0);
+            Timer::after(to_duration(RETRY_PAUSE)).await;
+        }
+    }
+}
+
+fn take_rows(
+    front: &FrontContext,
+    page: RowPage,
+) {
+    let now = front.now();
+    let mut state = front.state();
+    for row in page
+        .rows
+        .iter()
+        .filter(|row| row.key.starts_with(KEY_PREFIX))
+    {
+        let RowValue::Bytes(bytes) = &row.value else {
+            continue;
+        };
+        // Whatever another writer put there names no request.
+        let Ok(held) = decode_body::<HeldRow>(bytes) else {
+            front.metrics.count("foreign_rows", "held");
+            continue;
+        };
+        let age = Micros::from_secs(wall_seconds().saturating_sub(held.wall_secs));
+        for told in &held.suspects {
+            state.suspects.tell(&older(told, age), now);
+        }
+    }
+    let held = state.suspects.held(now).len();
+    log::info!(event = "held-read", held = held; "");
+}
+
+/// What was told so long ago.
+fn older(
+    told: &ToldSuspect,
+    age: Micros,
+) -> ToldSuspect {
+    let mut told = told.clone();
+    for crash in &mut told.crashes {
+        crash.sent = crash.sent + age;
+        crash.ended = crash.ended + age;
+    }
+    told.answered = told.answered.map(|answered| answered + age);
+    told
+}
+
+async fn write_row(
+    front: &FrontContext,
+    client: &mut StoreClient,
+    limit: &mut CallLimit,
+) -> Result<(), StoreError> {
+    let now = front.now();
+    let suspects = {
+        let state = front.state();
+        let is_held = |told: &ToldSuspect| {
+            let standing = state.suspects.standing(told.fingerprint, 0.0, now);
+            matches!(standing, SuspectStanding::Held(_))
+        };
+        let mut held = state.suspects.told(now);
+        held.retain(is_held);
+        held.truncate(ROW_LIMIT);
+        held
+    };
+    let count = suspects.len();
+    let row = HeldRow {
+        wall_secs: wall_seconds(),
+        suspects,
+    };
+    let bytes = encode_body(&row).map_err(|e| StoreError::Unreadable(e.to_string()))?;
+    let key = format!("{KEY_PREFIX}{}", front.settings.box_id);
+    client.set_limit(limit.next());
+    let written = client.put(&key, &bytes).await;
+    limit.note(&written);
+    written?;
+    log_written("done", count);
+    Ok(())
+}
+
+fn log_written(
+    outcome: &str,
+    held: usize,
+) {
+    log::info!(event = "held-written", outcome = outcome, held = held; "");
+}
--- a/entry/src/front/mod.rs
+++ b/entry/src/front/mod.rs
@@ -16,6 +16,7 @@
 mod front_process;
 mod front_settings;
 mod front_state;
+mod held_rows;
 mod link_pool;
 mod list_watch;
 mod offer;
@@ -46,7 +47,7 @@
     wake_reason::*,
 };
 use {
-    call_limit::*, foreign_rows::*, part_freeing::*, peer_state::*, request_admit::*,
+    call_limit::*, foreign_rows::*, held_rows::*, part_freeing::*, peer_state::*, request_admit::*,
     request_moves::*, request_trial::*, request_try::*, return_check::*, run_lost::*,
     weight_lesson::*,
 };
--- a/entry/src/front/run_lost.rs
+++ b/entry/src/front/run_lost.rs
@@ -3,7 +3,7 @@
     pitchhitch_core::{
         serving::{
             CrashMark, EndpointChoice, EndpointStanding, FingerprintAsk, RequestFingerprint,
-            SuspectCrash,
+            SuspectCrash, SuspectStanding,
         },
         time::Micros,
     },
@@ -115,8 +115,15 @@
             ended: lost_at,
         };
         let had_news = state.suspects.has_news();
-        if state.suspects.note_crash(fingerprint, crash) && !had_news {
+        if !state.suspects.note_crash(fingerprint, crash) {
+            return;
+        }
+        if !had_news {
             front.greeting_due.wake();
         }
+        let standing = state.suspects.standing(fingerprint, 0.0, lost_at);
+        if matches!(standing, SuspectStanding::Held(_)) {
+            front.held_due.wake();
+        }
     }
 }
