--- a/entry/src/cli/command_line.rs
+++ b/entry/src/cli/command_line.rs
@@ -2,7 +2,7 @@
     super::{CliError, EXIT_CODES},
     crate::command::{
         run_apply, run_check, run_drain, run_explain, run_front_command, run_label, run_select,
-        run_serve, run_show, run_status,
+        run_serve, run_show, run_status, run_suspects,
     },
     std::process::ExitCode,
 };
@@ -14,7 +14,7 @@
     run: fn(&[String]) -> Result<(), CliError>,
 }
 
-const COMMANDS: [CommandRow; 10] = [
+const COMMANDS: [CommandRow; 11] = [
     CommandRow {
         name: "serve",
         summary: "run an entry process",
@@ -60,6 +60,11 @@
         summary: "show what an entry process knows",
         run: run_status,
     },
+    CommandRow {
+        name: "suspects",
+        summary: "show requests that end endpoints, or let one go",
+        run: run_suspects,
+    },
     CommandRow {
         name: "explain",
         summary: "tell why a request went where it went, or who holds a piece",
--- a/entry/src/command/mod.rs
+++ b/entry/src/command/mod.rs
@@ -12,8 +12,9 @@
 mod serve;
 mod show;
 mod status;
+mod suspects;
 
 pub use {
     apply::*, check::*, command_args::*, config_access::*, drain::*, explain::*, front::*,
-    label::*, select::*, serve::*, show::*, status::*,
+    label::*, select::*, serve::*, show::*, status::*, suspects::*,
 };
--- a/entry/src/front/front_process.rs
+++ b/entry/src/front/front_process.rs
@@ -1,7 +1,7 @@
 use {
     super::{
-        ask_peers, greet_engines, hand_state_on, hear_digests, keep_held, serve_caller, watch_list,
-        watch_operator, watch_stores, FrontContext, FrontSettings,
+        answer_control, ask_peers, greet_engines, hear_digests, keep_held, serve_caller,
+        watch_list, watch_operator, watch_stores, FrontContext, FrontSettings,
     },
     anyhow::Context,
     pitchhitch_core::{
@@ -51,9 +51,9 @@
     }
     let socket = BesideSocket::bind(settings.digests).await;
     let socket = socket.with_context(|| format!("cannot listen on {}", settings.digests))?;
-    front.spawn(serve_small(settings.digests, front.clone(), hand_state_on).await?);
+    front.spawn(serve_small(settings.digests, front.clone(), answer_control).await?);
     if let Some(control) = settings.control {
-        front.spawn(serve_small(control, front.clone(), hand_state_on).await?);
+        front.spawn(serve_small(control, front.clone(), answer_control).await?);
     }
     front.spawn(ask_peers(front.clone()));
     front.spawn(hear_digests(front.clone(), socket.clone()));
--- a/entry/src/front/mod.rs
+++ b/entry/src/front/mod.rs
@@ -37,6 +37,7 @@
 mod run_lost;
 mod store_watch;
 mod stream_relay;
+mod suspect_desk;
 mod wake_reason;
 mod weight_lesson;
 
@@ -44,7 +45,7 @@
     beside_link::*, caller_conn::*, digest_watch::*, end_probe::*, event_splitter::*,
     front_context::*, front_metrics::*, front_state::*, link_pool::*, list_watch::*, offer::*,
     operator_watch::*, plain_answer::*, request_run::*, store_watch::*, stream_relay::*,
-    wake_reason::*,
+    suspect_desk::*, wake_reason::*,
 };
 use {
     call_limit::*, foreign_rows::*, held_rows::*, part_freeing::*, peer_state::*, request_admit::*,
