--- a/entry/src/front/beside_link.rs
+++ b/entry/src/front/beside_link.rs
@@ -33,9 +33,11 @@
         let has_news = plan_turns(&front, now);
         let is_due = greeted_at.is_none_or(|at| now.since(at) >= HELLO_PAUSE);
         if has_news || is_woken || is_due {
-            greeted_at = Some(now);
             round += 1;
-            for (to, hello) in hellos(&front, round) {
+            let hellos = hellos(&front, round);
+            // A front that has just started is told of suspects only once it has greeted.
+            greeted_at = (!hellos.is_empty()).then_some(now);
+            for (to, hello) in hellos {
                 // A hello that is lost is followed by the next one.
                 if let Err(error) = socket.send(&hello, to).await {
                     let error = error.to_string();
