Fronts ask few processes beside engines for all suspects, and ask again after they missed something

Cause: each process beside an engine told each front that started all suspects: 1,024 of them from 52 are 3.7 MB (worked out from 70 bytes each) for one that may have 10 Mbit/s, and a lost word of suspects had all kept parts told anew. Change: three are asked in a round until one has told all; asked again after a standstill and after a gap in digests.

--- a/agent/src/beside/beside_context.rs
+++ b/agent/src/beside/beside_context.rs
@@ -86,6 +86,8 @@
     pub suspects: SuspectBook,
     /// Counters.
     pub metrics: BesideMetrics,
+    /// Fronts that want to be told of all suspects.
+    pub suspect_askers: BTreeSet<SocketAddr>,
     /// Fronts that want to be told all that the engine keeps.
     pub newcomers: BTreeSet<SocketAddr>,
     fronts: HashMap<SocketAddr, FrontContact>,
@@ -180,10 +182,9 @@
         }
     }
 
-    /// Whether what the engine keeps, or what is known of suspects, has changed since the
-    /// last digest.
+    /// Whether what the engine keeps has changed since the last digest.
     pub fn has_changes(&self) -> bool {
-        self.forgets || !self.pending.is_empty() || self.suspects.has_news()
+        self.forgets || !self.pending.is_empty()
     }
 
     /// Notes that a front was heard, with a greeting that was on its way for `age` at most
--- a/agent/src/beside/digest_sender.rs
+++ b/agent/src/beside/digest_sender.rs
@@ -1,10 +1,13 @@
 use {
     super::{BesideContext, BesideState},
-    pitchhitch_core::{serving::EngineLoad, time::Micros},
+    pitchhitch_core::{
+        serving::{EngineLoad, ToldSuspect},
+        time::Micros,
+    },
     pitchhitch_process::to_duration,
     pitchhitch_wire::beside::{DigestEcho, DigestPart, EngineDigest, FrontHello},
     smol::Timer,
-    std::{collections::BTreeSet, net::SocketAddr, rc::Rc, time::Duration},
+    std::{net::SocketAddr, rc::Rc, time::Duration},
 };
 
 /// How often it is looked whether there is something to tell, with few fronts.
@@ -40,6 +43,10 @@
                 let age = state.sent.greeting_age(hello.echo, now);
                 state.heard(from, age, hello.echo.is_none(), now);
                 state.keeper.heard(&hello, age, from, domain, now);
+                if hello.wants_suspects {
+                    state.suspect_askers.insert(from);
+                    beside.digest_due.wake();
+                }
                 if hello.wants_all {
                     state.newcomers.insert(from);
                 }
@@ -118,11 +125,12 @@
             0..MANY_FRONTS => LOOK_PAUSE,
             _ => LOOK_PAUSE_MANY,
         };
+        tell_suspects(&beside, &mut count, fronts.len() as u32).await;
         tell_newcomers(&beside, &mut count, fronts.len() as u32).await;
         announce(&beside, &mut count, fronts.len() as u32).await;
         let load = beside.state().told_load();
         let has_changes = beside.state().has_changes();
-        let is_news = load != told || has_changes;
+        let is_news = load != told || has_changes || beside.state().suspects.has_news();
         if fronts.is_empty() || (!is_news && now.since(told_at) < QUIET_LIMIT) {
             continue;
         }
@@ -151,7 +159,6 @@
     if newcomers.is_empty() {
         return;
     }
-    tell_suspects(beside, count, fronts, &newcomers).await;
     let kept = beside.state().kept();
     let load = beside.state().told_load();
     let mut pieces: Vec<Vec<DigestPart>> = kept.chunks(PARTS_LIMIT).map(<[_]>::to_vec).collect();
@@ -169,14 +176,16 @@
     }
 }
 
-/// Tells fronts that have just come of all suspects, before they take what they were told
-/// for whole.
+/// Tells fronts that have just started, or missed something, of all suspects.
 async fn tell_suspects(
     beside: &BesideContext,
     count: &mut DigestCount,
     fronts: u32,
-    newcomers: &BTreeSet<SocketAddr>,
 ) {
+    let askers = std::mem::take(&mut beside.state().suspect_askers);
+    if askers.is_empty() {
+        return;
+    }
     let now = beside.now();
     let told = {
         let mut state = beside.state();
@@ -184,11 +193,17 @@
         state.suspects.told(now)
     };
     let load = beside.state().told_load();
-    for some in told.chunks(SUSPECTS_LIMIT) {
+    let mut pieces: Vec<&[ToldSuspect]> = told.chunks(SUSPECTS_LIMIT).collect();
+    if pieces.is_empty() {
+        pieces.push(&[]);
+    }
+    let last = pieces.len() - 1;
+    for (place, piece) in pieces.into_iter().enumerate() {
         count.number += 1;
         let mut digest = make_digest(beside, load, *count, fronts, Vec::new());
-        digest.suspects = some.to_vec();
-        for front in newcomers {
+        digest.suspects = piece.to_vec();
+        digest.has_all_suspects = place == last;
+        for front in &askers {
             send(beside, &digest, *front).await;
         }
     }
@@ -254,6 +269,7 @@
         is_whole: false,
         parts,
         suspects: Vec::new(),
+        has_all_suspects: false,
         endpoint: None,
     }
 }
--- a/entry/src/front/beside_link.rs
+++ b/entry/src/front/beside_link.rs
@@ -96,6 +96,7 @@
     let mut hellos: Vec<_> = present.iter().filter_map(hello).collect();
     for place in told_places(hellos.len(), round) {
         hellos[place].1.suspects.clone_from(&news);
+        hellos[place].1.wants_suspects = state.wants_suspects;
     }
     hellos
 }
@@ -151,6 +152,7 @@
         }),
         is_leaving,
         suspects: Vec::new(),
+        wants_suspects: false,
         wanted: wanted.collect(),
         // Parts of one that is away are not kept, so they are asked for when it is back.
         wants_all: !entry.is_mirrored && entry.is_listed(),
--- a/entry/src/front/digest_watch.rs
+++ b/entry/src/front/digest_watch.rs
@@ -116,6 +116,7 @@
             // All that is kept is asked for anew, with the next hello.
             front.metrics.count("digests", "gap");
             entry.is_mirrored = false;
+            state.wants_suspects = true;
         }
         DigestOrder::Next => {}
     }
@@ -156,7 +157,10 @@
             );
         }
     }
-    state.knows_suspects |= digest.is_whole;
+    if digest.has_all_suspects {
+        state.knows_suspects = true;
+        state.wants_suspects = false;
+    }
 }
 
 fn note_place(
--- a/entry/src/front/front_process.rs
+++ b/entry/src/front/front_process.rs
@@ -103,7 +103,9 @@
 async fn keep_time(front: Rc<FrontContext>) {
     loop {
         let now = front.now();
-        if let Some(gap) = front.state().standstill.tick(now) {
+        let gap = front.state().standstill.tick(now);
+        if let Some(gap) = gap {
+            front.state().wants_suspects = true;
             log::warn!(event = "stood-still", gap_ms = gap.as_millis(); "");
             front.metrics.count("standstills", "seen");
         }
--- a/entry/src/front/front_state.rs
+++ b/entry/src/front/front_state.rs
@@ -58,6 +58,8 @@
     pub trials: TrialTable,
     /// Whether somebody has told of all such requests in this life.
     pub knows_suspects: bool,
+    /// Whether to ask for all of them: at the start, and where something was missed.
+    pub wants_suspects: bool,
     /// Whether the store has told which are held back, in this life.
     pub has_held_rows: bool,
     /// Whether the process itself stood still.
@@ -97,6 +99,7 @@
             suspects: SuspectBook::default(),
             trials: TrialTable::default(),
             knows_suspects: false,
+            wants_suspects: true,
             has_held_rows: false,
             standstill: StandstillWatch::default(),
             stops_since: None,
--- a/wire/src/beside/engine_digest.rs
+++ b/wire/src/beside/engine_digest.rs
@@ -46,6 +46,8 @@
     pub parts: Vec<DigestPart>,
     /// Requests under which endpoints ended, as fronts told.
     pub suspects: Vec<ToldSuspect>,
+    /// Whether this ends the telling of all such requests that are known.
+    pub has_all_suspects: bool,
     /// What fronts knew of the engine; told only to those that greet no more, as they
     /// may have started anew and know of no such engine.
     pub endpoint: Option<EndpointNotice>,
--- a/wire/src/beside/front_hello.rs
+++ b/wire/src/beside/front_hello.rs
@@ -47,6 +47,8 @@
     pub echo: Option<DigestEcho>,
     /// Requests under which endpoints ended, to be told to all fronts.
     pub suspects: Vec<ToldSuspect>,
-    /// Whether the front wants to be told all that the engine keeps, and of all such requests.
+    /// Whether the front wants to be told of all such requests.
+    pub wants_suspects: bool,
+    /// Whether the front wants to be told all that the engine keeps.
     pub wants_all: bool,
 }
