Fronts that start greet as soon as they have read the list

Change: the list's first reading wakes the greeting, further rounds ask until one tells, and the wait ends after 0.5 s in place of 0.9.

--- a/entry/src/front/beside_link.rs
+++ b/entry/src/front/beside_link.rs
@@ -31,7 +31,9 @@
     loop {
         let now = front.now();
         let has_news = plan_turns(&front, now);
-        let is_due = greeted_at.is_none_or(|at| now.since(at) >= HELLO_PAUSE);
+        // A front that has just started asks in each round until it is told of suspects.
+        let is_due = greeted_at.is_none_or(|at| now.since(at) >= HELLO_PAUSE)
+            || front.state().awaits_suspects(now);
         if has_news || is_woken || is_due {
             round += 1;
             let hellos = hellos(&front, round);
--- a/entry/src/front/digest_watch.rs
+++ b/entry/src/front/digest_watch.rs
@@ -158,6 +158,10 @@
         }
     }
     if digest.has_all_suspects {
+        if !state.knows_suspects {
+            let known = state.suspects.len();
+            log::info!(event = "suspects-known", suspects = known, after_ms = now.as_millis(); "");
+        }
         state.knows_suspects = true;
         state.wants_suspects = false;
     }
--- a/entry/src/front/front_state.rs
+++ b/entry/src/front/front_state.rs
@@ -19,7 +19,7 @@
 const USUAL_FRONTS: u32 = 4;
 /// Time from its start in which a front is told of suspects, if anybody can: some greetings
 /// may get lost.
-const TOLD_WITHIN: Micros = Micros::from_millis(900);
+const TOLD_WITHIN: Micros = Micros::from_millis(500);
 /// Salts whose tags are remembered.
 const WALL_LIMIT: usize = 1_000;
 
--- a/entry/src/front/list_watch.rs
+++ b/entry/src/front/list_watch.rs
@@ -112,7 +112,10 @@
     if is_whole {
         let mut state = front.state();
         changes.extend(state.book.take_all(&listed, is_steady));
-        state.has_list = true;
+        if !std::mem::replace(&mut state.has_list, true) {
+            // It serves only once it is told of suspects, which the first greeting asks for.
+            front.greeting_due.wake();
+        }
     }
     changes.extend(front.state().book.end_overtaken());
     log_changes(front, &changes);
