An endpoint that broke one answer off and ends a moment later is found to have ended

Cause: that an endpoint goes on held for 2 s for all that broke off there, so an end within that time counted against nobody. Change: it holds for 60 ms, an end for 2 s; one that has started again meanwhile has ended without being asked. The count of a record is worked out when it changes, not for each of 1,024 when one has to be dropped.

--- a/core/src/serving/suspect_book.rs
+++ b/core/src/serving/suspect_book.rs
@@ -95,7 +95,7 @@
         newest: RequestFingerprint,
     ) {
         let others = self.records.iter().filter(|(known, _)| **known != newest);
-        let least = others.min_by_key(|(_, record)| (record.count(), record.last_news()));
+        let least = others.min_by_key(|(_, record)| (record.count, record.last_news()));
         if let Some(least) = least.map(|(known, _)| *known) {
             self.records.remove(&least);
             self.news.remove(&least);
@@ -134,7 +134,7 @@
             return SuspectStanding::Clear;
         };
         let rest = REST + Micros((REST.0 as f64 * spread) as u64);
-        match record.count() {
+        match record.count {
             0 => SuspectStanding::Clear,
             count if count >= HELD_AFTER => SuspectStanding::Held(HELD_FOR.since(since)),
             2 if since < rest => SuspectStanding::Resting(rest.since(since)),
@@ -244,7 +244,7 @@
     ) {
         self.records.retain(|_, record| {
             let age = now.since(record.last_news());
-            let limit = match record.count() {
+            let limit = match record.count {
                 0 => PROVEN_FOR,
                 _ => HELD_FOR,
             };
--- a/core/src/serving/suspect_record.rs
+++ b/core/src/serving/suspect_record.rs
@@ -57,6 +57,10 @@
 pub(super) struct SuspectRecord {
     crashes: Vec<SuspectCrash>,
     pub(super) answered: Option<Micros>,
+    /// Crashes that count: each of a run that was sent after the one before. Those of
+    /// endpoints that ended together say no more than one of them, as a request that many
+    /// ask is at all of them; so does what was sent before it was answered whole.
+    pub(super) count: u32,
 }
 
 impl SuspectRecord {
@@ -68,6 +72,7 @@
         if let Some(known) = self.crashes.iter_mut().find(|k| k.mark == crash.mark) {
             known.sent = known.sent.max(crash.sent);
             known.ended = known.ended.min(crash.ended);
+            self.count = self.counted().len() as u32;
             return false;
         }
         self.crashes.push(crash);
@@ -78,6 +83,7 @@
             let spare = self.crashes.iter().position(|c| !counted.contains(&c.mark));
             self.crashes.remove(spare.unwrap_or(0));
         }
+        self.count = self.counted().len() as u32;
         true
     }
 
@@ -86,16 +92,10 @@
         &mut self,
         answered: Micros,
     ) -> bool {
-        let before = self.count();
+        let before = self.count;
         self.answered = self.answered.max(Some(answered));
-        self.count() < before
-    }
-
-    /// Crashes that count: each of a run that was sent after the one before. Those of
-    /// endpoints that ended together say no more than one of them, as a request that many
-    /// ask is at all of them; so does what was sent before it was answered whole.
-    pub(super) fn count(&self) -> u32 {
-        self.counted().len() as u32
+        self.count = self.counted().len() as u32;
+        self.count < before
     }
 
     fn counted(&self) -> Vec<CrashMark> {
--- a/entry/src/front/end_probe.rs
+++ b/entry/src/front/end_probe.rs
@@ -15,8 +15,11 @@
 const STAYS_OPEN: Micros = Micros::from_millis(25);
 /// Pause between two looks at what another request finds out.
 const LOOK_PAUSE: Micros = Micros::from_millis(4);
-/// Time for which the outcome holds for further requests of the same life.
-const OUTCOME_LIFE: Micros = Micros::from_secs(2);
+/// Time for which an end holds for further requests of the same life.
+const END_LIFE: Micros = Micros::from_secs(2);
+/// Time for which it holds that an endpoint goes on: for what broke off in the same moment.
+/// It may end a moment later.
+const SAME_MOMENT: Micros = Micros::from_millis(60);
 
 /// What is known of whether an endpoint has ended, by asking for a connection.
 #[derive(Debug, Clone, Copy)]
@@ -26,6 +29,21 @@
     has_ended: Option<bool>,
 }
 
+impl EndProbe {
+    /// Whether it answers for a run of this life that broke off now.
+    fn answers(
+        &self,
+        life: u32,
+        now: Micros,
+    ) -> bool {
+        let limit = match self.has_ended {
+            Some(false) => SAME_MOMENT,
+            Some(true) | None => END_LIFE,
+        };
+        self.life == life && now.since(self.asked_at) < limit
+    }
+}
+
 /// Whether the endpoint that has just broken a connection off has ended: nobody takes
 /// connections there. A broken connection alone shows nothing, as links are reset and
 /// answers break off at endpoints that go on. All requests that it breaks off together
@@ -36,12 +54,20 @@
     life: u32,
 ) -> bool {
     let now = front.now();
-    let is_asked =
-        |probe: &EndProbe| probe.life == life && now.since(probe.asked_at) < OUTCOME_LIFE;
-    let known = front.state().ends.get(&key).copied().filter(is_asked);
-    match known {
-        Some(_) => shared_outcome(front, key).await,
-        None => ask(front, key, life).await,
+    let (is_over, is_asked) = {
+        let state = front.state();
+        let entry = state.book.get(key);
+        let probe = state.ends.get(&key);
+        (
+            entry.is_some_and(|entry| entry.life.ended != life),
+            probe.is_some_and(|probe| probe.answers(life, now)),
+        )
+    };
+    match (is_over, is_asked) {
+        // It has started again, as the list or the process beside it told first.
+        (true, _) => true,
+        (false, true) => shared_outcome(front, key).await,
+        (false, false) => ask(front, key, life).await,
     }
 }
 
