--- /dev/null
+++ b/core/tests/trial_table.rs
@@ -0,0 +1,62 @@
+//! Suspects are kept apart from each other.
+
+use {
+    pitchhitch_core::{
+        serving::{EndpointKey, FingerprintAsk, RequestFingerprint, TrialTable},
+        time::Micros,
+    },
+    slotmap::SlotMap,
+};
+
+const NOW: Micros = Micros::from_secs(10);
+
+fn named(body: &[u8]) -> RequestFingerprint {
+    RequestFingerprint::of(&FingerprintAsk {
+        method: "POST",
+        host: "h",
+        target: "/a",
+        caller: "farm",
+        body,
+    })
+}
+
+fn endpoints() -> [EndpointKey; 2] {
+    let mut keys: SlotMap<EndpointKey, ()> = SlotMap::with_key();
+    [(); 2].map(|()| keys.insert(()))
+}
+
+#[test]
+fn two_at_most() {
+    let [first, _] = endpoints();
+    let mut table = TrialTable::default();
+    table.begin(1, named(b"a"), first, false);
+    assert!(table.barred(false, NOW).is_empty());
+    table.begin(2, named(b"b"), first, false);
+    assert!(table.barred(false, NOW).contains(&first));
+    table.end(1);
+    assert!(table.barred(false, NOW).is_empty());
+}
+
+/// One under which two have ended has no other suspect beside it, whoever came first.
+#[test]
+fn alone() {
+    let [first, second] = endpoints();
+    let mut table = TrialTable::default();
+    table.begin(1, named(b"a"), first, false);
+    table.begin(2, named(b"b"), second, true);
+    assert_eq!(table.barred(true, NOW), [first, second]);
+    assert_eq!(table.barred(false, NOW), [second]);
+}
+
+/// A run proves itself a moment after its first event, or ends.
+#[test]
+fn proves_itself() {
+    let [first, _] = endpoints();
+    let mut table = TrialTable::default();
+    table.begin(1, named(b"a"), first, true);
+    table.begun(1, NOW);
+    assert!(table.has(named(b"a"), NOW + Micros::from_millis(200)));
+    assert!(!table.has(named(b"b"), NOW));
+    let later = NOW + Micros::from_millis(400);
+    assert!(!table.has(named(b"a"), later) && table.barred(false, later).is_empty());
+}
--- a/entry/src/front/digest_watch.rs
+++ b/entry/src/front/digest_watch.rs
@@ -145,8 +145,10 @@
         front.metrics.count("suspects", "told");
         let is_held = is_held(state);
         if is_held != was_held {
-            // A row of ours may name it still, or again.
-            front.held_due.wake();
+            if was_held {
+                // A row of ours may name it still.
+                front.held_due.wake();
+            }
             let fingerprint = told.fingerprint.to_string();
             log::info!(
                 event = "suspect-told",
