Suspects meet each other less: by fingerprint where endpoints cost about the same

Its lines: three ends in 0.1 s, at i-3 where all three requests were, at i-8 where their repeats went together, as it cost least at all fronts, and at i-0, which ended 1 ms after the third was sent there.

--- a/core/src/serving/endpoint_pick.rs
+++ b/core/src/serving/endpoint_pick.rs
@@ -40,6 +40,10 @@
 /// Cost of one request that a plain service holds already, in milliseconds.
 const PLAIN_QUEUE_MS: f64 = 12.0;
 
+/// Difference in cost, in milliseconds, that is not worth meeting another suspect: about a
+/// request that runs beside it.
+const ABOUT_SAME_MS: f64 = 15.0;
+
 /// What is looked for.
 #[derive(Debug, Clone, Copy)]
 pub struct PickAsk<'a> {
@@ -68,11 +72,14 @@
 /// What a suspect asks of its endpoint.
 #[derive(Debug, Clone, Copy)]
 pub struct TrialAsk<'a> {
-    /// Set where two endpoints have ended under it: a number of the request, by which it goes to
-    /// the same endpoint wherever it comes again, so that several fronts together lose one. The
-    /// others go where they cost least, as most are sound: by number, those that three waves
-    /// of crashes broke off read 133,000 tokens of shared parts again on a replayed day.
-    pub number: Option<u64>,
+    /// A number of the request: of endpoints that cost about the same it goes to one by that,
+    /// wherever it comes again. Sent by cost alone, a sound one met two others at one endpoint
+    /// after the other, and was held back.
+    pub number: u64,
+    /// Whether the number alone decides: two endpoints have ended under it. Before, most are
+    /// sound: by number alone, those that three waves of crashes broke off read 133,000 tokens
+    /// of shared parts again on a replayed day.
+    pub is_alone: bool,
     /// Endpoints that have no room for a suspect.
     pub barred: &'a [EndpointKey],
     /// Endpoints that must serve, so that it is not the last one that it may end.
@@ -201,12 +208,11 @@
             return None;
         }
         weighed.retain(|(key, _)| !trial.barred.contains(key));
-        if let Some(number) = trial.number {
-            return trial_home(&weighed, number).map(|(key, entry)| EndpointChoice {
-                candidates: weighed.len() as u32,
-                ..weigh(key, entry, ask, outlooks)
-            });
-        }
+        let choices = weighed.iter().map(|(key, entry)| EndpointChoice {
+            candidates: weighed.len() as u32,
+            ..weigh(*key, entry, ask, outlooks)
+        });
+        return trial_home(book, trial, choices.collect());
     }
     for (key, entry) in &weighed {
         let mut choice = weigh(*key, entry, ask, outlooks);
@@ -226,15 +232,22 @@
     best.map(|(_, choice)| choice)
 }
 
-/// Where a suspect runs that has a number: by that alone.
-fn trial_home<'a>(
-    weighed: &[(EndpointKey, &'a EndpointEntry)],
-    number: u64,
-) -> Option<(EndpointKey, &'a EndpointEntry)> {
-    let homes = weighed.iter();
-    homes
-        .max_by_key(|(_, entry)| mix(number, &entry.id))
-        .copied()
+/// Where a suspect runs.
+fn trial_home(
+    book: &EndpointBook,
+    trial: &TrialAsk<'_>,
+    mut choices: Vec<EndpointChoice>,
+) -> Option<EndpointChoice> {
+    let waits = choices.iter().map(|choice| choice.wait_ms);
+    let least = waits.fold(f64::INFINITY, f64::min);
+    if !trial.is_alone {
+        choices.retain(|choice| choice.wait_ms <= least + ABOUT_SAME_MS);
+    }
+    let place = |choice: &EndpointChoice| {
+        let entry = book.get(choice.key);
+        entry.map(|entry| mix(trial.number, &entry.id))
+    };
+    choices.into_iter().max_by_key(place)
 }
 
 fn weigh(
--- a/entry/src/front/request_choice.rs
+++ b/entry/src/front/request_choice.rs
@@ -101,7 +101,8 @@
         let is_alone = self.trial.is_some_and(|crashes| crashes > 1);
         let barred = state.trials.barred(is_alone, now);
         let trial = self.trial.and(self.known_as).map(|fingerprint| TrialAsk {
-            number: is_alone.then(|| fingerprint.number()),
+            number: fingerprint.number(),
+            is_alone,
             barred: &barred,
             // What has ended two is not tried on the last one.
             least: if is_alone { 2 } else { 1 },
--- a/entry/src/front/run_lost.rs
+++ b/entry/src/front/run_lost.rs
@@ -13,6 +13,10 @@
 /// what does, does so when it begins.
 const RUNS_ON: Micros = Micros::from_millis(1_000);
 
+/// Time that a run must have had before its endpoint ended: what came a moment before has
+/// hardly been read.
+const HARDLY_THERE: Micros = Micros::from_millis(15);
+
 /// The latest run of a request.
 #[derive(Debug, Clone, Copy, Default)]
 pub(super) struct LatestRun {
@@ -61,6 +65,7 @@
             (false, _) => "broken",
             (true, true) => "left",
             (true, false) if began.is_some_and(|began| began >= RUNS_ON) => "ran",
+            (true, false) if lost_at.since(self.run.sent_at) < HARDLY_THERE => "new-there",
             (true, false) => "ended",
         };
         self.log_lost(choice, word, lost_at);
