Ends count against a request only where its sender knew of those before

Cause of two_bodies: a request is held back after its third end in sequence, as the second and third are to be runs that were kept apart from other suspects. Counted was any run that was sent after the end before, also by a front that had not heard of it: three engines that end within 0.1 s held back a sound request that many ask. Ruled out: that it was sent apart and met both all the same (its runs were sent 1 to 5 ms after the ends, before the news was round).

Change: an end counts as the n-th only if its run was sent by a front that knew of the n-1 before (SuspectCrash::known). unknowing_counts_once: red before, green now; tellings_add_up with 20,000 cases green. Also: whether a request is held back stands once (SuspectBook::is_held), the front's spread stands once, and held_rows says once that the store is lost, in place of four lines a second.

--- a/core/src/serving/suspect_book.rs
+++ b/core/src/serving/suspect_book.rs
@@ -222,10 +222,20 @@
         &self,
         now: Micros,
     ) -> BTreeSet<RequestFingerprint> {
-        let is_held = |known: &&RequestFingerprint| {
-            matches!(self.standing(**known, 0.0, now), SuspectStanding::Held(_))
-        };
-        self.records.keys().filter(is_held).copied().collect()
+        let known = self.records.keys().copied();
+        known.filter(|known| self.is_held(*known, now)).collect()
+    }
+
+    /// Whether a request is held back.
+    pub fn is_held(
+        &self,
+        fingerprint: RequestFingerprint,
+        now: Micros,
+    ) -> bool {
+        matches!(
+            self.standing(fingerprint, 0.0, now),
+            SuspectStanding::Held(_)
+        )
     }
 
     /// Lets a request go, whatever is known of it; true where it was known.
--- a/core/src/serving/suspect_record.rs
+++ b/core/src/serving/suspect_record.rs
@@ -59,9 +59,11 @@
 pub(super) struct SuspectRecord {
     crashes: Vec<SuspectCrash>,
     pub(super) answered: Option<Micros>,
-    /// Crashes that count: each of a run that was sent after the one before. Those of
-    /// endpoints that ended together say no more than one of them, as a request that many
-    /// ask is at all of them; so does what was sent before it was answered whole.
+    /// Crashes that count: each of a run that was sent after the one before, by a front that
+    /// knew of all that count before it. Only such a run was kept apart from other suspects;
+    /// endpoints that end together or in quick succession say no more than one of them, as a
+    /// request that many ask is at all of them. So does what was sent before it was answered
+    /// whole.
     pub(super) count: u32,
 }
 
@@ -106,7 +108,8 @@
         let mut last: Option<Micros> = None;
         let is_open = |crash: &&SuspectCrash| self.answered.is_none_or(|at| crash.ended > at);
         for crash in self.crashes.iter().filter(is_open) {
-            if last.is_none_or(|ended| crash.sent >= ended) {
+            let is_later = last.is_none_or(|ended| crash.sent >= ended);
+            if is_later && crash.known >= counted.len() as u32 {
                 counted.push(crash.mark);
                 last = Some(crash.ended);
             }
--- a/entry/src/front/digest_watch.rs
+++ b/entry/src/front/digest_watch.rs
@@ -3,7 +3,7 @@
     pitchhitch_core::{
         serving::{
             BookChange, DigestMark, DigestOrder, EndpointEntry, EndpointKey, EndpointNotice,
-            LifeOrder, SuspectStanding,
+            LifeOrder,
         },
         time::Micros,
     },
@@ -134,16 +134,12 @@
     now: Micros,
 ) {
     for told in &digest.suspects {
-        let is_held = |state: &FrontState| {
-            let standing = state.suspects.standing(told.fingerprint, 0.0, now);
-            matches!(standing, SuspectStanding::Held(_))
-        };
-        let was_held = is_held(state);
+        let was_held = state.suspects.is_held(told.fingerprint, now);
         if !state.suspects.tell(told, now) {
             continue;
         }
         front.metrics.count("suspects", "told");
-        let is_held = is_held(state);
+        let is_held = state.suspects.is_held(told.fingerprint, now);
         if is_held != was_held {
             if was_held {
                 // A row of ours may name it still.
--- a/entry/src/front/held_rows.rs
+++ b/entry/src/front/held_rows.rs
@@ -1,9 +1,6 @@
 use {
-    super::{CallLimit, FrontContext},
-    pitchhitch_core::{
-        serving::{SuspectStanding, ToldSuspect},
-        time::Micros,
-    },
+    super::{note_contact, CallLimit, FrontContext},
+    pitchhitch_core::{serving::ToldSuspect, time::Micros},
     pitchhitch_platform::{RowPage, RowTable, RowValue, StoreClient, StoreError},
     pitchhitch_process::{to_duration, wall_seconds},
     pitchhitch_wire::codec::{decode_body, encode_body},
@@ -35,6 +32,7 @@
 pub(super) async fn keep_held(front: Rc<FrontContext>) {
     let mut limit = CallLimit::default();
     let mut client = StoreClient::new(front.settings.store, limit.next());
+    let mut is_lost = false;
     loop {
         client.set_limit(limit.next());
         let read = client.read_all(RowTable::Own).await;
@@ -50,8 +48,12 @@
         if !front.held_due.wait(WRITE_WAIT).await {
             continue;
         }
-        while let Err(error) = write_row(&front, &mut client, &mut limit).await {
-            log_written(&error.to_string(), 0);
+        loop {
+            let written = write_row(&front, &mut client, &mut limit).await;
+            note_contact(&front, "held", &mut is_lost, &written);
+            if written.is_ok() {
+                break;
+            }
             Timer::after(to_duration(RETRY_PAUSE)).await;
         }
     }
@@ -107,12 +109,8 @@
     let now = front.now();
     let suspects = {
         let state = front.state();
-        let is_held = |told: &ToldSuspect| {
-            let standing = state.suspects.standing(told.fingerprint, 0.0, now);
-            matches!(standing, SuspectStanding::Held(_))
-        };
         let mut held = state.suspects.told(now);
-        held.retain(is_held);
+        held.retain(|told| state.suspects.is_held(told.fingerprint, now));
         held.truncate(ROW_LIMIT);
         held
     };
@@ -127,13 +125,6 @@
     let written = client.put(&key, &bytes).await;
     limit.note(&written);
     written?;
-    log_written("done", count);
+    log::info!(event = "held-written", outcome = "done", held = count; "");
     Ok(())
 }
-
-fn log_written(
-    outcome: &str,
-    held: usize,
-) {
-    log::info!(event = "held-written", outcome = outcome, held = held; "");
-}
--- a/entry/src/front/request_choice.rs
+++ b/entry/src/front/request_choice.rs
@@ -1,5 +1,5 @@
 use {
-    super::{FrontState, RequestRun, USUAL_PATIENCE},
+    super::{spread_part, FrontState, RequestRun, USUAL_PATIENCE},
     pitchhitch_core::{
         serving::{
             pick_endpoint, AdmissionAsk, AdmissionVerdict, EndpointChoice, EngineGroup,
@@ -72,7 +72,7 @@
         choice: &EndpointChoice,
     ) -> Micros {
         let state = self.front.state();
-        let spread = (self.spread >> 11) as f64 / (1u64 << 53) as f64;
+        let spread = spread_part(self.spread);
         state
             .admission
             .come_back(&self.admission_ask(), &state.pace, choice, spread)
--- a/entry/src/front/request_trial.rs
+++ b/entry/src/front/request_trial.rs
@@ -1,5 +1,5 @@
 use {
-    super::{spread_number, RequestRun},
+    super::{spread_number, spread_part, RequestRun},
     pitchhitch_core::{
         serving::{RefusalKind, SuspectStanding},
         time::Micros,
@@ -36,8 +36,7 @@
             return SuspectStanding::Clear;
         }
         let fingerprint = self.fingerprint();
-        let spread = spread_number(&front.settings.box_id) >> 11;
-        let spread = spread as f64 / (1u64 << 53) as f64;
+        let spread = spread_part(spread_number(&front.settings.box_id));
         let state = front.state();
         state.suspects.standing(fingerprint, spread, front.now())
     }
--- a/entry/src/front/run_lost.rs
+++ b/entry/src/front/run_lost.rs
@@ -3,7 +3,7 @@
     pitchhitch_core::{
         serving::{
             CrashMark, EndpointChoice, EndpointStanding, FingerprintAsk, RequestFingerprint,
-            SuspectCrash, SuspectStanding,
+            SuspectCrash,
         },
         time::Micros,
     },
@@ -129,8 +129,7 @@
         if !had_news {
             front.greeting_due.wake();
         }
-        let standing = state.suspects.standing(fingerprint, 0.0, lost_at);
-        if matches!(standing, SuspectStanding::Held(_)) {
+        if state.suspects.is_held(fingerprint, lost_at) {
             front.held_due.wake();
         }
     }
