--- a/core/src/settings/settings_reader.rs
+++ b/core/src/settings/settings_reader.rs
@@ -1,5 +1,6 @@
 use {
     super::{SettingsErrors, SettingsProblem},
+    crate::time::Micros,
     serde::de::DeserializeOwned,
     serde_json::{Map, Value},
     std::{collections::BTreeSet, net::SocketAddr, ops::RangeInclusive},
@@ -131,6 +132,45 @@
         })
     }
 
+    /// A number within bounds that may be a fraction, such as a share of another.
+    pub fn fraction(
+        &mut self,
+        field: &'static str,
+        default: f64,
+        bounds: RangeInclusive<f64>,
+    ) -> f64 {
+        let value = self.take(field);
+        let number = match &value {
+            None | Some(Value::Null) => Some(default),
+            Some(value) => value.as_f64().filter(|n| bounds.contains(n)),
+        };
+        number.unwrap_or_else(|| {
+            let wanted = format!("a number from {} to {}", bounds.start(), bounds.end());
+            self.problem(field, &value, &wanted);
+            default
+        })
+    }
+
+    /// A time in milliseconds within bounds, fractions included.
+    pub fn millis(
+        &mut self,
+        field: &'static str,
+        default: f64,
+        bounds: RangeInclusive<f64>,
+    ) -> Micros {
+        Micros((self.fraction(field, default, bounds) * 1_000.0).round() as u64)
+    }
+
+    /// A time in seconds within bounds, fractions included.
+    pub fn seconds(
+        &mut self,
+        field: &'static str,
+        default: f64,
+        bounds: RangeInclusive<f64>,
+    ) -> Micros {
+        Micros((self.fraction(field, default, bounds) * 1_000_000.0).round() as u64)
+    }
+
     /// A yes or no.
     pub fn flag(
         &mut self,
--- a/entry/src/front/front_settings.rs
+++ b/entry/src/front/front_settings.rs
@@ -5,7 +5,7 @@
         time::Micros,
     },
     pitchhitch_wire::beacon::BeaconKey,
-    std::{net::SocketAddr, time::Duration},
+    std::{net::SocketAddr, ops::RangeInclusive, time::Duration},
 };
 
 /// Settings of one front process, checked.
@@ -55,6 +55,11 @@
     pub left_out: MechanismSet,
 }
 
+/// Limits that operators may set, in milliseconds.
+const LIMITS_MS: RangeInclusive<f64> = 1.0..=600_000.0;
+/// Spans that they may set, in seconds.
+const SPANS_S: RangeInclusive<f64> = 0.001..=3_600.0;
+
 /// Part of the platform's bound on old keys that is used, in hundredths: the
 /// rest covers the way of a request and a clock that runs differently.
 const KEY_LIMIT_PART: u64 = 85;
@@ -102,11 +107,10 @@
         text: &str,
     ) -> Result<Self, SettingsErrors> {
         let mut reader = SettingsReader::parse(file, text)?;
-        let ratio = reader.value("repeat_ratio", Some(0.2), "a number from 0 to 1");
         let seeds = reader.value("seeds", Some(Vec::new()), "a list of addresses and ports");
         let secret = reader.optional_text("peer_secret");
-        let weights_limit = reader.number("weights_limit_ms", 12_000, 100..=600_000);
-        let weights_limit = Micros::from_millis(weights_limit);
+        let weights_limit = reader.millis("weights_limit_ms", 12_000.0, LIMITS_MS);
+        let key_limit = reader.millis("key_limit_ms", 5_000.0, LIMITS_MS);
         let fails_closed = reader.spelled_flag("keys_fail_closed", true);
         let settings = FrontSettings {
             box_id: reader.text("box_id"),
@@ -120,29 +124,23 @@
             peer_key: secret.map(|secret| BeaconKey::from_secret(&secret)),
             beside_port: reader.number("beside_port", 7_700, 1..=65_535) as u16,
             store: reader.address("store"),
-            key_limit: Micros::from_millis(
-                reader.number("key_limit_ms", 5_000, 100..=600_000) * KEY_LIMIT_PART / 100,
-            ),
+            key_limit: Micros(key_limit.0 * KEY_LIMIT_PART / 100),
             key_policy: match fails_closed {
                 true => KeyPolicy::FailClosed,
                 false => KeyPolicy::ServeOn,
             },
-            drain_limit: Micros::from_millis(reader.number("drain_limit_ms", 2_000, 100..=600_000)),
+            drain_limit: reader.millis("drain_limit_ms", 2_000.0, LIMITS_MS),
             weights_limit: weights_limit.since(WEIGHTS_MARGIN),
             begin_limit: weights_limit.since(BEGIN_MARGIN),
             repeats: RepeatBound {
-                window: Micros::from_secs(reader.number("repeat_window_s", 10, 1..=3_600)),
-                ratio: ratio.unwrap_or_default(),
-                slack: reader.number("repeat_slack", 50, 0..=1_000_000) as f64,
+                window: reader.seconds("repeat_window_s", 10.0, SPANS_S),
+                ratio: reader.fraction("repeat_ratio", 0.2, 0.0..=1.0),
+                slack: reader.fraction("repeat_slack", 50.0, 0.0..=1_000_000.0),
             },
-            stop_limit: Duration::from_secs(reader.number("stop_limit_s", 8, 1..=3_600)),
-            memory_mb: reader.number("memory_mb", 128, 16..=1_000_000),
+            stop_limit: Duration::from_micros(reader.seconds("stop_limit_s", 8.0, SPANS_S).0),
+            memory_mb: reader.fraction("memory_mb", 128.0, 16.0..=1_000_000.0) as u64,
             left_out: read_left_out(&mut reader),
         };
-        if !(0.0..=1.0).contains(&settings.repeats.ratio) {
-            let found = settings.repeats.ratio.to_string();
-            reader.refuse("repeat_ratio", &found, "a number from 0 to 1");
-        }
         reader.finish()?;
         Ok(settings)
     }
--- /dev/null
+++ b/entry/tests/fraction_figures.rs
@@ -0,0 +1,85 @@
+//! Figures that the platform fills into a front's settings may be fractions.
+
+use {
+    pitchhitch_core::time::Micros,
+    pitchhitch_entry::front::FrontSettings,
+    serde_json::{json, Value},
+    std::{fs, path::Path, time::Duration},
+};
+
+/// Fields that the template fills with a figure.
+const FIGURES: [&str; 8] = [
+    "key_limit_ms",
+    "drain_limit_ms",
+    "weights_limit_ms",
+    "repeat_ratio",
+    "repeat_window_s",
+    "repeat_slack",
+    "stop_limit_s",
+    "memory_mb",
+];
+
+fn example() -> Value {
+    let file = Path::new(env!("CARGO_MANIFEST_DIR")).join("../settings/front.json");
+    let text = fs::read_to_string(file).expect("the example");
+    serde_json::from_str(&text).expect("json")
+}
+
+fn parse(settings: &Value) -> Result<FrontSettings, String> {
+    FrontSettings::parse("front.json", &settings.to_string()).map_err(|error| error.to_string())
+}
+
+/// A share of a figure is a fraction: fronts ended with `repeat_slack: found 36.17, wanted a
+/// whole number`.
+#[test]
+fn all_take_fractions() {
+    for field in FIGURES {
+        let mut settings = example();
+        let whole = settings[field].as_f64().expect(field);
+        settings[field] = json!(whole / 6.8);
+        if let Err(error) = parse(&settings) {
+            panic!("{field}: {error}");
+        }
+    }
+}
+
+#[test]
+fn fractions_count() {
+    let mut settings = example();
+    settings["repeat_slack"] = json!(36.176_470_588_235_3);
+    settings["drain_limit_ms"] = json!(1_500.5);
+    settings["stop_limit_s"] = json!(7.25);
+    settings["repeat_window_s"] = json!(0.5);
+    let read = parse(&settings).expect("sound");
+    assert_eq!(read.repeats.slack, 36.176_470_588_235_3);
+    assert_eq!(read.drain_limit, Micros(1_500_500));
+    assert_eq!(read.stop_limit, Duration::from_millis(7_250));
+    assert_eq!(read.repeats.window, Micros::from_millis(500));
+}
+
+/// What is no figure, or none that can be meant, names file, field, what was found and wanted.
+#[test]
+fn nonsense_refused() {
+    for field in FIGURES {
+        for wrong in [json!(-1.5), json!("many"), json!([1]), json!(1e300)] {
+            let mut settings = example();
+            settings[field] = wrong.clone();
+            let error = parse(&settings).expect_err(field);
+            let start = format!("front.json: {field}: found {wrong}, wanted a number");
+            assert!(error.starts_with(&start), "{error}");
+        }
+    }
+}
+
+/// The fields above are all that the template fills with figures.
+#[test]
+fn template_covered() {
+    let file = Path::new(env!("CARGO_MANIFEST_DIR")).join("../deploy/front.json.in");
+    let template = fs::read_to_string(file).expect("the template");
+    let is_figure = |line: &&str| line.contains(": {{") && !line.contains("|json");
+    for line in template.lines().filter(is_figure) {
+        let field = line.trim().split('"').nth(1).expect("a field");
+        let is_port = field == "beside_port";
+        assert!(is_port || FIGURES.contains(&field), "{field}");
+    }
+}
