Positions of the platform's store carry its era

Cause: nothing read Store-Era. Feeds went on behind a version as if versions only rose, a reading in pages could mix two eras, the number of orders was a version of the store, and a reading of a copy counted as proof of which keys are in force.

Change: StorePosition (era, version) has no order across eras (compare is an error); the client refuses an answer of another era than the question's, also between two pages; each reader then reads all anew, and a question that is held ends as soon as any reader sees the new era. What the copy lacks lapses and is not gone, and no reading proves keys, until those who write there had 2.2 s; others vouch for the era (HandedState::era). A front that starts believes the row once it has asked others, 0.4 s at most. Numbers of orders are era and version; one that an engine refuses is replaced at once. Held-back requests are written again by all who know them, spread over 2 s and 10 ms a front.

--- a/agent/src/beside/beside_context.rs
+++ b/agent/src/beside/beside_context.rs
@@ -1,7 +1,10 @@
 use {
     super::{BesideMetrics, BesideSettings, SentDigests, StateKeeper},
     pitchhitch_core::{
-        serving::{EndpointNotice, EngineLoad, LifeOrder, LifeWatch, PartId, SuspectBook, WallTag},
+        serving::{
+            EndpointNotice, EngineLoad, LifeOrder, LifeWatch, ListedLife, PartId, SuspectBook,
+            WallTag,
+        },
         time::Micros,
     },
     pitchhitch_process::{ProcessClock, WakeSignal},
@@ -61,11 +64,10 @@
     pub clock_ms: Option<u64>,
     /// Id of the engine, as fronts tell it.
     pub engine_id: Option<String>,
-    /// Start of the life that they mean by it, in milliseconds since 1970, and the
-    /// version of its row.
-    pub id_rank: (Option<u64>, u64),
+    /// The life that they mean by it.
+    pub id_life: ListedLife,
     /// Engine that leaves, and what is meant by its id as above.
-    pub left: Option<(String, (Option<u64>, u64))>,
+    pub left: Option<(String, ListedLife)>,
     /// Start of the engine's life, as it tells it itself.
     pub born: Option<u64>,
     /// What it tells of lives that were born earlier.
@@ -152,13 +154,16 @@
     pub fn note_id(
         &mut self,
         id: &str,
-        rank: (Option<u64>, u64),
+        life: ListedLife,
     ) -> bool {
         let is_news = self.engine_id.as_deref() != Some(id);
-        if is_news && self.engine_id.is_some() && rank <= self.id_rank {
+        let is_later = life.is_later_than(&self.id_life);
+        if is_news && self.engine_id.is_some() && !is_later {
             return false;
         }
-        self.id_rank = rank.max(self.id_rank);
+        if is_later {
+            self.id_life = life;
+        }
         if is_news {
             self.engine_id = Some(id.to_string());
         }
@@ -170,13 +175,14 @@
     pub fn note_end(
         &mut self,
         id: &str,
-        rank: (Option<u64>, u64),
+        life: ListedLife,
         is_leaving: bool,
     ) {
         let is_known = self.left.as_ref().is_some_and(|(left, _)| left == id);
-        let is_later = self.left.as_ref().is_none_or(|(_, left)| rank > *left);
+        let left = self.left.as_ref().map(|(_, left)| left);
+        let is_later = left.is_none_or(|left| life.is_later_than(left));
         if is_leaving && (!is_known || is_later) {
-            self.left = Some((id.to_string(), rank));
+            self.left = Some((id.to_string(), life));
         } else if !is_leaving && is_known && is_later {
             self.left = None;
         }
--- a/agent/src/beside/digest_sender.rs
+++ b/agent/src/beside/digest_sender.rs
@@ -1,7 +1,7 @@
 use {
     super::{BesideContext, BesideState},
     pitchhitch_core::{
-        serving::{EngineLoad, ToldSuspect},
+        serving::{EngineLoad, ListedLife, ToldSuspect},
         time::Micros,
     },
     pitchhitch_process::to_duration,
@@ -74,8 +74,11 @@
         state.suspects.tell_on(told, now);
     }
     let id = hello.engine_id.as_deref();
-    let rank = (hello.engine_born, hello.engine_row);
-    if let Some(id) = id.filter(|id| state.note_id(id, rank)) {
+    let life = ListedLife {
+        born: hello.engine_born,
+        row: hello.engine_row,
+    };
+    if let Some(id) = id.filter(|id| state.note_id(id, life)) {
         log::info!(
             event = "engine-id",
             engine = id,
@@ -85,7 +88,7 @@
         );
     }
     if let Some(id) = id {
-        state.note_end(id, rank, hello.is_leaving);
+        state.note_end(id, life, hello.is_leaving);
     }
     for named in hello.wanted {
         let wanted = state.wanted.entry(named.model.clone()).or_default();
--- a/agent/src/beside/order_giver.rs
+++ b/agent/src/beside/order_giver.rs
@@ -1,6 +1,6 @@
 use {
     super::{pause, BesideContext},
-    pitchhitch_core::time::Micros,
+    pitchhitch_core::{serving::StorePosition, time::Micros},
     pitchhitch_http1::{HttpCall, HttpClient},
     pitchhitch_platform::{
         encode_order, instance_field, StoreClient, StoreError, WeightOrder, ORDER_PATH,
@@ -18,6 +18,10 @@
 const AFTER_ORDER: Micros = Micros::from_millis(350);
 /// Time limit of a call of the platform's store.
 const STORE_LIMIT: Duration = Duration::from_millis(1_500);
+/// Bits of a number that versions take: ten years of 3,000 changes a second.
+const ERA_SHIFT: u32 = 40;
+/// Status of an order whose number is lower than one that the engine has seen.
+const FENCED_OFF: u16 = 412;
 /// Pauses between tries to get a number: they double from the first to the last.
 const FENCE_PAUSES: (Micros, Micros) = (Micros::from_millis(300), Micros::from_secs(4));
 
@@ -25,8 +29,7 @@
 /// the number that goes with them only has to rise from one life of this
 /// process to the next.
 pub(crate) async fn give_orders(beside: Rc<BesideContext>) {
-    let fence = take_fence(&beside).await;
-    log::info!(event = "fence", number = fence; "");
+    let mut fence = take_fence(&beside).await;
     let mut client = HttpClient::new(beside.settings.engine, ORDER_LIMIT);
     loop {
         pause(LOOK_PAUSE).await;
@@ -40,7 +43,9 @@
             body: encode_order(&order),
             ..HttpCall::default()
         };
-        let outcome = match client.call(call).await {
+        let answer = client.call(call).await;
+        let is_fenced_off = answer.as_ref().is_ok_and(|a| a.status == FENCED_OFF);
+        let outcome = match answer {
             Ok(answer) => answer.status.to_string(),
             Err(failure) => failure.to_string(),
         };
@@ -55,11 +60,16 @@
             ""
         );
         beside.state().metrics.count("orders", &outcome);
+        if is_fenced_off {
+            // The engine knows a higher one: without another, none of this life is taken.
+            fence = take_fence(&beside).await;
+            continue;
+        }
         pause(AFTER_ORDER).await;
     }
 }
 
-/// The number of this life: the version of a row that each life writes. A write
+/// The number of this life: the position of a row that each life writes. A write
 /// whose answer is lost is made again; the later number is the higher one.
 async fn take_fence(beside: &BesideContext) -> u64 {
     let mut client = StoreClient::new(beside.settings.store, STORE_LIMIT);
@@ -67,7 +77,17 @@
     let key = format!("fence/{}", beside.settings.box_id);
     loop {
         match client.put(&key, beside.settings.box_id.as_bytes()).await {
-            Ok(version) => return version,
+            Ok(position) => {
+                let number = fence_number(position);
+                log::info!(
+                    event = "fence",
+                    number = number,
+                    era = position.era.0,
+                    version = position.version;
+                    ""
+                );
+                return number;
+            }
             Err(error) => log_store(&error),
         }
         pause(wait).await;
@@ -75,6 +95,12 @@
     }
 }
 
+/// A position as a number that rises also where versions go back: with each era it is beyond all
+/// of the one before.
+fn fence_number(position: StorePosition) -> u64 {
+    (position.era.0 << ERA_SHIFT) | position.version
+}
+
 fn log_store(error: &StoreError) {
     let error = error.to_string();
     log::warn!(event = "store-lost", watch = "fence", error = error.as_str(); "");
--- a/core/src/serving/endpoint_book.rs
+++ b/core/src/serving/endpoint_book.rs
@@ -1,7 +1,7 @@
 use {
     super::{
         EndpointEntry, EndpointLife, EndpointNotice, EndpointReturn, EndpointStanding, PartMemory,
-        SwapPlanner, SwapStage, UnreadWork, WeightBelief,
+        StorePosition, SwapPlanner, SwapStage, UnreadWork, WeightBelief,
     },
     crate::{retry::OutlierGuard, time::Micros},
     slotmap::{new_key_type, SlotMap},
@@ -96,7 +96,7 @@
             weights: Vec::new(),
             born: entry.life.listed,
             // It rises with each heartbeat, and a copy counts as news by its content.
-            row_version: 0,
+            row: StorePosition::default(),
         };
         self.iter().map(notice).collect()
     }
@@ -142,7 +142,7 @@
             life: EndpointLife {
                 born: notice.born,
                 listed: notice.born,
-                row_version: notice.row_version,
+                row: notice.row,
                 ..EndpointLife::default()
             },
             weights,
--- a/core/src/serving/endpoint_entry.rs
+++ b/core/src/serving/endpoint_entry.rs
@@ -1,5 +1,8 @@
 use {
-    super::{EndpointLife, EndpointReturn, EnginePace, PartMemory, SwapStage, WeightBelief},
+    super::{
+        EndpointLife, EndpointReturn, EnginePace, PartMemory, StorePosition, SwapStage,
+        WeightBelief,
+    },
     crate::{retry::OutlierGuard, time::Micros},
     serde::{Deserialize, Serialize},
     std::net::SocketAddr,
@@ -27,8 +30,8 @@
     pub weights: Vec<(String, u64)>,
     /// Start of this life of the endpoint, in milliseconds since 1970, where told.
     pub born: Option<u64>,
-    /// Version of the row that says so; it rises with each change of the list.
-    pub row_version: u64,
+    /// Position of the row that says so; none is told where another box hands it on.
+    pub row: StorePosition,
 }
 
 /// What the process beside an engine reports of it.
--- a/core/src/serving/endpoint_life.rs
+++ b/core/src/serving/endpoint_life.rs
@@ -1,7 +1,8 @@
 use {
     super::{
         change, BookChange, EndpointBook, EndpointEntry, EndpointKey, EndpointNotice,
-        EndpointReturn, EndpointStanding, LifeWatch, PartMemory, SwapStage, WeightBelief,
+        EndpointReturn, EndpointStanding, LifeWatch, ListedLife, PartMemory, StorePosition,
+        SwapStage, WeightBelief,
     },
     crate::{retry::OutlierGuard, time::Micros},
     std::{collections::BTreeMap, net::SocketAddr},
@@ -67,8 +68,8 @@
     pub born: Option<u64>,
     /// Start of the life that the list tells of.
     pub listed: Option<u64>,
-    /// Version of its last row in the list.
-    pub row_version: u64,
+    /// Position of its last row in the list.
+    pub row: StorePosition,
     /// Lives that have ended since it is known; what a request learned in one of
     /// them says nothing of this one.
     pub ended: u32,
@@ -79,6 +80,14 @@
 }
 
 impl EndpointLife {
+    /// Which life the list means.
+    pub fn told(&self) -> ListedLife {
+        ListedLife {
+            born: self.listed,
+            row: self.row,
+        }
+    }
+
     /// Takes the place of a digest that tells of this life; `is_change` says whether
     /// it has changes of parts.
     pub fn note_digest(
@@ -126,7 +135,9 @@
         let is_first_word = LifeOrder::of(self.life.listed, notice.born) == LifeOrder::Later;
         self.life.born = notice.born.or(self.life.born);
         self.life.listed = notice.born.or(self.life.listed);
-        self.life.row_version = notice.row_version.max(self.life.row_version);
+        if notice.row.is_told_after(self.life.row) {
+            self.life.row = notice.row;
+        }
         for (model, version) in &notice.weights {
             // The list lags behind answers and reports, so it never sets back.
             if self
@@ -271,13 +282,11 @@
         &self,
         may_be: impl Fn(&EndpointEntry) -> bool,
     ) -> BTreeMap<SocketAddr, EndpointKey> {
-        let rank =
-            |entry: &EndpointEntry| (entry.is_listed(), entry.life.listed, entry.life.row_version);
         let is_there = |entry: &EndpointEntry| entry.may_be_there() && may_be(entry);
         let mut present: BTreeMap<SocketAddr, EndpointKey> = BTreeMap::new();
         for (key, entry) in self.iter().filter(|(_, entry)| is_there(entry)) {
             let known = present.get(&entry.address).and_then(|key| self.get(*key));
-            if known.is_none_or(|known| rank(known) <= rank(entry)) {
+            if known.is_none_or(|known| !goes_before(known, entry)) {
                 present.insert(entry.address, key);
             }
         }
@@ -285,6 +294,17 @@
     }
 }
 
+/// Whether the one of two endpoints at an address is present rather than the other.
+fn goes_before(
+    one: &EndpointEntry,
+    other: &EndpointEntry,
+) -> bool {
+    match one.is_listed() == other.is_listed() {
+        true => one.life.told().is_later_than(&other.life.told()),
+        false => one.is_listed(),
+    }
+}
+
 fn place(entry: &EndpointEntry) -> (SocketAddr, &str) {
     (entry.address, entry.service.as_str())
 }
--- a/core/src/serving/endpoint_return.rs
+++ b/core/src/serving/endpoint_return.rs
@@ -171,7 +171,7 @@
         if let Some(notice) = entry.set_back.take() {
             entry.begin_life(notice.born);
             entry.life.listed = notice.born;
-            entry.life.row_version = notice.row_version;
+            entry.life.row = notice.row;
             return entry.stand_anew(&notice, EndpointStanding::Serving, true);
         }
         entry.comeback = EndpointReturn::Away;
--- /dev/null
+++ b/core/src/serving/era_watch.rs
@@ -0,0 +1,101 @@
+use {super::StoreEra, crate::time::Micros};
+
+/// Time after the return of the platform's store in which those who write there have written
+/// again what it lost.
+pub const WRITE_AGAIN: Micros = Micros::from_millis(2_200);
+
+/// What an answer of the platform's store says of its era.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum EraNews {
+    /// It is the first one, or of the same era as the others.
+    Known,
+    /// The store has come back from a copy since.
+    Later {
+        /// Era that was known.
+        before: StoreEra,
+    },
+    /// It is a late one, of an era that is over.
+    Earlier,
+}
+
+/// Which era of the platform's store is known, and from when on a reading proves what is in
+/// force. A copy lacks what was written, and acknowledged, between it and the return.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct EraWatch {
+    known: Option<StoreEra>,
+    /// When the era was first seen, where what was written before it may be missing.
+    doubted_since: Option<Micros>,
+    /// Newest era in which another process has proven what is in force.
+    vouched: Option<StoreEra>,
+    /// Whether a call failed before any was answered: the store may come back from a copy.
+    is_missed: bool,
+}
+
+impl EraWatch {
+    /// Takes the era of an answer.
+    pub fn note(
+        &mut self,
+        era: StoreEra,
+        now: Micros,
+    ) -> EraNews {
+        let Some(known) = self.known else {
+            self.known = Some(era);
+            let is_older = self.vouched.is_some_and(|vouched| vouched < era);
+            if self.is_missed || is_older {
+                self.doubted_since = Some(now);
+            }
+            return EraNews::Known;
+        };
+        if era < known {
+            return EraNews::Earlier;
+        }
+        if era == known {
+            return EraNews::Known;
+        }
+        self.known = Some(era);
+        self.doubted_since = Some(now);
+        EraNews::Later { before: known }
+    }
+
+    /// Takes that a call had no answer.
+    pub fn missed(&mut self) {
+        self.is_missed |= self.known.is_none();
+    }
+
+    /// Takes that another process has proven in this era what is in force. True where that was
+    /// an era before the one that is known here: the store has come back since, and what was
+    /// read here before says nothing.
+    pub fn vouch(
+        &mut self,
+        era: StoreEra,
+        now: Micros,
+    ) -> bool {
+        self.vouched = self.vouched.max(Some(era));
+        let is_older = self.known.is_some_and(|known| self.vouched < Some(known));
+        if is_older && self.doubted_since.is_none() {
+            self.doubted_since = Some(now);
+            return true;
+        }
+        false
+    }
+
+    /// Whether a reading that was sent then proves what is in force.
+    pub fn proves(
+        &self,
+        sent_at: Micros,
+    ) -> bool {
+        let is_vouched = self.known.is_some() && self.vouched == self.known;
+        let is_over = |since: Micros| sent_at >= since + WRITE_AGAIN;
+        is_vouched || self.doubted_since.is_none_or(is_over)
+    }
+
+    /// When the era was first seen, where what was written before it may be missing.
+    pub fn doubted_since(&self) -> Option<Micros> {
+        self.doubted_since
+    }
+
+    /// The era that is known.
+    pub fn known(&self) -> Option<StoreEra> {
+        self.known
+    }
+}
--- a/core/src/serving/key_trust.rs
+++ b/core/src/serving/key_trust.rs
@@ -42,6 +42,12 @@
         self.proven_at = self.proven_at.max(Some(sent_at));
     }
 
+    /// The platform's store had come back from a copy: no reading of this process has proven
+    /// anything.
+    pub fn unprove(&mut self) {
+        self.proven_at = None;
+    }
+
     /// Notes knowledge that another box handed on; it keeps its age.
     pub fn handed_on(
         &mut self,
@@ -59,6 +65,17 @@
         self.proven_at
     }
 
+    /// Whether no reading has proven anything for longer than two questions take that are held
+    /// for so long each.
+    pub fn is_behind(
+        &self,
+        held_for: Micros,
+        now: Micros,
+    ) -> bool {
+        let limit = held_for + held_for;
+        self.proven_at.is_some_and(|at| now.since(at) > limit)
+    }
+
     /// Age of the knowledge, if there is any.
     pub fn age(
         &self,
--- a/core/src/serving/mod.rs
+++ b/core/src/serving/mod.rs
@@ -13,10 +13,12 @@
 mod endpoint_pick;
 mod endpoint_return;
 mod engine_pace;
+mod era_watch;
 mod key_policy;
 mod key_trust;
 mod kv_store;
 mod life_watch;
+mod listed_life;
 mod mechanism_set;
 mod memory_map;
 mod part_fate;
@@ -34,6 +36,7 @@
 mod serving_config;
 mod serving_mechanism;
 mod standstill_watch;
+mod store_position;
 mod store_view;
 mod suspect_book;
 mod suspect_record;
@@ -50,10 +53,11 @@
 pub use {
     admission_ask::*, admission_rule::*, admission_verdict::*, caller_limits::*, endpoint_book::*,
     endpoint_entry::*, endpoint_life::*, endpoint_pick::*, endpoint_return::*, engine_pace::*,
-    key_policy::*, key_trust::*, kv_store::*, life_watch::*, mechanism_set::*, memory_map::*,
-    part_fate::*, part_memory::*, path_index::*, prompt_ask::*, prompt_part::*, rank_shares::*,
-    read_proofs::*, refusal_kind::*, repeat_meter::*, request_fingerprint::*, route_habits::*,
-    served_route::*, serving_config::*, serving_mechanism::*, standstill_watch::*, store_view::*,
-    suspect_book::*, suspect_record::*, swap_planner::*, told_life::*, told_naming::*,
-    trial_table::*, wall_name::*, weight_belief::*, weight_bounds::*, weight_namings::*,
+    era_watch::*, key_policy::*, key_trust::*, kv_store::*, life_watch::*, listed_life::*,
+    mechanism_set::*, memory_map::*, part_fate::*, part_memory::*, path_index::*, prompt_ask::*,
+    prompt_part::*, rank_shares::*, read_proofs::*, refusal_kind::*, repeat_meter::*,
+    request_fingerprint::*, route_habits::*, served_route::*, serving_config::*,
+    serving_mechanism::*, standstill_watch::*, store_position::*, store_view::*, suspect_book::*,
+    suspect_record::*, swap_planner::*, told_life::*, told_naming::*, trial_table::*, wall_name::*,
+    weight_belief::*, weight_bounds::*, weight_namings::*,
 };
--- a/core/tests/endpoint_book.rs
+++ b/core/tests/endpoint_book.rs
@@ -1,7 +1,9 @@
 //! Which endpoints may get requests, through lapses, returns and reused addresses.
 
 use pitchhitch_core::{
-    serving::{BookChange, EndpointBook, EndpointNotice, EndpointStanding},
+    serving::{
+        BookChange, EndpointBook, EndpointNotice, EndpointStanding, StoreEra, StorePosition,
+    },
     time::Micros,
 };
 
@@ -156,7 +158,10 @@
 fn address_reused() {
     let mut book = EndpointBook::default();
     book.take(&EndpointNotice {
-        row_version: 9,
+        row: StorePosition {
+            era: StoreEra(1),
+            version: 9,
+        },
         ..notice("old", 1, false)
     });
     book.gone("old", true);
--- a/core/tests/endpoint_lives.rs
+++ b/core/tests/endpoint_lives.rs
@@ -5,7 +5,7 @@
         serving::{
             BookChange, DigestMark, DigestOrder, EndpointBook, EndpointEntry, EndpointKey,
             EndpointLife, EndpointNotice, EndpointStanding, EngineLoad, LifeOrder, PartId,
-            UnreadWork, WallTag,
+            StoreEra, StorePosition, UnreadWork, WallTag,
         },
         time::Micros,
     },
@@ -112,15 +112,15 @@
     for is_leaving in [false, true] {
         let mut late = notice("e", Some(4), is_leaving);
         late.weights = vec![("m".to_string(), 9)];
-        late.row_version = 99;
+        late.row = row_at(1, 99);
         assert_eq!(book.take(&late), None);
     }
     assert_eq!(book.take_all(&[notice("e", Some(4), true)], true), []);
     let entry = book.get(key).expect("entry");
     assert_eq!(entry.weights.version("m"), Some(4));
     assert_eq!(
-        (entry.standing, entry.life.row_version),
-        (EndpointStanding::Serving, 0)
+        (entry.standing, entry.life.row),
+        (EndpointStanding::Serving, StorePosition::default())
     );
 }
 
@@ -225,8 +225,8 @@
 #[test]
 fn present_one() {
     let mut book = EndpointBook::default();
-    let row = |id: &str, born: Option<u64>, row_version: u64| EndpointNotice {
-        row_version,
+    let row = |id: &str, born: Option<u64>, version: u64| EndpointNotice {
+        row: row_at(1, version),
         ..notice(id, born, false)
     };
     let present = |book: &EndpointBook| {
@@ -238,6 +238,13 @@
     assert_eq!(present(&book).as_deref(), Some("b"));
     book.take(&row("a", None, 4));
     assert_eq!(present(&book).as_deref(), Some("a"), "listed last");
+    // A store that came back from a copy gives its versions out again.
+    let again = EndpointNotice {
+        row: row_at(2, 3),
+        ..row("b", None, 0)
+    };
+    book.take(&again);
+    assert_eq!(present(&book).as_deref(), Some("b"), "listed last");
     book.take(&row("c", Some(5), 1));
     assert_eq!(present(&book).as_deref(), Some("c"), "its birth is known");
     book.take(&row("d", Some(6), 0));
@@ -245,6 +252,16 @@
     assert_eq!(book.present_at(address(), |entry| entry.id == "x"), None);
 }
 
+fn row_at(
+    era: u64,
+    version: u64,
+) -> StorePosition {
+    StorePosition {
+        era: StoreEra(era),
+        version,
+    }
+}
+
 fn mark(
     life: u64,
     number: u64,
--- a/entry/src/front/beside_link.rs
+++ b/entry/src/front/beside_link.rs
@@ -146,7 +146,7 @@
         engine_id: Some(entry.id.clone()),
         // What a digest tells may be of another id at the address.
         engine_born: entry.life.listed,
-        engine_row: entry.life.row_version,
+        engine_row: entry.life.row,
         state: handed,
         echo: entry.life.digest.map(|digest| DigestEcho {
             life: digest.life,
--- a/entry/src/front/front_context.rs
+++ b/entry/src/front/front_context.rs
@@ -24,6 +24,8 @@
     pub greeting_due: WakeSignal,
     /// Wakes the writing of requests that are held back.
     pub held_due: WakeSignal,
+    /// Ends the question that is held at the platform's store, which has come back from a copy.
+    pub era_over: WakeSignal,
     state: RefCell<FrontState>,
     executor: LocalExecutor<'static>,
 }
@@ -38,6 +40,7 @@
             metrics: FrontMetrics::default(),
             greeting_due: WakeSignal::default(),
             held_due: WakeSignal::default(),
+            era_over: WakeSignal::default(),
             executor: LocalExecutor::new(),
         })
     }
--- a/entry/src/front/front_state.rs
+++ b/entry/src/front/front_state.rs
@@ -2,9 +2,9 @@
     super::{is_engine, EndProbe, FrontSettings, LinkPool},
     pitchhitch_core::{
         serving::{
-            AdmissionRule, EndpointBook, EndpointKey, EnginePace, KeyTrust, MemoryMap, ReadProofs,
-            RepeatMeter, ServingConfig, StandstillWatch, SuspectBook, SwapPlanner, TrialTable,
-            WallName, WallTag,
+            AdmissionRule, EndpointBook, EndpointKey, EnginePace, EraWatch, KeyTrust, MemoryMap,
+            ReadProofs, RepeatMeter, ServingConfig, StandstillWatch, StoreEra, SuspectBook,
+            SwapPlanner, TrialTable, WallName, WallTag, WRITE_AGAIN,
         },
         time::Micros,
     },
@@ -38,6 +38,15 @@
     pub has_list: bool,
     /// Age of the configuration.
     pub trust: KeyTrust,
+    /// Eras of the platform's store.
+    pub eras: EraWatch,
+    /// Era in which a reading of this process last proved the configuration.
+    pub proven_era: Option<StoreEra>,
+    /// Whether others were asked, in this life, what they know: the store's row may have gone
+    /// back, and is not believed before.
+    has_asked_peers: bool,
+    /// When the last reading of the configuration was sent that waits for that.
+    unproven_read: Option<Micros>,
     /// What is refused while engines are behind.
     pub admission: AdmissionRule,
     /// What is learned of how engines take prompts.
@@ -62,6 +71,8 @@
     pub wants_suspects: bool,
     /// Whether the store has told which are held back, in this life.
     pub has_held_rows: bool,
+    /// Whether the store has lost the rows that tell which are held back.
+    pub writes_held_again: bool,
     /// Whether the process itself stood still.
     pub standstill: StandstillWatch,
     /// Since when the process has been asked to stop.
@@ -89,6 +100,10 @@
             book: EndpointBook::default(),
             has_list: false,
             trust: KeyTrust::new(settings.key_limit, settings.key_policy),
+            eras: EraWatch::default(),
+            proven_era: None,
+            has_asked_peers: false,
+            unproven_read: None,
             admission: AdmissionRule::without(settings.left_out),
             pace: EnginePace::without(settings.left_out),
             memory: MemoryMap::without(settings.left_out),
@@ -101,6 +116,7 @@
             knows_suspects: false,
             wants_suspects: true,
             has_held_rows: false,
+            writes_held_again: false,
             standstill: StandstillWatch::default(),
             stops_since: None,
             closes_idle: false,
@@ -113,6 +129,43 @@
         }
     }
 
+    /// Takes that the configuration was read whole by a question that was sent then.
+    pub fn note_config_read(
+        &mut self,
+        sent_at: Micros,
+    ) {
+        if !self.has_asked_peers {
+            self.unproven_read = Some(sent_at);
+        } else if self.eras.proves(sent_at) {
+            self.trust.proven(sent_at);
+            self.proven_era = self.eras.known();
+        }
+    }
+
+    /// Takes that others were asked for what they know, or that nobody is there to be asked.
+    pub fn note_peers_asked(&mut self) {
+        self.has_asked_peers = true;
+        if let Some(sent_at) = self.unproven_read.take() {
+            self.note_config_read(sent_at);
+        }
+    }
+
+    /// For how long the next question for changes of the configuration may be held at the
+    /// store, where that is `usual` while all is well.
+    pub fn config_hold(
+        &self,
+        usual: Micros,
+        now: Micros,
+    ) -> Micros {
+        let doubted_since = self.eras.doubted_since();
+        match doubted_since.filter(|_| !self.eras.proves(now)) {
+            // The next one is to prove what is in force as soon as it can.
+            Some(since) => usual.min((since + WRITE_AGAIN).since(now)),
+            None if self.trust.is_behind(usual, now) => Micros::ZERO,
+            None => usual,
+        }
+    }
+
     /// Notes a request that is served from now on.
     pub fn took(
         &mut self,
--- a/entry/src/front/held_rows.rs
+++ b/entry/src/front/held_rows.rs
@@ -1,5 +1,5 @@
 use {
-    super::{note_contact, CallLimit, FrontContext},
+    super::{note_contact, note_position, CallLimit, FrontContext},
     pitchhitch_core::{serving::ToldSuspect, time::Micros},
     pitchhitch_platform::{RowPage, RowTable, RowValue, StoreClient, StoreError},
     pitchhitch_process::{to_duration, wall_seconds},
@@ -33,21 +33,27 @@
     let mut limit = CallLimit::default();
     let mut client = StoreClient::new(front.settings.store, limit.next());
     let mut is_lost = false;
-    loop {
+    let mut has_row = loop {
         client.set_limit(limit.next());
         let read = client.read_all(RowTable::Own).await;
         limit.note(&read);
-        if let Ok(page) = read {
-            take_rows(&front, page);
-            break;
+        let noted =
+            read.and_then(|page| note_position(&front, "held", page.position).map(|()| page));
+        if let Ok(page) = noted {
+            break take_rows(&front, page);
         }
         Timer::after(to_duration(RETRY_PAUSE)).await;
-    }
+    };
     front.state().has_held_rows = true;
     loop {
         if !front.held_due.wait(WRITE_WAIT).await {
             continue;
         }
+        let is_lost_there = std::mem::take(&mut front.state().writes_held_again);
+        if is_lost_there && !has_row && !holds_any(&front) {
+            continue;
+        }
+        has_row = true;
         loop {
             let written = write_row(&front, &mut client, &mut limit).await;
             note_contact(&front, "held", &mut is_lost, &written);
@@ -59,10 +65,11 @@
     }
 }
 
+/// Takes what rows tell; true where one is of this front.
 fn take_rows(
     front: &FrontContext,
     page: RowPage,
-) {
+) -> bool {
     let now = front.now();
     let mut state = front.state();
     for row in page
@@ -85,6 +92,16 @@
     }
     let held = state.suspects.held(now).len();
     log::info!(event = "held-read", held = held; "");
+    let own = own_key(front);
+    page.rows.iter().any(|row| row.key == own)
+}
+
+fn holds_any(front: &FrontContext) -> bool {
+    !front.state().suspects.held(front.now()).is_empty()
+}
+
+fn own_key(front: &FrontContext) -> String {
+    format!("{KEY_PREFIX}{}", front.settings.box_id)
 }
 
 /// What was told so long ago.
@@ -120,9 +137,8 @@
         suspects,
     };
     let bytes = encode_body(&row).map_err(|e| StoreError::Unreadable(e.to_string()))?;
-    let key = format!("{KEY_PREFIX}{}", front.settings.box_id);
     client.set_limit(limit.next());
-    let written = client.put(&key, &bytes).await;
+    let written = client.put(&own_key(front), &bytes).await;
     limit.note(&written);
     written?;
     log::info!(event = "held-written", outcome = "done", held = count; "");
--- a/entry/src/front/list_watch.rs
+++ b/entry/src/front/list_watch.rs
@@ -1,30 +1,27 @@
 use {
-    super::{ask_returned, note_contact, CallLimit, ForeignRows, FrontContext},
+    super::{ask_returned, note_contact, note_position, CallLimit, ForeignRows, FrontContext},
     pitchhitch_core::{
-        serving::{BookChange, EndpointNotice},
+        serving::{BookChange, EndpointNotice, StorePosition, WRITE_AGAIN},
         time::Micros,
     },
-    pitchhitch_platform::{decode_row, RowNews, RowPage, RowTable, StoreClient, StoreError},
+    pitchhitch_platform::{decode_row, RowNews, RowPage, RowTable, StoreClient},
     pitchhitch_process::to_duration,
     smol::Timer,
     std::{rc::Rc, time::Duration},
 };
 
-/// Pause before the next try where the list was never read: without it nothing
-/// can be served.
+/// Pause before the list is read whole: without it nothing can be served, and what has
+/// changed is not known.
 const FIRST_LOOK_PAUSE: Micros = Micros::from_millis(150);
 /// A look that takes longer shows a store that is slow.
 const SLOW_LOOK: Micros = Micros::from_millis(400);
-/// Time without trouble after which the list is trusted again: endpoints enter
-/// themselves anew in about a second.
-const TRUST_AFTER: Micros = Micros::from_millis(2_200);
 
 /// Keeps the list of endpoints fresh.
 pub(crate) async fn watch_list(front: Rc<FrontContext>) {
     let mut limit = CallLimit::default();
     let mut client = StoreClient::new(front.settings.store, limit.next());
     let mut foreign = ForeignRows::new("list");
-    let mut seen: Option<u64> = None;
+    let mut seen: Option<StorePosition> = None;
     let mut is_lost = false;
     let mut trouble_at: Option<Micros> = None;
     loop {
@@ -43,12 +40,18 @@
         if read.is_err() || now.since(sent_at) > SLOW_LOOK {
             trouble_at = Some(now);
         }
-        let is_steady = trouble_at.is_none_or(|at| now.since(at) > TRUST_AFTER);
-        let outcome = match read {
+        let noted = match &read {
+            Ok(page) => note_position(&front, "list", page.position),
+            Err(_) => Ok(()),
+        };
+        let doubted = front.state().eras.doubted_since();
+        trouble_at = trouble_at.max(doubted.filter(|at| now.since(*at) <= WRITE_AGAIN));
+        let is_steady = trouble_at.is_none_or(|at| now.since(at) > WRITE_AGAIN);
+        let outcome = match noted.and(read) {
             Ok(page) => {
-                let version = page.version;
+                let position = page.position;
                 take_page(&front, page, seen.is_none(), is_steady, &mut foreign);
-                seen = Some(version);
+                seen = Some(position);
                 Ok(())
             }
             Err(error) => Err(error),
@@ -61,21 +64,24 @@
                 log_changes(&front, &changes);
             }
             Ok(()) => {}
-            Err(StoreError::HistoryGone | StoreError::Unreadable(_)) => seen = None,
+            Err(error) if error.wants_all() => seen = None,
             Err(_) => {}
         }
         ask_returned(&front);
         tidy(&front);
-        Timer::after(to_duration(look_pause(&front))).await;
+        Timer::after(to_duration(look_pause(&front, seen))).await;
     }
 }
 
 /// Each endpoint changes its entry about every second, so a held call would come back
 /// at once all the time: the list is looked at by a pace of its own.
-fn look_pause(front: &FrontContext) -> Micros {
-    match front.state().has_list {
-        true => front.settings.list_pause(),
-        false => FIRST_LOOK_PAUSE,
+fn look_pause(
+    front: &FrontContext,
+    seen: Option<StorePosition>,
+) -> Micros {
+    match seen {
+        Some(_) => front.settings.list_pause(),
+        None => FIRST_LOOK_PAUSE,
     }
 }
 
@@ -88,6 +94,7 @@
 ) {
     let mut listed: Vec<EndpointNotice> = Vec::new();
     let mut changes = Vec::new();
+    let position = page.position;
     for row in page.rows {
         let key = row.key.clone();
         let news = match decode_row(RowTable::Endpoints, row) {
@@ -110,6 +117,14 @@
         }
     }
     if is_whole {
+        log::info!(
+            event = "list-read",
+            endpoints = listed.len(),
+            era = position.era.0,
+            version = position.version,
+            steady = is_steady;
+            ""
+        );
         let mut state = front.state();
         changes.extend(state.book.take_all(&listed, is_steady));
         if !std::mem::replace(&mut state.has_list, true) {
--- a/entry/src/front/mod.rs
+++ b/entry/src/front/mod.rs
@@ -35,6 +35,7 @@
 mod request_try;
 mod return_check;
 mod run_lost;
+mod store_contact;
 mod store_watch;
 mod stream_relay;
 mod suspect_desk;
@@ -44,8 +45,8 @@
 pub(crate) use {
     beside_link::*, caller_conn::*, digest_watch::*, end_probe::*, event_splitter::*,
     front_context::*, front_metrics::*, front_state::*, link_pool::*, list_watch::*, offer::*,
-    operator_watch::*, plain_answer::*, request_run::*, store_watch::*, stream_relay::*,
-    suspect_desk::*, wake_reason::*,
+    operator_watch::*, plain_answer::*, request_run::*, store_contact::*, store_watch::*,
+    stream_relay::*, suspect_desk::*, wake_reason::*,
 };
 use {
     call_limit::*, foreign_rows::*, held_rows::*, part_freeing::*, peer_state::*, request_admit::*,
--- a/entry/src/front/operator_watch.rs
+++ b/entry/src/front/operator_watch.rs
@@ -1,54 +1,78 @@
 use {
-    super::{CallLimit, ForeignRows, FrontContext},
-    pitchhitch_core::{serving::ServingConfig, time::Micros},
+    super::{note_contact, note_position, CallLimit, ForeignRows, FrontContext},
+    futures_lite::future::or,
+    pitchhitch_core::{
+        serving::{ServingConfig, StorePosition},
+        time::Micros,
+    },
     pitchhitch_platform::{
         decode_config, decode_row, NamedWeights, RowFault, RowNews, RowPage, RowTable, StoreClient,
         StoreError, StoreRow, CONFIG_KEY,
     },
     pitchhitch_process::to_duration,
     smol::Timer,
-    std::rc::Rc,
+    std::{rc::Rc, time::Duration},
 };
 
 /// Pause after a call that failed.
 const RETRY_PAUSE: Micros = Micros::from_millis(150);
+/// Only ends one wait for the end of an era, and begins the next.
+const ERA_WAIT: Duration = Duration::from_secs(60);
 
 /// Keeps the configuration fresh.
 pub(crate) async fn watch_operator(front: Rc<FrontContext>) {
     let mut limit = CallLimit::default();
     let mut client = StoreClient::new(front.settings.store, limit.next());
-    let wait = to_duration(front.settings.change_wait());
     let mut foreign = ForeignRows::new("operator");
-    let mut seen: Option<u64> = None;
+    let mut seen: Option<StorePosition> = None;
     let mut is_lost = false;
     loop {
         let sent_at = front.now();
         client.set_limit(limit.next());
-        let hold = limit.hold(wait);
-        let read = match seen {
-            Some(after) => client.read_changes(RowTable::Operator, after, hold).await,
-            None => client.read_all(RowTable::Operator).await,
-        };
+        let hold = front
+            .state()
+            .config_hold(front.settings.change_wait(), sent_at);
+        let hold = limit.hold(to_duration(hold));
+        let read = read_operator(&front, &mut client, seen, hold).await;
         limit.note(&read);
         let outcome = match read {
-            Ok(page) => {
-                seen = Some(seen.unwrap_or(0).max(page.version));
+            Ok(page) => note_position(&front, "operator", page.position).map(|()| {
+                seen = Some(page.position);
                 take_rows(&front, page, sent_at, &mut foreign);
-                Ok(())
-            }
+            }),
             Err(error) => Err(error),
         };
         note_contact(&front, "operator", &mut is_lost, &outcome);
-        if let Err(error) = outcome {
-            // Everything is read anew where it is not sure what was missed.
-            if matches!(error, StoreError::HistoryGone | StoreError::Unreadable(_)) {
-                seen = None;
+        match outcome {
+            Ok(()) => {}
+            Err(error) => {
+                if error.wants_all() {
+                    seen = None;
+                }
+                Timer::after(to_duration(RETRY_PAUSE)).await;
             }
-            Timer::after(to_duration(RETRY_PAUSE)).await;
         }
     }
 }
 
+/// Reads all that the operator wrote, or waits for what changed since.
+async fn read_operator(
+    front: &FrontContext,
+    client: &mut StoreClient,
+    seen: Option<StorePosition>,
+    hold: Duration,
+) -> Result<RowPage, StoreError> {
+    let Some(after) = seen else {
+        return client.read_all(RowTable::Operator).await;
+    };
+    let changes = client.read_changes(RowTable::Operator, after, hold);
+    let other_era = async {
+        while !front.era_over.wait(ERA_WAIT).await {}
+        Err(StoreError::OtherEra)
+    };
+    or(changes, other_era).await
+}
+
 fn take_rows(
     front: &FrontContext,
     page: RowPage,
@@ -64,7 +88,7 @@
     }
     // A configuration that cannot be read may take keys away.
     if !foreign.has(CONFIG_KEY) {
-        front.state().trust.proven(sent_at);
+        front.state().note_config_read(sent_at);
     }
 }
 
@@ -134,27 +158,3 @@
         state.config_text = text;
     }
 }
-
-/// Logs that the store was lost or is back, once each.
-pub(crate) fn note_contact(
-    front: &FrontContext,
-    watch: &'static str,
-    is_lost: &mut bool,
-    outcome: &Result<(), StoreError>,
-) {
-    match outcome {
-        Ok(()) if *is_lost => {
-            *is_lost = false;
-            log::info!(event = "store-back", watch = watch; "");
-        }
-        Err(error) => {
-            front.metrics.count("store_failures", watch);
-            if !*is_lost {
-                *is_lost = true;
-                let error = error.to_string();
-                log::warn!(event = "store-lost", watch = watch, error = error.as_str(); "");
-            }
-        }
-        Ok(()) => {}
-    }
-}
--- a/entry/src/front/peer_state.rs
+++ b/entry/src/front/peer_state.rs
@@ -1,11 +1,11 @@
 use {
-    super::{log_changes, take_config, FrontContext},
+    super::{is_engine, log_changes, spread_number, take_config, FrontContext},
     pitchhitch_core::{serving::TELL_LIMIT, time::Micros},
     pitchhitch_platform::decode_config,
     pitchhitch_process::to_duration,
     pitchhitch_wire::beside::{ask_state, HandedState, STATE_PATH},
     smol::Timer,
-    std::{net::SocketAddr, rc::Rc, time::Duration},
+    std::{collections::BTreeSet, net::SocketAddr, rc::Rc, time::Duration},
 };
 
 /// Time limit of a question: peers are a millisecond or two away, and one that is
@@ -16,6 +16,8 @@
 /// Time from the start for which peers are asked in any case: the store's row may
 /// have gone back, or may show an older configuration for a moment.
 const FIRST_QUESTIONS: Micros = Micros::from_millis(1_500);
+/// Time from the start after which the store's row is believed though nobody has answered.
+const FIRST_ANSWER: Micros = Micros::from_millis(400);
 /// Pause between two questions where only the age of namings is still to be told.
 const AGE_PAUSE: Micros = Micros::from_millis(400);
 
@@ -40,6 +42,7 @@
         config: Vec::new(),
         version: config.version,
         age: state.trust.age(now)?,
+        era: state.proven_era,
         weights: state.planner.told_namings(now),
         endpoints: state.book.notices(),
         lives: state.memory.lives(now),
@@ -77,10 +80,14 @@
 
 /// Asks peers for what they know, until the store or one of them has told it.
 pub(super) async fn ask_peers(front: Rc<FrontContext>) {
-    let mut turn = 0;
+    // Fronts that start together do not all ask the same one.
+    let mut turn = spread_number(&front.settings.box_id) as usize;
     loop {
         let peers = peers(&front);
         let now = front.now();
+        if now > FIRST_ANSWER || (peers.is_empty() && knows_all(&front)) {
+            front.state().note_peers_asked();
+        }
         let knows_ages = front.state().planner.knows_ages(now);
         let may_end = knows_ages || now > TELL_LIMIT;
         if now > FIRST_QUESTIONS && may_end && knows_all(&front) {
@@ -88,14 +95,18 @@
         }
         let mut pause = ASK_PAUSE;
         if let Some(peer) = peers.get(turn % peers.len().max(1)) {
-            if ask_peer(&front, *peer).await && front.state().has_list {
+            let is_told = ask_peer(&front, *peer).await;
+            if is_told {
+                front.state().note_peers_asked();
+            }
+            if is_told && front.state().has_list {
                 if front.state().planner.knows_ages(front.now()) {
                     return;
                 }
                 pause = AGE_PAUSE;
             }
         }
-        turn += 1;
+        turn = turn.wrapping_add(1);
         Timer::after(to_duration(pause)).await;
     }
 }
@@ -105,14 +116,24 @@
     state.config.is_some() && state.has_list
 }
 
-/// Seeds, and the processes beside engines that have been heard.
+/// Seeds, and the processes beside engines that have been heard or are listed.
 fn peers(front: &FrontContext) -> Vec<SocketAddr> {
     let settings = &front.settings;
     let state = front.state();
-    let besides = state.besides.iter().copied();
+    let heard = state.besides.iter().copied();
+    let engines = state.config.iter().flat_map(|config| {
+        let entries = state.book.iter().map(|(_, entry)| entry);
+        entries.filter(|entry| is_engine(config, entry))
+    });
+    let listed = engines.map(|entry| SocketAddr::new(entry.address.ip(), settings.beside_port));
+    let besides: BTreeSet<SocketAddr> = heard.chain(listed).collect();
     let seeds = settings.seeds.iter().copied();
     let is_own = |peer: &SocketAddr| *peer == settings.digests || Some(*peer) == settings.control;
-    besides.chain(seeds).filter(|peer| !is_own(peer)).collect()
+    besides
+        .into_iter()
+        .chain(seeds)
+        .filter(|peer| !is_own(peer))
+        .collect()
 }
 
 /// Asks one peer; true where it told a state of one of ours.
@@ -174,6 +195,10 @@
     let now = front.now();
     let mut guard = front.state();
     let state = &mut *guard;
+    if handed.era.is_some_and(|era| state.eras.vouch(era, now)) {
+        state.trust.unprove();
+        log::warn!(event = "store-era", doubted = "read before a peer told the era before"; "");
+    }
     state.trust.handed_on(handed.age, asked_at);
     for naming in &handed.weights {
         state.planner.tell(naming, asked_at, now);
--- /dev/null
+++ b/entry/src/front/store_contact.rs
@@ -0,0 +1,91 @@
+use {
+    super::{spread_number, spread_part, FrontContext},
+    pitchhitch_core::{
+        serving::{EraNews, StorePosition},
+        time::Micros,
+    },
+    pitchhitch_platform::StoreError,
+    pitchhitch_process::to_duration,
+    smol::Timer,
+    std::rc::Rc,
+};
+
+/// Status of a store that has too many calls: it is there.
+const TOO_MANY: u16 = 429;
+/// Time over which fronts write again what a store that came back from a copy has lost, and
+/// what each further front adds to it: the store gives all of them some hundred writes a second.
+const WRITE_SPAN: Micros = Micros::from_millis(2_000);
+const WRITE_SPAN_A_FRONT: Micros = Micros::from_millis(10);
+
+/// Logs that the store was lost or is back, once each.
+pub(crate) fn note_contact(
+    front: &FrontContext,
+    watch: &'static str,
+    is_lost: &mut bool,
+    outcome: &Result<(), StoreError>,
+) {
+    match outcome {
+        Ok(()) if *is_lost => {
+            *is_lost = false;
+            log::info!(event = "store-back", watch = watch; "");
+        }
+        // It is there, and is read anew at once.
+        Err(StoreError::OtherEra) | Ok(()) => {}
+        Err(error) => {
+            front.metrics.count("store_failures", watch);
+            if !matches!(error, StoreError::Refused(TOO_MANY)) {
+                front.state().eras.missed();
+            }
+            if !*is_lost {
+                *is_lost = true;
+                let error = error.to_string();
+                log::warn!(event = "store-lost", watch = watch, error = error.as_str(); "");
+            }
+        }
+    }
+}
+
+/// Takes the position of a reading.
+///
+/// # Errors
+/// [`StoreError::EarlierEra`] where it is a late one.
+pub(super) fn note_position(
+    front: &Rc<FrontContext>,
+    watch: &'static str,
+    position: StorePosition,
+) -> Result<(), StoreError> {
+    let news = front.state().eras.note(position.era, front.now());
+    match news {
+        EraNews::Known => Ok(()),
+        EraNews::Earlier => Err(StoreError::EarlierEra),
+        EraNews::Later { before } => {
+            let config = front.state().config.as_ref().map_or(0, |c| c.version);
+            log::warn!(
+                event = "store-era",
+                era = position.era.0,
+                before = before.0,
+                version = position.version,
+                watch = watch,
+                config = config,
+                reads_anew = "operator,list",
+                writes_again = "held";
+                ""
+            );
+            front.metrics.count("store_eras", watch);
+            // What is held at the store was asked in the era before.
+            front.era_over.wake();
+            front.spawn(write_again(front.clone()));
+            Ok(())
+        }
+    }
+}
+
+/// Has what this front holds back written again, at a moment of its own.
+async fn write_again(front: Rc<FrontContext>) {
+    let fronts = u64::from(front.state().fronts);
+    let span = WRITE_SPAN.max(Micros(WRITE_SPAN_A_FRONT.0 * fronts));
+    let part = spread_part(spread_number(&front.settings.box_id));
+    Timer::after(to_duration(Micros((span.0 as f64 * part) as u64))).await;
+    front.state().writes_held_again = true;
+    front.held_due.wake();
+}
--- a/http1/src/http_client.rs
+++ b/http1/src/http_client.rs
@@ -1,5 +1,5 @@
 use {
-    super::{read_answer_head, BodyDecoder, BodyFraming, ByteLink},
+    super::{read_answer_head, BodyDecoder, BodyFraming, ByteLink, HeadFields},
     smol::Timer,
     std::{io::Write, net::SocketAddr, time::Duration},
     thiserror::Error,
@@ -30,6 +30,8 @@
 pub struct HttpAnswer {
     /// Status code.
     pub status: u16,
+    /// Headers.
+    pub fields: HeadFields,
     /// Body.
     pub body: Vec<u8>,
 }
@@ -190,6 +192,7 @@
     let closes = head.fields.has_word("connection", "close") || !link.unused().is_empty();
     let answer = HttpAnswer {
         status: head.status,
+        fields: head.fields,
         body,
     };
     Ok((answer, closes))
--- a/wire/src/beside/front_hello.rs
+++ b/wire/src/beside/front_hello.rs
@@ -1,5 +1,8 @@
 use {
-    pitchhitch_core::{serving::ToldSuspect, time::Micros},
+    pitchhitch_core::{
+        serving::{StorePosition, ToldSuspect},
+        time::Micros,
+    },
     serde::{Deserialize, Serialize},
 };
 
@@ -33,8 +36,8 @@
     pub engine_id: Option<String>,
     /// Start of its life that is listed, in milliseconds since 1970, where that is told.
     pub engine_born: Option<u64>,
-    /// Version of its last row in the list; 0 where a peer told of it.
-    pub engine_row: u64,
+    /// Position of its last row in the list; none where a peer told of it.
+    pub engine_row: StorePosition,
     /// Whether the engine leaves: it loads nothing any more, and nobody is told of it.
     pub is_leaving: bool,
     /// Weights that the engine should have.
--- a/wire/src/beside/handed_state.rs
+++ b/wire/src/beside/handed_state.rs
@@ -4,7 +4,7 @@
         codec::{decode_body, encode_body},
     },
     pitchhitch_core::{
-        serving::{EndpointNotice, ToldLife, ToldNaming},
+        serving::{EndpointNotice, StoreEra, ToldLife, ToldNaming},
         time::Micros,
     },
     serde::{Deserialize, Serialize},
@@ -28,6 +28,9 @@
     pub version: u64,
     /// Time since the reading that showed it to be the newest was sent.
     pub age: Micros,
+    /// Era of the platform's store in which that was; it is not told by a front that was only
+    /// handed its knowledge.
+    pub era: Option<StoreEra>,
     /// Named weights, the newest of each model among them.
     pub weights: Vec<ToldNaming>,
     /// Endpoints, those that leave included.
@@ -88,7 +91,8 @@
     /// stores: fronts learn of a new one one by one, and each copy would be pulled anew.
     pub fn mark(&self) -> u64 {
         let weights = self.weights.iter().map(|n| (&n.model, n.version));
-        let ageless = (&self.version, weights.collect::<Vec<_>>(), &self.endpoints);
+        let weights: Vec<_> = weights.collect();
+        let ageless = (&self.version, &self.era, weights, &self.endpoints);
         // What cannot be written has no number of its own, and is not asked for.
         let Ok(bytes) = encode_body(&ageless) else {
             return 0;
--- a/wire/tests/handed_state.rs
+++ b/wire/tests/handed_state.rs
@@ -25,6 +25,7 @@
     HandedState {
         version: 4,
         age: Micros::from_millis(100),
+        era: None,
         weights,
         ..HandedState::default()
     }
