--- a/agent/src/beside/beside_context.rs
+++ b/agent/src/beside/beside_context.rs
@@ -1,9 +1,9 @@
 use {
-    super::{BesideMetrics, BesideSettings, SentDigests, StateKeeper},
+    super::{BesideMetrics, BesideSettings, FrontContacts, SentDigests, StateKeeper, StoreReads},
     pitchhitch_core::{
         serving::{
-            EndpointNotice, EngineLoad, LifeOrder, LifeWatch, ListedLife, PartId, SuspectBook,
-            WallTag,
+            EndpointNotice, EngineLoad, LifeOrder, LifeWatch, ListedLife, PartId, ProofBook,
+            ProvenTable, SuspectBook, WallTag,
         },
         time::Micros,
     },
@@ -12,27 +12,24 @@
     smol::LocalExecutor,
     std::{
         cell::{RefCell, RefMut},
-        collections::{BTreeMap, BTreeSet, HashMap},
+        collections::{BTreeMap, BTreeSet, HashMap, VecDeque},
         future::Future,
         net::SocketAddr,
         rc::Rc,
     },
 };
 
-/// Time for which a front that is not heard still gets digests.
-const FRONT_LIFE: Micros = Micros::from_secs(5);
-/// Time after which a front that greets no more is told which engine this is: some greetings
-/// of its pace may get lost.
-const SILENT_AFTER: Micros = Micros::from_millis(1_500);
 /// Pause between two such words.
 const ANNOUNCE_PAUSE: Micros = Micros::from_secs(1);
-/// Time for which a front that is not heard is remembered, and how many fronts there may be
-/// for that. A box that stands still for longer is found by the list alone.
-const REMEMBER_FRONT: Micros = Micros::from_secs(60);
-const FRONTS_LIMIT: usize = 256;
 /// Changes of kept parts that wait for the next digest at most.
 const PENDING_LIMIT: usize = 4_000;
 
+/// Reports that are read for one digest, and how often at least and at most.
+const REPORTS_A_DIGEST: u64 = 3;
+const REPORT_PAUSES: (Micros, Micros) = (Micros::from_millis(90), Micros::from_millis(200));
+/// How often it is looked at least and at most what the engine keeps.
+const KEPT_PAUSES: (Micros, Micros) = (Micros::from_millis(30), Micros::from_millis(150));
+
 /// Weights that the engine should have, and whether it may load them now.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub(crate) struct Wanted {
@@ -42,15 +39,6 @@
     pub turn_at: Option<Micros>,
 }
 
-/// When a front was heard.
-#[derive(Debug, Clone, Copy)]
-struct FrontContact {
-    heard_at: Micros,
-    /// When it greeted at the latest, as far as is proven: greetings wait while this box
-    /// stands still.
-    greeted_at: Micros,
-}
-
 /// What the tasks share.
 #[derive(Debug, Default)]
 pub(crate) struct BesideState {
@@ -81,7 +69,7 @@
     /// Wanted weights by model.
     pub wanted: BTreeMap<String, Wanted>,
     /// Changes of kept parts that no digest has told yet.
-    pub pending: Vec<DigestPart>,
+    pub pending: VecDeque<DigestPart>,
     /// Whether the engine has forgotten what it kept before those.
     pub forgets: bool,
     /// Requests under which endpoints ended: a copy that outlives the fronts.
@@ -92,7 +80,14 @@
     pub suspect_askers: BTreeSet<SocketAddr>,
     /// Fronts that want to be told all that the engine keeps.
     pub newcomers: BTreeSet<SocketAddr>,
-    fronts: HashMap<SocketAddr, FrontContact>,
+    /// Fronts that greet.
+    pub fronts: FrontContacts,
+    /// Pause between two digests, by how many fronts there are.
+    pub digest_pause: Micros,
+    /// What fronts have read at the platform's store, by table.
+    pub proofs: BTreeMap<ProvenTable, ProofBook>,
+    /// Stores of kept parts that are read for all fronts.
+    pub stores: StoreReads,
     announced_at: Option<Micros>,
     silent_fronts: usize,
     kept: HashMap<(WallTag, PartId), u32>,
@@ -107,6 +102,29 @@
         }
     }
 
+    /// Whether weights are wanted that the engine does not have.
+    pub fn wants_order(&self) -> bool {
+        let mut weights = self.weights.iter();
+        weights.any(|(model, version)| self.wanted.get(model).is_some_and(|w| w.version > *version))
+    }
+
+    /// Pause between two reports; from the engine's own box they cost it nothing.
+    pub fn report_pause(&self) -> Micros {
+        let (least, most) = REPORT_PAUSES;
+        Micros(self.digest_pause.0 / REPORTS_A_DIGEST)
+            .max(least)
+            .min(most)
+    }
+
+    /// Pause between two looks at what the engine keeps. Calls that may be held have no price; a
+    /// busy engine exchanges what it does not use within a third of a second.
+    pub fn kept_pause(&self) -> Micros {
+        let (least, most) = KEPT_PAUSES;
+        Micros(self.digest_pause.0 / REPORTS_A_DIGEST)
+            .max(least)
+            .min(most)
+    }
+
     /// All that the engine keeps.
     pub fn kept(&self) -> Vec<DigestPart> {
         let kept = self.kept.iter().map(|((wall, id), tokens)| DigestPart {
@@ -193,53 +211,6 @@
         self.forgets || !self.pending.is_empty()
     }
 
-    /// Notes that a front was heard, with a greeting that was on its way for `age` at most
-    /// where that is known. `is_first` says whether it names no digest of ours yet.
-    pub fn heard(
-        &mut self,
-        front: SocketAddr,
-        age: Option<Micros>,
-        is_first: bool,
-        now: Micros,
-    ) {
-        let is_new = !self.fronts.contains_key(&front);
-        if is_new && self.fronts.len() >= FRONTS_LIMIT {
-            // Those that live are all told, however many; silent ones give way.
-            self.fronts
-                .retain(|_, contact| now.since(contact.heard_at) < FRONT_LIFE);
-        }
-        let known = self.fronts.get(&front);
-        let proven_at = match is_first {
-            true => now,
-            false => age.map_or(Micros::ZERO, |age| now.since(age)),
-        };
-        let contact = FrontContact {
-            heard_at: now,
-            greeted_at: known.map_or(proven_at, |known| known.greeted_at.max(proven_at)),
-        };
-        self.fronts.insert(front, contact);
-    }
-
-    /// Fronts that get digests.
-    pub fn fronts(
-        &mut self,
-        now: Micros,
-    ) -> Vec<SocketAddr> {
-        self.fronts
-            .retain(|_, contact| now.since(contact.heard_at) < REMEMBER_FRONT);
-        self.fronts_where(|contact| now.since(contact.heard_at) < FRONT_LIFE)
-    }
-
-    fn fronts_where(
-        &self,
-        holds: impl Fn(&FrontContact) -> bool,
-    ) -> Vec<SocketAddr> {
-        let fitting = self.fronts.iter().filter(|(_, contact)| holds(contact));
-        let mut fronts: Vec<SocketAddr> = fitting.map(|(front, _)| *front).collect();
-        fronts.sort_unstable();
-        fronts
-    }
-
     /// What fronts knew of the engine, and those that greet no more, where it is time to
     /// tell them.
     pub fn announcement(
@@ -250,7 +221,7 @@
         if !self.announced_at.is_none_or(is_due) {
             return None;
         }
-        let silent = self.fronts_where(|contact| now.since(contact.greeted_at) >= SILENT_AFTER);
+        let silent = self.fronts.silent(now);
         let id = self.engine_id.as_deref()?;
         if self.left.as_ref().is_some_and(|(left, _)| left == id) {
             return None;
@@ -274,13 +245,13 @@
     ) {
         // Without fronts to tell, the oldest are of no use any more.
         if self.pending.len() >= PENDING_LIMIT {
-            self.pending.remove(0);
+            self.pending.pop_front();
         }
         match part.tokens {
             0 => self.kept.remove(&(part.wall, part.id)),
             tokens => self.kept.insert((part.wall, part.id), tokens),
         };
-        self.pending.push(part);
+        self.pending.push_back(part);
     }
 }
 
@@ -296,6 +267,8 @@
     /// Wakes the sending of digests: what a front tells of suspects goes to all others at
     /// once, as callers whose request has just failed ask the next front.
     pub digest_due: WakeSignal,
+    /// Wakes the giving of orders.
+    pub order_due: WakeSignal,
     state: RefCell<BesideState>,
     executor: LocalExecutor<'static>,
 }
@@ -311,6 +284,7 @@
             clock: ProcessClock::start(),
             socket,
             digest_due: WakeSignal::default(),
+            order_due: WakeSignal::default(),
             state: RefCell::new(BesideState::default()),
             executor: LocalExecutor::new(),
         })
--- a/agent/src/beside/beside_process.rs
+++ b/agent/src/beside/beside_process.rs
@@ -1,7 +1,7 @@
 use {
     super::{
-        give_orders, hand_copy_on, hear_fronts, keep_state, send_digests, tell_figures,
-        watch_engine, watch_kept, BesideContext, BesideSettings,
+        give_orders, hand_copy_on, hear_fronts, keep_state, read_stores, send_digests,
+        tell_figures, watch_engine, watch_kept, BesideContext, BesideSettings,
     },
     anyhow::Context,
     pitchhitch_http1::serve_small,
@@ -26,6 +26,7 @@
     let mut signals = SignalWatch::start().context("cannot watch signals")?;
     let socket = BesideSocket::bind(settings.listen).await;
     let socket = socket.with_context(|| format!("cannot listen on {}", settings.listen))?;
+    let socket = socket.with_key(settings.peer_key);
     let beside = BesideContext::new(settings, socket);
     if let Some(metrics) = beside.settings.metrics {
         beside.spawn(serve_small(metrics, beside.clone(), tell_figures).await?);
@@ -38,6 +39,7 @@
     beside.spawn(hear_fronts(beside.clone()));
     beside.spawn(send_digests(beside.clone()));
     beside.spawn(give_orders(beside.clone()));
+    beside.spawn(read_stores(beside.clone()));
     beside.spawn(async {
         loop {
             Timer::after(LOG_PAUSE).await;
--- a/agent/src/beside/digest_sender.rs
+++ b/agent/src/beside/digest_sender.rs
@@ -1,23 +1,21 @@
 use {
     super::{BesideContext, BesideState},
     pitchhitch_core::{
-        serving::{EngineLoad, ListedLife, ToldSuspect},
+        serving::{digest_pause, EngineLoad, ListedLife, StoreProof, ToldSuspect},
         time::Micros,
     },
     pitchhitch_process::to_duration,
-    pitchhitch_wire::beside::{DigestEcho, DigestPart, EngineDigest, FrontHello},
+    pitchhitch_wire::beside::{DigestEcho, DigestPart, EngineDigest, FrontHello, WrittenDigest},
     smol::Timer,
     std::{net::SocketAddr, rc::Rc, time::Duration},
 };
 
-/// How often it is looked whether there is something to tell, with few fronts.
-const LOOK_PAUSE: Duration = Duration::from_millis(45);
-/// The same with many fronts: each pays for every engine's digests.
-const LOOK_PAUSE_MANY: Duration = Duration::from_millis(95);
-/// Fronts from which they are many.
-const MANY_FRONTS: usize = 8;
-/// Longest time between two digests: fronts take silence for a sign.
+/// Pause after a socket that failed.
+const FAILED_PAUSE: Duration = Duration::from_millis(45);
+/// Longest time between two digests, unless the pause is longer: fronts take silence for a sign.
 const QUIET_LIMIT: Micros = Micros::from_millis(250);
+/// Age up to which it is told what fronts have read at the platform's store.
+const PROOF_LIFE: Micros = Micros::from_secs(10);
 /// Parts in one digest.
 const PARTS_LIMIT: usize = 400;
 /// Suspects in one digest: some 100 bytes each.
@@ -34,15 +32,20 @@
 
 /// Takes what fronts say.
 pub(crate) async fn hear_fronts(beside: Rc<BesideContext>) {
+    let mut room = Vec::new();
     loop {
-        match beside.socket.receive::<FrontHello>().await {
+        match beside.socket.receive_into::<FrontHello>(&mut room).await {
             Ok((hello, from)) => {
                 let now = beside.now();
                 let mut state = beside.state();
                 let domain = &beside.settings.failure_domain;
                 let age = state.sent.greeting_age(hello.echo, now);
-                state.heard(from, age, hello.echo.is_none(), now);
+                state.fronts.heard(from, &hello, age, now);
                 state.keeper.heard(&hello, age, from, domain, now);
+                take_proofs(&mut state, &hello, age, now);
+                for store in &hello.watches {
+                    state.stores.ask(*store, now);
+                }
                 if hello.wants_suspects {
                     state.suspect_askers.insert(from);
                     beside.digest_due.wake();
@@ -54,16 +57,37 @@
                 if state.suspects.has_news() {
                     beside.digest_due.wake();
                 }
+                if state.wants_order() {
+                    beside.order_due.wake();
+                }
             }
             Err(error) => {
                 let error = error.to_string();
                 log::warn!(event = "hello-failed", error = error.as_str(); "");
-                Timer::after(LOOK_PAUSE).await;
+                Timer::after(FAILED_PAUSE).await;
             }
         }
     }
 }
 
+/// Takes what a front has read at the platform's store. What may have waited here for any time
+/// proves nothing.
+fn take_proofs(
+    state: &mut BesideState,
+    hello: &FrontHello,
+    age: Option<Micros>,
+    now: Micros,
+) {
+    let Some(age) = age else {
+        return;
+    };
+    for proof in &hello.proofs {
+        let sent_at = now.since(age + proof.age);
+        let book = state.proofs.entry(proof.table).or_default();
+        book.hear(proof, proof.source, sent_at);
+    }
+}
+
 fn take_hello(
     state: &mut BesideState,
     hello: FrontHello,
@@ -119,15 +143,12 @@
     let mut count = DigestCount::default();
     let mut told = EngineLoad::default();
     let mut told_at = Micros::ZERO;
-    let mut pause = LOOK_PAUSE;
     loop {
-        beside.digest_due.wait(pause).await;
+        let pause = beside.state().digest_pause;
+        beside.digest_due.wait(to_duration(pause)).await;
         let now = beside.now();
-        let fronts = beside.state().fronts(now);
-        pause = match fronts.len() {
-            0..MANY_FRONTS => LOOK_PAUSE,
-            _ => LOOK_PAUSE_MANY,
-        };
+        let fronts = beside.state().fronts.listening(now);
+        beside.state().digest_pause = digest_pause(fronts.len());
         tell_suspects(&beside, &mut count, fronts.len() as u32).await;
         tell_newcomers(&beside, &mut count, fronts.len() as u32).await;
         announce(&beside, &mut count, fronts.len() as u32).await;
@@ -146,12 +167,23 @@
         digest.is_change = has_changes;
         digest.suspects = beside.state().suspects.take_news(SUSPECTS_LIMIT, now);
         digest.forgets = std::mem::take(&mut beside.state().forgets);
-        for front in fronts {
-            send(&beside, &digest, front).await;
-        }
+        digest.proofs = told_proofs(&beside, now);
+        digest.stores = beside.state().stores.news(now);
+        send(&beside, &digest, &fronts).await;
     }
 }
 
+fn told_proofs(
+    beside: &BesideContext,
+    now: Micros,
+) -> Vec<StoreProof> {
+    let state = beside.state();
+    let books = state.proofs.iter();
+    books
+        .flat_map(|(table, book)| book.told(*table, PROOF_LIFE, now))
+        .collect()
+}
+
 /// Tells fronts that have just come all that the engine keeps.
 async fn tell_newcomers(
     beside: &BesideContext,
@@ -173,9 +205,8 @@
         count.number += 1;
         let mut digest = make_digest(beside, load, *count, fronts, parts);
         digest.is_whole = place == last;
-        for front in &newcomers {
-            send(beside, &digest, *front).await;
-        }
+        let newcomers: Vec<SocketAddr> = newcomers.iter().copied().collect();
+        send(beside, &digest, &newcomers).await;
     }
 }
 
@@ -206,9 +237,8 @@
         let mut digest = make_digest(beside, load, *count, fronts, Vec::new());
         digest.suspects = piece.to_vec();
         digest.has_all_suspects = place == last;
-        for front in &askers {
-            send(beside, &digest, *front).await;
-        }
+        let askers: Vec<SocketAddr> = askers.iter().copied().collect();
+        send(beside, &digest, &askers).await;
     }
 }
 
@@ -228,21 +258,29 @@
     count.number += 1;
     let mut digest = make_digest(beside, load, *count, fronts, Vec::new());
     digest.endpoint = Some(endpoint);
-    for front in silent {
-        send(beside, &digest, front).await;
-    }
+    send(beside, &digest, &silent).await;
 }
 
-/// A digest that is lost costs freshness only.
+/// Sends a digest to some fronts: it is written once, and each is told which of its greetings
+/// came last. One that is lost costs freshness only.
 async fn send(
     beside: &BesideContext,
     digest: &EngineDigest,
-    front: SocketAddr,
+    fronts: &[SocketAddr],
 ) {
-    beside.state().metrics.count("digests", "sent");
-    if let Err(error) = beside.socket.send(digest, front).await {
-        let error = error.to_string();
-        log::debug!(event = "digest-failed", error = error.as_str(); "");
+    let Ok(written) = WrittenDigest::new(digest) else {
+        return;
+    };
+    for front in fronts {
+        let echo = beside.state().fronts.echo(*front, beside.now());
+        beside.state().metrics.count("digests", "sent");
+        let Ok(body) = written.told(echo) else {
+            continue;
+        };
+        if let Err(error) = beside.socket.send_body(body, *front).await {
+            let error = error.to_string();
+            log::debug!(event = "digest-failed", error = error.as_str(); "");
+        }
     }
 }
 
@@ -274,6 +312,8 @@
         suspects: Vec::new(),
         has_all_suspects: false,
         endpoint: None,
+        proofs: Vec::new(),
+        stores: Vec::new(),
     }
 }
 
--- a/agent/src/beside/engine_watch.rs
+++ b/agent/src/beside/engine_watch.rs
@@ -2,12 +2,11 @@
     super::BesideContext,
     pitchhitch_http1::{HttpCall, HttpClient},
     pitchhitch_platform::{decode_report, EngineReport, REPORT_PATH},
+    pitchhitch_process::to_duration,
     smol::Timer,
     std::{rc::Rc, time::Duration},
 };
 
-/// Pause between two reports; from the engine's own box they cost it nothing.
-const REPORT_PAUSE: Duration = Duration::from_millis(90);
 /// Time limit of a report: the way is within the box.
 const REPORT_LIMIT: Duration = Duration::from_millis(250);
 /// Reports in a row that fail before the engine is called silent.
@@ -44,7 +43,8 @@
                 beside.state().load.is_silent = failures >= SILENT_AFTER;
             }
         }
-        Timer::after(REPORT_PAUSE).await;
+        let pause = beside.state().report_pause();
+        Timer::after(to_duration(pause)).await;
     }
 }
 
@@ -66,4 +66,7 @@
     state.weights = report.weights;
     state.orders_taken = report.orders_taken;
     state.clock_ms = report.clock_ms;
+    if state.wants_order() {
+        beside.order_due.wake();
+    }
 }
--- a/agent/src/beside/kept_watch.rs
+++ b/agent/src/beside/kept_watch.rs
@@ -2,6 +2,7 @@
     super::BesideContext,
     pitchhitch_core::serving::WallTag,
     pitchhitch_platform::{KeptChanges, KeptClient},
+    pitchhitch_process::to_duration,
     pitchhitch_wire::beside::DigestPart,
     smol::Timer,
     std::{rc::Rc, time::Duration},
@@ -9,9 +10,6 @@
 
 /// Time that a call is held while nothing changes.
 const HOLD: Duration = Duration::from_secs(1);
-/// Pause between two calls. Calls that may be held have no price; a busy engine
-/// exchanges what it does not use within a third of a second.
-const LOOK_PAUSE: Duration = Duration::from_millis(30);
 /// Pause after a call that failed.
 const FAILED_PAUSE: Duration = Duration::from_millis(400);
 /// Time limit of a call, beyond the time it is held.
@@ -30,7 +28,8 @@
             next = 0;
         }
         if epoch.is_some() {
-            Timer::after(LOOK_PAUSE).await;
+            let pause = beside.state().kept_pause();
+            Timer::after(to_duration(pause)).await;
         }
         let Ok(changes) = client.changes(next, HOLD).await else {
             Timer::after(FAILED_PAUSE).await;
--- a/agent/src/beside/order_giver.rs
+++ b/agent/src/beside/order_giver.rs
@@ -8,8 +8,10 @@
     std::{rc::Rc, time::Duration},
 };
 
-/// How often it is looked whether an order is due.
+/// How often it is looked whether an order is due, while the engine lacks weights.
 const LOOK_PAUSE: Micros = Micros::from_millis(60);
+/// Longest wait for weights that it lacks; only ends the task's wait, and nothing else.
+const LACK_WAIT: Duration = Duration::from_secs(60);
 /// Time for which a front's word that it is the engine's turn holds.
 const TURN_LIFE: Micros = Micros::from_millis(1_300);
 /// Time limit of an order; it may be carried out later all the same.
@@ -32,6 +34,9 @@
     let mut fence = take_fence(&beside).await;
     let mut client = HttpClient::new(beside.settings.engine, ORDER_LIMIT);
     loop {
+        if !beside.state().wants_order() {
+            beside.order_due.wait(LACK_WAIT).await;
+        }
         pause(LOOK_PAUSE).await;
         let Some((order, engine_id)) = due_order(&beside, fence) else {
             continue;
--- a/core/src/serving/endpoint_life.rs
+++ b/core/src/serving/endpoint_life.rs
@@ -271,8 +271,16 @@
         address: SocketAddr,
         may_be: impl Fn(&EndpointEntry) -> bool,
     ) -> Option<EndpointKey> {
-        let is_there = |entry: &EndpointEntry| entry.address == address && may_be(entry);
-        self.present(is_there).remove(&address)
+        let is_there = |entry: &EndpointEntry| {
+            entry.address == address && entry.may_be_there() && may_be(entry)
+        };
+        let mut present: Option<(EndpointKey, &EndpointEntry)> = None;
+        for (key, entry) in self.iter().filter(|(_, entry)| is_there(entry)) {
+            if present.is_none_or(|(_, known)| !goes_before(known, entry)) {
+                present = Some((key, entry));
+            }
+        }
+        present.map(|(key, _)| key)
     }
 
     /// Keys of the endpoints that are at their addresses now, of those that `may_be` admits;
--- a/core/src/serving/key_trust.rs
+++ b/core/src/serving/key_trust.rs
@@ -15,7 +15,9 @@
 pub struct KeyTrust {
     limit: Micros,
     policy: KeyPolicy,
-    proven_at: Option<Micros>,
+    read_at: Option<Micros>,
+    /// When a question was sent of which two others say what it showed.
+    witnessed_at: Option<Micros>,
     handed: Option<ToldAge>,
 }
 
@@ -29,7 +31,8 @@
         KeyTrust {
             limit,
             policy,
-            proven_at: None,
+            read_at: None,
+            witnessed_at: None,
             handed: None,
         }
     }
@@ -39,13 +42,23 @@
         &mut self,
         sent_at: Micros,
     ) {
-        self.proven_at = self.proven_at.max(Some(sent_at));
+        self.read_at = self.read_at.max(Some(sent_at));
+    }
+
+    /// Takes that two other boxes have found what is known here to be the newest, by questions
+    /// that were sent at `sent_at` or later.
+    pub fn witnessed(
+        &mut self,
+        sent_at: Micros,
+    ) {
+        self.witnessed_at = self.witnessed_at.max(Some(sent_at));
     }
 
     /// The platform's store had come back from a copy: no reading of this process has proven
     /// anything.
     pub fn unprove(&mut self) {
-        self.proven_at = None;
+        self.read_at = None;
+        self.witnessed_at = None;
     }
 
     /// Notes knowledge that another box handed on; it keeps its age.
@@ -60,9 +73,10 @@
         }
     }
 
-    /// When the last whole read of this process was sent.
+    /// When the newest question was sent that showed what is known to be the newest, by an own
+    /// reading or those of two others.
     pub fn proven_at(&self) -> Option<Micros> {
-        self.proven_at
+        self.read_at.max(self.witnessed_at)
     }
 
     /// Whether no reading has proven anything for longer than two questions take that are held
@@ -73,7 +87,7 @@
         now: Micros,
     ) -> bool {
         let limit = held_for + held_for;
-        self.proven_at.is_some_and(|at| now.since(at) > limit)
+        self.proven_at().is_some_and(|at| now.since(at) > limit)
     }
 
     /// Age of the knowledge, if there is any.
@@ -81,16 +95,17 @@
         &self,
         now: Micros,
     ) -> Option<Micros> {
-        ToldAge::least(self.proven_at, self.handed, now)
+        ToldAge::least(self.proven_at(), self.handed, now)
     }
 
-    /// Whether somebody may be told that a key or a route does not exist: only by
-    /// what this process has read itself, as another box may have been behind.
+    /// Whether somebody may be told that a key or a route does not exist: only by what this
+    /// process has read itself or two others have, as a single one may have been behind.
     pub fn may_deny(
         &self,
         now: Micros,
     ) -> bool {
-        self.proven_at.is_some_and(|at| now.since(at) < self.limit)
+        self.proven_at()
+            .is_some_and(|at| now.since(at) < self.limit)
     }
 
     /// Whether callers may be let in by their keys.
--- a/core/src/serving/mod.rs
+++ b/core/src/serving/mod.rs
@@ -28,6 +28,7 @@
 mod prompt_part;
 mod rank_shares;
 mod read_proofs;
+mod reader_tier;
 mod refusal_kind;
 mod repeat_meter;
 mod request_fingerprint;
@@ -37,10 +38,13 @@
 mod serving_mechanism;
 mod standstill_watch;
 mod store_position;
+mod store_proof;
 mod store_view;
 mod suspect_book;
 mod suspect_record;
 mod swap_planner;
+mod table_mark;
+mod telling_pace;
 mod told_age;
 mod told_life;
 mod told_naming;
@@ -55,9 +59,10 @@
     endpoint_entry::*, endpoint_life::*, endpoint_pick::*, endpoint_return::*, engine_pace::*,
     era_watch::*, key_policy::*, key_trust::*, kv_store::*, life_watch::*, listed_life::*,
     mechanism_set::*, memory_map::*, part_fate::*, part_memory::*, path_index::*, prompt_ask::*,
-    prompt_part::*, rank_shares::*, read_proofs::*, refusal_kind::*, repeat_meter::*,
-    request_fingerprint::*, route_habits::*, served_route::*, serving_config::*,
-    serving_mechanism::*, standstill_watch::*, store_position::*, store_view::*, suspect_book::*,
-    suspect_record::*, swap_planner::*, told_life::*, told_naming::*, trial_table::*, wall_name::*,
-    weight_belief::*, weight_bounds::*, weight_namings::*,
+    prompt_part::*, rank_shares::*, read_proofs::*, reader_tier::*, refusal_kind::*,
+    repeat_meter::*, request_fingerprint::*, route_habits::*, served_route::*, serving_config::*,
+    serving_mechanism::*, standstill_watch::*, store_position::*, store_proof::*, store_view::*,
+    suspect_book::*, suspect_record::*, swap_planner::*, table_mark::*, telling_pace::*,
+    told_life::*, told_naming::*, trial_table::*, wall_name::*, weight_belief::*, weight_bounds::*,
+    weight_namings::*,
 };
--- a/core/src/serving/store_view.rs
+++ b/core/src/serving/store_view.rs
@@ -23,6 +23,10 @@
     pub store: KvStore,
     /// Parts that are whole.
     pub parts: PartMemory,
+    /// Number of the change up to which they are known; nothing where all is to be read anew.
+    pub next: Option<u64>,
+    /// When another process last told what it had read there.
+    pub told_at: Option<Micros>,
     epoch: Option<u64>,
     epoch_seen_at: Micros,
     /// What another box told of a life, and when that had come here.
@@ -41,6 +45,8 @@
         StoreView {
             store,
             parts: PartMemory::default(),
+            next: None,
+            told_at: None,
             epoch: None,
             epoch_seen_at: Micros::ZERO,
             told: None,
@@ -124,6 +130,25 @@
         is_new
     }
 
+    /// Takes that another process asked the store at `sent_at` or later, in the life that is
+    /// known; `clock_ms` is the time on the engines' clock now, or earlier.
+    pub fn told(
+        &mut self,
+        clock_ms: Option<u64>,
+        sent_at: Micros,
+        now: Micros,
+    ) {
+        self.told_at = Some(now);
+        if self.proven_at.is_some_and(|at| at >= sent_at) {
+            return;
+        }
+        self.proven_at = Some(sent_at);
+        if let Some(clock_ms) = clock_ms {
+            self.clock = Some((clock_ms, now));
+            self.latest_clock = Some((clock_ms, sent_at));
+        }
+    }
+
     /// The store did not answer: what is known of it is not gone by.
     pub fn lost(&mut self) {
         self.proven_at = None;
--- /dev/null
+++ b/core/src/serving/telling_pace.rs
@@ -0,0 +1,40 @@
+//! How often fronts and the processes beside engines tell each other something. Each tells all
+//! of the others, so the pause grows with how many these are: what one process pays a second
+//! stays bounded, at the cost of the age of what is known.
+
+use crate::time::Micros;
+
+/// Shares of a second that one front takes of a process beside an engine: with it a digest goes
+/// to some 125 fronts a second.
+const DIGEST_SHARE: Micros = Micros::from_millis(8);
+/// Pauses between two digests at least and at most: a report counts for 1.5 s, and one digest
+/// may get lost.
+const DIGEST_PAUSES: (Micros, Micros) = (Micros::from_millis(45), Micros::from_millis(600));
+/// Shares of a second that one engine takes of a front.
+const GREETING_SHARE: Micros = Micros::from_millis(10);
+/// Pauses between two greetings at least and at most.
+const GREETING_PAUSES: (Micros, Micros) = (Micros::from_millis(400), Micros::from_millis(1_800));
+
+/// Pause between two digests of a process that tells so many fronts.
+pub fn digest_pause(fronts: usize) -> Micros {
+    paced(DIGEST_SHARE, fronts, DIGEST_PAUSES)
+}
+
+/// Pause between two greetings of a front that greets so many engines.
+pub fn greeting_pause(engines: usize) -> Micros {
+    paced(GREETING_SHARE, engines, GREETING_PAUSES)
+}
+
+/// Pause of a front that greets an engine which must hear of it soon: that it is to load, or
+/// that what it keeps is not known.
+pub fn urgent_greeting_pause() -> Micros {
+    GREETING_PAUSES.0
+}
+
+fn paced(
+    share: Micros,
+    count: usize,
+    (least, most): (Micros, Micros),
+) -> Micros {
+    Micros(share.0 * count as u64).max(least).min(most)
+}
--- a/entry/src/front/beside_link.rs
+++ b/entry/src/front/beside_link.rs
@@ -1,23 +1,36 @@
 use {
-    super::{state_mark, FrontContext, FrontState},
+    super::{reader_number, state_mark, FrontContext, FrontState, StoreWatchers},
     pitchhitch_core::{
-        serving::{EndpointEntry, EndpointKey, ServingConfig},
+        serving::{greeting_pause, EndpointEntry, EndpointKey, ServingConfig},
         time::Micros,
     },
     pitchhitch_process::to_duration,
     pitchhitch_wire::beside::{BesideSocket, DigestEcho, FrontHello, WantedWeights},
-    std::{net::SocketAddr, rc::Rc},
+    std::{
+        collections::BTreeSet,
+        net::{IpAddr, SocketAddr},
+        rc::Rc,
+    },
 };
 
-/// How often turns are planned anew.
+/// How often turns are planned anew, and greetings go out.
 const PLAN_PAUSE: Micros = Micros::from_millis(100);
-/// Time between two hellos to an engine; a turn is told at once.
-const HELLO_PAUSE: Micros = Micros::from_millis(400);
-
 /// Processes beside engines that are told of suspects in one round.
 const TOLD_TO: usize = 3;
 /// Suspects in one greeting: some 100 bytes each.
 const SUSPECTS_LIMIT: usize = 100;
+/// Age up to which others are told what this front has read at the platform's store.
+const PROOF_LIFE: Micros = Micros::from_millis(2_500);
+/// For how long it holds which state this front can hand on, and who reads which store.
+const PLAN_LIFE: Micros = Micros::from_millis(400);
+
+/// What is the same in all greetings for a while.
+#[derive(Debug, Default)]
+struct GreetingFacts {
+    known_at: Option<Micros>,
+    handed: Option<(u64, Micros)>,
+    watchers: StoreWatchers,
+}
 
 /// Tells the processes beside engines what they need to know, and that this
 /// front wants their digests.
@@ -25,37 +38,42 @@
     front: Rc<FrontContext>,
     socket: BesideSocket,
 ) {
-    let mut greeted_at: Option<Micros> = None;
-    let mut is_woken = false;
-    let mut round = 0;
+    let mut facts = GreetingFacts::default();
     loop {
         let now = front.now();
-        let has_news = plan_turns(&front, now);
-        // A front that has just started asks in each round until it is told of suspects.
-        let is_due = greeted_at.is_none_or(|at| now.since(at) >= HELLO_PAUSE)
-            || front.state().awaits_suspects(now);
-        if has_news || is_woken || is_due {
-            round += 1;
-            let hellos = hellos(&front, round);
-            // A front that has just started is told of suspects only once it has greeted.
-            greeted_at = (!hellos.is_empty()).then_some(now);
-            for (to, hello) in hellos {
-                // A hello that is lost is followed by the next one.
-                if let Err(error) = socket.send(&hello, to).await {
-                    let error = error.to_string();
-                    log::debug!(event = "hello-failed", error = error.as_str(); "");
-                }
+        plan_turns(&front, now);
+        refresh(&front, &mut facts, now);
+        for (to, hello) in hellos(&front, &facts, now) {
+            // A hello that is lost is followed by the next one.
+            if let Err(error) = socket.send(&hello, to).await {
+                let error = error.to_string();
+                log::debug!(event = "hello-failed", error = error.as_str(); "");
             }
         }
-        is_woken = front.greeting_due.wait(to_duration(PLAN_PAUSE)).await;
+        front.greeting_due.wait(to_duration(PLAN_PAUSE)).await;
+    }
+}
+
+fn refresh(
+    front: &FrontContext,
+    facts: &mut GreetingFacts,
+    now: Micros,
+) {
+    if facts.known_at.is_some_and(|at| now.since(at) < PLAN_LIFE) {
+        return;
     }
+    *facts = GreetingFacts {
+        known_at: Some(now),
+        handed: state_mark(front),
+        watchers: StoreWatchers::assign(front),
+    };
 }
 
-/// Plans whose turn it is to load new weights; true where a turn begins.
+/// Plans whose turn it is to load new weights; those whose turn begins are told at once.
 fn plan_turns(
     front: &FrontContext,
     now: Micros,
-) -> bool {
+) {
     let mut guard = front.state();
     let state = &mut *guard;
     let begun = state
@@ -70,39 +88,78 @@
             version = turn.version;
             ""
         );
+        if let Some(entry) = state.book.get(*key) {
+            let to = SocketAddr::new(entry.address.ip(), front.settings.beside_port);
+            state.greetings.want(to);
+        }
     }
-    !begun.is_empty()
 }
 
 fn hellos(
     front: &FrontContext,
-    round: usize,
+    facts: &GreetingFacts,
+    now: Micros,
 ) -> Vec<(SocketAddr, FrontHello)> {
-    let handed = state_mark(front);
     let mut guard = front.state();
-    let news = guard.suspects.take_news(SUSPECTS_LIMIT, front.now());
-    let state = &*guard;
-    let Some(config) = &state.config else {
+    let state = &mut *guard;
+    let Some(config) = state.config.clone() else {
         return Vec::new();
     };
-    let mut present = state.book.present(|entry| is_engine(config, entry));
+    let mut present = state.book.present(|entry| is_engine(&config, entry));
     // The process beside an engine that leaves would tell others that it is there.
-    for (key, entry) in state.book.iter().filter(|(_, e)| is_engine(config, e)) {
+    for (key, entry) in state.book.iter().filter(|(_, e)| is_engine(&config, e)) {
         present.entry(entry.address).or_insert(key);
     }
-    let hello = |(address, key): (&SocketAddr, &EndpointKey)| {
-        let entry = state.book.get(*key)?;
-        let to = SocketAddr::new(address.ip(), front.settings.beside_port);
-        Some((to, make_hello(front, state, *key, entry, handed)))
+    let round = state.greetings.begin_round(now);
+    let news = state.suspects.take_news(SUSPECTS_LIMIT, now);
+    let asks = state.wants_suspects;
+    let told: BTreeSet<usize> = match asks || !news.is_empty() {
+        true => told_places(present.len(), round as usize).collect(),
+        false => BTreeSet::new(),
     };
-    let mut hellos: Vec<_> = present.iter().filter_map(hello).collect();
-    for place in told_places(hellos.len(), round) {
-        hellos[place].1.suspects.clone_from(&news);
-        hellos[place].1.wants_suspects = state.wants_suspects;
+    let proofs = state
+        .readers
+        .own_proofs(reader_number(front), PROOF_LIFE, now);
+    let count = present.len();
+    let mut hellos = Vec::new();
+    for (place, (address, key)) in present.iter().enumerate() {
+        let to = SocketAddr::new(address.ip(), front.settings.beside_port);
+        let is_told = told.contains(&place);
+        let is_urgent = needs_soon(state, *key);
+        if !is_told && !state.greetings.is_due(to, count, is_urgent, now) {
+            continue;
+        }
+        state.greetings.note(to, now);
+        let Some(entry) = state.book.get(*key) else {
+            continue;
+        };
+        let mut hello = make_hello(front, state, *key, entry, facts.handed);
+        hello.number = round;
+        hello.again_within = greeting_pause(count);
+        hello.proofs.clone_from(&proofs);
+        hello.watches = facts.watchers.of(*address);
+        if is_told {
+            hello.suspects.clone_from(&news);
+            hello.wants_suspects = asks;
+        }
+        hellos.push((to, hello));
     }
+    let addresses: BTreeSet<IpAddr> = present.keys().map(SocketAddr::ip).collect();
+    state.greetings.prune(|to| addresses.contains(&to.ip()));
     hellos
 }
 
+/// Whether the process beside an engine must hear of this front soon: it is the engine's turn
+/// to load, or what it keeps is not known.
+fn needs_soon(
+    state: &FrontState,
+    key: EndpointKey,
+) -> bool {
+    let has_turn = state.planner.turn(key).is_some_and(|turn| turn.loads);
+    let entry = state.book.get(key);
+    has_turn || entry.is_some_and(|entry| !entry.is_mirrored && entry.is_listed())
+}
+
 /// Which of so many processes are told of suspects, to tell all fronts: few, as each tells
 /// all, far from each other in the order of addresses, and others in each round.
 fn told_places(
@@ -142,6 +199,8 @@
         });
     FrontHello {
         front: front.settings.box_id.clone(),
+        number: 0,
+        again_within: Micros::ZERO,
         domain: front.settings.failure_domain.clone(),
         engine_id: Some(entry.id.clone()),
         // What a digest tells may be of another id at the address.
@@ -158,5 +217,7 @@
         wanted: wanted.collect(),
         // Parts of one that is away are not kept, so they are asked for when it is back.
         wants_all: !entry.is_mirrored && entry.is_listed(),
+        proofs: Vec::new(),
+        watches: Vec::new(),
     }
 }
--- a/entry/src/front/digest_watch.rs
+++ b/entry/src/front/digest_watch.rs
@@ -1,13 +1,16 @@
 use {
-    super::{is_engine, learn_weights, log_changes, FrontContext, FrontState},
+    super::{
+        is_engine, learn_weights, log_changes, reader_number, spread_number, take_store_news,
+        FrontContext, FrontState, TableProofs,
+    },
     pitchhitch_core::{
         serving::{
             BookChange, DigestMark, DigestOrder, EndpointEntry, EndpointKey, EndpointNotice,
-            LifeOrder,
+            LifeOrder, ProvenTable,
         },
         time::Micros,
     },
-    pitchhitch_wire::beside::{BesideSocket, EngineDigest},
+    pitchhitch_wire::beside::{BesideSocket, EngineDigest, GreetingEcho, ToldDigest},
     smol::Timer,
     std::{net::SocketAddr, rc::Rc, time::Duration},
 };
@@ -25,10 +28,13 @@
     front: Rc<FrontContext>,
     socket: BesideSocket,
 ) {
+    let mut room = Vec::new();
     loop {
-        match socket.receive::<EngineDigest>().await {
-            Ok((digest, from)) => {
+        match socket.receive_into::<ToldDigest>(&mut room).await {
+            Ok((told, from)) => {
+                let ToldDigest { digest, echo } = told;
                 note_beside(&front, from);
+                take_relayed(&front, &digest, echo, from);
                 let change = take_announced(&front, &digest, from);
                 log_changes(&front, change.as_slice());
                 let change = take_digest(&front, digest);
@@ -48,12 +54,49 @@
     front: &FrontContext,
     from: SocketAddr,
 ) {
+    let now = front.now();
     let mut state = front.state();
+    state.heard_at = Some(now);
     if state.besides.len() < BESIDES_LIMIT {
         state.besides.insert(from);
     }
 }
 
+/// Takes what the sender of a digest tells of others: of fronts that have read the platform's
+/// store, and of stores of kept parts that it has read. How long that was on its way is bounded
+/// by the greeting that the digest names: what lay here while this process stood still is as old
+/// as it is.
+fn take_relayed(
+    front: &FrontContext,
+    digest: &EngineDigest,
+    echo: Option<GreetingEcho>,
+    from: SocketAddr,
+) {
+    if digest.proofs.is_empty() && digest.stores.is_empty() {
+        return;
+    }
+    let now = front.now();
+    let mut guard = front.state();
+    let state = &mut *guard;
+    let greeted_at = echo.and_then(|echo| Some(state.greetings.began_at(echo.number)? + echo.age));
+    let Some(way) = greeted_at.map(|at| now.since(at)) else {
+        return;
+    };
+    let teller = spread_number(&from.to_string()) as u32;
+    let own = reader_number(front);
+    for proof in digest.proofs.iter().filter(|proof| proof.source != own) {
+        let sent_at = now.since(proof.age + way);
+        state.readers.hear(proof, teller, sent_at);
+    }
+    let operator = state.readers.table(ProvenTable::Operator);
+    if let Some(at) = operator.and_then(TableProofs::witnessed_at) {
+        state.trust.witnessed(at);
+    }
+    for news in &digest.stores {
+        take_store_news(state, news, way, now);
+    }
+}
+
 /// Takes that there is an engine which is on no list: it gets no requests, but is
 /// greeted and told to load.
 fn take_announced(
--- a/entry/src/front/front_process.rs
+++ b/entry/src/front/front_process.rs
@@ -1,7 +1,8 @@
 use {
     super::{
         answer_control, ask_peers, greet_engines, hear_digests, keep_held, serve_caller,
-        watch_list, watch_operator, watch_stores, FrontContext, FrontSettings,
+        tend_endpoints, tend_parts, watch_list, watch_operator, watch_stores, FrontContext,
+        FrontSettings,
     },
     anyhow::Context,
     pitchhitch_core::{
@@ -51,6 +52,7 @@
     }
     let socket = BesideSocket::bind(settings.digests).await;
     let socket = socket.with_context(|| format!("cannot listen on {}", settings.digests))?;
+    let socket = socket.with_key(settings.peer_key);
     front.spawn(serve_small(settings.digests, front.clone(), answer_control).await?);
     if let Some(control) = settings.control {
         front.spawn(serve_small(control, front.clone(), answer_control).await?);
@@ -61,6 +63,8 @@
     front.spawn(keep_time(front.clone()));
     front.spawn(watch_operator(front.clone()));
     front.spawn(watch_list(front.clone()));
+    front.spawn(tend_endpoints(front.clone()));
+    front.spawn(tend_parts(front.clone()));
     front.spawn(keep_held(front.clone()));
     front.spawn(watch_stores(front.clone()));
     front.spawn(accept(front.clone(), Async::new(callers)?));
--- a/entry/src/front/front_state.rs
+++ b/entry/src/front/front_state.rs
@@ -1,10 +1,10 @@
 use {
-    super::{is_engine, EndProbe, FrontSettings, LinkPool},
+    super::{is_engine, EndProbe, FrontSettings, GreetingPlan, LinkPool, StoreReaders},
     pitchhitch_core::{
         serving::{
             AdmissionRule, EndpointBook, EndpointKey, EnginePace, EraWatch, KeyTrust, MemoryMap,
-            ReadProofs, RepeatMeter, ServingConfig, StandstillWatch, StoreEra, SuspectBook,
-            SwapPlanner, TrialTable, WallName, WallTag, WRITE_AGAIN,
+            ProvenTable, ReadProofs, RepeatMeter, ServingConfig, StandstillWatch, StoreEra,
+            SuspectBook, SwapPlanner, TrialTable, WallName, WallTag, WRITE_AGAIN,
         },
         time::Micros,
     },
@@ -40,13 +40,19 @@
     pub trust: KeyTrust,
     /// Eras of the platform's store.
     pub eras: EraWatch,
+    /// Who has read the platform's store, and when.
+    pub readers: StoreReaders,
+    /// When the process beside an engine was last heard.
+    pub heard_at: Option<Micros>,
+    /// Whom this front has greeted.
+    pub greetings: GreetingPlan,
     /// Era in which a reading of this process last proved the configuration.
     pub proven_era: Option<StoreEra>,
     /// Whether others were asked, in this life, what they know: the store's row may have gone
     /// back, and is not believed before.
     has_asked_peers: bool,
     /// When the last reading of the configuration was sent that waits for that.
-    unproven_read: Option<Micros>,
+    unproven_read: Option<(u32, Micros)>,
     /// What is refused while engines are behind.
     pub admission: AdmissionRule,
     /// What is learned of how engines take prompts.
@@ -101,6 +107,9 @@
             has_list: false,
             trust: KeyTrust::new(settings.key_limit, settings.key_policy),
             eras: EraWatch::default(),
+            readers: StoreReaders::default(),
+            heard_at: None,
+            greetings: GreetingPlan::default(),
             proven_era: None,
             has_asked_peers: false,
             unproven_read: None,
@@ -129,24 +138,32 @@
         }
     }
 
-    /// Takes that the configuration was read whole by a question that was sent then.
+    /// Takes that the operator's rows were read whole by a question that was sent then; `mark`
+    /// is the number of their content.
     pub fn note_config_read(
         &mut self,
+        mark: u32,
         sent_at: Micros,
+        now: Micros,
     ) {
         if !self.has_asked_peers {
-            self.unproven_read = Some(sent_at);
+            self.unproven_read = Some((mark, sent_at));
         } else if self.eras.proves(sent_at) {
             self.trust.proven(sent_at);
             self.proven_era = self.eras.known();
+            let table = ProvenTable::Operator;
+            self.readers.note_read(table, mark, sent_at, now);
         }
     }
 
     /// Takes that others were asked for what they know, or that nobody is there to be asked.
-    pub fn note_peers_asked(&mut self) {
+    pub fn note_peers_asked(
+        &mut self,
+        now: Micros,
+    ) {
         self.has_asked_peers = true;
-        if let Some(sent_at) = self.unproven_read.take() {
-            self.note_config_read(sent_at);
+        if let Some((mark, sent_at)) = self.unproven_read.take() {
+            self.note_config_read(mark, sent_at, now);
         }
     }
 
--- a/entry/src/front/list_watch.rs
+++ b/entry/src/front/list_watch.rs
@@ -1,18 +1,26 @@
 use {
-    super::{ask_returned, note_contact, note_position, CallLimit, ForeignRows, FrontContext},
+    super::{
+        ask_returned, note_contact, note_position, own_tier, wait_to_read, CallLimit, ForeignRows,
+        FrontContext,
+    },
     pitchhitch_core::{
-        serving::{BookChange, EndpointNotice, StorePosition, WRITE_AGAIN},
+        serving::{
+            BookChange, EndpointNotice, ProvenTable, ReaderTier, StorePosition, TableMark,
+            WRITE_AGAIN,
+        },
         time::Micros,
     },
     pitchhitch_platform::{decode_row, RowNews, RowPage, RowTable, StoreClient},
     pitchhitch_process::to_duration,
     smol::Timer,
-    std::{rc::Rc, time::Duration},
+    std::{net::SocketAddr, rc::Rc, time::Duration},
 };
 
 /// Pause before the list is read whole: without it nothing can be served, and what has
 /// changed is not known.
 const FIRST_LOOK_PAUSE: Micros = Micros::from_millis(150);
+/// How often endpoints are asked that came back.
+const TEND_PAUSE: Micros = Micros::from_millis(400);
 /// A look that takes longer shows a store that is slow.
 const SLOW_LOOK: Micros = Micros::from_millis(400);
 
@@ -24,7 +32,13 @@
     let mut seen: Option<StorePosition> = None;
     let mut is_lost = false;
     let mut trouble_at: Option<Micros> = None;
+    let mut mark = TableMark::default();
     loop {
+        // One that was in trouble is to be trusted again.
+        if is_lost || trouble_at.is_none() {
+            let usual = front.settings.list_pause();
+            wait_to_read(&front, ProvenTable::Endpoints, seen, usual, is_lost).await;
+        }
         let sent_at = front.now();
         client.set_limit(limit.next());
         let read = match seen {
@@ -49,9 +63,15 @@
         let is_steady = trouble_at.is_none_or(|at| now.since(at) > WRITE_AGAIN);
         let outcome = match noted.and(read) {
             Ok(page) => {
-                let position = page.position;
-                take_page(&front, page, seen.is_none(), is_steady, &mut foreign);
-                seen = Some(position);
+                let is_whole = seen.replace(page.position).is_none();
+                if is_whole {
+                    mark.clear();
+                }
+                note_rows(&mut mark, &page);
+                take_page(&front, page, is_whole, is_steady, &mut foreign);
+                let table = ProvenTable::Endpoints;
+                let readers = &mut front.state().readers;
+                readers.note_read(table, mark.number(), sent_at, now);
                 Ok(())
             }
             Err(error) => Err(error),
@@ -67,21 +87,54 @@
             Err(error) if error.wants_all() => seen = None,
             Err(_) => {}
         }
+        Timer::after(to_duration(look_pause(&front, seen))).await;
+    }
+}
+
+/// Asks endpoints that came back, and forgets those that are over.
+pub(crate) async fn tend_endpoints(front: Rc<FrontContext>) {
+    loop {
         ask_returned(&front);
         tidy(&front);
-        Timer::after(to_duration(look_pause(&front, seen))).await;
+        Timer::after(to_duration(TEND_PAUSE)).await;
     }
 }
 
+/// Notes what of each entry matters here; most of what changes is its heartbeat.
+fn note_rows(
+    mark: &mut TableMark,
+    page: &RowPage,
+) {
+    for row in &page.rows {
+        match decode_row(RowTable::Endpoints, row.clone()) {
+            Ok(RowNews::Endpoint(notice)) => mark.set(&row.key, &standing_bytes(&notice)),
+            Ok(RowNews::EndpointGone(id)) => mark.remove(&id),
+            _ => mark.remove(&row.key),
+        }
+    }
+}
+
+/// What decides whether and where an endpoint gets requests, as bytes.
+fn standing_bytes(notice: &EndpointNotice) -> Vec<u8> {
+    let address = notice.address.map_or(String::new(), |a| a.to_string());
+    let text = format!(
+        "{} {address} {} {} {} {:?}",
+        notice.service, notice.domain, notice.slots, notice.is_leaving, notice.born
+    );
+    text.into_bytes()
+}
+
 /// Each endpoint changes its entry about every second, so a held call would come back
 /// at once all the time: the list is looked at by a pace of its own.
 fn look_pause(
     front: &FrontContext,
     seen: Option<StorePosition>,
 ) -> Micros {
+    let tier = own_tier(front, &front.state(), ProvenTable::Endpoints);
     match seen {
-        Some(_) => front.settings.list_pause(),
-        None => FIRST_LOOK_PAUSE,
+        Some(_) if tier == ReaderTier::First => front.settings.list_pause(),
+        // Others tell when it is to be read.
+        Some(_) | None => FIRST_LOOK_PAUSE,
     }
 }
 
@@ -129,6 +182,7 @@
         changes.extend(state.book.take_all(&listed, is_steady));
         if !std::mem::replace(&mut state.has_list, true) {
             // It serves only once it is told of suspects, which the first greeting asks for.
+            state.greetings.want_all();
             front.greeting_due.wake();
         }
     }
@@ -158,7 +212,9 @@
         if let Some(address) = address.filter(|_| what == "restarted") {
             state.reads.restarted(address, front.now());
         }
-        if what == "leaves" {
+        if let Some(address) = address.filter(|_| what == "leaves") {
+            let to = SocketAddr::new(address.ip(), front.settings.beside_port);
+            state.greetings.want(to);
             front.greeting_due.wake();
         }
         // Connections of an earlier life lead nowhere.
--- a/entry/src/front/mod.rs
+++ b/entry/src/front/mod.rs
@@ -16,6 +16,7 @@
 mod front_process;
 mod front_settings;
 mod front_state;
+mod greeting_plan;
 mod held_rows;
 mod link_pool;
 mod list_watch;
@@ -36,7 +37,9 @@
 mod return_check;
 mod run_lost;
 mod store_contact;
+mod store_readers;
 mod store_watch;
+mod store_watchers;
 mod stream_relay;
 mod suspect_desk;
 mod wake_reason;
@@ -45,12 +48,12 @@
 pub(crate) use {
     beside_link::*, caller_conn::*, digest_watch::*, end_probe::*, event_splitter::*,
     front_context::*, front_metrics::*, front_state::*, link_pool::*, list_watch::*, offer::*,
-    operator_watch::*, plain_answer::*, request_run::*, store_contact::*, store_watch::*,
-    stream_relay::*, suspect_desk::*, wake_reason::*,
+    operator_watch::*, plain_answer::*, request_run::*, store_contact::*, store_readers::*,
+    store_watch::*, stream_relay::*, suspect_desk::*, wake_reason::*,
 };
 use {
-    call_limit::*, foreign_rows::*, held_rows::*, part_freeing::*, peer_state::*, request_admit::*,
-    request_moves::*, request_trial::*, request_try::*, return_check::*, run_lost::*,
-    weight_lesson::*,
+    call_limit::*, foreign_rows::*, greeting_plan::*, held_rows::*, part_freeing::*, peer_state::*,
+    request_admit::*, request_moves::*, request_trial::*, request_try::*, return_check::*,
+    run_lost::*, store_watchers::*, weight_lesson::*,
 };
 pub use {front_process::*, front_settings::*};
--- a/entry/src/front/operator_watch.rs
+++ b/entry/src/front/operator_watch.rs
@@ -1,13 +1,15 @@
 use {
-    super::{note_contact, note_position, CallLimit, ForeignRows, FrontContext},
+    super::{
+        note_contact, note_position, own_tier, wait_to_read, CallLimit, ForeignRows, FrontContext,
+    },
     futures_lite::future::or,
     pitchhitch_core::{
-        serving::{ServingConfig, StorePosition},
+        serving::{ProvenTable, ReaderTier, ServingConfig, StorePosition, TableMark},
         time::Micros,
     },
     pitchhitch_platform::{
-        decode_config, decode_row, NamedWeights, RowFault, RowNews, RowPage, RowTable, StoreClient,
-        StoreError, StoreRow, CONFIG_KEY,
+        decode_config, decode_row, NamedWeights, RowFault, RowNews, RowPage, RowTable, RowValue,
+        StoreClient, StoreError, StoreRow, CONFIG_KEY,
     },
     pitchhitch_process::to_duration,
     smol::Timer,
@@ -25,20 +27,22 @@
     let mut client = StoreClient::new(front.settings.store, limit.next());
     let mut foreign = ForeignRows::new("operator");
     let mut seen: Option<StorePosition> = None;
+    let mut mark = TableMark::default();
     let mut is_lost = false;
     loop {
+        let usual = front.settings.change_wait();
+        wait_to_read(&front, ProvenTable::Operator, seen, usual, is_lost).await;
         let sent_at = front.now();
         client.set_limit(limit.next());
-        let hold = front
-            .state()
-            .config_hold(front.settings.change_wait(), sent_at);
-        let hold = limit.hold(to_duration(hold));
+        let hold = limit.hold(to_duration(config_hold(&front, sent_at)));
         let read = read_operator(&front, &mut client, seen, hold).await;
         limit.note(&read);
         let outcome = match read {
             Ok(page) => note_position(&front, "operator", page.position).map(|()| {
-                seen = Some(page.position);
-                take_rows(&front, page, sent_at, &mut foreign);
+                if seen.replace(page.position).is_none() {
+                    mark.clear();
+                }
+                take_rows(&front, page, sent_at, &mut foreign, &mut mark);
             }),
             Err(error) => Err(error),
         };
@@ -55,6 +59,19 @@
     }
 }
 
+/// For how long the next question may be held at the store: one of a front that others tell is
+/// to answer at once.
+fn config_hold(
+    front: &FrontContext,
+    now: Micros,
+) -> Micros {
+    let state = front.state();
+    match own_tier(front, &state, ProvenTable::Operator) {
+        ReaderTier::First => state.config_hold(front.settings.change_wait(), now),
+        ReaderTier::Second | ReaderTier::Last => Micros::ZERO,
+    }
+}
+
 /// Reads all that the operator wrote, or waits for what changed since.
 async fn read_operator(
     front: &FrontContext,
@@ -78,9 +95,15 @@
     page: RowPage,
     sent_at: Micros,
     foreign: &mut ForeignRows,
+    mark: &mut TableMark,
 ) {
     for row in page.rows {
         let key = row.key.clone();
+        match &row.value {
+            RowValue::Bytes(bytes) => mark.set(&key, bytes),
+            RowValue::Unreadable => mark.set(&key, b""),
+            RowValue::Gone => mark.remove(&key),
+        }
         match take_operator_row(front, row) {
             Ok(()) => foreign.is_over(&key),
             Err(fault) => foreign.note(front, &key, &fault),
@@ -88,7 +111,8 @@
     }
     // A configuration that cannot be read may take keys away.
     if !foreign.has(CONFIG_KEY) {
-        front.state().note_config_read(sent_at);
+        let now = front.now();
+        front.state().note_config_read(mark.number(), sent_at, now);
     }
 }
 
--- a/entry/src/front/part_freeing.rs
+++ b/entry/src/front/part_freeing.rs
@@ -14,9 +14,19 @@
 const FREE_LIMIT: usize = 200;
 /// Pause between two calls that free.
 const FREE_PAUSE: Micros = Micros::from_millis(300);
+/// Pause while no weights have been replaced.
+const CALM_PAUSE: Micros = Micros::from_millis(900);
 /// Looks that find parts held in a row before it is told: each proof lags a little.
 const HELD_LOOKS: u32 = 5;
 
+/// Keeps it known which engines there are, whose fetches parts are held for.
+pub(crate) async fn tend_parts(front: Rc<FrontContext>) {
+    loop {
+        Timer::after(to_duration(FREE_PAUSE)).await;
+        note_engines(&front);
+    }
+}
+
 /// Frees parts that were made under weights which nobody fetches for any more.
 pub(super) async fn free_old_parts(
     front: Rc<FrontContext>,
@@ -25,8 +35,7 @@
     let mut client = KeptClient::new(address, CALL_LIMIT);
     let mut held_looks = 0;
     while has_view(&front, address) {
-        Timer::after(to_duration(FREE_PAUSE)).await;
-        note_engines(&front);
+        Timer::after(to_duration(free_pause(&front))).await;
         let Some(OldParts { parts, epoch, held }) = old_parts(&front, address) else {
             continue;
         };
@@ -61,6 +70,17 @@
     }
 }
 
+/// Pause until it is looked for parts to be freed: few weights are replaced.
+fn free_pause(front: &FrontContext) -> Micros {
+    let walls = front.state().walls();
+    let state = front.state();
+    let is_old = |wall: &WallName| state.planner.named(&wall.model) > Some(wall.version);
+    match walls.iter().any(|(wall, _)| is_old(wall)) {
+        true => FREE_PAUSE,
+        false => CALM_PAUSE,
+    }
+}
+
 /// Takes which engines there are: those of which nothing is heard count as well.
 fn note_engines(front: &FrontContext) {
     let now = front.now();
--- a/entry/src/front/peer_state.rs
+++ b/entry/src/front/peer_state.rs
@@ -86,7 +86,7 @@
         let peers = peers(&front);
         let now = front.now();
         if now > FIRST_ANSWER || (peers.is_empty() && knows_all(&front)) {
-            front.state().note_peers_asked();
+            front.state().note_peers_asked(now);
         }
         let knows_ages = front.state().planner.knows_ages(now);
         let may_end = knows_ages || now > TELL_LIMIT;
@@ -97,7 +97,7 @@
         if let Some(peer) = peers.get(turn % peers.len().max(1)) {
             let is_told = ask_peer(&front, *peer).await;
             if is_told {
-                front.state().note_peers_asked();
+                front.state().note_peers_asked(front.now());
             }
             if is_told && front.state().has_list {
                 if front.state().planner.knows_ages(front.now()) {
--- a/entry/src/front/store_watch.rs
+++ b/entry/src/front/store_watch.rs
@@ -1,11 +1,12 @@
 use {
-    super::{free_old_parts, FrontContext},
+    super::{free_old_parts, FrontContext, FrontState},
     pitchhitch_core::{
         serving::{LookPlan, StoreView},
         time::Micros,
     },
     pitchhitch_platform::{KeptChange, KeptClient, KeptFailure},
     pitchhitch_process::to_duration,
+    pitchhitch_wire::beside::StoreNews,
     smol::Timer,
     std::{collections::HashSet, net::SocketAddr, rc::Rc, time::Duration},
 };
@@ -14,6 +15,8 @@
 pub(super) const CALL_LIMIT: Duration = Duration::from_millis(500);
 /// Pause after a question that was one too many for a store.
 const BUSY_PAUSE: Micros = Micros::from_millis(120);
+/// Time for which a store is not asked after others told what they read there: two digests.
+const TOLD_LIFE: Micros = Micros::from_millis(1_300);
 /// How often it is looked for new stores.
 const STORES_PAUSE: Micros = Micros::from_millis(60);
 
@@ -63,10 +66,14 @@
     address: SocketAddr,
 ) {
     let mut client = KeptClient::new(address, CALL_LIMIT);
-    let mut next: Option<u64> = None;
     let mut asks_at_once = false;
     let mut is_lost = false;
     while let Some(plan) = look_plan(&front, address) {
+        if let Some(told_for) = told_for(&front, address) {
+            Timer::after(to_duration(told_for)).await;
+            continue;
+        }
+        let next = position(&front, address);
         // Behind a list and after a standstill the clock is wanted at once, not the
         // next change.
         let hold = match asks_at_once {
@@ -80,11 +87,11 @@
         let is_old = is_stale(&front, address);
         let pause = match step {
             LookStep::Listed(from) => {
-                next = Some(from);
+                set_position(&front, address, Some(from));
                 Micros::ZERO
             }
             LookStep::Changes(from) => {
-                next = Some(from);
+                set_position(&front, address, Some(from));
                 if is_old {
                     Micros::ZERO
                 } else {
@@ -92,7 +99,7 @@
                 }
             }
             LookStep::Anew => {
-                next = None;
+                set_position(&front, address, None);
                 Micros::ZERO
             }
             LookStep::Busy => {
@@ -120,6 +127,58 @@
     }
 }
 
+/// Time for which others will have told what they read at a store, where they do.
+fn told_for(
+    front: &FrontContext,
+    address: SocketAddr,
+) -> Option<Micros> {
+    let now = front.now();
+    let mut state = front.state();
+    let told_at = state.memory.view_mut(address)?.told_at?;
+    let left = (told_at + TOLD_LIFE).since(now);
+    (left > Micros::ZERO).then_some(left)
+}
+
+fn position(
+    front: &FrontContext,
+    address: SocketAddr,
+) -> Option<u64> {
+    front.state().memory.view_mut(address)?.next
+}
+
+fn set_position(
+    front: &FrontContext,
+    address: SocketAddr,
+    next: Option<u64>,
+) {
+    with_view(front, address, |view| view.next = next);
+}
+
+/// Takes what another process has read of a store, unless something is missing before it: then
+/// the store itself is asked. It was on its way for `way` at most.
+pub(super) fn take_store_news(
+    state: &mut FrontState,
+    news: &StoreNews,
+    way: Micros,
+    now: Micros,
+) {
+    let Some(view) = state.memory.view_mut(news.store) else {
+        return;
+    };
+    let known = view.next.filter(|_| view.epoch() == Some(news.epoch));
+    let Some(known) = known.filter(|known| *known >= news.from) else {
+        view.told_at = None;
+        return;
+    };
+    let sent_at = now.since(news.age + way);
+    let clock_ms = news.clock_ms.map(|clock| clock + news.answered.as_millis());
+    view.told(clock_ms, sent_at, now);
+    for part in news.parts.iter().filter(|part| part.number > known) {
+        view.set(part.wall, part.id, part.tokens);
+    }
+    view.next = Some(known.max(news.next));
+}
+
 /// How the store is asked; nothing where the configuration no longer names it.
 fn look_plan(
     front: &FrontContext,
--- /dev/null
+++ b/entry/src/front/store_watchers.rs
@@ -0,0 +1,56 @@
+use {
+    super::{is_engine, spread_number, FrontContext},
+    std::{collections::BTreeMap, net::SocketAddr},
+};
+
+/// Processes beside engines that read one store of kept parts for all fronts: each may end.
+const WATCHERS: usize = 2;
+/// Fronts up to which each reads the stores itself: that asks them as often.
+const FEW_FRONTS: u32 = 2 * WATCHERS as u32;
+
+/// Which process beside an engine reads which store of kept parts, for all fronts; all fronts
+/// that know the same engines find the same.
+#[derive(Debug, Default)]
+pub(super) struct StoreWatchers {
+    stores: BTreeMap<SocketAddr, Vec<SocketAddr>>,
+}
+
+impl StoreWatchers {
+    /// Chooses them among the engines that are there; few fronts need none.
+    pub fn assign(front: &FrontContext) -> Self {
+        let state = front.state();
+        let Some(config) = state.config.as_ref().filter(|_| state.fronts > FEW_FRONTS) else {
+            return StoreWatchers::default();
+        };
+        let engines = state.book.present(|entry| is_engine(config, entry));
+        let engines: Vec<SocketAddr> = engines.into_keys().collect();
+        let mut stores: BTreeMap<SocketAddr, Vec<SocketAddr>> = BTreeMap::new();
+        for view in state.memory.views() {
+            for engine in watchers(view.store.address, &engines) {
+                stores.entry(engine).or_default().push(view.store.address);
+            }
+        }
+        StoreWatchers { stores }
+    }
+
+    /// Stores that the process beside an engine is to read.
+    pub fn of(
+        &self,
+        engine: SocketAddr,
+    ) -> Vec<SocketAddr> {
+        self.stores.get(&engine).cloned().unwrap_or_default()
+    }
+}
+
+/// The engines with the highest number for a store: where one goes, only what it read is read
+/// elsewhere.
+fn watchers(
+    store: SocketAddr,
+    engines: &[SocketAddr],
+) -> Vec<SocketAddr> {
+    let rank = |engine: &SocketAddr| spread_number(&format!("{store} {engine}"));
+    let mut ranked: Vec<(u64, SocketAddr)> = engines.iter().map(|e| (rank(e), *e)).collect();
+    ranked.sort_unstable();
+    let highest = ranked.into_iter().rev().take(WATCHERS);
+    highest.map(|(_, engine)| engine).collect()
+}
--- a/wire/src/beside/beside_socket.rs
+++ b/wire/src/beside/beside_socket.rs
@@ -1,17 +1,31 @@
 use {
-    crate::codec::{decode_body, encode_body},
+    crate::{
+        beacon::BeaconKey,
+        codec::{decode_body, encode_body},
+    },
     serde::{de::DeserializeOwned, Serialize},
     smol::net::UdpSocket,
-    std::{io, net::SocketAddr},
+    std::{
+        io,
+        net::SocketAddr,
+        sync::{
+            atomic::{AtomicU64, Ordering},
+            Arc,
+        },
+    },
 };
 
 /// Longest datagram, in bytes.
 const DATAGRAM_LIMIT: usize = 60 << 10;
+/// Bytes of the keyed hash behind a message.
+const HASH_BYTES: usize = 16;
 
 /// Sends and takes datagrams of one kind each way.
 #[derive(Debug, Clone)]
 pub struct BesideSocket {
     socket: UdpSocket,
+    key: Option<BeaconKey>,
+    strangers: Arc<AtomicU64>,
 }
 
 impl BesideSocket {
@@ -22,9 +36,25 @@
     pub async fn bind(address: SocketAddr) -> io::Result<Self> {
         Ok(BesideSocket {
             socket: UdpSocket::bind(address).await?,
+            key: None,
+            strangers: Arc::default(),
         })
     }
 
+    /// The same, where a key proves messages to be of one of ours.
+    #[must_use]
+    pub fn with_key(
+        self,
+        key: Option<BeaconKey>,
+    ) -> Self {
+        BesideSocket { key, ..self }
+    }
+
+    /// Datagrams that were dropped: of strangers, or cut.
+    pub fn strangers(&self) -> u64 {
+        self.strangers.load(Ordering::Relaxed)
+    }
+
     /// Sends a message; it may be lost.
     ///
     /// # Errors
@@ -35,6 +65,22 @@
         to: SocketAddr,
     ) -> io::Result<()> {
         let body = encode_body(message).map_err(io::Error::other)?;
+        self.send_body(body, to).await
+    }
+
+    /// Sends a message that is written already.
+    ///
+    /// # Errors
+    /// When the message is too long or the system refuses it.
+    pub async fn send_body(
+        &self,
+        mut body: Vec<u8>,
+        to: SocketAddr,
+    ) -> io::Result<()> {
+        if let Some(key) = &self.key {
+            let hash = key.hash(&body);
+            body.extend_from_slice(&hash.as_bytes()[..HASH_BYTES]);
+        }
         self.socket.send_to(&body, to).await.map(|_| ())
     }
 
@@ -43,12 +89,42 @@
     /// # Errors
     /// When the socket fails.
     pub async fn receive<T: DeserializeOwned>(&self) -> io::Result<(T, SocketAddr)> {
-        let mut bytes = vec![0; DATAGRAM_LIMIT];
+        self.receive_into(&mut Vec::new()).await
+    }
+
+    /// The same with room that is used again, as many come each second.
+    ///
+    /// # Errors
+    /// When the socket fails.
+    pub async fn receive_into<T: DeserializeOwned>(
+        &self,
+        room: &mut Vec<u8>,
+    ) -> io::Result<(T, SocketAddr)> {
+        room.resize(DATAGRAM_LIMIT, 0);
         loop {
-            let (count, from) = self.socket.recv_from(&mut bytes).await?;
-            if let Ok(message) = decode_body(&bytes[..count]) {
+            let (count, from) = self.socket.recv_from(room).await?;
+            let message = self.proven(&room[..count]).map(decode_body);
+            if let Some(Ok(message)) = message {
                 return Ok((message, from));
             }
+            self.strangers.fetch_add(1, Ordering::Relaxed);
         }
     }
+
+    /// The message in a datagram, where it is one of ours.
+    fn proven<'a>(
+        &self,
+        datagram: &'a [u8],
+    ) -> Option<&'a [u8]> {
+        let Some(key) = &self.key else {
+            return Some(datagram);
+        };
+        let length = datagram.len().checked_sub(HASH_BYTES)?;
+        let (body, found) = datagram.split_at(length);
+        let hash = key.hash(body);
+        // Whoever guesses byte by byte has no more than the time of one datagram to go by.
+        let differs = hash.as_bytes()[..HASH_BYTES].iter().zip(found);
+        let difference = differs.fold(0, |sum, (one, other)| sum | (one ^ other));
+        (difference == 0).then_some(body)
+    }
 }
--- a/wire/src/beside/engine_digest.rs
+++ b/wire/src/beside/engine_digest.rs
@@ -1,5 +1,8 @@
 use {
-    pitchhitch_core::serving::{EndpointNotice, EngineLoad, PartId, ToldSuspect, WallTag},
+    super::StoreNews,
+    pitchhitch_core::serving::{
+        EndpointNotice, EngineLoad, PartId, StoreProof, ToldSuspect, WallTag,
+    },
     serde::{Deserialize, Serialize},
     std::net::SocketAddr,
 };
@@ -51,4 +54,8 @@
     /// What fronts knew of the engine; told only to those that greet no more, as they
     /// may have started anew and know of no such engine.
     pub endpoint: Option<EndpointNotice>,
+    /// What fronts have read at the platform's store.
+    pub proofs: Vec<StoreProof>,
+    /// What the sender has read of stores of kept parts.
+    pub stores: Vec<StoreNews>,
 }
--- a/wire/src/beside/front_hello.rs
+++ b/wire/src/beside/front_hello.rs
@@ -1,9 +1,10 @@
 use {
     pitchhitch_core::{
-        serving::{StorePosition, ToldSuspect},
+        serving::{StorePosition, StoreProof, ToldSuspect},
         time::Micros,
     },
     serde::{Deserialize, Serialize},
+    std::net::SocketAddr,
 };
 
 /// Weights that an engine should have.
@@ -32,6 +33,10 @@
 pub struct FrontHello {
     /// Box of the front.
     pub front: String,
+    /// Number of this greeting; it rises, and several processes may get the same.
+    pub number: u64,
+    /// Time in which the next one comes.
+    pub again_within: Micros,
     /// Id of the engine, as the platform lists it.
     pub engine_id: Option<String>,
     /// Start of its life that is listed, in milliseconds since 1970, where that is told.
@@ -54,4 +59,8 @@
     pub wants_suspects: bool,
     /// Whether the front wants to be told all that the engine keeps.
     pub wants_all: bool,
+    /// What the front has read at the platform's store, to be told to all fronts.
+    pub proofs: Vec<StoreProof>,
+    /// Stores of kept parts to be read for all fronts.
+    pub watches: Vec<SocketAddr>,
 }
--- a/wire/src/beside/mod.rs
+++ b/wire/src/beside/mod.rs
@@ -6,5 +6,10 @@
 mod front_hello;
 mod handed_state;
 mod state_question;
+mod store_news;
+mod told_digest;
 
-pub use {beside_socket::*, engine_digest::*, front_hello::*, handed_state::*, state_question::*};
+pub use {
+    beside_socket::*, engine_digest::*, front_hello::*, handed_state::*, state_question::*,
+    store_news::*, told_digest::*,
+};
--- /dev/null
+++ b/wire/src/beside/told_digest.rs
@@ -0,0 +1,52 @@
+use {
+    super::EngineDigest,
+    crate::codec::{encode_body, FrameError},
+    pitchhitch_core::time::Micros,
+    serde::{Deserialize, Serialize},
+};
+
+/// The last greeting of a front that was heard when a digest was sent to it: the digest cannot
+/// have been sent before that.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct GreetingEcho {
+    /// Number of the greeting.
+    pub number: u64,
+    /// Time since it had come.
+    pub age: Micros,
+}
+
+/// A digest as one front is told it.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ToldDigest {
+    /// The digest, the same for all.
+    pub digest: EngineDigest,
+    /// The last greeting of this front.
+    pub echo: Option<GreetingEcho>,
+}
+
+/// A digest that is written once for all fronts.
+#[derive(Debug, Clone)]
+pub struct WrittenDigest(Vec<u8>);
+
+impl WrittenDigest {
+    /// Writes a digest.
+    ///
+    /// # Errors
+    /// [`FrameError::Malformed`] where it cannot be written.
+    pub fn new(digest: &EngineDigest) -> Result<Self, FrameError> {
+        encode_body(digest).map(WrittenDigest)
+    }
+
+    /// The bytes of a [`ToldDigest`] with this digest: its fields follow each other.
+    ///
+    /// # Errors
+    /// [`FrameError::Malformed`] where it cannot be written.
+    pub fn told(
+        &self,
+        echo: Option<GreetingEcho>,
+    ) -> Result<Vec<u8>, FrameError> {
+        let mut body = self.0.clone();
+        body.extend(encode_body(&echo)?);
+        Ok(body)
+    }
+}
