--- a/agent/src/beside/digest_sender.rs
+++ b/agent/src/beside/digest_sender.rs
@@ -14,6 +14,8 @@
 const FAILED_PAUSE: Duration = Duration::from_millis(45);
 /// Longest time between two digests, unless the pause is longer: fronts take silence for a sign.
 const QUIET_LIMIT: Micros = Micros::from_millis(250);
+/// Pause between two digests that tell what others have read, at least.
+const RELAY_PAUSE: Micros = Micros::from_millis(300);
 /// Age up to which it is told what fronts have read at the platform's store.
 const PROOF_LIFE: Micros = Micros::from_secs(10);
 /// Parts in one digest.
@@ -143,6 +145,7 @@
     let mut count = DigestCount::default();
     let mut told = EngineLoad::default();
     let mut told_at = Micros::ZERO;
+    let mut relayed_at = Micros::ZERO;
     loop {
         let pause = beside.state().digest_pause;
         beside.digest_due.wait(to_duration(pause)).await;
@@ -167,12 +170,20 @@
         digest.is_change = has_changes;
         digest.suspects = beside.state().suspects.take_news(SUSPECTS_LIMIT, now);
         digest.forgets = std::mem::take(&mut beside.state().forgets);
-        digest.proofs = told_proofs(&beside, now);
-        digest.stores = beside.state().stores.news(now);
+        if now.since(relayed_at) >= relay_pause(pause) {
+            relayed_at = now;
+            digest.proofs = told_proofs(&beside, now);
+            digest.stores = beside.state().stores.news(relay_pause(pause), now);
+        }
         send(&beside, &digest, &fronts).await;
     }
 }
 
+/// Pause between two digests that tell what others have read.
+fn relay_pause(digest_pause: Micros) -> Micros {
+    RELAY_PAUSE.max(digest_pause)
+}
+
 fn told_proofs(
     beside: &BesideContext,
     now: Micros,
--- a/agent/src/beside/store_reader.rs
+++ b/agent/src/beside/store_reader.rs
@@ -27,8 +27,8 @@
 const FAILED_PAUSE: Micros = Micros::from_millis(400);
 /// Time limit of a question, beyond the time it is held.
 const CALL_LIMIT: Duration = Duration::from_millis(500);
-/// Time for which a change is told: some digests may get lost.
-const TOLD_FOR: Micros = Micros::from_millis(2_000);
+/// Digests in which a change is told: some may get lost.
+const TOLD_TIMES: u64 = 3;
 /// Age of an answer up to which it is told.
 const NEWS_LIFE: Micros = Micros::from_millis(1_500);
 /// Changes of one store that are told at most.
@@ -72,12 +72,14 @@
         }
     }
 
-    /// Drops what was told for long enough.
+    /// Drops what was told often enough, by digests with this pause.
     fn prune(
         &mut self,
+        pause: Micros,
         now: Micros,
     ) {
-        let is_old = |(_, at): &(StorePart, Micros)| now.since(*at) > TOLD_FOR;
+        let told_for = Micros(pause.0 * TOLD_TIMES);
+        let is_old = |(_, at): &(StorePart, Micros)| now.since(*at) > told_for;
         while self.parts.len() > PARTS_LIMIT || self.parts.front().is_some_and(is_old) {
             if let Some((part, _)) = self.parts.pop_front() {
                 self.from = part.number;
@@ -98,14 +100,15 @@
         }
     }
 
-    /// What has been read lately.
+    /// What has been read lately, for digests with this pause.
     pub fn news(
         &mut self,
+        pause: Micros,
         now: Micros,
     ) -> Vec<StoreNews> {
         let mut news = Vec::new();
         for (store, read) in &mut self.read {
-            read.prune(now);
+            read.prune(pause, now);
             if now.since(read.answered_at) < NEWS_LIFE {
                 news.push(read.news(*store, now));
             }
