Reports fade with their age; readers push what they read; a draw that spreads evenly

Readers tell what they read at once, and many of them ask without being held. The draw of who reads was uneven for ids that differ in one letter: blake3.

--- a/agent/src/beside/beside_context.rs
+++ b/agent/src/beside/beside_context.rs
@@ -24,6 +24,8 @@
 /// Changes of kept parts that wait for the next digest at most.
 const PENDING_LIMIT: usize = 4_000;
 
+/// Longest time between two digests, unless the pause is longer: fronts take silence for a sign.
+pub(crate) const QUIET_LIMIT: Micros = Micros::from_millis(250);
 /// Reports that are read for one digest, and how often at least and at most.
 const REPORTS_A_DIGEST: u64 = 3;
 const REPORT_PAUSES: (Micros, Micros) = (Micros::from_millis(90), Micros::from_millis(200));
@@ -86,6 +88,8 @@
     pub digest_pause: Micros,
     /// What fronts have read at the platform's store, by table.
     pub proofs: BTreeMap<ProvenTable, ProofBook>,
+    /// Whether one of them has come since the last digest.
+    pub has_fresh_proofs: bool,
     /// Stores of kept parts that are read for all fronts.
     pub stores: StoreReads,
     announced_at: Option<Micros>,
@@ -98,6 +102,7 @@
     pub fn told_load(&self) -> EngineLoad {
         EngineLoad {
             at: Micros::ZERO,
+            again_within: self.digest_pause.max(QUIET_LIMIT),
             ..self.load
         }
     }
--- a/agent/src/beside/digest_sender.rs
+++ b/agent/src/beside/digest_sender.rs
@@ -1,5 +1,5 @@
 use {
-    super::{BesideContext, BesideState},
+    super::{BesideContext, BesideState, QUIET_LIMIT},
     pitchhitch_core::{
         serving::{digest_pause, EngineLoad, ListedLife, StoreProof, ToldSuspect},
         time::Micros,
@@ -12,8 +12,6 @@
 
 /// Pause after a socket that failed.
 const FAILED_PAUSE: Duration = Duration::from_millis(45);
-/// Longest time between two digests, unless the pause is longer: fronts take silence for a sign.
-const QUIET_LIMIT: Micros = Micros::from_millis(250);
 /// Pause between two digests that tell what others have read, at least.
 const RELAY_PAUSE: Micros = Micros::from_millis(300);
 /// Age up to which it is told what fronts have read at the platform's store.
@@ -86,7 +84,8 @@
     for proof in &hello.proofs {
         let sent_at = now.since(age + proof.age);
         let book = state.proofs.entry(proof.table).or_default();
-        book.hear(proof, proof.source, sent_at);
+        let is_news = book.hear(proof, proof.source, sent_at);
+        state.has_fresh_proofs |= is_news;
     }
 }
 
@@ -170,9 +169,12 @@
         digest.is_change = has_changes;
         digest.suspects = beside.state().suspects.take_news(SUSPECTS_LIMIT, now);
         digest.forgets = std::mem::take(&mut beside.state().forgets);
+        let has_proofs = std::mem::take(&mut beside.state().has_fresh_proofs);
+        if has_proofs || now.since(relayed_at) >= relay_pause(pause) {
+            digest.proofs = told_proofs(&beside, now);
+        }
         if now.since(relayed_at) >= relay_pause(pause) {
             relayed_at = now;
-            digest.proofs = told_proofs(&beside, now);
             digest.stores = beside.state().stores.news(relay_pause(pause), now);
         }
         send(&beside, &digest, &fronts).await;
--- a/core/src/serving/endpoint_entry.rs
+++ b/core/src/serving/endpoint_entry.rs
@@ -39,6 +39,8 @@
 pub struct EngineLoad {
     /// When the report was taken, on our clock.
     pub at: Micros,
+    /// Time in which the next one comes, unless it gets lost.
+    pub again_within: Micros,
     /// Requests that run.
     pub running: u32,
     /// Requests that wait.
@@ -57,6 +59,13 @@
     pub is_silent: bool,
 }
 
+impl EngineLoad {
+    /// Time after which more than one report is missing.
+    fn missed(&self) -> Micros {
+        Micros(self.again_within.0 * 5 / 2)
+    }
+}
+
 /// Whether an endpoint may get requests.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum EndpointStanding {
@@ -160,7 +169,7 @@
         let answered = self
             .answered_at
             .is_some_and(|at| now.since(at) < SUSPECT_AFTER);
-        age > SUSPECT_AFTER && age < UNREPORTED_AFTER && !answered
+        age > SUSPECT_AFTER.max(load.missed()) && age < UNREPORTED_AFTER && !answered
     }
 
     /// Report that is fresh enough to go by.
@@ -170,7 +179,7 @@
     ) -> Option<&EngineLoad> {
         self.load
             .as_ref()
-            .filter(|load| now.since(load.at) < REPORT_LIFE)
+            .filter(|load| now.since(load.at) < REPORT_LIFE.max(load.missed()))
     }
 
     /// Requests of others that the endpoint has not begun to answer.
@@ -187,18 +196,22 @@
     }
 
     /// Tokens that the endpoint still has to read for others: a usual prompt for each
-    /// that waits, and half of one for each that is being read.
+    /// that waits, and half of one for each that is being read. A report that was taken some
+    /// time ago says less and less of them, and the mean of all more: of a hundred boxes each
+    /// sent its prompts to the engine that had been idle half a second before.
     pub fn tokens_of_others(
         &self,
         now: Micros,
         pace: &EnginePace,
     ) -> f64 {
-        let Some(load) = self.fresh_load(now).filter(|load| load.unread > 0) else {
+        let Some(load) = self.fresh_load(now) else {
             return 0.0;
         };
-        let reading = f64::from(load.reading) / f64::from(load.unread);
+        let reading = f64::from(load.reading) / f64::from(load.unread.max(1));
         let others = f64::from(self.unread_of_others(now));
-        others * (1.0 - reading * READ_PART) * pace.unread_tokens()
+        let told = others * (1.0 - reading * READ_PART) * pace.unread_tokens();
+        let usual = pace.queued_tokens();
+        usual + (told - usual) * pace.still_holds(now.since(load.at))
     }
 
     /// Tokens that our requests still have to be read for, of those that go
--- a/core/src/serving/engine_pace.rs
+++ b/core/src/serving/engine_pace.rs
@@ -1,4 +1,7 @@
-use super::{MechanismSet, ServingMechanism};
+use {
+    super::{MechanismSet, ServingMechanism},
+    crate::time::Micros,
+};
 
 /// Time to read a token until prompts have shown it, in milliseconds. Engines on
 /// which this was measured read 24 to 190 tokens in a millisecond; the first
@@ -22,6 +25,10 @@
 const START_UNREAD_TOKENS: f64 = 2_000.0;
 /// Size of an answer, in tokens, until some have been asked for.
 const START_ANSWER_TOKENS: f64 = 50.0;
+/// Weight of one report in the mean of queues.
+const QUEUE_STEP: f64 = 0.02;
+/// Times to read a usual prompt after which a report says little of a queue.
+const QUEUE_TURNS: f64 = 6.0;
 /// Time for which a prompt holds its memory, in milliseconds, until some have ended.
 const START_HELD_MS: f64 = 1_000.0;
 
@@ -42,6 +49,7 @@
     unread_tokens: f64,
     answer_tokens: f64,
     held_ms: f64,
+    queued: f64,
     left_out: MechanismSet,
 }
 
@@ -72,6 +80,7 @@
             unread_tokens: START_UNREAD_TOKENS,
             answer_tokens: START_ANSWER_TOKENS,
             held_ms: START_HELD_MS,
+            queued: 0.0,
             left_out: MechanismSet::default(),
         };
         // Two points on the line that is believed in.
@@ -94,6 +103,29 @@
         self.tokens_millis += weight * tokens * millis;
     }
 
+    /// Notes a report of an engine: prompts that it has not begun to answer.
+    pub fn note_report(
+        &mut self,
+        unread: u32,
+    ) {
+        self.queued += QUEUE_STEP * (f64::from(unread) - self.queued);
+    }
+
+    /// Tokens that an engine still has to read, in the mean of all.
+    pub fn queued_tokens(&self) -> f64 {
+        self.queued * self.unread_tokens
+    }
+
+    /// How much of what a report said of an engine's queue still holds after so long, from 1 to
+    /// 0: what was queued then has been read some times over.
+    pub fn still_holds(
+        &self,
+        age: Micros,
+    ) -> f64 {
+        let turn_ms = (self.unread_tokens * self.token_ms() * QUEUE_TURNS).max(1.0);
+        (-(age.0 as f64) / 1e3 / turn_ms).exp()
+    }
+
     /// Notes a prompt that is sent: its size, what of it has to be read, and the
     /// longest answer that it asks for, in tokens.
     pub fn note_sent(
--- a/core/src/serving/mod.rs
+++ b/core/src/serving/mod.rs
@@ -14,6 +14,7 @@
 mod endpoint_return;
 mod engine_pace;
 mod era_watch;
+mod even_draw;
 mod key_policy;
 mod key_trust;
 mod kv_store;
@@ -57,9 +58,9 @@
 pub use {
     admission_ask::*, admission_rule::*, admission_verdict::*, caller_limits::*, endpoint_book::*,
     endpoint_entry::*, endpoint_life::*, endpoint_pick::*, endpoint_return::*, engine_pace::*,
-    era_watch::*, key_policy::*, key_trust::*, kv_store::*, life_watch::*, listed_life::*,
-    mechanism_set::*, memory_map::*, part_fate::*, part_memory::*, path_index::*, prompt_ask::*,
-    prompt_part::*, rank_shares::*, read_proofs::*, reader_tier::*, refusal_kind::*,
+    era_watch::*, even_draw::*, key_policy::*, key_trust::*, kv_store::*, life_watch::*,
+    listed_life::*, mechanism_set::*, memory_map::*, part_fate::*, part_memory::*, path_index::*,
+    prompt_ask::*, prompt_part::*, rank_shares::*, read_proofs::*, reader_tier::*, refusal_kind::*,
     repeat_meter::*, request_fingerprint::*, route_habits::*, served_route::*, serving_config::*,
     serving_mechanism::*, standstill_watch::*, store_position::*, store_proof::*, store_view::*,
     suspect_book::*, suspect_record::*, swap_planner::*, table_mark::*, telling_pace::*,
--- a/core/src/serving/reader_tier.rs
+++ b/core/src/serving/reader_tier.rs
@@ -1,10 +1,10 @@
-use super::ProvenTable;
+use super::{even_draw, ProvenTable};
 
 /// Fronts that read a table of the platform's store all the time, about: two must, and any may
 /// end.
-const FIRST_READERS: f64 = 4.0;
+const FIRST_READERS: f64 = 3.0;
 /// Those that read it where the first ones do not.
-const SECOND_READERS: f64 = 16.0;
+const SECOND_READERS: f64 = 12.0;
 
 /// How soon a front reads a table of the platform's store itself, where others read it too.
 ///
@@ -39,16 +39,16 @@
     pub fn patience(self) -> u64 {
         match self {
             ReaderTier::First => 0,
-            ReaderTier::Second => 130,
-            ReaderTier::Last => 180,
+            ReaderTier::Second => 180,
+            ReaderTier::Last => 200,
         }
     }
 }
 
 /// The number by which a front draws its tier for a table: tables have readers of their own.
-pub fn reader_text(
+pub fn reader_draw(
     box_id: &str,
     table: ProvenTable,
-) -> String {
-    format!("{table:?} {box_id}")
+) -> f64 {
+    even_draw(&format!("{table:?} {box_id}"))
 }
--- a/core/src/serving/store_proof.rs
+++ b/core/src/serving/store_proof.rs
@@ -52,16 +52,17 @@
 
 impl ProofBook {
     /// Takes a proof that `teller` told; its question had been sent at `sent_at`, or before.
+    /// True where that is news.
     pub fn hear(
         &mut self,
         proof: &StoreProof,
         teller: u32,
         sent_at: Micros,
-    ) {
+    ) -> bool {
         let is_same = |known: &HeardProof| known.source == proof.source && known.teller == teller;
         let known = self.proofs.iter().position(is_same);
         if known.is_some_and(|place| self.proofs[place].sent_at >= sent_at) {
-            return;
+            return false;
         }
         if let Some(place) = known {
             self.proofs.remove(place);
@@ -77,6 +78,7 @@
         self.proofs.insert(place, heard);
         self.drop_third(proof.source);
         self.proofs.truncate(PROOFS_LIMIT);
+        true
     }
 
     /// Of one front the latest words of two tellers are kept.
--- a/core/src/serving/telling_pace.rs
+++ b/core/src/serving/telling_pace.rs
@@ -4,9 +4,9 @@
 
 use crate::time::Micros;
 
-/// Shares of a second that one front takes of a process beside an engine: with it a digest goes
-/// to some 125 fronts a second.
-const DIGEST_SHARE: Micros = Micros::from_millis(8);
+/// Shares of a second that one front takes of a process beside an engine: it sends some 300
+/// digests a second at most.
+const DIGEST_SHARE: Micros = Micros(3_300);
 /// Pauses between two digests at least and at most: a report counts for 1.5 s, and one digest
 /// may get lost.
 const DIGEST_PAUSES: (Micros, Micros) = (Micros::from_millis(45), Micros::from_millis(600));
--- /dev/null
+++ b/core/tests/store_proofs.rs
@@ -0,0 +1,211 @@
+//! What several fronts have read at the platform's store, as one of them hears it.
+
+use {
+    pitchhitch_core::{
+        serving::{
+            digest_pause, greeting_pause, EraNews, EraWatch, KeyPolicy, KeyTrust, ProofBook,
+            ProvenTable, ReaderTier, StoreEra, StorePosition, StoreProof, TableMark, WRITE_AGAIN,
+        },
+        time::Micros,
+    },
+    proptest::prelude::*,
+    std::cmp::Ordering,
+};
+
+const MARK: u32 = 7;
+
+fn at(millis: u64) -> Micros {
+    Micros::from_millis(millis)
+}
+
+fn proof(
+    source: u32,
+    mark: u32,
+) -> StoreProof {
+    StoreProof {
+        table: ProvenTable::Operator,
+        mark,
+        source,
+        age: Micros::ZERO,
+    }
+}
+
+fn position(
+    era: u64,
+    version: u64,
+) -> StorePosition {
+    StorePosition {
+        era: StoreEra(era),
+        version,
+    }
+}
+
+/// One front alone, or one that tells alone, may lie, stand still or be behind.
+#[test]
+fn two_witnesses() {
+    let mut book = ProofBook::default();
+    book.hear(&proof(1, MARK), 10, at(500));
+    book.hear(&proof(1, MARK), 11, at(600));
+    assert_eq!(book.witnessed(MARK), None, "one front, two tellers");
+    let mut book = ProofBook::default();
+    book.hear(&proof(1, MARK), 10, at(500));
+    book.hear(&proof(2, MARK), 10, at(600));
+    assert_eq!(book.witnessed(MARK), None, "two fronts, one teller");
+    book.hear(&proof(2, MARK), 11, at(400));
+    assert_eq!(book.witnessed(MARK), Some(at(400)), "the older one counts");
+    book.hear(&proof(3, MARK + 1), 12, at(700));
+    assert_eq!(book.witnessed(MARK), Some(at(400)));
+    assert_eq!(book.other_since(MARK, at(600)), Some(MARK + 1));
+    assert_eq!(book.other_since(MARK, at(700)), None);
+}
+
+/// However often one front or one teller speaks, the others' words stay.
+#[test]
+fn talkers_push_nobody_out() {
+    let mut book = ProofBook::default();
+    book.hear(&proof(1, MARK), 1, at(100));
+    book.hear(&proof(2, MARK), 2, at(100));
+    for teller in 3..200 {
+        book.hear(&proof(9, MARK), teller, at(u64::from(teller)));
+    }
+    assert!(book.witnessed(MARK) >= Some(at(100)));
+    let told = book.told(ProvenTable::Operator, at(10_000), at(1_000));
+    let sources: Vec<u32> = told.iter().map(|proof| proof.source).collect();
+    assert_eq!(sources.len(), 2);
+    assert_ne!(sources[0], sources[1]);
+}
+
+proptest! {
+    /// Whatever is told in whatever order: two different fronts and tellers stand behind it.
+    #[test]
+    fn witnesses_differ(
+        words in proptest::collection::vec((0u32..4, 0u32..4, 0u32..2, 0u64..1_000), 0..30),
+    ) {
+        let mut book = ProofBook::default();
+        for (source, teller, mark, sent) in &words {
+            book.hear(&proof(*source, *mark), *teller, at(*sent));
+        }
+        if let Some(witnessed) = book.witnessed(0) {
+            let fitting = |word: &&(u32, u32, u32, u64)| word.2 == 0 && at(word.3) >= witnessed;
+            let fitting: Vec<_> = words.iter().filter(fitting).collect();
+            let is_pair = fitting.iter().any(|one| {
+                fitting.iter().any(|other| one.0 != other.0 && one.1 != other.1)
+            });
+            prop_assert!(is_pair);
+        }
+    }
+}
+
+/// Few fronts all read; of many some do, whoever they are.
+#[test]
+fn readers_drawn() {
+    for fronts in 1..=4 {
+        for draw in 0..100 {
+            let tier = ReaderTier::of(f64::from(draw) / 100.0, fronts);
+            assert_eq!(tier, ReaderTier::First);
+        }
+    }
+    for fronts in [30, 103, 2_100] {
+        let draws = (0..fronts).map(|n| (f64::from(n) + 0.5) / f64::from(fronts));
+        let first = draws.filter(|draw| ReaderTier::of(*draw, fronts) == ReaderTier::First);
+        assert_eq!(first.count(), 4, "of {fronts}");
+    }
+    assert!(ReaderTier::Second.patience() < ReaderTier::Last.patience());
+}
+
+/// What one process pays a second stays bounded, up to where reports would be too old.
+#[test]
+fn telling_paced() {
+    assert_eq!(digest_pause(3), at(45));
+    assert!(digest_pause(29) < at(100));
+    for fronts in [30, 60, 103, 180] {
+        let a_second = fronts as f64 / digest_pause(fronts).as_secs_f64();
+        assert!(a_second < 310.0, "{a_second} for {fronts}");
+    }
+    assert_eq!(digest_pause(2_100), at(600));
+    assert_eq!(greeting_pause(9), at(400));
+    for engines in [50, 100, 180] {
+        let a_second = engines as f64 / greeting_pause(engines).as_secs_f64();
+        assert!(a_second <= 125.0, "{a_second} for {engines}");
+    }
+}
+
+#[test]
+fn marks_follow_rows() {
+    let mut one = TableMark::default();
+    let mut other = TableMark::default();
+    for (key, content) in [("a", "1"), ("b", "2"), ("c", "3")] {
+        one.set(key, content.as_bytes());
+    }
+    for (key, content) in [("c", "3"), ("b", "0"), ("d", "4"), ("a", "1")] {
+        other.set(key, content.as_bytes());
+    }
+    assert_ne!(one.number(), other.number());
+    other.set("b", b"2");
+    other.remove("d");
+    assert_eq!(one.number(), other.number());
+    one.set("ab", b"");
+    other.set("a", b"b");
+    assert_ne!(one.number(), other.number());
+}
+
+/// Versions of two eras have no order, and those of one do.
+#[test]
+fn eras_apart() {
+    assert_eq!(position(1, 2).compare(position(1, 3)), Ok(Ordering::Less));
+    assert!(position(1, 2).compare(position(2, 2)).is_err());
+    assert!(position(2, 1).is_told_after(position(1, 900)));
+    assert!(!position(1, 900).is_told_after(position(2, 1)));
+    assert!(!position(1, 5).is_told_after(position(1, 5)));
+}
+
+/// A reading of a copy proves nothing until those who write there had their time, unless
+/// somebody else has proven it in this era.
+#[test]
+fn copy_doubted() {
+    let mut eras = EraWatch::default();
+    assert_eq!(eras.note(StoreEra(1), at(0)), EraNews::Known);
+    assert!(eras.proves(at(0)));
+    let later = eras.note(StoreEra(2), at(1_000));
+    assert_eq!(
+        later,
+        EraNews::Later {
+            before: StoreEra(1)
+        }
+    );
+    assert_eq!(eras.note(StoreEra(1), at(1_001)), EraNews::Earlier);
+    assert!(!eras.proves(at(1_000) + WRITE_AGAIN - Micros(1)));
+    assert!(eras.proves(at(1_000) + WRITE_AGAIN));
+    eras.vouch(StoreEra(1), at(1_100));
+    assert!(!eras.proves(at(1_200)));
+    eras.vouch(StoreEra(2), at(1_300));
+    assert!(eras.proves(at(1_300)));
+}
+
+/// A process that starts goes by the first answer, unless it asked in vain before, or another
+/// process knew an earlier era.
+#[test]
+fn start_on_copy() {
+    let mut eras = EraWatch::default();
+    eras.missed();
+    eras.note(StoreEra(2), at(500));
+    assert!(!eras.proves(at(500)));
+    let mut eras = EraWatch::default();
+    eras.note(StoreEra(2), at(500));
+    assert!(eras.proves(at(500)));
+    assert!(eras.vouch(StoreEra(1), at(600)), "read before it was told");
+    assert!(!eras.proves(at(600)));
+}
+
+/// What two others have read counts for keys as an own reading does.
+#[test]
+fn witnessed_keys() {
+    let mut trust = KeyTrust::new(at(4_000), KeyPolicy::FailClosed);
+    trust.proven(at(1_000));
+    assert!(!trust.lets_in(at(5_000)) && !trust.may_deny(at(5_000)));
+    trust.witnessed(at(3_000));
+    assert!(trust.lets_in(at(5_000)) && trust.may_deny(at(5_000)));
+    assert_eq!(trust.age(at(5_000)), Some(at(2_000)));
+    trust.unprove();
+    assert!(!trust.lets_in(at(5_000)));
+}
--- a/entry/src/front/beside_link.rs
+++ b/entry/src/front/beside_link.rs
@@ -1,5 +1,5 @@
 use {
-    super::{reader_number, state_mark, FrontContext, FrontState, StoreWatchers},
+    super::{reader_number, state_mark, FrontContext, FrontState, StoreWatchers, FEW_FRONTS},
     pitchhitch_core::{
         serving::{greeting_pause, EndpointEntry, EndpointKey, ServingConfig},
         time::Micros,
@@ -112,8 +112,16 @@
     }
     let round = state.greetings.begin_round(now);
     let news = state.suspects.take_news(SUSPECTS_LIMIT, now);
+    let proofs = match state.fronts > FEW_FRONTS {
+        true => state
+            .readers
+            .own_proofs(reader_number(front), PROOF_LIFE, now),
+        false => Vec::new(),
+    };
     let asks = state.wants_suspects;
-    let told: BTreeSet<usize> = match asks || !news.is_empty() {
+    // What this front has just read is told on at once: others go by its age.
+    let has_read = state.readers.take_news() && !proofs.is_empty();
+    let told: BTreeSet<usize> = match asks || has_read || !news.is_empty() {
         true => told_places(present.len(), round as usize).collect(),
         false => BTreeSet::new(),
     };
--- a/entry/src/front/digest_watch.rs
+++ b/entry/src/front/digest_watch.rs
@@ -164,6 +164,7 @@
         DigestOrder::Next => {}
     }
     take_load(entry, &digest, now);
+    state.pace.note_report(digest.load.unread);
     take_weights(state, key, &digest, now);
     take_parts(state.book.get_mut(key)?, &digest);
     change
--- a/entry/src/front/list_watch.rs
+++ b/entry/src/front/list_watch.rs
@@ -1,13 +1,9 @@
 use {
     super::{
-        ask_returned, note_contact, note_position, own_tier, wait_to_read, CallLimit, ForeignRows,
-        FrontContext,
+        ask_returned, note_contact, note_position, CallLimit, ForeignRows, FrontContext, ReadWait,
     },
     pitchhitch_core::{
-        serving::{
-            BookChange, EndpointNotice, ProvenTable, ReaderTier, StorePosition, TableMark,
-            WRITE_AGAIN,
-        },
+        serving::{BookChange, EndpointNotice, ProvenTable, StorePosition, TableMark, WRITE_AGAIN},
         time::Micros,
     },
     pitchhitch_platform::{decode_row, RowNews, RowPage, RowTable, StoreClient},
@@ -33,13 +29,21 @@
     let mut is_lost = false;
     let mut trouble_at: Option<Micros> = None;
     let mut mark = TableMark::default();
+    let mut sent_at = Micros::ZERO;
     loop {
-        // One that was in trouble is to be trusted again.
-        if is_lost || trouble_at.is_none() {
-            let usual = front.settings.list_pause();
-            wait_to_read(&front, ProvenTable::Endpoints, seen, usual, is_lost).await;
+        if seen.is_some() {
+            let pause = front.settings.list_pause();
+            let wait = ReadWait {
+                table: ProvenTable::Endpoints,
+                usual: Some(pause),
+                bound: pause,
+                last: sent_at,
+                is_lost,
+                is_troubled: trouble_at.is_some(),
+            };
+            wait.wait(&front).await;
         }
-        let sent_at = front.now();
+        sent_at = front.now();
         client.set_limit(limit.next());
         let read = match seen {
             Some(after) => {
@@ -72,6 +76,7 @@
                 let table = ProvenTable::Endpoints;
                 let readers = &mut front.state().readers;
                 readers.note_read(table, mark.number(), sent_at, now);
+                front.greeting_due.wake();
                 Ok(())
             }
             Err(error) => Err(error),
@@ -87,7 +92,9 @@
             Err(error) if error.wants_all() => seen = None,
             Err(_) => {}
         }
-        Timer::after(to_duration(look_pause(&front, seen))).await;
+        if seen.is_none() {
+            Timer::after(to_duration(FIRST_LOOK_PAUSE)).await;
+        }
     }
 }
 
@@ -124,20 +131,6 @@
     text.into_bytes()
 }
 
-/// Each endpoint changes its entry about every second, so a held call would come back
-/// at once all the time: the list is looked at by a pace of its own.
-fn look_pause(
-    front: &FrontContext,
-    seen: Option<StorePosition>,
-) -> Micros {
-    let tier = own_tier(front, &front.state(), ProvenTable::Endpoints);
-    match seen {
-        Some(_) if tier == ReaderTier::First => front.settings.list_pause(),
-        // Others tell when it is to be read.
-        Some(_) | None => FIRST_LOOK_PAUSE,
-    }
-}
-
 fn take_page(
     front: &FrontContext,
     page: RowPage,
--- a/entry/src/front/operator_watch.rs
+++ b/entry/src/front/operator_watch.rs
@@ -1,6 +1,7 @@
 use {
     super::{
-        note_contact, note_position, own_tier, wait_to_read, CallLimit, ForeignRows, FrontContext,
+        are_held, note_contact, note_position, own_tier, CallLimit, ForeignRows, FrontContext,
+        ReadWait,
     },
     futures_lite::future::or,
     pitchhitch_core::{
@@ -29,10 +30,12 @@
     let mut seen: Option<StorePosition> = None;
     let mut mark = TableMark::default();
     let mut is_lost = false;
+    let mut sent_at = Micros::ZERO;
     loop {
-        let usual = front.settings.change_wait();
-        wait_to_read(&front, ProvenTable::Operator, seen, usual, is_lost).await;
-        let sent_at = front.now();
+        if seen.is_some() || is_lost {
+            read_wait(&front, sent_at, is_lost).wait(&front).await;
+        }
+        sent_at = front.now();
         client.set_limit(limit.next());
         let hold = limit.hold(to_duration(config_hold(&front, sent_at)));
         let read = read_operator(&front, &mut client, seen, hold).await;
@@ -59,16 +62,34 @@
     }
 }
 
-/// For how long the next question may be held at the store: one of a front that others tell is
-/// to answer at once.
+fn read_wait(
+    front: &FrontContext,
+    last: Micros,
+    is_lost: bool,
+) -> ReadWait {
+    let bound = front.settings.change_wait();
+    let is_held = is_lost || are_held(&front.state());
+    ReadWait {
+        table: ProvenTable::Operator,
+        usual: (!is_held).then_some(bound),
+        bound,
+        last,
+        is_lost,
+        is_troubled: false,
+    }
+}
+
+/// For how long the next question may be held at the store: one of a front that others tell, or
+/// that others go by, is to answer at once.
 fn config_hold(
     front: &FrontContext,
     now: Micros,
 ) -> Micros {
     let state = front.state();
-    match own_tier(front, &state, ProvenTable::Operator) {
-        ReaderTier::First => state.config_hold(front.settings.change_wait(), now),
-        ReaderTier::Second | ReaderTier::Last => Micros::ZERO,
+    let tier = own_tier(front, &state, ProvenTable::Operator);
+    match tier == ReaderTier::First && are_held(&state) {
+        true => state.config_hold(front.settings.change_wait(), now),
+        false => Micros::ZERO,
     }
 }
 
@@ -113,6 +134,7 @@
     if !foreign.has(CONFIG_KEY) {
         let now = front.now();
         front.state().note_config_read(mark.number(), sent_at, now);
+        front.greeting_due.wake();
     }
 }
 
--- a/entry/src/front/store_readers.rs
+++ b/entry/src/front/store_readers.rs
@@ -1,7 +1,7 @@
 use {
-    super::{spread_number, spread_part, FrontContext, FrontState},
+    super::{spread_number, FrontContext, FrontState},
     pitchhitch_core::{
-        serving::{reader_text, ProofBook, ProvenTable, ReaderTier, StorePosition, StoreProof},
+        serving::{even_draw, reader_draw, ProofBook, ProvenTable, ReaderTier, StoreProof},
         time::Micros,
     },
     pitchhitch_process::to_duration,
@@ -9,6 +9,8 @@
     std::collections::BTreeMap,
 };
 
+/// Fronts up to which questions for changes are held at the store.
+const HELD_FRONTS: u32 = 8;
 /// How often a front that others tell looks whether it must read itself.
 const LOOK_PAUSE: Micros = Micros::from_millis(100);
 /// Longest wait of a front that has just heard of something newer: not all read at once.
@@ -31,6 +33,8 @@
     read_at: Option<Micros>,
     /// A content that others told and that the store did not show.
     refuted: Option<(u32, Micros)>,
+    /// How soon this front reads it, as it was last logged.
+    tier: Option<ReaderTier>,
 }
 
 impl TableProofs {
@@ -63,6 +67,7 @@
 #[derive(Debug, Clone, Default)]
 pub(crate) struct StoreReaders {
     tables: BTreeMap<ProvenTable, TableProofs>,
+    has_news: bool,
 }
 
 impl StoreReaders {
@@ -93,6 +98,22 @@
         }
         table.mark = Some(mark);
         table.read_at = table.read_at.max(Some(sent_at));
+        self.has_news = true;
+    }
+
+    /// Whether this front has read something since it was last asked.
+    pub fn take_news(&mut self) -> bool {
+        std::mem::take(&mut self.has_news)
+    }
+
+    /// Takes how soon this front reads a table; true where that is news.
+    fn note_tier(
+        &mut self,
+        table: ProvenTable,
+        tier: ReaderTier,
+    ) -> bool {
+        let known = &mut self.tables.entry(table).or_default().tier;
+        known.replace(tier) != Some(tier)
     }
 
     /// What is known of one table.
@@ -143,52 +164,99 @@
         // Nobody tells it anything.
         return ReaderTier::First;
     }
-    let draw = spread_part(spread_number(&reader_text(&front.settings.box_id, table)));
-    ReaderTier::of(draw, state.fronts)
+    ReaderTier::of(reader_draw(&front.settings.box_id, table), state.fronts)
 }
 
-/// Waits until this front has to read a table itself: at once, unless others read it too and
-/// tell. `usual` is the time between two readings of those who read all the time.
-pub(super) async fn wait_to_read(
-    front: &FrontContext,
-    table: ProvenTable,
-    seen: Option<StorePosition>,
-    usual: Micros,
-    is_lost: bool,
-) {
-    if seen.is_none() && !is_lost {
-        return;
-    }
-    let from = front.now();
-    loop {
-        let now = front.now();
-        let (is_due, is_behind) = {
-            let state = front.state();
-            let tier = own_tier(front, &state, table);
-            let proofs = state.readers.table(table);
-            let known_at = proofs.and_then(TableProofs::proven_at);
-            let age = known_at.map(|at| now.since(at));
-            let patience = Micros(usual.0 * tier.patience() / 100);
-            let is_old = age.is_none_or(|age| age >= patience);
-            let has_waited = !is_lost || now.since(from) >= lost_pause(tier);
-            let is_behind = proofs.is_some_and(|proofs| proofs.behind(now).is_some());
-            (is_old && has_waited, is_behind)
-        };
-        if is_behind {
-            let part = spread_part(spread_number(&front.settings.box_id));
-            Timer::after(to_duration(Micros((NEWS_SPREAD.0 as f64 * part) as u64))).await;
-            return;
+/// A reader of one table between two readings.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct ReadWait {
+    /// Table.
+    pub table: ProvenTable,
+    /// Time between two readings of a front that reads all the time; nothing where its
+    /// questions are held at the store.
+    pub usual: Option<Micros>,
+    /// Time between two of them in any case: what is known is good for some times that.
+    pub bound: Micros,
+    /// When the last question was sent.
+    pub last: Micros,
+    /// Whether it had no answer.
+    pub is_lost: bool,
+    /// Whether the table is to be trusted again, which only own readings show.
+    pub is_troubled: bool,
+}
+
+impl ReadWait {
+    /// Whether this front has to read now: all the time, unless others read it too and tell.
+    fn is_due(
+        &self,
+        front: &FrontContext,
+        now: Micros,
+    ) -> bool {
+        let state = front.state();
+        let tier = own_tier(front, &state, self.table);
+        let waited = now.since(self.last);
+        if tier == ReaderTier::First || (self.is_troubled && !self.is_lost) {
+            return self.usual.is_none_or(|usual| waited >= usual);
         }
-        if is_due {
-            return;
+        let proofs = state.readers.table(self.table);
+        let known_at = proofs.and_then(TableProofs::proven_at);
+        let patience = Micros(self.bound.0 * tier.patience() / 100);
+        let is_old = known_at.is_none_or(|at| now.since(at) >= patience);
+        if !self.is_lost {
+            return is_old && waited >= LOOK_PAUSE;
         }
-        Timer::after(to_duration(LOOK_PAUSE)).await;
+        // Others have read it since: it may be back.
+        let is_back = known_at > Some(self.last);
+        (is_back && waited >= self.bound) || (is_old && waited >= LOST_PAUSE)
+    }
+
+    /// Waits until this front has to read, or somebody has read something newer.
+    pub async fn wait(
+        self,
+        front: &FrontContext,
+    ) {
+        log_tier(front, self.table);
+        while !self.is_due(front, front.now()) {
+            if self.is_behind(front) {
+                let spread = NEWS_SPREAD.0 as f64 * even_draw(&front.settings.box_id);
+                Timer::after(to_duration(Micros(spread as u64))).await;
+                return;
+            }
+            Timer::after(to_duration(LOOK_PAUSE)).await;
+        }
+    }
+
+    fn is_behind(
+        &self,
+        front: &FrontContext,
+    ) -> bool {
+        let now = front.now();
+        let state = front.state();
+        let proofs = state.readers.table(self.table);
+        proofs.is_some_and(|proofs| proofs.behind(now).is_some())
     }
 }
 
-fn lost_pause(tier: ReaderTier) -> Micros {
-    match tier {
-        ReaderTier::First => Micros::ZERO,
-        ReaderTier::Second | ReaderTier::Last => LOST_PAUSE,
+/// Whether fronts that read all the time have their questions held at the store: many of them
+/// ask at once, as others go by the age of what they read.
+pub(super) fn are_held(state: &FrontState) -> bool {
+    state.fronts <= HELD_FRONTS
+}
+
+fn log_tier(
+    front: &FrontContext,
+    table: ProvenTable,
+) {
+    let mut state = front.state();
+    let tier = own_tier(front, &state, table);
+    if state.readers.note_tier(table, tier) {
+        let (table, tier) = (format!("{table:?}"), format!("{tier:?}"));
+        log::info!(
+            event = "reader-tier",
+            table = table.as_str(),
+            tier = tier.as_str(),
+            fronts = state.fronts;
+            ""
+        );
     }
 }
--- a/entry/src/front/store_watchers.rs
+++ b/entry/src/front/store_watchers.rs
@@ -1,12 +1,13 @@
 use {
-    super::{is_engine, spread_number, FrontContext},
+    super::{is_engine, FrontContext},
+    pitchhitch_core::serving::even_draw,
     std::{collections::BTreeMap, net::SocketAddr},
 };
 
 /// Processes beside engines that read one store of kept parts for all fronts: each may end.
 const WATCHERS: usize = 2;
-/// Fronts up to which each reads the stores itself: that asks them as often.
-const FEW_FRONTS: u32 = 2 * WATCHERS as u32;
+/// Fronts up to which each reads all itself: that asks as often.
+pub(super) const FEW_FRONTS: u32 = 2 * WATCHERS as u32;
 
 /// Which process beside an engine reads which store of kept parts, for all fronts; all fronts
 /// that know the same engines find the same.
@@ -48,9 +49,9 @@
     store: SocketAddr,
     engines: &[SocketAddr],
 ) -> Vec<SocketAddr> {
-    let rank = |engine: &SocketAddr| spread_number(&format!("{store} {engine}"));
-    let mut ranked: Vec<(u64, SocketAddr)> = engines.iter().map(|e| (rank(e), *e)).collect();
-    ranked.sort_unstable();
+    let rank = |engine: &SocketAddr| even_draw(&format!("{store} {engine}"));
+    let mut ranked: Vec<(f64, SocketAddr)> = engines.iter().map(|e| (rank(e), *e)).collect();
+    ranked.sort_by(|one, other| one.0.total_cmp(&other.0));
     let highest = ranked.into_iter().rev().take(WATCHERS);
     highest.map(|(_, engine)| engine).collect()
 }
--- a/wire/src/beside/beside_socket.rs
+++ b/wire/src/beside/beside_socket.rs
@@ -50,6 +50,14 @@
         BesideSocket { key, ..self }
     }
 
+    /// Where it is bound.
+    ///
+    /// # Errors
+    /// When the system does not tell.
+    pub fn local_address(&self) -> io::Result<SocketAddr> {
+        self.socket.local_addr()
+    }
+
     /// Datagrams that were dropped: of strangers, or cut.
     pub fn strangers(&self) -> u64 {
         self.strangers.load(Ordering::Relaxed)
