Engines beside which nobody is heard get their orders from one front

Where none stands there named weights were never ordered, and from the end of the older ones' time on five of six requests were refused.

Change: the right to give an engine orders is a row of its own in the platform's store, replaced by who takes it (OrderRight); its position is the number, so it rises with each holder and each era. Before each order the holder looks at the row; a new holder waits until no such look of another holds any more and for the gap that engines are owed (order_gap_ms). One front under a lease takes the right for engines that were not heard for 4 s and lack weights, reads their reports, and goes by the same turns. While the store is away nobody takes over. event=weights-unordered tells operators why engines serve nothing.

--- a/agent/src/beside/beside_settings.rs
+++ b/agent/src/beside/beside_settings.rs
@@ -1,5 +1,8 @@
 use {
-    pitchhitch_core::settings::{SettingsErrors, SettingsReader},
+    pitchhitch_core::{
+        settings::{SettingsErrors, SettingsReader},
+        time::Micros,
+    },
     pitchhitch_wire::beacon::BeaconKey,
     std::net::SocketAddr,
 };
@@ -19,6 +22,8 @@
     pub store: SocketAddr,
     /// Where metrics are read.
     pub metrics: Option<SocketAddr>,
+    /// Gap that engines are owed between orders of two boxes.
+    pub order_gap: Micros,
     /// Key that proves handed state to be of one of ours, where a secret is set.
     pub peer_key: Option<BeaconKey>,
 }
@@ -41,6 +46,7 @@
             listen: reader.address("listen"),
             store: reader.address("store"),
             metrics: reader.optional_address("metrics"),
+            order_gap: reader.millis("order_gap_ms", 3_000.0, 0.0..=600_000.0),
             peer_key: secret.map(|secret| BeaconKey::from_secret(&secret)),
         };
         reader.finish()?;
--- a/agent/src/beside/order_giver.rs
+++ b/agent/src/beside/order_giver.rs
@@ -1,9 +1,13 @@
 use {
     super::{pause, BesideContext},
-    pitchhitch_core::{serving::StorePosition, time::Micros},
+    pitchhitch_core::{
+        serving::{order_number, OrderRight, StorePosition},
+        time::Micros,
+    },
     pitchhitch_http1::{HttpCall, HttpClient},
     pitchhitch_platform::{
-        encode_order, instance_field, StoreClient, StoreError, WeightOrder, ORDER_PATH,
+        encode_order, instance_field, read_order_row, take_order_row, StoreClient, StoreError,
+        WeightOrder, ORDER_PATH,
     },
     std::{rc::Rc, time::Duration},
 };
@@ -20,90 +24,145 @@
 const AFTER_ORDER: Micros = Micros::from_millis(350);
 /// Time limit of a call of the platform's store.
 const STORE_LIMIT: Duration = Duration::from_millis(1_500);
-/// Bits of a number that versions take: ten years of 3,000 changes a second.
-const ERA_SHIFT: u32 = 40;
 /// Status of an order whose number is lower than one that the engine has seen.
 const FENCED_OFF: u16 = 412;
 /// Pauses between tries to get a number: they double from the first to the last.
 const FENCE_PAUSES: (Micros, Micros) = (Micros::from_millis(300), Micros::from_secs(4));
 
-/// Gives the engine its orders. Nobody else does, for the life of the box, so
-/// the number that goes with them only has to rise from one life of this
-/// process to the next.
+/// Gives the engine its orders. Where this process is not heard for long, a front may take that
+/// over, so it looks whose right it is before each.
 pub(crate) async fn give_orders(beside: Rc<BesideContext>) {
-    let mut fence = take_fence(&beside).await;
-    let mut client = HttpClient::new(beside.settings.engine, ORDER_LIMIT);
+    let settings = &beside.settings;
+    let mut store = StoreClient::new(settings.store, STORE_LIMIT);
+    let mut right = OrderRight::new(settings.box_id.as_str(), settings.order_gap);
+    let mut client = HttpClient::new(settings.engine, ORDER_LIMIT);
     loop {
+        if !right.is_held() {
+            take_right(&beside, &mut store, &mut right).await;
+        }
         if !beside.state().wants_order() {
             beside.order_due.wait(LACK_WAIT).await;
         }
         pause(LOOK_PAUSE).await;
-        let Some((order, engine_id)) = due_order(&beside, fence) else {
-            continue;
+        let is_due = due_order(&beside, 0).is_some() && !right.is_waiting(beside.now());
+        let number = match is_due {
+            true => checked_number(&beside, &mut store, &mut right).await,
+            false => None,
         };
-        let call = HttpCall {
-            method: "POST",
-            target: ORDER_PATH,
-            fields: vec![instance_field(&engine_id)],
-            body: encode_order(&order),
-            ..HttpCall::default()
-        };
-        let answer = client.call(call).await;
-        let is_fenced_off = answer.as_ref().is_ok_and(|a| a.status == FENCED_OFF);
-        let outcome = match answer {
-            Ok(answer) => answer.status.to_string(),
-            Err(failure) => failure.to_string(),
+        // What was due may not be any more.
+        let Some((order, engine_id)) = number.and_then(|number| due_order(&beside, number)) else {
+            continue;
         };
-        log::info!(
-            event = "order",
-            engine = engine_id.as_str(),
-            model = order.model.as_str(),
-            version = order.version,
-            fence = order.fence,
-            orders_taken = order.orders_taken.unwrap_or(0),
-            outcome = outcome.as_str();
-            ""
-        );
-        beside.state().metrics.count("orders", &outcome);
-        if is_fenced_off {
-            // The engine knows a higher one: without another, none of this life is taken.
-            fence = take_fence(&beside).await;
+        if send_order(&beside, &mut client, &order, &engine_id).await == Some(FENCED_OFF) {
+            // The engine knows a higher number: without another, none of this life is taken.
+            right.row_unknown();
             continue;
         }
         pause(AFTER_ORDER).await;
     }
 }
 
-/// The number of this life: the position of a row that each life writes. A write
-/// whose answer is lost is made again; the later number is the higher one.
-async fn take_fence(beside: &BesideContext) -> u64 {
-    let mut client = StoreClient::new(beside.settings.store, STORE_LIMIT);
+/// Sends an order; the status of the answer.
+async fn send_order(
+    beside: &BesideContext,
+    client: &mut HttpClient,
+    order: &WeightOrder,
+    engine_id: &str,
+) -> Option<u16> {
+    let call = HttpCall {
+        method: "POST",
+        target: ORDER_PATH,
+        fields: vec![instance_field(engine_id)],
+        body: encode_order(order),
+        ..HttpCall::default()
+    };
+    let answer = client.call(call).await;
+    let status = answer.as_ref().ok().map(|answer| answer.status);
+    let outcome = match answer {
+        Ok(answer) => answer.status.to_string(),
+        Err(failure) => failure.to_string(),
+    };
+    log::info!(
+        event = "order",
+        engine = engine_id,
+        model = order.model.as_str(),
+        version = order.version,
+        fence = order.fence,
+        orders_taken = order.orders_taken.unwrap_or(0),
+        outcome = outcome.as_str();
+        ""
+    );
+    beside.state().metrics.count("orders", &outcome);
+    status
+}
+
+/// Takes the right to give the engine its orders; a write whose answer is lost is settled by
+/// reading.
+async fn take_right(
+    beside: &BesideContext,
+    store: &mut StoreClient,
+    right: &mut OrderRight,
+) {
     let mut wait = FENCE_PAUSES.0;
-    let key = format!("fence/{}", beside.settings.box_id);
     loop {
-        match client.put(&key, beside.settings.box_id.as_bytes()).await {
+        match try_take(beside, store, right).await {
             Ok(position) => {
-                let number = fence_number(position);
                 log::info!(
                     event = "fence",
-                    number = number,
+                    number = order_number(position),
                     era = position.era.0,
                     version = position.version;
                     ""
                 );
-                return number;
+                return;
+            }
+            Err(error) => {
+                right.row_unknown();
+                log_store(&error);
             }
-            Err(error) => log_store(&error),
         }
         pause(wait).await;
         wait = (wait + wait).min(FENCE_PAUSES.1);
     }
 }
 
-/// A position as a number that rises also where versions go back: with each era it is beyond all
-/// of the one before.
-fn fence_number(position: StorePosition) -> u64 {
-    (position.era.0 << ERA_SHIFT) | position.version
+/// Replaces the row, also one of an earlier life of this process: its number is to rise.
+async fn try_take(
+    beside: &BesideContext,
+    store: &mut StoreClient,
+    right: &mut OrderRight,
+) -> Result<StorePosition, StoreError> {
+    let settings = &beside.settings;
+    let row = read_order_row(store, settings.engine).await?;
+    let sent_at = beside.now();
+    let taken = take_order_row(store, settings.engine, row.as_ref(), &settings.box_id).await?;
+    right.row_written(taken, sent_at, beside.now());
+    Ok(taken)
+}
+
+/// The number under which an order may be given now, once it is sure whose right that is. While
+/// the store is away, nobody takes it over.
+async fn checked_number(
+    beside: &BesideContext,
+    store: &mut StoreClient,
+    right: &mut OrderRight,
+) -> Option<u64> {
+    let asked_at = beside.now();
+    let read = read_order_row(store, beside.settings.engine).await;
+    let now = beside.now();
+    let row = match read {
+        Ok(row) => row,
+        Err(error) => {
+            log_store(&error);
+            return right.unread_number(now);
+        }
+    };
+    let holder = row.as_ref().map_or(String::new(), |row| row.holder.clone());
+    right.row_read(row, asked_at, now);
+    if !right.is_held() {
+        log::warn!(event = "order-right", outcome = "lost", holder = holder.as_str(); "");
+    }
+    right.number(now)
 }
 
 fn log_store(error: &StoreError) {
--- a/core/src/serving/mod.rs
+++ b/core/src/serving/mod.rs
@@ -22,6 +22,7 @@
 mod listed_life;
 mod mechanism_set;
 mod memory_map;
+mod order_right;
 mod part_fate;
 mod part_memory;
 mod path_index;
@@ -59,11 +60,11 @@
     admission_ask::*, admission_rule::*, admission_verdict::*, caller_limits::*, endpoint_book::*,
     endpoint_entry::*, endpoint_life::*, endpoint_pick::*, endpoint_return::*, engine_pace::*,
     era_watch::*, even_draw::*, key_policy::*, key_trust::*, kv_store::*, life_watch::*,
-    listed_life::*, mechanism_set::*, memory_map::*, part_fate::*, part_memory::*, path_index::*,
-    prompt_ask::*, prompt_part::*, rank_shares::*, read_proofs::*, reader_tier::*, refusal_kind::*,
-    repeat_meter::*, request_fingerprint::*, route_habits::*, served_route::*, serving_config::*,
-    serving_mechanism::*, standstill_watch::*, store_position::*, store_proof::*, store_view::*,
-    suspect_book::*, suspect_record::*, swap_planner::*, table_mark::*, telling_pace::*,
-    told_life::*, told_naming::*, trial_table::*, wall_name::*, weight_belief::*, weight_bounds::*,
-    weight_namings::*,
+    listed_life::*, mechanism_set::*, memory_map::*, order_right::*, part_fate::*, part_memory::*,
+    path_index::*, prompt_ask::*, prompt_part::*, rank_shares::*, read_proofs::*, reader_tier::*,
+    refusal_kind::*, repeat_meter::*, request_fingerprint::*, route_habits::*, served_route::*,
+    serving_config::*, serving_mechanism::*, standstill_watch::*, store_position::*,
+    store_proof::*, store_view::*, suspect_book::*, suspect_record::*, swap_planner::*,
+    table_mark::*, telling_pace::*, told_life::*, told_naming::*, trial_table::*, wall_name::*,
+    weight_belief::*, weight_bounds::*, weight_namings::*,
 };
--- a/core/src/serving/telling_pace.rs
+++ b/core/src/serving/telling_pace.rs
@@ -15,6 +15,12 @@
 /// Pauses between two greetings at least and at most.
 const GREETING_PAUSES: (Micros, Micros) = (Micros::from_millis(400), Micros::from_millis(1_800));
 
+/// Time that a digest of one of many engines may wait.
+const HEARING_SHARE: Micros = Micros(100);
+/// Shortest and longest wait of digests.
+const LEAST_HEARING: Micros = Micros::from_millis(3);
+const LONGEST_HEARING: Micros = Micros::from_millis(20);
+
 /// Pause between two digests of a process that tells so many fronts.
 pub fn digest_pause(fronts: usize) -> Micros {
     paced(DIGEST_SHARE, fronts, DIGEST_PAUSES)
@@ -25,6 +31,16 @@
     paced(GREETING_SHARE, engines, GREETING_PAUSES)
 }
 
+/// Pause between two looks of a front at what so many engines have told; few are heard at once.
+/// Each look costs about as much as a digest, and finds many.
+pub fn hearing_pause(engines: usize) -> Micros {
+    let pause = Micros(HEARING_SHARE.0 * engines as u64).min(LONGEST_HEARING);
+    match pause < LEAST_HEARING {
+        true => Micros::ZERO,
+        false => pause,
+    }
+}
+
 /// Pause of a front that greets an engine which must hear of it soon: that it is to load, or
 /// that what it keeps is not known.
 pub fn urgent_greeting_pause() -> Micros {
--- a/entry/src/front/digest_watch.rs
+++ b/entry/src/front/digest_watch.rs
@@ -5,14 +5,15 @@
     },
     pitchhitch_core::{
         serving::{
-            BookChange, DigestMark, DigestOrder, EndpointEntry, EndpointKey, EndpointNotice,
-            LifeOrder, ProvenTable,
+            hearing_pause, BookChange, DigestMark, DigestOrder, EndpointEntry, EndpointKey,
+            EndpointNotice, LifeOrder, ProvenTable,
         },
         time::Micros,
     },
+    pitchhitch_process::to_duration,
     pitchhitch_wire::beside::{BesideSocket, EngineDigest, GreetingEcho, ToldDigest},
     smol::Timer,
-    std::{net::SocketAddr, rc::Rc, time::Duration},
+    std::{io, net::SocketAddr, rc::Rc, time::Duration},
 };
 
 /// Pause after a socket that failed.
@@ -23,32 +24,61 @@
 /// Processes beside engines that are remembered.
 const BESIDES_LIMIT: usize = 64;
 
-/// Takes what the processes beside engines tell.
+/// Takes what the processes beside engines tell: one after the other, and many at once where
+/// many tell.
 pub(crate) async fn hear_digests(
     front: Rc<FrontContext>,
     socket: BesideSocket,
 ) {
     let mut room = Vec::new();
+    let mut strangers = 0;
     loop {
-        match socket.receive_into::<ToldDigest>(&mut room).await {
-            Ok((told, from)) => {
-                let ToldDigest { digest, echo } = told;
-                note_beside(&front, from);
-                take_relayed(&front, &digest, echo, from);
-                let change = take_announced(&front, &digest, from);
-                log_changes(&front, change.as_slice());
-                let change = take_digest(&front, digest);
-                log_changes(&front, change.as_slice());
-            }
+        match next_digest(&front, &socket, &mut room).await {
+            Ok((told, from)) => hear(&front, told, from),
             Err(error) => {
                 let error = error.to_string();
                 log::warn!(event = "digest-failed", error = error.as_str(); "");
                 Timer::after(FAILED_PAUSE).await;
             }
         }
+        if socket.strangers() != strangers {
+            strangers = socket.strangers();
+            front.metrics.count("digests", "stranger");
+        }
+    }
+}
+
+async fn next_digest(
+    front: &FrontContext,
+    socket: &BesideSocket,
+    room: &mut Vec<u8>,
+) -> io::Result<(ToldDigest, SocketAddr)> {
+    loop {
+        let pause = hearing_pause(front.state().book.len());
+        if pause == Micros::ZERO {
+            return socket.receive_into(room).await;
+        }
+        if let Some(next) = socket.receive_now(room)? {
+            return Ok(next);
+        }
+        Timer::after(to_duration(pause)).await;
     }
 }
 
+fn hear(
+    front: &FrontContext,
+    told: ToldDigest,
+    from: SocketAddr,
+) {
+    let ToldDigest { digest, echo } = told;
+    note_beside(front, from);
+    take_relayed(front, &digest, echo, from);
+    let change = take_announced(front, &digest, from);
+    log_changes(front, change.as_slice());
+    let change = take_digest(front, digest);
+    log_changes(front, change.as_slice());
+}
+
 /// Remembers who was heard, as long as state may have to be asked for.
 fn note_beside(
     front: &FrontContext,
--- a/entry/src/front/front_process.rs
+++ b/entry/src/front/front_process.rs
@@ -1,6 +1,6 @@
 use {
     super::{
-        answer_control, ask_peers, greet_engines, hear_digests, keep_held, serve_caller,
+        answer_control, ask_peers, greet_engines, hear_digests, keep_held, serve_caller, stand_in,
         tend_endpoints, tend_parts, watch_list, watch_operator, watch_stores, FrontContext,
         FrontSettings,
     },
@@ -67,6 +67,7 @@
     front.spawn(tend_parts(front.clone()));
     front.spawn(keep_held(front.clone()));
     front.spawn(watch_stores(front.clone()));
+    front.spawn(stand_in(front.clone()));
     front.spawn(accept(front.clone(), Async::new(callers)?));
     log::info!(
         event = "started",
--- a/entry/src/front/front_settings.rs
+++ b/entry/src/front/front_settings.rs
@@ -47,6 +47,8 @@
     pub begin_limit: Micros,
     /// What may be sent again.
     pub repeats: RepeatBound,
+    /// Gap that engines are owed between orders of two boxes.
+    pub order_gap: Micros,
     /// Time between SIGTERM and the end of the process by force.
     pub stop_limit: Duration,
     /// Memory that the process may take, in megabytes.
@@ -137,6 +139,7 @@
                 ratio: reader.fraction("repeat_ratio", 0.2, 0.0..=1.0),
                 slack: reader.fraction("repeat_slack", 50.0, 0.0..=1_000_000.0),
             },
+            order_gap: reader.millis("order_gap_ms", 3_000.0, 0.0..=600_000.0),
             stop_limit: Duration::from_micros(reader.seconds("stop_limit_s", 8.0, SPANS_S).0),
             memory_mb: reader.fraction("memory_mb", 128.0, 16.0..=1_000_000.0) as u64,
             left_out: read_left_out(&mut reader),
--- a/entry/src/front/mod.rs
+++ b/entry/src/front/mod.rs
@@ -22,6 +22,7 @@
 mod list_watch;
 mod offer;
 mod operator_watch;
+mod order_substitute;
 mod part_freeing;
 mod peer_state;
 mod plain_answer;
@@ -48,8 +49,8 @@
 pub(crate) use {
     beside_link::*, caller_conn::*, digest_watch::*, end_probe::*, event_splitter::*,
     front_context::*, front_metrics::*, front_state::*, link_pool::*, list_watch::*, offer::*,
-    operator_watch::*, plain_answer::*, request_run::*, store_contact::*, store_readers::*,
-    store_watch::*, stream_relay::*, suspect_desk::*, wake_reason::*,
+    operator_watch::*, order_substitute::*, plain_answer::*, request_run::*, store_contact::*,
+    store_readers::*, store_watch::*, stream_relay::*, suspect_desk::*, wake_reason::*,
 };
 use {
     call_limit::*, foreign_rows::*, greeting_plan::*, held_rows::*, part_freeing::*, peer_state::*,
--- a/entry/tests/fraction_figures.rs
+++ b/entry/tests/fraction_figures.rs
@@ -8,13 +8,14 @@
 };
 
 /// Fields that the template fills with a figure.
-const FIGURES: [&str; 8] = [
+const FIGURES: [&str; 9] = [
     "key_limit_ms",
     "drain_limit_ms",
     "weights_limit_ms",
     "repeat_ratio",
     "repeat_window_s",
     "repeat_slack",
+    "order_gap_ms",
     "stop_limit_s",
     "memory_mb",
 ];
--- a/wire/src/beside/beside_socket.rs
+++ b/wire/src/beside/beside_socket.rs
@@ -4,7 +4,7 @@
         codec::{decode_body, encode_body},
     },
     serde::{de::DeserializeOwned, Serialize},
-    smol::net::UdpSocket,
+    smol::{net::UdpSocket, Async},
     std::{
         io,
         net::SocketAddr,
@@ -111,12 +111,47 @@
         room.resize(DATAGRAM_LIMIT, 0);
         loop {
             let (count, from) = self.socket.recv_from(room).await?;
-            let message = self.proven(&room[..count]).map(decode_body);
-            if let Some(Ok(message)) = message {
+            if let Some(message) = self.read(&room[..count]) {
                 return Ok((message, from));
             }
+        }
+    }
+
+    /// The message that has come already, if any.
+    ///
+    /// # Errors
+    /// When the socket fails.
+    pub fn receive_now<T: DeserializeOwned>(
+        &self,
+        room: &mut Vec<u8>,
+    ) -> io::Result<Option<(T, SocketAddr)>> {
+        room.resize(DATAGRAM_LIMIT, 0);
+        // Asked without the reactor, which would wake the process for each one that comes.
+        let socket: Arc<Async<std::net::UdpSocket>> = self.socket.clone().into();
+        loop {
+            let (count, from) = match socket.get_ref().recv_from(room) {
+                Ok(received) => received,
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => return Ok(None),
+                Err(error) => return Err(error),
+            };
+            if let Some(message) = self.read(&room[..count]) {
+                return Ok(Some((message, from)));
+            }
+        }
+    }
+
+    /// Reads a datagram; one that is none of ours is counted.
+    fn read<T: DeserializeOwned>(
+        &self,
+        datagram: &[u8],
+    ) -> Option<T> {
+        let message = self
+            .proven(datagram)
+            .and_then(|body| decode_body(body).ok());
+        if message.is_none() {
             self.strangers.fetch_add(1, Ordering::Relaxed);
         }
+        message
     }
 
     /// The message in a datagram, where it is one of ours.
--- a/wire/src/beside/engine_digest.rs
+++ b/wire/src/beside/engine_digest.rs
@@ -1,5 +1,5 @@
 use {
-    super::StoreNews,
+    super::{grouped_parts, StoreNews},
     pitchhitch_core::serving::{
         EndpointNotice, EngineLoad, PartId, StoreProof, ToldSuspect, WallTag,
     },
@@ -46,6 +46,7 @@
     /// Whether this ends the telling of all that the engine keeps.
     pub is_whole: bool,
     /// Parts that changed, or some of all.
+    #[serde(with = "grouped_parts")]
     pub parts: Vec<DigestPart>,
     /// Requests under which endpoints ended, as fronts told.
     pub suspects: Vec<ToldSuspect>,
--- /dev/null
+++ b/wire/src/beside/grouped_parts.rs
@@ -0,0 +1,36 @@
+//! Parts in a digest, written wall by wall: most are inside one or two, and a wall's tag takes
+//! as many bytes as all else of a part.
+
+use {
+    super::DigestPart,
+    pitchhitch_core::serving::{PartId, WallTag},
+    serde::{Deserialize, Deserializer, Serialize, Serializer},
+};
+
+/// Writes parts; those of one wall keep their order.
+pub(super) fn serialize<S: Serializer>(
+    parts: &[DigestPart],
+    serializer: S,
+) -> Result<S::Ok, S::Error> {
+    let mut walls: Vec<(WallTag, Vec<(PartId, u32)>)> = Vec::new();
+    for part in parts {
+        let known = walls.iter_mut().find(|(wall, _)| *wall == part.wall);
+        match known {
+            Some((_, parts)) => parts.push((part.id, part.tokens)),
+            None => walls.push((part.wall, vec![(part.id, part.tokens)])),
+        }
+    }
+    walls.serialize(serializer)
+}
+
+/// Reads what [`serialize`] wrote.
+pub(super) fn deserialize<'de, D: Deserializer<'de>>(
+    deserializer: D
+) -> Result<Vec<DigestPart>, D::Error> {
+    let walls: Vec<(WallTag, Vec<(PartId, u32)>)> = Vec::deserialize(deserializer)?;
+    let parts = walls.into_iter().flat_map(|(wall, parts)| {
+        let part = move |(id, tokens)| DigestPart { wall, id, tokens };
+        parts.into_iter().map(part)
+    });
+    Ok(parts.collect())
+}
--- a/wire/src/beside/mod.rs
+++ b/wire/src/beside/mod.rs
@@ -4,6 +4,7 @@
 mod beside_socket;
 mod engine_digest;
 mod front_hello;
+mod grouped_parts;
 mod handed_state;
 mod state_question;
 mod store_news;
--- a/wire/tests/beside_socket.rs
+++ b/wire/tests/beside_socket.rs
@@ -1,7 +1,15 @@
 //! Datagrams between fronts and the processes beside engines.
 
 use {
-    pitchhitch_wire::{beacon::BeaconKey, beside::BesideSocket},
+    pitchhitch_core::{
+        serving::{EngineLoad, PartId, WallTag},
+        time::Micros,
+    },
+    pitchhitch_wire::{
+        beacon::BeaconKey,
+        beside::{BesideSocket, DigestPart, EngineDigest, GreetingEcho, ToldDigest, WrittenDigest},
+        codec::{decode_body, encode_body},
+    },
     smol::{future::or, Timer},
     std::{
         net::{SocketAddr, UdpSocket},
@@ -93,3 +101,51 @@
     };
     smol::block_on(or(heard, late))
 }
+
+/// A digest that is written once for all is read as one that is written for one front, and
+/// parts keep their order inside each wall.
+#[test]
+fn digest_written_once() {
+    let part = |wall, id: &str, tokens| DigestPart {
+        wall: WallTag(wall),
+        id: PartId::parse(id).expect("hex"),
+        tokens,
+    };
+    let digest = EngineDigest {
+        engine: SocketAddr::from(([10, 0, 0, 1], 80)),
+        life: 1,
+        number: 2,
+        changes: 3,
+        is_change: true,
+        born: Some(4),
+        load: EngineLoad::default(),
+        weights: vec![("m".to_string(), 5)],
+        clock_ms: None,
+        fronts: 6,
+        forgets: false,
+        is_whole: false,
+        parts: vec![part(1, "aa", 10), part(2, "bb", 20), part(1, "aa", 0)],
+        suspects: Vec::new(),
+        has_all_suspects: false,
+        endpoint: None,
+        proofs: Vec::new(),
+        stores: Vec::new(),
+    };
+    let echo = Some(GreetingEcho {
+        number: 7,
+        age: Micros(8),
+    });
+    let written = WrittenDigest::new(&digest).expect("written");
+    let bytes = written.told(echo).expect("written");
+    let told: ToldDigest = decode_body(&bytes).expect("read");
+    let grouped = vec![part(1, "aa", 10), part(1, "aa", 0), part(2, "bb", 20)];
+    assert_eq!((told.echo, &told.digest.parts), (echo, &grouped));
+    assert_eq!(
+        told.digest,
+        EngineDigest {
+            parts: grouped,
+            ..digest.clone()
+        }
+    );
+    assert_eq!(encode_body(&ToldDigest { digest, echo }), Ok(bytes));
+}
