--- a/agent/src/beside/beside_context.rs
+++ b/agent/src/beside/beside_context.rs
@@ -103,6 +103,7 @@
         EngineLoad {
             at: Micros::ZERO,
             again_within: self.digest_pause.max(QUIET_LIMIT),
+            changes_within: self.digest_pause,
             ..self.load
         }
     }
--- a/core/src/serving/endpoint_entry.rs
+++ b/core/src/serving/endpoint_entry.rs
@@ -41,6 +41,8 @@
     pub at: Micros,
     /// Time in which the next one comes, unless it gets lost.
     pub again_within: Micros,
+    /// Time in which it is told where it changes.
+    pub changes_within: Micros,
     /// Requests that run.
     pub running: u32,
     /// Requests that wait.
@@ -211,7 +213,9 @@
         let others = f64::from(self.unread_of_others(now));
         let told = others * (1.0 - reading * READ_PART) * pace.unread_tokens();
         let usual = pace.queued_tokens();
-        usual + (told - usual) * pace.still_holds(now.since(load.at))
+        // What did not change since is not told again.
+        let age = now.since(load.at).min(load.changes_within);
+        usual + (told - usual) * pace.still_holds(age)
     }
 
     /// Tokens that our requests still have to be read for, of those that go
--- a/core/src/serving/engine_pace.rs
+++ b/core/src/serving/engine_pace.rs
@@ -27,8 +27,10 @@
 const START_ANSWER_TOKENS: f64 = 50.0;
 /// Weight of one report in the mean of queues.
 const QUEUE_STEP: f64 = 0.02;
-/// Times to read a usual prompt after which a report says little of a queue.
-const QUEUE_TURNS: f64 = 6.0;
+/// Age up to which a report says all of a queue, in milliseconds.
+const QUEUE_FRESH_MS: f64 = 100.0;
+/// Times to read a usual prompt, beyond that, after which it says little.
+const QUEUE_TURNS: f64 = 20.0;
 /// Time for which a prompt holds its memory, in milliseconds, until some have ended.
 const START_HELD_MS: f64 = 1_000.0;
 
@@ -123,7 +125,8 @@
         age: Micros,
     ) -> f64 {
         let turn_ms = (self.unread_tokens * self.token_ms() * QUEUE_TURNS).max(1.0);
-        (-(age.0 as f64) / 1e3 / turn_ms).exp()
+        let old_ms = (age.0 as f64 / 1e3 - QUEUE_FRESH_MS).max(0.0);
+        (-old_ms / turn_ms).exp()
     }
 
     /// Notes a prompt that is sent: its size, what of it has to be read, and the
--- a/core/src/serving/era_watch.rs
+++ b/core/src/serving/era_watch.rs
@@ -27,8 +27,6 @@
     doubted_since: Option<Micros>,
     /// Newest era in which another process has proven what is in force.
     vouched: Option<StoreEra>,
-    /// Whether a call failed before any was answered: the store may come back from a copy.
-    is_missed: bool,
 }
 
 impl EraWatch {
@@ -41,7 +39,7 @@
         let Some(known) = self.known else {
             self.known = Some(era);
             let is_older = self.vouched.is_some_and(|vouched| vouched < era);
-            if self.is_missed || is_older {
+            if is_older {
                 self.doubted_since = Some(now);
             }
             return EraNews::Known;
@@ -57,11 +55,6 @@
         EraNews::Later { before: known }
     }
 
-    /// Takes that a call had no answer.
-    pub fn missed(&mut self) {
-        self.is_missed |= self.known.is_none();
-    }
-
     /// Takes that another process has proven in this era what is in force. True where that was
     /// an era before the one that is known here: the store has come back since, and what was
     /// read here before says nothing.
--- a/entry/src/front/front_state.rs
+++ b/entry/src/front/front_state.rs
@@ -20,6 +20,8 @@
 /// Time from its start in which a front is told of suspects, if anybody can: some greetings
 /// may get lost.
 const TOLD_WITHIN: Micros = Micros::from_millis(500);
+/// Time from its start in which a front has asked others what they know.
+const ASKED_WITHIN: Micros = Micros::from_millis(500);
 /// Salts whose tags are remembered.
 const WALL_LIMIT: usize = 1_000;
 
@@ -167,6 +169,16 @@
         }
     }
 
+    /// Whether the process has just started and is about to be told, or about to know that nobody
+    /// tells, which keys are in force.
+    pub fn awaits_peers(
+        &self,
+        now: Micros,
+    ) -> bool {
+        // The clock starts with the process.
+        !self.has_asked_peers && now < ASKED_WITHIN
+    }
+
     /// For how long the next question for changes of the configuration may be held at the
     /// store, where that is `usual` while all is well.
     pub fn config_hold(
--- a/entry/src/front/order_substitute.rs
+++ b/entry/src/front/order_substitute.rs
@@ -22,8 +22,12 @@
 const UNHEARD_FOR: Micros = Micros::from_millis(4_000);
 /// Time between two reports of one of them; each has a price.
 const REPORT_PAUSE: Micros = Micros::from_millis(900);
+/// The same while it is its turn to load.
+const TURN_PAUSE: Micros = Micros::from_millis(250);
 /// Engines that are asked for reports at once: those that may load, and some more.
-const REPORTS_LIMIT: usize = 16;
+const REPORTS_LIMIT: usize = 48;
+/// Time after an order in which a report may not show it yet.
+const AFTER_ORDER: Micros = Micros::from_millis(800);
 /// Time limits of calls.
 const CALL_LIMIT: Duration = Duration::from_millis(300);
 const STORE_LIMIT: Duration = Duration::from_millis(1_000);
@@ -44,6 +48,8 @@
     right: OrderRight,
     client: HttpClient,
     reported_at: Option<Micros>,
+    ordered_at: Option<Micros>,
+    is_swapping: bool,
     orders_taken: u64,
 }
 
@@ -99,6 +105,12 @@
         if !is_held {
             return;
         }
+        for (key, address) in &lacking {
+            // Early for all, as a new holder has to wait.
+            if !self.hold(*key, *address).await {
+                return;
+            }
+        }
         for (key, address) in lacking.into_iter().take(REPORTS_LIMIT) {
             self.tend(key, address).await;
         }
@@ -220,34 +232,50 @@
         log::warn!(event = "store-lost", watch = "orders", error = error.as_str(); "");
     }
 
-    /// Asks an engine for its report, takes the right to give it orders, and gives it one where
-    /// it is its turn.
-    async fn tend(
+    /// Takes the right to give an engine orders; false where the store does not let it.
+    async fn hold(
         &mut self,
         key: EndpointKey,
         address: SocketAddr,
-    ) {
+    ) -> bool {
         let front = self.front.clone();
         let orphan = self.orphans.entry(key).or_insert_with(|| OrphanEngine {
             right: OrderRight::new(front.settings.box_id.as_str(), front.settings.order_gap),
             client: HttpClient::new(address, CALL_LIMIT),
             reported_at: None,
+            ordered_at: None,
+            is_swapping: false,
             orders_taken: 0,
         });
-        if !orphan.right.is_held() {
-            let taken = take_right(&front, &mut self.store, &mut orphan.right, address).await;
-            if let Err(error) = taken {
-                orphan.right.row_unknown();
-                self.note_lost(&error);
-                return;
-            }
+        if orphan.right.is_held() {
+            return true;
+        }
+        let taken = take_right(&front, &mut self.store, &mut orphan.right, address).await;
+        if let Err(error) = &taken {
+            orphan.right.row_unknown();
+            self.note_lost(error);
         }
+        taken.is_ok()
+    }
+
+    /// Asks an engine for its report, and gives it an order where it is its turn.
+    async fn tend(
+        &mut self,
+        key: EndpointKey,
+        address: SocketAddr,
+    ) {
+        let front = self.front.clone();
+        let Some(orphan) = self.orphans.get_mut(&key) else {
+            return;
+        };
         orphan.report(&front, key).await;
         let turn = front.state().planner.turn(key).cloned();
         let Some(turn) = turn.filter(|turn| turn.loads) else {
             return;
         };
-        if orphan.right.is_waiting(front.now()) {
+        // One that does what it was told needs no further order.
+        let is_told = orphan.is_swapping || orphan.was_told(front.now());
+        if is_told || orphan.right.is_waiting(front.now()) {
             return;
         }
         let asked_at = front.now();
@@ -292,10 +320,9 @@
         key: EndpointKey,
     ) {
         let now = front.now();
-        if self
-            .reported_at
-            .is_some_and(|at| now.since(at) < REPORT_PAUSE)
-        {
+        let has_turn = front.state().planner.turn(key).is_some();
+        let pause = if has_turn { TURN_PAUSE } else { REPORT_PAUSE };
+        if self.reported_at.is_some_and(|at| now.since(at) < pause) {
             return;
         }
         self.reported_at = Some(now);
@@ -311,9 +338,19 @@
             return;
         };
         self.orders_taken = report.orders_taken;
+        self.is_swapping = report.is_busy;
         take_report(front, key, &report, now);
     }
 
+    /// Whether an order was given so lately that no report can tell what became of it.
+    fn was_told(
+        &self,
+        now: Micros,
+    ) -> bool {
+        self.ordered_at
+            .is_some_and(|at| now.since(at) < AFTER_ORDER)
+    }
+
     async fn order(
         &mut self,
         front: &FrontContext,
@@ -355,6 +392,7 @@
         );
         // The next report shows what became of it.
         self.reported_at = None;
+        self.ordered_at = Some(front.now());
     }
 }
 
@@ -377,6 +415,7 @@
     entry.load = Some(EngineLoad {
         at: now,
         again_within: REPORT_PAUSE,
+        changes_within: REPORT_PAUSE,
         ..report.load
     });
     for (model, version) in &report.weights {
--- a/entry/src/front/peer_state.rs
+++ b/entry/src/front/peer_state.rs
@@ -1,6 +1,9 @@
 use {
-    super::{is_engine, log_changes, spread_number, take_config, FrontContext},
-    pitchhitch_core::{serving::TELL_LIMIT, time::Micros},
+    super::{is_engine, log_changes, take_config, FrontContext},
+    pitchhitch_core::{
+        serving::{even_draw, TELL_LIMIT},
+        time::Micros,
+    },
     pitchhitch_platform::decode_config,
     pitchhitch_process::to_duration,
     pitchhitch_wire::beside::{ask_state, HandedState, STATE_PATH},
@@ -16,8 +19,10 @@
 /// Time from the start for which peers are asked in any case: the store's row may
 /// have gone back, or may show an older configuration for a moment.
 const FIRST_QUESTIONS: Micros = Micros::from_millis(1_500);
+/// Pause between two questions until then.
+const FIRST_PAUSE: Micros = Micros::from_millis(30);
 /// Time from the start after which the store's row is believed though nobody has answered.
-const FIRST_ANSWER: Micros = Micros::from_millis(400);
+const FIRST_ANSWER: Micros = Micros::from_millis(250);
 /// Pause between two questions where only the age of namings is still to be told.
 const AGE_PAUSE: Micros = Micros::from_millis(400);
 
@@ -80,12 +85,12 @@
 
 /// Asks peers for what they know, until the store or one of them has told it.
 pub(super) async fn ask_peers(front: Rc<FrontContext>) {
-    // Fronts that start together do not all ask the same one.
-    let mut turn = spread_number(&front.settings.box_id) as usize;
+    // Fronts that start together do not all ask the same one first.
+    let mut turn = 2 * (even_draw(&front.settings.box_id) * 1e6) as usize;
     loop {
-        let peers = peers(&front);
+        let peer = next_peer(&front, turn);
         let now = front.now();
-        if now > FIRST_ANSWER || (peers.is_empty() && knows_all(&front)) {
+        if now > FIRST_ANSWER || (peer.is_none() && knows_all(&front)) {
             front.state().note_peers_asked(now);
         }
         let knows_ages = front.state().planner.knows_ages(now);
@@ -93,9 +98,12 @@
         if now > FIRST_QUESTIONS && may_end && knows_all(&front) {
             return;
         }
-        let mut pause = ASK_PAUSE;
-        if let Some(peer) = peers.get(turn % peers.len().max(1)) {
-            let is_told = ask_peer(&front, *peer).await;
+        let mut pause = match now > FIRST_ANSWER {
+            true => ASK_PAUSE,
+            false => FIRST_PAUSE,
+        };
+        if let Some(peer) = peer {
+            let is_told = ask_peer(&front, peer).await;
             if is_told {
                 front.state().note_peers_asked(front.now());
             }
@@ -111,29 +119,45 @@
     }
 }
 
+/// Whom to ask next: seeds and processes beside engines by turns, as those that started
+/// together with this front know nothing yet.
+fn next_peer(
+    front: &FrontContext,
+    turn: usize,
+) -> Option<SocketAddr> {
+    let (seeds, besides) = (seeds(front), besides(front));
+    let nth = |peers: &[SocketAddr]| peers.get(turn / 2 % peers.len().max(1)).copied();
+    match turn % 2 {
+        0 => nth(&seeds).or(nth(&besides)),
+        _ => nth(&besides).or(nth(&seeds)),
+    }
+}
+
 fn knows_all(front: &FrontContext) -> bool {
     let state = front.state();
     state.config.is_some() && state.has_list
 }
 
-/// Seeds, and the processes beside engines that have been heard or are listed.
-fn peers(front: &FrontContext) -> Vec<SocketAddr> {
+/// Fronts that may hand state on.
+fn seeds(front: &FrontContext) -> Vec<SocketAddr> {
     let settings = &front.settings;
+    let is_own = |peer: &SocketAddr| *peer == settings.digests || Some(*peer) == settings.control;
+    let seeds = settings.seeds.iter().copied();
+    seeds.filter(|seed| !is_own(seed)).collect()
+}
+
+/// Processes beside engines that have been heard, or whose engines are listed.
+fn besides(front: &FrontContext) -> Vec<SocketAddr> {
     let state = front.state();
     let heard = state.besides.iter().copied();
     let engines = state.config.iter().flat_map(|config| {
         let entries = state.book.iter().map(|(_, entry)| entry);
         entries.filter(|entry| is_engine(config, entry))
     });
-    let listed = engines.map(|entry| SocketAddr::new(entry.address.ip(), settings.beside_port));
+    let port = front.settings.beside_port;
+    let listed = engines.map(|entry| SocketAddr::new(entry.address.ip(), port));
     let besides: BTreeSet<SocketAddr> = heard.chain(listed).collect();
-    let seeds = settings.seeds.iter().copied();
-    let is_own = |peer: &SocketAddr| *peer == settings.digests || Some(*peer) == settings.control;
-    besides
-        .into_iter()
-        .chain(seeds)
-        .filter(|peer| !is_own(peer))
-        .collect()
+    besides.into_iter().collect()
 }
 
 /// Asks one peer; true where it told a state of one of ours.
--- a/entry/src/front/store_contact.rs
+++ b/entry/src/front/store_contact.rs
@@ -10,8 +10,6 @@
     std::rc::Rc,
 };
 
-/// Status of a store that has too many calls: it is there.
-const TOO_MANY: u16 = 429;
 /// Time over which fronts write again what a store that came back from a copy has lost, and
 /// what each further front adds to it: the store gives all of them some hundred writes a second.
 const WRITE_SPAN: Micros = Micros::from_millis(2_000);
@@ -33,9 +31,6 @@
         Err(StoreError::OtherEra) | Ok(()) => {}
         Err(error) => {
             front.metrics.count("store_failures", watch);
-            if !matches!(error, StoreError::Refused(TOO_MANY)) {
-                front.state().eras.missed();
-            }
             if !*is_lost {
                 *is_lost = true;
                 let error = error.to_string();
