A front that starts believes the row at once again, and asks others soon

Cause: all fronts that start again together waited for each other's answer, as each one's seeds start as well. The pages' store is asked by all at that moment; who tells an earlier era still unproves what was read.

Tests: store_copies 12, handed_state 7, handed_ages 4, order_substitutes 4, store_readers 4 green.

--- a/entry/src/front/front_state.rs
+++ b/entry/src/front/front_state.rs
@@ -20,8 +20,6 @@
 /// Time from its start in which a front is told of suspects, if anybody can: some greetings
 /// may get lost.
 const TOLD_WITHIN: Micros = Micros::from_millis(500);
-/// Time from its start in which a front has asked others what they know.
-const ASKED_WITHIN: Micros = Micros::from_millis(500);
 /// Salts whose tags are remembered.
 const WALL_LIMIT: usize = 1_000;
 
@@ -50,11 +48,6 @@
     pub greetings: GreetingPlan,
     /// Era in which a reading of this process last proved the configuration.
     pub proven_era: Option<StoreEra>,
-    /// Whether others were asked, in this life, what they know: the store's row may have gone
-    /// back, and is not believed before.
-    has_asked_peers: bool,
-    /// When the last reading of the configuration was sent that waits for that.
-    unproven_read: Option<(u32, Micros)>,
     /// What is refused while engines are behind.
     pub admission: AdmissionRule,
     /// What is learned of how engines take prompts.
@@ -113,8 +106,6 @@
             heard_at: None,
             greetings: GreetingPlan::default(),
             proven_era: None,
-            has_asked_peers: false,
-            unproven_read: None,
             admission: AdmissionRule::without(settings.left_out),
             pace: EnginePace::without(settings.left_out),
             memory: MemoryMap::without(settings.left_out),
@@ -148,9 +139,7 @@
         sent_at: Micros,
         now: Micros,
     ) {
-        if !self.has_asked_peers {
-            self.unproven_read = Some((mark, sent_at));
-        } else if self.eras.proves(sent_at) {
+        if self.eras.proves(sent_at) {
             self.trust.proven(sent_at);
             self.proven_era = self.eras.known();
             let table = ProvenTable::Operator;
@@ -158,27 +147,6 @@
         }
     }
 
-    /// Takes that others were asked for what they know, or that nobody is there to be asked.
-    pub fn note_peers_asked(
-        &mut self,
-        now: Micros,
-    ) {
-        self.has_asked_peers = true;
-        if let Some((mark, sent_at)) = self.unproven_read.take() {
-            self.note_config_read(mark, sent_at, now);
-        }
-    }
-
-    /// Whether the process has just started and is about to be told, or about to know that nobody
-    /// tells, which keys are in force.
-    pub fn awaits_peers(
-        &self,
-        now: Micros,
-    ) -> bool {
-        // The clock starts with the process.
-        !self.has_asked_peers && now < ASKED_WITHIN
-    }
-
     /// For how long the next question for changes of the configuration may be held at the
     /// store, where that is `usual` while all is well.
     pub fn config_hold(
--- a/entry/src/front/peer_state.rs
+++ b/entry/src/front/peer_state.rs
@@ -19,10 +19,9 @@
 /// Time from the start for which peers are asked in any case: the store's row may
 /// have gone back, or may show an older configuration for a moment.
 const FIRST_QUESTIONS: Micros = Micros::from_millis(1_500);
-/// Pause between two questions until then.
+/// The same just after the start: others may know that the store's row has gone back.
 const FIRST_PAUSE: Micros = Micros::from_millis(30);
-/// Time from the start after which the store's row is believed though nobody has answered.
-const FIRST_ANSWER: Micros = Micros::from_millis(250);
+const JUST_STARTED: Micros = Micros::from_millis(250);
 /// Pause between two questions where only the age of namings is still to be told.
 const AGE_PAUSE: Micros = Micros::from_millis(400);
 
@@ -90,23 +89,17 @@
     loop {
         let peer = next_peer(&front, turn);
         let now = front.now();
-        if now > FIRST_ANSWER || (peer.is_none() && knows_all(&front)) {
-            front.state().note_peers_asked(now);
-        }
         let knows_ages = front.state().planner.knows_ages(now);
         let may_end = knows_ages || now > TELL_LIMIT;
         if now > FIRST_QUESTIONS && may_end && knows_all(&front) {
             return;
         }
-        let mut pause = match now > FIRST_ANSWER {
+        let mut pause = match now > JUST_STARTED {
             true => ASK_PAUSE,
             false => FIRST_PAUSE,
         };
         if let Some(peer) = peer {
             let is_told = ask_peer(&front, peer).await;
-            if is_told {
-                front.state().note_peers_asked(front.now());
-            }
             if is_told && front.state().has_list {
                 if front.state().planner.knows_ages(front.now()) {
                     return;
--- a/entry/src/front/request_run.rs
+++ b/entry/src/front/request_run.rs
@@ -70,7 +70,6 @@
     request: WholeRequest,
 ) -> RequestEnd {
     let ask = decode_ask(&request.head);
-    await_peers(front).await;
     let admitted = admit(front, &ask);
     let closes = front.state().stops_since.is_some()
         || request.head.fields.has_word("connection", "close")
@@ -119,15 +118,6 @@
     run.serve().await
 }
 
-/// A front that has just started believes what it read once it has asked others, within a few
-/// tenths of a second. What comes until then waits for that: after a loss of power of all boxes
-/// it was refused, and came back all at once.
-async fn await_peers(front: &FrontContext) {
-    while front.state().awaits_peers(front.now()) {
-        Timer::after(to_duration(SETTLE_PAUSE)).await;
-    }
-}
-
 pub(super) fn spread_number(request_id: &str) -> u64 {
     let mix = |hash: u64, byte: u8| (hash ^ u64::from(byte)).wrapping_mul(0x0000_0100_0000_01b3);
     let hash = request_id.bytes().fold(0xcbf2_9ce4_8422_2325, mix);
