Engines that are cut off keep no others waiting for their orders; the substitute in three files

Cause: the front that stands in asked engines for reports one by one, 0.3 s for each that does not answer: with 40 that stand still, a sound one behind them had no order within 30 s. OrphanEngine and OrderLease are modules of their own (before: one file of 448 lines).

--- a/entry/src/front/mod.rs
+++ b/entry/src/front/mod.rs
@@ -22,7 +22,9 @@
 mod list_watch;
 mod offer;
 mod operator_watch;
+mod order_lease;
 mod order_substitute;
+mod orphan_engine;
 mod part_freeing;
 mod peer_state;
 mod plain_answer;
@@ -53,8 +55,9 @@
     store_readers::*, store_watch::*, stream_relay::*, suspect_desk::*, wake_reason::*,
 };
 use {
-    call_limit::*, foreign_rows::*, greeting_plan::*, held_rows::*, part_freeing::*, peer_state::*,
-    request_admit::*, request_moves::*, request_trial::*, request_try::*, return_check::*,
-    run_lost::*, store_watchers::*, weight_lesson::*,
+    call_limit::*, foreign_rows::*, greeting_plan::*, held_rows::*, order_lease::*,
+    orphan_engine::*, part_freeing::*, peer_state::*, request_admit::*, request_moves::*,
+    request_trial::*, request_try::*, return_check::*, run_lost::*, store_watchers::*,
+    weight_lesson::*,
 };
 pub use {front_process::*, front_settings::*};
--- /dev/null
+++ b/entry/src/front/order_lease.rs
@@ -0,0 +1,111 @@
+use {
+    super::FrontContext,
+    pitchhitch_core::{
+        lease::{LeaseMachine, LeaseRow, LeaseStep, LeaseTimes},
+        serving::StorePosition,
+        time::Micros,
+    },
+    pitchhitch_platform::{RowValue, StoreClient, StoreError},
+    pitchhitch_wire::codec::{decode_body, encode_body},
+};
+
+/// Key of the row that says which front stands in.
+const LEASE_KEY: &str = "lease/orders";
+/// Times of that lease.
+const LEASE_TIMES: LeaseTimes = LeaseTimes {
+    length: Micros::from_secs(6),
+    interval: Micros::from_secs(2),
+    margin: Micros::from_secs(1),
+};
+
+/// The lease under which one front stands in for processes beside engines. It spares work, and
+/// allows nothing: that does the right to give each engine orders.
+#[derive(Debug)]
+pub(super) struct OrderLease {
+    machine: LeaseMachine,
+}
+
+impl OrderLease {
+    /// Not held yet.
+    pub fn new(front: &FrontContext) -> Self {
+        let life = front.clock.incarnation();
+        let holder = format!("{}/{life}", front.settings.box_id);
+        OrderLease {
+            machine: LeaseMachine::new(holder, LEASE_TIMES),
+        }
+    }
+
+    /// Whether it is held.
+    pub fn is_held(
+        &self,
+        now: Micros,
+    ) -> bool {
+        self.machine.epoch(now).is_some()
+    }
+
+    /// Takes or renews it, where that is due.
+    ///
+    /// # Errors
+    /// What the platform's store says.
+    pub async fn step(
+        &mut self,
+        front: &FrontContext,
+        store: &mut StoreClient,
+    ) -> Result<(), StoreError> {
+        let asked_at = front.now();
+        match self.machine.step(asked_at) {
+            LeaseStep::Wait => Ok(()),
+            LeaseStep::Read => {
+                let row = store.read_own(LEASE_KEY).await?;
+                let version = row.as_ref().map_or(0, |row| row.position.version);
+                let row = row.and_then(|row| match row.value {
+                    RowValue::Bytes(bytes) => decode_body::<LeaseRow>(&bytes).ok(),
+                    RowValue::Gone | RowValue::Unreadable => None,
+                });
+                self.machine.row_read(row, version, asked_at, front.now());
+                Ok(())
+            }
+            LeaseStep::Write { version, row } => self.write(front, store, version, &row).await,
+        }
+    }
+
+    /// Gives it back; whoever needs it next reads it anew.
+    ///
+    /// # Errors
+    /// What the platform's store says; then it ends by its time.
+    pub async fn release(
+        &mut self,
+        front: &FrontContext,
+        store: &mut StoreClient,
+    ) -> Result<(), StoreError> {
+        let Some(LeaseStep::Write { version, row }) = self.machine.release() else {
+            return Ok(());
+        };
+        let written = self.write(front, store, version, &row).await;
+        self.machine.write_refused();
+        written
+    }
+
+    async fn write(
+        &mut self,
+        front: &FrontContext,
+        store: &mut StoreClient,
+        version: u64,
+        row: &LeaseRow,
+    ) -> Result<(), StoreError> {
+        let Ok(bytes) = encode_body(row) else {
+            return Ok(());
+        };
+        let era = front.state().eras.known().unwrap_or_default();
+        let expected = (version > 0).then_some(StorePosition { era, version });
+        match store.replace_own(LEASE_KEY, expected, &bytes).await {
+            Ok(position) => self.machine.row_written(position.version, front.now()),
+            Err(StoreError::Conflict) => self.machine.write_refused(),
+            Err(error) => {
+                self.machine.write_unknown();
+                return Err(error);
+            }
+        }
+        Ok(())
+    }
+}
--- /dev/null
+++ b/entry/src/front/orphan_engine.rs
@@ -0,0 +1,234 @@
+use {
+    super::{learn_weights, FrontContext},
+    pitchhitch_core::{
+        serving::{EndpointKey, EngineLoad, OrderRight, SwapTurn},
+        time::Micros,
+    },
+    pitchhitch_http1::{HttpCall, HttpClient},
+    pitchhitch_platform::{
+        decode_report, encode_order, instance_field, read_order_row, take_order_row, EngineReport,
+        StoreClient, StoreError, WeightOrder, ORDER_PATH, REPORT_PATH,
+    },
+    std::{net::SocketAddr, time::Duration},
+};
+
+/// Time between two reports of an engine; each has a price.
+const REPORT_PAUSE: Micros = Micros::from_millis(900);
+/// The same while it is its turn to load.
+const TURN_PAUSE: Micros = Micros::from_millis(250);
+/// Time after an order in which a report may not show it yet.
+const AFTER_ORDER: Micros = Micros::from_millis(800);
+/// Time limit of a call of the engine.
+const CALL_LIMIT: Duration = Duration::from_millis(300);
+
+/// An engine that this front gives orders.
+#[derive(Debug)]
+pub(super) struct OrphanEngine {
+    key: EndpointKey,
+    address: SocketAddr,
+    right: OrderRight,
+    client: HttpClient,
+    reported_at: Option<Micros>,
+    ordered_at: Option<Micros>,
+    is_swapping: bool,
+    orders_taken: u64,
+}
+
+impl OrphanEngine {
+    /// Gives it no orders yet.
+    pub fn new(
+        front: &FrontContext,
+        key: EndpointKey,
+        address: SocketAddr,
+    ) -> Self {
+        OrphanEngine {
+            key,
+            address,
+            right: OrderRight::new(front.settings.box_id.as_str(), front.settings.order_gap),
+            client: HttpClient::new(address, CALL_LIMIT),
+            reported_at: None,
+            ordered_at: None,
+            is_swapping: false,
+            orders_taken: 0,
+        }
+    }
+
+    /// Takes the right to give it orders, where this front does not have it.
+    ///
+    /// # Errors
+    /// What the platform's store says.
+    pub async fn hold(
+        &mut self,
+        front: &FrontContext,
+        store: &mut StoreClient,
+    ) -> Result<(), StoreError> {
+        if self.right.is_held() {
+            return Ok(());
+        }
+        let taken = self.take_right(front, store).await;
+        if taken.is_err() {
+            self.right.row_unknown();
+        }
+        taken
+    }
+
+    async fn take_right(
+        &mut self,
+        front: &FrontContext,
+        store: &mut StoreClient,
+    ) -> Result<(), StoreError> {
+        let row = read_order_row(store, self.address).await?;
+        let sent_at = front.now();
+        let holder = front.settings.box_id.as_str();
+        let taken = take_order_row(store, self.address, row.as_ref(), holder).await?;
+        self.right.row_written(taken, sent_at, front.now());
+        let engine = self.address.to_string();
+        let before = row.map_or(String::new(), |row| row.holder);
+        log::info!(
+            event = "order-right",
+            engine = engine.as_str(),
+            before = before.as_str(),
+            version = taken.version;
+            ""
+        );
+        Ok(())
+    }
+
+    /// Takes the report that the process beside the engine would have read.
+    pub async fn report(
+        &mut self,
+        front: &FrontContext,
+    ) {
+        let now = front.now();
+        let has_turn = front.state().planner.turn(self.key).is_some();
+        let pause = if has_turn { TURN_PAUSE } else { REPORT_PAUSE };
+        if self.reported_at.is_some_and(|at| now.since(at) < pause) {
+            return;
+        }
+        self.reported_at = Some(now);
+        let call = HttpCall {
+            method: "GET",
+            target: REPORT_PATH,
+            ..HttpCall::default()
+        };
+        front.metrics.count("links", "reports");
+        let body = self.client.sound_body(call).await;
+        let now = front.now();
+        let Some(report) = body.and_then(|body| decode_report(&body, now).ok()) else {
+            return;
+        };
+        self.orders_taken = report.orders_taken;
+        self.is_swapping = report.is_busy;
+        take_report(front, self.key, &report, now);
+    }
+
+    /// Gives it an order where it is its turn.
+    ///
+    /// # Errors
+    /// What the platform's store says where it does not show whose right that is.
+    pub async fn order_due(
+        &mut self,
+        front: &FrontContext,
+        store: &mut StoreClient,
+    ) -> Result<(), StoreError> {
+        let turn = front.state().planner.turn(self.key).cloned();
+        let Some(turn) = turn.filter(|turn| turn.loads) else {
+            return Ok(());
+        };
+        // One that does what it was told needs no further order.
+        let is_told = self.is_swapping || self.was_told(front.now());
+        if is_told || self.right.is_waiting(front.now()) {
+            return Ok(());
+        }
+        let asked_at = front.now();
+        let row = read_order_row(store, self.address).await?;
+        self.right.row_read(row, asked_at, front.now());
+        if let Some(number) = self.right.number(front.now()) {
+            self.order(front, &turn, number).await;
+        }
+        Ok(())
+    }
+
+    /// Whether an order was given so lately that no report can tell what became of it.
+    fn was_told(
+        &self,
+        now: Micros,
+    ) -> bool {
+        self.ordered_at
+            .is_some_and(|at| now.since(at) < AFTER_ORDER)
+    }
+
+    async fn order(
+        &mut self,
+        front: &FrontContext,
+        turn: &SwapTurn,
+        number: u64,
+    ) {
+        let id = front
+            .state()
+            .book
+            .get(self.key)
+            .map(|entry| entry.id.clone());
+        let Some(id) = id else {
+            return;
+        };
+        let order = WeightOrder {
+            model: turn.model.clone(),
+            version: turn.version,
+            holder: front.settings.box_id.clone(),
+            fence: number,
+            orders_taken: Some(self.orders_taken),
+        };
+        let call = HttpCall {
+            method: "POST",
+            target: ORDER_PATH,
+            fields: vec![instance_field(&id)],
+            body: encode_order(&order),
+            ..HttpCall::default()
+        };
+        let outcome = match self.client.call(call).await {
+            Ok(answer) => answer.status.to_string(),
+            Err(failure) => failure.to_string(),
+        };
+        log::info!(
+            event = "order",
+            engine = id.as_str(),
+            model = order.model.as_str(),
+            version = order.version,
+            fence = order.fence,
+            orders_taken = self.orders_taken,
+            outcome = outcome.as_str();
+            ""
+        );
+        // The next report shows what became of it.
+        self.reported_at = None;
+        self.ordered_at = Some(front.now());
+    }
+}
+
+/// Takes an engine's own report as its load, so that it gets its turn.
+fn take_report(
+    front: &FrontContext,
+    key: EndpointKey,
+    report: &EngineReport,
+    now: Micros,
+) {
+    let mut guard = front.state();
+    let state = &mut *guard;
+    let proven_at = state.trust.proven_at();
+    for (model, version) in &report.weights {
+        state.planner.engine_has(model, *version, proven_at, now);
+    }
+    let Some(entry) = state.book.get_mut(key) else {
+        return;
+    };
+    entry.load = Some(EngineLoad {
+        at: now,
+        again_within: REPORT_PAUSE,
+        changes_within: REPORT_PAUSE,
+        ..report.load
+    });
+    for (model, version) in &report.weights {
+        learn_weights(entry, model, *version, "report");
+    }
+}
