--- a/core/src/serving/endpoint_pick.rs
+++ b/core/src/serving/endpoint_pick.rs
@@ -5,11 +5,15 @@
         WeightBounds,
     },
     crate::{retry::OutlierGuard, time::Micros},
+    std::collections::BTreeSet,
 };
 
 /// Cost of crossing to another failure domain, in milliseconds: the way there
 /// and back, and the price of the bytes.
 const OTHER_DOMAIN_MS: f64 = 5.0;
+/// Cost of opening a connection, in milliseconds: a round trip, and work at both ends. Many
+/// boxes that each use all engines would have half of their requests open one.
+const NEW_LINK_MS: f64 = 4.0;
 /// Cost of each request that runs, as it slows each step down: this part of what
 /// it takes to read a usual prompt.
 const RUNNING_PART: f64 = 0.02;
@@ -61,6 +65,8 @@
     pub pace: &'a EnginePace,
     /// Set where endpoints have ended under the request.
     pub trial: Option<TrialAsk<'a>>,
+    /// Endpoints to which a connection is open and unused, where that counts.
+    pub linked: Option<&'a BTreeSet<EndpointKey>>,
     /// Weights that the prompt may begin on.
     pub weights: WeightBounds,
     /// Mechanisms that are left out.
@@ -221,6 +227,9 @@
         if entry.domain != ask.domain {
             cost += OTHER_DOMAIN_MS;
         }
+        if ask.linked.is_some_and(|linked| !linked.contains(key)) {
+            cost += NEW_LINK_MS;
+        }
         if best_home.is_some_and(|(_, at)| at == *key) {
             cost -= f64::from(choice.shared_unread) * token_ms * HOME_UNREAD;
             cost -= f64::from(choice.shared_tokens) * token_ms * HOME_SHARED;
--- a/core/tests/endpoint_pick.rs
+++ b/core/tests/endpoint_pick.rs
@@ -213,3 +213,22 @@
     fleet.load("e1", |load| load.used_tokens = 0);
     assert_eq!(free(&fleet), None, "an idle engine takes any prompt");
 }
+
+/// Plain prompts of which nobody keeps anything go where a connection is open; one whose parts
+/// are kept goes there all the same.
+#[test]
+fn linked_preferred() {
+    let fresh = PromptAsk {
+        parts: Vec::new(),
+        tokens_in: 900,
+        ..prompt()
+    };
+    for id in ["e1", "e2", "e3"] {
+        let mut fleet = Fleet::new();
+        fleet.linked = Some([fleet.key(id)].into());
+        let choice = fleet.pick(&fresh, &[]).expect("somebody");
+        assert_eq!(choice.key, fleet.key(id));
+        fleet.keep("e2");
+        assert_eq!(fleet.picked(), fleet.key("e2"));
+    }
+}
--- a/core/tests/pick_fleet/mod.rs
+++ b/core/tests/pick_fleet/mod.rs
@@ -1,12 +1,15 @@
 //! Three engines and a store to pick among, for tests.
 
-use pitchhitch_core::{
-    serving::{
-        pick_endpoint, EndpointBook, EndpointChoice, EndpointKey, EndpointNotice, EngineGroup,
-        EngineLoad, EnginePace, KvStore, MechanismSet, MemoryMap, PartId, PickAsk, PromptAsk,
-        PromptPart, VersionOutlook, WallTag, WeightBounds,
+use {
+    pitchhitch_core::{
+        serving::{
+            pick_endpoint, EndpointBook, EndpointChoice, EndpointKey, EndpointNotice, EngineGroup,
+            EngineLoad, EnginePace, KvStore, MechanismSet, MemoryMap, PartId, PickAsk, PromptAsk,
+            PromptPart, VersionOutlook, WallTag, WeightBounds,
+        },
+        time::Micros,
     },
-    time::Micros,
+    std::collections::BTreeSet,
 };
 
 pub const NOW: Micros = Micros::from_secs(100);
@@ -16,6 +19,8 @@
     pub book: EndpointBook,
     pub memory: MemoryMap,
     pub bounds: WeightBounds,
+    /// Engines to which a connection is open.
+    pub linked: Option<BTreeSet<EndpointKey>>,
 }
 
 pub fn part(
@@ -51,6 +56,7 @@
             book: EndpointBook::default(),
             memory: MemoryMap::default(),
             bounds: WeightBounds::default(),
+            linked: None,
         };
         for (place, id) in ["e1", "e2", "e3"].iter().enumerate() {
             fleet.book.take(&EndpointNotice {
@@ -134,6 +140,7 @@
         }];
         let ask = PickAsk {
             trial: None,
+            linked: self.linked.as_ref(),
             pace: &EnginePace::starting_at(1.0 / 97.0),
             left_out: MechanismSet::default(),
             weights: self.bounds,
--- a/entry/src/front/link_pool.rs
+++ b/entry/src/front/link_pool.rs
@@ -1,7 +1,7 @@
 use {
     pitchhitch_core::{serving::EndpointKey, time::Micros},
     pitchhitch_http1::{ByteLink, IdleState},
-    std::collections::HashMap,
+    std::collections::{BTreeSet, HashMap},
 };
 
 /// Time for which an unused connection is kept where the endpoint does not say.
@@ -40,6 +40,16 @@
         None
     }
 
+    /// Endpoints to which a connection is open that can be used.
+    pub fn linked(
+        &self,
+        now: Micros,
+    ) -> BTreeSet<EndpointKey> {
+        let is_open = |idle: &[IdleLink]| idle.iter().any(|kept| now < kept.use_until);
+        let linked = self.idle.iter().filter(|(_, idle)| is_open(idle));
+        linked.map(|(key, _)| *key).collect()
+    }
+
     /// Keeps a connection whose request is over.
     pub fn put(
         &mut self,
--- a/entry/src/front/request_choice.rs
+++ b/entry/src/front/request_choice.rs
@@ -107,6 +107,7 @@
             // What has ended two is not tried on the last one.
             least: if is_alone { 2 } else { 1 },
         });
+        let linked = state.pool.linked(now);
         let ask = PickAsk {
             service: &self.service,
             domain: &front.settings.failure_domain,
@@ -114,6 +115,7 @@
             rank: self.rank(),
             tried: &self.tried,
             trial,
+            linked: Some(&linked),
             pace: &state.pace,
             weights: self.weight_bounds(state, now),
             left_out: front.settings.left_out,
--- a/testbed/src/load_model/model_front.rs
+++ b/testbed/src/load_model/model_front.rs
@@ -118,6 +118,7 @@
         let tried: Vec<EndpointKey> = ask.tried.iter().map(|at| self.key(*at)).collect();
         let pick = PickAsk {
             trial: None,
+            linked: None,
             service: SERVICE,
             domain: &domain_name(self.domain),
             prompt: Some(ask.prompt),
