--- a/core/src/serving/era_watch.rs
+++ b/core/src/serving/era_watch.rs
@@ -23,6 +23,8 @@
 #[derive(Debug, Clone, Copy, Default)]
 pub struct EraWatch {
     known: Option<StoreEra>,
+    /// When the first answer of that came.
+    seen_at: Option<Micros>,
     /// When the era was first seen, where what was written before it may be missing.
     doubted_since: Option<Micros>,
     /// Newest era in which another process has proven what is in force.
@@ -38,6 +40,7 @@
     ) -> EraNews {
         let Some(known) = self.known else {
             self.known = Some(era);
+            self.seen_at = Some(now);
             let is_older = self.vouched.is_some_and(|vouched| vouched < era);
             if is_older {
                 self.doubted_since = Some(now);
@@ -51,6 +54,7 @@
             return EraNews::Known;
         }
         self.known = Some(era);
+        self.seen_at = Some(now);
         self.doubted_since = Some(now);
         EraNews::Later { before: known }
     }
@@ -77,9 +81,22 @@
         &self,
         sent_at: Micros,
     ) -> bool {
-        let is_vouched = self.known.is_some() && self.vouched == self.known;
         let is_over = |since: Micros| sent_at >= since + WRITE_AGAIN;
-        is_vouched || self.doubted_since.is_none_or(is_over)
+        self.is_vouched() || self.doubted_since.is_none_or(is_over)
+    }
+
+    /// Whether a reading that was sent then also proves to others what is in force. Who has just
+    /// started cannot tell a copy from what was there before.
+    pub fn may_vouch(
+        &self,
+        sent_at: Micros,
+    ) -> bool {
+        let is_over = |since: Micros| sent_at >= since + WRITE_AGAIN;
+        self.is_vouched() || self.seen_at.is_some_and(is_over)
+    }
+
+    fn is_vouched(&self) -> bool {
+        self.known.is_some() && self.vouched == self.known
     }
 
     /// When the era was first seen, where what was written before it may be missing.
--- a/entry/src/front/beside_link.rs
+++ b/entry/src/front/beside_link.rs
@@ -7,7 +7,7 @@
     pitchhitch_process::to_duration,
     pitchhitch_wire::beside::{BesideSocket, DigestEcho, FrontHello, WantedWeights},
     std::{
-        collections::BTreeSet,
+        collections::{BTreeMap, BTreeSet},
         net::{IpAddr, SocketAddr},
         rc::Rc,
     },
@@ -102,32 +102,21 @@
 ) -> Vec<(SocketAddr, FrontHello)> {
     let mut guard = front.state();
     let state = &mut *guard;
-    let Some(config) = state.config.clone() else {
+    let present = greeted_engines(state);
+    if present.is_empty() {
         return Vec::new();
-    };
-    let mut present = state.book.present(|entry| is_engine(&config, entry));
-    // The process beside an engine that leaves would tell others that it is there.
-    for (key, entry) in state.book.iter().filter(|(_, e)| is_engine(&config, e)) {
-        present.entry(entry.address).or_insert(key);
     }
     let round = state.greetings.begin_round(now);
     let news = state.suspects.take_news(SUSPECTS_LIMIT, now);
-    let proofs = match state.fronts > FEW_FRONTS {
-        true => state
-            .readers
-            .own_proofs(reader_number(front), PROOF_LIFE, now),
-        false => Vec::new(),
-    };
     let asks = state.wants_suspects;
+    let own = reader_number(front);
+    let proofs = state.readers.own_proofs(own, PROOF_LIFE, now);
     // What this front has just read is told on at once: others go by its age.
-    let has_read = state.readers.take_news() && !proofs.is_empty();
+    let has_read = state.readers.take_news() && state.fronts > FEW_FRONTS && !proofs.is_empty();
     let told: BTreeSet<usize> = match asks || has_read || !news.is_empty() {
         true => told_places(present.len(), round as usize).collect(),
         false => BTreeSet::new(),
     };
-    let proofs = state
-        .readers
-        .own_proofs(reader_number(front), PROOF_LIFE, now);
     let count = present.len();
     let mut hellos = Vec::new();
     for (place, (address, key)) in present.iter().enumerate() {
@@ -157,6 +146,19 @@
     hellos
 }
 
+/// Engines whose processes are greeted, by address: also those that leave, as such a process
+/// would tell others that they are there.
+fn greeted_engines(state: &FrontState) -> BTreeMap<SocketAddr, EndpointKey> {
+    let Some(config) = &state.config else {
+        return BTreeMap::new();
+    };
+    let mut engines = state.book.present(|entry| is_engine(config, entry));
+    for (key, entry) in state.book.iter().filter(|(_, e)| is_engine(config, e)) {
+        engines.entry(entry.address).or_insert(key);
+    }
+    engines
+}
+
 /// Whether the process beside an engine must hear of this front soon: it is the engine's turn
 /// to load, or what it keeps is not known.
 fn needs_soon(
--- a/entry/src/front/front_state.rs
+++ b/entry/src/front/front_state.rs
@@ -141,7 +141,9 @@
     ) {
         if self.eras.proves(sent_at) {
             self.trust.proven(sent_at);
-            self.proven_era = self.eras.known();
+            if self.eras.may_vouch(sent_at) {
+                self.proven_era = self.eras.known();
+            }
             let table = ProvenTable::Operator;
             self.readers.note_read(table, mark, sent_at, now);
         }
--- a/entry/src/front/peer_state.rs
+++ b/entry/src/front/peer_state.rs
@@ -216,7 +216,10 @@
         state.trust.unprove();
         log::warn!(event = "store-era", doubted = "read before a peer told the era before"; "");
     }
-    state.trust.handed_on(handed.age, asked_at);
+    // Who has just started may know a copy of the store alone: it renews nothing.
+    if handed.era.is_some() || state.trust.proven_at().is_none() {
+        state.trust.handed_on(handed.age, asked_at);
+    }
     for naming in &handed.weights {
         state.planner.tell(naming, asked_at, now);
     }
