Fronts take less processor time at size: ranks of readers by numbers, tasks that rest wake together

Ruled out: greetings, parts of prompts (3% each).

Tests: store_proofs::pairs_spread (new), telling_paced.

--- a/core/src/serving/telling_pace.rs
+++ b/core/src/serving/telling_pace.rs
@@ -16,10 +16,10 @@
 const GREETING_PAUSES: (Micros, Micros) = (Micros::from_millis(400), Micros::from_millis(1_800));
 
 /// Time that a digest of one of many engines may wait.
-const HEARING_SHARE: Micros = Micros(100);
+const HEARING_SHARE: Micros = Micros(200);
 /// Shortest and longest wait of digests.
-const LEAST_HEARING: Micros = Micros::from_millis(3);
-const LONGEST_HEARING: Micros = Micros::from_millis(20);
+const LEAST_HEARING: Micros = Micros::from_millis(6);
+const LONGEST_HEARING: Micros = Micros::from_millis(40);
 
 /// Pause between two digests of a process that tells so many fronts.
 pub fn digest_pause(fronts: usize) -> Micros {
--- a/core/tests/store_proofs.rs
+++ b/core/tests/store_proofs.rs
@@ -3,8 +3,9 @@
 use {
     pitchhitch_core::{
         serving::{
-            digest_pause, greeting_pause, EraNews, EraWatch, KeyPolicy, KeyTrust, ProofBook,
-            ProvenTable, ReaderTier, StoreEra, StorePosition, StoreProof, TableMark, WRITE_AGAIN,
+            digest_pause, even_mix, even_number, greeting_pause, EraNews, EraWatch, KeyPolicy,
+            KeyTrust, ProofBook, ProvenTable, ReaderTier, StoreEra, StorePosition, StoreProof,
+            TableMark, WRITE_AGAIN,
         },
         time::Micros,
     },
@@ -209,3 +210,21 @@
     trust.unprove();
     assert!(!trust.lets_in(at(5_000)));
 }
+
+/// Ranks of pairs are spread evenly: each engine is among the two highest of some stores, and of
+/// no more than a few times its share.
+#[test]
+fn pairs_spread() {
+    let number = |kind: &str, place: u32| even_number(&format!("10.{place}.0.1:{kind}"));
+    let engines: Vec<u64> = (0..180).map(|place| number("80", place)).collect();
+    let mut chosen = vec![0; engines.len()];
+    for store in (0..900).map(|place| number("90", place)) {
+        let mut ranked: Vec<usize> = (0..engines.len()).collect();
+        ranked.sort_by_key(|place| even_mix(store, engines[*place]));
+        for place in &ranked[engines.len() - 2..] {
+            chosen[*place] += 1;
+        }
+    }
+    let (least, most) = (chosen.iter().min(), chosen.iter().max());
+    assert!(least > Some(&0) && most < Some(&30), "{least:?} {most:?}");
+}
--- a/entry/src/front/digest_watch.rs
+++ b/entry/src/front/digest_watch.rs
@@ -1,7 +1,7 @@
 use {
     super::{
-        is_engine, learn_weights, log_changes, reader_number, spread_number, take_store_news,
-        FrontContext, FrontState, TableProofs,
+        is_engine, learn_weights, log_changes, reader_number, take_store_news, FrontContext,
+        FrontState, TableProofs,
     },
     pitchhitch_core::{
         serving::{
@@ -13,7 +13,13 @@
     pitchhitch_process::to_duration,
     pitchhitch_wire::beside::{BesideSocket, EngineDigest, GreetingEcho, ToldDigest},
     smol::Timer,
-    std::{io, net::SocketAddr, rc::Rc, time::Duration},
+    std::{
+        hash::{DefaultHasher, Hash, Hasher},
+        io,
+        net::SocketAddr,
+        rc::Rc,
+        time::Duration,
+    },
 };
 
 /// Pause after a socket that failed.
@@ -112,7 +118,7 @@
     let Some(way) = greeted_at.map(|at| now.since(at)) else {
         return;
     };
-    let teller = spread_number(&from.to_string()) as u32;
+    let teller = teller_number(from);
     let own = reader_number(front);
     for proof in digest.proofs.iter().filter(|proof| proof.source != own) {
         let sent_at = now.since(proof.age + way);
@@ -127,6 +133,13 @@
     }
 }
 
+/// A number that tells who told something, in this process.
+fn teller_number(from: SocketAddr) -> u32 {
+    let mut hasher = DefaultHasher::new();
+    from.hash(&mut hasher);
+    hasher.finish() as u32
+}
+
 /// Takes that there is an engine which is on no list: it gets no requests, but is
 /// greeted and told to load.
 fn take_announced(
--- a/entry/src/front/front_context.rs
+++ b/entry/src/front/front_context.rs
@@ -1,8 +1,8 @@
 use {
     super::{FrontMetrics, FrontSettings, FrontState},
     pitchhitch_core::time::Micros,
-    pitchhitch_process::{ProcessClock, WakeSignal},
-    smol::LocalExecutor,
+    pitchhitch_process::{to_duration, ProcessClock, WakeSignal},
+    smol::{LocalExecutor, Timer},
     std::{
         cell::{RefCell, RefMut},
         future::Future,
@@ -10,6 +10,9 @@
     },
 };
 
+/// Time between two moments at which tasks that rest wake.
+const REST_TICK: Micros = Micros::from_millis(100);
+
 /// Everything that the tasks of a front have in common.
 #[derive(Debug)]
 pub(crate) struct FrontContext {
@@ -50,6 +53,18 @@
         self.clock.now()
     }
 
+    /// Waits for about so long. Tasks that wait so wake together, as each waking of the process
+    /// costs some system calls.
+    pub async fn rest(
+        &self,
+        pause: Micros,
+    ) {
+        let now = self.now();
+        let due = Micros((now + pause).0 / REST_TICK.0 * REST_TICK.0);
+        let due = if due > now { due } else { due + REST_TICK };
+        Timer::after(to_duration(due.since(now))).await;
+    }
+
     /// The shared state; never held over a wait.
     pub fn state(&self) -> RefMut<'_, FrontState> {
         self.state.borrow_mut()
--- a/entry/src/front/list_watch.rs
+++ b/entry/src/front/list_watch.rs
@@ -103,7 +103,7 @@
     loop {
         ask_returned(&front);
         tidy(&front);
-        Timer::after(to_duration(TEND_PAUSE)).await;
+        front.rest(TEND_PAUSE).await;
     }
 }
 
--- a/entry/src/front/order_substitute.rs
+++ b/entry/src/front/order_substitute.rs
@@ -5,8 +5,7 @@
         time::Micros,
     },
     pitchhitch_platform::{StoreClient, StoreError},
-    pitchhitch_process::to_duration,
-    smol::{LocalExecutor, Timer},
+    smol::LocalExecutor,
     std::{collections::BTreeMap, net::SocketAddr, rc::Rc, time::Duration},
 };
 
@@ -47,7 +46,7 @@
         front,
     };
     loop {
-        Timer::after(to_duration(LOOK_PAUSE)).await;
+        substitute.front.rest(LOOK_PAUSE).await;
         if let Err(error) = substitute.look().await {
             let error = error.to_string();
             log::warn!(event = "store-lost", watch = "orders", error = error.as_str(); "");
--- a/entry/src/front/part_freeing.rs
+++ b/entry/src/front/part_freeing.rs
@@ -5,8 +5,6 @@
         time::Micros,
     },
     pitchhitch_platform::KeptClient,
-    pitchhitch_process::to_duration,
-    smol::Timer,
     std::{collections::HashSet, net::SocketAddr, rc::Rc},
 };
 
@@ -22,7 +20,7 @@
 /// Keeps it known which engines there are, whose fetches parts are held for.
 pub(crate) async fn tend_parts(front: Rc<FrontContext>) {
     loop {
-        Timer::after(to_duration(FREE_PAUSE)).await;
+        front.rest(FREE_PAUSE).await;
         note_engines(&front);
     }
 }
@@ -35,7 +33,7 @@
     let mut client = KeptClient::new(address, CALL_LIMIT);
     let mut held_looks = 0;
     while has_view(&front, address) {
-        Timer::after(to_duration(free_pause(&front))).await;
+        front.rest(free_pause(&front)).await;
         let Some(OldParts { parts, epoch, held }) = old_parts(&front, address) else {
             continue;
         };
--- a/entry/src/front/store_readers.rs
+++ b/entry/src/front/store_readers.rs
@@ -222,7 +222,7 @@
                 Timer::after(to_duration(Micros(spread as u64))).await;
                 return;
             }
-            Timer::after(to_duration(LOOK_PAUSE)).await;
+            front.rest(LOOK_PAUSE).await;
         }
     }
 
--- a/entry/src/front/store_watch.rs
+++ b/entry/src/front/store_watch.rs
@@ -70,7 +70,7 @@
     let mut is_lost = false;
     while let Some(plan) = look_plan(&front, address) {
         if let Some(told_for) = told_for(&front, address) {
-            Timer::after(to_duration(told_for)).await;
+            front.rest(told_for).await;
             continue;
         }
         let next = position(&front, address);
--- a/entry/src/front/store_watchers.rs
+++ b/entry/src/front/store_watchers.rs
@@ -1,6 +1,6 @@
 use {
     super::{is_engine, FrontContext},
-    pitchhitch_core::serving::even_draw,
+    pitchhitch_core::serving::{even_mix, even_number},
     std::{collections::BTreeMap, net::SocketAddr},
 };
 
@@ -24,7 +24,7 @@
             return StoreWatchers::default();
         };
         let engines = state.book.present(|entry| is_engine(config, entry));
-        let engines: Vec<SocketAddr> = engines.into_keys().collect();
+        let engines: Vec<RankedEngine> = engines.into_keys().map(RankedEngine::new).collect();
         let mut stores: BTreeMap<SocketAddr, Vec<SocketAddr>> = BTreeMap::new();
         for view in state.memory.views() {
             for engine in watchers(view.store.address, &engines) {
@@ -43,15 +43,29 @@
     }
 }
 
-/// The engines with the highest number for a store: where one goes, only what it read is read
+/// An engine, and the number by which it is drawn.
+struct RankedEngine {
+    address: SocketAddr,
+    number: u64,
+}
+
+impl RankedEngine {
+    fn new(address: SocketAddr) -> Self {
+        let number = even_number(&address.to_string());
+        RankedEngine { address, number }
+    }
+}
+
+/// The engines with the highest rank for a store: where one goes, only what it read is read
 /// elsewhere.
 fn watchers(
     store: SocketAddr,
-    engines: &[SocketAddr],
+    engines: &[RankedEngine],
 ) -> Vec<SocketAddr> {
-    let rank = |engine: &SocketAddr| even_draw(&format!("{store} {engine}"));
-    let mut ranked: Vec<(f64, SocketAddr)> = engines.iter().map(|e| (rank(e), *e)).collect();
-    ranked.sort_by(|one, other| one.0.total_cmp(&other.0));
+    let store = even_number(&store.to_string());
+    let rank = |engine: &RankedEngine| even_mix(store, engine.number);
+    let mut ranked: Vec<(u64, SocketAddr)> = engines.iter().map(|e| (rank(e), e.address)).collect();
+    ranked.sort_unstable();
     let highest = ranked.into_iter().rev().take(WATCHERS);
     highest.map(|(_, engine)| engine).collect()
 }
