--- a/entry/src/front/order_substitute.rs
+++ b/entry/src/front/order_substitute.rs
@@ -73,12 +73,15 @@
         }
         for (key, address) in lacking {
             let orphan = self.orphans.entry(key);
-            let orphan = orphan.or_insert_with(|| OrphanEngine::new(&front, key, address));
-            // Early for all, as a new holder has to wait.
-            orphan.hold(&front, &mut self.store).await?;
+            orphan.or_insert_with(|| OrphanEngine::new(&front, key, address));
         }
         self.read_reports().await;
-        for orphan in self.orphans.values_mut() {
+        // A box that stands still does so with the process beside its engine, which would have
+        // to take the right back and wait.
+        let answering = self.orphans.values_mut().filter(|o| o.answers(front.now()));
+        for orphan in answering {
+            // Before its turn, as a new holder has to wait.
+            orphan.hold(&front, &mut self.store).await?;
             orphan.order_due(&front, &mut self.store).await?;
         }
         Ok(())
@@ -88,8 +91,11 @@
     async fn read_reports(&mut self) {
         let front = self.front.clone();
         let executor = LocalExecutor::new();
-        let orphans = self.orphans.values_mut().take(REPORTS_LIMIT);
-        let reports: Vec<_> = orphans
+        // Those that wait longest go first: where many are cut off, others have their turn too.
+        let mut orphans: Vec<&mut OrphanEngine> = self.orphans.values_mut().collect();
+        orphans.sort_by_key(|orphan| orphan.reported_at());
+        let asked = orphans.into_iter().take(REPORTS_LIMIT);
+        let reports: Vec<_> = asked
             .map(|orphan| executor.spawn(orphan.report(&front)))
             .collect();
         let all = async {
--- a/entry/src/front/orphan_engine.rs
+++ b/entry/src/front/orphan_engine.rs
@@ -16,6 +16,9 @@
 const REPORT_PAUSE: Micros = Micros::from_millis(900);
 /// The same while it is its turn to load.
 const TURN_PAUSE: Micros = Micros::from_millis(250);
+/// Time for which it answers before this front gives it orders, and for which an answer counts.
+const ANSWERS_FOR: Micros = Micros::from_millis(800);
+const ANSWER_LIFE: Micros = Micros::from_millis(1_800);
 /// Time after an order in which a report may not show it yet.
 const AFTER_ORDER: Micros = Micros::from_millis(800);
 /// Time limit of a call of the engine.
@@ -29,6 +32,8 @@
     right: OrderRight,
     client: HttpClient,
     reported_at: Option<Micros>,
+    /// Since when it has answered each time, and when it last did.
+    answers: Option<(Micros, Micros)>,
     ordered_at: Option<Micros>,
     is_swapping: bool,
     orders_taken: u64,
@@ -47,12 +52,29 @@
             right: OrderRight::new(front.settings.box_id.as_str(), front.settings.order_gap),
             client: HttpClient::new(address, CALL_LIMIT),
             reported_at: None,
+            answers: None,
             ordered_at: None,
             is_swapping: false,
             orders_taken: 0,
         }
     }
 
+    /// When it was last asked for its report.
+    pub fn reported_at(&self) -> Option<Micros> {
+        self.reported_at
+    }
+
+    /// Whether it has answered for a while. A box that has just woken answers before the process
+    /// beside its engine is heard.
+    pub fn answers(
+        &self,
+        now: Micros,
+    ) -> bool {
+        self.answers.is_some_and(|(since, last)| {
+            last.since(since) >= ANSWERS_FOR && now.since(last) < ANSWER_LIFE
+        })
+    }
+
     /// Takes the right to give it orders, where this front does not have it.
     ///
     /// # Errors
@@ -115,8 +137,11 @@
         let body = self.client.sound_body(call).await;
         let now = front.now();
         let Some(report) = body.and_then(|body| decode_report(&body, now).ok()) else {
+            self.answers = None;
             return;
         };
+        let since = self.answers.map_or(now, |(since, _)| since);
+        self.answers = Some((since, now));
         self.orders_taken = report.orders_taken;
         self.is_swapping = report.is_busy;
         take_report(front, self.key, &report, now);
