An order has one call for both givers; the front that stands in takes a new number where its own is refused

Cause, found by reading the change once more: the front's copy of the order call left out what the process beside an engine does with 412. An engine that had seen a higher number refused the front for good. Change: platform::send_order and OrderOutcome serve both givers; after a refusal for the number the right is taken anew.

--- a/agent/src/beside/order_giver.rs
+++ b/agent/src/beside/order_giver.rs
@@ -4,10 +4,10 @@
         serving::{order_number, OrderRight, StorePosition},
         time::Micros,
     },
-    pitchhitch_http1::{HttpCall, HttpClient},
+    pitchhitch_http1::HttpClient,
     pitchhitch_platform::{
-        encode_order, instance_field, read_order_row, take_order_row, StoreClient, StoreError,
-        WeightOrder, ORDER_PATH,
+        read_order_row, send_order, take_order_row, OrderOutcome, StoreClient, StoreError,
+        WeightOrder,
     },
     std::{rc::Rc, time::Duration},
 };
@@ -24,8 +24,6 @@
 const AFTER_ORDER: Micros = Micros::from_millis(350);
 /// Time limit of a call of the platform's store.
 const STORE_LIMIT: Duration = Duration::from_millis(1_500);
-/// Status of an order whose number is lower than one that the engine has seen.
-const FENCED_OFF: u16 = 412;
 /// Pauses between tries to get a number: they double from the first to the last.
 const FENCE_PAUSES: (Micros, Micros) = (Micros::from_millis(300), Micros::from_secs(4));
 
@@ -53,8 +51,9 @@
         let Some((order, engine_id)) = number.and_then(|number| due_order(&beside, number)) else {
             continue;
         };
-        if send_order(&beside, &mut client, &order, &engine_id).await == Some(FENCED_OFF) {
-            // The engine knows a higher number: without another, none of this life is taken.
+        let outcome = send_order(&mut client, &engine_id, &order).await;
+        note_order(&beside, &engine_id, &order, &outcome);
+        if outcome.is_fenced_off() {
             right.row_unknown();
             continue;
         }
@@ -62,26 +61,13 @@
     }
 }
 
-/// Sends an order; the status of the answer.
-async fn send_order(
+fn note_order(
     beside: &BesideContext,
-    client: &mut HttpClient,
-    order: &WeightOrder,
     engine_id: &str,
-) -> Option<u16> {
-    let call = HttpCall {
-        method: "POST",
-        target: ORDER_PATH,
-        fields: vec![instance_field(engine_id)],
-        body: encode_order(order),
-        ..HttpCall::default()
-    };
-    let answer = client.call(call).await;
-    let status = answer.as_ref().ok().map(|answer| answer.status);
-    let outcome = match answer {
-        Ok(answer) => answer.status.to_string(),
-        Err(failure) => failure.to_string(),
-    };
+    order: &WeightOrder,
+    outcome: &OrderOutcome,
+) {
+    let outcome = outcome.to_string();
     log::info!(
         event = "order",
         engine = engine_id,
@@ -93,7 +79,6 @@
         ""
     );
     beside.state().metrics.count("orders", &outcome);
-    status
 }
 
 /// Takes the right to give the engine its orders; a write whose answer is lost is settled by
--- a/entry/src/front/orphan_engine.rs
+++ b/entry/src/front/orphan_engine.rs
@@ -6,8 +6,8 @@
     },
     pitchhitch_http1::{HttpCall, HttpClient},
     pitchhitch_platform::{
-        decode_report, encode_order, instance_field, read_order_row, take_order_row, EngineReport,
-        StoreClient, StoreError, WeightOrder, ORDER_PATH, REPORT_PATH,
+        decode_report, read_order_row, send_order, take_order_row, EngineReport, StoreClient,
+        StoreError, WeightOrder, REPORT_PATH,
     },
     std::{net::SocketAddr, time::Duration},
 };
@@ -204,17 +204,11 @@
             fence: number,
             orders_taken: Some(self.orders_taken),
         };
-        let call = HttpCall {
-            method: "POST",
-            target: ORDER_PATH,
-            fields: vec![instance_field(&id)],
-            body: encode_order(&order),
-            ..HttpCall::default()
-        };
-        let outcome = match self.client.call(call).await {
-            Ok(answer) => answer.status.to_string(),
-            Err(failure) => failure.to_string(),
-        };
+        let outcome = send_order(&mut self.client, &id, &order).await;
+        if outcome.is_fenced_off() {
+            self.right.row_unknown();
+        }
+        let outcome = outcome.to_string();
         log::info!(
             event = "order",
             engine = id.as_str(),
