Even numbers, their parts and the time to write again stand once; connections are looked up, not listed

Read once more: the change had written anew what part_memory, memory_map, handed_state and request_run had (the first eight bytes of a hash, the spreading of bits, a number as a part of 1); may_vouch repeated the closure of proves; and each choice built a set of all open connections to look some up in it. Now even_number, spread_bits, even_part, is_rewritten, and a closure in PickAsk. Same numbers, same choices. A comment told how a figure came about (store_state).

--- a/core/src/route/store_state.rs
+++ b/core/src/route/store_state.rs
@@ -14,7 +14,7 @@
     pub group: String,
     /// Where it listens.
     pub address: SocketAddr,
-    /// Bytes a second over its link, as measured by imports.
+    /// Bytes a second that imports get over its link.
     pub link_rate: f64,
     /// Bytes that this process knows to be waiting for the link.
     pub link_queue: u64,
--- a/core/src/serving/endpoint_pick.rs
+++ b/core/src/serving/endpoint_pick.rs
@@ -5,7 +5,6 @@
         WeightBounds,
     },
     crate::{retry::OutlierGuard, time::Micros},
-    std::collections::BTreeSet,
 };
 
 /// Cost of crossing to another failure domain, in milliseconds: the way there
@@ -49,7 +48,7 @@
 const ABOUT_SAME_MS: f64 = 15.0;
 
 /// What is looked for.
-#[derive(Debug, Clone, Copy)]
+#[derive(Clone, Copy)]
 pub struct PickAsk<'a> {
     /// Service that the route leads to.
     pub service: &'a str,
@@ -65,8 +64,8 @@
     pub pace: &'a EnginePace,
     /// Set where endpoints have ended under the request.
     pub trial: Option<TrialAsk<'a>>,
-    /// Endpoints to which a connection is open and unused, where that counts.
-    pub linked: Option<&'a BTreeSet<EndpointKey>>,
+    /// Whether a connection to an endpoint is open and unused.
+    pub is_linked: &'a dyn Fn(EndpointKey) -> bool,
     /// Weights that the prompt may begin on.
     pub weights: WeightBounds,
     /// Mechanisms that are left out.
@@ -227,7 +226,7 @@
         if entry.domain != ask.domain {
             cost += OTHER_DOMAIN_MS;
         }
-        if ask.linked.is_some_and(|linked| !linked.contains(key)) {
+        if !(ask.is_linked)(*key) {
             cost += NEW_LINK_MS;
         }
         if best_home.is_some_and(|(_, at)| at == *key) {
--- a/core/src/serving/era_watch.rs
+++ b/core/src/serving/era_watch.rs
@@ -81,8 +81,8 @@
         &self,
         sent_at: Micros,
     ) -> bool {
-        let is_over = |since: Micros| sent_at >= since + WRITE_AGAIN;
-        self.is_vouched() || self.doubted_since.is_none_or(is_over)
+        let doubted_since = self.doubted_since;
+        self.is_vouched() || doubted_since.is_none_or(|since| is_rewritten(since, sent_at))
     }
 
     /// Whether a reading that was sent then also proves to others what is in force. Who has just
@@ -91,8 +91,8 @@
         &self,
         sent_at: Micros,
     ) -> bool {
-        let is_over = |since: Micros| sent_at >= since + WRITE_AGAIN;
-        self.is_vouched() || self.seen_at.is_some_and(is_over)
+        let seen_at = self.seen_at;
+        self.is_vouched() || seen_at.is_some_and(|since| is_rewritten(since, sent_at))
     }
 
     fn is_vouched(&self) -> bool {
@@ -109,3 +109,11 @@
         self.known
     }
 }
+
+/// Whether those who write at the store had the time to, since its return was seen.
+fn is_rewritten(
+    since: Micros,
+    sent_at: Micros,
+) -> bool {
+    sent_at >= since + WRITE_AGAIN
+}
--- a/core/src/serving/even_draw.rs
+++ b/core/src/serving/even_draw.rs
@@ -1,7 +1,7 @@
 /// A number that is drawn from a text, the same everywhere; those of texts that differ in one
 /// letter are spread as evenly as any.
-pub fn even_number(text: &str) -> u64 {
-    let hash = blake3::hash(text.as_bytes());
+pub fn even_number(text: impl AsRef<[u8]>) -> u64 {
+    let hash = blake3::hash(text.as_ref());
     let mut first = [0; 8];
     first.copy_from_slice(&hash.as_bytes()[..8]);
     u64::from_le_bytes(first)
@@ -9,7 +9,12 @@
 
 /// The same as a part of 1.
 pub fn even_draw(text: &str) -> f64 {
-    (even_number(text) >> 11) as f64 / (1u64 << 53) as f64
+    even_part(even_number(text))
+}
+
+/// An evenly spread number as a part of 1.
+pub fn even_part(number: u64) -> f64 {
+    (number >> 11) as f64 / (1u64 << 53) as f64
 }
 
 /// A number that is drawn from two such ones, for ranks of many pairs.
@@ -17,7 +22,12 @@
     one: u64,
     other: u64,
 ) -> u64 {
-    let mut mixed = one ^ other.rotate_left(32);
+    spread_bits(one ^ other.rotate_left(32))
+}
+
+/// A number whose bits each depend on all of those given.
+pub fn spread_bits(number: u64) -> u64 {
+    let mut mixed = number;
     mixed = (mixed ^ (mixed >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
     mixed = (mixed ^ (mixed >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
     mixed ^ (mixed >> 31)
--- a/core/src/serving/memory_map.rs
+++ b/core/src/serving/memory_map.rs
@@ -1,7 +1,8 @@
 use {
     super::{
-        move_ms, EndpointBook, EndpointEntry, EndpointKey, EndpointStanding, EngineGroup, KvStore,
-        MechanismSet, PromptPart, ServingMechanism, StoreView, WallTag,
+        even_part, move_ms, spread_bits, EndpointBook, EndpointEntry, EndpointKey,
+        EndpointStanding, EngineGroup, KvStore, MechanismSet, PromptPart, ServingMechanism,
+        StoreView, WallTag,
     },
     crate::time::Micros,
     std::net::SocketAddr,
@@ -342,8 +343,6 @@
 ) -> f64 {
     let text = address.to_string();
     let mix = |hash: u64, byte: u8| (hash ^ u64::from(byte)).wrapping_mul(0x0000_0100_0000_01b3);
-    let mut hash = text.bytes().fold(number ^ 0xcbf2_9ce4_8422_2325, mix);
-    hash = (hash ^ (hash >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
-    hash = (hash ^ (hash >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
-    ((hash ^ (hash >> 31)) >> 11) as f64 / (1u64 << 53) as f64 + f64::MIN_POSITIVE
+    let hash = text.bytes().fold(number ^ 0xcbf2_9ce4_8422_2325, mix);
+    even_part(spread_bits(hash)) + f64::MIN_POSITIVE
 }
--- a/core/src/serving/part_memory.rs
+++ b/core/src/serving/part_memory.rs
@@ -1,5 +1,5 @@
 use {
-    super::{PartId, PromptPart},
+    super::{even_number, PartId, PromptPart},
     serde::{Deserialize, Serialize},
     std::collections::HashMap,
 };
@@ -13,10 +13,7 @@
 impl WallTag {
     /// The tag of a salt.
     pub fn of(salt: &str) -> Self {
-        let hash = blake3::hash(salt.as_bytes());
-        let mut first = [0; 8];
-        first.copy_from_slice(&hash.as_bytes()[..8]);
-        WallTag(u64::from_le_bytes(first))
+        WallTag(even_number(salt))
     }
 }
 
--- a/core/tests/left_out.rs
+++ b/core/tests/left_out.rs
@@ -88,7 +88,7 @@
         }];
         let ask = PickAsk {
             trial: None,
-            linked: None,
+            is_linked: &|_| true,
             pace: &EnginePace::starting_at(1.0 / 97.0),
             weights: WeightBounds::default(),
             left_out,
--- a/core/tests/pick_fleet/mod.rs
+++ b/core/tests/pick_fleet/mod.rs
@@ -140,7 +140,11 @@
         }];
         let ask = PickAsk {
             trial: None,
-            linked: self.linked.as_ref(),
+            is_linked: &|key| {
+                self.linked
+                    .as_ref()
+                    .is_none_or(|linked| linked.contains(&key))
+            },
             pace: &EnginePace::starting_at(1.0 / 97.0),
             left_out: MechanismSet::default(),
             weights: self.bounds,
--- a/core/tests/store_proofs.rs
+++ b/core/tests/store_proofs.rs
@@ -215,7 +215,7 @@
 /// no more than a few times its share.
 #[test]
 fn pairs_spread() {
-    let number = |kind: &str, place: u32| even_number(&format!("10.{place}.0.1:{kind}"));
+    let number = |kind: &str, place: u32| even_number(format!("10.{place}.0.1:{kind}"));
     let engines: Vec<u64> = (0..180).map(|place| number("80", place)).collect();
     let mut chosen = vec![0; engines.len()];
     for store in (0..900).map(|place| number("90", place)) {
--- a/entry/src/front/link_pool.rs
+++ b/entry/src/front/link_pool.rs
@@ -1,7 +1,7 @@
 use {
     pitchhitch_core::{serving::EndpointKey, time::Micros},
     pitchhitch_http1::{ByteLink, IdleState},
-    std::collections::{BTreeSet, HashMap},
+    std::collections::HashMap,
 };
 
 /// Time for which an unused connection is kept where the endpoint does not say.
@@ -40,14 +40,14 @@
         None
     }
 
-    /// Endpoints to which a connection is open that can be used.
-    pub fn linked(
+    /// Whether a connection to an endpoint is open that can be used.
+    pub fn has_open(
         &self,
+        key: EndpointKey,
         now: Micros,
-    ) -> BTreeSet<EndpointKey> {
-        let is_open = |idle: &[IdleLink]| idle.iter().any(|kept| now < kept.use_until);
-        let linked = self.idle.iter().filter(|(_, idle)| is_open(idle));
-        linked.map(|(key, _)| *key).collect()
+    ) -> bool {
+        let idle = self.idle.get(&key);
+        idle.is_some_and(|idle| idle.iter().any(|kept| now < kept.use_until))
     }
 
     /// Keeps a connection whose request is over.
--- a/entry/src/front/request_choice.rs
+++ b/entry/src/front/request_choice.rs
@@ -1,8 +1,8 @@
 use {
-    super::{spread_part, FrontState, RequestRun, USUAL_PATIENCE},
+    super::{FrontState, RequestRun, USUAL_PATIENCE},
     pitchhitch_core::{
         serving::{
-            pick_endpoint, AdmissionAsk, AdmissionVerdict, EndpointChoice, EngineGroup,
+            even_part, pick_endpoint, AdmissionAsk, AdmissionVerdict, EndpointChoice, EngineGroup,
             PartOutlook, PartPlace, PickAsk, TrialAsk, VersionOutlook, WallName, WeightBounds,
         },
         time::Micros,
@@ -72,7 +72,7 @@
         choice: &EndpointChoice,
     ) -> Micros {
         let state = self.front.state();
-        let spread = spread_part(self.spread);
+        let spread = even_part(self.spread);
         state
             .admission
             .come_back(&self.admission_ask(), &state.pace, choice, spread)
@@ -107,7 +107,6 @@
             // What has ended two is not tried on the last one.
             least: if is_alone { 2 } else { 1 },
         });
-        let linked = state.pool.linked(now);
         let ask = PickAsk {
             service: &self.service,
             domain: &front.settings.failure_domain,
@@ -115,7 +114,7 @@
             rank: self.rank(),
             tried: &self.tried,
             trial,
-            linked: Some(&linked),
+            is_linked: &|key| state.pool.has_open(key, now),
             pace: &state.pace,
             weights: self.weight_bounds(state, now),
             left_out: front.settings.left_out,
--- a/entry/src/front/request_run.rs
+++ b/entry/src/front/request_run.rs
@@ -124,11 +124,6 @@
     hash ^ (hash >> 32)
 }
 
-/// A number as a part of 1, evenly spread.
-pub(super) fn spread_part(number: u64) -> f64 {
-    (number >> 11) as f64 / (1u64 << 53) as f64
-}
-
 impl RequestRun<'_> {
     pub(super) fn route(&self) -> &ServedRoute {
         &self.config.routes[self.place.route]
--- a/entry/src/front/request_trial.rs
+++ b/entry/src/front/request_trial.rs
@@ -1,7 +1,7 @@
 use {
-    super::{spread_number, spread_part, RequestRun},
+    super::{spread_number, RequestRun},
     pitchhitch_core::{
-        serving::{RefusalKind, SuspectStanding},
+        serving::{even_part, RefusalKind, SuspectStanding},
         time::Micros,
     },
     pitchhitch_process::to_duration,
@@ -36,7 +36,7 @@
             return SuspectStanding::Clear;
         }
         let fingerprint = self.fingerprint();
-        let spread = spread_part(spread_number(&front.settings.box_id));
+        let spread = even_part(spread_number(&front.settings.box_id));
         let state = front.state();
         state.suspects.standing(fingerprint, spread, front.now())
     }
--- a/entry/src/front/store_watchers.rs
+++ b/entry/src/front/store_watchers.rs
@@ -51,7 +51,7 @@
 
 impl RankedEngine {
     fn new(address: SocketAddr) -> Self {
-        let number = even_number(&address.to_string());
+        let number = even_number(address.to_string());
         RankedEngine { address, number }
     }
 }
@@ -62,7 +62,7 @@
     store: SocketAddr,
     engines: &[RankedEngine],
 ) -> Vec<SocketAddr> {
-    let store = even_number(&store.to_string());
+    let store = even_number(store.to_string());
     let rank = |engine: &RankedEngine| even_mix(store, engine.number);
     let mut ranked: Vec<(u64, SocketAddr)> = engines.iter().map(|e| (rank(e), e.address)).collect();
     ranked.sort_unstable();
--- a/testbed/src/load_model/model_front.rs
+++ b/testbed/src/load_model/model_front.rs
@@ -118,7 +118,7 @@
         let tried: Vec<EndpointKey> = ask.tried.iter().map(|at| self.key(*at)).collect();
         let pick = PickAsk {
             trial: None,
-            linked: None,
+            is_linked: &|_| true,
             service: SERVICE,
             domain: &domain_name(self.domain),
             prompt: Some(ask.prompt),
--- a/wire/src/beside/handed_state.rs
+++ b/wire/src/beside/handed_state.rs
@@ -4,7 +4,7 @@
         codec::{decode_body, encode_body},
     },
     pitchhitch_core::{
-        serving::{EndpointNotice, StoreEra, ToldLife, ToldNaming},
+        serving::{even_number, EndpointNotice, StoreEra, ToldLife, ToldNaming},
         time::Micros,
     },
     serde::{Deserialize, Serialize},
@@ -97,10 +97,7 @@
         let Ok(bytes) = encode_body(&ageless) else {
             return 0;
         };
-        let hash = blake3::hash(&bytes);
-        let mut first = [0; 8];
-        first.copy_from_slice(&hash.as_bytes()[..8]);
-        u64::from_le_bytes(first)
+        even_number(bytes)
     }
 
     /// The state as bytes, with a keyed hash where a key is set.
