Answers of the platform's store prove what was in force when they were given; nothing_goes_back is mended

Cause: knowledge of keys counted from when a question was sent. One that is held at the store for 1.06 s proved nothing of that time, so the last proof was up to two holds old when a copy came: 2.1 s, 0.3 s until the era is seen and 2.2 s of doubt are more than the 4.25 s for which keys count. Ruled out: shorter holds (store_pace allows 2.2 calls a second of a front, the list takes 1.25 of them); less doubt (operators have about two seconds to write again). Change: StoreClock bounds the local time of the store's steady clock (now_ms) from below by earlier answers, so that a held answer proves its own moment; forgotten after any failed call.

--- a/core/src/serving/key_trust.rs
+++ b/core/src/serving/key_trust.rs
@@ -9,8 +9,8 @@
 
 /// How old the knowledge of keys may be, and how old it is.
 ///
-/// Knowledge counts from when a read was sent, not from when its answer came:
-/// what the store took in between may be missing from the answer.
+/// Knowledge counts from when the store gave an answer, as far as that is proven, and not from
+/// when it came: what the store took in between may be missing from the answer.
 #[derive(Debug, Clone, Copy)]
 pub struct KeyTrust {
     limit: Micros,
@@ -37,12 +37,12 @@
         }
     }
 
-    /// Notes a whole read of the configuration that was sent at `sent_at`.
+    /// Notes a whole read of the configuration as of `proven_at`.
     pub fn proven(
         &mut self,
-        sent_at: Micros,
+        proven_at: Micros,
     ) {
-        self.read_at = self.read_at.max(Some(sent_at));
+        self.read_at = self.read_at.max(Some(proven_at));
     }
 
     /// Takes that two other boxes have found what is known here to be the newest, by questions
--- a/core/src/serving/mod.rs
+++ b/core/src/serving/mod.rs
@@ -39,6 +39,7 @@
 mod serving_config;
 mod serving_mechanism;
 mod standstill_watch;
+mod store_clock;
 mod store_position;
 mod store_proof;
 mod store_view;
@@ -63,8 +64,8 @@
     listed_life::*, mechanism_set::*, memory_map::*, order_right::*, part_fate::*, part_memory::*,
     path_index::*, prompt_ask::*, prompt_part::*, rank_shares::*, read_proofs::*, reader_tier::*,
     refusal_kind::*, repeat_meter::*, request_fingerprint::*, route_habits::*, served_route::*,
-    serving_config::*, serving_mechanism::*, standstill_watch::*, store_position::*,
-    store_proof::*, store_view::*, suspect_book::*, suspect_record::*, swap_planner::*,
+    serving_config::*, serving_mechanism::*, standstill_watch::*, store_clock::*,
+    store_position::*, store_proof::*, store_view::*, suspect_book::*, suspect_record::*, swap_planner::*,
     table_mark::*, telling_pace::*, told_life::*, told_naming::*, trial_table::*, wall_name::*,
     weight_belief::*, weight_bounds::*, weight_namings::*,
 };
--- a/entry/src/front/front_state.rs
+++ b/entry/src/front/front_state.rs
@@ -131,21 +131,21 @@
         }
     }
 
-    /// Takes that the operator's rows were read whole by a question that was sent then; `mark`
-    /// is the number of their content.
+    /// Takes that the operator's rows were read whole as of then; `mark` is the number of their
+    /// content.
     pub fn note_config_read(
         &mut self,
         mark: u32,
-        sent_at: Micros,
+        proven_at: Micros,
         now: Micros,
     ) {
-        if self.eras.proves(sent_at) {
-            self.trust.proven(sent_at);
-            if self.eras.may_vouch(sent_at) {
+        if self.eras.proves(proven_at) {
+            self.trust.proven(proven_at);
+            if self.eras.may_vouch(proven_at) {
                 self.proven_era = self.eras.known();
             }
             let table = ProvenTable::Operator;
-            self.readers.note_read(table, mark, sent_at, now);
+            self.readers.note_read(table, mark, proven_at, now);
         }
     }
 
--- a/entry/src/front/operator_watch.rs
+++ b/entry/src/front/operator_watch.rs
@@ -5,7 +5,7 @@
     },
     futures_lite::future::or,
     pitchhitch_core::{
-        serving::{ProvenTable, ReaderTier, ServingConfig, StorePosition, TableMark},
+        serving::{ProvenTable, ReaderTier, ServingConfig, StoreClock, StorePosition, TableMark},
         time::Micros,
     },
     pitchhitch_platform::{
@@ -29,6 +29,7 @@
     let mut foreign = ForeignRows::new("operator");
     let mut seen: Option<StorePosition> = None;
     let mut mark = TableMark::default();
+    let mut store_clock = StoreClock::default();
     let mut is_lost = false;
     let mut sent_at = Micros::ZERO;
     loop {
@@ -45,9 +46,14 @@
                 if seen.replace(page.position).is_none() {
                     mark.clear();
                 }
-                take_rows(&front, page, sent_at, &mut foreign, &mut mark);
+                // A question that was held at the store proves what was in force when it answered.
+                let proven_at = store_clock.proof_time(sent_at, page.store_ms, front.now());
+                take_rows(&front, page, proven_at, &mut foreign, &mut mark);
             }),
-            Err(error) => Err(error),
+            Err(error) => {
+                store_clock.reset();
+                Err(error)
+            }
         };
         note_contact(&front, "operator", &mut is_lost, &outcome);
         match outcome {
@@ -114,7 +120,7 @@
 fn take_rows(
     front: &FrontContext,
     page: RowPage,
-    sent_at: Micros,
+    proven_at: Micros,
     foreign: &mut ForeignRows,
     mark: &mut TableMark,
 ) {
@@ -133,7 +139,7 @@
     // A configuration that cannot be read may take keys away.
     if !foreign.has(CONFIG_KEY) {
         let now = front.now();
-        front.state().note_config_read(mark.number(), sent_at, now);
+        front.state().note_config_read(mark.number(), proven_at, now);
         front.greeting_due.wake();
     }
 }
