Endpoints that start slowly, evacuated failure domains and home regions bound where requests go

Cause: nothing read how long an endpoint is slow after its start, op/evacuate rows were passed over without a line, and regions of routes and organisations were unread. Change: GrantBook (beside each engine) shares the bound out, with digests; EndpointSlowStart counts a front's own requests; EvacuationBook is read with the configuration, told to fronts that start and kept over a copy of the store; HomeRegions bounds endpoints and stores for saved parts. All at the one place that chooses an endpoint. Rows of operators that nothing knows are logged.

--- a/agent/src/beside/digest_sender.rs
+++ b/agent/src/beside/digest_sender.rs
@@ -41,6 +41,7 @@
                 let domain = &beside.settings.failure_domain;
                 let age = state.sent.greeting_age(hello.echo, now);
                 state.fronts.heard(from, &hello, age, now);
+                state.fronts.limit_starts(hello.start_limit);
                 state.keeper.heard(&hello, age, from, domain, now);
                 take_proofs(&mut state, &hello, age, now);
                 for store in &hello.watches {
@@ -285,7 +286,8 @@
         return;
     };
     for front in fronts {
-        let echo = beside.state().fronts.echo(*front, beside.now());
+        let listening = digest.fronts as usize;
+        let echo = beside.state().fronts.echo(*front, listening, beside.now());
         beside.state().metrics.count("digests", "sent");
         let Ok(body) = written.told(echo) else {
             continue;
--- a/agent/src/beside/front_contacts.rs
+++ b/agent/src/beside/front_contacts.rs
@@ -1,5 +1,8 @@
 use {
-    pitchhitch_core::time::Micros,
+    pitchhitch_core::{
+        serving::{GrantBook, SendGrant},
+        time::Micros,
+    },
     pitchhitch_wire::beside::{FrontHello, GreetingEcho},
     std::{collections::HashMap, net::SocketAddr},
 };
@@ -47,6 +50,8 @@
 #[derive(Debug, Default)]
 pub(crate) struct FrontContacts {
     fronts: HashMap<SocketAddr, FrontContact>,
+    limits_starts: bool,
+    grants: GrantBook<SocketAddr>,
 }
 
 impl FrontContacts {
@@ -97,16 +102,30 @@
         self.fronts_where(|contact| contact.is_silent(now))
     }
 
-    /// The last greeting of a front.
+    /// The last greeting of a front, with what it may send while the engine starts slowly.
     pub fn echo(
-        &self,
+        &mut self,
         front: SocketAddr,
+        listening: usize,
         now: Micros,
     ) -> Option<GreetingEcho> {
-        self.fronts.get(&front).map(|contact| GreetingEcho {
-            number: contact.number,
-            age: now.since(contact.heard_at),
-        })
+        let contact = self.fronts.get(&front)?;
+        let (number, age) = (contact.number, now.since(contact.heard_at));
+        let grant = match self.limits_starts {
+            true => self.grants.grant(front, listening, now),
+            false => SendGrant::default(),
+        };
+        Some(GreetingEcho { number, age, grant })
+    }
+
+    /// Takes how many requests a second the engine may get from all fronts while it starts
+    /// slowly; 0 where it never does.
+    pub fn limit_starts(
+        &mut self,
+        limit: u32,
+    ) {
+        self.limits_starts = limit > 0;
+        self.grants.set_limit(limit);
     }
 
     fn fronts_where(
--- a/core/src/serving/endpoint_book.rs
+++ b/core/src/serving/endpoint_book.rs
@@ -1,7 +1,8 @@
 use {
     super::{
-        EndpointEntry, EndpointLife, EndpointNotice, EndpointReturn, EndpointStanding, PartMemory,
-        StorePosition, SwapPlanner, SwapStage, UnreadWork, WeightBelief,
+        EndpointEntry, EndpointLife, EndpointNotice, EndpointReturn, EndpointSlowStart,
+        EndpointStanding, PartMemory, StorePosition, SwapPlanner, SwapStage, UnreadWork,
+        WeightBelief,
     },
     crate::{retry::OutlierGuard, time::Micros},
     slotmap::{new_key_type, SlotMap},
@@ -95,6 +96,7 @@
             is_away: !entry.is_listed() && entry.may_be_there(),
             weights: Vec::new(),
             born: entry.life.listed,
+            slow_ms: None,
             // It rises with each heartbeat, and a copy counts as news by its content.
             row: StorePosition::default(),
         };
@@ -131,6 +133,7 @@
             domain: notice.domain.clone(),
             slots: notice.slots,
             standing: wanted,
+            is_overtaken: false,
             // One that is away is asked when its entry is back: counted as leaving for
             // good, it got nothing until it was forgotten.
             comeback: match notice.is_away {
@@ -149,6 +152,7 @@
             load: None,
             parts: PartMemory::default(),
             is_mirrored: false,
+            slow_start: EndpointSlowStart::default(),
             guard: OutlierGuard::default(),
             answered_at: None,
             stage: SwapStage::Idle,
@@ -256,10 +260,34 @@
     ) {
         if let Some(entry) = self.entries.get_mut(key) {
             entry.running += 1;
+            entry.slow_start.note_sent(work.ticket, work.sent_at);
             entry.unread.push(work);
         }
     }
 
+    /// Notes that a request is written to an endpoint now, some time after it was counted there.
+    pub fn written(
+        &mut self,
+        key: EndpointKey,
+        ticket: u64,
+        now: Micros,
+    ) {
+        if let Some(entry) = self.entries.get_mut(key) {
+            entry.slow_start.note_sent(ticket, now);
+        }
+    }
+
+    /// Notes that a request was not sent to an endpoint at which it was counted.
+    pub fn unsent(
+        &mut self,
+        key: EndpointKey,
+        ticket: u64,
+    ) {
+        if let Some(entry) = self.entries.get_mut(key) {
+            entry.slow_start.note_unsent(ticket);
+        }
+    }
+
     /// Notes that an endpoint has begun to answer a request.
     pub fn begun(
         &mut self,
--- a/core/src/serving/endpoint_entry.rs
+++ b/core/src/serving/endpoint_entry.rs
@@ -1,7 +1,7 @@
 use {
     super::{
-        EndpointLife, EndpointReturn, EnginePace, PartMemory, StorePosition, SwapStage,
-        WeightBelief,
+        EndpointLife, EndpointReturn, EndpointSlowStart, EnginePace, PartMemory, StorePosition,
+        SwapStage, WeightBelief,
     },
     crate::{retry::OutlierGuard, time::Micros},
     serde::{Deserialize, Serialize},
@@ -30,6 +30,8 @@
     pub weights: Vec<(String, u64)>,
     /// Start of this life of the endpoint, in milliseconds since 1970, where told.
     pub born: Option<u64>,
+    /// For how long it is slow after its start as of then, in milliseconds, where that is told.
+    pub slow_ms: Option<u64>,
     /// Position of the row that says so; none is told where another box hands it on.
     pub row: StorePosition,
 }
@@ -109,6 +111,9 @@
     pub slots: u32,
     /// Whether it may get requests.
     pub standing: EndpointStanding,
+    /// Whether another endpoint of its service was listed later at its address: nobody answers
+    /// there for it, as far as is known.
+    pub is_overtaken: bool,
     /// Whether it may come back, once it is leaving.
     pub comeback: EndpointReturn,
     /// What the list says of it since it left, of a life that was born earlier: a late write,
@@ -126,6 +131,8 @@
     pub parts: PartMemory,
     /// Whether all that it keeps has been told since it is known.
     pub is_mirrored: bool,
+    /// How it stands with the load that it bears after its start.
+    pub slow_start: EndpointSlowStart,
     /// Its failures.
     pub guard: OutlierGuard,
     /// When it last answered a request of ours.
--- a/core/src/serving/endpoint_pick.rs
+++ b/core/src/serving/endpoint_pick.rs
@@ -64,6 +64,9 @@
     pub pace: &'a EnginePace,
     /// Set where endpoints have ended under the request.
     pub trial: Option<TrialAsk<'a>>,
+    /// Whether an endpoint may get the request at all: its failure domain serves, it is in a region
+    /// where the request may run, and it bears one more request.
+    pub may_take: &'a dyn Fn(&EndpointEntry) -> bool,
     /// Whether a connection to an endpoint is open and unused.
     pub is_linked: &'a dyn Fn(EndpointKey) -> bool,
     /// Weights that the prompt may begin on.
@@ -196,10 +199,12 @@
     let mut best_home: Option<(u64, EndpointKey)> = None;
     let mut weighed = Vec::new();
     for (key, entry) in book.iter() {
-        let serves = entry.service == ask.service && entry.standing != EndpointStanding::Leaving;
+        let serves = entry.service == ask.service
+            && entry.standing != EndpointStanding::Leaving
+            && !entry.is_overtaken;
         let version = ask.prompt.and_then(|p| entry.weights.version(&p.model));
         let is_out = !ask.weights.allows(version) || ask.tried.contains(&key);
-        if !serves || is_out || !admits(entry) {
+        if !serves || is_out || !(ask.may_take)(entry) || !admits(entry) {
             continue;
         }
         let place = mix(home, &entry.id);
--- a/core/src/serving/memory_map.rs
+++ b/core/src/serving/memory_map.rs
@@ -236,10 +236,13 @@
         &mut self,
         wall: WallTag,
         parts: &[PromptPart],
+        may_keep: &dyn Fn(&KvStore) -> bool,
         now: Micros,
     ) -> Vec<Option<SocketAddr>> {
         let shared = &parts[..parts.len().saturating_sub(1)];
-        let saves = shared.iter().map(|part| self.plan_save(wall, part, now));
+        let saves = shared
+            .iter()
+            .map(|part| self.plan_save(wall, part, may_keep, now));
         saves.collect()
     }
 
@@ -247,6 +250,7 @@
         &mut self,
         wall: WallTag,
         part: &PromptPart,
+        may_keep: &dyn Fn(&KvStore) -> bool,
         now: Micros,
     ) -> Option<SocketAddr> {
         let has = |view: &StoreView| view.has_or_gets(wall, part.id, part.tokens);
@@ -255,7 +259,7 @@
         }
         let mut best: Option<(f64, &mut StoreView)> = None;
         for view in &mut self.views {
-            if !view.takes(part.tokens, now) {
+            if !may_keep(&view.store) || !view.takes(part.tokens, now) {
                 continue;
             }
             // Boxes that know nothing of each other choose the same home, in
--- a/core/src/serving/served_route.rs
+++ b/core/src/serving/served_route.rs
@@ -52,6 +52,8 @@
     pub max_endpoints: u32,
     /// Whether it is served without a key.
     pub is_public: bool,
+    /// Regions in which its requests may run; empty where all may.
+    pub homes: Vec<String>,
     /// Where it leads.
     pub targets: Vec<RouteTarget>,
 }
--- a/core/src/serving/serving_config.rs
+++ b/core/src/serving/serving_config.rs
@@ -1,5 +1,7 @@
 use {
-    super::{CallerLimits, KvStore, PathIndex, RefusalKind, RequestAsk, ServedRoute},
+    super::{
+        CallerLimits, KvStore, PathIndex, RefusalKind, RequestAsk, ServedRoute, SlowStartRule,
+    },
     std::collections::HashMap,
 };
 
@@ -27,6 +29,8 @@
     pub health_path: Option<String>,
     /// Set where the endpoints are model engines.
     pub engine: Option<EngineGroup>,
+    /// Set where they are slow right after their start.
+    pub slow_start: Option<SlowStartRule>,
 }
 
 /// An organisation.
@@ -38,6 +42,8 @@
     pub priority: Option<u8>,
     /// Whether it shares no kept part with anybody.
     pub is_isolated: bool,
+    /// Regions in which its requests may run; empty where all may.
+    pub homes: Vec<String>,
 }
 
 /// One configuration, whole; requests are decided on one of these throughout.
--- a/core/src/settings/settings_reader.rs
+++ b/core/src/settings/settings_reader.rs
@@ -204,6 +204,29 @@
         spelled
     }
 
+    /// A number that a template may have spelled as a text, which is empty where the template had
+    /// nothing to fill in.
+    pub fn spelled_fraction(
+        &mut self,
+        field: &'static str,
+        default: f64,
+        range: RangeInclusive<f64>,
+    ) -> f64 {
+        let spelled = self.fields.get(field).and_then(Value::as_str);
+        let number = match spelled {
+            Some("") => {
+                self.take(field);
+                return default;
+            }
+            Some(text) => text.parse::<f64>().ok(),
+            None => None,
+        };
+        if let Some(number) = number {
+            self.fields.insert(field.to_string(), Value::from(number));
+        }
+        self.fraction(field, default, range)
+    }
+
     /// A value of any type that can be read from JSON.
     pub fn value<T: DeserializeOwned>(
         &mut self,
--- a/core/tests/left_out.rs
+++ b/core/tests/left_out.rs
@@ -88,6 +88,7 @@
         }];
         let ask = PickAsk {
             trial: None,
+            may_take: &|_| true,
             is_linked: &|_| true,
             pace: &EnginePace::starting_at(1.0 / 97.0),
             weights: WeightBounds::default(),
@@ -183,7 +184,7 @@
         let view = memory.view_mut(store.address).expect("view");
         view.answered(1, Some(1), NOW, NOW);
         view.answered(1, Some(1), later, later);
-        let saves = memory.plan_saves(WALL, &prompt(3).parts, later);
+        let saves = memory.plan_saves(WALL, &prompt(3).parts, &|_| true, later);
         saves.into_iter().flatten().count()
     };
     assert_eq!(saved(MechanismSet::default()), 2);
--- a/core/tests/path_lookup.rs
+++ b/core/tests/path_lookup.rs
@@ -25,6 +25,7 @@
         priority: 2,
         max_endpoints: 1,
         is_public: name == "public",
+        homes: Vec::new(),
         targets: vec![
             RouteTarget {
                 service: "first".to_string(),
@@ -53,6 +54,7 @@
             name: "farm".to_string(),
             priority: None,
             is_isolated: false,
+            homes: Vec::new(),
         }],
         keys: [("key".to_string(), 0)].into(),
         ..ServingConfig::default()
--- a/core/tests/pick_fleet/mod.rs
+++ b/core/tests/pick_fleet/mod.rs
@@ -140,6 +140,7 @@
         }];
         let ask = PickAsk {
             trial: None,
+            may_take: &|_| true,
             is_linked: &|key| {
                 self.linked
                     .as_ref()
--- /dev/null
+++ b/core/tests/slow_start.rs
@@ -0,0 +1,197 @@
+//! Requests to endpoints that start slowly: all boxes together stay within their limit.
+
+use {
+    pitchhitch_core::{
+        serving::{
+            EndpointSlowStart, GrantBook, SendGrant, SlowStartBound, SlowStartRule, GRANT_LIFE,
+            GRANT_OVER,
+        },
+        time::Micros,
+    },
+    proptest::prelude::*,
+};
+
+const LIMIT: u32 = 35;
+const SECOND: u64 = 1_000;
+
+const fn ms(millis: u64) -> Micros {
+    Micros::from_millis(millis)
+}
+
+#[test]
+fn limit_of_bound() {
+    let rule = SlowStartRule {
+        span: ms(3_000),
+        per_second: 20.0,
+    };
+    let bound = |ratio, slack| SlowStartBound { ratio, slack };
+    assert_eq!(bound(1.5, 5.0).limit(&rule), LIMIT);
+    assert_eq!(bound(1.0, 0.0).limit(&rule), 20);
+    assert_eq!(bound(0.0, -1.0).limit(&rule), 0);
+}
+
+#[test]
+fn warm_unlimited() {
+    let mut start = EndpointSlowStart::default();
+    for ticket in 0..200 {
+        assert!(start.admits(ms(5)));
+        start.note_sent(ticket, ms(5));
+    }
+    start.begin(ms(500), ms(10));
+    assert!(!start.admits(ms(10)), "no grant, and many were sent");
+    assert!(start.admits(ms(510)), "it is over");
+}
+
+#[test]
+fn grant_used_up() {
+    let mut start = EndpointSlowStart::default();
+    start.begin(ms(3_000), ms(0));
+    start.take_grant(SendGrant { per_second: 2 }, ms(0));
+    for ticket in 0..2 {
+        assert!(start.admits(ms(100)));
+        start.note_sent(ticket, ms(100));
+    }
+    assert!(!start.admits(ms(100)));
+    start.note_unsent(1);
+    assert!(start.admits(ms(100)));
+    start.note_sent(1, ms(400));
+    start.take_grant(SendGrant { per_second: 2 }, ms(1_000));
+    assert!(!start.admits(ms(1_050)));
+    assert!(start.admits(ms(1_101)));
+}
+
+#[test]
+fn old_grant_void() {
+    let mut start = EndpointSlowStart::default();
+    start.begin(ms(9_000), ms(0));
+    start.take_grant(SendGrant { per_second: 2 }, ms(100));
+    assert!(start.admits(ms(100)));
+    assert!(!start.admits(ms(100) + GRANT_LIFE));
+    start.take_grant(SendGrant { per_second: 9 }, ms(50));
+    assert!(!start.admits(ms(100) + GRANT_LIFE), "it came out of order");
+}
+
+/// Once all have been told for a while each has its share, and a further one gets some at once.
+#[test]
+fn shares_settle() {
+    for boxes in [1u32, 3, 25, 34, 35, 103] {
+        let mut book = GrantBook::default();
+        book.set_limit(LIMIT);
+        let mut shares = Vec::new();
+        for turn in 0..40 {
+            let now = ms(turn * 250);
+            let grants = (0..boxes).map(|to| book.grant(to, boxes as usize, now).per_second);
+            shares = grants.collect();
+        }
+        let sum: u32 = shares.iter().sum();
+        assert!(
+            sum <= LIMIT && sum * 10 >= LIMIT.min(boxes) * 7,
+            "{boxes}: {shares:?}"
+        );
+        if boxes < LIMIT {
+            assert!(shares.iter().all(|share| *share > 0), "{boxes}: {shares:?}");
+        }
+        if boxes == 3 {
+            assert!(book.grant(99, 4, ms(10_000)).per_second > 0);
+        }
+    }
+}
+
+/// What the one at the endpoint and the boxes do.
+#[derive(Debug, Clone)]
+enum Step {
+    /// Time goes on, in milliseconds.
+    Pass(u64),
+    /// A box is told; the message comes after so many milliseconds, or never.
+    Tell { to: usize, way: Option<u64> },
+    /// A box that has been told as many as it takes sends while it may.
+    Send { by: usize, most: usize },
+    /// The one at the endpoint starts anew.
+    Restart,
+    /// So many boxes are believed to be there.
+    Believe(usize),
+}
+
+fn step() -> impl Strategy<Value = Step> {
+    prop_oneof![
+        4 => (0..600u64).prop_map(Step::Pass),
+        8 => (0..8usize, proptest::option::weighted(0.8, 0..1_400u64))
+            .prop_map(|(to, way)| Step::Tell { to, way }),
+        8 => (0..8usize, 1..40usize).prop_map(|(by, most)| Step::Send { by, most }),
+        1 => Just(Step::Restart),
+        1 => (1..12usize).prop_map(Step::Believe),
+    ]
+}
+
+proptest! {
+    /// Whatever is lost, late, out of order or out of date, and however many boxes are believed to
+    /// be there: in no second does the endpoint get more than its limit.
+    #[test]
+    fn never_above_limit(steps in proptest::collection::vec(step(), 1..200)) {
+        let mut now = 0u64;
+        let mut book = GrantBook::default();
+        book.set_limit(LIMIT);
+        let mut believed = 4;
+        let mut boxes: Vec<EndpointSlowStart> = vec![EndpointSlowStart::default(); 8];
+        for start in &mut boxes {
+            start.begin(Micros::from_secs(100_000), ms(0));
+        }
+        // Messages under way: when they come, to whom, what they say, and when they were sent.
+        let mut under_way: Vec<(u64, usize, SendGrant, u64)> = Vec::new();
+        let mut sends: Vec<u64> = Vec::new();
+        let mut ticket = 0;
+        for step in steps {
+            match step {
+                Step::Pass(millis) => now += millis,
+                Step::Believe(count) => believed = count,
+                Step::Restart => {
+                    book = GrantBook::default();
+                    book.set_limit(LIMIT);
+                }
+                Step::Tell { to, way } => {
+                    let grant = book.grant(to, believed, ms(now));
+                    if let Some(way) = way {
+                        under_way.push((now + way, to, grant, now));
+                    }
+                }
+                Step::Send { by, most } => {
+                    for _ in 0..most {
+                        if !boxes[by].admits(ms(now)) {
+                            break;
+                        }
+                        ticket += 1;
+                        boxes[by].note_sent(ticket, ms(now));
+                        sends.push(now);
+                    }
+                }
+            }
+            let (come, later) = under_way.into_iter().partition(|(at, ..)| *at <= now);
+            under_way = later;
+            for (_, to, grant, sent_at) in come {
+                boxes[to].take_grant(grant, ms(sent_at));
+            }
+        }
+        for from in &sends {
+            let within = sends.iter().filter(|at| *at >= from && **at < from + SECOND);
+            let count = within.count() as u32;
+            prop_assert!(count <= LIMIT, "{count} from {from} ms");
+        }
+    }
+}
+
+#[test]
+fn open_again() {
+    let mut start = EndpointSlowStart::default();
+    assert_eq!(start.open_after(ms(0)), Micros::ZERO);
+    start.begin(ms(5_000), ms(0));
+    assert_eq!(
+        start.open_after(ms(0)),
+        GRANT_OVER,
+        "whoever shares it out may not yet"
+    );
+    start.take_grant(SendGrant { per_second: 1 }, ms(100));
+    assert_eq!(start.open_after(ms(100)), Micros::ZERO);
+    start.note_sent(1, ms(100));
+    assert_eq!(start.open_after(ms(400)), ms(700));
+    assert_eq!(start.open_after(ms(4_990)), ms(10), "it is warm then");
+}
--- a/core/tests/store_view.rs
+++ b/core/tests/store_view.rs
@@ -124,10 +124,10 @@
             .answered(1, Some(1), later, later);
     }
     let parts = [part("aa", 500), part("bb", 8_000), part("cc", 900)];
-    let saves = map.plan_saves(WALL, &parts, later);
+    let saves = map.plan_saves(WALL, &parts, &|_| true, later);
     assert_eq!(saves.len(), 2, "the last part never comes back");
     assert!(saves.iter().all(Option::is_some));
-    let again = map.plan_saves(WALL, &parts, later);
+    let again = map.plan_saves(WALL, &parts, &|_| true, later);
     assert!(again.iter().all(Option::is_none), "it is on its way");
 }
 
@@ -157,7 +157,7 @@
     let mut saved_quick = 0;
     for number in 0..90 {
         let parts = [part(&format!("{number:x}"), 9_000), part("ffff", 100)];
-        let saves = map.plan_saves(WALL, &parts, later);
+        let saves = map.plan_saves(WALL, &parts, &|_| true, later);
         let address = saves[0].expect("there is room");
         let place = usize::from(address == slow.address);
         saved_quick += 1 - place;
--- a/entry/src/front/beside_link.rs
+++ b/entry/src/front/beside_link.rs
@@ -189,6 +189,18 @@
     group.is_some_and(|group| group.engine.is_some())
 }
 
+/// Requests a second that an engine may get from all fronts while it starts slowly.
+fn start_limit(
+    front: &FrontContext,
+    state: &FrontState,
+    entry: &EndpointEntry,
+) -> u32 {
+    let config = state.config.as_ref();
+    let group = config.and_then(|config| config.groups.get(&entry.service));
+    let rule = group.and_then(|group| group.slow_start);
+    rule.map_or(0, |rule| front.settings.slow_start.limit(&rule))
+}
+
 fn make_hello(
     front: &FrontContext,
     state: &FrontState,
@@ -229,5 +241,6 @@
         wants_all: !entry.is_mirrored && entry.is_listed(),
         proofs: Vec::new(),
         watches: Vec::new(),
+        start_limit: start_limit(front, state, entry),
     }
 }
--- a/entry/src/front/digest_watch.rs
+++ b/entry/src/front/digest_watch.rs
@@ -81,8 +81,33 @@
     take_relayed(front, &digest, echo, from);
     let change = take_announced(front, &digest, from);
     log_changes(front, change.as_slice());
+    let grantee = echo.filter(|_| digest.engine.ip() == from.ip());
+    let engine = digest.engine;
     let change = take_digest(front, digest);
     log_changes(front, change.as_slice());
+    if let Some(echo) = grantee {
+        take_grant(front, engine, echo);
+    }
+}
+
+/// Takes what this front may send to the engine while that starts slowly; it counts from when the
+/// greeting that it names began.
+fn take_grant(
+    front: &FrontContext,
+    engine: SocketAddr,
+    echo: GreetingEcho,
+) {
+    let mut guard = front.state();
+    let state = &mut *guard;
+    let Some(began_at) = state.greetings.began_at(echo.number) else {
+        return;
+    };
+    let config = state.config.as_deref();
+    let may_be = |entry: &EndpointEntry| config.is_none_or(|config| is_engine(config, entry));
+    let key = state.book.present_at(engine, may_be);
+    if let Some(entry) = key.and_then(|key| state.book.get_mut(key)) {
+        entry.slow_start.take_grant(echo.grant, began_at + echo.age);
+    }
 }
 
 /// Remembers who was heard, as long as state may have to be asked for.
--- /dev/null
+++ b/entry/src/front/evacuations.rs
@@ -0,0 +1,41 @@
+use {
+    super::{begin_slow_start, FrontContext},
+    pitchhitch_core::serving::{EndpointKey, EvacuationChange},
+};
+
+/// Takes which failure domains are evacuated, or no more. The endpoints of one that serves again
+/// have been idle: they start slowly.
+pub(super) fn take_evacuations(
+    front: &FrontContext,
+    changes: &[EvacuationChange],
+    source: &str,
+) {
+    for change in changes {
+        let (word, domain) = match change {
+            EvacuationChange::Begins(domain) => ("begins", domain),
+            EvacuationChange::Ends(domain) => ("ends", domain),
+        };
+        let now = front.now();
+        let mut guard = front.state();
+        let state = &mut *guard;
+        let members = state
+            .book
+            .iter()
+            .filter(|(_, entry)| entry.domain == *domain);
+        let members: Vec<EndpointKey> = members.map(|(key, _)| key).collect();
+        if word == "ends" {
+            for key in &members {
+                begin_slow_start(state, *key, None, now);
+            }
+        }
+        log::warn!(
+            event = "evacuation",
+            domain = domain.as_str(),
+            change = word,
+            endpoints = members.len(),
+            source = source;
+            ""
+        );
+        front.metrics.count("evacuations", word);
+    }
+}
--- a/entry/src/front/front_settings.rs
+++ b/entry/src/front/front_settings.rs
@@ -1,11 +1,11 @@
 use {
     pitchhitch_core::{
-        serving::{KeyPolicy, MechanismSet, RepeatBound, ServingMechanism},
+        serving::{KeyPolicy, MechanismSet, RepeatBound, ServingMechanism, SlowStartBound},
         settings::{SettingsErrors, SettingsReader},
         time::Micros,
     },
     pitchhitch_wire::beacon::BeaconKey,
-    std::{net::SocketAddr, ops::RangeInclusive, time::Duration},
+    std::{collections::BTreeMap, net::SocketAddr, ops::RangeInclusive, time::Duration},
 };
 
 /// Settings of one front process, checked.
@@ -15,6 +15,8 @@
     pub box_id: String,
     /// Failure domain that the box stands in.
     pub failure_domain: String,
+    /// Regions of failure domains.
+    pub regions: BTreeMap<String, String>,
     /// Where callers are served.
     pub callers: SocketAddr,
     /// Where the balancer asks whether the process is ready.
@@ -47,6 +49,8 @@
     pub begin_limit: Micros,
     /// What may be sent again.
     pub repeats: RepeatBound,
+    /// What endpoints may get while they start slowly.
+    pub slow_start: SlowStartBound,
     /// Gap that engines are owed between orders of two boxes.
     pub order_gap: Micros,
     /// Time between SIGTERM and the end of the process by force.
@@ -95,6 +99,14 @@
         Micros(self.drain_limit.0 * LIST_PAUSE_PART / 100).min(LONGEST_LIST_PAUSE)
     }
 
+    /// The region of a failure domain, where it is known.
+    pub fn region(
+        &self,
+        domain: &str,
+    ) -> Option<&str> {
+        self.regions.get(domain).map(String::as_str)
+    }
+
     /// Time for which a question for changes is held at the store.
     pub fn change_wait(&self) -> Micros {
         Micros(self.key_limit.0 * CHANGE_WAIT_PART / 100).min(LONGEST_CHANGE_WAIT)
@@ -110,6 +122,11 @@
     ) -> Result<Self, SettingsErrors> {
         let mut reader = SettingsReader::parse(file, text)?;
         let seeds = reader.value("seeds", Some(Vec::new()), "a list of addresses and ports");
+        let regions = reader.value(
+            "regions",
+            Some(BTreeMap::new()),
+            "regions by failure domain",
+        );
         let secret = reader.optional_text("peer_secret");
         let weights_limit = reader.millis("weights_limit_ms", 12_000.0, LIMITS_MS);
         let key_limit = reader.millis("key_limit_ms", 5_000.0, LIMITS_MS);
@@ -117,6 +134,7 @@
         let settings = FrontSettings {
             box_id: reader.text("box_id"),
             failure_domain: reader.text("failure_domain"),
+            regions: regions.unwrap_or_default(),
             callers: reader.address("callers"),
             ready: reader.address("ready"),
             metrics: reader.optional_address("metrics"),
@@ -139,6 +157,10 @@
                 ratio: reader.fraction("repeat_ratio", 0.2, 0.0..=1.0),
                 slack: reader.fraction("repeat_slack", 50.0, 0.0..=1_000_000.0),
             },
+            slow_start: SlowStartBound {
+                ratio: reader.spelled_fraction("slow_start_ratio", 1.0, 0.0..=1_000.0),
+                slack: reader.spelled_fraction("slow_start_slack", 0.0, 0.0..=1_000_000.0),
+            },
             order_gap: reader.millis("order_gap_ms", 3_000.0, 0.0..=600_000.0),
             stop_limit: Duration::from_micros(reader.seconds("stop_limit_s", 8.0, SPANS_S).0),
             memory_mb: reader.fraction("memory_mb", 128.0, 16.0..=1_000_000.0) as u64,
--- a/entry/src/front/front_state.rs
+++ b/entry/src/front/front_state.rs
@@ -2,9 +2,10 @@
     super::{is_engine, EndProbe, FrontSettings, GreetingPlan, LinkPool, StoreReaders},
     pitchhitch_core::{
         serving::{
-            AdmissionRule, EndpointBook, EndpointKey, EnginePace, EraWatch, KeyTrust, MemoryMap,
-            ProvenTable, ReadProofs, RepeatMeter, ServingConfig, StandstillWatch, StoreEra,
-            SuspectBook, SwapPlanner, TrialTable, WallName, WallTag, WRITE_AGAIN,
+            AdmissionRule, EndpointBook, EndpointEntry, EndpointKey, EnginePace, EraWatch,
+            EvacuationBook, KeyTrust, MemoryMap, ProvenTable, ReadProofs, RepeatMeter,
+            ServingConfig, StandstillWatch, StoreEra, SuspectBook, SwapPlanner, TrialTable,
+            WallName, WallTag, WRITE_AGAIN,
         },
         time::Micros,
     },
@@ -48,6 +49,8 @@
     pub greetings: GreetingPlan,
     /// Era in which a reading of this process last proved the configuration.
     pub proven_era: Option<StoreEra>,
+    /// Failure domains that get nothing new.
+    pub evacuations: EvacuationBook,
     /// What is refused while engines are behind.
     pub admission: AdmissionRule,
     /// What is learned of how engines take prompts.
@@ -106,6 +109,7 @@
             heard_at: None,
             greetings: GreetingPlan::default(),
             proven_era: None,
+            evacuations: EvacuationBook::default(),
             admission: AdmissionRule::without(settings.left_out),
             pace: EnginePace::without(settings.left_out),
             memory: MemoryMap::without(settings.left_out),
@@ -208,6 +212,18 @@
         is_open && self.book.iter().any(|(_, entry)| is_engine(config, entry))
     }
 
+    /// Whether an endpoint of a service may get requests now: its failure domain is not evacuated,
+    /// and it bears one more where endpoints of the service start slowly.
+    pub fn is_open(
+        &self,
+        entry: &EndpointEntry,
+        starts_slowly: bool,
+        now: Micros,
+    ) -> bool {
+        let is_evacuated = self.evacuations.has(&entry.domain);
+        !is_evacuated && (!starts_slowly || entry.slow_start.admits(now))
+    }
+
     /// A number for a request that no other has.
     pub fn ticket(&mut self) -> u64 {
         self.next_ticket += 1;
--- a/entry/src/front/list_watch.rs
+++ b/entry/src/front/list_watch.rs
@@ -1,6 +1,7 @@
 use {
     super::{
-        ask_returned, note_contact, note_position, CallLimit, ForeignRows, FrontContext, ReadWait,
+        ask_returned, begin_slow_start, note_contact, note_position, CallLimit, ForeignRows,
+        FrontContext, ReadWait,
     },
     pitchhitch_core::{
         serving::{BookChange, EndpointNotice, ProvenTable, StorePosition, TableMark, WRITE_AGAIN},
@@ -9,7 +10,7 @@
     pitchhitch_platform::{decode_row, RowNews, RowPage, RowTable, StoreClient},
     pitchhitch_process::to_duration,
     smol::Timer,
-    std::{net::SocketAddr, rc::Rc, time::Duration},
+    std::{collections::HashSet, net::SocketAddr, rc::Rc, time::Duration},
 };
 
 /// Pause before the list is read whole: without it nothing can be served, and what has
@@ -140,6 +141,7 @@
 ) {
     let mut listed: Vec<EndpointNotice> = Vec::new();
     let mut changes = Vec::new();
+    let had_list = front.state().has_list;
     let position = page.position;
     for row in page.rows {
         let key = row.key.clone();
@@ -155,7 +157,15 @@
         foreign.is_over(&key);
         match news {
             RowNews::Endpoint(notice) if is_whole => listed.push(notice),
-            RowNews::Endpoint(notice) => changes.extend(front.state().book.take(&notice)),
+            RowNews::Endpoint(notice) => {
+                let change = front.state().book.take(&notice);
+                let is_new = matches!(
+                    change,
+                    Some(BookChange::Serves(_) | BookChange::Restarts(_))
+                );
+                note_slow_start(front, &notice, is_new);
+                changes.extend(change);
+            }
             RowNews::EndpointGone(id) => {
                 changes.extend(front.state().book.gone(&id, is_steady));
             }
@@ -171,8 +181,16 @@
             steady = is_steady;
             ""
         );
+        let known: HashSet<String> = listed
+            .iter()
+            .filter(|notice| front.state().book.key(&notice.id).is_some())
+            .map(|notice| notice.id.clone())
+            .collect();
+        changes.extend(front.state().book.take_all(&listed, is_steady));
+        for notice in &listed {
+            note_slow_start(front, notice, had_list && !known.contains(&notice.id));
+        }
         let mut state = front.state();
-        changes.extend(state.book.take_all(&listed, is_steady));
         if !std::mem::replace(&mut state.has_list, true) {
             // It serves only once it is told of suspects, which the first greeting asks for.
             state.greetings.want_all();
@@ -183,6 +201,27 @@
     log_changes(front, &changes);
 }
 
+/// Takes how an endpoint stands with its slow start: for one that is new and does not say, it has
+/// just begun.
+fn note_slow_start(
+    front: &FrontContext,
+    notice: &EndpointNotice,
+    is_new: bool,
+) {
+    let now = front.now();
+    let mut guard = front.state();
+    let state = &mut *guard;
+    let told = notice.slow_ms.map(Micros::from_millis);
+    let Some(key) = state
+        .book
+        .key(&notice.id)
+        .filter(|_| is_new || told.is_some())
+    else {
+        return;
+    };
+    begin_slow_start(state, key, told, now);
+}
+
 pub(super) fn log_changes(
     front: &FrontContext,
     changes: &[BookChange],
@@ -205,6 +244,9 @@
         if let Some(address) = address.filter(|_| what == "restarted") {
             state.reads.restarted(address, front.now());
         }
+        if let Some(key) = key.filter(|_| what == "restarted") {
+            begin_slow_start(&mut state, key, None, front.now());
+        }
         if let Some(address) = address.filter(|_| what == "leaves") {
             let to = SocketAddr::new(address.ip(), front.settings.beside_port);
             state.greetings.want(to);
--- a/entry/src/front/mod.rs
+++ b/entry/src/front/mod.rs
@@ -9,6 +9,7 @@
 mod caller_conn;
 mod digest_watch;
 mod end_probe;
+mod evacuations;
 mod event_splitter;
 mod foreign_rows;
 mod front_context;
@@ -39,6 +40,7 @@
 mod request_try;
 mod return_check;
 mod run_lost;
+mod slow_starts;
 mod store_contact;
 mod store_readers;
 mod store_watch;
@@ -55,9 +57,9 @@
     store_readers::*, store_watch::*, stream_relay::*, suspect_desk::*, wake_reason::*,
 };
 use {
-    call_limit::*, foreign_rows::*, greeting_plan::*, held_rows::*, order_lease::*,
+    call_limit::*, evacuations::*, foreign_rows::*, greeting_plan::*, held_rows::*, order_lease::*,
     orphan_engine::*, part_freeing::*, peer_state::*, request_admit::*, request_moves::*,
-    request_trial::*, request_try::*, return_check::*, run_lost::*, store_watchers::*,
-    weight_lesson::*,
+    request_trial::*, request_try::*, return_check::*, run_lost::*, slow_starts::*,
+    store_watchers::*, weight_lesson::*,
 };
 pub use {front_process::*, front_settings::*};
--- a/entry/src/front/operator_watch.rs
+++ b/entry/src/front/operator_watch.rs
@@ -1,7 +1,7 @@
 use {
     super::{
-        are_held, note_contact, note_position, own_tier, CallLimit, ForeignRows, FrontContext,
-        ReadWait,
+        are_held, note_contact, note_position, own_tier, take_evacuations, CallLimit, ForeignRows,
+        FrontContext, ReadWait,
     },
     futures_lite::future::or,
     pitchhitch_core::{
@@ -45,6 +45,7 @@
             Ok(page) => note_position(&front, "operator", page.position).map(|()| {
                 if seen.replace(page.position).is_none() {
                     mark.clear();
+                    front.state().evacuations.begin_reading();
                 }
                 // A question that was held at the store proves what was in force when it answered.
                 let proven_at = store_clock.proof_time(sent_at, page.store_ms, front.now());
@@ -136,10 +137,20 @@
             Err(fault) => foreign.note(front, &key, &fault),
         }
     }
+    let settled = {
+        let mut state = front.state();
+        match state.eras.proves(proven_at) {
+            true => state.evacuations.settle(),
+            false => Vec::new(),
+        }
+    };
+    take_evacuations(front, &settled, "row");
     // A configuration that cannot be read may take keys away.
     if !foreign.has(CONFIG_KEY) {
         let now = front.now();
-        front.state().note_config_read(mark.number(), proven_at, now);
+        front
+            .state()
+            .note_config_read(mark.number(), proven_at, now);
         front.greeting_due.wake();
     }
 }
@@ -154,7 +165,14 @@
             take_config(front, config, text, "row");
         }
         RowNews::Weights(named) => name_weights(front, &named),
-        _ => {}
+        RowNews::Evacuation { domain, is_asked } => {
+            let change = front.state().evacuations.set(&domain, is_asked);
+            take_evacuations(front, change.as_slice(), "row");
+        }
+        RowNews::Other(key) => {
+            log::warn!(event = "operator-row", key = key.as_str(), used = false; "");
+        }
+        RowNews::Endpoint(_) | RowNews::EndpointGone(_) => {}
     }
     Ok(())
 }
--- a/entry/src/front/peer_state.rs
+++ b/entry/src/front/peer_state.rs
@@ -1,7 +1,9 @@
 use {
-    super::{is_engine, log_changes, take_config, FrontContext},
+    super::{
+        begin_slow_start, is_engine, log_changes, take_config, take_evacuations, FrontContext,
+    },
     pitchhitch_core::{
-        serving::{even_draw, TELL_LIMIT},
+        serving::{even_draw, EndpointKey, TELL_LIMIT},
         time::Micros,
     },
     pitchhitch_platform::decode_config,
@@ -49,6 +51,7 @@
         era: state.proven_era,
         weights: state.planner.told_namings(now),
         endpoints: state.book.notices(),
+        evacuated: state.evacuations.domains().map(str::to_string).collect(),
         lives: state.memory.lives(now),
     })
 }
@@ -227,6 +230,16 @@
     for life in &handed.lives {
         state.memory.tell_life(life, now);
     }
+    if state.trust.proven_at().is_none() {
+        let told = handed.evacuated.iter();
+        let told: Vec<_> = told
+            .filter_map(|domain| state.evacuations.take_told(domain))
+            .collect();
+        drop(guard);
+        take_evacuations(front, &told, "peer");
+        guard = front.state();
+    }
+    let state = &mut *guard;
     if state.has_list {
         return Ok(());
     }
@@ -235,6 +248,11 @@
         .filter_map(|notice| state.book.take(notice))
         .collect();
     changes.extend(state.book.end_overtaken());
+    let keys: Vec<EndpointKey> = state.book.iter().map(|(key, _)| key).collect();
+    for key in keys {
+        // A copy does not tell which of them have just started.
+        begin_slow_start(state, key, None, now);
+    }
     state.has_list = true;
     drop(guard);
     log_changes(front, &changes);
--- a/entry/src/front/request_choice.rs
+++ b/entry/src/front/request_choice.rs
@@ -2,8 +2,9 @@
     super::{FrontState, RequestRun, USUAL_PATIENCE},
     pitchhitch_core::{
         serving::{
-            even_part, pick_endpoint, AdmissionAsk, AdmissionVerdict, EndpointChoice, EngineGroup,
-            PartOutlook, PartPlace, PickAsk, TrialAsk, VersionOutlook, WallName, WeightBounds,
+            even_part, pick_endpoint, AdmissionAsk, AdmissionVerdict, EndpointChoice,
+            EndpointEntry, EndpointStanding, EngineGroup, HomeRegions, PartOutlook, PartPlace,
+            PickAsk, TrialAsk, VersionOutlook, WallName, WeightBounds,
         },
         time::Micros,
     },
@@ -11,6 +12,10 @@
 
 /// The least urgent rank that engines know.
 const LOWEST_RANK: u8 = 9;
+/// When callers come back that no endpoint bears yet, after the first one may be sent to: they are
+/// spread over a while.
+const SLOW_START_BACK: Micros = Micros::from_millis(50);
+const SLOW_START_SPREAD: Micros = Micros::from_millis(600);
 
 impl RequestRun<'_> {
     pub(super) fn wall(
@@ -98,6 +103,7 @@
         let state = &mut *guard;
         let now = front.now();
         let outlooks = self.outlooks(state, now);
+        let starts_slowly = self.starts_slowly();
         let is_alone = self.trial.is_some_and(|crashes| crashes > 1);
         let barred = state.trials.barred(is_alone, now);
         let trial = self.trial.and(self.known_as).map(|fingerprint| TrialAsk {
@@ -114,6 +120,9 @@
             rank: self.rank(),
             tried: &self.tried,
             trial,
+            may_take: &|entry| {
+                state.is_open(entry, starts_slowly, now) && self.may_lie_in(&entry.domain)
+            },
             is_linked: &|key| state.pool.has_open(key, now),
             pace: &state.pace,
             weights: self.weight_bounds(state, now),
@@ -123,6 +132,62 @@
         pick_endpoint(&state.book, &ask, &outlooks)
     }
 
+    /// Whether endpoints of its service are limited right after their start.
+    fn starts_slowly(&self) -> bool {
+        let group = self.config.groups.get(&self.service);
+        group.is_some_and(|group| group.slow_start.is_some())
+    }
+
+    /// Whether it may run, and its state may be kept, in a failure domain.
+    pub(super) fn may_lie_in(
+        &self,
+        domain: &str,
+    ) -> bool {
+        let organisation = self
+            .place
+            .organisation
+            .map(|place| &self.config.organisations[place]);
+        let homes = HomeRegions {
+            route: &self.route().homes,
+            organisation: organisation.map_or(&[], |organisation| &organisation.homes),
+        };
+        homes.is_open() || homes.allow(self.front.settings.region(domain))
+    }
+
+    /// When a caller should come back that only endpoints could serve which have just started;
+    /// `None` where there are none.
+    pub(super) fn slow_start_back(&self) -> Option<Micros> {
+        if !self.starts_slowly() {
+            return None;
+        }
+        let front = self.front;
+        let now = front.now();
+        let state = front.state();
+        let is_waited_for = |entry: &&EndpointEntry| {
+            entry.service == self.service
+                && entry.standing != EndpointStanding::Leaving
+                && self.may_lie_in(&entry.domain)
+                && state.is_open(entry, false, now)
+                && !state.is_open(entry, true, now)
+        };
+        let entries = state.book.iter().map(|(_, entry)| entry);
+        let waits: Vec<Micros> = entries
+            .filter(is_waited_for)
+            .map(|entry| entry.slow_start.open_after(now))
+            .collect();
+        let spread = (even_part(self.spread) * SLOW_START_SPREAD.0 as f64) as u64;
+        let back = *waits.iter().min()? + SLOW_START_BACK + Micros(spread);
+        log::info!(
+            event = "slow-start",
+            request = self.ask.request_id.as_str(),
+            service = self.service.as_str(),
+            endpoints = waits.len(),
+            back_ms = back.as_millis();
+            ""
+        );
+        Some(back)
+    }
+
     fn weight_bounds(
         &self,
         state: &FrontState,
--- a/entry/src/front/request_moves.rs
+++ b/entry/src/front/request_moves.rs
@@ -1,7 +1,7 @@
 use {
     super::{FrontState, RequestRun},
     pitchhitch_core::{
-        serving::{EndpointChoice, PartPlace, PromptAsk},
+        serving::{EndpointChoice, KvStore, PartPlace, PromptAsk},
         time::Micros,
     },
     pitchhitch_platform::{encode_request, PartAddress, SendOrder},
@@ -118,7 +118,8 @@
             .named(&prompt.model)
             .is_none_or(|named| version >= named);
         if is_newest {
-            let saves = state.memory.plan_saves(wall, &prompt.parts, now);
+            let may_keep = |store: &KvStore| self.may_lie_in(&store.domain);
+            let saves = state.memory.plan_saves(wall, &prompt.parts, &may_keep, now);
             let address = |address| PartAddress {
                 address,
                 tokens: None,
--- a/entry/src/front/request_run.rs
+++ b/entry/src/front/request_run.rs
@@ -183,6 +183,11 @@
             }
             // A repeat is taken from the budget only where somebody can get it.
             let Some(choice) = self.pick() else {
+                let back = self.slow_start_back().filter(|_| self.sends == 0);
+                if back.is_some() {
+                    last_failure = RefusalKind::Overloaded;
+                    come_back = back;
+                }
                 break;
             };
             if self.sends > 0 && !self.may_send_again() {
--- a/entry/src/front/request_try.rs
+++ b/entry/src/front/request_try.rs
@@ -106,6 +106,7 @@
         let mut guard = self.front.state();
         let state = &mut *guard;
         state.book.ended(choice.key, place.ticket);
+        state.book.unsent(choice.key, place.ticket);
         state.trials.end(place.ticket);
         let (Some(prompt), Some(version)) = (&self.ask.prompt, choice.version) else {
             return;
@@ -133,6 +134,7 @@
         let bytes = self.encode(choice, &place.moves);
         let sent_at = front.now();
         self.run.sent_at = sent_at;
+        front.state().book.written(choice.key, ticket, sent_at);
         if let Some(prompt) = &self.ask.prompt {
             let unread = choice.unread_tokens;
             let mut state = front.state();
--- a/testbed/src/load_model/model_front.rs
+++ b/testbed/src/load_model/model_front.rs
@@ -118,6 +118,7 @@
         let tried: Vec<EndpointKey> = ask.tried.iter().map(|at| self.key(*at)).collect();
         let pick = PickAsk {
             trial: None,
+            may_take: &|_| true,
             is_linked: &|_| true,
             service: SERVICE,
             domain: &domain_name(self.domain),
@@ -185,7 +186,7 @@
         };
         self.book.sent(choice.key, work);
         self.memory.fetching(&choice.plan, now);
-        let saves = self.memory.plan_saves(WALL, &prompt.parts, now);
+        let saves = self.memory.plan_saves(WALL, &prompt.parts, &|_| true, now);
         if let Some(entry) = self.book.get_mut(choice.key) {
             let capacity = self.group.capacity_tokens;
             entry.parts.touch(WALL, &prompt.parts, capacity);
--- a/wire/src/beside/front_hello.rs
+++ b/wire/src/beside/front_hello.rs
@@ -61,6 +61,9 @@
     pub wants_all: bool,
     /// What the front has read at the platform's store, to be told to all fronts.
     pub proofs: Vec<StoreProof>,
+    /// Requests a second that the engine may get from all fronts while it starts slowly; 0 where
+    /// it never does.
+    pub start_limit: u32,
     /// Stores of kept parts to be read for all fronts.
     pub watches: Vec<SocketAddr>,
 }
--- a/wire/src/beside/handed_state.rs
+++ b/wire/src/beside/handed_state.rs
@@ -35,6 +35,8 @@
     pub weights: Vec<ToldNaming>,
     /// Endpoints, those that leave included.
     pub endpoints: Vec<EndpointNotice>,
+    /// Failure domains that get nothing new.
+    pub evacuated: Vec<String>,
     /// Lives of the stores of kept parts.
     pub lives: Vec<ToldLife>,
 }
@@ -92,7 +94,13 @@
     pub fn mark(&self) -> u64 {
         let weights = self.weights.iter().map(|n| (&n.model, n.version));
         let weights: Vec<_> = weights.collect();
-        let ageless = (&self.version, &self.era, weights, &self.endpoints);
+        let ageless = (
+            &self.version,
+            &self.era,
+            weights,
+            &self.endpoints,
+            &self.evacuated,
+        );
         // What cannot be written has no number of its own, and is not asked for.
         let Ok(bytes) = encode_body(&ageless) else {
             return 0;
--- a/wire/src/beside/told_digest.rs
+++ b/wire/src/beside/told_digest.rs
@@ -1,7 +1,7 @@
 use {
     super::EngineDigest,
     crate::codec::{encode_body, FrameError},
-    pitchhitch_core::time::Micros,
+    pitchhitch_core::{serving::SendGrant, time::Micros},
     serde::{Deserialize, Serialize},
 };
 
@@ -13,6 +13,8 @@
     pub number: u64,
     /// Time since it had come.
     pub age: Micros,
+    /// What the front may send while the engine starts slowly.
+    pub grant: SendGrant,
 }
 
 /// A digest as one front is told it.
--- a/wire/tests/beside_socket.rs
+++ b/wire/tests/beside_socket.rs
@@ -2,7 +2,7 @@
 
 use {
     pitchhitch_core::{
-        serving::{EngineLoad, PartId, WallTag},
+        serving::{EngineLoad, PartId, SendGrant, WallTag},
         time::Micros,
     },
     pitchhitch_wire::{
@@ -134,6 +134,7 @@
     let echo = Some(GreetingEcho {
         number: 7,
         age: Micros(8),
+        grant: SendGrant { per_second: 7 },
     });
     let written = WrittenDigest::new(&digest).expect("written");
     let bytes = written.told(echo).expect("written");
--- a/wire/tests/handed_state.rs
+++ b/wire/tests/handed_state.rs
@@ -76,6 +76,7 @@
         lasted: Micros::from_millis(lasted_ms),
     };
     let young = HandedState {
+        evacuated: Vec::new(),
         lives: vec![life(300)],
         ..state(Vec::new())
     };
