Of two endpoints listed at one address requests go to the one listed later

Ruled out: ending the earlier one, as a late write may show it last; it is only passed over, and chosen again where the later one turns out not to be there. Change: mark_overtaken after each reading of the list and after such an answer.

--- a/core/src/serving/endpoint_life.rs
+++ b/core/src/serving/endpoint_life.rs
@@ -258,9 +258,34 @@
                 changes.push(BookChange::Leaves(entry.id.clone()));
             }
         }
+        self.mark_overtaken();
         changes
     }
 
+    /// Marks endpoints at whose address the list shows another one of their service later. After
+    /// all boxes had lost their power, each engine stood on the list under its old and its new id,
+    /// and half of the requests went to those that were gone.
+    pub fn mark_overtaken(&mut self) {
+        let mut latest: BTreeMap<(SocketAddr, &str), (EndpointKey, ListedLife)> = BTreeMap::new();
+        let mut overtaken: Vec<EndpointKey> = Vec::new();
+        for (key, entry) in self.iter().filter(|(_, entry)| entry.is_listed()) {
+            let told = entry.life.told();
+            match latest.get(&place(entry)) {
+                Some((_, known)) if !told.is_later_than(known) => overtaken.push(key),
+                known => {
+                    overtaken.extend(known.map(|(earlier, _)| *earlier));
+                    latest.insert(place(entry), (key, told));
+                }
+            }
+        }
+        for entry in self.entries.values_mut() {
+            entry.is_overtaken = false;
+        }
+        for key in overtaken {
+            self.entries[key].is_overtaken = true;
+        }
+    }
+
     /// Key of the endpoint that is at an address now, of those that `may_be` admits.
     ///
     /// The entry of one that crashed may still be there beside that of its successor:
--- a/core/tests/endpoint_lives.rs
+++ b/core/tests/endpoint_lives.rs
@@ -341,3 +341,25 @@
         }
     }
 }
+
+/// Two endpoints of a service are listed at one address: requests go to the one that was listed
+/// later, and to the other one where that turns out not to be there.
+#[test]
+fn later_listed_present() {
+    let mut book = EndpointBook::default();
+    let row = |id: &str, version: u64| EndpointNotice {
+        row: row_at(1, version),
+        ..notice(id, None, false)
+    };
+    book.take_all(&[row("i-1", 5), row("i-2", 9)], true);
+    book.end_overtaken();
+    let overtaken = |book: &EndpointBook, id: &str| {
+        let key = book.key(id).expect("known");
+        book.get(key).expect("entry").is_overtaken
+    };
+    assert!(overtaken(&book, "i-1") && !overtaken(&book, "i-2"));
+    let later = book.key("i-2").expect("known");
+    book.get_mut(later).expect("entry").standing = EndpointStanding::Leaving;
+    book.mark_overtaken();
+    assert!(!overtaken(&book, "i-1"));
+}
--- a/entry/src/front/request_lessons.rs
+++ b/entry/src/front/request_lessons.rs
@@ -95,6 +95,8 @@
             entry.standing = EndpointStanding::Leaving;
             entry.comeback = EndpointReturn::Never;
             state.pool.close_all(choice.key);
+            // Who was listed before it may be there after all.
+            state.book.mark_overtaken();
         }
     }
 }
