--- a/core/src/serving/endpoint_life.rs
+++ b/core/src/serving/endpoint_life.rs
@@ -262,9 +262,9 @@
         changes
     }
 
-    /// Marks endpoints at whose address the list shows another one of their service later. After
-    /// all boxes had lost their power, each engine stood on the list under its old and its new id,
-    /// and half of the requests went to those that were gone.
+    /// Marks endpoints at whose address the list shows another one of their service later: after a
+    /// crash an endpoint is listed under its old and its new id for some seconds, and requests to
+    /// the old one are refused.
     pub fn mark_overtaken(&mut self) {
         let mut latest: BTreeMap<(SocketAddr, &str), (EndpointKey, ListedLife)> = BTreeMap::new();
         let mut overtaken: Vec<EndpointKey> = Vec::new();
--- a/core/src/serving/evacuation_book.rs
+++ b/core/src/serving/evacuation_book.rs
@@ -38,7 +38,7 @@
         self.domains.keys().map(String::as_str)
     }
 
-    /// Takes that a failure domain is evacuated, or no more.
+    /// Records that a failure domain is evacuated, or no more.
     pub fn set(
         &mut self,
         domain: &str,
@@ -57,7 +57,7 @@
         }
     }
 
-    /// Takes that another box knows of an evacuation; a reading of everything has yet to show it.
+    /// Records that another box knows of an evacuation; a reading of everything has yet to show it.
     pub fn take_told(
         &mut self,
         domain: &str,
--- a/core/src/serving/grant_book.rs
+++ b/core/src/serving/grant_book.rs
@@ -37,7 +37,7 @@
 }
 
 impl<B: Ord + Copy> GrantBook<B> {
-    /// Takes the limit, in requests a second.
+    /// Sets the limit, in requests a second.
     pub fn set_limit(
         &mut self,
         limit: u32,
--- a/core/src/serving/slow_start.rs
+++ b/core/src/serving/slow_start.rs
@@ -59,7 +59,7 @@
 }
 
 impl EndpointSlowStart {
-    /// Takes that it is slow for so long from now.
+    /// Records that it is slow for so long from now.
     pub fn begin(
         &mut self,
         left: Micros,
@@ -70,7 +70,7 @@
         }
     }
 
-    /// Takes a grant that was sent at `sent_at` or later.
+    /// Records a grant that was sent at `sent_at` or later.
     pub fn take_grant(
         &mut self,
         grant: SendGrant,
@@ -150,7 +150,7 @@
         self.sends.push_back((ticket, now));
     }
 
-    /// Takes back a request that was not sent.
+    /// Forgets a request that was not sent.
     pub fn note_unsent(
         &mut self,
         ticket: u64,
--- a/entry/src/front/evacuations.rs
+++ b/entry/src/front/evacuations.rs
@@ -3,7 +3,7 @@
     pitchhitch_core::serving::{EndpointKey, EvacuationChange},
 };
 
-/// Takes which failure domains are evacuated, or no more. The endpoints of one that serves again
+/// Logs which failure domains are evacuated, or no longer. The endpoints of one that serves again
 /// have been idle: they start slowly.
 pub(super) fn take_evacuations(
     front: &FrontContext,
--- a/entry/src/front/peer_state.rs
+++ b/entry/src/front/peer_state.rs
@@ -121,9 +121,8 @@
     }
 }
 
-/// Asks peers for what they know while others read the platform's store and this front cannot:
-/// without it, fronts that the store turned away refused all callers with keys as soon as one key
-/// was taken away, though all others knew the newest configuration.
+/// Asks peers for their state while others can read the platform's store and this front cannot:
+/// callers with keys are served on although the configuration has changed meanwhile.
 pub(super) async fn stay_told(front: Rc<FrontContext>) {
     let mut turn = 2 * (even_draw(&front.settings.box_id) * 1e6) as usize;
     loop {
--- a/entry/src/front/slow_starts.rs
+++ b/entry/src/front/slow_starts.rs
@@ -16,7 +16,7 @@
     config.groups.get(service)?.slow_start
 }
 
-/// Takes that an endpoint starts slowly; for the whole span of its service where it is not told
+/// Records that an endpoint starts slowly; for the whole span of its service where it is not told
 /// for how long.
 pub(super) fn begin_slow_start(
     state: &mut FrontState,
