--- a/agent/src/beside/state_keeper.rs
+++ b/agent/src/beside/state_keeper.rs
@@ -14,6 +14,9 @@
 const ASK_LIMIT: Duration = Duration::from_millis(400);
 /// Time for which what a front said of its state counts.
 const OFFER_LIFE: Micros = Micros::from_millis(2_000);
+/// By how much the reading behind the offer of a front in the own failure domain may be older than
+/// that of another: the bytes between domains cost more.
+const NEAR_WORTH: Micros = Micros::from_millis(300);
 
 /// A front that can hand its state on.
 #[derive(Debug, Clone, Copy)]
@@ -21,9 +24,29 @@
     front: SocketAddr,
     mark: u64,
     heard_at: Micros,
+    /// When the platform's store was asked for what it shows, at the latest.
+    read_at: Micros,
     is_near: bool,
 }
 
+impl StateOffer {
+    /// Whether it is taken in the place of another one: the same front's, or one that goes by a
+    /// reading which is not older. A front that the store turns away knows only what it was handed.
+    fn replaces(
+        &self,
+        known: &StateOffer,
+    ) -> bool {
+        self.front == known.front || self.worth() >= known.worth()
+    }
+
+    fn worth(&self) -> Micros {
+        match self.is_near {
+            true => self.read_at + NEAR_WORTH,
+            false => self.read_at,
+        }
+    }
+}
+
 /// A copy of what fronts know, for those that start while the platform's store is
 /// away and no other front is left.
 #[derive(Debug, Default)]
@@ -63,8 +86,7 @@
 
 impl StateKeeper {
     /// Notes what a front says of its state; `sent_age` is for how long at most that was
-    /// on its way. One of the own failure domain goes before others: the bytes between
-    /// domains cost more.
+    /// on its way.
     pub fn heard(
         &mut self,
         hello: &FrontHello,
@@ -80,6 +102,7 @@
             front: from,
             mark,
             heard_at: now,
+            read_at: now.since(age + sent_age.unwrap_or_default()),
             is_near: hello.domain == domain,
         };
         let same = self.copy.as_mut().filter(|copy| copy.mark == mark);
@@ -87,7 +110,7 @@
             copy.prove(age + sent_age, now);
         }
         let known = self.offer.filter(|o| now.since(o.heard_at) < OFFER_LIFE);
-        if known.is_none_or(|known| offer.is_near || !known.is_near) {
+        if known.is_none_or(|known| offer.replaces(&known)) {
             self.offer = Some(offer);
         }
     }
