The rule for slow starts, the organisation of a request and the engine of a digest are looked up once

The rule was looked up in three ways, the organisation in five places, and each digest went through the book of endpoints twice, the second time for its grant; a refused repeat wrote a line on slow starts; is_empty of the evacuations was dead.

--- a/core/src/serving/evacuation_book.rs
+++ b/core/src/serving/evacuation_book.rs
@@ -28,11 +28,6 @@
         self.domains.contains_key(domain)
     }
 
-    /// Whether there is none.
-    pub fn is_empty(&self) -> bool {
-        self.domains.is_empty()
-    }
-
     /// The failure domains.
     pub fn domains(&self) -> impl Iterator<Item = &str> {
         self.domains.keys().map(String::as_str)
--- a/core/src/serving/serving_config.rs
+++ b/core/src/serving/serving_config.rs
@@ -79,6 +79,14 @@
 }
 
 impl ServingConfig {
+    /// How endpoints of a service bear load right after their start, where they are slow then.
+    pub fn slow_start(
+        &self,
+        service: &str,
+    ) -> Option<SlowStartRule> {
+        self.groups.get(service)?.slow_start
+    }
+
     /// Finds the route and the organisation of a request.
     ///
     /// # Errors
--- a/entry/src/front/beside_link.rs
+++ b/entry/src/front/beside_link.rs
@@ -196,8 +196,7 @@
     entry: &EndpointEntry,
 ) -> u32 {
     let config = state.config.as_ref();
-    let group = config.and_then(|config| config.groups.get(&entry.service));
-    let rule = group.and_then(|group| group.slow_start);
+    let rule = config.and_then(|config| config.slow_start(&entry.service));
     rule.map_or(0, |rule| front.settings.slow_start.limit(&rule))
 }
 
--- a/entry/src/front/digest_watch.rs
+++ b/entry/src/front/digest_watch.rs
@@ -81,31 +81,20 @@
     take_relayed(front, &digest, echo, from);
     let change = take_announced(front, &digest, from);
     log_changes(front, change.as_slice());
-    let grantee = echo.filter(|_| digest.engine.ip() == from.ip());
-    let engine = digest.engine;
-    let change = take_digest(front, digest);
+    let is_own = digest.engine.ip() == from.ip();
+    let change = take_digest(front, digest, echo.filter(|_| is_own));
     log_changes(front, change.as_slice());
-    if let Some(echo) = grantee {
-        take_grant(front, engine, echo);
-    }
 }
 
-/// Takes what this front may send to the engine while that starts slowly; it counts from when the
-/// greeting that it names began.
+/// Records what this front may send to the engine while that starts slowly; it counts from when
+/// the greeting that it names began.
 fn take_grant(
-    front: &FrontContext,
-    engine: SocketAddr,
+    state: &mut FrontState,
+    key: EndpointKey,
     echo: GreetingEcho,
 ) {
-    let mut guard = front.state();
-    let state = &mut *guard;
-    let Some(began_at) = state.greetings.began_at(echo.number) else {
-        return;
-    };
-    let config = state.config.as_deref();
-    let may_be = |entry: &EndpointEntry| config.is_none_or(|config| is_engine(config, entry));
-    let key = state.book.present_at(engine, may_be);
-    if let Some(entry) = key.and_then(|key| state.book.get_mut(key)) {
+    let began_at = state.greetings.began_at(echo.number);
+    if let (Some(began_at), Some(entry)) = (began_at, state.book.get_mut(key)) {
         entry.slow_start.take_grant(echo.grant, began_at + echo.age);
     }
 }
@@ -193,10 +182,12 @@
     })
 }
 
-/// Takes a digest; returns whether it tells that the engine has started again.
+/// Takes a digest, and what the process beside the engine grants with it; returns whether it tells
+/// that the engine has started again.
 fn take_digest(
     front: &FrontContext,
     digest: EngineDigest,
+    granted: Option<GreetingEcho>,
 ) -> Option<BookChange> {
     let now = front.now();
     let mut guard = front.state();
@@ -208,6 +199,9 @@
     let config = state.config.as_deref();
     let may_be = |entry: &EndpointEntry| config.is_none_or(|config| is_engine(config, entry));
     let key = state.book.present_at(digest.engine, may_be);
+    if let (Some(key), Some(echo)) = (key, granted) {
+        take_grant(state, key, echo);
+    }
     let order = key.map(|key| state.book.hear_life(key, digest.born, now));
     if order == Some(LifeOrder::Earlier) {
         front.metrics.count("digests", "earlier-life");
--- a/entry/src/front/request_choice.rs
+++ b/entry/src/front/request_choice.rs
@@ -22,10 +22,7 @@
         &self,
         version: u64,
     ) -> WallName {
-        let organisation = self
-            .place
-            .organisation
-            .map(|place| &self.config.organisations[place]);
+        let organisation = self.organisation();
         let organisation = organisation.filter(|organisation| organisation.is_isolated);
         WallName {
             version,
@@ -40,10 +37,7 @@
 
     /// Rank of the request: the organisation's goes before the route's.
     pub(super) fn rank(&self) -> u8 {
-        let organisation = self
-            .place
-            .organisation
-            .map(|place| &self.config.organisations[place]);
+        let organisation = self.organisation();
         let rank = organisation.and_then(|organisation| organisation.priority);
         rank.unwrap_or(self.route().priority).min(LOWEST_RANK)
     }
@@ -134,8 +128,7 @@
 
     /// Whether endpoints of its service are limited right after their start.
     fn starts_slowly(&self) -> bool {
-        let group = self.config.groups.get(&self.service);
-        group.is_some_and(|group| group.slow_start.is_some())
+        self.config.slow_start(&self.service).is_some()
     }
 
     /// Whether it may run, and its state may be kept, in a failure domain.
@@ -143,10 +136,7 @@
         &self,
         domain: &str,
     ) -> bool {
-        let organisation = self
-            .place
-            .organisation
-            .map(|place| &self.config.organisations[place]);
+        let organisation = self.organisation();
         let homes = HomeRegions {
             route: &self.route().homes,
             organisation: organisation.map_or(&[], |organisation| &organisation.homes),
--- a/entry/src/front/request_moves.rs
+++ b/entry/src/front/request_moves.rs
@@ -29,10 +29,7 @@
         let now = front.now();
         let state = front.state();
         let entry = state.book.get(choice.key);
-        let organisation = self
-            .place
-            .organisation
-            .map(|place| &self.config.organisations[place]);
+        let organisation = self.organisation();
         let is_engine = self.ask.prompt.is_some();
         // Without a known version nothing may be shared: not even with others
         // of which no more is known.
--- a/entry/src/front/request_run.rs
+++ b/entry/src/front/request_run.rs
@@ -5,8 +5,8 @@
     },
     pitchhitch_core::{
         serving::{
-            AdmissionVerdict, EndpointKey, RefusalKind, RequestAsk, RequestFingerprint,
-            RequestPlace, ServedRoute, ServingConfig,
+            AdmissionVerdict, EndpointKey, Organisation, RefusalKind, RequestAsk,
+            RequestFingerprint, RequestPlace, ServedRoute, ServingConfig,
         },
         time::Micros,
     },
@@ -129,6 +129,12 @@
         &self.config.routes[self.place.route]
     }
 
+    /// The organisation, where the request has one.
+    pub(super) fn organisation(&self) -> Option<&Organisation> {
+        let place = self.place.organisation?;
+        Some(&self.config.organisations[place])
+    }
+
     /// Whether the caller's connection ends with this request.
     pub(super) fn closes(&self) -> bool {
         self.asked_close || self.front.state().stops_since.is_some()
@@ -183,10 +189,12 @@
             }
             // A repeat is taken from the budget only where somebody can get it.
             let Some(choice) = self.pick() else {
-                let back = self.slow_start_back().filter(|_| self.sends == 0);
-                if back.is_some() {
+                if self.sends > 0 {
+                    break;
+                }
+                come_back = self.slow_start_back();
+                if come_back.is_some() {
                     last_failure = RefusalKind::Overloaded;
-                    come_back = back;
                 }
                 break;
             };
--- a/entry/src/front/run_lost.rs
+++ b/entry/src/front/run_lost.rs
@@ -36,8 +36,7 @@
         if let Some(known) = self.known_as {
             return known;
         }
-        let organisation = self.place.organisation;
-        let organisation = organisation.map(|place| &self.config.organisations[place]);
+        let organisation = self.organisation();
         let fingerprint = RequestFingerprint::of(&FingerprintAsk {
             method: &self.request.head.method,
             host: &self.ask.host,
--- a/entry/src/front/slow_starts.rs
+++ b/entry/src/front/slow_starts.rs
@@ -1,21 +1,8 @@
 use {
     super::FrontState,
-    pitchhitch_core::{
-        serving::{EndpointKey, SlowStartRule},
-        time::Micros,
-    },
+    pitchhitch_core::{serving::EndpointKey, time::Micros},
 };
 
-/// The rule for slow starts of the endpoint's service, if it has one.
-fn slow_start_rule(
-    state: &FrontState,
-    key: EndpointKey,
-) -> Option<SlowStartRule> {
-    let config = state.config.as_ref()?;
-    let service = &state.book.get(key)?.service;
-    config.groups.get(service)?.slow_start
-}
-
 /// Records that an endpoint starts slowly; for the whole span of its service where it is not told
 /// for how long.
 pub(super) fn begin_slow_start(
@@ -24,7 +11,10 @@
     left: Option<Micros>,
     now: Micros,
 ) {
-    let span = || slow_start_rule(state, key).map(|rule| rule.span);
+    let span = || {
+        let service = &state.book.get(key)?.service;
+        Some(state.config.as_ref()?.slow_start(service)?.span)
+    };
     let Some(left) = left.or_else(span) else {
         return;
     };
