Roll-outs of endpoint software, a budget for held bytes, order rights by one call

No line of the code knew op/rollout/SERVICE; the version of an endpoint's software was decoded and dropped. Answers were buffered up to 8 MiB each and counted nowhere, bodies only once they had arrived whole; a body without a length counted as nothing.

Answers over 64 KiB are relayed with back-pressure and stay visibly incomplete if they are cut; all held bytes count against two fifths of memory_mb; a body ends at its caller's deadline.

Roll-outs by three real fronts: 12 tests passed, slow readers: 6 passed. Three broken variants of the roll-out's rules are found by the generated orders.

--- a/agent/src/engine_agent/order_sender.rs
+++ b/agent/src/engine_agent/order_sender.rs
@@ -1,7 +1,7 @@
 use {
     super::{sleep, EngineAgentContext},
     pitchhitch_core::{
-        serving::{fencing_token, OrderRight, StorePosition},
+        serving::{fencing_token, stable_fraction, OrderRight, StorePosition},
         time::Micros,
     },
     pitchhitch_http1::HttpClient,
@@ -24,6 +24,8 @@
 const ORDER_DELAY: Micros = Micros::from_millis(350);
 /// Timeout of a request to the platform store.
 const STORE_TIMEOUT: Duration = Duration::from_millis(1_500);
+/// Maximum number of writes in one attempt to acquire the right to give orders.
+const MAX_ACQUIRE_CALLS: u32 = 3;
 /// Minimum and maximum delay between attempts to acquire the right to give orders; the delay
 /// doubles with each attempt.
 const RETRY_DELAY_RANGE: (Micros, Micros) = (Micros::from_millis(300), Micros::from_secs(4));
@@ -90,6 +92,7 @@
     store: &mut StoreClient,
     right: &mut OrderRight,
 ) {
+    let settings = &agent.settings;
     let mut delay = RETRY_DELAY_RANGE.0;
     loop {
         match try_acquire(agent, store, right).await {
@@ -108,25 +111,35 @@
                 log_store_error(&error);
             }
         }
-        sleep(delay).await;
+        // Agents that started together do not retry together.
+        let jitter = stable_fraction(&format!("{} {}", settings.box_id, delay.0));
+        sleep(delay + Micros((delay.0 as f64 * jitter) as u64)).await;
         delay = (delay + delay).min(RETRY_DELAY_RANGE.1);
     }
 }
 
 /// Replaces the row, even one written by an earlier incarnation of this process: the fencing token
-/// has to increase.
+/// has to increase. The first write expects that there is no row, and is answered with the row
+/// otherwise.
 async fn try_acquire(
     agent: &EngineAgentContext,
     store: &mut StoreClient,
     right: &mut OrderRight,
 ) -> Result<StorePosition, StoreError> {
     let settings = &agent.settings;
-    let row = read_order_row(store, settings.engine).await?;
-    let sent_at = agent.now();
-    let position =
-        acquire_order_row(store, settings.engine, row.as_ref(), &settings.box_id).await?;
-    right.on_row_written(position, sent_at, agent.now());
-    Ok(position)
+    let mut row = None;
+    for _ in 0..MAX_ACQUIRE_CALLS {
+        let sent_at = agent.now();
+        let holder = &settings.box_id;
+        match acquire_order_row(store, settings.engine, row.as_ref(), holder).await? {
+            Ok(position) => {
+                right.on_row_written(position, sent_at, agent.now());
+                return Ok(position);
+            }
+            Err(current) => row = current,
+        }
+    }
+    Err(StoreError::Conflict)
 }
 
 /// Fencing token for an order that may be given now, after a check of the holder of the right.
--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod place;
 pub mod retry;
 pub mod role;
+pub mod rollout;
 pub mod route;
 pub mod serving;
 pub mod settings;
--- a/core/src/serving/endpoint_entry.rs
+++ b/core/src/serving/endpoint_entry.rs
@@ -21,6 +21,8 @@
     pub domain: String,
     /// Maximum concurrent requests; 0 if unknown.
     pub slots: u32,
+    /// Version of its software; empty if unknown.
+    pub software: String,
     /// Whether it is leaving.
     pub is_leaving: bool,
     /// Whether it disappeared from the list without announcing that it leaves; set only in notices
@@ -110,6 +112,8 @@
     pub domain: String,
     /// Maximum concurrent requests; 0 if unknown.
     pub slots: u32,
+    /// Version of its software; empty if unknown.
+    pub software: String,
     /// Whether it may receive requests.
     pub status: EndpointStatus,
     /// Whether another endpoint of its service was listed later at the same address, so that this
--- a/core/src/serving/endpoint_incarnation.rs
+++ b/core/src/serving/endpoint_incarnation.rs
@@ -142,6 +142,9 @@
         if notice.row.is_newer_than(self.incarnation.row) {
             self.incarnation.row = notice.row;
         }
+        if !notice.software.is_empty() {
+            self.software.clone_from(&notice.software);
+        }
         for (model, version) in &notice.weights {
             // The list lags behind answers and reports, so it never lowers a version.
             if self
@@ -312,11 +315,12 @@
         address: SocketAddr,
         is_eligible: impl Fn(&EndpointEntry) -> bool,
     ) -> Option<EndpointKey> {
-        let is_candidate = |entry: &EndpointEntry| {
-            entry.address == address && entry.may_be_present() && is_eligible(entry)
-        };
+        let is_candidate = |entry: &EndpointEntry| entry.may_be_present() && is_eligible(entry);
         let mut present: Option<(EndpointKey, &EndpointEntry)> = None;
-        for (key, entry) in self.iter().filter(|(_, entry)| is_candidate(entry)) {
+        for (key, entry) in self
+            .at_address(address)
+            .filter(|(_, entry)| is_candidate(entry))
+        {
             if present.is_none_or(|(_, known)| !takes_precedence(known, entry)) {
                 present = Some((key, entry));
             }
--- a/core/src/serving/endpoint_registry.rs
+++ b/core/src/serving/endpoint_registry.rs
@@ -6,7 +6,10 @@
     },
     crate::{retry::OutlierGuard, time::Micros},
     slotmap::{new_key_type, SlotMap},
-    std::collections::{BTreeMap, HashSet},
+    std::{
+        collections::{BTreeMap, HashMap, HashSet},
+        net::SocketAddr,
+    },
 };
 
 new_key_type! {
@@ -38,6 +41,8 @@
 pub struct EndpointRegistry {
     pub(super) entries: SlotMap<EndpointKey, EndpointEntry>,
     ids: BTreeMap<String, EndpointKey>,
+    /// Endpoints that were listed at an address; some may have moved since.
+    by_address: HashMap<SocketAddr, Vec<EndpointKey>>,
 }
 
 impl EndpointRegistry {
@@ -91,6 +96,7 @@
             address: Some(entry.address),
             domain: entry.domain.clone(),
             slots: entry.slots,
+            software: entry.software.clone(),
             is_leaving: !entry.may_be_present(),
             is_away: !entry.is_listed() && entry.may_be_present(),
             weights: Vec::new(),
@@ -114,6 +120,7 @@
         };
         let address = notice.address?;
         if let Some(key) = self.key(&notice.id) {
+            self.index_address(address, key);
             let entry = &mut self.entries[key];
             if notice.is_away {
                 // The endpoint is known here, so a report from another box counts only if it is of
@@ -133,6 +140,7 @@
             address,
             domain: notice.domain.clone(),
             slots: notice.slots,
+            software: notice.software.clone(),
             status: listed_status,
             is_superseded: false,
             // An endpoint that is away is probed once its entry reappears. When it was treated as
@@ -161,6 +169,7 @@
             pending_prefills: Vec::new(),
         });
         self.ids.insert(notice.id.clone(), key);
+        self.index_address(address, key);
         let id = notice.id.clone();
         match notice.is_away {
             true => Some(EndpointChange::Away(id)),
@@ -168,6 +177,27 @@
         }
     }
 
+    fn index_address(
+        &mut self,
+        address: SocketAddr,
+        key: EndpointKey,
+    ) {
+        let keys = self.by_address.entry(address).or_default();
+        if !keys.contains(&key) {
+            keys.push(key);
+        }
+    }
+
+    /// Endpoints at an address.
+    pub(super) fn at_address(
+        &self,
+        address: SocketAddr,
+    ) -> impl Iterator<Item = (EndpointKey, &EndpointEntry)> {
+        let keys = self.by_address.get(&address).into_iter().flatten();
+        let entries = keys.filter_map(|key| Some((*key, self.entries.get(*key)?)));
+        entries.filter(move |(_, entry)| entry.address == address)
+    }
+
     /// Records that an endpoint is no longer on the list; `is_reliable` is whether the list is
     /// reliable.
     pub fn mark_unlisted(
@@ -224,6 +254,7 @@
         &mut self,
         now: Micros,
     ) {
+        let previous = self.entries.len();
         let entries = &mut self.entries;
         self.ids.retain(|_, key| {
             let entry = &mut entries[*key];
@@ -242,6 +273,13 @@
             }
             !is_expired
         });
+        if self.entries.len() < previous {
+            let entries = &self.entries;
+            self.by_address.retain(|_, keys| {
+                keys.retain(|key| entries.contains_key(*key));
+                !keys.is_empty()
+            });
+        }
     }
 
     /// Updates which endpoints are about to load new weights.
--- /dev/null
+++ b/core/src/serving/memory_budget.rs
@@ -0,0 +1,54 @@
+/// Share of a process's memory limit, in percent, that may hold data of requests. The rest is for
+/// the process's own state, buffers of connections and the allocator.
+const HELD_PERCENT: u64 = 40;
+
+/// Bytes that a process holds for callers and endpoints: bodies of requests and answers that have
+/// not been passed on. A process that exceeds its memory limit is killed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct MemoryBudget {
+    limit: u64,
+    used: u64,
+}
+
+impl MemoryBudget {
+    /// Budget of a process with a memory limit in megabytes.
+    pub fn for_process(memory_mb: u64) -> Self {
+        MemoryBudget {
+            limit: memory_mb.saturating_mul(1_000_000) / 100 * HELD_PERCENT,
+            used: 0,
+        }
+    }
+
+    /// Whether this many more bytes can be held.
+    pub fn can_hold(
+        &self,
+        bytes: u64,
+    ) -> bool {
+        self.used.saturating_add(bytes) <= self.limit
+    }
+
+    /// Holds this many more bytes if there is room for them.
+    pub fn try_hold(
+        &mut self,
+        bytes: u64,
+    ) -> bool {
+        let can_hold = self.can_hold(bytes);
+        if can_hold {
+            self.used += bytes;
+        }
+        can_hold
+    }
+
+    /// Releases held bytes.
+    pub fn release(
+        &mut self,
+        bytes: u64,
+    ) {
+        self.used = self.used.saturating_sub(bytes);
+    }
+
+    /// Bytes that are held.
+    pub fn used(&self) -> u64 {
+        self.used
+    }
+}
--- a/core/src/serving/mod.rs
+++ b/core/src/serving/mod.rs
@@ -28,6 +28,7 @@
 mod latency_estimator;
 mod listed_incarnation;
 mod mechanism_set;
+mod memory_budget;
 mod message_intervals;
 mod order_right;
 mod part_index;
@@ -68,10 +69,11 @@
     fetch_completion::*, grant_allocator::*, incarnation_tracker::*, key_freshness::*,
     key_policy::*, known_weights::*, kv_store::*, kv_store_directory::*, kv_store_uptime::*,
     kv_store_view::*, latency_estimator::*, listed_incarnation::*, mechanism_set::*,
-    message_intervals::*, order_right::*, part_index::*, path_index::*, pause_detector::*,
-    priority_shares::*, prompt_info::*, prompt_part::*, publication_records::*, reader_tier::*,
-    reclaim_state::*, refusal_kind::*, request_fingerprint::*, retry_window::*, route_stats::*,
-    served_route::*, serving_config::*, serving_mechanism::*, slow_start::*, stable_hash::*,
-    store_clock::*, store_position::*, store_proof::*, suspect_record::*, suspect_tracker::*,
-    swap_planner::*, table_checksum::*, trial_table::*, weight_bounds::*, weight_publication::*,
+    memory_budget::*, message_intervals::*, order_right::*, part_index::*, path_index::*,
+    pause_detector::*, priority_shares::*, prompt_info::*, prompt_part::*, publication_records::*,
+    reader_tier::*, reclaim_state::*, refusal_kind::*, request_fingerprint::*, retry_window::*,
+    route_stats::*, served_route::*, serving_config::*, serving_mechanism::*, slow_start::*,
+    stable_hash::*, store_clock::*, store_position::*, store_proof::*, suspect_record::*,
+    suspect_tracker::*, swap_planner::*, table_checksum::*, trial_table::*, weight_bounds::*,
+    weight_publication::*,
 };
--- a/entry/src/front/caller_conn.rs
+++ b/entry/src/front/caller_conn.rs
@@ -1,5 +1,5 @@
 use {
-    super::{handle_request, ConnectionReuse, FrontContext},
+    super::{handle_request, ConnectionReuse, FrontContext, HeldBytes, DEFAULT_CALLER_TIMEOUT},
     futures_lite::future::or,
     pitchhitch_core::{
         serving::{CallerLimits, RefusalKind},
@@ -9,7 +9,7 @@
         parse_request_head, BodyDecoder, BodyFraming, HeadError, IdleState, RequestHead,
         TcpConnection,
     },
-    pitchhitch_platform::{encode_refusal, expects_continue},
+    pitchhitch_platform::{decode_request_info, encode_refusal, expects_continue},
     pitchhitch_process::to_duration,
     smol::Timer,
     std::rc::Rc,
@@ -19,11 +19,8 @@
 const BODY_READ_TIMEOUT: Micros = Micros::from_secs(5);
 /// Interval at which an idle connection checks whether the process is stopping.
 const STOP_CHECK_INTERVAL: Micros = Micros::from_millis(500);
-/// Bytes of bodies that may be in memory for each megabyte of the process's memory limit: a
-/// fifth, since each body is also copied once when it is sent to an endpoint.
-const BODY_BYTES_PER_MB: u64 = 200_000;
-/// Bodies smaller than this are accepted regardless of memory use, in bytes.
-const ALWAYS_ACCEPTED_BYTES: u64 = 64 << 10;
+/// Times that a body is in memory: it is copied when it is sent to an endpoint.
+const BODY_COPIES: usize = 2;
 /// Timeout of writing a refusal before the connection is closed.
 const REFUSAL_WRITE_TIMEOUT: Micros = Micros::from_secs(1);
 
@@ -37,8 +34,9 @@
     pub arrived_at: Micros,
 }
 
-enum ReadOutcome {
-    Request(ReceivedRequest),
+enum ReadOutcome<'a> {
+    /// A request, and the memory that it holds.
+    Request(ReceivedRequest, HeldBytes<'a>),
     Rejected(RefusalKind),
     Closed,
 }
@@ -51,11 +49,11 @@
     loop {
         let limits = limits(&front);
         match read_request(&front, &mut connection, &limits).await {
-            ReadOutcome::Request(request) => {
-                let body_bytes = request.body.len() as u64;
-                front.state().begin_request(body_bytes);
+            ReadOutcome::Request(request, held) => {
+                front.state().running += 1;
                 let reuse = handle_request(&front, &mut connection, request).await;
-                front.state().end_request(body_bytes);
+                front.state().running -= 1;
+                drop(held);
                 if reuse == ConnectionReuse::Close {
                     return;
                 }
@@ -75,11 +73,11 @@
         .map_or_else(CallerLimits::default, |config| config.limits)
 }
 
-async fn read_request(
-    front: &FrontContext,
+async fn read_request<'a>(
+    front: &'a FrontContext,
     connection: &mut TcpConnection,
     limits: &CallerLimits,
-) -> ReadOutcome {
+) -> ReadOutcome<'a> {
     if connection.buffer().is_empty()
         && !wait_for_first_byte(front, connection, limits.idle_timeout).await
     {
@@ -100,19 +98,23 @@
     if !has_capacity(front, &head) {
         return ReadOutcome::Rejected(RefusalKind::Overloaded);
     }
-    match read_body(connection, &head, limits).await {
-        Ok(Some(body)) => ReadOutcome::Request(ReceivedRequest {
-            head,
-            body,
-            arrived_at,
-        }),
+    let mut held = HeldBytes::new(front);
+    match read_body(connection, &head, limits, &mut held, arrived_at).await {
+        Ok(Some(body)) => {
+            let request = ReceivedRequest {
+                head,
+                body,
+                arrived_at,
+            };
+            ReadOutcome::Request(request, held)
+        }
         Ok(None) => ReadOutcome::Closed,
         Err(kind) => ReadOutcome::Rejected(kind),
     }
 }
 
-/// Whether the body announced by the head fits into memory in addition to those already there. A
-/// process that exceeds its memory limit is killed.
+/// Whether the body announced by the head fits into memory in addition to what is held there. One
+/// that is announced without a length is checked as it arrives.
 fn has_capacity(
     front: &FrontContext,
     head: &RequestHead,
@@ -122,8 +124,8 @@
         .get_str("content-length")
         .and_then(|text| text.parse().ok());
     let body_bytes: u64 = content_length.unwrap_or(0);
-    let capacity = front.settings.memory_mb * BODY_BYTES_PER_MB;
-    body_bytes < ALWAYS_ACCEPTED_BYTES || front.state().body_bytes + body_bytes <= capacity
+    let held_bytes = body_bytes.saturating_mul(BODY_COPIES as u64);
+    body_bytes == 0 || front.state().memory_budget.can_hold(held_bytes)
 }
 
 /// Returns false if the connection closes, is idle for too long or the process is stopping.
@@ -172,10 +174,13 @@
     }
 }
 
+/// Reads a body before the caller's deadline, while the memory budget has room for it.
 async fn read_body(
     connection: &mut TcpConnection,
     head: &RequestHead,
     limits: &CallerLimits,
+    held: &mut HeldBytes<'_>,
+    arrived_at: Micros,
 ) -> Result<Option<Vec<u8>>, RefusalKind> {
     let framing = BodyFraming::for_request(&head.fields).map_err(|_| RefusalKind::BadRequest)?;
     if matches!(framing, BodyFraming::Length(length) if length > limits.max_body_bytes as u64) {
@@ -189,16 +194,23 @@
             return Ok(None);
         }
     }
+    let mut deadline = None;
     loop {
+        let previous = body.len();
         let consumed = decoder.decode(connection.buffer(), &mut body);
         connection.consume(consumed.map_err(|_| RefusalKind::BadRequest)?);
         if body.len() > limits.max_body_bytes {
             return Err(RefusalKind::BodyTooLong);
         }
+        if !held.try_grow(BODY_COPIES * (body.len() - previous)) {
+            return Err(RefusalKind::Overloaded);
+        }
         if decoder.is_done() {
             return Ok(Some(body));
         }
-        match with_timeout(BODY_READ_TIMEOUT, connection.read_more()).await {
+        let deadline = *deadline.get_or_insert_with(|| arrived_at + caller_timeout(head));
+        let timeout = deadline.since(held.now()).min(BODY_READ_TIMEOUT);
+        match with_timeout(timeout, connection.read_more()).await {
             Some(Ok(count)) if count > 0 => {}
             Some(_) => return Ok(None),
             None => return Err(RefusalKind::SlowRequest),
@@ -206,6 +218,12 @@
     }
 }
 
+/// How long the caller waits for the answer.
+fn caller_timeout(head: &RequestHead) -> Micros {
+    let time_left = decode_request_info(head).time_left;
+    time_left.unwrap_or(DEFAULT_CALLER_TIMEOUT)
+}
+
 async fn refuse(
     front: &FrontContext,
     connection: &mut TcpConnection,
--- a/entry/src/front/endpoint_exchange.rs
+++ b/entry/src/front/endpoint_exchange.rs
@@ -138,42 +138,52 @@
         if !has_known_end || *stray_responses > MAX_STRAY_RESPONSES || info.request_id.is_none() {
             return Err(ExchangeFailure::Garbled);
         }
-        read_response_body(
-            exchange,
-            framing,
-            &mut Vec::new(),
-            usize::MAX,
-            caller,
-            timer,
-        )
-        .await?;
+        skip_response_body(exchange, framing, caller, timer).await?;
     }
 }
 
-/// Reads the body of a response to its end.
+/// Reads the body of a response to its end and discards it.
 ///
 /// # Errors
-/// If the body is incomplete or malformed, exceeds `limit` bytes, or the deadline passes or the
-/// caller disconnects meanwhile.
-pub(crate) async fn read_response_body(
+/// If the body is incomplete or malformed, or the deadline passes or the caller disconnects
+/// meanwhile.
+pub(crate) async fn skip_response_body(
     exchange: &mut EndpointExchange,
     framing: BodyFraming,
-    body: &mut Vec<u8>,
-    limit: usize,
     caller: &mut TcpConnection,
     timer: &mut DeadlineTimer,
 ) -> Result<(), ExchangeFailure> {
     let mut decoder = BodyDecoder::new(framing);
+    let mut piece = Vec::new();
+    while !read_body_piece(exchange, &mut decoder, &mut piece, caller, timer).await? {
+        piece.clear();
+    }
+    Ok(())
+}
+
+/// Appends more of a body to `body`; returns whether it has ended.
+///
+/// # Errors
+/// If the body is incomplete or malformed, or the deadline passes or the caller disconnects
+/// meanwhile.
+pub(crate) async fn read_body_piece(
+    exchange: &mut EndpointExchange,
+    decoder: &mut BodyDecoder,
+    body: &mut Vec<u8>,
+    caller: &mut TcpConnection,
+    timer: &mut DeadlineTimer,
+) -> Result<bool, ExchangeFailure> {
+    let previous = body.len();
     loop {
         let consumed = decoder.decode(exchange.connection.buffer(), body);
         exchange
             .connection
             .consume(consumed.map_err(|_| ExchangeFailure::Garbled)?);
         if decoder.is_done() {
-            return Ok(());
+            return Ok(true);
         }
-        if body.len() > limit {
-            return Err(ExchangeFailure::Garbled);
+        if body.len() > previous {
+            return Ok(false);
         }
         match wait_for_endpoint(&exchange.connection, false, caller, timer).await {
             WakeReason::TimedOut => return Err(ExchangeFailure::Late),
@@ -181,7 +191,7 @@
             WakeReason::EndpointReadable | WakeReason::EndpointWritable => {}
         }
         match exchange.connection.try_read() {
-            Ok(Some(0)) if decoder.is_until_close() => return Ok(()),
+            Ok(Some(0)) if decoder.is_until_close() => return Ok(true),
             Ok(Some(0)) | Err(_) => return Err(ExchangeFailure::Lost),
             Ok(_) => {}
         }
--- a/entry/src/front/front_context.rs
+++ b/entry/src/front/front_context.rs
@@ -30,6 +30,8 @@
     /// Cancels the long poll at the platform store after the store has been restored from a
     /// snapshot.
     pub era_changed: WakeSignal,
+    /// Wakes the task that carries out roll-outs.
+    pub rollout_due: WakeSignal,
     state: RefCell<FrontState>,
     executor: LocalExecutor<'static>,
 }
@@ -45,6 +47,7 @@
             greeting_due: WakeSignal::default(),
             blocked_row_due: WakeSignal::default(),
             era_changed: WakeSignal::default(),
+            rollout_due: WakeSignal::default(),
             executor: LocalExecutor::new(),
         })
     }
--- a/entry/src/front/front_process.rs
+++ b/entry/src/front/front_process.rs
@@ -1,7 +1,7 @@
 use {
     super::{
         bootstrap_from_peers, handle_control, maintain_endpoints, receive_digests,
-        refresh_from_peers, run_fallback_controller, send_greetings, serve_caller,
+        refresh_from_peers, run_fallback_controller, run_rollouts, send_greetings, serve_caller,
         sync_blocked_rows, track_engines, watch_endpoint_list, watch_kv_stores, watch_operator,
         FrontContext, FrontSettings,
     },
@@ -70,6 +70,7 @@
     front.spawn(sync_blocked_rows(front.clone()));
     front.spawn(watch_kv_stores(front.clone()));
     front.spawn(run_fallback_controller(front.clone()));
+    front.spawn(run_rollouts(front.clone()));
     front.spawn(accept(front.clone(), Async::new(listener)?));
     log::info!(
         event = "started",
--- a/entry/src/front/front_settings.rs
+++ b/entry/src/front/front_settings.rs
@@ -52,6 +52,11 @@
     pub retry_limit: RetryLimit,
     /// Limit on requests to endpoints during their slow start.
     pub slow_start: SlowStartBound,
+    /// Maximum share of a service's requests that a version may receive before a roll-out of it is
+    /// done.
+    pub rollout_share: f64,
+    /// Time within which requests to a version end after it has proven to be bad.
+    pub rollback_limit: Micros,
     /// Minimum time between orders of two boxes to the same engine.
     pub order_gap: Micros,
     /// Time between SIGTERM and the forced end of the process.
@@ -160,6 +165,11 @@
                 ratio: reader.fraction_or_text("slow_start_ratio", 1.0, 0.0..=1_000.0),
                 slack: reader.fraction_or_text("slow_start_slack", 0.0, 0.0..=1_000_000.0),
             },
+            rollout_share: reader.fraction_or_text("rollout_share", 0.1, 0.0..=1.0),
+            rollback_limit: Micros(
+                (reader.fraction_or_text("rollback_limit_ms", 5_000.0, LIMIT_RANGE_MS) * 1e3)
+                    as u64,
+            ),
             order_gap: reader.millis("order_gap_ms", 3_000.0, 0.0..=600_000.0),
             stop_limit: Duration::from_micros(
                 reader.seconds("stop_limit_s", 8.0, DURATION_RANGE_S).0,
--- a/entry/src/front/front_state.rs
+++ b/entry/src/front/front_state.rs
@@ -1,11 +1,12 @@
 use {
     super::{is_engine, ConnectionPool, ExitProbe, FrontSettings, GreetingSchedule, StoreReaders},
     pitchhitch_core::{
+        rollout::RolloutTable,
         serving::{
             AdmissionController, CacheNamespace, EndpointEntry, EndpointKey, EndpointRegistry,
             EraTracker, EvacuationSet, FetchCompletion, KeyFreshness, KvStoreDirectory,
-            LatencyEstimator, NamespaceTag, PauseDetector, ProvenTable, RetryWindow, ServingConfig,
-            StoreEra, SuspectTracker, SwapPlanner, TrialTable, REWRITE_DELAY,
+            LatencyEstimator, MemoryBudget, NamespaceTag, PauseDetector, ProvenTable, RetryWindow,
+            ServingConfig, StoreEra, SuspectTracker, SwapPlanner, TrialTable, REWRITE_DELAY,
         },
         time::Micros,
     },
@@ -50,6 +51,8 @@
     pub proven_era: Option<StoreEra>,
     /// Failure domains that receive no new requests.
     pub evacuations: EvacuationSet,
+    /// Roll-outs of endpoint software.
+    pub rollouts: RolloutTable,
     /// Decides which requests are refused under overload.
     pub admission: AdmissionController,
     /// Estimates of how fast engines process prompts.
@@ -83,8 +86,8 @@
     pub stopping_since: Option<Micros>,
     /// Whether idle connections of callers are closed.
     pub closes_idle: bool,
-    /// Total size of the bodies of running requests, in bytes.
-    pub body_bytes: u64,
+    /// Bytes held for callers and endpoints.
+    pub memory_budget: MemoryBudget,
     /// Requests being served.
     pub running: u32,
     /// Known number of running fronts.
@@ -110,6 +113,7 @@
             greetings: GreetingSchedule::default(),
             proven_era: None,
             evacuations: EvacuationSet::default(),
+            rollouts: RolloutTable::default(),
             admission: AdmissionController::without(settings.disabled_mechanisms),
             latency_estimator: LatencyEstimator::without(settings.disabled_mechanisms),
             kv_store_directory: KvStoreDirectory::without(settings.disabled_mechanisms),
@@ -126,7 +130,7 @@
             pause_detector: PauseDetector::default(),
             stopping_since: None,
             closes_idle: false,
-            body_bytes: 0,
+            memory_budget: MemoryBudget::for_process(settings.memory_mb),
             running: 0,
             fronts: INITIAL_FRONTS,
             retry_windows: HashMap::new(),
@@ -169,24 +173,6 @@
         }
     }
 
-    /// Counts a request whose processing begins.
-    pub fn begin_request(
-        &mut self,
-        body_bytes: u64,
-    ) {
-        self.running += 1;
-        self.body_bytes += body_bytes;
-    }
-
-    /// Counts a request whose processing has ended.
-    pub fn end_request(
-        &mut self,
-        body_bytes: u64,
-    ) {
-        self.running -= 1;
-        self.body_bytes -= body_bytes;
-    }
-
     /// Whether the process has just resumed from a pause and its view of the KV stores is still
     /// stale.
     pub fn is_recovering(
--- a/entry/src/front/list_watch.rs
+++ b/entry/src/front/list_watch.rs
@@ -1,7 +1,7 @@
 use {
     super::{
-        begin_slow_start, log_store_contact, observe_position, probe_rejoined, CallTimeout,
-        ForeignRows, FrontContext, ReadSchedule,
+        begin_slow_start, log_store_contact, observe_position, probe_rejoined, record_versions,
+        CallTimeout, ForeignRows, FrontContext, ReadSchedule,
     },
     pitchhitch_core::{
         serving::{
@@ -208,6 +208,7 @@
         }
     }
     changes.extend(front.state().registry.retire_superseded());
+    record_versions(front);
     handle_endpoint_changes(front, &changes);
 }
 
--- a/entry/src/front/mod.rs
+++ b/entry/src/front/mod.rs
@@ -23,6 +23,7 @@
 mod front_state;
 mod greeting_schedule;
 mod greeting_sender;
+mod held_bytes;
 mod kv_store_watch;
 mod list_watch;
 mod lost_run;
@@ -42,6 +43,9 @@
 mod request_response;
 mod request_transfers;
 mod request_trial;
+mod request_versions;
+mod rollout_rows;
+mod rollout_watch;
 mod slow_starts;
 mod store_contact;
 mod store_readers;
@@ -53,14 +57,15 @@
 use {
     blocked_rows::*, call_timeout::*, evacuations::*, foreign_rows::*, greeting_schedule::*,
     lost_run::*, order_lease::*, orphan_engine::*, part_reclaim::*, peer_state::*, rejoin_probe::*,
-    request_admit::*, request_attempt::*, request_transfers::*, request_trial::*, slow_starts::*,
-    watcher_assignment::*, weight_update::*,
+    request_admit::*, request_attempt::*, request_transfers::*, request_trial::*,
+    request_versions::*, rollout_rows::*, rollout_watch::*, slow_starts::*, watcher_assignment::*,
+    weight_update::*,
 };
 pub(crate) use {
     caller_conn::*, connection_pool::*, control_handler::*, digest_receiver::*,
     endpoint_exchange::*, event_splitter::*, exit_probe::*, fallback_controller::*,
-    front_context::*, front_metrics::*, front_state::*, greeting_sender::*, kv_store_watch::*,
-    list_watch::*, operator_watch::*, plain_response::*, request_handler::*, store_contact::*,
-    store_readers::*, stream_relay::*, wake_reason::*,
+    front_context::*, front_metrics::*, front_state::*, greeting_sender::*, held_bytes::*,
+    kv_store_watch::*, list_watch::*, operator_watch::*, plain_response::*, request_handler::*,
+    store_contact::*, store_readers::*, stream_relay::*, wake_reason::*,
 };
 pub use {front_process::*, front_settings::*};
--- a/entry/src/front/operator_watch.rs
+++ b/entry/src/front/operator_watch.rs
@@ -1,7 +1,7 @@
 use {
     super::{
-        apply_evacuations, log_store_contact, observe_position, own_tier, uses_long_polls,
-        CallTimeout, ForeignRows, FrontContext, ReadSchedule,
+        apply_evacuations, log_rollout_order, log_store_contact, observe_position, own_tier,
+        uses_long_polls, CallTimeout, ForeignRows, FrontContext, ReadSchedule,
     },
     futures_lite::future::or,
     pitchhitch_core::{
@@ -11,8 +11,8 @@
         time::Micros,
     },
     pitchhitch_platform::{
-        decode_config, decode_row, PublishedVersion, RowError, RowPage, RowTable, RowUpdate,
-        RowValue, StoreClient, StoreError, StoreRow, CONFIG_KEY,
+        decode_config, decode_row, rollout_service, PublishedVersion, RowError, RowPage, RowTable,
+        RowUpdate, RowValue, StoreClient, StoreError, StoreRow, CONFIG_KEY,
     },
     pitchhitch_process::to_duration,
     smol::Timer,
@@ -49,7 +49,9 @@
             Ok(page) => observe_position(&front, "operator", page.position).map(|()| {
                 if position.replace(page.position).is_none() {
                     checksum.clear();
-                    front.state().evacuations.begin_full_read();
+                    let mut state = front.state();
+                    state.evacuations.begin_full_read();
+                    state.rollouts.begin_full_read();
                 }
                 // The response of a long poll proves which configuration was in force when the
                 // store answered.
@@ -140,17 +142,29 @@
         }
         match apply_operator_row(front, row) {
             Ok(()) => foreign_rows.remove(&key),
-            Err(error) => foreign_rows.record(front, &key, &error),
+            Err(error) => {
+                if let Some(service) = rollout_service(RowTable::Operator, &key) {
+                    front.state().rollouts.confirm_order(service);
+                }
+                foreign_rows.record(front, &key, &error);
+            }
         }
     }
-    let changes = {
+    let (changes, withdrawn) = {
         let mut state = front.state();
         match state.eras.proves(proven_at) {
-            true => state.evacuations.finish_full_read(),
-            false => Vec::new(),
+            true => {
+                state.rollouts.sightings.settle(proven_at);
+                let changes = state.evacuations.finish_full_read();
+                (changes, state.rollouts.finish_full_read())
+            }
+            false => (Vec::new(), Vec::new()),
         }
     };
     apply_evacuations(front, &changes, "row");
+    for service in &withdrawn {
+        log_rollout_order(front, service, "withdrawn");
+    }
     // An unreadable configuration may revoke keys, so it does not renew their freshness.
     if !foreign_rows.contains(CONFIG_KEY) {
         let now = front.now();
@@ -178,6 +192,17 @@
             let change = front.state().evacuations.set(&domain, is_requested);
             apply_evacuations(front, change.as_slice(), "row");
         }
+        RowUpdate::Rollout(order) => {
+            let service = order.service.clone();
+            if front.state().rollouts.set_order(order) {
+                log_rollout_order(front, &service, "ordered");
+            }
+        }
+        RowUpdate::RolloutRemoved(service) => {
+            if front.state().rollouts.withdraw_order(&service) {
+                log_rollout_order(front, &service, "withdrawn");
+            }
+        }
         RowUpdate::Other(key) => {
             log::warn!(event = "operator-row", key = key.as_str(), used = false; "");
         }
--- a/entry/src/front/orphan_engine.rs
+++ b/entry/src/front/orphan_engine.rs
@@ -104,6 +104,7 @@
         let sent_at = front.now();
         let holder = front.settings.box_id.as_str();
         let written = acquire_order_row(store, self.address, row.as_ref(), holder).await?;
+        let written = written.map_err(|_| StoreError::Conflict)?;
         self.right.on_row_written(written, sent_at, front.now());
         let engine = self.address.to_string();
         let previous_holder = row.map_or(String::new(), |row| row.holder);
--- a/entry/src/front/peer_state.rs
+++ b/entry/src/front/peer_state.rs
@@ -1,7 +1,7 @@
 use {
     super::{
-        apply_evacuations, begin_slow_start, handle_endpoint_changes, is_engine, update_config,
-        FrontContext, TableProofs,
+        apply_evacuations, begin_slow_start, handle_endpoint_changes, is_engine, record_versions,
+        update_config, FrontContext, TableProofs,
     },
     pitchhitch_core::{
         serving::{stable_fraction, EndpointEntry, EndpointKey, ProvenTable, REPORT_TIMEOUT},
@@ -58,6 +58,7 @@
         weights: state.planner.recent_publications(now),
         endpoints: state.registry.notices(),
         evacuated: state.evacuations.domains().map(str::to_string).collect(),
+        rollouts: state.rollouts.records(),
         store_uptimes: state.kv_store_directory.store_uptimes(now),
     })
 }
@@ -299,6 +300,9 @@
     for uptime in &received.store_uptimes {
         state.kv_store_directory.record_uptime(uptime, now);
     }
+    for record in &received.rollouts {
+        state.rollouts.add_reported(record);
+    }
     let proven_at = requested_at.since(received.age);
     if state
         .key_freshness
@@ -329,6 +333,7 @@
     }
     state.has_list = true;
     drop(guard);
+    record_versions(front);
     handle_endpoint_changes(front, &changes);
     Ok(())
 }
--- a/entry/src/front/request_attempt.rs
+++ b/entry/src/front/request_attempt.rs
@@ -4,6 +4,7 @@
         PartTransfers, RequestHandler,
     },
     pitchhitch_core::{
+        rollout::VersionArm,
         serving::{EndpointChoice, EndpointStatus, PendingPrefill},
         time::Micros,
     },
@@ -20,6 +21,8 @@
 pub(super) struct ReservedSlot {
     ticket: u64,
     transfers: PartTransfers,
+    /// Group of the endpoint, if a roll-out compares its version.
+    arm: Option<VersionArm>,
 }
 
 /// How an attempt at one endpoint ended.
@@ -98,7 +101,12 @@
             sent_at: front.now(),
         };
         state.registry.record_sent(choice.key, prefill);
-        ReservedSlot { ticket, transfers }
+        let arm = self.begin_versioned_run(&mut state, choice);
+        ReservedSlot {
+            ticket,
+            transfers,
+            arm,
+        }
     }
 
     /// Releases the slot of a request that was not sent, and removes the parts that the endpoint
@@ -113,6 +121,7 @@
         state.registry.record_ended(choice.key, slot.ticket);
         state.registry.record_unsent(choice.key, slot.ticket);
         state.trials.end(slot.ticket);
+        self.cancel_versioned_run(state, slot.arm);
         let (Some(prompt), Some(version)) = (&self.info.prompt, choice.version) else {
             return;
         };
@@ -179,6 +188,7 @@
             outcome => outcome,
         };
         self.record_ended(choice, ticket, sent_at);
+        self.end_versioned_run(choice, slot.arm, sent_at, &outcome);
         self.record_attempt(choice, &outcome);
         outcome
     }
--- a/entry/src/front/request_choice.rs
+++ b/entry/src/front/request_choice.rs
@@ -1,5 +1,5 @@
 use {
-    super::{FrontState, RequestHandler, DEFAULT_CALLER_TIMEOUT},
+    super::{FrontState, RequestHandler, VersionScope, DEFAULT_CALLER_TIMEOUT},
     pitchhitch_core::{
         serving::{
             pick_endpoint, unit_fraction, AdmissionDecision, AdmissionRequest, AllowedRegions,
@@ -98,7 +98,27 @@
         self.config.services.get(&self.service)?.engine.as_ref()
     }
 
+    /// Chooses an endpoint whose software version the request may go to.
     pub(super) fn pick(&mut self) -> Option<EndpointChoice> {
+        let now = self.front.now();
+        let scopes = self.version_scopes(&self.front.state(), now);
+        self.is_comparison = false;
+        let Some((scopes, is_comparison)) = scopes else {
+            return self.pick_in(None);
+        };
+        for (index, scope) in scopes.iter().enumerate() {
+            if let Some(choice) = self.pick_in(Some(scope)) {
+                self.is_comparison = is_comparison && index == 0;
+                return Some(choice);
+            }
+        }
+        None
+    }
+
+    fn pick_in(
+        &self,
+        scope: Option<&VersionScope>,
+    ) -> Option<EndpointChoice> {
         let front = self.front;
         let mut guard = front.state();
         let state = &mut *guard;
@@ -127,6 +147,7 @@
             is_eligible: &|entry| {
                 state.is_available(entry, has_slow_start, now)
                     && self.is_region_allowed(&entry.domain)
+                    && scope.is_none_or(|scope| scope.admits(entry))
             },
             is_connected: &|key| state.pool.has_open(key, now),
             estimator: &state.latency_estimator,
--- a/entry/src/front/request_handler.rs
+++ b/entry/src/front/request_handler.rs
@@ -18,7 +18,7 @@
 };
 
 /// How long a caller waits if it does not state a timeout.
-pub(super) const DEFAULT_CALLER_TIMEOUT: Micros = Micros::from_secs(30);
+pub(crate) const DEFAULT_CALLER_TIMEOUT: Micros = Micros::from_secs(30);
 /// Sends allowed beyond the route's maximum number of endpoints, for endpoints that prove that they
 /// did not run the request.
 const MAX_UNEXECUTED_SENDS: u32 = 2;
@@ -58,6 +58,10 @@
     pub(super) cached_fingerprint: Option<RequestFingerprint>,
     /// Number of endpoints that crashed during the request, if that makes it a suspect.
     pub(super) suspect_crashes: Option<u32>,
+    /// Whether the chosen endpoint is one on which a roll-out compares versions.
+    pub(super) is_comparison: bool,
+    /// Whether such an endpoint could not take the request.
+    pub(super) declines_comparison: bool,
     /// How often the request was sent to endpoints.
     pub(super) sends: u32,
     /// Number of sends after which the endpoint may have run the request.
@@ -113,6 +117,8 @@
         latest_run: LatestRun::default(),
         cached_fingerprint: None,
         suspect_crashes: None,
+        is_comparison: false,
+        declines_comparison: false,
         sends: 0,
         possible_runs: 0,
         progress: StreamProgress::default(),
@@ -211,6 +217,11 @@
                 break;
             }
             let decision = self.decide_admission(&choice);
+            if decision != AdmissionDecision::Admitted && self.is_comparison {
+                // The endpoints of the other version may have room.
+                self.declines_comparison = true;
+                continue;
+            }
             if decision != AdmissionDecision::Admitted {
                 self.log_attempt(&choice, decision.as_str(), "");
                 last_failure = RefusalKind::Overloaded;
@@ -249,7 +260,9 @@
                         self.record_lost_run(&choice).await;
                     }
                     last_failure = self.refusal_kind(failure);
-                    if failure == ExchangeFailure::Late || !self.can_retry() {
+                    let is_partly_relayed = self.progress.is_head_sent && !self.route().is_stream;
+                    let is_final = failure == ExchangeFailure::Late || is_partly_relayed;
+                    if is_final || !self.can_retry() {
                         break;
                     }
                 }
--- a/entry/src/front/request_log.rs
+++ b/entry/src/front/request_log.rs
@@ -57,6 +57,7 @@
             event = "try",
             request = self.info.request_id.as_str(),
             endpoint = entry.map_or("", |entry| entry.id.as_str()),
+            software = entry.map_or("", |entry| entry.software.as_str()),
             outcome = outcome,
             cause = cause,
             send = self.sends,
--- a/entry/src/front/request_response.rs
+++ b/entry/src/front/request_response.rs
@@ -1,7 +1,8 @@
 use {
     super::{
-        read_plain_response, read_response_body, relay_stream, write_to_caller, AttemptOutcome,
-        EndpointExchange, EndpointResponse, ExchangeFailure, RelayEvent, RequestHandler,
+        read_plain_response, relay_plain_response, relay_stream, skip_response_body,
+        write_to_caller, AttemptOutcome, EndpointExchange, EndpointResponse, ExchangeFailure,
+        HeldBytes, PlainResponse, RelayEvent, RequestHandler,
     },
     pitchhitch_core::{serving::EndpointChoice, time::Micros},
     pitchhitch_http1::BodyFraming,
@@ -39,22 +40,34 @@
         if self.progress.is_head_sent {
             return AttemptOutcome::Broken(ExchangeFailure::Lost);
         }
+        self.handle_plain_response(exchange, &response).await
+    }
+
+    /// Delivers a response that is not a stream: a short one once it is complete, so that another
+    /// endpoint can be tried if it breaks off.
+    async fn handle_plain_response(
+        &mut self,
+        exchange: &mut EndpointExchange,
+        response: &EndpointResponse,
+    ) -> AttemptOutcome {
         let has_no_body = self.request.head.method == "HEAD";
         let closes = self.closes();
+        let mut held = HeldBytes::new(self.front);
         let caller = &mut *self.caller;
-        let buffered = read_plain_response(
+        let read = read_plain_response(
             exchange,
-            &response,
+            response,
             has_no_body,
             closes,
+            &mut held,
             caller,
             &mut self.timer,
         )
         .await;
-        match buffered {
-            Ok(buffered) => {
+        match read {
+            Ok(PlainResponse::Complete(buffered)) => {
                 self.progress.closes = closes;
-                self.mark_reusable(exchange, &response);
+                self.mark_reusable(exchange, response);
                 if buffered.status >= 500 {
                     return AttemptOutcome::Failed(buffered);
                 }
@@ -64,6 +77,23 @@
                     false => AttemptOutcome::CallerGone,
                 }
             }
+            Ok(PlainResponse::Partial(partial)) => {
+                drop(held);
+                self.progress.closes = closes;
+                self.progress.is_head_sent = true;
+                self.response_started_at = Some(self.front.now());
+                let caller = &mut *self.caller;
+                let relayed =
+                    relay_plain_response(exchange, partial, caller, &mut self.timer).await;
+                match relayed {
+                    Ok(()) => {
+                        self.mark_reusable(exchange, response);
+                        AttemptOutcome::Delivered(response.head.status)
+                    }
+                    Err(ExchangeFailure::CallerGone) => AttemptOutcome::CallerGone,
+                    Err(failure) => AttemptOutcome::Broken(failure),
+                }
+            }
             Err(ExchangeFailure::CallerGone) => AttemptOutcome::CallerGone,
             Err(failure) => AttemptOutcome::Broken(failure),
         }
@@ -138,16 +168,8 @@
         exchange: &mut EndpointExchange,
         response: &EndpointResponse,
     ) -> AttemptOutcome {
-        let mut body = Vec::new();
         let caller = &mut *self.caller;
-        let discarded = read_response_body(
-            exchange,
-            response.framing,
-            &mut body,
-            usize::MAX,
-            caller,
-            &mut self.timer,
-        );
+        let discarded = skip_response_body(exchange, response.framing, caller, &mut self.timer);
         match discarded.await {
             Ok(()) => self.mark_reusable(exchange, response),
             Err(ExchangeFailure::CallerGone) => return AttemptOutcome::CallerGone,
--- a/entry/src/front/store_contact.rs
+++ b/entry/src/front/store_contact.rs
@@ -70,6 +70,8 @@
             front.metrics.increment("store_eras", watch);
             // A pending long poll belongs to the previous era.
             front.era_changed.wake();
+            front.state().rollouts.invalidate();
+            front.rollout_due.wake();
             front.spawn(schedule_rewrite(front.clone()));
             Ok(())
         }
--- a/wire/src/engine_agent/state_snapshot.rs
+++ b/wire/src/engine_agent/state_snapshot.rs
@@ -4,6 +4,7 @@
         codec::{decode_body, encode_body},
     },
     pitchhitch_core::{
+        rollout::RolloutRecord,
         serving::{stable_hash, EndpointNotice, KvStoreUptime, StoreEra, WeightPublication},
         time::Micros,
     },
@@ -37,6 +38,8 @@
     pub endpoints: Vec<EndpointNotice>,
     /// Evacuated failure domains, which get no new work.
     pub evacuated: Vec<String>,
+    /// Roll-outs of endpoint software.
+    pub rollouts: Vec<RolloutRecord>,
     /// Uptimes of the KV stores.
     #[serde(rename = "lives")]
     pub store_uptimes: Vec<KvStoreUptime>,
@@ -110,6 +113,7 @@
             weights,
             &self.endpoints,
             &self.evacuated,
+            &self.rollouts,
         );
         // Content that cannot be encoded has no hash of its own; such a snapshot cannot be served.
         let Ok(bytes) = encode_body(&content) else {
--- a/wire/tests/state_snapshot.rs
+++ b/wire/tests/state_snapshot.rs
@@ -83,6 +83,7 @@
     };
     let young = StateSnapshot {
         evacuated: Vec::new(),
+        rollouts: Vec::new(),
         store_uptimes: vec![uptime(300)],
         ..snapshot(Vec::new())
     };
