Relays in a failure domain; a front that starts asks agents and the store for less

Each front that started read 59 KV stores itself (21,063 connections) and asked the platform's store all the time until agents told it how many fronts there are.

Agents keep the content of the KV stores that they poll, and give it to fronts that ask. An agent polls its engine's cache changes once for each digest. Answers take at most half of the bytes that a front may hold: 200 of them left no room for small requests.

--- a/agent/src/engine_agent/digest_sender.rs
+++ b/agent/src/engine_agent/digest_sender.rs
@@ -1,12 +1,15 @@
 use {
-    super::{EngineAgentContext, EngineAgentState, MAX_DIGEST_INTERVAL},
+    super::{
+        accept_relayed, deliver_digest, pass_on, send_digest, EngineAgentContext, EngineAgentState,
+        MAX_DIGEST_INTERVAL,
+    },
     pitchhitch_core::{
         serving::{digest_interval, EngineLoad, ListedIncarnation, StoreProof, SuspectReport},
         time::Micros,
     },
     pitchhitch_process::to_duration,
     pitchhitch_wire::engine_agent::{
-        DigestEcho, DigestPart, EncodedDigest, EngineDigest, FrontGreeting,
+        AgentDatagram, DigestEcho, DigestPart, EngineDigest, FrontGreeting,
     },
     smol::Timer,
     std::{net::SocketAddr, rc::Rc, time::Duration},
@@ -33,16 +36,17 @@
     changes: u64,
 }
 
-/// Receives and processes greetings of fronts.
-pub(crate) async fn receive_greetings(agent: Rc<EngineAgentContext>) {
+/// Receives and processes greetings of fronts, and digests to be passed on.
+pub(crate) async fn receive_datagrams(agent: Rc<EngineAgentContext>) {
     let mut buffer = Vec::new();
     loop {
         match agent
             .socket
-            .receive_into::<FrontGreeting>(&mut buffer)
+            .receive_into::<AgentDatagram>(&mut buffer)
             .await
         {
-            Ok((greeting, from)) => {
+            Ok((AgentDatagram::Relay(digest), from)) => accept_relayed(&agent, digest, from),
+            Ok((AgentDatagram::Greeting(greeting), from)) => {
                 let now = agent.now();
                 let mut state = agent.state();
                 let domain = &agent.settings.failure_domain;
@@ -56,6 +60,9 @@
                 for store in &greeting.watches {
                     state.stores.request(*store, now);
                 }
+                for store in &greeting.wanted_contents {
+                    state.stores.request_content(*store, from, now);
+                }
                 if greeting.wants_suspects {
                     state.suspect_requesters.insert(from);
                     agent.digest_due.wake();
@@ -63,7 +70,7 @@
                 if greeting.wants_all {
                     state.part_requesters.insert(from);
                 }
-                apply_greeting(&mut state, greeting, age, now);
+                apply_greeting(&mut state, *greeting, age, now);
                 if state.suspects.has_updates() {
                     agent.digest_due.wake();
                 }
@@ -161,14 +168,17 @@
         agent.digest_due.wait(to_duration(interval)).await;
         let now = agent.now();
         let fronts = agent.state().fronts.active(now);
-        agent.state().digest_interval = digest_interval(fronts.len());
+        update_interval(&agent, &fronts, now);
         send_all_suspects(&agent, &mut count, fronts.len() as u32).await;
         send_all_parts(&agent, &mut count, fronts.len() as u32).await;
         announce_engine(&agent, &mut count, fronts.len() as u32).await;
+        send_store_contents(&agent, &mut count, fronts.len() as u32).await;
+        let relayed = agent.state().relay_queue.take(now);
         let load = agent.state().reported_load();
         let has_changes = agent.state().has_changes();
         let is_new = load != last_load || has_changes || agent.state().suspects.has_updates();
         if fronts.is_empty() || (!is_new && now.since(last_sent_at) < MAX_DIGEST_INTERVAL) {
+            pass_on(&agent, &relayed, now).await;
             continue;
         }
         last_load = load;
@@ -194,10 +204,23 @@
                 .stores
                 .recent_updates(forward_interval(interval), now);
         }
-        send_digest(&agent, &digest, &fronts).await;
+        deliver_digest(&agent, &digest, &fronts, &relayed).await;
     }
 }
 
+/// Updates the interval between digests, which depends on the number of datagrams that one takes.
+fn update_interval(
+    agent: &EngineAgentContext,
+    fronts: &[SocketAddr],
+    now: Micros,
+) {
+    let mut state = agent.state();
+    let domain = &agent.settings.failure_domain;
+    let plan = state.fronts.plan_delivery(fronts, domain, now);
+    state.uses_relays = !plan.relayed.is_empty();
+    state.digest_interval = digest_interval(plan.message_count());
+}
+
 /// Interval between digests that repeat what fronts or this agent have read from stores.
 fn forward_interval(digest_interval: Micros) -> Micros {
     FORWARD_INTERVAL.max(digest_interval)
@@ -239,7 +262,7 @@
         let mut digest = build_digest(agent, load, *count, active_fronts, parts);
         digest.is_whole = index == last;
         let requesters: Vec<SocketAddr> = requesters.iter().copied().collect();
-        send_digest(agent, &digest, &requesters).await;
+        deliver_digest(agent, &digest, &requesters, &[]).await;
     }
 }
 
@@ -276,6 +299,23 @@
     }
 }
 
+/// Sends the whole content of KV stores to the fronts that asked for it. When each front that
+/// started read all stores itself, it opened a connection to each.
+async fn send_store_contents(
+    agent: &EngineAgentContext,
+    count: &mut DigestCount,
+    active_fronts: u32,
+) {
+    let contents = agent.state().stores.take_contents(agent.now());
+    let load = agent.state().reported_load();
+    for (update, fronts) in contents {
+        count.number += 1;
+        let mut digest = build_digest(agent, load, *count, active_fronts, Vec::new());
+        digest.stores = vec![update];
+        send_digest(agent, &digest, &fronts).await;
+    }
+}
+
 /// Announces the engine to fronts that no longer greet. Fronts that started while this box was
 /// paused don't know the engine until it appears on the platform's endpoint list: with the platform
 /// store unreachable, the engine kept outdated weights for 27 s.
@@ -295,33 +335,6 @@
     send_digest(agent, &digest, &silent).await;
 }
 
-/// Sends a digest to fronts. It is encoded once, with an echo of the latest greeting added for each
-/// front. A lost digest makes a front's knowledge less fresh, never wrong.
-async fn send_digest(
-    agent: &EngineAgentContext,
-    digest: &EngineDigest,
-    fronts: &[SocketAddr],
-) {
-    let Ok(encoded) = EncodedDigest::new(digest) else {
-        return;
-    };
-    for front in fronts {
-        let active_fronts = digest.fronts as usize;
-        let echo = agent
-            .state()
-            .fronts
-            .echo(*front, active_fronts, agent.now());
-        agent.state().metrics.increment("digests", "sent");
-        let Ok(body) = encoded.with_echo(echo) else {
-            continue;
-        };
-        if let Err(error) = agent.socket.send_body(body, *front).await {
-            let error = error.to_string();
-            log::debug!(event = "digest-failed", error = error.as_str(); "");
-        }
-    }
-}
-
 fn build_digest(
     agent: &EngineAgentContext,
     load: EngineLoad,
--- a/agent/src/engine_agent/engine_agent_context.rs
+++ b/agent/src/engine_agent/engine_agent_context.rs
@@ -1,7 +1,7 @@
 use {
     super::{
-        EngineAgentMetrics, EngineAgentSettings, FrontContacts, PolledKvStores, SentDigests,
-        SnapshotCache,
+        EngineAgentMetrics, EngineAgentSettings, FrontContacts, PolledKvStores, RelayQueue,
+        SentDigests, SnapshotCache,
     },
     pitchhitch_core::{
         serving::{
@@ -30,13 +30,14 @@
 /// Maximum time between two digests, unless the digest interval is longer: fronts treat missing
 /// digests as a sign of failure.
 pub(crate) const MAX_DIGEST_INTERVAL: Micros = Micros::from_millis(250);
-/// Polls of the engine's report, and of its cache changes, per digest.
-const POLLS_PER_DIGEST: u64 = 3;
+/// Polls of the engine's report per digest; those of its cache changes, which have a price, are as
+/// frequent as digests.
+const REPORTS_PER_DIGEST: u64 = 3;
 /// Minimum and maximum interval between polls of the engine's report.
 const REPORT_INTERVAL_RANGE: (Micros, Micros) = (Micros::from_millis(90), Micros::from_millis(200));
 /// Minimum and maximum interval between polls of the engine's cache changes.
 const CACHE_POLL_INTERVAL_RANGE: (Micros, Micros) =
-    (Micros::from_millis(30), Micros::from_millis(150));
+    (Micros::from_millis(30), Micros::from_millis(250));
 
 /// Weight version that the engine is to have, and whether it may load it now.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
@@ -92,6 +93,10 @@
     pub fronts: FrontContacts,
     /// Interval between digests, which depends on the number of fronts.
     pub digest_interval: Micros,
+    /// Whether relays pass on the digests, which adds the interval of a relay to their age.
+    pub uses_relays: bool,
+    /// Digests of other engines that are to be passed on.
+    pub relay_queue: RelayQueue,
     /// Results of fronts' reads of the platform store, by table.
     pub proofs: BTreeMap<ProvenTable, ProofTracker>,
     /// Whether a new result has arrived since the last digest.
@@ -106,10 +111,11 @@
 impl EngineAgentState {
     /// Load of the engine as sent to fronts: the report's local timestamp is meaningless to others.
     pub fn reported_load(&self) -> EngineLoad {
+        let hops = 1 + u64::from(self.uses_relays);
         EngineLoad {
             at: Micros::ZERO,
-            again_within: self.digest_interval.max(MAX_DIGEST_INTERVAL),
-            changes_within: self.digest_interval,
+            again_within: Micros(self.digest_interval.max(MAX_DIGEST_INTERVAL).0 * hops),
+            changes_within: Micros(self.digest_interval.0 * hops),
             ..self.load
         }
     }
@@ -128,18 +134,16 @@
     /// cost the engine nothing.
     pub fn report_interval(&self) -> Micros {
         let (min, max) = REPORT_INTERVAL_RANGE;
-        Micros(self.digest_interval.0 / POLLS_PER_DIGEST)
+        Micros(self.digest_interval.0 / REPORTS_PER_DIGEST)
             .max(min)
             .min(max)
     }
 
-    /// Interval between polls of the engine's cache changes. Long polls cost the engine nothing; a
-    /// busy engine replaces unused parts within a third of a second.
+    /// Interval between polls of the engine's cache changes. A busy engine answers long polls at
+    /// once, and replaces unused parts within a third of a second.
     pub fn cache_poll_interval(&self) -> Micros {
         let (min, max) = CACHE_POLL_INTERVAL_RANGE;
-        Micros(self.digest_interval.0 / POLLS_PER_DIGEST)
-            .max(min)
-            .min(max)
+        self.digest_interval.max(min).min(max)
     }
 
     /// All parts that the engine caches.
--- a/agent/src/engine_agent/engine_agent_process.rs
+++ b/agent/src/engine_agent/engine_agent_process.rs
@@ -1,6 +1,6 @@
 use {
     super::{
-        poll_cache_changes, poll_reports, poll_stores, receive_greetings, refresh_snapshot,
+        poll_cache_changes, poll_reports, poll_stores, receive_datagrams, refresh_snapshot,
         send_digests, send_orders, serve_metrics, serve_snapshot, EngineAgentContext,
         EngineAgentSettings,
     },
@@ -36,7 +36,7 @@
     agent.spawn(refresh_snapshot(agent.clone()));
     agent.spawn(poll_reports(agent.clone()));
     agent.spawn(poll_cache_changes(agent.clone()));
-    agent.spawn(receive_greetings(agent.clone()));
+    agent.spawn(receive_datagrams(agent.clone()));
     agent.spawn(send_digests(agent.clone()));
     agent.spawn(send_orders(agent.clone()));
     agent.spawn(poll_stores(agent.clone()));
--- a/agent/src/engine_agent/front_contacts.rs
+++ b/agent/src/engine_agent/front_contacts.rs
@@ -1,10 +1,14 @@
 use {
     pitchhitch_core::{
+        dissemination::{plan_delivery, DeliveryPlan},
         serving::{GrantAllocator, SendGrant},
         time::Micros,
     },
     pitchhitch_wire::engine_agent::{FrontGreeting, GreetingEcho},
-    std::{collections::HashMap, net::SocketAddr},
+    std::{
+        collections::{BTreeMap, HashMap},
+        net::SocketAddr,
+    },
 };
 
 /// Minimum time after the last greeting for which a front still receives digests.
@@ -20,9 +24,14 @@
 const FRONT_RETENTION: Micros = Micros::from_secs(60);
 const MAX_FRONTS: usize = 256;
 
+/// Time for which the relays that a front named are used. Relays are used only for domains with
+/// many fronts, so they are named several times a second.
+const RELAY_TTL: Micros = Micros::from_secs(2);
+
 /// Latest greeting of a front.
-#[derive(Debug, Clone, Copy)]
+#[derive(Debug, Clone)]
 struct FrontContact {
+    domain: String,
     received_at: Micros,
     /// Lower bound of the time when the latest greeting was sent: greetings wait in the socket
     /// while this box is paused.
@@ -51,6 +60,8 @@
 #[derive(Debug, Default)]
 pub(crate) struct FrontContacts {
     fronts: HashMap<SocketAddr, FrontContact>,
+    /// Relays by failure domain, and when they were last named.
+    relays: BTreeMap<String, (Vec<SocketAddr>, Micros)>,
     has_start_limit: bool,
     grants: GrantAllocator<SocketAddr>,
 }
@@ -77,7 +88,12 @@
             None => now,
             Some(_) => age.map_or(Micros::ZERO, |age| now.since(age)),
         };
+        if !greeting.relays.is_empty() {
+            let named = (greeting.relays.clone(), now);
+            self.relays.insert(greeting.domain.clone(), named);
+        }
         let contact = FrontContact {
+            domain: greeting.domain.clone(),
             received_at: now,
             greeted_at: known.map_or(sent_at, |known| known.greeted_at.max(sent_at)),
             again_within: greeting.again_within,
@@ -96,6 +112,43 @@
         self.filter_fronts(|contact| now.since(contact.received_at) < contact.ttl())
     }
 
+    /// How a digest reaches these fronts from an agent in `own_domain`.
+    pub fn plan_delivery(
+        &mut self,
+        fronts: &[SocketAddr],
+        own_domain: &str,
+        now: Micros,
+    ) -> DeliveryPlan<SocketAddr> {
+        self.relays
+            .retain(|_, (_, named_at)| now.since(*named_at) < RELAY_TTL);
+        let relays = self.relays.iter();
+        let relays: BTreeMap<&str, Vec<SocketAddr>> = relays
+            .map(|(domain, (relays, _))| (domain.as_str(), relays.clone()))
+            .collect();
+        let domain_of = |front: &SocketAddr| {
+            let contact = self.fronts.get(front);
+            contact.map_or(own_domain, |contact| contact.domain.as_str())
+        };
+        let receivers = fronts.iter().map(|front| (*front, domain_of(front)));
+        plan_delivery(receivers, &relays, &own_domain)
+    }
+
+    /// Active fronts of a failure domain.
+    pub fn active_in(
+        &self,
+        domain: &str,
+        now: Micros,
+    ) -> Vec<SocketAddr> {
+        self.filter_fronts(|contact| {
+            contact.domain == domain && now.since(contact.received_at) < contact.ttl()
+        })
+    }
+
+    /// Whether digests carry grants for the fronts.
+    pub fn has_start_limit(&self) -> bool {
+        self.has_start_limit
+    }
+
     /// Fronts that no longer greet.
     pub fn silent(
         &self,
--- a/agent/src/engine_agent/mod.rs
+++ b/agent/src/engine_agent/mod.rs
@@ -3,6 +3,7 @@
 //! so.
 
 mod cache_poller;
+mod digest_delivery;
 mod digest_sender;
 mod engine_agent_context;
 mod engine_agent_metrics;
@@ -10,14 +11,16 @@
 mod engine_agent_settings;
 mod front_contacts;
 mod order_sender;
+mod relay_queue;
 mod report_poller;
 mod sent_digests;
 mod snapshot_cache;
 mod store_poller;
 
+use digest_delivery::*;
 pub(crate) use {
     cache_poller::*, digest_sender::*, engine_agent_context::*, engine_agent_metrics::*,
-    front_contacts::*, order_sender::*, report_poller::*, sent_digests::*, snapshot_cache::*,
-    store_poller::*,
+    front_contacts::*, order_sender::*, relay_queue::*, report_poller::*, sent_digests::*,
+    snapshot_cache::*, store_poller::*,
 };
 pub use {engine_agent_process::*, engine_agent_settings::*};
--- a/agent/src/engine_agent/store_poller.rs
+++ b/agent/src/engine_agent/store_poller.rs
@@ -1,7 +1,10 @@
 use {
     super::EngineAgentContext,
-    pitchhitch_core::{serving::NamespaceTag, time::Micros},
-    pitchhitch_platform::{KvChanges, KvClient, KvError},
+    pitchhitch_core::{
+        serving::{NamespaceTag, PartId},
+        time::Micros,
+    },
+    pitchhitch_platform::{KvChange, KvChanges, KvClient, KvError, KvList},
     pitchhitch_process::to_duration,
     pitchhitch_wire::engine_agent::{KvStorePart, KvStoreUpdate},
     smol::Timer,
@@ -31,6 +34,11 @@
 const DIGESTS_PER_CHANGE: u64 = 3;
 /// Time after a store's latest response for which updates about it are sent.
 const MAX_UPDATE_AGE: Micros = Micros::from_millis(1_500);
+/// Maximum number of parts in an update with the whole content of a store: it fits into one
+/// datagram. Fronts read larger stores themselves.
+const MAX_CONTENT_PARTS: usize = 1_500;
+/// Time after which a front's request for the whole content of a store is dropped.
+const CONTENT_REQUEST_TTL: Micros = Micros::from_secs(2);
 /// Maximum number of changes in the update of one store.
 const MAX_CHANGES: usize = 400;
 
@@ -40,6 +48,8 @@
 pub(crate) struct PolledKvStores {
     requested: BTreeMap<SocketAddr, Micros>,
     polled: BTreeMap<SocketAddr, PolledKvStore>,
+    /// Stores whose whole content a front asked for, and when it did.
+    content_requests: BTreeMap<(SocketAddr, SocketAddr), Micros>,
 }
 
 /// Latest responses of one store.
@@ -52,9 +62,80 @@
     from: u64,
     next: u64,
     parts: VecDeque<(KvStorePart, Micros)>,
+    /// Complete parts: tokens by namespace and id.
+    content: BTreeMap<(NamespaceTag, PartId), u32>,
+    salts: BTreeMap<NamespaceTag, String>,
 }
 
 impl PolledKvStore {
+    /// A store whose list was just read.
+    fn from_list(
+        list: &KvList,
+        sent_at: Micros,
+        now: Micros,
+    ) -> Self {
+        let mut polled_store = PolledKvStore {
+            epoch: list.epoch,
+            clock_ms: None,
+            sent_at,
+            answered_at: now,
+            // Earlier changes are unknown here: a front that lacks them asks for the whole content.
+            from: list.next,
+            next: list.next,
+            parts: VecDeque::new(),
+            content: BTreeMap::new(),
+            salts: BTreeMap::new(),
+        };
+        for part in &list.complete {
+            polled_store.set_part(part);
+        }
+        polled_store
+    }
+
+    fn set_part(
+        &mut self,
+        change: &KvChange,
+    ) -> NamespaceTag {
+        let namespace = NamespaceTag::of(&change.salt);
+        match change.tokens {
+            0 => self.content.remove(&(namespace, change.id)),
+            tokens => self.content.insert((namespace, change.id), tokens),
+        };
+        self.salts
+            .entry(namespace)
+            .or_insert_with(|| change.salt.clone());
+        namespace
+    }
+
+    /// The whole content; `None` if it does not fit into a datagram or its clock is unknown.
+    fn to_content(
+        &self,
+        store: SocketAddr,
+        now: Micros,
+    ) -> Option<KvStoreUpdate> {
+        if self.content.len() > MAX_CONTENT_PARTS || self.clock_ms.is_none() {
+            return None;
+        }
+        let parts = self.content.iter();
+        let parts = parts.map(|((namespace, id), tokens)| KvStorePart {
+            number: self.next,
+            namespace: *namespace,
+            id: *id,
+            tokens: *tokens,
+        });
+        let is_used = |namespace: &NamespaceTag| self.content.keys().any(|(n, _)| n == namespace);
+        let salts = self
+            .salts
+            .iter()
+            .filter(|(namespace, _)| is_used(namespace));
+        Some(KvStoreUpdate {
+            parts: parts.collect(),
+            is_whole: true,
+            salts: salts.map(|(_, salt)| salt.clone()).collect(),
+            ..self.to_update(store, now)
+        })
+    }
+
     fn to_update(
         &self,
         store: SocketAddr,
@@ -69,6 +150,8 @@
             from: self.from,
             next: self.next,
             parts: self.parts.iter().map(|(part, _)| *part).collect(),
+            is_whole: false,
+            salts: Vec::new(),
         }
     }
 
@@ -116,6 +199,46 @@
         updates
     }
 
+    /// Records that a front asks for the whole content of a store.
+    pub fn request_content(
+        &mut self,
+        store: SocketAddr,
+        front: SocketAddr,
+        now: Micros,
+    ) {
+        self.request(store, now);
+        self.content_requests.insert((store, front), now);
+    }
+
+    /// Takes the requests for whole contents that can be answered now: fronts and updates.
+    pub fn take_contents(
+        &mut self,
+        now: Micros,
+    ) -> Vec<(KvStoreUpdate, Vec<SocketAddr>)> {
+        self.content_requests
+            .retain(|_, at| now.since(*at) < CONTENT_REQUEST_TTL);
+        let mut contents = Vec::new();
+        for (store, polled_store) in &self.polled {
+            let requests = self.content_requests.keys();
+            let fronts: Vec<SocketAddr> = requests
+                .filter(|(wanted, _)| wanted == store)
+                .map(|(_, front)| *front)
+                .collect();
+            if fronts.is_empty() {
+                continue;
+            }
+            if let Some(update) = polled_store.to_content(*store, now) {
+                contents.push((update, fronts));
+            }
+        }
+        for (update, fronts) in &contents {
+            for front in fronts {
+                self.content_requests.remove(&(update.store, *front));
+            }
+        }
+        contents
+    }
+
     fn is_requested(
         &self,
         store: SocketAddr,
@@ -125,45 +248,49 @@
         requested_at.is_some_and(|at| now.since(*at) < REQUEST_TTL)
     }
 
+    /// Records changes of a store whose list is known. Returns false if changes are missing, so
+    /// that the list has to be read again.
     fn record_changes(
         &mut self,
         store: SocketAddr,
         changes: &KvChanges,
         sent_at: Micros,
         now: Micros,
-    ) {
-        let known = self.polled.remove(&store);
-        let known = known.filter(|known| known.epoch == changes.epoch && !changes.has_gap);
-        let mut polled_store = known.unwrap_or(PolledKvStore {
-            epoch: changes.epoch,
-            clock_ms: None,
-            sent_at,
-            answered_at: now,
-            // Earlier changes are unknown here: a front that lacks them polls the store itself.
-            from: changes.next,
-            next: changes.next,
-            parts: VecDeque::new(),
-        });
-        let is_known = |number: u64| number <= polled_store.next;
-        let new_changes = changes
-            .changes
-            .iter()
-            .filter(|change| !is_known(change.number));
-        let parts: Vec<KvStorePart> = new_changes
-            .map(|change| KvStorePart {
+    ) -> bool {
+        let Some(polled_store) = self.polled.get_mut(&store) else {
+            return false;
+        };
+        if polled_store.epoch != changes.epoch || changes.has_gap {
+            self.polled.remove(&store);
+            return false;
+        }
+        for change in &changes.changes {
+            if change.number <= polled_store.next {
+                continue;
+            }
+            let part = KvStorePart {
                 number: change.number,
-                namespace: NamespaceTag::of(&change.salt),
+                namespace: polled_store.set_part(change),
                 id: change.id,
                 tokens: change.tokens,
-            })
-            .collect();
-        polled_store
-            .parts
-            .extend(parts.into_iter().map(|part| (part, now)));
+            };
+            polled_store.parts.push_back((part, now));
+        }
         polled_store.clock_ms = changes.clock_ms;
         polled_store.sent_at = sent_at;
         polled_store.answered_at = now;
         polled_store.next = changes.next;
+        true
+    }
+
+    fn record_list(
+        &mut self,
+        store: SocketAddr,
+        list: &KvList,
+        sent_at: Micros,
+        now: Micros,
+    ) {
+        let polled_store = PolledKvStore::from_list(list, sent_at, now);
         self.polled.insert(store, polled_store);
     }
 
@@ -206,22 +333,40 @@
 ) {
     let mut client = KvClient::new(store, EXTRA_TIMEOUT);
     let mut next: Option<u64> = None;
+    let mut skips_wait = false;
     while agent.state().stores.is_requested(store, agent.now()) {
         let delay = match next {
             None => {
-                next = client.list().await.map(|list| list.next);
+                let sent_at = agent.now();
+                let list = client.list().await;
+                next = list.as_ref().map(|list| list.next);
+                if let Some(list) = &list {
+                    let now = agent.now();
+                    agent.state().stores.record_list(store, list, sent_at, now);
+                    // The time on the engines' clock comes with the changes.
+                    skips_wait = true;
+                }
                 next.map_or(RETRY_DELAY, |_| Micros::ZERO)
             }
             Some(since) => {
                 let sent_at = agent.now();
-                let changes = client.changes(since, POLL_WAIT).await;
+                let wait = match std::mem::take(&mut skips_wait) {
+                    true => Duration::ZERO,
+                    false => POLL_WAIT,
+                };
+                let changes = client.changes(since, wait).await;
                 let now = agent.now();
                 let mut state = agent.state();
                 match changes {
                     Ok(changes) => {
-                        state.stores.record_changes(store, &changes, sent_at, now);
-                        next = Some(changes.next);
-                        POLL_DELAY
+                        let stores = &mut state.stores;
+                        let is_complete = stores.record_changes(store, &changes, sent_at, now);
+                        next = is_complete.then_some(changes.next);
+                        if is_complete {
+                            POLL_DELAY
+                        } else {
+                            Micros::ZERO
+                        }
                     }
                     Err(KvError::Busy) => RETRY_DELAY,
                     Err(KvError::Unavailable) => {
--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -5,6 +5,7 @@
 //! actions that are returned. Hosts are the two binaries, tests and benchmarks.
 
 pub mod conf;
+pub mod dissemination;
 pub mod drain;
 pub mod errors;
 pub mod kv_cache;
--- a/core/src/serving/memory_budget.rs
+++ b/core/src/serving/memory_budget.rs
@@ -2,6 +2,19 @@
 /// the process's own state, buffers of connections and the allocator.
 const HELD_PERCENT: u64 = 40;
 
+/// Share of these, in percent, that answers may take. One that finds no room is passed on as it
+/// arrives, while a request that finds none is refused.
+const ANSWER_PERCENT: u64 = 50;
+
+/// What bytes are held for.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum HeldKind {
+    /// The body of a request.
+    Request,
+    /// An answer that is buffered until it is complete.
+    Answer,
+}
+
 /// Bytes that a process holds for callers and endpoints: bodies of requests and answers that have
 /// not been passed on. A process that exceeds its memory limit is killed.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -22,17 +35,23 @@
     /// Whether this many more bytes can be held.
     pub fn can_hold(
         &self,
+        kind: HeldKind,
         bytes: u64,
     ) -> bool {
-        self.used.saturating_add(bytes) <= self.limit
+        let limit = match kind {
+            HeldKind::Request => self.limit,
+            HeldKind::Answer => self.limit / 100 * ANSWER_PERCENT,
+        };
+        self.used.saturating_add(bytes) <= limit
     }
 
     /// Holds this many more bytes if there is room for them.
     pub fn try_hold(
         &mut self,
+        kind: HeldKind,
         bytes: u64,
     ) -> bool {
-        let can_hold = self.can_hold(bytes);
+        let can_hold = self.can_hold(kind, bytes);
         if can_hold {
             self.used += bytes;
         }
--- a/entry/src/front/caller_conn.rs
+++ b/entry/src/front/caller_conn.rs
@@ -2,7 +2,7 @@
     super::{handle_request, ConnectionReuse, FrontContext, HeldBytes, DEFAULT_CALLER_TIMEOUT},
     futures_lite::future::or,
     pitchhitch_core::{
-        serving::{CallerLimits, RefusalKind},
+        serving::{CallerLimits, HeldKind, RefusalKind},
         time::Micros,
     },
     pitchhitch_http1::{
@@ -98,7 +98,7 @@
     if !has_capacity(front, &head) {
         return ReadOutcome::Rejected(RefusalKind::Overloaded);
     }
-    let mut held = HeldBytes::new(front);
+    let mut held = HeldBytes::new(front, HeldKind::Request);
     match read_body(connection, &head, limits, &mut held, arrived_at).await {
         Ok(Some(body)) => {
             let request = ReceivedRequest {
@@ -125,7 +125,8 @@
         .and_then(|text| text.parse().ok());
     let body_bytes: u64 = content_length.unwrap_or(0);
     let held_bytes = body_bytes.saturating_mul(BODY_COPIES as u64);
-    body_bytes == 0 || front.state().memory_budget.can_hold(held_bytes)
+    let state = front.state();
+    body_bytes == 0 || state.memory_budget.can_hold(HeldKind::Request, held_bytes)
 }
 
 /// Returns false if the connection closes, is idle for too long or the process is stopping.
--- a/entry/src/front/digest_receiver.rs
+++ b/entry/src/front/digest_receiver.rs
@@ -11,7 +11,13 @@
         time::Micros,
     },
     pitchhitch_process::to_duration,
-    pitchhitch_wire::engine_agent::{DatagramSocket, DigestMessage, EngineDigest, GreetingEcho},
+    pitchhitch_wire::{
+        codec::decode_body,
+        engine_agent::{
+            BundledDigest, DatagramSocket, DigestKey, DigestMessage, EngineDigest, FrontDatagram,
+            GreetingEcho,
+        },
+    },
     smol::Timer,
     std::{
         hash::{DefaultHasher, Hash, Hasher},
@@ -39,7 +45,15 @@
     let mut rejected = 0;
     loop {
         match receive_digest(&front, &socket, &mut buffer).await {
-            Ok((received, from)) => handle_digest(&front, received, from),
+            Ok((FrontDatagram::Digest(received), from)) => {
+                let is_relayed = received.digest.engine.ip() != from.ip();
+                handle_digest(&front, *received, from, is_relayed);
+            }
+            Ok((FrontDatagram::Bundle(bundle), from)) => {
+                for bundled in bundle {
+                    handle_bundled(&front, bundled, from);
+                }
+            }
             Err(error) => {
                 let error = error.to_string();
                 log::warn!(event = "digest-failed", error = error.as_str(); "");
@@ -57,7 +71,7 @@
     front: &FrontContext,
     socket: &DatagramSocket,
     buffer: &mut Vec<u8>,
-) -> io::Result<(DigestMessage, SocketAddr)> {
+) -> io::Result<(FrontDatagram, SocketAddr)> {
     loop {
         let interval = digest_read_interval(front.state().registry.len());
         if interval == Micros::ZERO {
@@ -70,18 +84,55 @@
     }
 }
 
+/// Handles a digest among others, unless a copy of it or a later one was handled before.
+fn handle_bundled(
+    front: &FrontContext,
+    bundled: BundledDigest,
+    from: SocketAddr,
+) {
+    if is_known(front, &bundled.key) {
+        front.metrics.increment("digests", "copy");
+        return;
+    }
+    let Ok(digest) = decode_body::<EngineDigest>(&bundled.digest) else {
+        front.metrics.increment("digests", "unreadable");
+        return;
+    };
+    let received = DigestMessage {
+        digest,
+        echo: bundled.echo,
+    };
+    // An echo of another front, or of an earlier digest, would be of no use to this one, so the
+    // agent that passes it on need not be trusted more than the one that sent it.
+    handle_digest(front, received, from, false);
+}
+
+fn is_known(
+    front: &FrontContext,
+    key: &DigestKey,
+) -> bool {
+    let state = front.state();
+    let config = state.config.as_deref();
+    let is_candidate = |entry: &EndpointEntry| config.is_none_or(|config| is_engine(config, entry));
+    let entry = state.registry.present_at(key.engine, is_candidate);
+    let entry = entry.and_then(|key| state.registry.get(key));
+    let known = entry.and_then(|entry| entry.incarnation.digest);
+    known.is_some_and(|known| known.incarnation == key.incarnation && known.number >= key.number)
+}
+
+/// Handles a digest; `is_foreign` is whether it came from a box that does not send it first.
 fn handle_digest(
     front: &FrontContext,
     received: DigestMessage,
     from: SocketAddr,
+    is_foreign: bool,
 ) {
     let DigestMessage { digest, echo } = received;
     record_agent(front, from);
     apply_relayed_reports(front, &digest, echo, from);
     let change = apply_announcement(front, &digest, from);
     handle_endpoint_changes(front, change.as_slice());
-    let is_own = digest.engine.ip() == from.ip();
-    let change = apply_digest(front, digest, echo.filter(|_| is_own));
+    let change = apply_digest(front, digest, echo.filter(|_| !is_foreign));
     handle_endpoint_changes(front, change.as_slice());
 }
 
--- a/entry/src/front/greeting_sender.rs
+++ b/entry/src/front/greeting_sender.rs
@@ -1,6 +1,6 @@
 use {
     super::{
-        own_snapshot_hash, reader_id, FrontContext, FrontState, WatcherAssignment,
+        own_snapshot_hash, reader_id, FrontContext, FrontState, RelayAssignment, WatcherAssignment,
         MAX_DIRECT_READERS,
     },
     pitchhitch_core::{
@@ -8,7 +8,9 @@
         time::Micros,
     },
     pitchhitch_process::to_duration,
-    pitchhitch_wire::engine_agent::{DatagramSocket, DigestEcho, FrontGreeting, WantedWeights},
+    pitchhitch_wire::engine_agent::{
+        AgentDatagram, DatagramSocket, DigestEcho, FrontGreeting, WantedWeights,
+    },
     std::{
         collections::{BTreeMap, BTreeSet},
         net::{IpAddr, SocketAddr},
@@ -34,6 +36,7 @@
     computed_at: Option<Micros>,
     offered_snapshot: Option<(u64, Micros)>,
     watchers: WatcherAssignment,
+    relays: RelayAssignment,
 }
 
 /// Sends greetings to the engine agents. A greeting notifies an agent of state that it needs and
@@ -49,7 +52,8 @@
         refresh_cache(&front, &mut cache, now);
         for (to, greeting) in make_greetings(&front, &cache, now) {
             // A lost greeting is replaced by the next one.
-            if let Err(error) = socket.send(&greeting, to).await {
+            let datagram = AgentDatagram::Greeting(Box::new(greeting));
+            if let Err(error) = socket.send(&datagram, to).await {
                 let error = error.to_string();
                 log::debug!(event = "hello-failed", error = error.as_str(); "");
             }
@@ -73,6 +77,7 @@
         computed_at: Some(now),
         offered_snapshot: own_snapshot_hash(front),
         watchers: WatcherAssignment::assign(front),
+        relays: RelayAssignment::assign(front),
     };
 }
 
@@ -145,6 +150,8 @@
         greeting.again_within = greeting_interval(count);
         greeting.proofs.clone_from(&proofs);
         greeting.watches = cache.watchers.stores_for(*address);
+        greeting.wanted_contents = cache.watchers.contents_for(*address, state, round);
+        greeting.relays = cache.relays.relays_for(*address);
         if is_receiver {
             greeting.suspects.clone_from(&updates);
             greeting.wants_suspects = wants_suspects;
@@ -253,6 +260,8 @@
         wants_all: !entry.is_mirrored && entry.is_listed(),
         proofs: Vec::new(),
         watches: Vec::new(),
+        wanted_contents: Vec::new(),
+        relays: Vec::new(),
         start_limit: slow_start_limit(front, state, entry),
     }
 }
--- a/entry/src/front/held_bytes.rs
+++ b/entry/src/front/held_bytes.rs
@@ -1,16 +1,27 @@
-use {super::FrontContext, pitchhitch_core::time::Micros};
+use {
+    super::FrontContext,
+    pitchhitch_core::{serving::HeldKind, time::Micros},
+};
 
 /// Bytes of one request that count towards the memory budget of the process until this is dropped.
 #[derive(Debug)]
 pub(crate) struct HeldBytes<'a> {
     front: &'a FrontContext,
+    kind: HeldKind,
     bytes: u64,
 }
 
 impl<'a> HeldBytes<'a> {
     /// Holds nothing so far.
-    pub fn new(front: &'a FrontContext) -> Self {
-        HeldBytes { front, bytes: 0 }
+    pub fn new(
+        front: &'a FrontContext,
+        kind: HeldKind,
+    ) -> Self {
+        HeldBytes {
+            front,
+            kind,
+            bytes: 0,
+        }
     }
 
     /// Current time of the front.
@@ -24,7 +35,7 @@
         bytes: usize,
     ) -> bool {
         let bytes = bytes as u64;
-        let has_room = self.front.state().memory_budget.try_hold(bytes);
+        let has_room = self.front.state().memory_budget.try_hold(self.kind, bytes);
         if has_room {
             self.bytes += bytes;
         }
--- a/entry/src/front/kv_store_watch.rs
+++ b/entry/src/front/kv_store_watch.rs
@@ -1,5 +1,5 @@
 use {
-    super::{reclaim_outdated_parts, FrontContext, FrontState},
+    super::{reclaim_outdated_parts, FrontContext, FrontState, MAX_DIRECT_READERS},
     pitchhitch_core::{
         serving::{KvStoreView, PollPlan},
         time::Micros,
@@ -18,6 +18,13 @@
 /// Time for which a store is not polled after a report of another process's read: long enough for
 /// two digests.
 const REPORT_TTL: Micros = Micros::from_millis(1_300);
+/// Time for which a front waits for the whole content of a store from an agent that polls it,
+/// before it reads the store itself.
+const CONTENT_TIMEOUT: Micros = Micros::from_millis(1_500);
+/// Time after the start within which the agents report how many fronts there are.
+const START_TIMEOUT: Micros = Micros::from_millis(500);
+/// Interval of checks whether the content has arrived.
+const CONTENT_CHECK_INTERVAL: Micros = Micros::from_millis(100);
 /// Interval of checks for new stores.
 const DISCOVERY_INTERVAL: Micros = Micros::from_millis(60);
 
@@ -69,12 +76,23 @@
     let mut client = KvClient::new(address, CALL_TIMEOUT);
     let mut skips_wait = false;
     let mut is_unreachable = false;
+    let mut unknown_since: Option<Micros> = None;
     while let Some(plan) = poll_plan(&front, address) {
         if let Some(time_left) = report_time_left(&front, address) {
             front.sleep_coalesced(time_left).await;
             continue;
         }
         let next = next_change(&front, address);
+        match next {
+            Some(_) => unknown_since = None,
+            None => {
+                let since = *unknown_since.get_or_insert(front.now());
+                if awaits_content(&front, since) {
+                    front.sleep_coalesced(CONTENT_CHECK_INTERVAL).await;
+                    continue;
+                }
+            }
+        }
         // After a list or a pause, the clock is needed immediately, not with the next change.
         let wait = match skips_wait {
             true => Micros::ZERO,
@@ -127,6 +145,18 @@
     }
 }
 
+/// Whether the content of a store, unknown since `unknown_since`, may still arrive from an agent.
+fn awaits_content(
+    front: &FrontContext,
+    unknown_since: Micros,
+) -> bool {
+    let now = front.now();
+    let state = front.state();
+    let is_starting = state.last_digest_at.is_none() && now < START_TIMEOUT;
+    let has_watchers = state.fronts > MAX_DIRECT_READERS && state.last_digest_at.is_some();
+    is_starting || (has_watchers && now.since(unknown_since) < CONTENT_TIMEOUT)
+}
+
 /// Remaining time for which reports of another process replace polls by this front, if there are
 /// any.
 fn report_time_left(
@@ -167,6 +197,9 @@
     max_delay: Micros,
     now: Micros,
 ) {
+    if update.is_whole {
+        return apply_content(state, update, max_delay, now);
+    }
     let Some(view) = state.kv_store_directory.view_mut(update.store) else {
         return;
     };
@@ -188,6 +221,44 @@
     view.next_change = Some(next_change.max(update.next));
 }
 
+/// Applies the whole content of a store, unless it is known already.
+fn apply_content(
+    state: &mut FrontState,
+    update: &KvStoreUpdate,
+    max_delay: Micros,
+    now: Micros,
+) {
+    for salt in &update.salts {
+        state.namespace_tag(salt);
+    }
+    let Some(view) = state.kv_store_directory.view_mut(update.store) else {
+        return;
+    };
+    if view.next_change.is_some() {
+        return;
+    }
+    let sent_at = now.since(update.age + max_delay);
+    let clock_ms = update
+        .clock_ms
+        .map(|clock| clock + update.answered.as_millis());
+    view.record_response(update.epoch, clock_ms, sent_at, now);
+    view.parts.clear();
+    for part in &update.parts {
+        view.set_part(part.namespace, part.id, part.tokens);
+    }
+    view.next_change = Some(update.next);
+    view.reported_at = Some(now);
+    let store = update.store.to_string();
+    log::info!(
+        event = "kept-list",
+        store = store.as_str(),
+        epoch = update.epoch,
+        parts = update.parts.len(),
+        source = "agent";
+        ""
+    );
+}
+
 /// How to poll a store. `None` if it is no longer configured.
 fn poll_plan(
     front: &FrontContext,
--- a/entry/src/front/mod.rs
+++ b/entry/src/front/mod.rs
@@ -34,6 +34,7 @@
 mod peer_state;
 mod plain_response;
 mod rejoin_probe;
+mod relay_assignment;
 mod request_admit;
 mod request_attempt;
 mod request_choice;
@@ -57,9 +58,9 @@
 use {
     blocked_rows::*, call_timeout::*, evacuations::*, foreign_rows::*, greeting_schedule::*,
     lost_run::*, order_lease::*, orphan_engine::*, part_reclaim::*, peer_state::*, rejoin_probe::*,
-    request_admit::*, request_attempt::*, request_transfers::*, request_trial::*,
-    request_versions::*, rollout_rows::*, rollout_watch::*, slow_starts::*, watcher_assignment::*,
-    weight_update::*,
+    relay_assignment::*, request_admit::*, request_attempt::*, request_transfers::*,
+    request_trial::*, request_versions::*, rollout_rows::*, rollout_watch::*, slow_starts::*,
+    watcher_assignment::*, weight_update::*,
 };
 pub(crate) use {
     caller_conn::*, connection_pool::*, control_handler::*, digest_receiver::*,
--- a/entry/src/front/request_response.rs
+++ b/entry/src/front/request_response.rs
@@ -4,7 +4,10 @@
         write_to_caller, AttemptOutcome, EndpointExchange, EndpointResponse, ExchangeFailure,
         HeldBytes, PlainResponse, RelayEvent, RequestHandler,
     },
-    pitchhitch_core::{serving::EndpointChoice, time::Micros},
+    pitchhitch_core::{
+        serving::{EndpointChoice, HeldKind},
+        time::Micros,
+    },
     pitchhitch_http1::BodyFraming,
     pitchhitch_process::to_duration,
 };
@@ -52,7 +55,7 @@
     ) -> AttemptOutcome {
         let has_no_body = self.request.head.method == "HEAD";
         let closes = self.closes();
-        let mut held = HeldBytes::new(self.front);
+        let mut held = HeldBytes::new(self.front, HeldKind::Answer);
         let caller = &mut *self.caller;
         let read = read_plain_response(
             exchange,
--- a/entry/src/front/store_readers.rs
+++ b/entry/src/front/store_readers.rs
@@ -168,8 +168,14 @@
         .last_digest_at
         .is_none_or(|at| now.since(at) > DIGEST_TIMEOUT)
     {
-        // No agent reports the reads of others.
-        return ReaderTier::First;
+        // No agent reports the reads of others. A front that has just started does not know yet
+        // whether there are agents; once it has read the table, it need not read it again at once.
+        let is_starting = state.last_digest_at.is_none() && now < DIGEST_TIMEOUT;
+        let read_at = state.readers.table(table).and_then(TableProofs::proven_at);
+        return match is_starting && read_at.is_some() {
+            true => ReaderTier::Second,
+            false => ReaderTier::First,
+        };
     }
     ReaderTier::from_fraction(reader_fraction(&front.settings.box_id, table), state.fronts)
 }
--- a/entry/src/front/watcher_assignment.rs
+++ b/entry/src/front/watcher_assignment.rs
@@ -1,6 +1,9 @@
 use {
-    super::{is_engine, FrontContext},
-    pitchhitch_core::serving::{mix_hashes, stable_hash},
+    super::{is_engine, FrontContext, FrontState},
+    pitchhitch_core::{
+        dissemination::RendezvousSet,
+        serving::{mix_bits, stable_hash},
+    },
     std::{collections::BTreeMap, net::SocketAddr},
 };
 
@@ -14,6 +17,8 @@
 #[derive(Debug, Default)]
 pub(super) struct WatcherAssignment {
     stores_by_engine: BTreeMap<SocketAddr, Vec<SocketAddr>>,
+    /// Engines whose agents poll a store.
+    watchers: BTreeMap<SocketAddr, Vec<SocketAddr>>,
 }
 
 impl WatcherAssignment {
@@ -28,17 +33,48 @@
             return WatcherAssignment::default();
         };
         let engines = state.registry.present(|entry| is_engine(config, entry));
-        let engines: Vec<EngineCandidate> = engines.into_keys().map(EngineCandidate::new).collect();
+        let engines = RendezvousSet::new(engines.into_keys());
         let mut stores_by_engine: BTreeMap<SocketAddr, Vec<SocketAddr>> = BTreeMap::new();
+        let mut watchers = BTreeMap::new();
         for view in state.kv_store_directory.views() {
-            for engine in pick_watchers(view.store.address, &engines) {
+            let store_hash = stable_hash(view.store.address.to_string());
+            let picked = engines.pick::<WATCHERS>(store_hash);
+            watchers.insert(view.store.address, picked.clone());
+            for engine in picked {
                 stores_by_engine
                     .entry(engine)
                     .or_default()
                     .push(view.store.address);
             }
         }
-        WatcherAssignment { stores_by_engine }
+        WatcherAssignment {
+            stores_by_engine,
+            watchers,
+        }
+    }
+
+    /// Stores whose whole content this front asks the agent of an engine for. Their watchers are
+    /// asked by turns.
+    pub fn contents_for(
+        &self,
+        engine: SocketAddr,
+        state: &mut FrontState,
+        round: u64,
+    ) -> Vec<SocketAddr> {
+        let mut wanted = Vec::new();
+        for store in self.stores_for(engine) {
+            let view = state.kv_store_directory.view_mut(store);
+            let is_wanted = view.is_some_and(|view| view.next_change.is_none());
+            let watchers = self.watchers.get(&store);
+            let is_turn = watchers.is_some_and(|watchers| {
+                let turn = mix_bits(round) as usize % watchers.len().max(1);
+                watchers.get(turn) == Some(&engine)
+            });
+            if is_wanted && is_turn {
+                wanted.push(store);
+            }
+        }
+        wanted
     }
 
     /// Stores that the agent of an engine is to poll.
@@ -52,30 +88,3 @@
             .unwrap_or_default()
     }
 }
-
-/// An engine and its hash for rendezvous hashing.
-struct EngineCandidate {
-    address: SocketAddr,
-    hash: u64,
-}
-
-impl EngineCandidate {
-    fn new(address: SocketAddr) -> Self {
-        let hash = stable_hash(address.to_string());
-        EngineCandidate { address, hash }
-    }
-}
-
-/// The engines with the highest rank for a store. If an engine disappears, only its stores are
-/// reassigned.
-fn pick_watchers(
-    store: SocketAddr,
-    engines: &[EngineCandidate],
-) -> Vec<SocketAddr> {
-    let store_hash = stable_hash(store.to_string());
-    let rank = |engine: &EngineCandidate| mix_hashes(store_hash, engine.hash);
-    let mut ranked: Vec<(u64, SocketAddr)> = engines.iter().map(|e| (rank(e), e.address)).collect();
-    ranked.sort_unstable();
-    let highest = ranked.into_iter().rev().take(WATCHERS);
-    highest.map(|(_, engine)| engine).collect()
-}
--- a/wire/src/engine_agent/digest_message.rs
+++ b/wire/src/engine_agent/digest_message.rs
@@ -1,8 +1,9 @@
 use {
-    super::EngineDigest,
+    super::{BundledDigest, DigestKey, EngineDigest, RelayedDigest},
     crate::codec::{encode_body, FrameError},
     pitchhitch_core::{serving::SendGrant, time::Micros},
     serde::{Deserialize, Serialize},
+    std::net::SocketAddr,
 };
 
 /// Latest greeting received from a front when a digest was sent to it; the digest was therefore
@@ -26,9 +27,15 @@
     pub echo: Option<GreetingEcho>,
 }
 
+/// Variant of a [`FrontDatagram`](super::FrontDatagram) with one digest, as the codec writes it.
+const DIGEST_VARIANT: u8 = 0;
+
 /// Digest that is encoded once for all fronts.
 #[derive(Debug, Clone)]
-pub struct EncodedDigest(Vec<u8>);
+pub struct EncodedDigest {
+    key: DigestKey,
+    bytes: Vec<u8>,
+}
 
 impl EncodedDigest {
     /// Encodes a digest.
@@ -36,10 +43,17 @@
     /// # Errors
     /// [`FrameError::Malformed`] if it cannot be encoded.
     pub fn new(digest: &EngineDigest) -> Result<Self, FrameError> {
-        encode_body(digest).map(EncodedDigest)
+        Ok(EncodedDigest {
+            key: DigestKey {
+                engine: digest.engine,
+                incarnation: digest.incarnation,
+                number: digest.number,
+            },
+            bytes: encode_body(digest)?,
+        })
     }
 
-    /// Encodes a [`DigestMessage`] with this digest. The codec writes the fields of a struct one
+    /// Encodes a datagram to a front with this digest. The codec writes variant and fields one
     /// after the other, so the encoded echo is appended.
     ///
     /// # Errors
@@ -48,8 +62,36 @@
         &self,
         echo: Option<GreetingEcho>,
     ) -> Result<Vec<u8>, FrameError> {
-        let mut body = self.0.clone();
+        let mut body = Vec::with_capacity(self.bytes.len() + 16);
+        body.push(DIGEST_VARIANT);
+        body.extend_from_slice(&self.bytes);
         body.extend(encode_body(&echo)?);
         Ok(body)
     }
+
+    /// This digest among others in one datagram.
+    pub fn to_bundled(
+        &self,
+        echo: Option<GreetingEcho>,
+    ) -> BundledDigest {
+        BundledDigest {
+            key: self.key,
+            digest: self.bytes.clone(),
+            echo,
+        }
+    }
+
+    /// This digest for agents that pass it on.
+    pub fn to_relayed(
+        &self,
+        is_urgent: bool,
+        echoes: Vec<(SocketAddr, GreetingEcho)>,
+    ) -> RelayedDigest {
+        RelayedDigest {
+            key: self.key,
+            is_urgent,
+            digest: self.bytes.clone(),
+            echoes,
+        }
+    }
 }
--- a/wire/src/engine_agent/front_greeting.rs
+++ b/wire/src/engine_agent/front_greeting.rs
@@ -68,4 +68,9 @@
     pub start_limit: u32,
     /// KV stores to poll on behalf of all fronts.
     pub watches: Vec<SocketAddr>,
+    /// KV stores, among those polled, whose whole content the front asks for.
+    pub wanted_contents: Vec<SocketAddr>,
+    /// Agents in the front's failure domain that pass the engine's digests on to all fronts there;
+    /// empty if the engine is in the same domain.
+    pub relays: Vec<SocketAddr>,
 }
--- a/wire/src/engine_agent/kv_store_update.rs
+++ b/wire/src/engine_agent/kv_store_update.rs
@@ -38,6 +38,11 @@
     pub from: u64,
     /// Sequence number from which to continue.
     pub next: u64,
-    /// Changes, in order; earlier updates contained some of them.
+    /// Changes, in order; earlier updates contained some of them. Or all complete parts, if
+    /// `is_whole`.
     pub parts: Vec<KvStorePart>,
+    /// Whether this update contains the whole content of the store, for a front that asked for it.
+    pub is_whole: bool,
+    /// Salts of the cache namespaces of these parts, if `is_whole`.
+    pub salts: Vec<String>,
 }
--- a/wire/tests/datagram_socket.rs
+++ b/wire/tests/datagram_socket.rs
@@ -9,7 +9,8 @@
         beacon::BeaconKey,
         codec::{decode_body, encode_body},
         engine_agent::{
-            DatagramSocket, DigestMessage, DigestPart, EncodedDigest, EngineDigest, GreetingEcho,
+            DatagramSocket, DigestMessage, DigestPart, EncodedDigest, EngineDigest, FrontDatagram,
+            GreetingEcho,
         },
     },
     smol::{future::or, Timer},
@@ -157,7 +158,10 @@
     });
     let encoded = EncodedDigest::new(&digest).expect("encoded");
     let bytes = encoded.with_echo(echo).expect("encoded");
-    let message: DigestMessage = decode_body(&bytes).expect("decoded");
+    let datagram: FrontDatagram = decode_body(&bytes).expect("decoded");
+    let FrontDatagram::Digest(message) = datagram else {
+        panic!("not a digest");
+    };
     let grouped = vec![part(1, "aa", 10), part(1, "aa", 0), part(2, "bb", 20)];
     assert_eq!((message.echo, &message.digest.parts), (echo, &grouped));
     assert_eq!(
@@ -167,5 +171,6 @@
             ..digest.clone()
         }
     );
-    assert_eq!(encode_body(&DigestMessage { digest, echo }), Ok(bytes));
+    let message = Box::new(DigestMessage { digest, echo });
+    assert_eq!(encode_body(&FrontDatagram::Digest(message)), Ok(bytes));
 }
