core/src/serving has a folder for each kind of decision

Change: eight folders, each with its own mod.rs; names under pitchhitch_core::serving are as before; private items are visible in serving as before. A comment of swap_planner named figures of deployments.

--- a/core/src/serving/admission_controller.rs
+++ b/core/src/serving/admission/admission_controller.rs
@@ -1,5 +1,5 @@
 use {
-    super::{
+    crate::serving::{
         AdmissionDecision, AdmissionRequest, EndpointChoice, LatencyEstimator, MechanismSet,
         PriorityShares, RouteStats, ServingMechanism,
     },
--- a/core/src/serving/endpoint_pick.rs
+++ b/core/src/serving/choice/endpoint_pick.rs
@@ -1,5 +1,5 @@
 use {
-    super::{
+    crate::serving::{
         plan_prompt, EndpointEntry, EndpointKey, EndpointRegistry, EndpointStatus,
         LatencyEstimator, MechanismSet, NamespaceTag, PartAvailability, PromptInfo, PromptPlan,
         ServingMechanism, SwapStage, WeightBounds,
--- a/core/src/serving/grant_allocator.rs
+++ b/core/src/serving/choice/grant_allocator.rs
@@ -1,5 +1,5 @@
 use {
-    super::{SendGrant, GRANT_RECLAIM_DELAY},
+    crate::serving::{SendGrant, GRANT_RECLAIM_DELAY},
     crate::time::Micros,
     std::collections::BTreeMap,
 };
--- a/core/src/serving/latency_estimator.rs
+++ b/core/src/serving/choice/latency_estimator.rs
@@ -1,5 +1,5 @@
 use {
-    super::{MechanismSet, ServingMechanism},
+    crate::serving::{MechanismSet, ServingMechanism},
     crate::time::Micros,
 };
 
--- /dev/null
+++ b/core/src/serving/choice/mod.rs
@@ -0,0 +1,13 @@
+//! Which endpoint receives a request.
+
+mod allowed_regions;
+mod endpoint_pick;
+mod evacuation_set;
+mod grant_allocator;
+mod latency_estimator;
+mod slow_start;
+
+pub use {
+    allowed_regions::*, endpoint_pick::*, evacuation_set::*, grant_allocator::*,
+    latency_estimator::*, slow_start::*,
+};
--- a/core/src/serving/key_freshness.rs
+++ b/core/src/serving/config/key_freshness.rs
@@ -1,5 +1,5 @@
 use {
-    super::{reported_age::ReportedAge, KeyPolicy},
+    crate::serving::{store_reads::ReportedAge, KeyPolicy},
     crate::time::Micros,
 };
 
--- a/core/src/serving/mechanism_set.rs
+++ b/core/src/serving/config/mechanism_set.rs
@@ -1,4 +1,4 @@
-use super::ServingMechanism;
+use crate::serving::ServingMechanism;
 
 /// A set of disabled mechanisms; empty by default.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
--- a/core/src/serving/path_index.rs
+++ b/core/src/serving/config/path_index.rs
@@ -1,4 +1,4 @@
-use {super::ServedRoute, std::collections::HashMap};
+use {crate::serving::ServedRoute, std::collections::HashMap};
 
 /// Finds the route with the longest matching prefix. A lookup takes one hash access per slash of
 /// the path, independent of the number of routes.
--- a/core/src/serving/serving_config.rs
+++ b/core/src/serving/config/serving_config.rs
@@ -1,5 +1,5 @@
 use {
-    super::{
+    crate::serving::{
         CallerLimits, KvStore, PathIndex, RefusalKind, RequestInfo, ServedRoute, SlowStartRule,
     },
     std::collections::HashMap,
--- a/core/src/serving/cache_namespace.rs
+++ b/core/src/serving/kv_stores/cache_namespace.rs
@@ -1,4 +1,4 @@
-use super::NamespaceTag;
+use crate::serving::NamespaceTag;
 
 /// Namespace in which prompt parts are shared: the weights of one version, and one organisation if
 /// it is isolated.
--- a/core/src/serving/fetch_completion.rs
+++ b/core/src/serving/kv_stores/fetch_completion.rs
@@ -1,5 +1,5 @@
 use {
-    super::{KnownWeights, VIEW_TTL},
+    crate::serving::{KnownWeights, VIEW_TTL},
     crate::time::Micros,
     std::{collections::BTreeMap, net::SocketAddr},
 };
--- a/core/src/serving/kv_store_directory.rs
+++ b/core/src/serving/kv_stores/kv_store_directory.rs
@@ -1,5 +1,5 @@
 use {
-    super::{
+    crate::serving::{
         mix_bits, transfer_ms, unit_fraction, EndpointEntry, EndpointKey, EndpointRegistry,
         EndpointStatus, EngineConfig, KvStore, KvStoreView, MechanismSet, NamespaceTag, PromptPart,
         ServingMechanism,
--- a/core/src/serving/kv_store_uptime.rs
+++ b/core/src/serving/kv_stores/kv_store_uptime.rs
@@ -1,5 +1,5 @@
 use {
-    super::KvStoreDirectory,
+    crate::serving::KvStoreDirectory,
     crate::time::Micros,
     serde::{Deserialize, Serialize},
     std::net::SocketAddr,
--- a/core/src/serving/kv_store_view.rs
+++ b/core/src/serving/kv_stores/kv_store_view.rs
@@ -1,5 +1,5 @@
 use {
-    super::{KvStore, KvStoreUptime, NamespaceTag, PartId, PartIndex},
+    crate::serving::{KvStore, KvStoreUptime, NamespaceTag, PartId, PartIndex},
     crate::time::Micros,
     std::collections::HashMap,
 };
--- /dev/null
+++ b/core/src/serving/kv_stores/mod.rs
@@ -0,0 +1,18 @@
+//! Prompts, their parts, and where these are cached.
+
+mod cache_namespace;
+mod fetch_completion;
+mod kv_store;
+mod kv_store_directory;
+mod kv_store_uptime;
+mod kv_store_view;
+mod part_index;
+mod prompt_info;
+mod prompt_part;
+mod reclaim_state;
+
+pub use {
+    cache_namespace::*, fetch_completion::*, kv_store::*, kv_store_directory::*,
+    kv_store_uptime::*, kv_store_view::*, part_index::*, prompt_info::*, prompt_part::*,
+    reclaim_state::*,
+};
--- a/core/src/serving/part_index.rs
+++ b/core/src/serving/kv_stores/part_index.rs
@@ -1,5 +1,5 @@
 use {
-    super::{stable_hash, PartId, PromptPart},
+    crate::serving::{stable_hash, PartId, PromptPart},
     serde::{Deserialize, Serialize},
     std::collections::HashMap,
 };
--- a/core/src/serving/prompt_info.rs
+++ b/core/src/serving/kv_stores/prompt_info.rs
@@ -1,4 +1,4 @@
-use {super::PromptPart, crate::time::Micros};
+use {crate::serving::PromptPart, crate::time::Micros};
 
 /// Attributes of a request, independent of the platform's protocol.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
--- a/core/src/serving/endpoint_entry.rs
+++ b/core/src/serving/membership/endpoint_entry.rs
@@ -1,5 +1,5 @@
 use {
-    super::{
+    crate::serving::{
         EndpointIncarnation, EndpointRejoin, EndpointSlowStart, KnownWeights, LatencyEstimator,
         PartIndex, StorePosition, SwapStage,
     },
--- a/core/src/serving/endpoint_incarnation.rs
+++ b/core/src/serving/membership/endpoint_incarnation.rs
@@ -1,5 +1,5 @@
 use {
-    super::{
+    crate::serving::{
         status_change, EndpointChange, EndpointEntry, EndpointKey, EndpointNotice,
         EndpointRegistry, EndpointRejoin, EndpointStatus, IncarnationTracker, KnownWeights,
         ListedIncarnation, PartIndex, StorePosition, SwapStage,
@@ -117,7 +117,7 @@
 
 impl EndpointEntry {
     /// Applies a list notice about a known endpoint.
-    pub(super) fn apply_listed(
+    pub(in crate::serving) fn apply_listed(
         &mut self,
         notice: &EndpointNotice,
         listed_status: EndpointStatus,
@@ -164,7 +164,7 @@
 
     /// Records a report that the endpoint is alive but not on the list; true if it was known to
     /// have left in an earlier incarnation.
-    pub(super) fn apply_unlisted(
+    pub(in crate::serving) fn apply_unlisted(
         &mut self,
         notice: &EndpointNotice,
     ) -> bool {
@@ -181,7 +181,7 @@
 
     /// Applies the first list notice about a later incarnation, which voids the leave of the
     /// earlier one.
-    pub(super) fn begin_listing(
+    pub(in crate::serving) fn begin_listing(
         &mut self,
         notice: &EndpointNotice,
         listed_status: EndpointStatus,
@@ -205,7 +205,7 @@
 
     /// Starts a later incarnation: cached parts, weights and load of the previous one are dropped.
     /// Requests that this front sent to the previous one still count until they end.
-    pub(super) fn begin_incarnation(
+    pub(in crate::serving) fn begin_incarnation(
         &mut self,
         born: Option<u64>,
     ) {
--- a/core/src/serving/endpoint_registry.rs
+++ b/core/src/serving/membership/endpoint_registry.rs
@@ -1,5 +1,5 @@
 use {
-    super::{
+    crate::serving::{
         EndpointEntry, EndpointIncarnation, EndpointNotice, EndpointRejoin, EndpointSlowStart,
         EndpointStatus, KnownWeights, PartIndex, PendingPrefill, StorePosition, SwapPlanner,
         SwapStage,
@@ -39,7 +39,7 @@
 /// All known endpoints, indexed by id because an address can be reused.
 #[derive(Debug, Clone, Default)]
 pub struct EndpointRegistry {
-    pub(super) entries: SlotMap<EndpointKey, EndpointEntry>,
+    pub(in crate::serving) entries: SlotMap<EndpointKey, EndpointEntry>,
     ids: BTreeMap<String, EndpointKey>,
     /// Endpoints that were listed at an address; some may have moved since.
     by_address: HashMap<SocketAddr, Vec<EndpointKey>>,
@@ -189,7 +189,7 @@
     }
 
     /// Endpoints at an address.
-    pub(super) fn at_address(
+    pub(in crate::serving) fn at_address(
         &self,
         address: SocketAddr,
     ) -> impl Iterator<Item = (EndpointKey, &EndpointEntry)> {
@@ -374,7 +374,7 @@
     }
 }
 
-pub(super) fn status_change(
+pub(in crate::serving) fn status_change(
     status: EndpointStatus,
     id: String,
 ) -> EndpointChange {
--- a/core/src/serving/endpoint_rejoin.rs
+++ b/core/src/serving/membership/endpoint_rejoin.rs
@@ -1,5 +1,5 @@
 use {
-    super::{
+    crate::serving::{
         EndpointChange, EndpointEntry, EndpointKey, EndpointNotice, EndpointRegistry,
         EndpointStatus,
     },
@@ -36,7 +36,7 @@
 
 impl EndpointRejoin {
     /// Initial state of an incarnation, given the first status that is seen of it.
-    pub(super) fn of(status: EndpointStatus) -> Self {
+    pub(in crate::serving) fn of(status: EndpointStatus) -> Self {
         match status {
             EndpointStatus::Leaving => EndpointRejoin::Never,
             EndpointStatus::Serving | EndpointStatus::Lapsed => EndpointRejoin::Away,
@@ -78,7 +78,7 @@
     }
 
     /// Applies the status on the list; true if this changes the status of the entry.
-    pub(super) fn update_status(
+    pub(in crate::serving) fn update_status(
         &mut self,
         listed_status: EndpointStatus,
     ) -> bool {
@@ -106,7 +106,7 @@
     /// Records a list notice that an incarnation born before the one that left is serving. When
     /// such notices were always treated as delayed writes, an endpoint that restarted after its
     /// clock was set back received no requests until its state was removed 30 s later.
-    pub(super) fn record_rollback(
+    pub(in crate::serving) fn record_rollback(
         &mut self,
         notice: &EndpointNotice,
     ) {
--- a/core/src/serving/incarnation_tracker.rs
+++ b/core/src/serving/membership/incarnation_tracker.rs
@@ -1,4 +1,4 @@
-use {super::IncarnationOrder, crate::time::Micros};
+use {crate::serving::IncarnationOrder, crate::time::Micros};
 
 /// Time for which reports of an earlier incarnation count as late. A process's own reports arrive
 /// within milliseconds, and after a pause it may report its previous state once or twice.
--- a/core/src/serving/listed_incarnation.rs
+++ b/core/src/serving/membership/listed_incarnation.rs
@@ -1,4 +1,4 @@
-use super::StorePosition;
+use crate::serving::StorePosition;
 
 /// Incarnation of an endpoint on the list.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
--- a/core/src/serving/era_tracker.rs
+++ b/core/src/serving/store_reads/era_tracker.rs
@@ -1,4 +1,4 @@
-use {super::StoreEra, crate::time::Micros};
+use {crate::serving::StoreEra, crate::time::Micros};
 
 /// Time after a restore of the platform store within which its writers have rewritten what the
 /// restore lost.
--- a/core/src/serving/reader_tier.rs
+++ b/core/src/serving/store_reads/reader_tier.rs
@@ -1,4 +1,4 @@
-use super::{stable_fraction, ProvenTable};
+use crate::serving::{stable_fraction, ProvenTable};
 
 /// Approximate number of fronts that read a table of the platform store continuously: two are
 /// required, and any of them may stop.
--- a/core/src/serving/reported_age.rs
+++ b/core/src/serving/store_reads/reported_age.rs
@@ -3,7 +3,7 @@
 /// An age reported by another box, and when it was valid. It may reach back to before this process
 /// started, which no time of its own clock does.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(super) struct ReportedAge {
+pub(in crate::serving) struct ReportedAge {
     /// Age at the time `at`.
     pub age: Micros,
     /// When the age was valid.
--- a/core/src/serving/suspect_record.rs
+++ b/core/src/serving/suspects/suspect_record.rs
@@ -1,5 +1,5 @@
 use {
-    super::RequestFingerprint,
+    crate::serving::RequestFingerprint,
     crate::time::Micros,
     serde::{Deserialize, Serialize},
 };
@@ -56,20 +56,20 @@
 
 /// Crashes and complete responses of one request.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
-pub(super) struct SuspectRecord {
+pub(in crate::serving) struct SuspectRecord {
     crashes: Vec<SuspectCrash>,
-    pub(super) answered: Option<Micros>,
+    pub(in crate::serving) answered: Option<Micros>,
     /// Number of crashes that count against the request. A crash counts if the request was sent
     /// after the previous counted one, by a front that knew of all counted ones: only then did it
     /// run without other suspects on the endpoint. Endpoints that crash together or in quick
     /// succession count as one crash, as a request that many callers send runs on all of them.
     /// Crashes up to the last complete response do not count.
-    pub(super) count: u32,
+    pub(in crate::serving) count: u32,
 }
 
 impl SuspectRecord {
     /// Merges a crash; true if it was unknown. A crash that is reported twice counts once.
-    pub(super) fn merge_crash(
+    pub(in crate::serving) fn merge_crash(
         &mut self,
         crash: SuspectCrash,
     ) -> bool {
@@ -100,7 +100,7 @@
     }
 
     /// Merges the time of a complete response; true if this clears at least one crash.
-    pub(super) fn merge_response(
+    pub(in crate::serving) fn merge_response(
         &mut self,
         answered: Micros,
     ) -> bool {
@@ -125,18 +125,18 @@
     }
 
     /// When an endpoint last crashed during it.
-    pub(super) fn last_crash(&self) -> Option<Micros> {
+    pub(in crate::serving) fn last_crash(&self) -> Option<Micros> {
         self.crashes.last().map(|crash| crash.ended)
     }
 
     /// When the last crash or complete response was recorded.
-    pub(super) fn last_update(&self) -> Micros {
+    pub(in crate::serving) fn last_update(&self) -> Micros {
         let crashed = self.last_crash();
         crashed.max(self.answered).unwrap_or_default()
     }
 
     /// The record as a report, with ages instead of times.
-    pub(super) fn report(
+    pub(in crate::serving) fn report(
         &self,
         fingerprint: RequestFingerprint,
         now: Micros,
--- a/core/src/serving/suspect_tracker.rs
+++ b/core/src/serving/suspects/suspect_tracker.rs
@@ -1,5 +1,6 @@
 use {
-    super::{suspect_record::SuspectRecord, RequestFingerprint, SuspectCrash, SuspectReport},
+    super::suspect_record::SuspectRecord,
+    crate::serving::{RequestFingerprint, SuspectCrash, SuspectReport},
     crate::time::Micros,
     std::collections::{BTreeMap, BTreeSet},
 };
--- a/core/src/serving/trial_table.rs
+++ b/core/src/serving/suspects/trial_table.rs
@@ -1,5 +1,5 @@
 use {
-    super::{EndpointKey, RequestFingerprint},
+    crate::serving::{EndpointKey, RequestFingerprint},
     crate::time::Micros,
 };
 
--- a/core/src/serving/order_right.rs
+++ b/core/src/serving/weights/order_right.rs
@@ -1,4 +1,4 @@
-use {super::StorePosition, crate::time::Micros};
+use {crate::serving::StorePosition, crate::time::Micros};
 
 /// Time for which a check of the row permits orders, from when the request was sent. A process that
 /// takes over waits longer than this.
--- a/core/src/serving/publication_records.rs
+++ b/core/src/serving/weights/publication_records.rs
@@ -1,8 +1,8 @@
 //! Publications of weights, and until when parts of older versions are fetched.
 
 use {
-    super::{
-        reported_age::ReportedAge, PartId, ReclaimState, SwapPlanner, WeightPublication,
+    crate::serving::{
+        store_reads::ReportedAge, PartId, ReclaimState, SwapPlanner, WeightPublication,
         MAX_REPORT_GAP, RECLAIM_TIMEOUT, VIEW_TTL,
     },
     crate::time::Micros,
@@ -40,17 +40,17 @@
 
 /// A publication as known to this box.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(super) struct PublicationRecord {
+pub(in crate::serving) struct PublicationRecord {
     /// Newest version before it, if known; 0 if there was none.
-    pub(super) previous: Option<u64>,
+    pub(in crate::serving) previous: Option<u64>,
     last_absent_at: Option<Micros>,
-    pub(super) learned_at: Micros,
+    pub(in crate::serving) learned_at: Micros,
     reported: Option<ReportedAge>,
 }
 
 impl PublicationRecord {
     /// Longest time for which the weights can have been published, if known.
-    pub(super) fn age(
+    pub(in crate::serving) fn age(
         &self,
         now: Micros,
     ) -> Option<Micros> {
@@ -58,7 +58,7 @@
     }
 
     /// Whether the weights may have been published for longer than `limit`.
-    pub(super) fn is_expired(
+    pub(in crate::serving) fn is_expired(
         &self,
         limit: Micros,
         now: Micros,
@@ -70,7 +70,7 @@
     }
 
     /// Whether other boxes have had time to report what this box does not know.
-    pub(super) fn is_report_overdue(
+    pub(in crate::serving) fn is_report_overdue(
         &self,
         limit: Micros,
         now: Micros,
@@ -254,7 +254,7 @@
     /// ended.
     ///
     /// `completed_until_ms` is the time up to which they have proven it
-    /// ([`super::FetchCompletion::completed_until_ms`]); `clock_ms` is an upper bound of the
+    /// ([`crate::serving::FetchCompletion::completed_until_ms`]); `clock_ms` is an upper bound of the
     /// engines' clock at `now`.
     pub fn reclaim_state(
         &self,
@@ -284,7 +284,7 @@
         }
     }
 
-    pub(super) fn replaced_by(
+    pub(in crate::serving) fn replaced_by(
         &self,
         model: &str,
         version: u64,
@@ -323,6 +323,6 @@
     }
 }
 
-pub(super) fn version_range(model: &str) -> RangeInclusive<(String, u64)> {
+pub(in crate::serving) fn version_range(model: &str) -> RangeInclusive<(String, u64)> {
     (model.to_string(), 0)..=(model.to_string(), u64::MAX)
 }
--- a/core/src/serving/swap_planner.rs
+++ b/core/src/serving/weights/swap_planner.rs
@@ -1,11 +1,11 @@
 use {
-    super::{publication_records::PublicationRecord, EndpointEntry, EndpointKey, EndpointRegistry},
+    super::publication_records::PublicationRecord,
+    crate::serving::{EndpointEntry, EndpointKey, EndpointRegistry},
     crate::time::Micros,
     std::collections::BTreeMap,
 };
 
-/// Minimum number of engines of a service that may load at once; more would slow each other down
-/// (the site specifications give two of nine and ten of fifty-four).
+/// Minimum number of engines of a service that may load at once; more would slow each other down.
 const MIN_CONCURRENT_LOADS: usize = 2;
 /// Engines of a service per concurrent load.
 const ENGINES_PER_LOAD: usize = 5;
@@ -28,10 +28,10 @@
 /// Published weights, and the engines whose turn it is to load them.
 #[derive(Debug, Clone, Default)]
 pub struct SwapPlanner {
-    pub(super) published: BTreeMap<String, u64>,
-    pub(super) publications: BTreeMap<(String, u64), PublicationRecord>,
+    pub(in crate::serving) published: BTreeMap<String, u64>,
+    pub(in crate::serving) publications: BTreeMap<(String, u64), PublicationRecord>,
     /// Weights that engines had before this box read of their publication, and since when.
-    pub(super) unpublished: BTreeMap<(String, u64), Micros>,
+    pub(in crate::serving) unpublished: BTreeMap<(String, u64), Micros>,
     turns: BTreeMap<EndpointKey, SwapTurn>,
     missed_turns: BTreeMap<EndpointKey, u32>,
 }
--- a/core/src/serving/version_expiry.rs
+++ b/core/src/serving/weights/version_expiry.rs
@@ -1,10 +1,8 @@
 //! Time limit for starting requests on weights that a newer version has replaced.
 
 use {
-    super::{
-        publication_records::{version_range, PublicationRecord},
-        SwapPlanner, WeightBounds,
-    },
+    super::publication_records::{version_range, PublicationRecord},
+    crate::serving::{SwapPlanner, WeightBounds},
     crate::time::Micros,
 };
 
