Greetings and polled stores leave digest_sender and store_poller

Change: greeting_receiver takes greetings, polled_kv_store holds what is known of one store; a greeting is accepted in a function of its own. Behaviour as before.

--- a/agent/src/engine_agent/digest_sender.rs
+++ b/agent/src/engine_agent/digest_sender.rs
@@ -1,22 +1,15 @@
 use {
-    super::{
-        accept_relayed, deliver_digest, pass_on, send_digest, EngineAgentContext, EngineAgentState,
-        MAX_DIGEST_INTERVAL,
-    },
+    super::{deliver_digest, pass_on, send_digest, EngineAgentContext, MAX_DIGEST_INTERVAL},
     pitchhitch_core::{
-        serving::{digest_interval, EngineLoad, ListedIncarnation, StoreProof, SuspectReport},
+        serving::{digest_interval, EngineLoad, StoreProof, SuspectReport},
         time::Micros,
     },
     pitchhitch_process::to_duration,
-    pitchhitch_wire::engine_agent::{
-        AgentDatagram, DigestEcho, DigestPart, EngineDigest, FrontGreeting,
-    },
+    pitchhitch_wire::engine_agent::{DigestEcho, DigestPart, EngineDigest},
     smol::Timer,
-    std::{net::SocketAddr, rc::Rc, time::Duration},
+    std::{net::SocketAddr, rc::Rc},
 };
 
-/// Delay after a socket error.
-const RETRY_DELAY: Duration = Duration::from_millis(45);
 /// Minimum interval between digests that repeat what fronts or this agent have read from stores.
 /// New reads of the platform store are forwarded at once.
 const FORWARD_INTERVAL: Micros = Micros::from_millis(300);
@@ -36,127 +29,6 @@
     changes: u64,
 }
 
-/// Receives and processes greetings of fronts, and digests to be passed on.
-pub(crate) async fn receive_datagrams(agent: Rc<EngineAgentContext>) {
-    let mut buffer = Vec::new();
-    loop {
-        match agent
-            .socket
-            .receive_into::<AgentDatagram>(&mut buffer)
-            .await
-        {
-            Ok((AgentDatagram::Relay(digest), from)) => accept_relayed(&agent, digest, from),
-            Ok((AgentDatagram::Greeting(greeting), from)) => {
-                let now = agent.now();
-                let mut state = agent.state();
-                let domain = &agent.settings.failure_domain;
-                let age = state.sent_digests.greeting_age(greeting.echo, now);
-                state.fronts.record_greeting(from, &greeting, age, now);
-                state.fronts.set_start_limit(greeting.start_limit);
-                state
-                    .snapshot_cache
-                    .record_offer(&greeting, age, from, domain, now);
-                record_proofs(&mut state, &greeting, age, now);
-                for store in &greeting.watches {
-                    state.stores.request(*store, now);
-                }
-                for store in &greeting.wanted_contents {
-                    state.stores.request_content(*store, from, now);
-                }
-                if greeting.wants_suspects {
-                    state.suspect_requesters.insert(from);
-                    agent.digest_due.wake();
-                }
-                if greeting.wants_all {
-                    state.part_requesters.insert(from);
-                }
-                apply_greeting(&mut state, *greeting, age, now);
-                if state.suspects.has_updates() {
-                    agent.digest_due.wake();
-                }
-                if state.needs_order() {
-                    agent.order_due.wake();
-                }
-            }
-            Err(error) => {
-                let error = error.to_string();
-                log::warn!(event = "hello-failed", error = error.as_str(); "");
-                Timer::after(RETRY_DELAY).await;
-            }
-        }
-    }
-}
-
-/// Records a front's reads of the platform store. A greeting of unknown age is ignored: it may have
-/// waited in the socket for any time and proves nothing.
-fn record_proofs(
-    state: &mut EngineAgentState,
-    greeting: &FrontGreeting,
-    age: Option<Micros>,
-    now: Micros,
-) {
-    let Some(age) = age else {
-        return;
-    };
-    for proof in &greeting.proofs {
-        let sent_at = now.since(age + proof.age);
-        let tracker = state.proofs.entry(proof.table).or_default();
-        let is_new = tracker.record(proof, proof.source, sent_at);
-        state.has_new_proofs |= is_new;
-    }
-}
-
-fn apply_greeting(
-    state: &mut EngineAgentState,
-    greeting: FrontGreeting,
-    age: Option<Micros>,
-    now: Micros,
-) {
-    for report in &greeting.suspects {
-        state.suspects.merge_and_forward(report, now);
-    }
-    let id = greeting.engine_id.as_deref();
-    let incarnation = ListedIncarnation {
-        born: greeting.engine_born,
-        row: greeting.engine_row,
-    };
-    if let Some(id) = id.filter(|id| state.record_engine_id(id, incarnation)) {
-        log::info!(
-            event = "engine-id",
-            engine = id,
-            born = greeting.engine_born.unwrap_or(0),
-            front = greeting.front.as_str();
-            ""
-        );
-    }
-    if let Some(id) = id {
-        state.record_leaving(id, incarnation, greeting.is_leaving);
-    }
-    for weights in greeting.wanted {
-        let wanted = state.wanted.entry(weights.model.clone()).or_default();
-        // Greetings may arrive out of order: a version never decreases.
-        if weights.version < wanted.version {
-            continue;
-        }
-        if weights.version > wanted.version {
-            log::info!(
-                event = "weights-wanted",
-                model = weights.model.as_str(),
-                version = weights.version,
-                front = greeting.front.as_str();
-                ""
-            );
-            wanted.version = weights.version;
-            wanted.turn_at = None;
-        }
-        // Counted from the earliest time at which the greeting may have been sent: after a while,
-        // the turn may have passed to another engine.
-        if let Some(age) = age.filter(|_| weights.is_turn) {
-            wanted.turn_at = wanted.turn_at.max(Some(now.since(age)));
-        }
-    }
-}
-
 /// Sends digests of the engine's state to all active fronts.
 pub(crate) async fn send_digests(agent: Rc<EngineAgentContext>) {
     let mut count = DigestCount::default();
--- a/agent/src/engine_agent/mod.rs
+++ b/agent/src/engine_agent/mod.rs
@@ -10,17 +10,19 @@
 mod engine_agent_process;
 mod engine_agent_settings;
 mod front_contacts;
+mod greeting_receiver;
 mod order_sender;
+mod polled_kv_store;
 mod relay_queue;
 mod report_poller;
 mod sent_digests;
 mod snapshot_cache;
 mod store_poller;
 
-use digest_delivery::*;
 pub(crate) use {
     cache_poller::*, digest_sender::*, engine_agent_context::*, engine_agent_metrics::*,
-    front_contacts::*, order_sender::*, relay_queue::*, report_poller::*, sent_digests::*,
-    snapshot_cache::*, store_poller::*,
+    front_contacts::*, greeting_receiver::*, order_sender::*, relay_queue::*, report_poller::*,
+    sent_digests::*, snapshot_cache::*, store_poller::*,
 };
+use {digest_delivery::*, polled_kv_store::*};
 pub use {engine_agent_process::*, engine_agent_settings::*};
--- a/agent/src/engine_agent/store_poller.rs
+++ b/agent/src/engine_agent/store_poller.rs
@@ -1,19 +1,11 @@
 use {
-    super::EngineAgentContext,
-    pitchhitch_core::{
-        serving::{NamespaceTag, PartId},
-        time::Micros,
-    },
-    pitchhitch_platform::{KvChange, KvChanges, KvClient, KvError, KvList},
+    super::{EngineAgentContext, PolledKvStore},
+    pitchhitch_core::time::Micros,
+    pitchhitch_platform::{KvChanges, KvClient, KvError, KvList},
     pitchhitch_process::to_duration,
     pitchhitch_wire::engine_agent::{KvStorePart, KvStoreUpdate},
     smol::Timer,
-    std::{
-        collections::{BTreeMap, VecDeque},
-        net::SocketAddr,
-        rc::Rc,
-        time::Duration,
-    },
+    std::{collections::BTreeMap, net::SocketAddr, rc::Rc, time::Duration},
 };
 
 /// Time for which a store is polled after the last request of a front.
@@ -30,17 +22,10 @@
 const RETRY_DELAY: Micros = Micros::from_millis(400);
 /// Timeout of a poll, in addition to its maximum duration.
 const EXTRA_TIMEOUT: Duration = Duration::from_millis(500);
-/// Number of digests that contain a change: some may get lost.
-const DIGESTS_PER_CHANGE: u64 = 3;
 /// Time after a store's latest response for which updates about it are sent.
 const MAX_UPDATE_AGE: Micros = Micros::from_millis(1_500);
-/// Maximum number of parts in an update with the whole content of a store: it fits into one
-/// datagram. Fronts read larger stores themselves.
-const MAX_CONTENT_PARTS: usize = 1_500;
 /// Time after which a front's request for the whole content of a store is dropped.
 const CONTENT_REQUEST_TTL: Micros = Micros::from_secs(2);
-/// Maximum number of changes in the update of one store.
-const MAX_CHANGES: usize = 400;
 
 /// KV stores that are polled on behalf of all fronts. When each front polled each store itself, a
 /// hundred fronts used most of the long polls that the stores accept at once.
@@ -52,125 +37,6 @@
     content_requests: BTreeMap<(SocketAddr, SocketAddr), Micros>,
 }
 
-/// Latest responses of one store.
-#[derive(Debug)]
-struct PolledKvStore {
-    epoch: u64,
-    clock_ms: Option<u64>,
-    sent_at: Micros,
-    answered_at: Micros,
-    from: u64,
-    next: u64,
-    parts: VecDeque<(KvStorePart, Micros)>,
-    /// Complete parts: tokens by namespace and id.
-    content: BTreeMap<(NamespaceTag, PartId), u32>,
-    salts: BTreeMap<NamespaceTag, String>,
-}
-
-impl PolledKvStore {
-    /// A store whose list was just read.
-    fn from_list(
-        list: &KvList,
-        sent_at: Micros,
-        now: Micros,
-    ) -> Self {
-        let mut polled_store = PolledKvStore {
-            epoch: list.epoch,
-            clock_ms: None,
-            sent_at,
-            answered_at: now,
-            // Earlier changes are unknown here: a front that lacks them asks for the whole content.
-            from: list.next,
-            next: list.next,
-            parts: VecDeque::new(),
-            content: BTreeMap::new(),
-            salts: BTreeMap::new(),
-        };
-        for part in &list.complete {
-            polled_store.set_part(part);
-        }
-        polled_store
-    }
-
-    fn set_part(
-        &mut self,
-        change: &KvChange,
-    ) -> NamespaceTag {
-        let namespace = NamespaceTag::of(&change.salt);
-        match change.tokens {
-            0 => self.content.remove(&(namespace, change.id)),
-            tokens => self.content.insert((namespace, change.id), tokens),
-        };
-        self.salts
-            .entry(namespace)
-            .or_insert_with(|| change.salt.clone());
-        namespace
-    }
-
-    /// The whole content; `None` if it does not fit into a datagram or its clock is unknown.
-    fn to_content(
-        &self,
-        store: SocketAddr,
-        now: Micros,
-    ) -> Option<KvStoreUpdate> {
-        if self.content.len() > MAX_CONTENT_PARTS || self.clock_ms.is_none() {
-            return None;
-        }
-        let parts = self.content.iter();
-        let parts = parts.map(|((namespace, id), tokens)| KvStorePart {
-            number: self.next,
-            namespace: *namespace,
-            id: *id,
-            tokens: *tokens,
-        });
-        let is_used = |namespace: &NamespaceTag| self.content.keys().any(|(n, _)| n == namespace);
-        let salts = self
-            .salts
-            .iter()
-            .filter(|(namespace, _)| is_used(namespace));
-        Some(KvStoreUpdate {
-            parts: parts.collect(),
-            is_whole: true,
-            salts: salts.map(|(_, salt)| salt.clone()).collect(),
-            ..self.to_update(store, now)
-        })
-    }
-
-    fn to_update(
-        &self,
-        store: SocketAddr,
-        now: Micros,
-    ) -> KvStoreUpdate {
-        KvStoreUpdate {
-            store,
-            epoch: self.epoch,
-            clock_ms: self.clock_ms,
-            answered: now.since(self.answered_at),
-            age: now.since(self.sent_at),
-            from: self.from,
-            next: self.next,
-            parts: self.parts.iter().map(|(part, _)| *part).collect(),
-            is_whole: false,
-            salts: Vec::new(),
-        }
-    }
-
-    /// Removes changes that enough digests, sent at this interval, have contained.
-    fn prune(
-        &mut self,
-        digest_interval: Micros,
-        now: Micros,
-    ) {
-        let report_period = Micros(digest_interval.0 * DIGESTS_PER_CHANGE);
-        let is_old = |(_, at): &(KvStorePart, Micros)| now.since(*at) > report_period;
-        while self.parts.len() > MAX_CHANGES || self.parts.front().is_some_and(is_old) {
-            if let Some((part, _)) = self.parts.pop_front() {
-                self.from = part.number;
-            }
-        }
-    }
-}
-
 impl PolledKvStores {
     /// Records a front's request to poll this store.
     pub fn request(
