A version that is listed beside an earlier one waits for the orders

Cause: read in the diff: a new version with as many endpoints as the old one counted as the service's main version and would have got requests before its order was read. Change: only a service without an earlier version that still serves settles a version at once; the rule stands in core.

--- a/core/src/rollout/version_sightings.rs
+++ b/core/src/rollout/version_sightings.rs
@@ -23,23 +23,31 @@
         versions.is_some_and(|versions| versions.iter().any(|seen| seen == version))
     }
 
-    /// Records that a version is listed; `is_main` is whether no other version of the service has
-    /// as many endpoints.
-    pub fn record(
+    /// Records which versions are listed: the number of serving endpoints by service and version.
+    ///
+    /// A version is settled at once if its service has no earlier one that still serves and none
+    /// with more endpoints: otherwise a service that is new would get no requests.
+    pub fn record_list(
         &mut self,
-        service: &str,
-        version: &str,
-        is_main: bool,
+        counts: &BTreeMap<(String, String), u32>,
         now: Micros,
     ) {
-        if self.contains(service, version) {
-            return;
+        let mut new_versions = Vec::new();
+        for ((service, version), count) in counts {
+            if self.contains(service, version) {
+                continue;
+            }
+            let of_service = || counts.iter().filter(|((other, _), _)| other == service);
+            let is_largest = of_service().all(|(_, other)| other <= count);
+            let has_earlier = of_service().any(|((_, other), _)| self.contains(service, other));
+            new_versions.push((service, version, is_largest && !has_earlier));
         }
-        let versions = self.seen.entry(service.to_string()).or_default();
-        versions.push(version.to_string());
-        if !is_main {
-            self.unsettled
-                .push((service.to_string(), version.to_string(), now));
+        for (service, version, is_settled) in new_versions {
+            let versions = self.seen.entry(service.clone()).or_default();
+            versions.push(version.clone());
+            if !is_settled {
+                self.unsettled.push((service.clone(), version.clone(), now));
+            }
         }
     }
 
--- a/entry/src/front/rollout_watch.rs
+++ b/entry/src/front/rollout_watch.rs
@@ -14,11 +14,7 @@
     pitchhitch_platform::{StoreClient, StoreError},
     pitchhitch_process::to_duration,
     smol::Timer,
-    std::{
-        collections::{BTreeMap, HashMap},
-        rc::Rc,
-        time::Duration,
-    },
+    std::{collections::BTreeMap, rc::Rc, time::Duration},
 };
 
 /// Interval at which a running roll-out is checked for calls that are due.
@@ -107,20 +103,12 @@
     if !entries().any(|entry| is_new(&entry.service, &entry.software)) {
         return;
     }
-    let mut counts: HashMap<(String, String), u32> = HashMap::new();
+    let mut counts: BTreeMap<(String, String), u32> = BTreeMap::new();
     for entry in entries().filter(|entry| entry.status == EndpointStatus::Serving) {
         let version = (entry.service.clone(), entry.software.clone());
         *counts.entry(version).or_default() += 1;
     }
-    for ((service, version), count) in &counts {
-        let of_service = counts.iter().filter(|((other, _), _)| other == service);
-        let most = of_service.map(|(_, count)| *count).max().unwrap_or(0);
-        let is_main = *count == most;
-        state
-            .rollouts
-            .sightings
-            .record(service, version, is_main, now);
-    }
+    state.rollouts.sightings.record_list(&counts, now);
     front.rollout_due.wake();
 }
 
