--- a/agent/src/engine_agent/digest_sender.rs
+++ b/agent/src/engine_agent/digest_sender.rs
@@ -1,7 +1,9 @@
 use {
     super::{deliver_digest, pass_on, send_digest, EngineAgentContext, MAX_DIGEST_INTERVAL},
     pitchhitch_core::{
-        serving::{digest_interval, EngineLoad, StoreProof, SuspectReport},
+        serving::{
+            digest_interval, relayed_digest_interval, EngineLoad, StoreProof, SuspectReport,
+        },
         time::Micros,
     },
     pitchhitch_process::to_duration,
@@ -90,7 +92,10 @@
     let domain = &agent.settings.failure_domain;
     let plan = state.fronts.plan_delivery(fronts, domain, now);
     state.uses_relays = !plan.relayed.is_empty();
-    state.digest_interval = digest_interval(plan.message_count());
+    state.digest_interval = match state.uses_relays {
+        true => relayed_digest_interval(plan.message_count()),
+        false => digest_interval(plan.message_count()),
+    };
 }
 
 /// Interval between digests that repeat what fronts or this agent have read from stores.
--- a/core/src/serving/message_intervals.rs
+++ b/core/src/serving/message_intervals.rs
@@ -8,6 +8,9 @@
 const DIGEST_INTERVAL_PER_FRONT: Micros = Micros(3_300);
 /// Minimum and maximum digest interval: a report is valid for 1.5 s, and one digest may get lost.
 const DIGEST_INTERVAL_RANGE: (Micros, Micros) = (Micros::from_millis(45), Micros::from_millis(600));
+/// Minimum digest interval where relays are used: each relay passes on several digests in every
+/// interval, and each front receives those of all engines.
+const RELAYED_DIGEST_INTERVAL: Micros = Micros::from_millis(400);
 /// Greeting interval of a front per engine.
 const GREETING_INTERVAL_PER_ENGINE: Micros = Micros::from_millis(10);
 /// Minimum and maximum greeting interval.
@@ -25,6 +28,12 @@
     scaled_interval(DIGEST_INTERVAL_PER_FRONT, fronts, DIGEST_INTERVAL_RANGE)
 }
 
+/// Interval between digests of an agent for which relays pass digests on; a digest takes this many
+/// datagrams.
+pub fn relayed_digest_interval(datagrams: usize) -> Micros {
+    digest_interval(datagrams).max(RELAYED_DIGEST_INTERVAL)
+}
+
 /// Interval between greetings of a front to this many engines.
 pub fn greeting_interval(engines: usize) -> Micros {
     scaled_interval(
