--- a/agent/src/engine_agent/digest_delivery.rs
+++ b/agent/src/engine_agent/digest_delivery.rs
@@ -109,7 +109,7 @@
     let Ok(encoded) = EncodedDigest::new(&digest) else {
         return;
     };
-    let needs_echoes = !digest.stores.is_empty() || agent.state().fronts.has_start_limit();
+    let needs_echoes = !digest.stores.is_empty();
     let echoes = receivers.iter().filter(|_| needs_echoes);
     let echoes = echoes.filter_map(|front| Some((*front, echo_for(agent, &digest, *front)?)));
     let is_urgent = !digest.suspects.is_empty();
--- a/agent/src/engine_agent/front_contacts.rs
+++ b/agent/src/engine_agent/front_contacts.rs
@@ -121,7 +121,8 @@
     ) -> DeliveryPlan<SocketAddr> {
         self.relays
             .retain(|_, (_, named_at)| now.since(*named_at) < RELAY_TTL);
-        let relays = self.relays.iter();
+        // Grants of a slow start would have expired by the time that a relay has passed them on.
+        let relays = self.relays.iter().filter(|_| !self.has_start_limit);
         let relays: BTreeMap<&str, Vec<SocketAddr>> = relays
             .map(|(domain, (relays, _))| (domain.as_str(), relays.clone()))
             .collect();
@@ -144,11 +145,6 @@
         })
     }
 
-    /// Whether digests carry grants for the fronts.
-    pub fn has_start_limit(&self) -> bool {
-        self.has_start_limit
-    }
-
     /// Fronts that no longer greet.
     pub fn silent(
         &self,
