Grants count only from the engine's own box; digests are planned and encoded once

A bundled digest's grant was taken from any sender, where a digest of its own is checked against the engine's address; bundles have carried no relayed grants since services with slow starts send directly. An agent planned the delivery of each digest twice and encoded it once for each failure domain; the engine at an address was looked up in two places.

Change: one check for both datagrams, one plan a digest, one encoding for all relays, one look-up. A comment named a parameter that is gone.

No test for a stranger's grant in a bundle.

--- a/agent/src/engine_agent/digest_delivery.rs
+++ b/agent/src/engine_agent/digest_delivery.rs
@@ -1,6 +1,9 @@
 use {
     super::{bundle_digests, EngineAgentContext},
-    pitchhitch_core::time::Micros,
+    pitchhitch_core::{
+        dissemination::{DeliveryPlan, DomainDelivery},
+        time::Micros,
+    },
     pitchhitch_wire::{
         codec::encode_body,
         engine_agent::{
@@ -46,19 +49,19 @@
     }
 }
 
-/// Sends a digest to fronts: directly, together with digests that are passed on, or by relays in
-/// failure domains with many fronts. A lost digest makes a front's knowledge less fresh, never wrong.
+/// Sends a digest to fronts as planned: directly, together with digests that are passed on, or by
+/// relays in failure domains with many fronts. A lost digest makes a front's knowledge less fresh,
+/// never wrong.
 pub(super) async fn deliver_digest(
     agent: &EngineAgentContext,
     digest: &EngineDigest,
-    fronts: &[SocketAddr],
+    plan: &DeliveryPlan<SocketAddr>,
     passed_on: &[RelayedDigest],
 ) {
     let now = agent.now();
     let domain = agent.settings.failure_domain.as_str();
-    let plan = agent.state().fronts.plan_delivery(fronts, domain, now);
-    for delivery in &plan.relayed {
-        send_to_relays(agent, digest, &delivery.relays, &delivery.receivers).await;
+    if !plan.relayed.is_empty() {
+        send_to_relays(agent, digest, &plan.relayed).await;
     }
     if passed_on.is_empty() {
         return send_digest(agent, digest, &plan.direct).await;
@@ -94,13 +97,12 @@
     }
 }
 
-/// Sends a digest to the relays of a failure domain. What fronts read from the platform store is
-/// left out: the agents of that domain hear of it from the same fronts.
+/// Sends a digest to the relays of failure domains. What fronts read from the platform store is
+/// left out: the agents of a domain hear of it from the same fronts.
 async fn send_to_relays(
     agent: &EngineAgentContext,
     digest: &EngineDigest,
-    relays: &[SocketAddr],
-    receivers: &[SocketAddr],
+    deliveries: &[DomainDelivery<SocketAddr>],
 ) {
     let digest = EngineDigest {
         proofs: Vec::new(),
@@ -110,15 +112,17 @@
         return;
     };
     let needs_echoes = !digest.stores.is_empty();
-    let echoes = receivers.iter().filter(|_| needs_echoes);
-    let echoes = echoes.filter_map(|front| Some((*front, echo_for(agent, &digest, *front)?)));
     let is_urgent = !digest.suspects.is_empty();
-    let relayed = encoded.to_relayed(is_urgent, echoes.collect());
-    let Ok(body) = encode_body(&AgentDatagram::Relay(relayed)) else {
-        return;
-    };
-    for relay in relays {
-        send_body(agent, body.clone(), *relay, "relayed").await;
+    for delivery in deliveries {
+        let echoes = delivery.receivers.iter().filter(|_| needs_echoes);
+        let echoes = echoes.filter_map(|front| Some((*front, echo_for(agent, &digest, *front)?)));
+        let relayed = encoded.to_relayed(is_urgent, echoes.collect());
+        let Ok(body) = encode_body(&AgentDatagram::Relay(relayed)) else {
+            return;
+        };
+        for relay in &delivery.relays {
+            send_body(agent, body.clone(), *relay, "relayed").await;
+        }
     }
 }
 
--- a/agent/src/engine_agent/digest_sender.rs
+++ b/agent/src/engine_agent/digest_sender.rs
@@ -1,6 +1,7 @@
 use {
     super::{deliver_digest, pass_on, send_digest, EngineAgentContext, MAX_DIGEST_INTERVAL},
     pitchhitch_core::{
+        dissemination::DeliveryPlan,
         serving::{
             digest_interval, relayed_digest_interval, EngineLoad, StoreProof, SuspectReport,
         },
@@ -42,7 +43,8 @@
         agent.digest_due.wait(to_duration(interval)).await;
         let now = agent.now();
         let fronts = agent.state().fronts.active(now);
-        update_interval(&agent, &fronts, now);
+        let plan = plan_delivery(&agent, &fronts, now);
+        update_interval(&agent, &plan);
         send_all_suspects(&agent, &mut count, fronts.len() as u32).await;
         send_all_parts(&agent, &mut count, fronts.len() as u32).await;
         announce_engine(&agent, &mut count, fronts.len() as u32).await;
@@ -78,19 +80,26 @@
                 .stores
                 .recent_updates(forward_interval(interval), now);
         }
-        deliver_digest(&agent, &digest, &fronts, &relayed).await;
+        deliver_digest(&agent, &digest, &plan, &relayed).await;
     }
 }
 
-/// Updates the interval between digests, which depends on the number of datagrams that one takes.
-fn update_interval(
+/// How a digest reaches these fronts.
+fn plan_delivery(
     agent: &EngineAgentContext,
     fronts: &[SocketAddr],
     now: Micros,
+) -> DeliveryPlan<SocketAddr> {
+    let domain = &agent.settings.failure_domain;
+    agent.state().fronts.plan_delivery(fronts, domain, now)
+}
+
+/// Updates the interval between digests, which depends on the number of datagrams that one takes.
+fn update_interval(
+    agent: &EngineAgentContext,
+    plan: &DeliveryPlan<SocketAddr>,
 ) {
     let mut state = agent.state();
-    let domain = &agent.settings.failure_domain;
-    let plan = state.fronts.plan_delivery(fronts, domain, now);
     state.uses_relays = !plan.relayed.is_empty();
     state.digest_interval = match state.uses_relays {
         true => relayed_digest_interval(plan.message_count()),
@@ -124,6 +133,8 @@
     if requesters.is_empty() {
         return;
     }
+    let requesters: Vec<SocketAddr> = requesters.into_iter().collect();
+    let plan = plan_delivery(agent, &requesters, agent.now());
     let parts = agent.state().cached_parts();
     let load = agent.state().reported_load();
     let mut chunks: Vec<Vec<DigestPart>> = parts
@@ -138,8 +149,7 @@
         count.number += 1;
         let mut digest = build_digest(agent, load, *count, active_fronts, parts);
         digest.is_whole = index == last;
-        let requesters: Vec<SocketAddr> = requesters.iter().copied().collect();
-        deliver_digest(agent, &digest, &requesters, &[]).await;
+        deliver_digest(agent, &digest, &plan, &[]).await;
     }
 }
 
--- a/core/src/rollout/rollout_table.rs
+++ b/core/src/rollout/rollout_table.rs
@@ -103,8 +103,8 @@
             .collect()
     }
 
-    /// Records a read of the stored record, sent at `sent_at`; `store_ms` is the store's clock at
-    /// the response. Returns whether the state has changed.
+    /// Records a read of the stored record, sent at `sent_at`; `store_clock` is the store's clock
+    /// and when it showed this time. Returns whether the state has changed.
     pub fn record_read(
         &mut self,
         service: &str,
--- a/entry/src/front/digest_receiver.rs
+++ b/entry/src/front/digest_receiver.rs
@@ -45,10 +45,7 @@
     let mut rejected = 0;
     loop {
         match receive_digest(&front, &socket, &mut buffer).await {
-            Ok((FrontDatagram::Digest(received), from)) => {
-                let is_relayed = received.digest.engine.ip() != from.ip();
-                handle_digest(&front, *received, from, is_relayed);
-            }
+            Ok((FrontDatagram::Digest(received), from)) => handle_digest(&front, *received, from),
             Ok((FrontDatagram::Bundle(bundle), from)) => {
                 for bundled in bundle {
                     handle_bundled(&front, bundled, from);
@@ -102,9 +99,7 @@
         digest,
         echo: bundled.echo,
     };
-    // An echo of another front, or of an earlier digest, would be of no use to this one, so the
-    // agent that passes it on need not be trusted more than the one that sent it.
-    handle_digest(front, received, from, false);
+    handle_digest(front, received, from);
 }
 
 fn is_known(
@@ -112,27 +107,34 @@
     key: &DigestKey,
 ) -> bool {
     let state = front.state();
-    let config = state.config.as_deref();
-    let is_candidate = |entry: &EndpointEntry| config.is_none_or(|config| is_engine(config, entry));
-    let entry = state.registry.present_at(key.engine, is_candidate);
-    let entry = entry.and_then(|key| state.registry.get(key));
+    let entry = engine_at(&state, key.engine).and_then(|key| state.registry.get(key));
     let known = entry.and_then(|entry| entry.incarnation.digest);
     known.is_some_and(|known| known.incarnation == key.incarnation && known.number >= key.number)
 }
 
-/// Handles a digest; `is_foreign` is whether it came from a box that does not send it first.
+/// The engine that is present at an address.
+fn engine_at(
+    state: &FrontState,
+    address: SocketAddr,
+) -> Option<EndpointKey> {
+    let config = state.config.as_deref();
+    let is_candidate = |entry: &EndpointEntry| config.is_none_or(|config| is_engine(config, entry));
+    state.registry.present_at(address, is_candidate)
+}
+
 fn handle_digest(
     front: &FrontContext,
     received: DigestMessage,
     from: SocketAddr,
-    is_foreign: bool,
 ) {
     let DigestMessage { digest, echo } = received;
     record_agent(front, from);
     apply_relayed_reports(front, &digest, echo, from);
     let change = apply_announcement(front, &digest, from);
     handle_endpoint_changes(front, change.as_slice());
-    let change = apply_digest(front, digest, echo.filter(|_| !is_foreign));
+    // Only the agent of an engine grants requests to it; digests with grants are not relayed.
+    let is_own = digest.engine.ip() == from.ip();
+    let change = apply_digest(front, digest, echo.filter(|_| is_own));
     handle_endpoint_changes(front, change.as_slice());
 }
 
@@ -250,9 +252,7 @@
         // number of fronts.
         state.fronts = digest.fronts.max(1);
     }
-    let config = state.config.as_deref();
-    let is_candidate = |entry: &EndpointEntry| config.is_none_or(|config| is_engine(config, entry));
-    let key = state.registry.present_at(digest.engine, is_candidate);
+    let key = engine_at(state, digest.engine);
     if let (Some(key), Some(echo)) = (key, grant) {
         apply_grant(state, key, echo);
     }
