event=end tells how the endpoint framed the body, and what was left of an event

Cause: the record of the truncated streams cannot tell whether the front or the engine took the end of a connection for the end of a stream: no line says how a body was framed or whether a stream ended inside an event. Change: framing= (empty, length, chunked, until-close) and unfinished= (bytes of an event without its end) in event=end; nothing is decided by them.

--- a/entry/src/front/requests/request_log.rs
+++ b/entry/src/front/requests/request_log.rs
@@ -4,6 +4,7 @@
         serving::{EndpointChoice, EnginePool, PromptSize},
         time::Micros,
     },
+    pitchhitch_http1::BodyFraming,
 };
 
 /// Label of attempts by size class of the prompt and pool of the engine.
@@ -160,6 +161,8 @@
             took_ms = now.since(arrived_at).as_millis(),
             worst_gap_ms = self.progress.longest_gap.as_millis(),
             writes = self.progress.writes,
+            framing = self.progress.framing.map_or("", BodyFraming::as_str),
+            unfinished = self.progress.splitter.partial_event().len(),
             config = self.config.version;
             ""
         );
--- a/entry/src/front/requests/request_response.rs
+++ b/entry/src/front/requests/request_response.rs
@@ -22,6 +22,7 @@
         exchange: &mut EndpointExchange,
         response: EndpointResponse,
     ) -> AttemptOutcome {
+        self.progress.framing = Some(response.framing);
         self.record_statements(choice, sent_at, &response.info);
         if let (Some(version), Some(prompt)) = (response.info.version, &self.info.prompt) {
             self.record_version(choice, &prompt.model.clone(), version);
--- a/entry/src/front/requests/stream_relay.rs
+++ b/entry/src/front/requests/stream_relay.rs
@@ -4,7 +4,7 @@
         ExchangeFailure, MoveMail, RequestMoves, WakeReason,
     },
     futures_lite::future::or,
-    pitchhitch_http1::{write_chunk, BodyDecoder, TcpConnection, LAST_CHUNK},
+    pitchhitch_http1::{write_chunk, BodyDecoder, BodyFraming, TcpConnection, LAST_CHUNK},
     pitchhitch_platform::{encode_response_head, BodyLength},
     pitchhitch_process::DeadlineTimer,
     std::time::{Duration, Instant},
@@ -15,6 +15,8 @@
 pub(crate) struct StreamProgress {
     /// Splits the stream into events.
     pub splitter: EventSplitter,
+    /// Framing of the latest response of an endpoint.
+    pub framing: Option<BodyFraming>,
     /// Whether the head of the response has been sent to the caller.
     pub is_head_sent: bool,
     /// Whether the connection to the caller is closed after the stream.
--- a/http1/src/body_framing.rs
+++ b/http1/src/body_framing.rs
@@ -35,6 +35,16 @@
         }
         Ok(declared_framing(fields)?.unwrap_or(BodyFraming::UntilClose))
     }
+
+    /// Name used in logs.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            BodyFraming::Empty => "empty",
+            BodyFraming::Length(_) => "length",
+            BodyFraming::Chunked => "chunked",
+            BodyFraming::UntilClose => "until-close",
+        }
+    }
 }
 
 fn declared_framing(fields: &HeaderFields) -> Result<Option<BodyFraming>, HeadError> {
