ORDER: a stream that ends inside an event has been truncated

What callers saw: 200 with the engine's signature and half an event, framed as complete, kept connection. Cause: the relay took the close of a connection for the regular end of each stream that has neither a length nor chunks, sent the rest of the unfinished event and the last chunk. It did the same where an engine ends the chunks inside an event. Change: the end of a body is judged in one place. A stream of events that ends inside an event, or with its connection before the first one, counts as lost: it is continued at another engine where the route allows it, and else the caller's connection is closed without the last chunk. Bodies of another type than text/event-stream end as their framing says. BodyDecoder::close replaces the two matches on is_until_close.

--- a/entry/src/front/requests/endpoint_exchange.rs
+++ b/entry/src/front/requests/endpoint_exchange.rs
@@ -191,7 +191,7 @@
             WakeReason::EndpointReadable | WakeReason::EndpointWritable => {}
         }
         match exchange.connection.try_read() {
-            Ok(Some(0)) if decoder.is_until_close() => return Ok(true),
+            Ok(Some(0)) if decoder.close() => return Ok(true),
             Ok(Some(0)) | Err(_) => return Err(ExchangeFailure::Lost),
             Ok(_) => {}
         }
--- a/entry/src/front/requests/event_splitter.rs
+++ b/entry/src/front/requests/event_splitter.rs
@@ -6,6 +6,8 @@
 #[derive(Debug, Default)]
 pub(crate) struct EventSplitter {
     buffer: Vec<u8>,
+    /// Whether the begin of an event has been returned without its end.
+    is_split: bool,
     last_id: Option<String>,
     version: Option<u64>,
 }
@@ -17,10 +19,14 @@
         bytes: &[u8],
     ) -> Vec<u8> {
         self.buffer.extend_from_slice(bytes);
-        let end = match complete_length(&self.buffer) {
-            0 if self.buffer.len() > MAX_EVENT_BYTES => self.buffer.len(),
-            end => end,
+        let complete = complete_length(&self.buffer);
+        let is_too_long = complete == 0 && self.buffer.len() > MAX_EVENT_BYTES;
+        let end = if is_too_long {
+            self.buffer.len()
+        } else {
+            complete
         };
+        self.is_split = is_too_long || (self.is_split && complete == 0);
         let partial_event = self.buffer.split_off(end);
         let events = std::mem::replace(&mut self.buffer, partial_event);
         self.parse_fields(&events);
@@ -32,6 +38,13 @@
         &self.buffer
     }
 
+    /// Whether the bytes so far end inside an event.
+    pub fn is_inside_event(&self) -> bool {
+        // Lines may also end with a carriage return alone.
+        let is_closed = self.buffer.is_empty() || self.buffer.ends_with(b"\r\r");
+        self.is_split || !is_closed
+    }
+
     /// Discards the incomplete event: another endpoint continues the stream.
     pub fn discard_partial(&mut self) {
         self.buffer.clear();
--- a/entry/src/front/requests/stream_relay.rs
+++ b/entry/src/front/requests/stream_relay.rs
@@ -73,8 +73,8 @@
 
 /// Relays a stream to the caller, event by event, until it ends or its run is to be moved.
 ///
-/// Partial events are sent only at the regular end of a stream, and if an event is too long to be
-/// buffered. When the first events arrive, the timer is set to the `time_left` of the request.
+/// Partial events are sent only if they are too long to be buffered: a stream that ends inside an
+/// event has been truncated, however its body is framed. When the first events arrive, the timer is set to the `time_left` of the request.
 pub(crate) async fn relay_stream(
     stream: &mut EndpointStream<'_>,
     progress: &mut StreamProgress,
@@ -112,14 +112,18 @@
             on_event(RelayEvent::FirstEvent);
         }
         let is_done = decoder.is_done();
-        if is_done {
+        let is_complete = is_done && !is_truncated(response, *is_first, &progress.splitter);
+        if is_complete {
             events.extend_from_slice(progress.splitter.partial_event());
         }
-        if !events.is_empty() || is_done {
-            forward_events(&events, is_done, response, progress, caller, timer).await?;
+        if !events.is_empty() || is_complete {
+            forward_events(&events, is_complete, response, progress, caller, timer).await?;
         }
         if is_done {
-            return Ok(RelayEnd::Complete);
+            return match is_complete {
+                true => Ok(RelayEnd::Complete),
+                false => Err(ExchangeFailure::Lost),
+            };
         }
         let mail = async { Err(moves.next_mail().await) };
         let wake =
@@ -134,17 +138,25 @@
             WakeReason::EndpointReadable | WakeReason::EndpointWritable => {}
         }
         match exchange.connection.try_read() {
-            Ok(Some(0)) if decoder.is_until_close() => {
-                let partial_event = progress.splitter.partial_event().to_vec();
-                forward_events(&partial_event, true, response, progress, caller, timer).await?;
-                return Ok(RelayEnd::Complete);
-            }
+            Ok(Some(0)) if decoder.close() => {}
             Ok(Some(0)) | Err(_) => return Err(ExchangeFailure::Lost),
             Ok(_) => {}
         }
     }
 }
 
+/// Whether a stream whose body has ended was truncated: it ends inside an event, or with its
+/// connection before the first one.
+fn is_truncated(
+    response: &EndpointResponse,
+    is_first: bool,
+    splitter: &EventSplitter,
+) -> bool {
+    let is_empty = is_first && splitter.partial_event().is_empty();
+    let is_unanswered = is_empty && response.framing == BodyFraming::UntilClose;
+    response.info.is_event_stream && (is_unanswered || splitter.is_inside_event())
+}
+
 async fn forward_events(
     events: &[u8],
     is_last: bool,
--- a/http1/src/body_decoder.rs
+++ b/http1/src/body_decoder.rs
@@ -50,9 +50,12 @@
         self.state == DecoderState::Done
     }
 
-    /// Whether this body extends until the connection closes.
-    pub fn is_until_close(&self) -> bool {
-        self.state == DecoderState::UntilClose
+    /// Records that the peer has closed the connection in order; false if that truncates the body.
+    pub fn close(&mut self) -> bool {
+        if self.state == DecoderState::UntilClose {
+            self.state = DecoderState::Done;
+        }
+        self.is_done()
     }
 
     /// Decodes body bytes from `input`, appends them to `body` and returns the
