A stream is continued only where another run can join it

What callers would see: events twice, or an event made of two runs, where a stream without event ids, or with an event too long to be buffered, broke off on a route that may be resumed. Cause: the loop of attempts asked only whether the request may run again, not whether the new run can begin where the caller is. Change: EventSplitter::can_continue, asked before a further attempt and before a move. Evidence: found on looking for further places like the truncated streams; unnumbered_stream_cut and split_event_cut failed before with two runs in the place of one. Result: truncated_streams (8), event_streams (6), moving_runs (18), slow_readers (6) pass.

--- a/entry/src/front/requests/attempt_loop.rs
+++ b/entry/src/front/requests/attempt_loop.rs
@@ -152,8 +152,7 @@
                     self.record_lost_run(choice).await;
                 }
                 failure.kind = self.refusal_kind(broken);
-                let is_partly_relayed = self.progress.is_head_sent && !self.route().is_stream;
-                let is_final = broken == ExchangeFailure::Late || is_partly_relayed;
+                let is_final = broken == ExchangeFailure::Late || !self.can_continue();
                 match is_final || !self.can_retry() {
                     true => Break(AttemptsEnd::Failed),
                     false => Continue(()),
--- a/entry/src/front/requests/event_splitter.rs
+++ b/entry/src/front/requests/event_splitter.rs
@@ -8,6 +8,7 @@
     buffer: Vec<u8>,
     /// Whether the begin of an event has been returned without its end.
     is_split: bool,
+    has_data: bool,
     last_id: Option<String>,
     version: Option<u64>,
 }
@@ -45,6 +46,11 @@
         self.is_split || !is_closed
     }
 
+    /// Whether another run can continue the stream exactly after the events returned so far.
+    pub fn can_continue(&self) -> bool {
+        !self.is_split && (self.last_id.is_some() || !self.has_data)
+    }
+
     /// Discards the incomplete event: another endpoint continues the stream.
     pub fn discard_partial(&mut self) {
         self.buffer.clear();
@@ -65,6 +71,7 @@
         events: &[u8],
     ) {
         for line in events.split(|byte| *byte == b'\n') {
+            self.has_data |= line.starts_with(b"data:");
             if let Some(id) = field_value(line, b"id:") {
                 self.last_id = Some(id.to_string());
             }
--- a/entry/src/front/requests/request_moves.rs
+++ b/entry/src/front/requests/request_moves.rs
@@ -164,6 +164,7 @@
             && self.route().is_stream
             && self.progress.is_head_sent
             && splitter.last_id().is_some()
+            && splitter.can_continue()
             && splitter.version().is_none_or(|stated| stated == version)
             && self.suspect_crashes.is_none()
             && remaining >= MIN_REMAINING_EVENTS
--- a/entry/src/front/requests/request_retry.rs
+++ b/entry/src/front/requests/request_retry.rs
@@ -11,6 +11,12 @@
         is_allowed && self.possible_runs < self.max_runs()
     }
 
+    /// Whether another run can continue what the caller has received.
+    pub(crate) fn can_continue(&self) -> bool {
+        let is_continuable = self.route().is_stream && self.progress.splitter.can_continue();
+        !self.progress.is_head_sent || is_continuable
+    }
+
     /// Charges another send to the retry budget; false if it is not allowed.
     pub(crate) fn acquire_retry(&mut self) -> bool {
         if !self.can_retry() || self.sends >= self.max_runs() + MAX_UNEXECUTED_SENDS {
