An unframed answer on the own interface is not decoded as chunks

What callers saw: 200 with an empty body, framed as complete, where a service answered without a length and without chunks and its body began like a last chunk. Cause: the HTTP client of the agent decodes each body without a length as chunks, whatever the head says. Change: the agent gives up such an answer as invalid (502, may have run) before it reads the body. Delivering it is not supported: the client offers no body that ends with its connection.

--- a/agent/src/endpoint/endpoint_request.rs
+++ b/agent/src/endpoint/endpoint_request.rs
@@ -6,7 +6,7 @@
     pitchhitch_core::errors::ErrorKind,
     pitchhitch_wire::messages::{is_hop_by_hop, HandOver, HeaderField},
     std::io,
-    trillium_client::{Conn, Error as ClientError, HeaderName},
+    trillium_client::{Conn, Error as ClientError, HeaderName, KnownHeaderName, Method, Status},
 };
 
 /// Failure of a request before the endpoint started its response.
@@ -50,6 +50,7 @@
 pub async fn send_request(conn: Conn) -> Result<Conn, CallFailure> {
     match conn.await {
         Ok(conn) => match conn.response_headers().get_str(REFUSED_HEADER) {
+            None if is_unframed(&conn) => Err(CallFailure::Unknown(ErrorKind::BadAnswer)),
             None => Ok(conn),
             Some("version") => Err(CallFailure::NotRun(ErrorKind::WrongVersion)),
             Some(_) => Err(CallFailure::NotRun(ErrorKind::EndpointFull)),
@@ -64,6 +65,16 @@
     }
 }
 
+/// Whether the body ends with the connection. The client would decode it as chunks.
+fn is_unframed(conn: &Conn) -> bool {
+    let headers = conn.response_headers();
+    let has_body = !matches!(conn.status(), Some(Status::NoContent | Status::NotModified))
+        && conn.method() != Method::Head;
+    has_body
+        && !headers.has_header(KnownHeaderName::ContentLength)
+        && !headers.has_header(KnownHeaderName::TransferEncoding)
+}
+
 /// Returns the response headers to forward, without hop-by-hop headers, `content-length`
 /// and `server`.
 pub fn response_headers(conn: &Conn) -> Vec<HeaderField> {
