--- a/core/src/serving/kv_stores/prompt_info.rs
+++ b/core/src/serving/kv_stores/prompt_info.rs
@@ -15,6 +15,9 @@
     pub time_left: Option<Micros>,
     /// Prompt, if the request is for a model.
     pub prompt: Option<PromptInfo>,
+    /// If the request continues a stream that broke off: id of the attempt that brought the first
+    /// event, empty if the caller does not state it.
+    pub continues: Option<String>,
 }
 
 /// Prompt of a request.
