ORDER: a stream that breaks off goes on only at the software that began it

What callers saw: an answer that began at one software version and went on at another. Cause: a further attempt of a request chooses like the first one; software counts there only during a roll-out that operators ordered. Change: SoftwareTag names service and software, the same on all boxes. The handler keeps the tag of the run that brought the first event, and only endpoints with it are eligible from then on, also against the preference of a roll-out.

--- a/core/src/serving/mod.rs
+++ b/core/src/serving/mod.rs
@@ -9,6 +9,7 @@
 mod membership;
 mod message_intervals;
 mod moves;
+mod origins;
 mod stable_hash;
 mod store_reads;
 mod suspects;
@@ -16,5 +17,5 @@
 
 pub use {
     admission::*, choice::*, config::*, kv_stores::*, membership::*, message_intervals::*,
-    moves::*, stable_hash::*, store_reads::*, suspects::*, weights::*,
+    moves::*, origins::*, stable_hash::*, store_reads::*, suspects::*, weights::*,
 };
--- a/entry/src/front/requests/lost_run.rs
+++ b/entry/src/front/requests/lost_run.rs
@@ -3,7 +3,7 @@
     pitchhitch_core::{
         serving::{
             CrashId, EndpointChoice, EndpointStatus, FingerprintInput, RequestFingerprint,
-            SuspectCrash,
+            SoftwareTag, SuspectCrash,
         },
         time::Micros,
     },
@@ -22,6 +22,8 @@
 pub(crate) struct LatestRun {
     /// Number of incarnations of the endpoint that had ended when it was chosen.
     pub(crate) incarnation: u32,
+    /// Software of the endpoint, if the endpoint was known.
+    pub(crate) software: Option<SoftwareTag>,
     /// Start of its incarnation at that time, if known.
     pub(crate) born: Option<u64>,
     /// Crashes attributed to the request when the endpoint was chosen.
--- a/entry/src/front/requests/request_attempt.rs
+++ b/entry/src/front/requests/request_attempt.rs
@@ -5,7 +5,9 @@
     },
     pitchhitch_core::{
         rollout::VersionArm,
-        serving::{EndpointChoice, EndpointKey, EndpointStatus, PendingPrefill, ResumeSite},
+        serving::{
+            EndpointChoice, EndpointKey, EndpointStatus, PendingPrefill, ResumeSite, SoftwareTag,
+        },
         time::Micros,
     },
     pitchhitch_http1::TcpConnection,
@@ -142,6 +144,7 @@
         let entry = state.registry.get(engine);
         self.latest_run = LatestRun {
             incarnation: entry.map_or(0, |entry| entry.incarnation.ended),
+            software: entry.map(SoftwareTag::of),
             born: entry.and_then(|entry| entry.incarnation.born),
             known_crashes: self.suspect_crashes.unwrap_or(0),
             ..LatestRun::default()
--- a/entry/src/front/requests/request_choice.rs
+++ b/entry/src/front/requests/request_choice.rs
@@ -4,7 +4,7 @@
         serving::{
             pick_endpoint, AllowedRegions, CacheNamespace, EndpointChoice, EngineConfig,
             LatencyEstimator, PartAvailability, PartLocation, PickRequest, PoolScope, PromptSize,
-            ServingMechanism, TrialRequest, VersionAvailability, WeightBounds,
+            ServingMechanism, SoftwareTag, TrialRequest, VersionAvailability, WeightBounds,
         },
         time::Micros,
     },
@@ -80,8 +80,11 @@
     /// Chooses an endpoint whose software version the request may go to.
     pub(crate) fn pick(&mut self) -> Option<EndpointChoice> {
         let now = self.front.now();
-        let scopes = self.version_scopes(&self.front.state(), now);
         self.is_comparison = false;
+        if self.origin.is_some() {
+            return self.pick_in(None);
+        }
+        let scopes = self.version_scopes(&self.front.state(), now);
         let Some((scopes, is_comparison)) = scopes else {
             return self.pick_in(None);
         };
@@ -132,6 +135,9 @@
                 state.is_available(entry, has_slow_start, now)
                     && self.is_region_allowed(&entry.domain)
                     && scope.is_none_or(|scope| scope.admits(entry))
+                    && self
+                        .origin
+                        .is_none_or(|origin| origin == SoftwareTag::of(entry))
             },
             is_connected: &|key| state.pool.has_open(key, now),
             size: self.prompt_size(),
--- a/entry/src/front/requests/request_handler.rs
+++ b/entry/src/front/requests/request_handler.rs
@@ -6,7 +6,7 @@
     pitchhitch_core::{
         serving::{
             EndpointKey, Organisation, RequestFingerprint, RequestInfo, ResolvedRequest,
-            ServedRoute, ServingConfig,
+            ServedRoute, ServingConfig, SoftwareTag,
         },
         time::Micros,
     },
@@ -43,6 +43,8 @@
     pub(crate) timer: DeadlineTimer,
     /// Endpoints that were tried already.
     pub(crate) tried: Vec<EndpointKey>,
+    /// Software that began the stream, once the caller has events of it; no other continues it.
+    pub(crate) origin: Option<SoftwareTag>,
     /// The latest run at an endpoint.
     pub(crate) latest_run: LatestRun,
     /// Fingerprint, once it has been computed.
@@ -129,6 +131,7 @@
             deadline,
             timer: DeadlineTimer::after(front.clock, to_duration(time_left)),
             tried: Vec::new(),
+            origin: None,
             latest_run: LatestRun::default(),
             cached_fingerprint: None,
             suspect_crashes: None,
--- a/entry/src/front/requests/request_response.rs
+++ b/entry/src/front/requests/request_response.rs
@@ -171,6 +171,9 @@
             }
         };
         self.latest_run.first_event_at = first_event_at;
+        if first_event_at.is_some() {
+            self.origin = self.origin.or(self.latest_run.software);
+        }
         self.response_started_at = self.response_started_at.or(first_event_at);
         if let (Some(version), Some(prompt)) = (version, &self.info.prompt) {
             self.record_version(choice, &prompt.model.clone(), version);
