ORDER: a caller's next try goes on at the software that began its stream

What callers saw: a stream that began at one software version and went on at another after they had come back, at the same front or another one. Cause: Resumes was read by nobody, and a front knew nothing of streams that began elsewhere; a next try was placed like a new request. Evidence: the users' case (161 streams, begun at v1.2 and taken up at v1 by another request); four tests that failed before. Change: fronts record which software sent the first event of each stream that may be resumed. While engines of a service have different software, they report it to three agents that rendezvous hashing gives the stream, again if these change, and running streams as soon as a second version appears. A front that gets a next try asks these agents if it does not know (100 ms at most). If nobody knows, the engines' common software is used where all have the same and the list is current; else the request is refused at once with 503 unknown-origin. The service follows the origin on routes with several. Result: next_try_kept_on_version, next_try_at_other_front, next_try_after_front_killed and unknown_origin_refused failed before and pass, three runs of the file; stream_origins (7, without a network), digest_relays, announcement_targets, software_rollouts and moving_runs pass.

--- a/agent/src/engine_agent/engine_agent_state.rs
+++ b/agent/src/engine_agent/engine_agent_state.rs
@@ -5,8 +5,8 @@
     pitchhitch_core::{
         serving::{
             EndpointNotice, EngineLoad, GrowthTracker, IncarnationOrder, IncarnationTracker,
-            ListedIncarnation, NamespaceTag, PaceTracker, PartId, ProofTracker, ProvenTable,
-            RateReports, ReportedRun, SuspectTracker,
+            ListedIncarnation, NamespaceTag, OriginTable, PaceTracker, PartId, ProofTracker,
+            ProvenTable, RateReports, ReportedRun, SuspectTracker,
         },
         time::Micros,
     },
@@ -84,6 +84,8 @@
     pub has_cache_reset: bool,
     /// Suspect requests: a copy that survives restarts of all fronts.
     pub suspects: SuspectTracker,
+    /// Origins of streams, kept for all fronts.
+    pub origins: OriginTable,
     /// Counters.
     pub metrics: EngineAgentMetrics,
     /// Fronts that requested all known suspect requests.
--- a/agent/src/engine_agent/greeting_receiver.rs
+++ b/agent/src/engine_agent/greeting_receiver.rs
@@ -1,7 +1,10 @@
 use {
     super::{accept_relayed, EngineAgentContext, EngineAgentState},
-    pitchhitch_core::{serving::ListedIncarnation, time::Micros},
-    pitchhitch_wire::engine_agent::{AgentDatagram, FrontGreeting},
+    pitchhitch_core::{
+        serving::{ListedIncarnation, StreamId, StreamOrigin},
+        time::Micros,
+    },
+    pitchhitch_wire::engine_agent::{AgentDatagram, FrontDatagram, FrontGreeting, OriginAnswer},
     smol::Timer,
     std::{net::SocketAddr, rc::Rc, time::Duration},
 };
@@ -22,6 +25,10 @@
             Ok((AgentDatagram::Greeting(greeting), from)) => {
                 accept_greeting(&agent, *greeting, from)
             }
+            Ok((AgentDatagram::Origins(origins), _)) => record_origins(&agent, &origins),
+            Ok((AgentDatagram::OriginQuery(stream), from)) => {
+                answer_query(&agent, stream, from).await;
+            }
             Err(error) => {
                 let error = error.to_string();
                 log::warn!(event = "hello-failed", error = error.as_str(); "");
@@ -69,6 +76,42 @@
     }
 }
 
+fn record_origins(
+    agent: &EngineAgentContext,
+    origins: &[StreamOrigin],
+) {
+    let now = agent.now();
+    let mut state = agent.state();
+    for origin in origins {
+        state.origins.record(*origin, now);
+    }
+    state.metrics.increment("origins", "recorded");
+}
+
+async fn answer_query(
+    agent: &EngineAgentContext,
+    stream: StreamId,
+    from: SocketAddr,
+) {
+    let software = {
+        let mut state = agent.state();
+        let software = state.origins.get(stream);
+        let outcome = if software.is_some() {
+            "known"
+        } else {
+            "unknown"
+        };
+        state.metrics.increment("origins", outcome);
+        software
+    };
+    let answer = FrontDatagram::Origin(OriginAnswer { stream, software });
+    // The front asks several agents and does not rely on each answer.
+    if let Err(error) = agent.socket.send(&answer, from).await {
+        let error = error.to_string();
+        log::debug!(event = "origin-unsent", error = error.as_str(); "");
+    }
+}
+
 /// Records a front's reads of the platform store. A greeting of unknown age is ignored: it may have
 /// waited in the socket for any time and proves nothing.
 fn record_proofs(
--- a/core/src/serving/admission/refusal_kind.rs
+++ b/core/src/serving/admission/refusal_kind.rs
@@ -13,6 +13,8 @@
     StaleKeys,
     /// No endpoint can take the request.
     NoEndpoint,
+    /// The request continues a stream, and it is unknown which software began it.
+    UnknownOrigin,
     /// The request would not be served in time.
     Overloaded,
     /// The endpoint reported that it did not run the request, and no retry is allowed.
@@ -83,6 +85,7 @@
             RefusalKind::NoConfig => retryable("no-config", "try another box", RETRY_SOON),
             RefusalKind::StaleKeys => retryable("stale-keys", "try another box", RETRY_STORE),
             RefusalKind::NoEndpoint => retryable("no-endpoint", "come back later", RETRY_LATER),
+            RefusalKind::UnknownOrigin => retryable("unknown-origin", "begin anew", RETRY_SOON),
             RefusalKind::Overloaded => retryable("overloaded", "come back later", RETRY_LATER),
             RefusalKind::EndpointRefused => retryable("endpoint-refused", "come back", RETRY_SOON),
             RefusalKind::BudgetSpent => retryable("budget-spent", "come back", RETRY_SOON),
--- a/core/src/serving/origins/software_tag.rs
+++ b/core/src/serving/origins/software_tag.rs
@@ -8,9 +8,16 @@
 pub struct SoftwareTag(u64);
 
 impl SoftwareTag {
-    /// Tag of an endpoint's service and software.
+    /// Tag of a version of a service's software.
+    pub fn new(
+        service: &str,
+        software: &str,
+    ) -> Self {
+        SoftwareTag(mix_hashes(stable_hash(service), stable_hash(software)))
+    }
+
+    /// Tag of an endpoint's software.
     pub fn of(entry: &EndpointEntry) -> Self {
-        let (service, software) = (stable_hash(&entry.service), stable_hash(&entry.software));
-        SoftwareTag(mix_hashes(service, software))
+        SoftwareTag::new(&entry.service, &entry.software)
     }
 }
--- a/entry/src/front/front_context.rs
+++ b/entry/src/front/front_context.rs
@@ -32,6 +32,8 @@
     pub era_changed: WakeSignal,
     /// Wakes the task that carries out roll-outs.
     pub rollout_due: WakeSignal,
+    /// Wakes the task that reports and looks up the origins of streams.
+    pub origin_due: WakeSignal,
     /// Streams that this front relays, and the moves of their runs.
     pub moves: Rc<MoveBoard>,
     state: RefCell<FrontState>,
@@ -50,6 +52,7 @@
             blocked_row_due: WakeSignal::default(),
             era_changed: WakeSignal::default(),
             rollout_due: WakeSignal::default(),
+            origin_due: WakeSignal::default(),
             moves: Rc::default(),
             executor: LocalExecutor::new(),
         })
--- a/entry/src/front/front_process.rs
+++ b/entry/src/front/front_process.rs
@@ -1,9 +1,9 @@
 use {
     super::{
         bootstrap_from_peers, handle_control, maintain_endpoints, receive_digests,
-        refresh_from_peers, run_fallback_controller, run_rollouts, send_greetings, serve_caller,
-        sync_blocked_rows, track_engines, watch_endpoint_list, watch_kv_stores, watch_operator,
-        FrontContext, FrontSettings,
+        refresh_from_peers, run_fallback_controller, run_rollouts, send_greetings, send_origins,
+        serve_caller, sync_blocked_rows, track_engines, watch_endpoint_list, watch_kv_stores,
+        watch_operator, FrontContext, FrontSettings,
     },
     anyhow::Context,
     pitchhitch_core::{
@@ -61,7 +61,8 @@
     front.spawn(bootstrap_from_peers(front.clone()));
     front.spawn(refresh_from_peers(front.clone()));
     front.spawn(receive_digests(front.clone(), socket.clone()));
-    front.spawn(send_greetings(front.clone(), socket));
+    front.spawn(send_greetings(front.clone(), socket.clone()));
+    front.spawn(send_origins(front.clone(), socket));
     front.spawn(detect_pauses(front.clone()));
     front.spawn(watch_operator(front.clone()));
     front.spawn(watch_endpoint_list(front.clone()));
--- a/entry/src/front/front_state.rs
+++ b/entry/src/front/front_state.rs
@@ -4,10 +4,11 @@
         rollout::RolloutTable,
         serving::{
             AdmissionController, CacheNamespace, EndpointEntry, EndpointKey, EndpointRegistry,
-            EngineRates, EraTracker, EvacuationSet, FetchCompletion, FrontCount, KeyFreshness,
-            KvStoreDirectory, LatencyEstimators, MemoryBudget, NamespaceTag, PauseDetector,
-            PlainCosts, PromptPools, ProvenTable, RetryWindow, ServingConfig, StoreEra,
-            SuspectTracker, SwapPlanner, TrialTable, REWRITE_DELAY,
+            EngineRates, EraTracker, EvacuationSet, FetchCompletion, FrontCount, KeeperSet,
+            KeyFreshness, KvStoreDirectory, LatencyEstimators, MemoryBudget, NamespaceTag,
+            OriginLookups, OriginTable, PauseDetector, PlainCosts, PromptPools, ProvenTable,
+            RetryWindow, ServingConfig, StoreEra, SuspectTracker, SwapPlanner, TrialTable,
+            REWRITE_DELAY,
         },
         time::Micros,
     },
@@ -54,6 +55,14 @@
     pub evacuations: EvacuationSet,
     /// Roll-outs of endpoint software.
     pub rollouts: RolloutTable,
+    /// Software that began the streams of recent callers.
+    pub origins: OriginTable,
+    /// Look-ups of origins that other fronts have reported.
+    pub origin_lookups: OriginLookups,
+    /// Agents that keep origins on behalf of all fronts.
+    pub origin_keepers: KeeperSet,
+    /// Whether engines of one service have different software.
+    pub has_mixed_software: bool,
     /// Decides which requests are refused under overload.
     pub admission: AdmissionController,
     /// Estimates of how fast engines process prompts, by size class.
@@ -123,6 +132,10 @@
             proven_era: None,
             evacuations: EvacuationSet::default(),
             rollouts: RolloutTable::default(),
+            origins: OriginTable::default(),
+            origin_lookups: OriginLookups::default(),
+            origin_keepers: KeeperSet::default(),
+            has_mixed_software: false,
             admission: AdmissionController::without(settings.disabled_mechanisms),
             latency_estimators: LatencyEstimators::without(settings.disabled_mechanisms),
             prompt_pools: PromptPools::default(),
--- a/entry/src/front/peers/digest_receiver.rs
+++ b/entry/src/front/peers/digest_receiver.rs
@@ -1,5 +1,5 @@
 use {
-    super::digest_apply::apply_digest,
+    super::{digest_apply::apply_digest, origin_sender::apply_origin},
     crate::front::{
         apply_kv_store_update, handle_endpoint_changes, is_engine, reader_id, FrontContext,
         FrontState, TableProofs,
@@ -52,6 +52,7 @@
                     handle_bundled(&front, bundled, from);
                 }
             }
+            Ok((FrontDatagram::Origin(answer), from)) => apply_origin(&front, answer, from),
             Err(error) => {
                 let error = error.to_string();
                 log::warn!(event = "digest-failed", error = error.as_str(); "");
--- a/entry/src/front/requests/attempt_loop.rs
+++ b/entry/src/front/requests/attempt_loop.rs
@@ -20,6 +20,10 @@
     pub(crate) async fn serve(&mut self) -> ConnectionReuse {
         self.wait_for_state().await;
         let mut failure = RequestFailure::default();
+        if !self.find_origin().await {
+            failure.kind = RefusalKind::UnknownOrigin;
+            return self.finish_failed(failure).await;
+        }
         loop {
             match self.try_next_endpoint(&mut failure).await {
                 Continue(()) => {}
--- a/entry/src/front/requests/mod.rs
+++ b/entry/src/front/requests/mod.rs
@@ -26,6 +26,7 @@
 mod request_versions;
 mod run_resumption;
 mod state_wait;
+mod stream_origin;
 mod stream_relay;
 mod wake_reason;
 
--- a/entry/src/front/requests/request_response.rs
+++ b/entry/src/front/requests/request_response.rs
@@ -1,6 +1,6 @@
 use {
     crate::front::{
-        read_plain_response, relay_plain_response, relay_stream, skip_response_body,
+        read_plain_response, record_origin, relay_plain_response, relay_stream, skip_response_body,
         write_to_caller, AttemptOutcome, EndpointExchange, EndpointResponse, EndpointStream,
         ExchangeFailure, HeldBytes, PlainResponse, RelayEnd, RelayEvent, RequestHandler,
     },
@@ -121,12 +121,16 @@
         let size = self.prompt_size();
         let has_pools = front.state().prompt_pools.has_pools(&self.service);
         let is_first_send = is_unanswered_prompt && self.sends == 1;
+        let new_origin = self.new_origin();
         let mut first_event_at = None;
         let mut version = None;
         let mut on_event = |event| match event {
             RelayEvent::FirstEvent => {
                 let now = front.now();
                 first_event_at = Some(now);
+                if let Some(origin) = new_origin {
+                    record_origin(front, origin);
+                }
                 let mut state = front.state();
                 state.registry.record_first_token(choice.key, ticket);
                 state.trials.record_first_event(ticket, now);
--- /dev/null
+++ b/entry/src/front/requests/stream_origin.rs
@@ -0,0 +1,134 @@
+use {
+    crate::front::{begin_lookup, common_software, record_origin, RequestHandler},
+    pitchhitch_core::{
+        serving::{RetryPolicy, SoftwareTag, StreamId, StreamOrigin},
+        time::Micros,
+    },
+    pitchhitch_process::to_duration,
+    smol::Timer,
+};
+
+/// Longest wait for agents to say where a stream began, and the polling interval. They are a
+/// millisecond or two away.
+const LOOKUP_TIMEOUT: Micros = Micros::from_millis(100);
+const LOOKUP_POLL_INTERVAL: Micros = Micros::from_millis(3);
+/// Age of the state read from the platform store up to which no software is missing in the list.
+const MAX_LIST_AGE: Micros = Micros::from_secs(1);
+
+/// How the origin of a stream was found.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum OriginSource {
+    /// A front has recorded or reported it.
+    Recorded,
+    /// All engines have the same software.
+    CommonSoftware,
+    /// It was not found.
+    Unknown,
+}
+
+impl OriginSource {
+    fn as_str(self) -> &'static str {
+        match self {
+            OriginSource::Recorded => "recorded",
+            OriginSource::CommonSoftware => "common-software",
+            OriginSource::Unknown => "unknown",
+        }
+    }
+}
+
+impl RequestHandler<'_> {
+    /// The stream that the request begins or continues.
+    pub(crate) fn stream_id(&self) -> StreamId {
+        let first_attempt = self.info.continues.as_ref();
+        StreamId::of(first_attempt.unwrap_or(&self.info.request_id))
+    }
+
+    /// Finds the software that began the stream which the caller continues; false if it is unknown.
+    pub(crate) async fn find_origin(&mut self) -> bool {
+        if self.info.continues.is_none() || !self.route().is_stream {
+            return true;
+        }
+        let started_at = self.front.now();
+        let stream = self.stream_id();
+        let (origin, source) = self.look_up_origin(stream).await;
+        self.origin = origin;
+        self.choose_origin_service();
+        if let (Some(software), OriginSource::CommonSoftware) = (origin, source) {
+            record_origin(self.front, StreamOrigin { stream, software });
+        }
+        log::info!(
+            event = "stream-origin",
+            request = self.info.request_id.as_str(),
+            continues = self.info.continues.as_deref().unwrap_or(""),
+            service = self.service.as_str(),
+            source = source.as_str(),
+            waited_ms = self.front.now().since(started_at).as_millis();
+            ""
+        );
+        self.front.metrics.increment("origins", source.as_str());
+        origin.is_some()
+    }
+
+    async fn look_up_origin(
+        &self,
+        stream: StreamId,
+    ) -> (Option<SoftwareTag>, OriginSource) {
+        let front = self.front;
+        let started_at = front.now();
+        if let Some(origin) = front.state().origins.get(stream) {
+            return (Some(origin), OriginSource::Recorded);
+        }
+        begin_lookup(front, stream);
+        let (recorded, is_answered) = loop {
+            let recorded = front.state().origins.get(stream);
+            let (has_answer, is_answered) = front.state().origin_lookups.answers(stream);
+            let is_late = front.now().since(started_at) >= LOOKUP_TIMEOUT;
+            if recorded.is_some() || is_answered || is_late {
+                break (recorded, has_answer);
+            }
+            Timer::after(to_duration(LOOKUP_POLL_INTERVAL)).await;
+        };
+        front.state().origin_lookups.end(stream);
+        if recorded.is_some() {
+            return (recorded, OriginSource::Recorded);
+        }
+        // A front that neither agents nor the platform store answer may not know all engines.
+        let state = front.state();
+        let list_age = state.key_freshness.age(front.now());
+        let is_current = is_answered || list_age.is_some_and(|age| age <= MAX_LIST_AGE);
+        let targets = self.route().targets.iter();
+        let services: Vec<&str> = targets.map(|target| target.service.as_str()).collect();
+        match common_software(&state, &services).filter(|_| is_current) {
+            Some(software) => (Some(software), OriginSource::CommonSoftware),
+            None => (None, OriginSource::Unknown),
+        }
+    }
+
+    /// Sends the request to the service that began the stream, if the route still leads there.
+    fn choose_origin_service(&mut self) {
+        if let Some(service) = self.origin_service() {
+            self.service = service;
+        }
+    }
+
+    fn origin_service(&self) -> Option<String> {
+        let origin = self.origin?;
+        let state = self.front.state();
+        let mut entries = state.registry.iter().map(|(_, entry)| entry);
+        let entry = entries.find(|entry| {
+            let mut targets = self.route().targets.iter();
+            let is_target = targets.any(|target| target.service == entry.service);
+            is_target && SoftwareTag::of(entry) == origin
+        });
+        entry.map(|entry| entry.service.clone())
+    }
+
+    /// Origin of the stream, to be recorded once the engine has sent its first event. Only streams
+    /// that may be resumed are continued.
+    pub(crate) fn new_origin(&self) -> Option<StreamOrigin> {
+        let is_new = self.origin.is_none() && self.route().retry == RetryPolicy::Resumable;
+        let software = self.latest_run.software.filter(|_| is_new)?;
+        let stream = self.stream_id();
+        Some(StreamOrigin { stream, software })
+    }
+}
--- a/wire/src/engine_agent/datagram.rs
+++ b/wire/src/engine_agent/datagram.rs
@@ -1,8 +1,18 @@
 use {
     super::{BundledDigest, DigestMessage, FrontGreeting, RelayedDigest},
+    pitchhitch_core::serving::{SoftwareTag, StreamId, StreamOrigin},
     serde::{Deserialize, Serialize},
 };
 
+/// What an agent knows of the origin of a stream.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct OriginAnswer {
+    /// The stream.
+    pub stream: StreamId,
+    /// Software that began it; `None` if the agent does not know.
+    pub software: Option<SoftwareTag>,
+}
+
 /// Datagram to a front.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub enum FrontDatagram {
@@ -10,6 +20,8 @@
     Digest(Box<DigestMessage>),
     /// Digests of several engines.
     Bundle(Vec<BundledDigest>),
+    /// Answer to [`AgentDatagram::OriginQuery`].
+    Origin(OriginAnswer),
 }
 
 /// Datagram to the agent of an engine.
@@ -19,4 +31,8 @@
     Greeting(Box<FrontGreeting>),
     /// Digest of another engine, to be passed on.
     Relay(RelayedDigest),
+    /// Origins of streams that began at a front.
+    Origins(Vec<StreamOrigin>),
+    /// Asks for the origin of a stream.
+    OriginQuery(StreamId),
 }
