A reset that a write took note of is not read as an orderly close

What callers would see: an answer without a length, cut by a reset while the request was still being written, framed as complete. Cause: a socket reports the error of a reset once. After a failed write the next read returned what had arrived and then 0, the regular end of a body without a length. Change: a connection remembers a failed write, and an end after it is an error. Result: connection_reset (2), caller_responses (11), slow_readers (6), closed_callers and truncated_streams (8) pass.

--- a/http1/src/tcp_connection.rs
+++ b/http1/src/tcp_connection.rs
@@ -3,6 +3,7 @@
     futures_lite::future::poll_fn,
     smol::{Async, Timer},
     std::{
+        cell::Cell,
         io::{self, ErrorKind, Read, Write},
         net::{SocketAddr, TcpStream},
         task::{Context, Poll},
@@ -29,6 +30,8 @@
 pub struct TcpConnection {
     stream: Async<TcpStream>,
     buffer: Vec<u8>,
+    /// Whether a write has failed; its error is reported only once.
+    is_broken: Cell<bool>,
 }
 
 impl TcpConnection {
@@ -45,6 +48,7 @@
         Ok(TcpConnection {
             stream,
             buffer: Vec::new(),
+            is_broken: Cell::new(false),
         })
     }
 
@@ -120,6 +124,8 @@
         let count = *outcome.as_ref().unwrap_or(&0);
         self.buffer.truncate(filled + count);
         match outcome {
+            // After a failed write, a reset looks like an orderly close.
+            Ok(0) if self.is_broken.get() => Err(ErrorKind::ConnectionReset.into()),
             Ok(count) => Ok(Some(count)),
             Err(error) if is_transient(&error) => Ok(None),
             Err(error) => Err(error),
@@ -150,7 +156,10 @@
         match self.stream.get_ref().write(bytes) {
             Ok(count) => Ok(count),
             Err(error) if is_transient(&error) => Ok(0),
-            Err(error) => Err(error),
+            Err(error) => {
+                self.is_broken.set(true);
+                Err(error)
+            }
         }
     }
 
