ORDER: a body of unstated type that has its whole length is not a truncated stream

What callers saw: 502 in place of a whole answer, where an engine answers a streaming route with a length and without a type. Cause: the mend took each body without a type for a stream of events. Change: a body without a type counts as a stream unless it has a length. unfinished= stands beside framing= in event=end again; continues= had been put between them, which broke the assertion of unframed_stream_truncated.

--- a/entry/src/front/requests/request_log.rs
+++ b/entry/src/front/requests/request_log.rs
@@ -162,8 +162,8 @@
             worst_gap_ms = self.progress.longest_gap.as_millis(),
             writes = self.progress.writes,
             framing = self.progress.framing.map_or("", BodyFraming::as_str),
-            continues = self.info.continues.as_deref().unwrap_or(""),
             unfinished = self.progress.splitter.partial_event().len(),
+            continues = self.info.continues.as_deref().unwrap_or(""),
             config = self.config.version;
             ""
         );
--- a/entry/src/front/requests/stream_relay.rs
+++ b/entry/src/front/requests/stream_relay.rs
@@ -154,7 +154,10 @@
 ) -> bool {
     let is_empty = is_first && splitter.partial_event().is_empty();
     let is_unanswered = is_empty && response.framing == BodyFraming::UntilClose;
-    response.info.is_event_stream && (is_unanswered || splitter.is_inside_event())
+    // A body of unstated type that has a length is whole.
+    let has_length = matches!(response.framing, BodyFraming::Length(_));
+    let is_event_stream = response.info.is_event_stream.unwrap_or(!has_length);
+    is_event_stream && (is_unanswered || splitter.is_inside_event())
 }
 
 async fn forward_events(
