--- a/core/src/serving/origins/origin_lookups.rs
+++ b/core/src/serving/origins/origin_lookups.rs
@@ -15,6 +15,22 @@
     is_sent: bool,
 }
 
+/// Answers of agents that do not know an origin.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct LookupAnswers {
+    /// Agents that have answered.
+    pub received: usize,
+    /// Agents that were asked.
+    pub expected: usize,
+}
+
+impl LookupAnswers {
+    /// Whether no further answer is to be waited for.
+    pub fn is_complete(self) -> bool {
+        self.received == self.expected
+    }
+}
+
 /// Look-ups of origins in progress.
 #[derive(Debug, Default)]
 pub struct OriginLookups {
@@ -61,15 +77,15 @@
         }
     }
 
-    /// Whether any agent, and whether each of them, has answered that it does not know the origin.
+    /// Answers so far of agents that do not know the origin of a stream.
     pub fn answers(
         &self,
         stream: StreamId,
-    ) -> (bool, bool) {
+    ) -> LookupAnswers {
         let lookup = self.lookups.get(&stream);
-        lookup.map_or((false, true), |lookup| {
-            let count = lookup.ignorant.len();
-            (count > 0, count == lookup.keepers.len())
+        lookup.map_or_else(LookupAnswers::default, |lookup| LookupAnswers {
+            received: lookup.ignorant.len(),
+            expected: lookup.keepers.len(),
         })
     }
 
--- a/core/tests/stream_origins.rs
+++ b/core/tests/stream_origins.rs
@@ -119,19 +119,23 @@
 fn lookup_answered() {
     let stream = StreamId::of("r-1");
     let mut lookups = OriginLookups::default();
+    let received = |lookups: &OriginLookups| {
+        let answers = lookups.answers(stream);
+        (answers.received, answers.is_complete())
+    };
     lookups.begin(stream, vec![agent(1), agent(2)]);
     lookups.begin(stream, vec![agent(3)]);
     assert_eq!(lookups.take_unsent().len(), 2);
     assert_eq!(lookups.take_unsent(), []);
     lookups.record_unknown(stream, agent(9));
-    assert_eq!(lookups.answers(stream), (false, false));
+    assert_eq!(received(&lookups), (0, false));
     lookups.record_unknown(stream, agent(1));
     lookups.record_unknown(stream, agent(1));
-    assert_eq!(lookups.answers(stream), (true, false));
+    assert_eq!(received(&lookups), (1, false));
     lookups.record_unknown(stream, agent(2));
-    assert_eq!(lookups.answers(stream), (true, true));
+    assert_eq!(received(&lookups), (2, true));
     lookups.end(stream);
     lookups.end(stream);
     lookups.begin(stream, vec![agent(3)]);
-    assert_eq!(lookups.answers(stream), (false, false));
+    assert_eq!(received(&lookups), (0, false));
 }
--- a/entry/src/front/requests/stream_origin.rs
+++ b/entry/src/front/requests/stream_origin.rs
@@ -79,12 +79,12 @@
             return (Some(origin), OriginSource::Recorded);
         }
         begin_lookup(front, stream);
-        let (recorded, is_answered) = loop {
+        let (recorded, answers) = loop {
             let recorded = front.state().origins.get(stream);
-            let (has_answer, is_answered) = front.state().origin_lookups.answers(stream);
+            let answers = front.state().origin_lookups.answers(stream);
             let is_late = front.now().since(started_at) >= LOOKUP_TIMEOUT;
-            if recorded.is_some() || is_answered || is_late {
-                break (recorded, has_answer);
+            if recorded.is_some() || answers.is_complete() || is_late {
+                break (recorded, answers);
             }
             Timer::after(to_duration(LOOKUP_POLL_INTERVAL)).await;
         };
@@ -95,7 +95,7 @@
         // A front that neither agents nor the platform store answer may not know all engines.
         let state = front.state();
         let list_age = state.key_freshness.age(front.now());
-        let is_current = is_answered || list_age.is_some_and(|age| age <= MAX_LIST_AGE);
+        let is_current = answers.received > 0 || list_age.is_some_and(|age| age <= MAX_LIST_AGE);
         let targets = self.route().targets.iter();
         let services: Vec<&str> = targets.map(|target| target.service.as_str()).collect();
         match common_software(&state, &services).filter(|_| is_current) {
