Roll-outs compare the answers of one stage, also with the baseline's upper quarter

Cause: traced from the fronts' kept logs. The answers of all seconds were taken together, while the ramp sends nearly all to the target: a slow moment then counted against it. And only answers beyond twice the baseline's slowest twentieth counted as slow, which on a busy machine are slower than any answer of a slow version. Change: latencies are counted by stage (comparison, ramp) and compared within it, with two thresholds: twice the latency that a twentieth, and that a quarter of the baseline's answers exceeds.

--- a/core/src/rollout/mod.rs
+++ b/core/src/rollout/mod.rs
@@ -7,6 +7,7 @@
 
 mod answer_counts;
 mod exposure_meter;
+mod latency_counts;
 mod outcome_counts;
 mod rollout_decision;
 mod rollout_order;
@@ -20,7 +21,7 @@
 mod version_verdict;
 
 pub use {
-    answer_counts::*, exposure_meter::*, outcome_counts::*, rollout_decision::*, rollout_order::*,
-    rollout_record::*, rollout_schedule::*, rollout_table::*, service_rollout::*, version_arm::*,
-    version_filter::*, version_sightings::*, version_verdict::*,
+    answer_counts::*, exposure_meter::*, latency_counts::*, outcome_counts::*, rollout_decision::*,
+    rollout_order::*, rollout_record::*, rollout_schedule::*, rollout_table::*, service_rollout::*,
+    version_arm::*, version_filter::*, version_sightings::*, version_verdict::*,
 };
--- a/core/src/rollout/outcome_counts.rs
+++ b/core/src/rollout/outcome_counts.rs
@@ -1,5 +1,5 @@
 use {
-    super::{AnswerCounts, AnswerOutcome, VersionArm},
+    super::{AnswerCounts, AnswerOutcome, RolloutStage, VersionArm},
     serde::{Deserialize, Serialize},
     std::collections::BTreeMap,
 };
@@ -35,11 +35,12 @@
         route: &str,
         arm: VersionArm,
         outcome: AnswerOutcome,
+        stage: RolloutStage,
     ) {
         let outcomes = self.route_mut(route);
         match arm {
-            VersionArm::Baseline => outcomes.baseline.record(outcome),
-            VersionArm::Target => outcomes.target.record(outcome),
+            VersionArm::Baseline => outcomes.baseline.record(outcome, stage),
+            VersionArm::Target => outcomes.target.record(outcome, stage),
         }
     }
 
--- a/core/src/rollout/rollout_schedule.rs
+++ b/core/src/rollout/rollout_schedule.rs
@@ -10,6 +10,16 @@
 /// repeated and still run at the endpoints that stop.
 const FINISH_PERCENT: u64 = 90;
 
+/// Stage of a running roll-out. Answers are compared within one stage: the ramp sends most requests
+/// to the target, and a moment in which all endpoints are slow would count against it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum RolloutStage {
+    /// A small, constant share of the requests goes to the target version.
+    Comparison,
+    /// The share rises.
+    Ramp,
+}
+
 /// Stages of a running roll-out by time, on the store's monotonic clock, in milliseconds. All
 /// fronts go by the same clock, so that they move their requests together without messages.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -37,6 +47,17 @@
         }
     }
 
+    /// Stage at this time.
+    pub fn stage(
+        &self,
+        store_ms: u64,
+    ) -> RolloutStage {
+        match store_ms < self.shift_at {
+            true => RolloutStage::Comparison,
+            false => RolloutStage::Ramp,
+        }
+    }
+
     /// Share of the requests that the ramp has moved by now; `None` before the ramp.
     pub fn shifted_share(
         &self,
--- a/core/src/rollout/service_rollout.rs
+++ b/core/src/rollout/service_rollout.rs
@@ -1,7 +1,7 @@
 use {
     super::{
-        ExposureMeter, OutcomeCounts, RolloutOrder, RolloutRecord, RolloutSchedule, RolloutState,
-        VersionArm, VersionCapacity, VersionFilter, VersionPreference,
+        AnswerOutcome, ExposureMeter, OutcomeCounts, RolloutOrder, RolloutRecord, RolloutSchedule,
+        RolloutStage, RolloutState, VersionArm, VersionCapacity, VersionFilter, VersionPreference,
     },
     crate::time::Micros,
 };
@@ -54,6 +54,22 @@
         Some(store_ms + now.since(at).as_millis())
     }
 
+    /// Counts the outcome of a request.
+    pub fn record_outcome(
+        &mut self,
+        route: &str,
+        arm: VersionArm,
+        outcome: AnswerOutcome,
+        now: Micros,
+    ) {
+        let schedule = self.current_record().map(RolloutSchedule::of);
+        let stage = match (schedule, self.store_ms(now)) {
+            (Some(schedule), Some(store_ms)) => schedule.stage(store_ms),
+            _ => RolloutStage::Comparison,
+        };
+        self.counts.record(route, arm, outcome, stage);
+    }
+
     /// The record, if it belongs to the order in force.
     pub fn current_record(&self) -> Option<&RolloutRecord> {
         let record = self.record.as_ref()?;
--- a/core/src/rollout/version_verdict.rs
+++ b/core/src/rollout/version_verdict.rs
@@ -1,4 +1,4 @@
-use super::{AnswerCounts, OutcomeCounts, RouteOutcomes};
+use super::{AnswerCounts, LatencyCounts, OutcomeCounts, RouteOutcomes};
 
 /// Number of standard deviations by which the target must be worse than the baseline. Both are
 /// compared many times during a roll-out, so a usual level of significance would reject one good
@@ -11,9 +11,10 @@
 /// Bad answers and answers that are added to the baseline: a share observed as zero is uncertain.
 const PRIOR_BAD: f64 = 1.0;
 const PRIOR_TOTAL: f64 = 25.0;
-/// Share of the baseline's answers that may be slower than a typical slow one.
-const SLOW_SHARE: f64 = 0.05;
-/// Buckets beyond a typical slow answer of the baseline from which an answer counts as slow: twice
+/// Shares of the baseline's answers that are slower than those with which slow ones are compared: a
+/// version may be slow at all times, or beyond what the baseline usually takes under load.
+const SLOW_SHARES: [f64; 2] = [0.05, 0.25];
+/// Buckets beyond such an answer of the baseline from which an answer counts as slow: twice
 /// the latency.
 const SLOW_BUCKETS: usize = 2;
 /// Minimum number of answers of the baseline that show which answers are slow.
@@ -68,10 +69,17 @@
     }
     // Latencies of several routes cannot be compared in sum: the mix of routes may differ.
     let route = Some(route?);
-    let bucket = slow_bucket(&outcomes.baseline)?;
-    let slow = |counts: &AnswerCounts| (counts.slower_than(bucket), counts.answered());
-    let (target, baseline) = (slow(&outcomes.target), slow(&outcomes.baseline));
-    is_worse(target, baseline).then_some(VersionFault {
+    let (target, baseline) = (&outcomes.target, &outcomes.baseline);
+    let stages = [
+        (&target.latencies, &baseline.latencies),
+        (&target.ramp_latencies, &baseline.ramp_latencies),
+    ];
+    let pairs = stages.into_iter().flat_map(|stage| {
+        let pairs = SLOW_SHARES.map(|share| slow_counts(stage, share));
+        pairs.into_iter().flatten()
+    });
+    let (target, baseline) = { pairs }.find(|(target, baseline)| is_worse(*target, *baseline))?;
+    Some(VersionFault {
         route,
         kind: "slow",
         target,
@@ -79,17 +87,17 @@
     })
 }
 
-/// First bucket of answers that count as slow, by the answers of the baseline.
-fn slow_bucket(baseline: &AnswerCounts) -> Option<usize> {
-    let answered = baseline.answered();
-    if answered < MIN_BASELINE_ANSWERS {
+/// Slow answers and answers of both versions, if the baseline shows which answers are slow.
+fn slow_counts(
+    (target, baseline): (&LatencyCounts, &LatencyCounts),
+    share: f64,
+) -> Option<((u32, u32), (u32, u32))> {
+    if baseline.total() < MIN_BASELINE_ANSWERS {
         return None;
     }
-    let is_typical = |bucket: &usize| {
-        f64::from(baseline.slower_than(*bucket)) <= SLOW_SHARE * f64::from(answered)
-    };
-    let typical = (0..=baseline.latencies.len()).find(is_typical)?;
-    Some(typical + SLOW_BUCKETS)
+    let bucket = baseline.bucket_at(share) + SLOW_BUCKETS;
+    let slow = |counts: &LatencyCounts| (counts.slower_than(bucket), counts.total());
+    Some((slow(target), slow(baseline)))
 }
 
 /// Whether the target's share of bad answers is larger than can be explained by chance.
--- a/core/tests/rollout_world/mod.rs
+++ b/core/tests/rollout_world/mod.rs
@@ -240,7 +240,7 @@
             true => AnswerOutcome::Failed,
             false => AnswerOutcome::Answered(10.0),
         };
-        rollout.counts.record("r", arm, outcome);
+        rollout.record_outcome("r", arm, outcome, now);
         check(!record.is_rejected(OLD), "the baseline was rejected")
     }
 
--- a/core/tests/version_verdict.rs
+++ b/core/tests/version_verdict.rs
@@ -1,7 +1,7 @@
 //! The comparison of two software versions by their answers.
 
 use pitchhitch_core::rollout::{
-    judge_versions, AnswerOutcome, OutcomeCounts, VersionArm, VersionVerdict,
+    judge_versions, AnswerOutcome, OutcomeCounts, RolloutStage, VersionArm, VersionVerdict,
 };
 
 /// Counts of answers on one route: for each version, how many there are, how many of them failed,
@@ -45,7 +45,7 @@
                 AnswerOutcome::Answered(usual * factor)
             }
         };
-        counts.record(route, arm, outcome);
+        counts.record(route, arm, outcome, RolloutStage::Comparison);
     }
 }
 
@@ -91,13 +91,95 @@
     }
 }
 
+/// Adds answers of one route: numbers of answers and their latencies.
+fn add_latencies(
+    counts: &mut OutcomeCounts,
+    arm: VersionArm,
+    stage: RolloutStage,
+    latencies: &[(u32, f64)],
+) {
+    for (number, latency) in latencies {
+        for _ in 0..*number {
+            counts.record("r", arm, AnswerOutcome::Answered(*latency), stage);
+        }
+    }
+}
+
+/// Guards against a version with a slow third that is not found while the baseline's slowest
+/// answers, under load, take as long.
+#[test]
+fn slow_third_under_load() {
+    let mut counts = OutcomeCounts::default();
+    let baseline = [
+        (680, 9.0),
+        (230, 14.0),
+        (90, 18.0),
+        (66, 27.0),
+        (38, 38.0),
+        (22, 70.0),
+    ];
+    let target = [(48, 9.0), (20, 14.0), (6, 18.0), (4, 27.0), (44, 52.0)];
+    let stage = RolloutStage::Comparison;
+    add_latencies(&mut counts, VersionArm::Baseline, stage, &baseline);
+    add_latencies(&mut counts, VersionArm::Target, stage, &target);
+    assert!(is_worse(&counts));
+}
+
+/// Guards against a good version that is condemned for a moment in which all endpoints were slow and
+/// the ramp sent it most requests.
+#[test]
+fn slow_moment_in_ramp() {
+    let mut counts = OutcomeCounts::default();
+    let (comparison, ramp) = (RolloutStage::Comparison, RolloutStage::Ramp);
+    let (baseline, target) = (VersionArm::Baseline, VersionArm::Target);
+    add_latencies(
+        &mut counts,
+        baseline,
+        comparison,
+        &[(1_580, 6.0), (5, 19.0)],
+    );
+    add_latencies(&mut counts, baseline, ramp, &[(24, 6.0), (5, 19.0)]);
+    add_latencies(&mut counts, target, comparison, &[(75, 6.0)]);
+    add_latencies(&mut counts, target, ramp, &[(72, 6.0), (15, 19.0)]);
+    assert!(!is_worse(&counts));
+}
+
+/// Guards against a version that is slow only while it gets most requests.
+#[test]
+fn slow_in_ramp() {
+    let mut counts = OutcomeCounts::default();
+    let (comparison, ramp) = (RolloutStage::Comparison, RolloutStage::Ramp);
+    let baseline = VersionArm::Baseline;
+    add_latencies(
+        &mut counts,
+        baseline,
+        comparison,
+        &[(3_188, 5.0), (12, 14.0)],
+    );
+    add_latencies(&mut counts, baseline, ramp, &[(100, 5.0)]);
+    add_latencies(&mut counts, VersionArm::Target, comparison, &[(160, 5.0)]);
+    add_latencies(
+        &mut counts,
+        VersionArm::Target,
+        ramp,
+        &[(100, 5.0), (47, 14.0)],
+    );
+    assert!(is_worse(&counts));
+}
+
 /// Counts of many routes stay bounded, and none is lost.
 #[test]
 fn many_routes() {
     let mut counts = OutcomeCounts::default();
     for route in 0..500 {
         let outcome = AnswerOutcome::Answered(1.0);
-        counts.record(&format!("r{route}"), VersionArm::Target, outcome);
+        let route = format!("r{route}");
+        counts.record(
+            &route,
+            VersionArm::Target,
+            outcome,
+            RolloutStage::Comparison,
+        );
     }
     assert!(counts.routes.len() <= 65);
     assert_eq!(counts.sum().target.total, 500);
--- a/entry/src/front/requests/request_versions.rs
+++ b/entry/src/front/requests/request_versions.rs
@@ -146,7 +146,7 @@
         let route = &self.route().name;
         let rollout = state.rollouts.get_mut(&self.service);
         if let (Some(answer), Some(rollout)) = (answer, rollout) {
-            rollout.counts.record(route, arm, answer);
+            rollout.record_outcome(route, arm, answer, self.front.now());
         }
     }
 
