ORDER: callers that do not name their stream do not share an origin

What callers would see: a stream that goes on at another software version, where two callers come back with Last-Event-Id and without Resumes, one before and one after a second version appears. Cause: the origin of an unnamed stream was recorded under the empty id. Change: an unnamed stream is known to nobody: the engines' common software is used, or the request is refused. Evidence: found on reading the change again; unnamed_stream_refused failed before with 200.

--- a/entry/src/front/requests/stream_origin.rs
+++ b/entry/src/front/requests/stream_origin.rs
@@ -37,9 +37,11 @@
 }
 
 impl RequestHandler<'_> {
-    /// The stream that the request begins or continues.
-    pub(crate) fn stream_id(&self) -> StreamId {
+    /// The stream that the request begins or continues. One that the caller does not name is known
+    /// to nobody.
+    fn stream_id(&self) -> StreamId {
         let first_attempt = self.info.continues.as_ref();
+        let first_attempt = first_attempt.filter(|id| !id.is_empty());
         StreamId::of(first_attempt.unwrap_or(&self.info.request_id))
     }
 
--- a/entry/src/front/requests/stream_relay.rs
+++ b/entry/src/front/requests/stream_relay.rs
@@ -74,7 +74,8 @@
 /// Relays a stream to the caller, event by event, until it ends or its run is to be moved.
 ///
 /// Partial events are sent only if they are too long to be buffered: a stream that ends inside an
-/// event has been truncated, however its body is framed. When the first events arrive, the timer is set to the `time_left` of the request.
+/// event has been truncated, however its body is framed. When the first events arrive, the timer is
+/// set to the `time_left` of the request.
 pub(crate) async fn relay_stream(
     stream: &mut EndpointStream<'_>,
     progress: &mut StreamProgress,
