--- a/core/src/rollout/version_verdict.rs
+++ b/core/src/rollout/version_verdict.rs
@@ -8,12 +8,16 @@
 const MIN_BAD: f64 = 5.0;
 /// Minimum difference between the shares of bad answers.
 const MIN_DIFFERENCE: f64 = 0.05;
+/// The same for answers that are slow by the usual latency of the baseline, which changes with the
+/// load from moment to moment.
+const MIN_USUAL_DIFFERENCE: f64 = 0.2;
 /// Bad answers and answers that are added to the baseline: a share observed as zero is uncertain.
 const PRIOR_BAD: f64 = 1.0;
 const PRIOR_TOTAL: f64 = 25.0;
-/// Shares of the baseline's answers that are slower than those with which slow ones are compared: a
-/// version may be slow at all times, or beyond what the baseline usually takes under load.
-const SLOW_SHARES: [f64; 2] = [0.05, 0.25];
+/// Shares of the baseline's answers that are slower than those with which slow ones are compared,
+/// and the minimum difference for each: a version may be slower than the slowest of the baseline, or
+/// often slower than usual.
+const SLOW_LIMITS: [(f64, f64); 2] = [(0.05, MIN_DIFFERENCE), (0.25, MIN_USUAL_DIFFERENCE)];
 /// Buckets beyond such an answer of the baseline from which an answer counts as slow: twice
 /// the latency.
 const SLOW_BUCKETS: usize = 2;
@@ -59,7 +63,7 @@
 ) -> Option<VersionFault> {
     let failed = |counts: &AnswerCounts| (counts.failed, counts.total);
     let (target, baseline) = (failed(&outcomes.target), failed(&outcomes.baseline));
-    if is_worse(target, baseline) {
+    if is_worse(target, baseline, MIN_DIFFERENCE) {
         return Some(VersionFault {
             route,
             kind: "failures",
@@ -74,11 +78,8 @@
         (&target.latencies, &baseline.latencies),
         (&target.ramp_latencies, &baseline.ramp_latencies),
     ];
-    let pairs = stages.into_iter().flat_map(|stage| {
-        let pairs = SLOW_SHARES.map(|share| slow_counts(stage, share));
-        pairs.into_iter().flatten()
-    });
-    let (target, baseline) = { pairs }.find(|(target, baseline)| is_worse(*target, *baseline))?;
+    let slow_counts = stages.into_iter().find_map(find_slowness);
+    let (target, baseline) = slow_counts?;
     Some(VersionFault {
         route,
         kind: "slow",
@@ -87,23 +88,26 @@
     })
 }
 
-/// Slow answers and answers of both versions, if the baseline shows which answers are slow.
-fn slow_counts(
-    (target, baseline): (&LatencyCounts, &LatencyCounts),
-    share: f64,
+/// Slow answers and answers of both versions, if the target is slower than the baseline.
+fn find_slowness(
+    (target, baseline): (&LatencyCounts, &LatencyCounts)
 ) -> Option<((u32, u32), (u32, u32))> {
     if baseline.total() < MIN_BASELINE_ANSWERS {
         return None;
     }
-    let bucket = baseline.bucket_at(share) + SLOW_BUCKETS;
-    let slow = |counts: &LatencyCounts| (counts.slower_than(bucket), counts.total());
-    Some((slow(target), slow(baseline)))
+    SLOW_LIMITS.iter().find_map(|(share, min_difference)| {
+        let bucket = baseline.bucket_at(*share) + SLOW_BUCKETS;
+        let slow = |counts: &LatencyCounts| (counts.slower_than(bucket), counts.total());
+        let (target, baseline) = (slow(target), slow(baseline));
+        is_worse(target, baseline, *min_difference).then_some((target, baseline))
+    })
 }
 
 /// Whether the target's share of bad answers is larger than can be explained by chance.
 fn is_worse(
     (target_bad, target_total): (u32, u32),
     (baseline_bad, baseline_total): (u32, u32),
+    min_difference: f64,
 ) -> bool {
     let (bad, total) = (f64::from(target_bad), f64::from(target_total));
     if bad < MIN_BAD {
@@ -113,5 +117,5 @@
         (f64::from(baseline_bad) + PRIOR_BAD) / (f64::from(baseline_total) + PRIOR_TOTAL);
     let expected = total * expected_share;
     let deviation = (expected * (1.0 - expected_share)).sqrt();
-    bad > expected + MIN_DEVIATIONS * deviation && bad / total > expected_share + MIN_DIFFERENCE
+    bad > expected + MIN_DEVIATIONS * deviation && bad / total > expected_share + min_difference
 }
--- a/core/tests/version_verdict.rs
+++ b/core/tests/version_verdict.rs
@@ -144,6 +144,26 @@
     assert!(!is_worse(&counts));
 }
 
+/// Guards against a good version that is condemned because its few answers fell into the moments in
+/// which the machine was busy.
+#[test]
+fn busy_moments() {
+    let mut counts = OutcomeCounts::default();
+    let stage = RolloutStage::Comparison;
+    let baseline = [
+        (581, 9.0),
+        (205, 14.0),
+        (142, 19.0),
+        (46, 27.0),
+        (27, 38.0),
+        (3, 70.0),
+    ];
+    let target = [(17, 9.0), (11, 14.0), (7, 19.0), (5, 27.0), (7, 38.0)];
+    add_latencies(&mut counts, VersionArm::Baseline, stage, &baseline);
+    add_latencies(&mut counts, VersionArm::Target, stage, &target);
+    assert!(!is_worse(&counts));
+}
+
 /// Guards against a version that is slow only while it gets most requests.
 #[test]
 fn slow_in_ramp() {
