The end of a request tells how long its endpoint was silent

Callers at engines whose boxes stand still leave after two to four seconds; the lines of their requests (caller-gone, sends=1) did not say whether the engine, the front or the caller was silent. event=end now has the endpoint of the last attempt, the time since it sent anything, and the age of its agent's latest report.

Front edge-arusha-a-4: 14 streams that had begun were closed by their callers in one moment, 8.229 s. Their engines stood still from 5.017 s, and 3.2 s is four times the target latency of that route: no pause of that front, as had been suspected.

--- a/entry/src/front/requests/lost_run.rs
+++ b/entry/src/front/requests/lost_run.rs
@@ -2,8 +2,8 @@
     crate::front::{has_exited, RequestHandler},
     pitchhitch_core::{
         serving::{
-            CrashId, EndpointChoice, EndpointStatus, FingerprintInput, RequestFingerprint,
-            SoftwareTag, SuspectCrash,
+            CrashId, EndpointChoice, EndpointKey, EndpointStatus, FingerprintInput,
+            RequestFingerprint, SoftwareTag, SuspectCrash,
         },
         time::Micros,
     },
@@ -20,6 +20,8 @@
 /// The latest run of a request.
 #[derive(Debug, Clone, Copy, Default)]
 pub(crate) struct LatestRun {
+    /// Endpoint of the run; `None` if the request was not sent.
+    pub(crate) endpoint: Option<EndpointKey>,
     /// Number of incarnations of the endpoint that had ended when it was chosen.
     pub(crate) incarnation: u32,
     /// Software of the endpoint, if the endpoint was known.
--- a/entry/src/front/requests/request_attempt.rs
+++ b/entry/src/front/requests/request_attempt.rs
@@ -143,6 +143,7 @@
         let state = self.front.state();
         let entry = state.registry.get(engine);
         self.latest_run = LatestRun {
+            endpoint: Some(engine),
             incarnation: entry.map_or(0, |entry| entry.incarnation.ended),
             software: entry.map(SoftwareTag::of),
             born: entry.and_then(|entry| entry.incarnation.born),
--- a/entry/src/front/requests/request_log.rs
+++ b/entry/src/front/requests/request_log.rs
@@ -141,6 +141,15 @@
             .published_age(&self.info.prompt.as_ref()?.model, now)
     }
 
+    /// Time since the endpoint of the latest run sent events, or since it received the request.
+    fn endpoint_silence(&self) -> Option<Micros> {
+        let sent_at = self.latest_run.endpoint.map(|_| self.latest_run.sent_at)?;
+        let since_sent = self.front.now().since(sent_at);
+        let since_events = self.progress.written_at.map(|at| at.elapsed());
+        let since_events = since_events.map(|elapsed| Micros(elapsed.as_micros() as u64));
+        Some(since_events.map_or(since_sent, |since_events| since_events.min(since_sent)))
+    }
+
     pub(crate) fn log_end(
         &self,
         outcome: &str,
@@ -150,6 +159,13 @@
         let now = front.now();
         let arrived_at = self.request.arrived_at;
         let time_to_response = self.response_started_at.map(|at| at.since(arrived_at));
+        let state = front.state();
+        let entry = self
+            .latest_run
+            .endpoint
+            .and_then(|key| state.registry.get(key));
+        let load = entry.and_then(|entry| entry.load.as_ref());
+        let silence = self.endpoint_silence();
         log::info!(
             event = "end",
             request = self.info.request_id.as_str(),
@@ -161,6 +177,9 @@
             took_ms = now.since(arrived_at).as_millis(),
             worst_gap_ms = self.progress.longest_gap.as_millis(),
             writes = self.progress.writes,
+            endpoint = entry.map_or("", |entry| entry.id.as_str()),
+            endpoint_silent_ms = silence.map_or(-1, |silence| silence.as_millis() as i64),
+            report_age_ms = load.map_or(-1, |load| now.since(load.at).as_millis() as i64),
             framing = self.progress.framing.map_or("", BodyFraming::as_str),
             unfinished = self.progress.splitter.partial_event().len(),
             continues = self.info.continues.as_deref().unwrap_or(""),
