Requests leave endpoints that do not respond

One send each; the first line about the engine was that its entry had lapsed, 3.6 s late.

Cause: nothing watches the requests that are at an endpoint already. New prompts avoid an engine from 0.7 s after its last report; those that are there end by an answer, a broken connection or their deadline, and a box that stands still gives none of these. Evidence (untouched code, event=end with the new fields): at edge-arusha-a-4 14 streams at still engines were closed by their callers in one moment, 3.2 s after the freeze, with sends=1.

Change: an endpoint that is silent while it runs requests is probed (its report; a plain endpoint: a connection). A busy engine answers. One that does not is left by requests that may run again, and after 2 s by all others: 502, or a cut stream, at once instead of at the deadline. Requests that leave together are spread, and bounded by what the engines that are left can begin in time: decision 0023.

Ruled out: the front's own pause (8.23 s is four target latencies after the freeze).

--- a/core/src/serving/choice/endpoint_pick.rs
+++ b/core/src/serving/choice/endpoint_pick.rs
@@ -1,9 +1,9 @@
 use {
     super::endpoint_estimate::estimate_choice,
     crate::serving::{
-        CostTerms, EndpointEntry, EndpointKey, EndpointRegistry, EndpointStatus, EnginePool,
-        LatencyEstimator, MechanismSet, NamespaceTag, PartAvailability, PromptInfo, PromptPlan,
-        PromptPools, PromptSize, ServingMechanism, SwapStage, WeightBounds,
+        ContactStage, CostTerms, EndpointEntry, EndpointKey, EndpointRegistry, EndpointStatus,
+        EnginePool, LatencyEstimator, MechanismSet, NamespaceTag, PartAvailability, PromptInfo,
+        PromptPlan, PromptPools, PromptSize, ServingMechanism, SwapStage, WeightBounds,
     },
     crate::{retry::OutlierGuard, time::Micros},
 };
@@ -23,6 +23,9 @@
 /// Longest answer that is sent to a draining engine, as a fraction of the typical answer.
 const SHORT_ANSWER_FRACTION: f64 = 0.5;
 
+/// Difference in cost, as a fraction of the target latency, that is accepted to spread requests that
+/// have left an endpoint: all boxes send theirs at the same moment, and none knows of the others'.
+const SPREAD_TOLERANCE: f64 = 0.5;
 /// Difference in cost, in milliseconds, that is accepted to keep two suspect requests apart: about
 /// one more running request.
 const TRIAL_COST_TOLERANCE_MS: f64 = 15.0;
@@ -144,15 +147,34 @@
     let is_long = request.prompt.is_some_and(|prompt| {
         f64::from(prompt.tokens_out) > request.estimator.answer_tokens() * SHORT_ANSWER_FRACTION
     });
-    let healthy = pick_best(registry, request, availabilities, &|entry| {
+    let is_suitable = |entry: &EndpointEntry| {
         let is_draining = entry.stage == SwapStage::Draining;
         is_healthy(entry, request) && !(is_long && is_draining)
-    });
+    };
+    if has_left_unresponsive(registry, request) {
+        // Engines may stop together: the others may just not have been found out yet.
+        let is_reporting =
+            |entry: &EndpointEntry| is_suitable(entry) && !entry.is_report_overdue(request.now);
+        let reporting = pick_best(registry, request, availabilities, &is_reporting, true);
+        if reporting.is_some() {
+            return reporting;
+        }
+    }
+    let healthy = pick_best(registry, request, availabilities, &is_suitable, false);
     if healthy.is_some() || request.trial.is_some() {
         return healthy;
     }
     // No endpoint is known to be healthy: falls back to any that may be.
-    pick_best(registry, request, availabilities, &|_| true)
+    pick_best(registry, request, availabilities, &|_| true, false)
+}
+
+/// Whether the request has been sent to an endpoint that does not respond.
+fn has_left_unresponsive(
+    registry: &EndpointRegistry,
+    request: &PickRequest<'_>,
+) -> bool {
+    let mut tried = request.tried.iter().filter_map(|key| registry.get(*key));
+    tried.any(|entry| entry.contact.stage() != ContactStage::Responding)
 }
 
 fn is_healthy(
@@ -182,21 +204,24 @@
     }
 }
 
+/// Chooses among the allowed endpoints: the one of the lowest cost or, if `spreads`, one of similar
+/// cost.
 fn pick_best(
     registry: &EndpointRegistry,
     request: &PickRequest<'_>,
     availabilities: &[VersionAvailability],
     is_allowed: &dyn Fn(&EndpointEntry) -> bool,
+    spreads: bool,
 ) -> Option<EndpointChoice> {
     let home = home_hash(request);
     let token_ms = request.estimator.token_ms();
-    let mut best: Option<(f64, EndpointChoice)> = None;
     let mut best_home: Option<(u64, EndpointKey)> = None;
     let mut eligible = Vec::new();
     for (key, entry) in registry.iter() {
         let serves = entry.service == request.service
             && entry.status != EndpointStatus::Leaving
-            && !entry.is_superseded;
+            && !entry.is_superseded
+            && entry.contact.stage() == ContactStage::Responding;
         let version = request.prompt.and_then(|p| entry.weights.version(&p.model));
         let is_excluded = !request.weights.allows(version) || request.tried.contains(&key);
         if !serves || is_excluded || !(request.is_eligible)(entry) || !is_allowed(entry) {
@@ -219,27 +244,57 @@
         });
         return pick_for_trial(registry, trial, choices.collect());
     }
-    for (key, entry) in &eligible {
-        let mut choice = estimate_choice(*key, entry, request, availabilities);
-        choice.candidates = eligible.len() as u32;
-        let terms = &mut choice.cost;
-        terms.penalty = f64::from(outlier_guard(entry, request).penalty(request.now));
-        if entry.domain != request.domain {
-            terms.domain = CROSS_DOMAIN_COST_MS;
-        }
-        if !(request.is_connected)(*key) {
-            terms.connection = NEW_CONNECTION_COST_MS;
-        }
-        if best_home.is_some_and(|(_, home_key)| home_key == *key) {
+    let candidates = eligible.len() as u32;
+    let choices = eligible.into_iter().map(|(key, entry)| {
+        let mut choice = estimate_choice(key, entry, request, availabilities);
+        choice.candidates = candidates;
+        add_box_terms(&mut choice, entry, request);
+        if best_home.is_some_and(|(_, home_key)| home_key == key) {
+            let terms = &mut choice.cost;
             terms.home -= f64::from(choice.shared_prefill_tokens) * token_ms * HOME_PREFILL_FACTOR;
             terms.home -= f64::from(choice.shared_tokens) * token_ms * HOME_SHARED_FACTOR;
         }
-        let cost = terms.total();
-        if best.as_ref().is_none_or(|(lowest, _)| cost < *lowest) {
-            best = Some((cost, choice));
-        }
+        choice
+    });
+    match spreads {
+        true => pick_spread(registry, request, choices.collect()),
+        false => choices.min_by(|one, other| one.cost.total().total_cmp(&other.cost.total())),
     }
-    best.map(|(_, choice)| choice)
+}
+
+/// Adds the terms of the cost that depend on this box.
+fn add_box_terms(
+    choice: &mut EndpointChoice,
+    entry: &EndpointEntry,
+    request: &PickRequest<'_>,
+) {
+    let terms = &mut choice.cost;
+    terms.penalty = f64::from(outlier_guard(entry, request).penalty(request.now));
+    if entry.domain != request.domain {
+        terms.domain = CROSS_DOMAIN_COST_MS;
+    }
+    if !(request.is_connected)(choice.key) {
+        terms.connection = NEW_CONNECTION_COST_MS;
+    }
+}
+
+/// Chooses among endpoints of similar cost by a hash of the request.
+fn pick_spread(
+    registry: &EndpointRegistry,
+    request: &PickRequest<'_>,
+    mut choices: Vec<EndpointChoice>,
+) -> Option<EndpointChoice> {
+    let costs = choices.iter().map(|choice| choice.cost.total());
+    let lowest = costs.fold(f64::INFINITY, f64::min);
+    let tolerance_ms = request.target_latency.as_millis() as f64 * SPREAD_TOLERANCE;
+    choices.retain(|choice| choice.cost.total() <= lowest + tolerance_ms);
+    let own_part = request.prompt.and_then(|prompt| prompt.parts.last());
+    let seed = own_part.map_or(0, |part| part.id.value());
+    let score = |choice: &EndpointChoice| {
+        let entry = registry.get(choice.key);
+        entry.map(|entry| hash_with_seed(seed, &entry.id))
+    };
+    choices.into_iter().max_by_key(score)
 }
 
 /// Chooses the endpoint for a suspect request.
--- a/core/src/serving/config/serving_mechanism.rs
+++ b/core/src/serving/config/serving_mechanism.rs
@@ -42,11 +42,13 @@
     EngineRates,
     /// Running requests are moved to other engines.
     Moves,
+    /// Silent endpoints are probed, and requests leave those that do not respond.
+    ContactProbes,
 }
 
 impl ServingMechanism {
     /// All mechanisms.
-    pub const ALL: [ServingMechanism; 20] = [
+    pub const ALL: [ServingMechanism; 21] = [
         ServingMechanism::Admission,
         ServingMechanism::LateRule,
         ServingMechanism::WaitingRule,
@@ -67,6 +69,7 @@
         ServingMechanism::FairShares,
         ServingMechanism::EngineRates,
         ServingMechanism::Moves,
+        ServingMechanism::ContactProbes,
     ];
 
     /// Name in the settings.
@@ -92,6 +95,7 @@
             ServingMechanism::FairShares => "fair-shares",
             ServingMechanism::EngineRates => "engine-rates",
             ServingMechanism::Moves => "moves",
+            ServingMechanism::ContactProbes => "contact-probes",
         }
     }
 
--- a/core/src/serving/membership/endpoint_entry.rs
+++ b/core/src/serving/membership/endpoint_entry.rs
@@ -1,8 +1,8 @@
 use {
     crate::serving::{
-        EndpointIncarnation, EndpointRejoin, EndpointRest, EndpointSlowStart, EngineRate,
-        KnownWeights, LatencyEstimator, PartIndex, PlainTime, StatedLimit, StorePosition,
-        SwapStage,
+        EndpointContact, EndpointIncarnation, EndpointRejoin, EndpointRest, EndpointSlowStart,
+        EngineRate, KnownWeights, LatencyEstimator, PartIndex, PlainTime, StatedLimit,
+        StorePosition, SwapStage,
     },
     crate::{retry::OutlierGuard, time::Micros},
     serde::{Deserialize, Serialize},
@@ -85,6 +85,14 @@
     pub(in crate::serving) fn report_timeout(&self) -> Micros {
         Micros(self.again_within.0 * 5 / 2)
     }
+
+    /// Whether the next report is late.
+    fn is_overdue(
+        &self,
+        now: Micros,
+    ) -> bool {
+        now.since(self.at) > self.again_within + REPORT_LATENESS
+    }
 }
 
 /// Whether an endpoint may receive requests.
@@ -164,6 +172,8 @@
     pub plain_time: PlainTime,
     /// Ejects the endpoint after failures.
     pub guard: OutlierGuard,
+    /// When it was last heard while it ran requests of this box.
+    pub contact: EndpointContact,
     /// When it last answered a request of this front.
     pub answered_at: Option<Micros>,
     /// Its stage in a weight swap.
@@ -186,6 +196,8 @@
 /// out, the engine preempts a prompt and prefills it again.
 const PROMPT_MEMORY_PERCENT: u64 = 90;
 
+/// Time by which reports may be late.
+const REPORT_LATENESS: Micros = Micros::from_millis(50);
 /// Age of the latest report from which an endpoint may be unreachable.
 const UNREACHABLE_AFTER: Micros = Micros::from_millis(700);
 /// Age of the latest report from which the agent is assumed to have failed, not the endpoint; the
@@ -209,6 +221,14 @@
         age > UNREACHABLE_AFTER.max(load.report_timeout()) && age < UNREPORTED_AFTER && !answered
     }
 
+    /// Whether the endpoint's next report is late.
+    pub fn is_report_overdue(
+        &self,
+        now: Micros,
+    ) -> bool {
+        self.load.is_some_and(|load| load.is_overdue(now))
+    }
+
     /// Latest load report, unless it is too old.
     pub fn fresh_load(
         &self,
--- a/core/src/serving/membership/endpoint_incarnation.rs
+++ b/core/src/serving/membership/endpoint_incarnation.rs
@@ -1,8 +1,8 @@
 use {
     crate::serving::{
-        DigestOrder, DigestPosition, EndpointEntry, EndpointKey, EndpointRegistry, EndpointRest,
-        EngineRate, IncarnationOrder, IncarnationTracker, KnownWeights, ListedIncarnation,
-        PartIndex, PlainTime, StatedLimit, StorePosition, SwapStage,
+        DigestOrder, DigestPosition, EndpointContact, EndpointEntry, EndpointKey, EndpointRegistry,
+        EndpointRest, EngineRate, IncarnationOrder, IncarnationTracker, KnownWeights,
+        ListedIncarnation, PartIndex, PlainTime, StatedLimit, StorePosition, SwapStage,
     },
     crate::{retry::OutlierGuard, time::Micros},
 };
@@ -81,6 +81,7 @@
         self.plain_time = PlainTime::default();
         self.stated_limit = StatedLimit::default();
         self.states_leaving = false;
+        self.contact = EndpointContact::default();
         self.answered_at = None;
         self.stage = SwapStage::Idle;
         self.incarnation.born = born;
--- a/core/src/serving/membership/endpoint_registry.rs
+++ b/core/src/serving/membership/endpoint_registry.rs
@@ -1,8 +1,8 @@
 use {
     crate::serving::{
-        EndpointChange, EndpointEntry, EndpointIncarnation, EndpointNotice, EndpointRejoin,
-        EndpointRest, EndpointSlowStart, EndpointStatus, EngineRate, KnownWeights, PartIndex,
-        PlainTime, StatedLimit, StorePosition, SwapPlanner, SwapStage,
+        EndpointChange, EndpointContact, EndpointEntry, EndpointIncarnation, EndpointNotice,
+        EndpointRejoin, EndpointRest, EndpointSlowStart, EndpointStatus, EngineRate, KnownWeights,
+        PartIndex, PlainTime, StatedLimit, StorePosition, SwapPlanner, SwapStage,
     },
     crate::{retry::OutlierGuard, time::Micros},
     slotmap::{new_key_type, SlotMap},
@@ -294,6 +294,7 @@
         rate: EngineRate::default(),
         plain_time: PlainTime::default(),
         guard: OutlierGuard::default(),
+        contact: EndpointContact::default(),
         answered_at: None,
         stage: SwapStage::Idle,
         running: 0,
--- a/core/src/serving/membership/mod.rs
+++ b/core/src/serving/membership/mod.rs
@@ -1,7 +1,9 @@
 //! Endpoints, their incarnations, and whether they may receive requests.
 
+mod contact_records;
 mod digest_position;
 mod endpoint_change;
+mod endpoint_contact;
 mod endpoint_entry;
 mod endpoint_incarnation;
 mod endpoint_registry;
@@ -16,7 +18,7 @@
 mod shared_address;
 
 pub use {
-    digest_position::*, endpoint_change::*, endpoint_entry::*, endpoint_incarnation::*,
-    endpoint_registry::*, endpoint_rejoin::*, front_count::*, incarnation_order::*,
-    incarnation_tracker::*, listed_incarnation::*, pause_detector::*,
+    digest_position::*, endpoint_change::*, endpoint_contact::*, endpoint_entry::*,
+    endpoint_incarnation::*, endpoint_registry::*, endpoint_rejoin::*, front_count::*,
+    incarnation_order::*, incarnation_tracker::*, listed_incarnation::*, pause_detector::*,
 };
--- a/core/src/serving/membership/request_records.rs
+++ b/core/src/serving/membership/request_records.rs
@@ -13,6 +13,9 @@
         prefill: PendingPrefill,
     ) {
         if let Some(entry) = self.entries.get_mut(key) {
+            entry
+                .contact
+                .record_sent(entry.running == 0, prefill.sent_at);
             entry.running += 1;
             entry
                 .slow_start
--- a/core/src/serving/moves/move_target.rs
+++ b/core/src/serving/moves/move_target.rs
@@ -1,7 +1,7 @@
 use crate::{
     serving::{
-        mix_hashes, stable_hash, EndpointEntry, EndpointKey, EndpointRegistry, EndpointStatus,
-        LatencyEstimator, SwapStage,
+        mix_hashes, stable_hash, ContactStage, EndpointEntry, EndpointKey, EndpointRegistry,
+        EndpointStatus, LatencyEstimator, SwapStage,
     },
     time::Micros,
 };
@@ -71,6 +71,7 @@
         && entry.weights.version(request.model) == Some(request.version)
         && !entry.guard.is_ejected(request.now)
         && !entry.may_be_unreachable(request.now)
+        && entry.contact.stage() == ContactStage::Responding
         && (request.is_eligible)(entry)
 }
 
--- a/core/tests/endpoint_pick.rs
+++ b/core/tests/endpoint_pick.rs
@@ -7,7 +7,7 @@
     pitchhitch_core::{
         serving::{
             EndpointKey, KvStoreDirectory, LatencyEstimator, PartLocation, PendingPrefill,
-            PromptInfo, SwapStage, WeightBounds,
+            ProbeOutcome, PromptInfo, SwapStage, WeightBounds,
         },
         time::Micros,
     },
@@ -75,6 +75,53 @@
     );
 }
 
+/// Guards against prompts sent to an engine that has not answered a probe, also as the last resort.
+#[test]
+fn unresponsive_excluded() {
+    let mut fleet = Fleet::new();
+    for id in ["e1", "e2", "e3"] {
+        let key = fleet.key(id);
+        let contact = &mut fleet.registry.get_mut(key).expect("entry").contact;
+        contact.record_sent(true, NOW - Micros::from_millis(900));
+        assert!(contact.take_due_probe(true, NOW));
+        contact.record_probe(ProbeOutcome::Unanswered, true, NOW);
+        let picked = fleet.pick(&prompt(), &[]).map(|choice| choice.key);
+        assert_ne!(picked, Some(key));
+    }
+    assert_eq!(fleet.pick(&prompt(), &[]), None);
+    let key = fleet.key("e2");
+    fleet.registry.record_heard(key, NOW);
+    assert_eq!(fleet.picked(), key, "it responds again");
+}
+
+/// Guards against prompts of all fronts that leave an engine together and meet at another one, or at
+/// one whose reports have just stopped as well.
+#[test]
+fn left_prompts_spread() {
+    let mut fleet = Fleet::new();
+    let left = fleet.key("e1");
+    let contact = &mut fleet.registry.get_mut(left).expect("entry").contact;
+    contact.record_sent(true, NOW - Micros::from_millis(900));
+    assert!(contact.take_due_probe(true, NOW));
+    let pick_all = |fleet: &Fleet| -> Vec<EndpointKey> {
+        let picks = (0..40).map(|number| {
+            let mut prompt = prompt();
+            prompt.parts[2] = part(&format!("c{number}"), 2_900);
+            fleet.pick(&prompt, &[left]).expect("an endpoint").key
+        });
+        picks.collect()
+    };
+    let first = pick_all(&fleet)[0];
+    assert!(pick_all(&fleet).iter().all(|key| *key == first));
+    let contact = &mut fleet.registry.get_mut(left).expect("entry").contact;
+    contact.record_probe(ProbeOutcome::Unanswered, true, NOW);
+    let at_first = pick_all(&fleet).iter().filter(|key| **key == first).count();
+    assert!((10..=30).contains(&at_first), "{at_first} of 40");
+    let entry = fleet.registry.get_mut(first).expect("entry");
+    entry.load.as_mut().expect("load").at = NOW - Micros::from_millis(400);
+    assert!(pick_all(&fleet).iter().all(|key| *key != first));
+}
+
 #[test]
 fn outdated_weights_excluded() {
     let mut fleet = Fleet::new();
--- a/entry/src/front/endpoints/mod.rs
+++ b/entry/src/front/endpoints/mod.rs
@@ -1,6 +1,8 @@
 //! The endpoints that this front knows: their list, connections, probes and the orders given to them.
 
 mod connection_pool;
+mod contact_board;
+mod contact_probe;
 mod endpoint_statements;
 mod exit_probe;
 mod fallback_controller;
@@ -12,6 +14,7 @@
 mod weight_update;
 
 pub(crate) use {
-    connection_pool::*, exit_probe::*, fallback_controller::*, list_watch::*, order_lease::*,
-    orphan_engine::*, rejoin_probe::*, slow_starts::*, weight_update::*,
+    connection_pool::*, contact_board::*, contact_probe::*, exit_probe::*, fallback_controller::*,
+    list_watch::*, order_lease::*, orphan_engine::*, rejoin_probe::*, slow_starts::*,
+    weight_update::*,
 };
--- a/entry/src/front/front_context.rs
+++ b/entry/src/front/front_context.rs
@@ -1,5 +1,5 @@
 use {
-    super::{FrontMetrics, FrontSettings, FrontState, MoveBoard},
+    super::{ContactBoard, FrontMetrics, FrontSettings, FrontState, MoveBoard},
     pitchhitch_core::time::Micros,
     pitchhitch_process::{to_duration, ProcessClock, WakeSignal},
     smol::{LocalExecutor, Timer},
@@ -36,6 +36,8 @@
     pub origin_due: WakeSignal,
     /// Streams that this front relays, and the moves of their runs.
     pub moves: Rc<MoveBoard>,
+    /// Requests to be notified when their endpoint stops responding.
+    pub contacts: Rc<ContactBoard>,
     state: RefCell<FrontState>,
     executor: LocalExecutor<'static>,
 }
@@ -54,6 +56,7 @@
             rollout_due: WakeSignal::default(),
             origin_due: WakeSignal::default(),
             moves: Rc::default(),
+            contacts: Rc::default(),
             executor: LocalExecutor::new(),
         })
     }
--- a/entry/src/front/front_process.rs
+++ b/entry/src/front/front_process.rs
@@ -2,8 +2,8 @@
     super::{
         bootstrap_from_peers, handle_control, maintain_endpoints, receive_digests,
         refresh_from_peers, run_fallback_controller, run_rollouts, send_greetings, send_origins,
-        serve_caller, sync_blocked_rows, track_engines, watch_endpoint_list, watch_kv_stores,
-        watch_operator, FrontContext, FrontSettings,
+        serve_caller, sync_blocked_rows, track_engines, watch_contacts, watch_endpoint_list,
+        watch_kv_stores, watch_operator, FrontContext, FrontSettings,
     },
     anyhow::Context,
     pitchhitch_core::{
@@ -67,6 +67,7 @@
     front.spawn(watch_operator(front.clone()));
     front.spawn(watch_endpoint_list(front.clone()));
     front.spawn(maintain_endpoints(front.clone()));
+    front.spawn(watch_contacts(front.clone()));
     front.spawn(track_engines(front.clone()));
     front.spawn(sync_blocked_rows(front.clone()));
     front.spawn(watch_kv_stores(front.clone()));
--- a/entry/src/front/front_state.rs
+++ b/entry/src/front/front_state.rs
@@ -5,10 +5,10 @@
         serving::{
             AdmissionController, CacheNamespace, EndpointEntry, EndpointKey, EndpointRegistry,
             EngineRates, EraTracker, EvacuationSet, FetchCompletion, FrontCount, KeeperSet,
-            KeyFreshness, KvStoreDirectory, LatencyEstimators, MemoryBudget, NamespaceTag,
-            OriginLookups, OriginTable, PauseDetector, PlainCosts, PromptPools, ProvenTable,
-            RetryWindow, ServingConfig, StoreEra, SuspectTracker, SwapPlanner, TrialTable,
-            REWRITE_DELAY,
+            KeyFreshness, KvStoreDirectory, LatencyEstimators, LeftWave, MemoryBudget,
+            NamespaceTag, OriginLookups, OriginTable, PauseDetector, PlainCosts, PromptPools,
+            ProvenTable, RetryWindow, ServingConfig, StoreEra, SuspectTracker, SwapPlanner,
+            TrialTable, REWRITE_DELAY,
         },
         time::Micros,
     },
@@ -111,6 +111,7 @@
     /// The highest of the recent counts of running fronts.
     pub front_count: FrontCount,
     retry_windows: HashMap<String, RetryWindow>,
+    left_waves: HashMap<String, LeftWave>,
     namespace_tags: HashMap<String, NamespaceTag>,
     next_ticket: u64,
 }
@@ -160,6 +161,7 @@
             fronts: INITIAL_FRONTS,
             front_count: FrontCount::default(),
             retry_windows: HashMap::new(),
+            left_waves: HashMap::new(),
             namespace_tags: HashMap::new(),
             next_ticket: 0,
         }
@@ -266,6 +268,14 @@
         self.retry_windows.entry(service.to_string()).or_default()
     }
 
+    /// Bounds the requests that leave endpoints of a service.
+    pub fn left_wave(
+        &mut self,
+        service: &str,
+    ) -> &mut LeftWave {
+        self.left_waves.entry(service.to_string()).or_default()
+    }
+
     /// Tag of the cache namespace with a salt.
     pub fn namespace_tag(
         &mut self,
--- a/entry/src/front/peers/digest_apply.rs
+++ b/entry/src/front/peers/digest_apply.rs
@@ -1,6 +1,6 @@
 use {
     super::digest_receiver::engine_at,
-    crate::front::{is_engine, update_weights, FrontContext, FrontState},
+    crate::front::{is_engine, log_return, update_weights, FrontContext, FrontState},
     pitchhitch_core::{
         serving::{
             DigestOrder, DigestPosition, EndpointChange, EndpointEntry, EndpointKey,
@@ -172,6 +172,12 @@
     let mut load = digest.load;
     load.at = now;
     entry.load = Some(load);
+    if !load.is_silent {
+        let ended_silence = entry.contact.record_report(load.again_within, now);
+        if let Some(silence) = ended_silence {
+            log_return(&entry.id, silence, "digest");
+        }
+    }
     if load.is_silent != was_silent {
         log::info!(
             event = "engine-silent",
--- a/entry/src/front/requests/attempt_loop.rs
+++ b/entry/src/front/requests/attempt_loop.rs
@@ -105,6 +105,10 @@
             }
             return Break(AttemptsEnd::Failed);
         };
+        if self.has_left_endpoint && !self.may_leave_for(&choice) {
+            self.log_attempt(&choice, "left-wave", "");
+            return Break(AttemptsEnd::Failed);
+        }
         if self.sends > 0 && !self.acquire_retry() {
             return Break(AttemptsEnd::Failed);
         }
@@ -118,9 +122,11 @@
             return Continue(None);
         }
         self.log_attempt(&choice, decision.as_str(), "");
-        failure.kind = RefusalKind::Overloaded;
-        failure.decision = Some(decision);
-        failure.retry_after = Some(self.retry_after(&choice));
+        if self.possible_runs == 0 {
+            failure.kind = RefusalKind::Overloaded;
+            failure.decision = Some(decision);
+            failure.retry_after = Some(self.retry_after(&choice));
+        }
         Break(AttemptsEnd::Failed)
     }
 
@@ -155,6 +161,7 @@
                 if broken == ExchangeFailure::Lost {
                     self.record_lost_run(choice).await;
                 }
+                self.has_left_endpoint |= broken == ExchangeFailure::Unresponsive;
                 failure.kind = self.refusal_kind(broken);
                 let is_final = broken == ExchangeFailure::Late || !self.can_continue();
                 match is_final || !self.can_retry() {
--- a/entry/src/front/requests/endpoint_exchange.rs
+++ b/entry/src/front/requests/endpoint_exchange.rs
@@ -1,11 +1,10 @@
 use {
-    crate::front::{wait_for_endpoint, WakeReason},
+    crate::front::{wait_for_endpoint, AttemptTimer, WakeReason},
     pitchhitch_core::time::Micros,
     pitchhitch_http1::{
         parse_response_head, BodyDecoder, BodyFraming, ResponseHead, TcpConnection,
     },
     pitchhitch_platform::{decode_response_info, ResponseInfo},
-    pitchhitch_process::DeadlineTimer,
 };
 
 /// Longest head of a response, in bytes.
@@ -22,6 +21,8 @@
     Lost,
     /// The bytes received are not a response to this request.
     Garbled,
+    /// The endpoint no longer responds; it may have run the request, or run it later.
+    Unresponsive,
     /// The deadline of the request has passed.
     Late,
     /// The endpoint's weights expired before it sent the first event.
@@ -72,7 +73,7 @@
     bytes: &[u8],
     request_id: &str,
     caller: &mut TcpConnection,
-    timer: &mut DeadlineTimer,
+    timer: &mut AttemptTimer,
 ) -> (Result<EndpointResponse, ExchangeFailure>, bool) {
     let mut sent = 0;
     let mut stray_responses = 0;
@@ -91,6 +92,9 @@
             WakeReason::EndpointWritable => continue,
             WakeReason::CallerGone => return (Err(ExchangeFailure::CallerGone), sent > 0),
             WakeReason::TimedOut => return (Err(ExchangeFailure::Late), sent > 0),
+            WakeReason::EndpointUnresponsive => {
+                return (Err(ExchangeFailure::Unresponsive), sent > 0)
+            }
             WakeReason::EndpointReadable => {}
         }
         match exchange.connection.try_read() {
@@ -112,7 +116,7 @@
     request_id: &str,
     stray_responses: &mut u32,
     caller: &mut TcpConnection,
-    timer: &mut DeadlineTimer,
+    timer: &mut AttemptTimer,
 ) -> Result<Option<EndpointResponse>, ExchangeFailure> {
     loop {
         let parsed = parse_response_head(exchange.connection.buffer(), MAX_HEAD_BYTES);
@@ -151,7 +155,7 @@
     exchange: &mut EndpointExchange,
     framing: BodyFraming,
     caller: &mut TcpConnection,
-    timer: &mut DeadlineTimer,
+    timer: &mut AttemptTimer,
 ) -> Result<(), ExchangeFailure> {
     let mut decoder = BodyDecoder::new(framing);
     let mut piece = Vec::new();
@@ -171,7 +175,7 @@
     decoder: &mut BodyDecoder,
     body: &mut Vec<u8>,
     caller: &mut TcpConnection,
-    timer: &mut DeadlineTimer,
+    timer: &mut AttemptTimer,
 ) -> Result<bool, ExchangeFailure> {
     let previous = body.len();
     loop {
@@ -187,6 +191,7 @@
         }
         match wait_for_endpoint(&exchange.connection, false, caller, timer).await {
             WakeReason::TimedOut => return Err(ExchangeFailure::Late),
+            WakeReason::EndpointUnresponsive => return Err(ExchangeFailure::Unresponsive),
             WakeReason::CallerGone => return Err(ExchangeFailure::CallerGone),
             WakeReason::EndpointReadable | WakeReason::EndpointWritable => {}
         }
--- a/entry/src/front/requests/mod.rs
+++ b/entry/src/front/requests/mod.rs
@@ -2,6 +2,7 @@
 
 mod active_move;
 mod attempt_loop;
+mod attempt_timer;
 mod call_timeout;
 mod caller_conn;
 mod endpoint_exchange;
@@ -31,8 +32,9 @@
 mod wake_reason;
 
 pub(crate) use {
-    active_move::*, call_timeout::*, caller_conn::*, endpoint_exchange::*, event_splitter::*,
-    held_bytes::*, lost_run::*, move_board::*, plain_response::*, request_admit::*,
-    request_attempt::*, request_end::*, request_handler::*, request_log::*, request_moves::*,
-    request_transfers::*, request_trial::*, request_versions::*, stream_relay::*, wake_reason::*,
+    active_move::*, attempt_timer::*, call_timeout::*, caller_conn::*, endpoint_exchange::*,
+    event_splitter::*, held_bytes::*, lost_run::*, move_board::*, plain_response::*,
+    request_admit::*, request_attempt::*, request_end::*, request_handler::*, request_log::*,
+    request_moves::*, request_transfers::*, request_trial::*, request_versions::*, stream_relay::*,
+    wake_reason::*,
 };
--- a/entry/src/front/requests/plain_response.rs
+++ b/entry/src/front/requests/plain_response.rs
@@ -1,11 +1,10 @@
 use {
     crate::front::{
-        read_body_piece, write_to_caller, EndpointExchange, EndpointResponse, ExchangeFailure,
-        HeldBytes,
+        read_body_piece, write_to_caller, AttemptTimer, EndpointExchange, EndpointResponse,
+        ExchangeFailure, HeldBytes,
     },
     pitchhitch_http1::{write_chunk, BodyDecoder, BodyFraming, TcpConnection, LAST_CHUNK},
     pitchhitch_platform::{encode_response_head, BodyLength},
-    pitchhitch_process::DeadlineTimer,
 };
 
 /// Longest body that is buffered, in bytes. Plain services usually respond with 5 kB at most. A
@@ -45,7 +44,7 @@
     closes: bool,
     held: &mut HeldBytes<'_>,
     caller: &mut TcpConnection,
-    timer: &mut DeadlineTimer,
+    timer: &mut AttemptTimer,
 ) -> Result<PlainResponse, ExchangeFailure> {
     let framing = if has_no_body {
         BodyFraming::Empty
@@ -105,7 +104,7 @@
     exchange: &mut EndpointExchange,
     partial: PartialResponse,
     caller: &mut TcpConnection,
-    timer: &mut DeadlineTimer,
+    timer: &mut AttemptTimer,
 ) -> Result<(), ExchangeFailure> {
     let PartialResponse {
         bytes: mut out,
--- a/entry/src/front/requests/request_admission.rs
+++ b/entry/src/front/requests/request_admission.rs
@@ -3,7 +3,7 @@
     pitchhitch_core::{
         serving::{
             organisation_hash, unit_fraction, AdmissionDecision, AdmissionRequest, AdmissionScope,
-            EndpointChoice, EndpointEntry, EndpointStatus, EnginePool,
+            EndpointChoice, EndpointEntry, EndpointStatus, EnginePool, LeftRequest, LOST_AFTER,
         },
         time::Micros,
     },
@@ -14,6 +14,9 @@
 const LIMIT_RETRY_DELAY: Micros = Micros::from_millis(50);
 const LIMIT_RETRY_JITTER: Micros = Micros::from_millis(600);
 
+/// Target latencies for which callers wait without an event.
+const PATIENCE_TARGETS: u64 = 4;
+
 impl RequestHandler<'_> {
     /// Decides whether a prompt may be sent to the best endpoint. There is no fallback to the
     /// second best: it would have to prefill what the best one has cached, and would be overloaded
@@ -42,6 +45,48 @@
         self.sends == 0 && self.suspect_crashes.is_none()
     }
 
+    /// Whether a prompt that has left an endpoint which did not respond may be sent to another one,
+    /// and is expected to begin there before its caller leaves.
+    pub(crate) fn may_leave_for(
+        &self,
+        choice: &EndpointChoice,
+    ) -> bool {
+        let Some(prompt) = &self.info.prompt else {
+            return true;
+        };
+        let now = self.front.now();
+        let mut guard = self.front.state();
+        let state = &mut *guard;
+        let token_ms = self.estimator(state).token_ms();
+        let request = LeftRequest {
+            boxes: state.sharing_fronts(),
+            endpoints: choice.candidates,
+            tokens: u64::from(prompt.tokens_in),
+            free_tokens: choice.free_tokens,
+            queue_ms: choice.queue_ms + choice.plan.fetch_ms,
+            prefill_ms: f64::from(choice.prefill_tokens) * token_ms * choice.rate,
+            time_left: self.caller_patience().since(self.caller_wait(now)),
+        };
+        state.left_wave(&self.service).try_admit(&request, now)
+    }
+
+    /// Time without an event after which callers are expected to leave.
+    fn caller_patience(&self) -> Micros {
+        let target_latency = self.route().target_latency;
+        LOST_AFTER.max(Micros(target_latency.0 * PATIENCE_TARGETS))
+    }
+
+    /// Time for which the caller has received nothing.
+    fn caller_wait(
+        &self,
+        now: Micros,
+    ) -> Micros {
+        let since_events = self.progress.written_at.map(|at| at.elapsed());
+        since_events.map_or(now.since(self.request.arrived_at), |elapsed| {
+            Micros(elapsed.as_micros() as u64)
+        })
+    }
+
     /// When a caller that was refused because of load should retry.
     pub(crate) fn retry_after(
         &self,
--- a/entry/src/front/requests/request_attempt.rs
+++ b/entry/src/front/requests/request_attempt.rs
@@ -1,12 +1,13 @@
 use {
     crate::front::{
-        send_request, BufferedResponse, EndpointExchange, ExchangeFailure, LatestRun,
-        PartTransfers, RequestHandler,
+        record_heard, send_request, BufferedResponse, ContactWatch, EndpointExchange,
+        ExchangeFailure, LatestRun, PartTransfers, RequestHandler,
     },
     pitchhitch_core::{
         rollout::VersionArm,
         serving::{
-            EndpointChoice, EndpointKey, EndpointStatus, PendingPrefill, ResumeSite, SoftwareTag,
+            ContactStage, EndpointChoice, EndpointKey, EndpointStatus, PendingPrefill, ResumeSite,
+            SoftwareTag,
         },
         time::Micros,
     },
@@ -58,13 +59,14 @@
     Broken(ExchangeFailure),
 }
 
-/// Whether the endpoint may still work for nobody: the caller has left, or no time is left. After an
-/// orderly close, endpoints that had been paused went on with such runs.
+/// Whether the endpoint may still work for nobody: the caller has left, no time is left, or the
+/// endpoint did not respond. After an orderly close, endpoints that had been paused went on with such
+/// runs.
 fn is_abandoned(outcome: &AttemptOutcome) -> bool {
-    use ExchangeFailure::{Late, Overdue};
+    use ExchangeFailure::{Late, Overdue, Unresponsive};
     matches!(
         outcome,
-        AttemptOutcome::CallerGone | AttemptOutcome::Broken(Late | Overdue)
+        AttemptOutcome::CallerGone | AttemptOutcome::Broken(Late | Overdue | Unresponsive)
     )
 }
 
@@ -94,8 +96,9 @@
         };
         let state = front.state();
         let entry = state.registry.get(choice.key)?;
-        let is_usable =
-            entry.status != EndpointStatus::Leaving && !entry.rest.is_resting(front.now());
+        let is_usable = entry.status != EndpointStatus::Leaving
+            && entry.contact.stage() == ContactStage::Responding
+            && !entry.rest.is_resting(front.now());
         is_usable.then(|| EndpointExchange::new(connection))
     }
 
@@ -214,11 +217,13 @@
         self.log_send(choice, "sent", "", slot.transfers.fetch_until_ms);
         let request_id = self.info.request_id.clone();
         self.timer.set_after(self.first_event_timeout(choice));
+        self.timer.set_watch(Some(self.watch_contact(choice)));
         let (response, may_have_run) =
             send_request(exchange, &bytes, &request_id, self.caller, &mut self.timer).await;
         self.possible_runs += u32::from(may_have_run);
         let outcome = match response {
             Ok(response) => {
+                record_heard(front, choice.key);
                 self.handle_response(choice, ticket, sent_at, exchange, response)
                     .await
             }
@@ -226,6 +231,7 @@
             Err(failure) => AttemptOutcome::Broken(failure),
         };
         self.timer.set_after(self.time_left());
+        self.timer.set_watch(None);
         let outcome = match outcome {
             AttemptOutcome::Broken(ExchangeFailure::Late) if front.now() < self.deadline => {
                 AttemptOutcome::Broken(ExchangeFailure::Overdue)
@@ -241,6 +247,21 @@
         outcome
     }
 
+    /// Watches the endpoint of a run that is about to be sent. A run that may be repeated elsewhere
+    /// leaves an endpoint that does not respond; others stay until they count as lost.
+    fn watch_contact(
+        &self,
+        choice: &EndpointChoice,
+    ) -> ContactWatch {
+        let is_last_run = self.possible_runs + 1 >= self.max_runs();
+        let leaves_at = match self.route().retry.allows_rerun() && !is_last_run {
+            true => ContactStage::Unresponsive,
+            false => ContactStage::Lost,
+        };
+        let front = self.front;
+        front.contacts.register(choice.key, leaves_at, front.now())
+    }
+
     /// Time left until the deadline of the request.
     fn time_left(&self) -> Duration {
         to_duration(self.deadline.since(self.front.now()))
--- a/entry/src/front/requests/request_end.rs
+++ b/entry/src/front/requests/request_end.rs
@@ -75,6 +75,7 @@
             ExchangeFailure::Garbled => RefusalKind::BadAnswer,
             ExchangeFailure::NotSent
             | ExchangeFailure::Lost
+            | ExchangeFailure::Unresponsive
             | ExchangeFailure::Overdue
             | ExchangeFailure::CallerGone => RefusalKind::EndpointLost,
         }
--- a/entry/src/front/requests/request_handler.rs
+++ b/entry/src/front/requests/request_handler.rs
@@ -1,7 +1,7 @@
 use {
     crate::front::{
-        admit, refuse, FrontContext, LatestRun, ReceivedRequest, RequestMoves, RequestRefusal,
-        StreamProgress, MAX_PIPELINED_BYTES,
+        admit, refuse, AttemptTimer, FrontContext, LatestRun, ReceivedRequest, RequestMoves,
+        RequestRefusal, StreamProgress, MAX_PIPELINED_BYTES,
     },
     pitchhitch_core::{
         serving::{
@@ -12,7 +12,7 @@
     },
     pitchhitch_http1::TcpConnection,
     pitchhitch_platform::decode_request_info,
-    pitchhitch_process::{to_duration, DeadlineTimer},
+    pitchhitch_process::to_duration,
     std::rc::Rc,
 };
 
@@ -40,9 +40,11 @@
     /// Hash of the request id; spreads requests over services and retries over time.
     pub(crate) id_hash: u64,
     pub(crate) deadline: Micros,
-    pub(crate) timer: DeadlineTimer,
+    pub(crate) timer: AttemptTimer,
     /// Endpoints that were tried already.
     pub(crate) tried: Vec<EndpointKey>,
+    /// Whether it has left an endpoint that did not respond.
+    pub(crate) has_left_endpoint: bool,
     /// Software that began the stream, once the caller has events of it; no other continues it.
     pub(crate) origin: Option<SoftwareTag>,
     /// The latest run at an endpoint.
@@ -129,8 +131,9 @@
             service,
             id_hash,
             deadline,
-            timer: DeadlineTimer::after(front.clock, to_duration(time_left)),
+            timer: AttemptTimer::after(front.clock, to_duration(time_left)),
             tried: Vec::new(),
+            has_left_endpoint: false,
             origin: None,
             latest_run: LatestRun::default(),
             cached_fingerprint: None,
--- a/entry/src/front/requests/request_response.rs
+++ b/entry/src/front/requests/request_response.rs
@@ -1,8 +1,9 @@
 use {
     crate::front::{
-        read_plain_response, record_origin, relay_plain_response, relay_stream, skip_response_body,
-        write_to_caller, AttemptOutcome, EndpointExchange, EndpointResponse, EndpointStream,
-        ExchangeFailure, HeldBytes, PlainResponse, RelayEnd, RelayEvent, RequestHandler,
+        read_plain_response, record_heard, record_origin, relay_plain_response, relay_stream,
+        skip_response_body, write_to_caller, AttemptOutcome, EndpointExchange, EndpointResponse,
+        EndpointStream, ExchangeFailure, HeldBytes, PlainResponse, RelayEnd, RelayEvent,
+        RequestHandler,
     },
     pitchhitch_core::{
         serving::{EndpointChoice, HeldKind, MoveEvent},
@@ -125,6 +126,7 @@
         let mut first_event_at = None;
         let mut version = None;
         let mut on_event = |event| match event {
+            RelayEvent::Events => record_heard(front, choice.key),
             RelayEvent::FirstEvent => {
                 let now = front.now();
                 first_event_at = Some(now);
@@ -171,6 +173,8 @@
                     }
                 }
                 Ok(RelayEnd::Complete) => break Ok(()),
+                Err(ExchangeFailure::Unresponsive)
+                    if !self.progress.splitter.can_continue() && self.timer.wait_until_lost() => {}
                 Err(failure) => break Err(failure),
             }
         };
--- a/entry/src/front/requests/request_versions.rs
+++ b/entry/src/front/requests/request_versions.rs
@@ -180,6 +180,7 @@
             AttemptOutcome::Broken(failure) => match failure {
                 ExchangeFailure::NotSent | ExchangeFailure::CallerGone => None,
                 ExchangeFailure::Lost
+                | ExchangeFailure::Unresponsive
                 | ExchangeFailure::Garbled
                 | ExchangeFailure::Late
                 | ExchangeFailure::Overdue => Some(AnswerOutcome::Failed),
--- a/entry/src/front/requests/run_resumption.rs
+++ b/entry/src/front/requests/run_resumption.rs
@@ -38,7 +38,7 @@
         failure: ExchangeFailure,
     ) -> AttemptOutcome {
         let event = match failure {
-            ExchangeFailure::Lost => MoveEvent::StreamClosed,
+            ExchangeFailure::Lost | ExchangeFailure::Unresponsive => MoveEvent::StreamClosed,
             ExchangeFailure::CallerGone => MoveEvent::CallerGone,
             _ => MoveEvent::DeadlinePassed,
         };
--- a/entry/src/front/requests/stream_relay.rs
+++ b/entry/src/front/requests/stream_relay.rs
@@ -1,12 +1,11 @@
 use {
     crate::front::{
-        wait_for_endpoint, write_to_caller, EndpointExchange, EndpointResponse, EventSplitter,
-        ExchangeFailure, MoveMail, RequestMoves, WakeReason,
+        wait_for_endpoint, write_to_caller, AttemptTimer, EndpointExchange, EndpointResponse,
+        EventSplitter, ExchangeFailure, MoveMail, RequestMoves, WakeReason,
     },
     futures_lite::future::or,
     pitchhitch_http1::{write_chunk, BodyDecoder, BodyFraming, TcpConnection, LAST_CHUNK},
     pitchhitch_platform::{encode_response_head, BodyLength},
-    pitchhitch_process::DeadlineTimer,
     std::time::{Duration, Instant},
 };
 
@@ -32,6 +31,8 @@
 /// What the relay reports about a stream.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum RelayEvent {
+    /// Events have arrived.
+    Events,
     /// The first events have arrived.
     FirstEvent,
     /// The version of the weights changed during the stream.
@@ -80,7 +81,7 @@
     stream: &mut EndpointStream<'_>,
     progress: &mut StreamProgress,
     caller: &mut TcpConnection,
-    timer: &mut DeadlineTimer,
+    timer: &mut AttemptTimer,
     moves: &RequestMoves,
     time_left: &dyn Fn() -> Duration,
     on_event: &mut dyn FnMut(RelayEvent),
@@ -107,6 +108,9 @@
         {
             on_event(RelayEvent::VersionChanged(version));
         }
+        if !events.is_empty() {
+            on_event(RelayEvent::Events);
+        }
         if *is_first && !events.is_empty() {
             *is_first = false;
             timer.set_after(time_left());
@@ -135,6 +139,7 @@
         };
         match wake {
             WakeReason::TimedOut => return Err(ExchangeFailure::Late),
+            WakeReason::EndpointUnresponsive => return Err(ExchangeFailure::Unresponsive),
             WakeReason::CallerGone => return Err(ExchangeFailure::CallerGone),
             WakeReason::EndpointReadable | WakeReason::EndpointWritable => {}
         }
@@ -167,7 +172,7 @@
     response: &EndpointResponse,
     progress: &mut StreamProgress,
     caller: &mut TcpConnection,
-    timer: &mut DeadlineTimer,
+    timer: &mut AttemptTimer,
 ) -> Result<(), ExchangeFailure> {
     let mut out = Vec::with_capacity(events.len() + 32);
     if !progress.is_head_sent {
--- a/entry/src/front/requests/wake_reason.rs
+++ b/entry/src/front/requests/wake_reason.rs
@@ -1,8 +1,6 @@
 use {
-    futures_lite::future::poll_fn,
-    pitchhitch_http1::TcpConnection,
-    pitchhitch_process::DeadlineTimer,
-    std::{future::Future, pin::Pin, task::Poll},
+    crate::front::AttemptTimer, futures_lite::future::poll_fn, pitchhitch_http1::TcpConnection,
+    std::task::Poll,
 };
 
 /// Bytes of pipelined requests that are buffered for a caller.
@@ -15,6 +13,8 @@
     EndpointReadable,
     /// More of the request can be written to the endpoint.
     EndpointWritable,
+    /// The endpoint no longer responds.
+    EndpointUnresponsive,
     /// The caller closed its connection.
     CallerGone,
     /// The timer of the request expired.
@@ -26,12 +26,13 @@
     endpoint: &TcpConnection,
     wants_write: bool,
     caller: &mut TcpConnection,
-    timer: &mut DeadlineTimer,
+    timer: &mut AttemptTimer,
 ) -> WakeReason {
     loop {
         let reads_caller = caller.buffer().len() < MAX_PIPELINED_BYTES;
         let wake = poll_fn(|context| {
             if endpoint.poll_readable(context).is_ready() {
+                timer.record_heard();
                 return Poll::Ready(Some(WakeReason::EndpointReadable));
             }
             if wants_write && endpoint.poll_writable(context).is_ready() {
@@ -40,10 +41,7 @@
             if reads_caller && caller.poll_readable(context).is_ready() {
                 return Poll::Ready(None);
             }
-            match Pin::new(&mut *timer).poll(context) {
-                Poll::Ready(_) => Poll::Ready(Some(WakeReason::TimedOut)),
-                Poll::Pending => Poll::Pending,
-            }
+            timer.poll_end(context).map(Some)
         });
         if let Some(reason) = wake.await {
             return reason;
@@ -59,7 +57,7 @@
 pub(crate) async fn write_to_caller(
     caller: &TcpConnection,
     bytes: &[u8],
-    timer: &mut DeadlineTimer,
+    timer: &mut AttemptTimer,
 ) -> bool {
     // Usually everything is written at once.
     let sent = match caller.try_write(bytes) {
@@ -68,7 +66,7 @@
         Err(_) => return false,
     };
     let timed_out = async {
-        timer.await;
+        (&mut timer.deadline).await;
         false
     };
     let remaining_write = async { caller.write_all(&bytes[sent..]).await.is_ok() };
