Runs are not moved to engines on weights that have expired

Cause: not the crash that the record suggests (`200 crashed` is the stopping call of a move). The choice of a prompt's engine observes the limit for older weights, the choice of a move's target only asked for the version of the run. The target then waits for that run before it can load, too.

Change: a move's target must have weights that a prompt may still start on. A run on older ones ends at its engine, which may keep its own weights. Elsewhere: further attempts and resumptions after a crash go through the choice of prompts and its limit; the own interface has no moves.

Test: move_choice expired_weights, failed with the check disabled, passes now (8 of 8).

--- a/core/src/serving/moves/move_target.rs
+++ b/core/src/serving/moves/move_target.rs
@@ -1,7 +1,7 @@
 use crate::{
     serving::{
         mix_hashes, stable_hash, ContactStage, EndpointEntry, EndpointKey, EndpointRegistry,
-        EndpointStatus, LatencyEstimator, SwapStage,
+        EndpointStatus, LatencyEstimator, SwapStage, WeightBounds,
     },
     time::Micros,
 };
@@ -20,6 +20,8 @@
     pub model: &'a str,
     /// Version of the weights of the run.
     pub version: u64,
+    /// Versions that a prompt may start on: a run that resumes at another engine begins there, too.
+    pub weights: WeightBounds,
     /// Memory that the run takes at its end, in tokens.
     pub tokens: u64,
     /// Whether the first choice for the request would admit the endpoint: evacuations, regions,
@@ -38,6 +40,9 @@
     registry: &EndpointRegistry,
     request: &TargetRequest<'_>,
 ) -> Option<EndpointKey> {
+    if !request.weights.allows(Some(request.version)) {
+        return None;
+    }
     let source = registry.get(request.source)?;
     let candidates = registry.iter().filter_map(|(key, entry)| {
         let is_other = key != request.source && entry.address != source.address;
--- a/core/tests/move_choice.rs
+++ b/core/tests/move_choice.rs
@@ -9,7 +9,7 @@
         serving::{
             name_runs, pick_target, EndpointKey, EngineLoad, GrowthTracker, LatencyEstimator,
             MoveCause, MoveSlots, NamedRun, NamingInput, ReportedRun, RunProgress, TargetRequest,
-            MAX_NAMED_RUNS,
+            WeightBounds, MAX_NAMED_RUNS,
         },
         time::Micros,
     },
@@ -103,12 +103,21 @@
 fn target(
     fleet: &Fleet,
     tokens: u64,
+) -> Option<EndpointKey> {
+    target_within(fleet, tokens, WeightBounds::default())
+}
+
+fn target_within(
+    fleet: &Fleet,
+    tokens: u64,
+    weights: WeightBounds,
 ) -> Option<EndpointKey> {
     let request = TargetRequest {
         source: fleet.key("e1"),
         request_id: "r",
         model: "m",
         version: 1,
+        weights,
         tokens,
         is_eligible: &|entry| entry.id != "e3" || entry.slots > 0,
         estimator: &LatencyEstimator::default(),
@@ -117,6 +126,23 @@
     pick_target(&fleet.registry, &request)
 }
 
+/// Guards against a run that begins at another engine on weights on which no prompt may start any
+/// more, and for which that engine then waits before it loads newer ones.
+#[test]
+fn expired_weights() {
+    let fleet = Fleet::new();
+    let replaced = WeightBounds {
+        newest: Some(2),
+        oldest: None,
+    };
+    assert!(target_within(&fleet, 9_000, replaced).is_some());
+    let expired = WeightBounds {
+        oldest: Some(2),
+        ..replaced
+    };
+    assert_eq!(target_within(&fleet, 9_000, expired), None);
+}
+
 /// Guards against a move to an engine that is worse than the source.
 #[test]
 fn unfit_targets() {
--- a/entry/src/front/requests/request_choice.rs
+++ b/entry/src/front/requests/request_choice.rs
@@ -225,7 +225,7 @@
         regions.is_unrestricted() || regions.allows(self.front.settings.region(domain))
     }
 
-    fn weight_bounds(
+    pub(crate) fn weight_bounds(
         &self,
         state: &FrontState,
         now: Micros,
--- a/entry/src/front/requests/request_moves.rs
+++ b/entry/src/front/requests/request_moves.rs
@@ -213,6 +213,7 @@
             request_id: &self.info.request_id,
             model,
             version,
+            weights: self.weight_bounds(&state, now),
             tokens,
             is_eligible: &|entry| {
                 state.is_available(entry, has_slow_start, now)
