Only endpoints that run requests are looked at for silence

Cause: the check each tenth of a second went over all endpoints, twice: 10,000 at the target size. Change: the registry keeps the keys of endpoints that run requests of this box or do not respond. Not measured at the target size; the cost is now that of the endpoints in use. Tests: endpoint_contacts unresponsive_probed_again, 12 of 12; core passes.

--- a/core/src/serving/membership/contact_records.rs
+++ b/core/src/serving/membership/contact_records.rs
@@ -40,15 +40,20 @@
         now: Micros,
     ) -> Vec<EndpointKey> {
         let mut due = Vec::new();
-        for (key, entry) in &mut self.entries {
+        let entries = &mut self.entries;
+        self.watched.retain(|key| {
+            let Some(entry) = entries.get_mut(*key) else {
+                return false;
+            };
             let is_unresponsive = entry.contact.stage() != ContactStage::Responding;
+            // One that is leaving may be listed again.
             let may_return = is_unresponsive && entry.status != EndpointStatus::Leaving;
-            if (entry.running > 0 || may_return)
-                && entry.contact.take_due_probe(has_engine(entry), now)
-            {
-                due.push(key);
+            let is_probed = entry.running > 0 || may_return;
+            if is_probed && entry.contact.take_due_probe(has_engine(entry), now) {
+                due.push(*key);
             }
-        }
+            entry.running > 0 || is_unresponsive
+        });
         due
     }
 
@@ -98,7 +103,9 @@
 
     /// Endpoints that do not respond and run requests of this box.
     pub fn unresponsive_endpoints(&self) -> impl Iterator<Item = (EndpointKey, ContactStage)> + '_ {
-        let busy = self.entries.iter().filter(|(_, entry)| entry.running > 0);
+        let watched = self.watched.iter();
+        let entries = watched.filter_map(|key| Some((*key, self.entries.get(*key)?)));
+        let busy = entries.filter(|(_, entry)| entry.running > 0);
         let stages = busy.map(|(key, entry)| (key, entry.contact.stage()));
         stages.filter(|(_, stage)| *stage != ContactStage::Responding)
     }
--- a/core/src/serving/membership/endpoint_registry.rs
+++ b/core/src/serving/membership/endpoint_registry.rs
@@ -7,7 +7,7 @@
     crate::{retry::OutlierGuard, time::Micros},
     slotmap::{new_key_type, SlotMap},
     std::{
-        collections::{BTreeMap, HashMap, HashSet},
+        collections::{BTreeMap, BTreeSet, HashMap, HashSet},
         net::SocketAddr,
     },
 };
@@ -31,6 +31,8 @@
     ids: BTreeMap<String, EndpointKey>,
     /// Endpoints that were listed at an address; some may have moved since.
     by_address: HashMap<SocketAddr, Vec<EndpointKey>>,
+    /// Endpoints that run requests of this box or do not respond; others may be among them.
+    pub(in crate::serving) watched: BTreeSet<EndpointKey>,
 }
 
 impl EndpointRegistry {
--- a/core/src/serving/membership/request_records.rs
+++ b/core/src/serving/membership/request_records.rs
@@ -17,6 +17,7 @@
                 .contact
                 .record_sent(entry.running == 0, prefill.sent_at);
             entry.running += 1;
+            self.watched.insert(key);
             entry
                 .slow_start
                 .record_sent(prefill.ticket, prefill.sent_at);
--- a/core/tests/endpoint_contacts.rs
+++ b/core/tests/endpoint_contacts.rs
@@ -1,7 +1,10 @@
 //! Endpoints that stop responding while they run requests of this box.
 
 use pitchhitch_core::{
-    serving::{ContactStage, EndpointContact, ProbeOutcome},
+    serving::{
+        ContactStage, EndpointContact, EndpointKey, EndpointNotice, EndpointRegistry,
+        EndpointStatus, PendingPrefill, ProbeOutcome,
+    },
     time::Micros,
 };
 
@@ -193,3 +196,51 @@
     assert!(!contact.take_due_probe(true, ms(60_300)));
     assert!(contact.take_due_probe(true, ms(60_400)));
 }
+
+fn notice(
+    id: &str,
+    port: u16,
+) -> EndpointNotice {
+    EndpointNotice {
+        id: id.to_string(),
+        service: "llm".to_string(),
+        address: Some(([10, 0, 0, 1], port).into()),
+        ..EndpointNotice::default()
+    }
+}
+
+fn take_due(
+    registry: &mut EndpointRegistry,
+    now: u64,
+) -> Vec<EndpointKey> {
+    registry.take_due_probes(|_| true, ms(now))
+}
+
+/// Guards against probes of endpoints without requests, and against an endpoint that left while it did
+/// not respond and stays unused after it is listed again.
+#[test]
+fn unresponsive_probed_again() {
+    let mut registry = EndpointRegistry::default();
+    registry.apply(&notice("idle", 1));
+    registry.apply(&notice("busy", 2));
+    let busy = registry.key("busy").expect("listed");
+    let prefill = PendingPrefill {
+        ticket: 1,
+        tokens: 0,
+        memory_tokens: 0,
+        priority: 0,
+        sent_at: ms(1_000),
+    };
+    registry.record_sent(busy, prefill);
+    assert_eq!(take_due(&mut registry, 1_500), [busy]);
+    let idle = registry.key("idle").expect("listed");
+    registry.record_heard(idle, ms(1_500));
+    let outcome = ProbeOutcome::Unanswered;
+    let stage = registry.record_contact_probe(busy, outcome, ms(1_500), ms(1_700));
+    assert_eq!(stage, Some(ContactStage::Unresponsive));
+    registry.record_ended(busy, 1);
+    registry.get_mut(busy).expect("entry").status = EndpointStatus::Leaving;
+    assert_eq!(take_due(&mut registry, 9_000), []);
+    registry.get_mut(busy).expect("entry").status = EndpointStatus::Serving;
+    assert_eq!(take_due(&mut registry, 9_100), [busy]);
+}
