Failover limit: usual name; the first check after a pause only reads

Change: LeftWave is FailoverLimit, its log outcome failover-limit. After a pause of the front, the check for silent endpoints waits for the next tick, so that digests which arrived meanwhile are read before anybody is told to leave.

--- a/core/src/serving/admission/left_wave.rs
+++ b/core/src/serving/admission/failover_limit.rs
@@ -1,8 +1,8 @@
 use {crate::time::Micros, std::collections::VecDeque};
 
-/// Time within which requests that leave endpoints belong to one wave: boxes find out about an
-/// endpoint within a second of each other.
-const WAVE_WINDOW: Micros = Micros::from_secs(1);
+/// Time within which failovers count as simultaneous: boxes find out about an endpoint within a second
+/// of each other.
+const FAILOVER_WINDOW: Micros = Micros::from_secs(1);
 
 /// Fraction of the time until the caller leaves in which the request is expected to begin. Engines are
 /// slower than their reports say while the requests of others are on their way to them.
@@ -10,7 +10,7 @@
 
 /// A request that has left an endpoint which did not respond, and the endpoint that would receive it.
 #[derive(Debug, Clone, Copy)]
-pub struct LeftRequest {
+pub struct FailoverRequest {
     /// Number of boxes that share the endpoints.
     pub boxes: u32,
     /// Number of endpoints among which such requests are spread.
@@ -27,25 +27,25 @@
     pub time_left: Micros,
 }
 
-/// Bounds the requests that leave endpoints at the same moment.
+/// Limits the requests that this box sends to other endpoints at the same moment.
 ///
 /// All boxes find out about endpoints that stop together, and none sees what the others send: each
 /// assumes that the others send as much as it does. Without this, the engines that were left
 /// received so many prompts at once that most callers left before any of them began.
 #[derive(Debug, Clone, Default)]
-pub struct LeftWave {
+pub struct FailoverLimit {
     admitted: VecDeque<Micros>,
 }
 
-impl LeftWave {
+impl FailoverLimit {
     /// Whether the request may be sent; counts it if so.
     pub fn try_admit(
         &mut self,
-        request: &LeftRequest,
+        request: &FailoverRequest,
         now: Micros,
     ) -> bool {
         while let Some(at) = self.admitted.front() {
-            if now.since(*at) < WAVE_WINDOW {
+            if now.since(*at) < FAILOVER_WINDOW {
                 break;
             }
             self.admitted.pop_front();
--- a/core/src/serving/admission/mod.rs
+++ b/core/src/serving/admission/mod.rs
@@ -7,7 +7,7 @@
 mod admission_request;
 mod admission_scope;
 mod caller_limits;
-mod left_wave;
+mod failover_limit;
 mod memory_budget;
 mod memory_contention;
 mod memory_share;
@@ -24,7 +24,8 @@
 use share_table::*;
 pub use {
     admission_controller::*, admission_counts::*, admission_decision::*, admission_inputs::*,
-    admission_request::*, admission_scope::*, caller_limits::*, left_wave::*, memory_budget::*,
-    memory_share::*, organisation_rate::*, organisation_shares::*, priority_shares::*,
-    rate_reports::*, refusal_kind::*, retry_window::*, route_stats::*, urgent_demand::*,
+    admission_request::*, admission_scope::*, caller_limits::*, failover_limit::*,
+    memory_budget::*, memory_share::*, organisation_rate::*, organisation_shares::*,
+    priority_shares::*, rate_reports::*, refusal_kind::*, retry_window::*, route_stats::*,
+    urgent_demand::*,
 };
--- a/entry/src/front/endpoints/contact_probe.rs
+++ b/entry/src/front/endpoints/contact_probe.rs
@@ -35,7 +35,9 @@
         let gap = now.since(checked_at);
         checked_at = now;
         if gap > MAX_CHECK_GAP {
+            // What has arrived meanwhile is read first.
             front.state().registry.exclude_silence(gap.since(TICK), now);
+            continue;
         }
         notify_waiting(&front, now);
         for key in due_probes(&front, now) {
--- a/entry/src/front/front_state.rs
+++ b/entry/src/front/front_state.rs
@@ -4,8 +4,8 @@
         rollout::RolloutTable,
         serving::{
             AdmissionController, CacheNamespace, EndpointEntry, EndpointKey, EndpointRegistry,
-            EngineRates, EraTracker, EvacuationSet, FetchCompletion, FrontCount, KeeperSet,
-            KeyFreshness, KvStoreDirectory, LatencyEstimators, LeftWave, MemoryBudget,
+            EngineRates, EraTracker, EvacuationSet, FailoverLimit, FetchCompletion, FrontCount,
+            KeeperSet, KeyFreshness, KvStoreDirectory, LatencyEstimators, MemoryBudget,
             NamespaceTag, OriginLookups, OriginTable, PauseDetector, PlainCosts, PromptPools,
             ProvenTable, RetryWindow, ServingConfig, StoreEra, SuspectTracker, SwapPlanner,
             TrialTable, REWRITE_DELAY,
@@ -111,7 +111,7 @@
     /// The highest of the recent counts of running fronts.
     pub front_count: FrontCount,
     retry_windows: HashMap<String, RetryWindow>,
-    left_waves: HashMap<String, LeftWave>,
+    failover_limits: HashMap<String, FailoverLimit>,
     namespace_tags: HashMap<String, NamespaceTag>,
     next_ticket: u64,
 }
@@ -161,7 +161,7 @@
             fronts: INITIAL_FRONTS,
             front_count: FrontCount::default(),
             retry_windows: HashMap::new(),
-            left_waves: HashMap::new(),
+            failover_limits: HashMap::new(),
             namespace_tags: HashMap::new(),
             next_ticket: 0,
         }
@@ -269,11 +269,11 @@
     }
 
     /// Bounds the requests that leave endpoints of a service.
-    pub fn left_wave(
+    pub fn failover_limit(
         &mut self,
         service: &str,
-    ) -> &mut LeftWave {
-        self.left_waves.entry(service.to_string()).or_default()
+    ) -> &mut FailoverLimit {
+        self.failover_limits.entry(service.to_string()).or_default()
     }
 
     /// Tag of the cache namespace with a salt.
--- a/entry/src/front/requests/attempt_loop.rs
+++ b/entry/src/front/requests/attempt_loop.rs
@@ -105,8 +105,8 @@
             }
             return Break(AttemptsEnd::Failed);
         };
-        if self.has_left_endpoint && !self.may_leave_for(&choice) {
-            self.log_attempt(&choice, "left-wave", "");
+        if self.has_left_endpoint && !self.may_fail_over_to(&choice) {
+            self.log_attempt(&choice, "failover-limit", "");
             return Break(AttemptsEnd::Failed);
         }
         if self.sends > 0 && !self.acquire_retry() {
--- a/entry/src/front/requests/request_admission.rs
+++ b/entry/src/front/requests/request_admission.rs
@@ -3,7 +3,7 @@
     pitchhitch_core::{
         serving::{
             organisation_hash, unit_fraction, AdmissionDecision, AdmissionRequest, AdmissionScope,
-            EndpointChoice, EndpointEntry, EndpointStatus, EnginePool, LeftRequest, LOST_AFTER,
+            EndpointChoice, EndpointEntry, EndpointStatus, EnginePool, FailoverRequest, LOST_AFTER,
         },
         time::Micros,
     },
@@ -47,7 +47,7 @@
 
     /// Whether a prompt that has left an endpoint which did not respond may be sent to another one,
     /// and is expected to begin there before its caller leaves.
-    pub(crate) fn may_leave_for(
+    pub(crate) fn may_fail_over_to(
         &self,
         choice: &EndpointChoice,
     ) -> bool {
@@ -58,7 +58,7 @@
         let mut guard = self.front.state();
         let state = &mut *guard;
         let token_ms = self.estimator(state).token_ms();
-        let request = LeftRequest {
+        let request = FailoverRequest {
             boxes: state.sharing_fronts(),
             endpoints: choice.candidates,
             tokens: u64::from(prompt.tokens_in),
@@ -67,7 +67,7 @@
             prefill_ms: f64::from(choice.prefill_tokens) * token_ms * choice.rate,
             time_left: self.caller_patience().since(self.caller_wait(now)),
         };
-        state.left_wave(&self.service).try_admit(&request, now)
+        state.failover_limit(&self.service).try_admit(&request, now)
     }
 
     /// Time without an event after which callers are expected to leave.
