A move does not resume while its engine may still run the request

What callers would see: a stream that may run once ran at two engines. Change: such a move is given up, as at a deadline; only a closed stream resumes, as before.

--- a/entry/src/front/requests/run_resumption.rs
+++ b/entry/src/front/requests/run_resumption.rs
@@ -38,8 +38,9 @@
         failure: ExchangeFailure,
     ) -> AttemptOutcome {
         let event = match failure {
-            ExchangeFailure::Lost | ExchangeFailure::Unresponsive => MoveEvent::StreamClosed,
+            ExchangeFailure::Lost => MoveEvent::StreamClosed,
             ExchangeFailure::CallerGone => MoveEvent::CallerGone,
+            // An engine that does not respond has not stopped the run: a copy must not resume.
             _ => MoveEvent::DeadlinePassed,
         };
         let mut step = self.notify_move(event);
