--- a/entry/src/front/requests/lost_run.rs
+++ b/entry/src/front/requests/lost_run.rs
@@ -105,7 +105,8 @@
             endpoint = entry.map_or("", |entry| entry.id.as_str()),
             endpoint_is = outcome,
             sent_ms = lost_at.since(self.latest_run.sent_at).as_millis(),
-            begun_ms = since_first_event.unwrap_or(-1);
+            begun_ms = since_first_event.unwrap_or(-1),
+            parts = self.list_parts().as_str();
             ""
         );
     }
--- a/entry/src/front/requests/request_log.rs
+++ b/entry/src/front/requests/request_log.rs
@@ -50,6 +50,14 @@
         text
     }
 
+    /// The ids of all parts of the prompt, to find out what lost and answered runs have in common.
+    pub(crate) fn list_parts(&self) -> String {
+        let prompt = self.info.prompt.as_ref();
+        let parts = prompt.map_or(&[][..], |prompt| &prompt.parts);
+        let ids: Vec<String> = parts.iter().map(|part| part.id.to_string()).collect();
+        ids.join(",")
+    }
+
     pub(crate) fn log_attempt(
         &self,
         choice: &EndpointChoice,
@@ -183,6 +191,7 @@
             framing = self.progress.framing.map_or("", BodyFraming::as_str),
             unfinished = self.progress.splitter.partial_event().len(),
             continues = self.info.continues.as_deref().unwrap_or(""),
+            parts = self.list_parts().as_str(),
             config = self.config.version;
             ""
         );
