--- a/core/src/serving/suspects/suspect_record.rs
+++ b/core/src/serving/suspects/suspect_record.rs
@@ -1,12 +1,12 @@
 use {
-    crate::serving::RequestFingerprint,
+    super::suspect_key::SuspectKey,
     crate::time::Micros,
     serde::{Deserialize, Serialize},
 };
 
-/// Maximum number of crashes stored per request: one more than are needed to block it, as two that
-/// different fronts report may count as one.
-const MAX_CRASHES: usize = 4;
+/// Maximum number of crashes stored per suspect: one more than are needed to block one that was
+/// answered recently, as two that different fronts report may count as one.
+const MAX_CRASHES: usize = 6;
 /// Context of the hash of a crash.
 const HASH_CONTEXT: &str = "pitchhitch endpoint crash 1";
 
@@ -29,45 +29,60 @@
     }
 }
 
-/// A crash of an endpoint while it had a request. Times are on the clock of the process that stores
+/// A crash of an endpoint while it ran a suspect. Times are on the clock of the process that stores
 /// it; in reports they are ages.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct SuspectCrash {
     /// Which incarnation of which endpoint crashed.
     pub mark: CrashId,
-    /// When the request was sent to it.
+    /// Hash of the organisation whose run it was; 0 if it has none.
+    pub organisation: u32,
+    /// Hash of the request whose run it was.
+    pub request: u64,
+    /// When the run was sent to it.
     pub sent: Micros,
     /// When it crashed.
     pub ended: Micros,
-    /// Number of counted crashes that the front knew of when it sent the request.
+    /// Number of counted crashes that the front knew of when it sent the run.
     pub known: u32,
 }
 
-/// Report of one process to another about a request; all times are ages.
+/// Report of one process to another about a suspect; all times are ages.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct SuspectReport {
-    /// Request.
-    pub fingerprint: RequestFingerprint,
+    /// Suspect.
+    pub key: SuspectKey,
     /// Crashes during it.
     pub crashes: Vec<SuspectCrash>,
     /// Time since the last complete response.
     pub answered: Option<Micros>,
 }
 
-/// Crashes and complete responses of one request.
+/// Crashes and complete responses of one suspect.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub(in crate::serving) struct SuspectRecord {
+    /// Whether the suspect is a part of prompts.
+    is_part: bool,
     crashes: Vec<SuspectCrash>,
     pub(in crate::serving) answered: Option<Micros>,
-    /// Number of crashes that count against the request. A crash counts if the request was sent
-    /// after the previous counted one, by a front that knew of all counted ones: only then did it
-    /// run without other suspects on the endpoint. Endpoints that crash together or in quick
-    /// succession count as one crash, as a request that many callers send runs on all of them.
-    /// Crashes up to the last complete response do not count.
+    /// Number of crashes that count against the suspect. A crash counts if the run was sent after
+    /// the previous counted one, by a front that knew of all counted ones: only then did it run
+    /// without other suspects on the endpoint. Endpoints that crash together or in quick succession
+    /// count as one crash, as a request that many callers send runs on all of them. Crashes up to
+    /// the last complete response do not count. Against a part of prompts, several crashes of the
+    /// same request count as one, as the request itself explains them.
     pub(in crate::serving) count: u32,
 }
 
 impl SuspectRecord {
+    /// Record of a suspect without crashes.
+    pub(in crate::serving) fn of(key: SuspectKey) -> Self {
+        SuspectRecord {
+            is_part: key.is_part(),
+            ..SuspectRecord::default()
+        }
+    }
+
     /// Merges a crash; true if it was unknown. A crash that is reported twice counts once.
     pub(in crate::serving) fn merge_crash(
         &mut self,
@@ -81,6 +96,8 @@
             stored.sent = stored.sent.max(crash.sent);
             stored.ended = stored.ended.min(crash.ended);
             stored.known = stored.known.max(crash.known);
+            stored.organisation = stored.organisation.min(crash.organisation);
+            stored.request = stored.request.min(crash.request);
             self.count = self.counted_crashes().len() as u32;
             return false;
         }
@@ -99,29 +116,53 @@
         true
     }
 
-    /// Merges the time of a complete response; true if this clears at least one crash.
+    /// Merges the time of a complete response; true if this clears at least one crash, or is the
+    /// first response of a suspect.
     pub(in crate::serving) fn merge_response(
         &mut self,
         answered: Micros,
     ) -> bool {
         let before = self.count;
+        let is_first = self.answered.is_none();
         self.answered = self.answered.max(Some(answered));
         self.count = self.counted_crashes().len() as u32;
-        self.count < before
+        self.count < before || (is_first && self.count > 0)
+    }
+
+    /// Whether its crashes concern the runs of an organisation: its own runs crashed endpoints, or
+    /// those of two others, of which neither can discredit what it does not send itself.
+    pub(in crate::serving) fn concerns(
+        &self,
+        organisation: u32,
+    ) -> bool {
+        let mut crashes = self.crashes.iter();
+        let Some(first) = crashes.next().map(|crash| crash.organisation) else {
+            return false;
+        };
+        first == organisation || crashes.any(|crash| crash.organisation != first)
+    }
+
+    /// Whether it was on an endpoint that crashed.
+    pub(in crate::serving) fn has_crash(
+        &self,
+        mark: CrashId,
+    ) -> bool {
+        self.crashes.iter().any(|crash| crash.mark == mark)
     }
 
-    fn counted_crashes(&self) -> Vec<CrashId> {
-        let mut counted_crashes = Vec::new();
-        let mut last: Option<Micros> = None;
+    /// The crashes that count.
+    pub(in crate::serving) fn counted_crashes(&self) -> Vec<CrashId> {
+        let mut counted: Vec<&SuspectCrash> = Vec::new();
         let is_unanswered = |crash: &&SuspectCrash| self.answered.is_none_or(|at| crash.ended > at);
         for crash in self.crashes.iter().filter(is_unanswered) {
-            let is_later = last.is_none_or(|ended| crash.sent >= ended);
-            if is_later && crash.known >= counted_crashes.len() as u32 {
-                counted_crashes.push(crash.mark);
-                last = Some(crash.ended);
+            let is_later = counted.last().is_none_or(|last| crash.sent >= last.ended);
+            let is_informed = crash.known >= counted.len() as u32;
+            let is_repeated = counted.iter().any(|other| other.request == crash.request);
+            if is_later && is_informed && !(self.is_part && is_repeated) {
+                counted.push(crash);
             }
         }
-        counted_crashes
+        counted.iter().map(|crash| crash.mark).collect()
     }
 
     /// When an endpoint last crashed during it.
@@ -138,7 +179,7 @@
     /// The record as a report, with ages instead of times.
     pub(in crate::serving) fn report(
         &self,
-        fingerprint: RequestFingerprint,
+        key: SuspectKey,
         now: Micros,
     ) -> SuspectReport {
         let aged = |crash: &SuspectCrash| SuspectCrash {
@@ -147,7 +188,7 @@
             ..*crash
         };
         SuspectReport {
-            fingerprint,
+            key,
             crashes: self.crashes.iter().map(aged).collect(),
             answered: self.answered.map(|at| now.since(at)),
         }
--- a/core/src/serving/suspects/suspect_tracker.rs
+++ b/core/src/serving/suspects/suspect_tracker.rs
@@ -1,14 +1,16 @@
 use {
     super::suspect_record::SuspectRecord,
-    crate::serving::{RequestFingerprint, SuspectCrash, SuspectReport},
+    crate::serving::{CrashId, SuspectCrash, SuspectKey, SuspectReport},
     crate::time::Micros,
     std::collections::{BTreeMap, BTreeSet},
 };
 
-/// Successive crashes after which a request is blocked: one that may be a coincidence, and two
-/// while the request ran without other suspects on the endpoint. Each crash takes down the endpoint
-/// and everything that runs there for seconds.
+/// Successive crashes after which a suspect is blocked: one that may be a coincidence, and two
+/// while it ran without other suspects on the endpoint. Each crash takes down the endpoint and
+/// everything that runs there for seconds.
 const CRASHES_TO_BLOCK: u32 = 3;
+/// Crashes that a recent complete response outweighs: they probably have another cause.
+const RESPONSE_WEIGHT: u32 = 2;
 /// Minimum delay after the second crash before the request is retried; endpoints have restarted by
 /// then. Each front waits for a different time of up to twice this delay, so that the others learn
 /// of the first front's attempt.
@@ -16,8 +18,7 @@
 /// Time for which a request is blocked after its last crash, and for which crashes are remembered:
 /// otherwise a caller that retries rarely would crash an endpoint each time.
 const BLOCK_DURATION: Micros = Micros::from_secs(600);
-/// Time for which a complete response proves that a request is harmless: crashes in that time have
-/// another cause.
+/// Time for which a complete response speaks for a suspect.
 const CLEARED_FOR: Micros = Micros::from_secs(20);
 /// Maximum number of tracked requests. Up to a hundred run on an endpoint when it crashes; those
 /// with a complete response are removed soon.
@@ -25,8 +26,8 @@
 /// Times that an update is sent, to different receivers each time: datagrams may get lost.
 const SEND_ROUNDS: u8 = 2;
 
-/// Status of a request with regard to crashes of endpoints.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+/// Status of a request or suspect with regard to crashes of endpoints; the worse, the greater.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub enum SuspectStatus {
     /// It is not suspected.
     Clear,
@@ -38,62 +39,62 @@
     Blocked(Micros),
 }
 
-/// Requests during which endpoints crashed.
+/// Requests, and parts of prompts, during which endpoints crashed.
 ///
-/// Only requests that had begun to run on a crashed endpoint are tracked, until a response to them
-/// is complete. Reports of several fronts can be merged in any order and any number of times.
+/// Only what had begun to run on a crashed endpoint is tracked, until a response to it is complete.
+/// Reports of several fronts can be merged in any order and any number of times.
 #[derive(Debug, Clone, Default)]
 pub struct SuspectTracker {
-    records: BTreeMap<RequestFingerprint, SuspectRecord>,
-    /// Requests with an update to send, and the remaining number of sends.
-    updates: BTreeMap<RequestFingerprint, u8>,
+    records: BTreeMap<SuspectKey, SuspectRecord>,
+    /// Suspects with an update to send, and the remaining number of sends.
+    updates: BTreeMap<SuspectKey, u8>,
 }
 
 impl SuspectTracker {
-    /// Whether no request is tracked.
+    /// Whether nothing is tracked.
     pub fn is_empty(&self) -> bool {
         self.records.is_empty()
     }
 
-    /// Number of tracked requests.
+    /// Number of tracked suspects.
     pub fn len(&self) -> usize {
         self.records.len()
     }
 
-    /// Records that an endpoint crashed during a request; true if this crash was unknown.
+    /// Records that an endpoint crashed while it ran a suspect; true if this crash was unknown.
     pub fn record_crash(
         &mut self,
-        fingerprint: RequestFingerprint,
+        key: SuspectKey,
         crash: SuspectCrash,
     ) -> bool {
-        let is_new = self.merge_crash(fingerprint, crash);
+        let is_new = self.merge_crash(key, crash);
         if is_new {
-            self.updates.insert(fingerprint, SEND_ROUNDS);
+            self.updates.insert(key, SEND_ROUNDS);
         }
         is_new
     }
 
     fn merge_crash(
         &mut self,
-        fingerprint: RequestFingerprint,
+        key: SuspectKey,
         crash: SuspectCrash,
     ) -> bool {
         let is_new = self
             .records
-            .entry(fingerprint)
-            .or_default()
+            .entry(key)
+            .or_insert_with(|| SuspectRecord::of(key))
             .merge_crash(crash);
         if self.records.len() > MAX_RECORDS {
-            self.evict_least(fingerprint);
+            self.evict_least(key);
         }
         is_new
     }
 
-    /// Drops the request with the fewest crashes, among these the one with the oldest update: a
+    /// Drops the suspect with the fewest crashes, among these the one with the oldest update: a
     /// caller that sends thousands of different requests evicts its own.
     fn evict_least(
         &mut self,
-        newest: RequestFingerprint,
+        newest: SuspectKey,
     ) {
         let others = self.records.iter().filter(|(other, _)| **other != newest);
         let least = others.min_by_key(|(_, record)| (record.count, record.last_update()));
@@ -103,50 +104,120 @@
         }
     }
 
-    /// Records a complete response to a request; true if this clears it.
+    /// Records a complete response to a request with a suspect, also an earlier one; true if others
+    /// are to learn of it.
     pub fn record_response(
         &mut self,
-        fingerprint: RequestFingerprint,
+        key: SuspectKey,
         now: Micros,
     ) -> bool {
-        let Some(record) = self.records.get_mut(&fingerprint) else {
+        let Some(record) = self.records.get_mut(&key) else {
             return false;
         };
         let is_cleared = record.merge_response(now);
         if is_cleared {
-            self.updates.insert(fingerprint, SEND_ROUNDS);
+            self.updates.insert(key, SEND_ROUNDS);
         }
         is_cleared
     }
 
-    /// Status of a request; `jitter`, from 0 to 1, lengthens the retry delay of this front.
+    /// Status of a request that contains these suspects, for an organisation; `jitter`, from 0 to 1,
+    /// lengthens the retry delay of this front.
+    pub fn request_status(
+        &self,
+        keys: &[SuspectKey],
+        organisation: u32,
+        jitter: f64,
+        now: Micros,
+    ) -> SuspectStatus {
+        let statuses = keys.iter().map(|key| {
+            let status = self.status(*key, jitter, now);
+            let is_tried = matches!(status, SuspectStatus::Blocked(_))
+                && !self.is_blamed(*key, keys, organisation);
+            match self.records.get(key) {
+                Some(record) if is_tried => self.isolated_status(record, jitter, now),
+                _ => status,
+            }
+        });
+        statuses.max().unwrap_or(SuspectStatus::Clear)
+    }
+
+    /// Whether a blocked suspect is to blame for its crashes, as far as a request with these suspects
+    /// can tell. A part that crashed endpoints only together with other blocked parts, which the
+    /// request lacks, may be harmless; so may one that crashed them only in runs of another
+    /// organisation.
+    fn is_blamed(
+        &self,
+        key: SuspectKey,
+        keys: &[SuspectKey],
+        organisation: u32,
+    ) -> bool {
+        let Some(record) = self.records.get(&key).filter(|_| key.is_part()) else {
+            return true;
+        };
+        let is_other = |(other, known): &(&SuspectKey, &SuspectRecord)| {
+            other.is_part() && known.count >= CRASHES_TO_BLOCK && !keys.contains(other)
+        };
+        let others = self.records.iter().filter(is_other);
+        let others: Vec<&SuspectRecord> = others.map(|(_, known)| known).collect();
+        let is_explained = |mark: &CrashId| others.iter().any(|other| other.has_crash(*mark));
+        record.concerns(organisation) && !record.counted_crashes().iter().all(is_explained)
+    }
+
+    /// Status of a suspect in any request; `jitter`, from 0 to 1, lengthens the retry delay of this
+    /// front.
     pub fn status(
         &self,
-        fingerprint: RequestFingerprint,
+        key: SuspectKey,
         jitter: f64,
         now: Micros,
     ) -> SuspectStatus {
-        let Some(record) = self.records.get(&fingerprint) else {
+        let Some(record) = self.records.get(&key) else {
             return SuspectStatus::Clear;
         };
-        let is_cleared = record
+        let is_answered = record
             .answered
             .is_some_and(|at| now.since(at) < CLEARED_FOR);
         let since = record.last_crash().map(|at| now.since(at));
-        let Some(since) = since.filter(|since| !is_cleared && *since < BLOCK_DURATION) else {
+        let Some(since) = since.filter(|since| *since < BLOCK_DURATION) else {
             return SuspectStatus::Clear;
         };
-        let delay = RETRY_DELAY + Micros((RETRY_DELAY.0 as f64 * jitter) as u64);
-        match record.count {
+        let weight = if is_answered { RESPONSE_WEIGHT } else { 0 };
+        match record.count.saturating_sub(weight) {
             0 => SuspectStatus::Clear,
+            1 => SuspectStatus::Suspect(1),
             count if count >= CRASHES_TO_BLOCK => {
                 SuspectStatus::Blocked(BLOCK_DURATION.since(since))
             }
-            2 if since < delay => SuspectStatus::BackingOff(delay.since(since)),
-            count => SuspectStatus::Suspect(count),
+            _ => self.isolated_status(record, jitter, now),
         }
     }
 
+    /// Status of a suspect that runs only without others on its endpoint.
+    fn isolated_status(
+        &self,
+        record: &SuspectRecord,
+        jitter: f64,
+        now: Micros,
+    ) -> SuspectStatus {
+        let since = record
+            .last_crash()
+            .map_or(BLOCK_DURATION, |at| now.since(at));
+        let delay = RETRY_DELAY + Micros((RETRY_DELAY.0 as f64 * jitter) as u64);
+        match since < delay {
+            true => SuspectStatus::BackingOff(delay.since(since)),
+            false => SuspectStatus::Suspect(CRASHES_TO_BLOCK - 1),
+        }
+    }
+
+    /// Number of crashes that count against a suspect.
+    pub fn crash_count(
+        &self,
+        key: SuspectKey,
+    ) -> u32 {
+        self.records.get(&key).map_or(0, |record| record.count)
+    }
+
     /// Merges a report of another process; true if it contained anything unknown.
     pub fn merge(
         &mut self,
@@ -163,9 +234,9 @@
                 ended: now.since(crash.ended),
                 ..*crash
             };
-            is_new |= self.merge_crash(report.fingerprint, crash);
+            is_new |= self.merge_crash(report.key, crash);
         }
-        let record = self.records.get_mut(&report.fingerprint);
+        let record = self.records.get_mut(&report.key);
         let answered = report.answered.map(|age| now.since(age));
         if let (Some(record), Some(answered)) = (record, answered) {
             is_new |= record.merge_response(answered);
@@ -180,7 +251,7 @@
         now: Micros,
     ) {
         if self.merge(report, now) {
-            self.updates.insert(report.fingerprint, 1);
+            self.updates.insert(report.key, 1);
         }
     }
 
@@ -195,66 +266,61 @@
         limit: usize,
         now: Micros,
     ) -> Vec<SuspectReport> {
-        let due: Vec<RequestFingerprint> = self.updates.keys().copied().take(limit).collect();
+        let due: Vec<SuspectKey> = self.updates.keys().copied().take(limit).collect();
         let mut reports = Vec::new();
-        for fingerprint in due {
-            if let Some(record) = self.records.get(&fingerprint) {
-                reports.push(record.report(fingerprint, now));
+        for key in due {
+            if let Some(record) = self.records.get(&key) {
+                reports.push(record.report(key, now));
             }
-            match self.updates.get_mut(&fingerprint) {
+            match self.updates.get_mut(&key) {
                 Some(rounds) if *rounds > 1 => *rounds -= 1,
                 _ => {
-                    self.updates.remove(&fingerprint);
+                    self.updates.remove(&key);
                 }
             }
         }
         reports
     }
 
-    /// Reports of all tracked requests.
+    /// Reports of all tracked suspects.
     pub fn reports(
         &self,
         now: Micros,
     ) -> Vec<SuspectReport> {
         let records = self.records.iter();
         records
-            .map(|(fingerprint, record)| record.report(*fingerprint, now))
+            .map(|(key, record)| record.report(*key, now))
             .collect()
     }
 
-    /// Requests that are blocked.
+    /// Suspects that are blocked.
     pub fn blocked(
         &self,
         now: Micros,
-    ) -> BTreeSet<RequestFingerprint> {
+    ) -> BTreeSet<SuspectKey> {
         let tracked = self.records.keys().copied();
-        tracked
-            .filter(|fingerprint| self.is_blocked(*fingerprint, now))
-            .collect()
+        tracked.filter(|key| self.is_blocked(*key, now)).collect()
     }
 
-    /// Whether a request is blocked.
+    /// Whether a suspect is blocked, at least for some organisations.
     pub fn is_blocked(
         &self,
-        fingerprint: RequestFingerprint,
+        key: SuspectKey,
         now: Micros,
     ) -> bool {
-        matches!(
-            self.status(fingerprint, 0.0, now),
-            SuspectStatus::Blocked(_)
-        )
+        matches!(self.status(key, 0.0, now), SuspectStatus::Blocked(_))
     }
 
-    /// Clears a request, whatever is known about it; true if it was suspected.
+    /// Clears a suspect, whatever is known about it; true if it was suspected.
     pub fn release(
         &mut self,
-        fingerprint: RequestFingerprint,
+        key: SuspectKey,
         now: Micros,
     ) -> bool {
-        self.record_response(fingerprint, now)
+        self.record_response(key, now)
     }
 
-    /// Removes expired records and requests that were cleared some time ago.
+    /// Removes expired records and suspects that were cleared some time ago.
     pub fn prune(
         &mut self,
         now: Micros,
@@ -268,7 +334,6 @@
             age < limit
         });
         let records = &self.records;
-        self.updates
-            .retain(|fingerprint, _| records.contains_key(fingerprint));
+        self.updates.retain(|key, _| records.contains_key(key));
     }
 }
--- a/core/src/serving/suspects/trial_table.rs
+++ b/core/src/serving/suspects/trial_table.rs
@@ -1,5 +1,5 @@
 use {
-    crate::serving::{EndpointKey, RequestFingerprint},
+    crate::serving::{EndpointKey, SuspectKey},
     crate::time::Micros,
 };
 
@@ -9,11 +9,11 @@
 /// Time after the first event of a run for which the run may still crash its endpoint.
 const PROBATION: Micros = Micros::from_millis(300);
 
-/// A run of a suspect.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+/// A run of suspects: of a request, or of parts of its prompt.
+#[derive(Debug, Clone, PartialEq, Eq)]
 struct TrialRun {
     ticket: u64,
-    fingerprint: RequestFingerprint,
+    suspects: Vec<SuspectKey>,
     endpoint: EndpointKey,
     /// Whether no other suspect may run on the same endpoint.
     is_exclusive: bool,
@@ -28,13 +28,15 @@
 }
 
 impl TrialTable {
-    /// Whether a run of the same request may still crash its endpoint.
+    /// Whether a run with one of these suspects may still crash its endpoint.
     pub fn has_active(
         &self,
-        fingerprint: RequestFingerprint,
+        suspects: &[SuspectKey],
         now: Micros,
     ) -> bool {
-        self.active(now).any(|run| run.fingerprint == fingerprint)
+        let is_among = |key: &SuspectKey| suspects.contains(key);
+        self.active(now)
+            .any(|run| run.suspects.iter().any(is_among))
     }
 
     /// Endpoints that cannot accept one more suspect.
@@ -64,17 +66,17 @@
         self.runs.iter().filter(is_active)
     }
 
-    /// Records a run of a suspect.
+    /// Records a run of suspects.
     pub fn begin(
         &mut self,
         ticket: u64,
-        fingerprint: RequestFingerprint,
+        suspects: Vec<SuspectKey>,
         endpoint: EndpointKey,
         is_exclusive: bool,
     ) {
         self.runs.push(TrialRun {
             ticket,
-            fingerprint,
+            suspects,
             endpoint,
             is_exclusive,
             first_event_at: None,
--- a/core/tests/suspect_tracker.rs
+++ b/core/tests/suspect_tracker.rs
@@ -3,7 +3,7 @@
 use {
     pitchhitch_core::{
         serving::{
-            CrashId, FingerprintInput, RequestFingerprint, SuspectCrash, SuspectReport,
+            CrashId, FingerprintInput, RequestFingerprint, SuspectCrash, SuspectKey, SuspectReport,
             SuspectStatus, SuspectTracker,
         },
         time::Micros,
@@ -13,14 +13,14 @@
 
 const NOW: Micros = Micros::from_secs(100);
 
-fn fingerprint(body: &str) -> RequestFingerprint {
-    RequestFingerprint::of(&FingerprintInput {
+fn request(body: &str) -> SuspectKey {
+    SuspectKey::Request(RequestFingerprint::of(&FingerprintInput {
         method: "POST",
         host: "h.example",
         target: "/a/x",
         caller: "farm",
         body: body.as_bytes(),
-    })
+    }))
 }
 
 /// A crash during a run whose sender knew of all earlier crashes.
@@ -31,6 +31,8 @@
 ) -> SuspectCrash {
     SuspectCrash {
         mark: CrashId::of("i", Some(endpoint)),
+        organisation: 1,
+        request: 1,
         sent: Micros::from_millis(sent_ms),
         ended: Micros::from_millis(ended_ms),
         known: u32::MAX,
@@ -54,13 +56,13 @@
     tracker: &SuspectTracker,
     now: Micros,
 ) -> SuspectStatus {
-    tracker.status(fingerprint("a"), 0.0, now)
+    tracker.status(request("a"), 0.0, now)
 }
 
 fn crashed(crashes: &[SuspectCrash]) -> SuspectTracker {
     let mut tracker = SuspectTracker::default();
     for crash in crashes {
-        tracker.record_crash(fingerprint("a"), *crash);
+        tracker.record_crash(request("a"), *crash);
     }
     tracker
 }
@@ -86,7 +88,7 @@
     );
     assert_eq!(status_at(&third, at(601_500)), SuspectStatus::Clear);
     assert_eq!(
-        third.status(fingerprint("b"), 0.0, at(1_500)),
+        third.status(request("b"), 0.0, at(1_500)),
         SuspectStatus::Clear
     );
 }
@@ -97,7 +99,7 @@
     let tracker = crashed(&[crash(1, 100, 200), crash(2, 200, 300)]);
     let at = Micros::from_millis(300);
     assert_eq!(
-        tracker.status(fingerprint("a"), 0.5, at),
+        tracker.status(request("a"), 0.5, at),
         SuspectStatus::BackingOff(Micros::from_millis(1_500))
     );
 }
@@ -158,10 +160,10 @@
     ];
     let mut tracker = crashed(&crashes);
     let answered = Micros::from_millis(2_500);
-    assert!(tracker.record_response(fingerprint("a"), answered));
+    assert!(tracker.record_response(request("a"), answered));
     assert_eq!(status_at(&tracker, answered), SuspectStatus::Clear);
     // For some time after the response, crashes are attributed to another cause.
-    tracker.record_crash(fingerprint("a"), crash(4, 3_000, 3_100));
+    tracker.record_crash(request("a"), crash(4, 3_000, 3_100));
     assert_eq!(
         status_at(&tracker, Micros::from_millis(3_200)),
         SuspectStatus::Clear
@@ -173,7 +175,7 @@
 #[test]
 fn cleared_request_pruned() {
     let mut tracker = crashed(&[crash(1, 100, 200)]);
-    tracker.record_response(fingerprint("a"), Micros::from_millis(300));
+    tracker.record_response(request("a"), Micros::from_millis(300));
     tracker.prune(Micros::from_secs(10));
     assert_eq!(tracker.len(), 1);
     tracker.prune(Micros::from_secs(21));
@@ -185,7 +187,7 @@
 fn blocked_request_kept() {
     let mut tracker = crashed(&[crash(1, 100, 200), crash(2, 200, 300), crash(3, 400, 500)]);
     for number in 0..10_000 {
-        let other = fingerprint(&number.to_string());
+        let other = request(&number.to_string());
         tracker.record_crash(other, crash(10 + number, 600 + number, 700 + number));
     }
     assert_eq!(tracker.len(), 1_024);
@@ -250,7 +252,7 @@
         order in proptest::collection::vec(0usize..8, 0..30),
     ) {
         let report = |crash: &SuspectCrash| SuspectReport {
-            fingerprint: fingerprint("a"),
+            key: request("a"),
             crashes: vec![SuspectCrash {
                 sent: NOW.since(crash.sent),
                 ended: NOW.since(crash.ended),
--- a/core/tests/trial_table.rs
+++ b/core/tests/trial_table.rs
@@ -2,7 +2,7 @@
 
 use {
     pitchhitch_core::{
-        serving::{EndpointKey, FingerprintInput, RequestFingerprint, TrialTable},
+        serving::{EndpointKey, FingerprintInput, RequestFingerprint, SuspectKey, TrialTable},
         time::Micros,
     },
     slotmap::SlotMap,
@@ -10,14 +10,15 @@
 
 const NOW: Micros = Micros::from_secs(10);
 
-fn fingerprint(body: &[u8]) -> RequestFingerprint {
-    RequestFingerprint::of(&FingerprintInput {
+fn request(body: &[u8]) -> Vec<SuspectKey> {
+    let fingerprint = RequestFingerprint::of(&FingerprintInput {
         method: "POST",
         host: "h",
         target: "/a",
         caller: "farm",
         body,
-    })
+    });
+    vec![SuspectKey::Request(fingerprint)]
 }
 
 fn endpoints() -> [EndpointKey; 2] {
@@ -29,9 +30,9 @@
 fn two_at_most() {
     let [first, _] = endpoints();
     let mut table = TrialTable::default();
-    table.begin(1, fingerprint(b"a"), first, false);
+    table.begin(1, request(b"a"), first, false);
     assert!(table.full_endpoints(false, NOW).is_empty());
-    table.begin(2, fingerprint(b"b"), first, false);
+    table.begin(2, request(b"b"), first, false);
     assert!(table.full_endpoints(false, NOW).contains(&first));
     table.end(1);
     assert!(table.full_endpoints(false, NOW).is_empty());
@@ -43,8 +44,8 @@
 fn exclusive_run() {
     let [first, second] = endpoints();
     let mut table = TrialTable::default();
-    table.begin(1, fingerprint(b"a"), first, false);
-    table.begin(2, fingerprint(b"b"), second, true);
+    table.begin(1, request(b"a"), first, false);
+    table.begin(2, request(b"b"), second, true);
     assert_eq!(table.full_endpoints(true, NOW), [first, second]);
     assert_eq!(table.full_endpoints(false, NOW), [second]);
 }
@@ -54,13 +55,12 @@
 fn first_event_clears() {
     let [first, _] = endpoints();
     let mut table = TrialTable::default();
-    table.begin(1, fingerprint(b"a"), first, true);
+    table.begin(1, request(b"a"), first, true);
     table.record_first_event(1, NOW);
-    assert!(table.has_active(fingerprint(b"a"), NOW + Micros::from_millis(200)));
-    assert!(!table.has_active(fingerprint(b"b"), NOW));
+    assert!(table.has_active(&request(b"a"), NOW + Micros::from_millis(200)));
+    assert!(!table.has_active(&request(b"b"), NOW));
     let later = NOW + Micros::from_millis(400);
     assert!(
-        !table.has_active(fingerprint(b"a"), later)
-            && table.full_endpoints(false, later).is_empty()
+        !table.has_active(&request(b"a"), later) && table.full_endpoints(false, later).is_empty()
     );
 }
--- a/entry/src/command/suspects.rs
+++ b/entry/src/command/suspects.rs
@@ -5,7 +5,7 @@
         front::{release_path, FrontSettings, SuspectRow, SUSPECTS_PATH},
     },
     getopts::Options,
-    pitchhitch_core::serving::RequestFingerprint,
+    pitchhitch_core::serving::SuspectKey,
     pitchhitch_http1::{HttpClient, HttpRequest, HttpResponse},
     std::time::Duration,
 };
@@ -72,8 +72,8 @@
     settings: &FrontSettings,
     fingerprint: &str,
 ) -> Result<(), CliError> {
-    if RequestFingerprint::parse(fingerprint).is_none() {
-        let text = "--release takes a fingerprint of 32 hex digits, as listed by this command";
+    if SuspectKey::parse(fingerprint).is_none() {
+        let text = "--release takes a fingerprint of 32 hex digits, or the id of a prompt part with 16 more, as listed by this command";
         return Err(CliError::Usage(text.to_string()));
     }
     let response = send_get(
--- a/entry/src/front/front_state.rs
+++ b/entry/src/front/front_state.rs
@@ -7,8 +7,8 @@
             EngineRates, EraTracker, EvacuationSet, FailoverLimit, FetchCompletion, FrontCount,
             KeeperSet, KeyFreshness, KvStoreDirectory, LatencyEstimators, MemoryBudget,
             NamespaceTag, OriginLookups, OriginTable, PauseDetector, PlainCosts, PromptPools,
-            ProvenTable, RetryWindow, ServingConfig, StoreEra, SuspectTracker, SwapPlanner,
-            TrialTable, REWRITE_DELAY,
+            ProvenParts, ProvenTable, RetryWindow, ServingConfig, StoreEra, SuspectKey,
+            SuspectTracker, SwapPlanner, TrialTable, REWRITE_DELAY,
         },
         time::Micros,
     },
@@ -83,8 +83,10 @@
     pub pool: ConnectionPool,
     /// Probes of whether endpoints that closed connections have exited.
     pub exit_probes: HashMap<EndpointKey, ExitProbe>,
-    /// Requests during which endpoints crashed.
+    /// Requests, and parts of prompts, during which endpoints crashed.
     pub suspects: SuspectTracker,
+    /// Parts of prompts that endpoints have recently answered.
+    pub proven_parts: ProvenParts,
     /// Running attempts of suspect requests.
     pub trials: TrialTable,
     /// Whether an agent has sent all known suspects in this incarnation.
@@ -148,6 +150,7 @@
             pool: ConnectionPool::default(),
             exit_probes: HashMap::new(),
             suspects: SuspectTracker::default(),
+            proven_parts: ProvenParts::default(),
             trials: TrialTable::default(),
             has_suspect_reports: false,
             wants_suspects: true,
@@ -230,6 +233,19 @@
                 .any(|(_, entry)| is_engine(config, entry))
     }
 
+    /// When an endpoint last answered this front with a suspect, if that is a part of prompts and was
+    /// recently.
+    pub fn part_proof(
+        &self,
+        key: SuspectKey,
+        now: Micros,
+    ) -> Option<Micros> {
+        match key {
+            SuspectKey::Part(part) => self.proven_parts.proven_at(part, now),
+            SuspectKey::Request(_) => None,
+        }
+    }
+
     /// Whether an endpoint of a service may receive requests now: its failure domain is not
     /// evacuated, it has not asked for rest, the limit that it states admits one more and, if
     /// `starts_slowly`, so does its slow start.
--- a/entry/src/front/operators/control_handler.rs
+++ b/entry/src/front/operators/control_handler.rs
@@ -1,17 +1,18 @@
 use {
     crate::front::{serve_snapshot, FrontContext},
-    pitchhitch_core::serving::{RequestFingerprint, SuspectStatus},
+    pitchhitch_core::serving::{SuspectKey, SuspectStatus},
     pitchhitch_wire::{beacon::BeaconKey, engine_agent::STATE_PATH},
     serde::{Deserialize, Serialize},
+    std::cmp::Reverse,
 };
 
-/// Path at which a front lists requests during which endpoints crashed.
+/// Path at which a front lists the requests and parts of prompts during which endpoints crashed.
 pub(crate) const SUSPECTS_PATH: &str = "/suspects";
 /// Prefix of the path that releases one of them. Its fingerprint follows and, if a secret is set,
 /// a slash and the keyed hash of the path up to there.
 const RELEASE_PREFIX: &str = "/suspects/release/";
 
-/// A request during which endpoints crashed, as shown to operators.
+/// A request or part of prompts during which endpoints crashed, as shown to operators.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) struct SuspectRow {
     pub fingerprint: String,
@@ -52,11 +53,16 @@
     }
 }
 
+/// Lists the suspects, the worst first.
 fn list_suspects(front: &FrontContext) -> (u16, Vec<u8>) {
     let now = front.now();
     let state = front.state();
-    let suspects = state.suspects.reports(now).into_iter().map(|report| {
-        let status = state.suspects.status(report.fingerprint, 0.0, now);
+    let reports = state.suspects.reports(now).into_iter();
+    let mut suspects: Vec<_> = reports
+        .map(|report| (state.suspects.status(report.key, 0.0, now), report))
+        .collect();
+    suspects.sort_by_key(|(status, _)| Reverse(*status));
+    let suspects = suspects.into_iter().map(|(status, report)| {
         let (label, remaining) = match status {
             SuspectStatus::Clear => ("clear", None),
             SuspectStatus::Suspect(_) => ("suspect", None),
@@ -65,7 +71,7 @@
         };
         let last = report.crashes.iter().map(|crash| crash.ended).min();
         SuspectRow {
-            fingerprint: report.fingerprint.to_string(),
+            fingerprint: report.key.to_string(),
             standing: label.to_string(),
             left_ms: remaining.map(|remaining| remaining.as_millis()),
             crashes: report.crashes.len(),
@@ -84,14 +90,14 @@
     suffix: &str,
 ) -> (u16, Vec<u8>) {
     let text = suffix.split('/').next().unwrap_or_default();
-    let Some(fingerprint) = RequestFingerprint::parse(text) else {
+    let Some(key) = SuspectKey::parse(text) else {
         return (400, b"that is no fingerprint\n".to_vec());
     };
     if target != release_path(text, front.settings.peer_key.as_ref()) {
         return (403, b"the keyed hash is missing or wrong\n".to_vec());
     }
     let now = front.now();
-    let is_known = front.state().suspects.release(fingerprint, now);
+    let is_known = front.state().suspects.release(key, now);
     log::info!(event = "suspect-released", fingerprint = text, known = is_known; "");
     if !is_known {
         return (404, b"nothing is known of it here\n".to_vec());
--- a/entry/src/front/peers/digest_apply.rs
+++ b/entry/src/front/peers/digest_apply.rs
@@ -110,7 +110,7 @@
     }
 }
 
-/// Merges reports of requests during which endpoints crashed, in any order.
+/// Merges reports of suspects during which endpoints crashed, in any order.
 fn merge_suspects(
     front: &FrontContext,
     state: &mut FrontState,
@@ -118,18 +118,25 @@
     now: Micros,
 ) {
     for report in &digest.suspects {
-        let was_blocked = state.suspects.is_blocked(report.fingerprint, now);
+        let was_blocked = state.suspects.is_blocked(report.key, now);
         if !state.suspects.merge(report, now) {
             continue;
         }
         front.metrics.increment("suspects", "told");
-        let is_blocked = state.suspects.is_blocked(report.fingerprint, now);
+        let had_updates = state.suspects.has_updates();
+        if let Some(at) = state.part_proof(report.key, now) {
+            // Others may not have received an answer with this part.
+            if state.suspects.record_response(report.key, at) && !had_updates {
+                front.greeting_due.wake();
+            }
+        }
+        let is_blocked = state.suspects.is_blocked(report.key, now);
         if is_blocked != was_blocked {
             if was_blocked {
                 // The row of this front may still contain the request.
                 front.blocked_row_due.wake();
             }
-            let fingerprint = report.fingerprint.to_string();
+            let fingerprint = report.key.to_string();
             log::info!(
                 event = "suspect-told",
                 fingerprint = fingerprint.as_str(),
--- a/entry/src/front/requests/lost_run.rs
+++ b/entry/src/front/requests/lost_run.rs
@@ -2,23 +2,27 @@
     crate::front::{has_exited, RequestHandler},
     pitchhitch_core::{
         serving::{
-            CrashId, EndpointChoice, EndpointKey, EndpointStatus, FingerprintInput,
-            RequestFingerprint, SoftwareTag, SuspectCrash,
+            organisation_hash, CrashId, EndpointChoice, EndpointKey, EndpointStatus,
+            FingerprintInput, RequestFingerprint, SoftwareTag, SuspectCrash, SuspectKey,
+            SuspectPart,
         },
         time::Micros,
     },
 };
 
 /// A crash of the endpoint is attributed to a run only until this time after the run's first event:
-/// a request that crashes an endpoint does so when it starts to run.
-const CRASH_WINDOW: Micros = Micros::from_millis(1_000);
+/// a request that crashes an endpoint does so when it starts to run. One that runs on is harmless.
+pub(crate) const CRASH_WINDOW: Micros = Micros::from_millis(1_000);
 
 /// Minimum time between sending a run and a crash that is attributed to it: an endpoint that
 /// crashes earlier has hardly parsed the request.
 const MIN_RUN_TIME: Micros = Micros::from_millis(15);
 
+/// A part that was answered within this time before a crash is not a suspect in it.
+const FRESH_PROOF_TIME: Micros = Micros::from_secs(3);
+
 /// The latest run of a request.
-#[derive(Debug, Clone, Copy, Default)]
+#[derive(Debug, Clone, Default)]
 pub(crate) struct LatestRun {
     /// Endpoint of the run; `None` if the request was not sent.
     pub(crate) endpoint: Option<EndpointKey>,
@@ -28,8 +32,9 @@
     pub(crate) software: Option<SoftwareTag>,
     /// Start of its incarnation at that time, if known.
     pub(crate) born: Option<u64>,
-    /// Crashes attributed to the request when the endpoint was chosen.
-    pub(crate) known_crashes: u32,
+    /// Crashes that counted against the request and its parts when the endpoint was chosen; none of
+    /// those that are not in the list.
+    pub(crate) known_crashes: Vec<(SuspectKey, u32)>,
     pub(crate) sent_at: Micros,
     pub(crate) first_event_at: Option<Micros>,
 }
@@ -51,6 +56,32 @@
         *self.cached_fingerprint.insert(fingerprint)
     }
 
+    /// The parts of the prompt that other requests share.
+    pub(crate) fn shared_parts(&self) -> Vec<SuspectPart> {
+        let Some(prompt) = &self.info.prompt else {
+            return Vec::new();
+        };
+        let shared = prompt.parts.len().saturating_sub(1);
+        let parts = prompt.parts[..shared].iter();
+        parts
+            .map(|part| SuspectPart::of(&prompt.model, part.id))
+            .collect()
+    }
+
+    /// All that may crash the endpoints of the request.
+    pub(crate) fn suspect_keys(&mut self) -> Vec<SuspectKey> {
+        let parts = self.shared_parts().into_iter().map(SuspectKey::Part);
+        let mut keys: Vec<SuspectKey> = parts.collect();
+        keys.push(SuspectKey::Request(self.fingerprint()));
+        keys
+    }
+
+    /// Hash of the organisation; 0 if there is none.
+    pub(crate) fn organisation_hash(&self) -> u32 {
+        let organisation = self.organisation();
+        organisation.map_or(0, |organisation| organisation_hash(&organisation.name))
+    }
+
     /// Records that an endpoint interrupted the request, and whether it exited then.
     pub(crate) async fn record_lost_run(
         &mut self,
@@ -60,7 +91,6 @@
         let lost_at = front.now();
         let has_exited = has_exited(front, choice.key, self.latest_run.incarnation).await;
         let since_first_event = self.latest_run.first_event_at.map(|at| lost_at.since(at));
-        let fingerprint = self.fingerprint();
         let is_leaving = {
             let state = front.state();
             let entry = state.registry.get(choice.key);
@@ -81,7 +111,7 @@
         self.log_lost_run(choice, outcome, lost_at);
         front.metrics.increment("runs_lost", outcome);
         if outcome == "ended" {
-            self.record_crash(choice, fingerprint, lost_at);
+            self.record_crash(choice, lost_at);
         }
     }
 
@@ -111,35 +141,51 @@
         );
     }
 
-    /// Attributes a crash of an endpoint to the request. Without this, a request that crashed every
-    /// engine that ran it was sent to 58 engines in 12 s; with it, to 4.
+    /// Attributes a crash of an endpoint to the request and to its parts. Without this, a request
+    /// that crashed every engine that ran it was sent to 58 engines in 12 s; with it, to 4.
     fn record_crash(
-        &self,
+        &mut self,
         choice: &EndpointChoice,
-        fingerprint: RequestFingerprint,
         lost_at: Micros,
     ) {
         let front = self.front;
+        let keys = self.suspect_keys();
+        let organisation = self.organisation_hash();
+        let request = self.fingerprint().low_bits();
         let mut guard = front.state();
         let state = &mut *guard;
         let Some(entry) = state.registry.get(choice.key) else {
             return;
         };
-        let crash = SuspectCrash {
-            mark: CrashId::of(&entry.id, self.latest_run.born),
-            sent: self.latest_run.sent_at,
-            ended: lost_at,
-            known: self.latest_run.known_crashes,
-        };
+        let mark = CrashId::of(&entry.id, self.latest_run.born);
         let had_updates = state.suspects.has_updates();
-        if !state.suspects.record_crash(fingerprint, crash) {
-            return;
+        for key in keys {
+            let proven_at = state.part_proof(key, lost_at);
+            if proven_at.is_some_and(|at| lost_at.since(at) < FRESH_PROOF_TIME) {
+                continue;
+            }
+            let mut known_crashes = self.latest_run.known_crashes.iter();
+            let known = known_crashes.find(|(known_key, _)| *known_key == key);
+            let crash = SuspectCrash {
+                mark,
+                organisation,
+                request,
+                sent: self.latest_run.sent_at,
+                ended: lost_at,
+                known: known.map_or(0, |(_, crashes)| *crashes),
+            };
+            if !state.suspects.record_crash(key, crash) {
+                continue;
+            }
+            if let Some(at) = proven_at {
+                state.suspects.record_response(key, at);
+            }
+            if state.suspects.is_blocked(key, lost_at) {
+                front.blocked_row_due.wake();
+            }
         }
-        if !had_updates {
+        if !had_updates && state.suspects.has_updates() {
             front.greeting_due.wake();
         }
-        if state.suspects.is_blocked(fingerprint, lost_at) {
-            front.blocked_row_due.wake();
-        }
     }
 }
--- a/entry/src/front/requests/request_admission.rs
+++ b/entry/src/front/requests/request_admission.rs
@@ -42,7 +42,7 @@
     /// Whether the request may be refused because of load. One that was already sent occupies a
     /// slot, and a suspect request runs at the endpoint that its trial selects.
     fn can_be_refused(&self) -> bool {
-        self.sends == 0 && self.suspect_crashes.is_none()
+        self.sends == 0 && self.trial.as_ref().is_none_or(|trial| !trial.is_exempt())
     }
 
     /// Whether a prompt that has left an endpoint which did not respond may be sent to another one,
--- a/entry/src/front/requests/request_attempt.rs
+++ b/entry/src/front/requests/request_attempt.rs
@@ -114,12 +114,10 @@
         self.begin_run(choice.key);
         let mut state = front.state();
         let ticket = state.allocate_ticket();
-        if let (Some(crashes), Some(fingerprint)) = (self.suspect_crashes, self.cached_fingerprint)
-        {
-            let is_exclusive = crashes > 1;
-            state
-                .trials
-                .begin(ticket, fingerprint, choice.key, is_exclusive);
+        if let Some(trial) = &self.trial {
+            let suspects = trial.suspects.clone();
+            let trials = &mut state.trials;
+            trials.begin(ticket, suspects, choice.key, trial.is_exclusive);
         }
         let prefill = PendingPrefill {
             ticket,
@@ -143,6 +141,7 @@
         &mut self,
         engine: EndpointKey,
     ) {
+        let known_crashes = self.known_crashes();
         let state = self.front.state();
         let entry = state.registry.get(engine);
         self.latest_run = LatestRun {
@@ -150,7 +149,7 @@
             incarnation: entry.map_or(0, |entry| entry.incarnation.ended),
             software: entry.map(SoftwareTag::of),
             born: entry.and_then(|entry| entry.incarnation.born),
-            known_crashes: self.suspect_crashes.unwrap_or(0),
+            known_crashes,
             ..LatestRun::default()
         };
     }
--- a/entry/src/front/requests/request_choice.rs
+++ b/entry/src/front/requests/request_choice.rs
@@ -112,18 +112,17 @@
         }
         self.update_speeds(state, now);
         let has_slow_start = self.has_slow_start();
-        let is_exclusive = self.suspect_crashes.is_some_and(|crashes| crashes > 1);
+        let trial = self.trial.as_ref();
+        let is_exclusive = trial.is_some_and(|trial| trial.is_exclusive);
         let excluded = state.trials.full_endpoints(is_exclusive, now);
-        let trial = self
-            .suspect_crashes
-            .and(self.cached_fingerprint)
-            .map(|fingerprint| TrialRequest {
-                request_hash: fingerprint.low_bits(),
-                is_exclusive,
-                excluded: &excluded,
-                // A request that crashed two endpoints is not sent to the last one.
-                min_endpoints: if is_exclusive { 2 } else { 1 },
-            });
+        let trial = trial.map(|trial| TrialRequest {
+            suspect_hash: trial.main_suspect.selection_hash(),
+            is_part: trial.main_suspect.is_part(),
+            is_exclusive,
+            excluded: &excluded,
+            // A request that crashed two endpoints is not sent to the last one.
+            min_endpoints: if is_exclusive { 2 } else { 1 },
+        });
         let request = PickRequest {
             service: &self.service,
             domain: &front.settings.failure_domain,
--- a/entry/src/front/requests/request_handler.rs
+++ b/entry/src/front/requests/request_handler.rs
@@ -1,7 +1,7 @@
 use {
     crate::front::{
         admit, refuse, AttemptTimer, FrontContext, LatestRun, ReceivedRequest, RequestMoves,
-        RequestRefusal, StreamProgress, MAX_PIPELINED_BYTES,
+        RequestRefusal, RequestTrial, StreamProgress, MAX_PIPELINED_BYTES,
     },
     pitchhitch_core::{
         serving::{
@@ -51,8 +51,8 @@
     pub(crate) latest_run: LatestRun,
     /// Fingerprint, once it has been computed.
     pub(crate) cached_fingerprint: Option<RequestFingerprint>,
-    /// Number of endpoints that crashed during the request, if that makes it a suspect.
-    pub(crate) suspect_crashes: Option<u32>,
+    /// How it is tried, if it or a part of its prompt is suspected of crashing endpoints.
+    pub(crate) trial: Option<RequestTrial>,
     /// Whether the chosen endpoint is one on which a roll-out compares versions.
     pub(crate) is_comparison: bool,
     /// Whether such an endpoint could not take the request.
@@ -137,7 +137,7 @@
             origin: None,
             latest_run: LatestRun::default(),
             cached_fingerprint: None,
-            suspect_crashes: None,
+            trial: None,
             is_comparison: false,
             declines_comparison: false,
             sends: 0,
--- a/entry/src/front/requests/request_response.rs
+++ b/entry/src/front/requests/request_response.rs
@@ -1,9 +1,9 @@
 use {
     crate::front::{
-        read_plain_response, record_heard, record_origin, relay_plain_response, relay_stream,
-        skip_response_body, write_to_caller, AttemptOutcome, EndpointExchange, EndpointResponse,
-        EndpointStream, ExchangeFailure, HeldBytes, PlainResponse, RelayEnd, RelayEvent,
-        RequestHandler,
+        read_plain_response, record_heard, record_origin, record_proof, relay_plain_response,
+        relay_stream, skip_response_body, write_to_caller, AttemptOutcome, EndpointExchange,
+        EndpointResponse, EndpointStream, ExchangeFailure, HeldBytes, PlainResponse, RelayEnd,
+        RelayEvent, RequestHandler, CRASH_WINDOW,
     },
     pitchhitch_core::{
         serving::{EndpointChoice, HeldKind, MoveEvent},
@@ -123,10 +123,19 @@
         let has_pools = front.state().prompt_pools.has_pools(&self.service);
         let is_first_send = is_unanswered_prompt && self.sends == 1;
         let new_origin = self.new_origin();
-        let mut first_event_at = None;
+        let shared_parts = self.shared_parts();
+        let mut is_proven = false;
+        let mut first_event_at: Option<Micros> = None;
         let mut version = None;
         let mut on_event = |event| match event {
-            RelayEvent::Events => record_heard(front, choice.key),
+            RelayEvent::Events => {
+                record_heard(front, choice.key);
+                let runs_on = |at: Micros| front.now().since(at) >= CRASH_WINDOW;
+                if !is_proven && first_event_at.is_some_and(runs_on) {
+                    is_proven = true;
+                    record_proof(front, &shared_parts);
+                }
+            }
             RelayEvent::FirstEvent => {
                 let now = front.now();
                 first_event_at = Some(now);
--- a/entry/src/front/requests/request_trial.rs
+++ b/entry/src/front/requests/request_trial.rs
@@ -1,7 +1,7 @@
 use {
-    crate::front::{fnv1a_hash, RequestHandler},
+    crate::front::{fnv1a_hash, FrontContext, RequestHandler},
     pitchhitch_core::{
-        serving::{unit_fraction, RefusalKind, SuspectStatus},
+        serving::{unit_fraction, RefusalKind, SuspectKey, SuspectPart, SuspectStatus},
         time::Micros,
     },
     pitchhitch_process::to_duration,
@@ -11,6 +11,9 @@
 /// Longest wait of a suspect request for an endpoint without other suspects. A run of a suspect is
 /// found harmless within half a second, or ends.
 const TRIAL_TIMEOUT: Micros = Micros::from_millis(1_000);
+/// Wait before a run without other suspects. Another front may just have seen the last one crash: a
+/// caller retries elsewhere at once.
+const REPORT_TIME: Micros = Micros::from_millis(50);
 /// Interval between two checks for such an endpoint.
 const POLL_INTERVAL: Micros = Micros::from_millis(10);
 /// When the caller of a suspect request that found no such endpoint should retry.
@@ -26,18 +29,70 @@
     CallerGone,
 }
 
+/// How a request is tried that is suspected of crashing endpoints, or a part of its prompt is.
+#[derive(Debug, Clone)]
+pub(crate) struct RequestTrial {
+    /// Whether it runs without other suspects on its endpoint.
+    pub is_exclusive: bool,
+    /// What is suspected, the request itself or parts of its prompt.
+    pub suspects: Vec<SuspectKey>,
+    /// The one that is suspected most.
+    pub main_suspect: SuspectKey,
+}
+
+impl RequestTrial {
+    /// Whether it runs at the endpoint that the trial selects, however busy that is. The first trial
+    /// of a part of a prompt does not: the part may be in many prompts.
+    pub fn is_exempt(&self) -> bool {
+        let is_request = |key: &SuspectKey| !key.is_part();
+        self.is_exclusive || self.suspects.iter().any(is_request)
+    }
+}
+
 impl RequestHandler<'_> {
-    /// Status of the request with regard to crashes of endpoints. Its fingerprint is computed only
-    /// while suspect requests are tracked.
+    /// Status of the request with regard to crashes of endpoints, and how it is tried if it is a
+    /// suspect. Its fingerprint is computed only while something is tracked.
     fn suspect_status(&mut self) -> SuspectStatus {
         let front = self.front;
+        self.trial = None;
         if front.state().suspects.is_empty() {
             return SuspectStatus::Clear;
         }
-        let fingerprint = self.fingerprint();
+        let keys = self.suspect_keys();
+        let organisation = self.organisation_hash();
         let jitter = unit_fraction(fnv1a_hash(&front.settings.box_id));
+        let now = front.now();
+        let state = front.state();
+        let tracker = &state.suspects;
+        let status = tracker.request_status(&keys, organisation, jitter, now);
+        let status_of = |key: &SuspectKey| tracker.status(*key, jitter, now);
+        let is_suspect = |key: &SuspectKey| status_of(key) != SuspectStatus::Clear;
+        let suspects: Vec<SuspectKey> = keys.into_iter().filter(is_suspect).collect();
+        let worst = suspects
+            .iter()
+            .copied()
+            .max_by_key(|key| (status_of(key), tracker.crash_count(*key)));
+        drop(state);
+        self.trial = worst.map(|main_suspect| RequestTrial {
+            is_exclusive: status != SuspectStatus::Suspect(1),
+            suspects,
+            main_suspect,
+        });
+        status
+    }
+
+    /// Number of crashes that count now against the request and against each part of its prompt.
+    pub(crate) fn known_crashes(&mut self) -> Vec<(SuspectKey, u32)> {
+        let front = self.front;
+        if front.state().suspects.is_empty() {
+            return Vec::new();
+        }
+        let keys = self.suspect_keys();
         let state = front.state();
-        state.suspects.status(fingerprint, jitter, front.now())
+        let counts = keys
+            .into_iter()
+            .map(|key| (key, state.suspects.crash_count(key)));
+        counts.filter(|(_, crashes)| *crashes > 0).collect()
     }
 
     /// Waits until the request may be sent. Only a suspect request, during which endpoints have
@@ -46,10 +101,9 @@
         let front = self.front;
         let started_at = front.now();
         loop {
-            let status = self.suspect_status();
-            self.suspect_crashes = match status {
-                SuspectStatus::Clear => return self.grant(),
-                SuspectStatus::Suspect(crashes) => Some(crashes),
+            match self.suspect_status() {
+                SuspectStatus::Clear => return SendPermission::Granted,
+                SuspectStatus::Suspect(_) => {}
                 SuspectStatus::BackingOff(remaining) => {
                     self.log_status("resting", remaining);
                     return SendPermission::Refused(RefusalKind::Suspected, remaining);
@@ -58,11 +112,9 @@
                     self.log_status("held", remaining);
                     return SendPermission::Refused(RefusalKind::Blocked, remaining);
                 }
-            };
+            }
             let now = front.now();
-            let fingerprint = self.fingerprint();
-            let is_running = front.state().trials.has_active(fingerprint, now);
-            if !is_running && self.pick().is_some() {
+            if self.may_try(now.since(started_at)) && self.pick().is_some() {
                 return SendPermission::Granted;
             }
             if now.since(started_at) >= TRIAL_TIMEOUT || now >= self.deadline {
@@ -76,9 +128,21 @@
         }
     }
 
-    fn grant(&mut self) -> SendPermission {
-        self.suspect_crashes = None;
-        SendPermission::Granted
+    /// Whether the trial may begin after this wait: no other run of its suspects may still crash its
+    /// endpoint.
+    fn may_try(
+        &self,
+        waited: Micros,
+    ) -> bool {
+        let Some(trial) = &self.trial else {
+            return true;
+        };
+        let front = self.front;
+        let is_active = front
+            .state()
+            .trials
+            .has_active(&trial.suspects, front.now());
+        !is_active && (!trial.is_exclusive || waited >= REPORT_TIME)
     }
 
     fn log_status(
@@ -87,10 +151,13 @@
         remaining: Micros,
     ) {
         let fingerprint = self.fingerprint().to_string();
+        let suspect = self.trial.as_ref().map(|trial| trial.main_suspect);
+        let suspect = suspect.map_or(String::new(), |suspect| suspect.to_string());
         log::info!(
             event = "suspect",
             request = self.info.request_id.as_str(),
             fingerprint = fingerprint.as_str(),
+            suspect = suspect.as_str(),
             standing = label,
             sends = self.sends,
             left_ms = remaining.as_millis();
@@ -99,20 +166,37 @@
         self.front.metrics.increment("suspects", label);
     }
 
-    /// Records that the response was complete, which shows that the request did not crash its
-    /// endpoint.
+    /// Records that the response was complete, which shows that neither the request nor a part of its
+    /// prompt crashed its endpoint.
     pub(crate) fn record_completed(&mut self) {
         let front = self.front;
+        record_proof(front, &self.shared_parts());
         if front.state().suspects.is_empty() {
             return;
         }
-        let fingerprint = self.fingerprint();
-        let is_cleared = front
-            .state()
-            .suspects
-            .record_response(fingerprint, front.now());
-        if is_cleared {
-            front.metrics.increment("suspects", "cleared");
-        }
+        let fingerprint = SuspectKey::Request(self.fingerprint());
+        record_harmless(front, fingerprint);
+    }
+}
+
+/// Records that an endpoint answers a prompt with these parts.
+pub(crate) fn record_proof(
+    front: &FrontContext,
+    parts: &[SuspectPart],
+) {
+    let now = front.now();
+    for part in parts {
+        front.state().proven_parts.record(*part, now);
+        record_harmless(front, SuspectKey::Part(*part));
+    }
+}
+
+fn record_harmless(
+    front: &FrontContext,
+    key: SuspectKey,
+) {
+    let now = front.now();
+    if front.state().suspects.record_response(key, now) {
+        front.metrics.increment("suspects", "cleared");
     }
 }
--- a/entry/src/front/requests/request_versions.rs
+++ b/entry/src/front/requests/request_versions.rs
@@ -48,7 +48,7 @@
             draw: unit_fraction(mix_bits(self.id_hash)),
             may_compare: self.sends == 0
                 && self.tried.is_empty()
-                && self.suspect_crashes.is_none()
+                && self.trial.is_none()
                 && !self.declines_comparison,
             is_repeatable: self.route().retry.allows_rerun(),
         };
--- a/entry/src/front/requests/run_resumption.rs
+++ b/entry/src/front/requests/run_resumption.rs
@@ -97,7 +97,7 @@
         let engine = active.engine(site).clone();
         let tokens = active.run.tokens;
         let reserved = active.ticket.take_if(|_| site == ResumeSite::Target);
-        let previous_run = self.latest_run;
+        let previous_run = self.latest_run.clone();
         let ticket = reserved.unwrap_or_else(|| self.reserve_run(engine.key, tokens));
         self.begin_run(engine.key);
         let resumed = EndpointChoice {
--- a/entry/src/front/stores/blocked_rows.rs
+++ b/entry/src/front/stores/blocked_rows.rs
@@ -128,7 +128,7 @@
     let suspects = {
         let state = front.state();
         let mut blocked = state.suspects.reports(now);
-        blocked.retain(|report| state.suspects.is_blocked(report.fingerprint, now));
+        blocked.retain(|report| state.suspects.is_blocked(report.key, now));
         blocked.truncate(MAX_ROW_SUSPECTS);
         blocked
     };
