First trials of prompt parts hold back only runs of the same part

After a crash most prompts have a part that was on the endpoint (a hundred runs, each with a subject of its own), so trials that share endpoints by twos would hold up all of them.

--- a/core/src/serving/choice/endpoint_pick.rs
+++ b/core/src/serving/choice/endpoint_pick.rs
@@ -29,9 +29,6 @@
 /// Difference in cost, in milliseconds, that is accepted to keep two suspect requests apart: about
 /// one more running request.
 const TRIAL_COST_TOLERANCE_MS: f64 = 15.0;
-/// Difference in cost, as a fraction of the target latency, that is accepted to run a suspect part at
-/// the endpoint that all boxes select for it: a part that crashes endpoints then crashes one.
-const PART_TRIAL_TOLERANCE: f64 = 0.5;
 
 /// Input of the choice of an endpoint.
 #[derive(Clone, Copy)]
@@ -76,8 +73,6 @@
     /// of a request are sent to the same endpoint. When cost alone decided, a harmless request ran
     /// next to other suspects on two endpoints that crashed, and was blocked.
     pub suspect_hash: u64,
-    /// Whether the suspect is a part of the prompt.
-    pub is_part: bool,
     /// Whether the request runs without other suspects on its endpoint, because two endpoints have
     /// crashed during it: then the hash alone decides. Before that, most suspects are harmless:
     /// when the hash alone decided for them too, requests that crashes had interrupted prefilled
@@ -247,7 +242,7 @@
             candidates: eligible.len() as u32,
             ..estimate_choice(*key, entry, request, availabilities)
         });
-        return pick_for_trial(registry, request, trial, choices.collect());
+        return pick_for_trial(registry, trial, choices.collect());
     }
     let candidates = eligible.len() as u32;
     let choices = eligible.into_iter().map(|(key, entry)| {
@@ -305,18 +300,14 @@
 /// Chooses the endpoint for a suspect request.
 fn pick_for_trial(
     registry: &EndpointRegistry,
-    request: &PickRequest<'_>,
     trial: &TrialRequest<'_>,
     mut choices: Vec<EndpointChoice>,
 ) -> Option<EndpointChoice> {
     let estimates = choices.iter().map(|choice| choice.cost.endpoint_cost());
     let lowest = estimates.fold(f64::INFINITY, f64::min);
-    let tolerance_ms = match (trial.is_exclusive, trial.is_part) {
-        (true, _) => f64::INFINITY,
-        (false, true) => request.target_latency.as_millis() as f64 * PART_TRIAL_TOLERANCE,
-        (false, false) => TRIAL_COST_TOLERANCE_MS,
-    };
-    choices.retain(|choice| choice.cost.endpoint_cost() <= lowest + tolerance_ms);
+    if !trial.is_exclusive {
+        choices.retain(|choice| choice.cost.endpoint_cost() <= lowest + TRIAL_COST_TOLERANCE_MS);
+    }
     let score = |choice: &EndpointChoice| {
         let entry = registry.get(choice.key);
         entry.map(|entry| hash_with_seed(trial.suspect_hash, &entry.id))
--- a/core/src/serving/suspects/trial_table.rs
+++ b/core/src/serving/suspects/trial_table.rs
@@ -9,14 +9,25 @@
 /// Time after the first event of a run for which the run may still crash its endpoint.
 const PROBATION: Micros = Micros::from_millis(300);
 
+/// How far a run of suspects is kept apart from others.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum TrialKind {
+    /// Only from other runs of the same suspects: parts of its prompt during which one endpoint
+    /// crashed. Most of the prompts that come next may have one.
+    Single,
+    /// One other suspect at most may run on the same endpoint: a request during which one crashed.
+    Paired,
+    /// No other suspect may run on the same endpoint.
+    Exclusive,
+}
+
 /// A run of suspects: of a request, or of parts of its prompt.
 #[derive(Debug, Clone, PartialEq, Eq)]
 struct TrialRun {
     ticket: u64,
     suspects: Vec<SuspectKey>,
     endpoint: EndpointKey,
-    /// Whether no other suspect may run on the same endpoint.
-    is_exclusive: bool,
+    kind: TrialKind,
     first_event_at: Option<Micros>,
 }
 
@@ -42,17 +53,16 @@
     /// Endpoints that cannot accept one more suspect.
     pub fn full_endpoints(
         &self,
-        is_exclusive: bool,
+        kind: TrialKind,
         now: Micros,
     ) -> Vec<EndpointKey> {
-        let is_full = |run: &TrialRun| {
-            let runs = self
-                .active(now)
-                .filter(|other| other.endpoint == run.endpoint);
-            is_exclusive || run.is_exclusive || runs.count() >= MAX_TRIALS
+        let active = || self.active(now).filter(|run| run.kind != TrialKind::Single);
+        let is_full = |run: &&TrialRun| {
+            let runs = active().filter(|other| other.endpoint == run.endpoint);
+            let is_exclusive = [kind, run.kind].contains(&TrialKind::Exclusive);
+            is_exclusive || runs.count() >= MAX_TRIALS
         };
-        let full = self.active(now).filter(|run| is_full(run));
-        full.map(|run| run.endpoint).collect()
+        active().filter(is_full).map(|run| run.endpoint).collect()
     }
 
     fn active(
@@ -72,13 +82,13 @@
         ticket: u64,
         suspects: Vec<SuspectKey>,
         endpoint: EndpointKey,
-        is_exclusive: bool,
+        kind: TrialKind,
     ) {
         self.runs.push(TrialRun {
             ticket,
             suspects,
             endpoint,
-            is_exclusive,
+            kind,
             first_event_at: None,
         });
     }
--- a/core/tests/trial_table.rs
+++ b/core/tests/trial_table.rs
@@ -2,7 +2,9 @@
 
 use {
     pitchhitch_core::{
-        serving::{EndpointKey, FingerprintInput, RequestFingerprint, SuspectKey, TrialTable},
+        serving::{
+            EndpointKey, FingerprintInput, RequestFingerprint, SuspectKey, TrialKind, TrialTable,
+        },
         time::Micros,
     },
     slotmap::SlotMap,
@@ -30,12 +32,14 @@
 fn two_at_most() {
     let [first, _] = endpoints();
     let mut table = TrialTable::default();
-    table.begin(1, request(b"a"), first, false);
-    assert!(table.full_endpoints(false, NOW).is_empty());
-    table.begin(2, request(b"b"), first, false);
-    assert!(table.full_endpoints(false, NOW).contains(&first));
+    table.begin(1, request(b"a"), first, TrialKind::Paired);
+    assert!(table.full_endpoints(TrialKind::Paired, NOW).is_empty());
+    table.begin(2, request(b"b"), first, TrialKind::Paired);
+    assert!(table
+        .full_endpoints(TrialKind::Paired, NOW)
+        .contains(&first));
     table.end(1);
-    assert!(table.full_endpoints(false, NOW).is_empty());
+    assert!(table.full_endpoints(TrialKind::Paired, NOW).is_empty());
 }
 
 /// A suspect with two crashes runs without another suspect on its endpoint, whichever of the two is
@@ -44,10 +48,13 @@
 fn exclusive_run() {
     let [first, second] = endpoints();
     let mut table = TrialTable::default();
-    table.begin(1, request(b"a"), first, false);
-    table.begin(2, request(b"b"), second, true);
-    assert_eq!(table.full_endpoints(true, NOW), [first, second]);
-    assert_eq!(table.full_endpoints(false, NOW), [second]);
+    table.begin(1, request(b"a"), first, TrialKind::Paired);
+    table.begin(2, request(b"b"), second, TrialKind::Exclusive);
+    assert_eq!(
+        table.full_endpoints(TrialKind::Exclusive, NOW),
+        [first, second]
+    );
+    assert_eq!(table.full_endpoints(TrialKind::Paired, NOW), [second]);
 }
 
 /// A run counts as harmless a moment after its first event, or when it ends.
@@ -55,12 +62,27 @@
 fn first_event_clears() {
     let [first, _] = endpoints();
     let mut table = TrialTable::default();
-    table.begin(1, request(b"a"), first, true);
+    table.begin(1, request(b"a"), first, TrialKind::Exclusive);
     table.record_first_event(1, NOW);
     assert!(table.has_active(&request(b"a"), NOW + Micros::from_millis(200)));
     assert!(!table.has_active(&request(b"b"), NOW));
     let later = NOW + Micros::from_millis(400);
     assert!(
-        !table.has_active(&request(b"a"), later) && table.full_endpoints(false, later).is_empty()
+        !table.has_active(&request(b"a"), later)
+            && table.full_endpoints(TrialKind::Paired, later).is_empty()
     );
 }
+
+/// Most prompts have a part that was on a crashed endpoint: they take no slots of other suspects.
+#[test]
+fn single_runs_take_no_slot() {
+    let [first, second] = endpoints();
+    let mut table = TrialTable::default();
+    for ticket in 0..5 {
+        table.begin(ticket, request(&[ticket as u8]), first, TrialKind::Single);
+    }
+    assert!(table.full_endpoints(TrialKind::Exclusive, NOW).is_empty());
+    assert!(table.has_active(&request(&[3]), NOW));
+    table.begin(9, request(b"a"), second, TrialKind::Exclusive);
+    assert_eq!(table.full_endpoints(TrialKind::Paired, NOW), [second]);
+}
--- a/entry/src/front/requests/request_admission.rs
+++ b/entry/src/front/requests/request_admission.rs
@@ -1,9 +1,10 @@
 use {
-    crate::front::{FrontState, RequestHandler, DEFAULT_CALLER_TIMEOUT},
+    crate::front::{FrontState, RequestHandler, RequestTrial, DEFAULT_CALLER_TIMEOUT},
     pitchhitch_core::{
         serving::{
             organisation_hash, unit_fraction, AdmissionDecision, AdmissionRequest, AdmissionScope,
-            EndpointChoice, EndpointEntry, EndpointStatus, EnginePool, FailoverRequest, LOST_AFTER,
+            EndpointChoice, EndpointEntry, EndpointStatus, EnginePool, FailoverRequest, TrialKind,
+            LOST_AFTER,
         },
         time::Micros,
     },
@@ -42,7 +43,8 @@
     /// Whether the request may be refused because of load. One that was already sent occupies a
     /// slot, and a suspect request runs at the endpoint that its trial selects.
     fn can_be_refused(&self) -> bool {
-        self.sends == 0 && self.trial.as_ref().is_none_or(|trial| !trial.is_exempt())
+        let is_selected = |trial: &RequestTrial| trial.kind != TrialKind::Single;
+        self.sends == 0 && !self.trial.as_ref().is_some_and(is_selected)
     }
 
     /// Whether a prompt that has left an endpoint which did not respond may be sent to another one,
--- a/entry/src/front/requests/request_attempt.rs
+++ b/entry/src/front/requests/request_attempt.rs
@@ -117,7 +117,7 @@
         if let Some(trial) = &self.trial {
             let suspects = trial.suspects.clone();
             let trials = &mut state.trials;
-            trials.begin(ticket, suspects, choice.key, trial.is_exclusive);
+            trials.begin(ticket, suspects, choice.key, trial.kind);
         }
         let prefill = PendingPrefill {
             ticket,
--- a/entry/src/front/requests/request_choice.rs
+++ b/entry/src/front/requests/request_choice.rs
@@ -4,7 +4,8 @@
         serving::{
             pick_endpoint, AllowedRegions, CacheNamespace, EndpointChoice, EngineConfig,
             LatencyEstimator, PartAvailability, PartLocation, PickRequest, PoolScope, PromptSize,
-            ServingMechanism, SoftwareTag, TrialRequest, VersionAvailability, WeightBounds,
+            ServingMechanism, SoftwareTag, TrialKind, TrialRequest, VersionAvailability,
+            WeightBounds,
         },
         time::Micros,
     },
@@ -113,11 +114,12 @@
         self.update_speeds(state, now);
         let has_slow_start = self.has_slow_start();
         let trial = self.trial.as_ref();
-        let is_exclusive = trial.is_some_and(|trial| trial.is_exclusive);
-        let excluded = state.trials.full_endpoints(is_exclusive, now);
+        let trial = trial.filter(|trial| trial.kind != TrialKind::Single);
+        let excluded = trial.map(|trial| state.trials.full_endpoints(trial.kind, now));
+        let excluded = excluded.unwrap_or_default();
+        let is_exclusive = trial.is_some_and(|trial| trial.kind == TrialKind::Exclusive);
         let trial = trial.map(|trial| TrialRequest {
             suspect_hash: trial.main_suspect.selection_hash(),
-            is_part: trial.main_suspect.is_part(),
             is_exclusive,
             excluded: &excluded,
             // A request that crashed two endpoints is not sent to the last one.
--- a/entry/src/front/requests/request_trial.rs
+++ b/entry/src/front/requests/request_trial.rs
@@ -1,7 +1,7 @@
 use {
     crate::front::{fnv1a_hash, FrontContext, RequestHandler},
     pitchhitch_core::{
-        serving::{unit_fraction, RefusalKind, SuspectKey, SuspectPart, SuspectStatus},
+        serving::{unit_fraction, RefusalKind, SuspectKey, SuspectPart, SuspectStatus, TrialKind},
         time::Micros,
     },
     pitchhitch_process::to_duration,
@@ -32,23 +32,13 @@
 /// How a request is tried that is suspected of crashing endpoints, or a part of its prompt is.
 #[derive(Debug, Clone)]
 pub(crate) struct RequestTrial {
-    /// Whether it runs without other suspects on its endpoint.
-    pub is_exclusive: bool,
+    pub kind: TrialKind,
     /// What is suspected, the request itself or parts of its prompt.
     pub suspects: Vec<SuspectKey>,
     /// The one that is suspected most.
     pub main_suspect: SuspectKey,
 }
 
-impl RequestTrial {
-    /// Whether it runs at the endpoint that the trial selects, however busy that is. The first trial
-    /// of a part of a prompt does not: the part may be in many prompts.
-    pub fn is_exempt(&self) -> bool {
-        let is_request = |key: &SuspectKey| !key.is_part();
-        self.is_exclusive || self.suspects.iter().any(is_request)
-    }
-}
-
 impl RequestHandler<'_> {
     /// Status of the request with regard to crashes of endpoints, and how it is tried if it is a
     /// suspect. Its fingerprint is computed only while something is tracked.
@@ -73,8 +63,15 @@
             .copied()
             .max_by_key(|key| (status_of(key), tracker.crash_count(*key)));
         drop(state);
+        let kind = match status {
+            SuspectStatus::Suspect(1) if suspects.iter().all(|key| key.is_part()) => {
+                TrialKind::Single
+            }
+            SuspectStatus::Suspect(1) => TrialKind::Paired,
+            _ => TrialKind::Exclusive,
+        };
         self.trial = worst.map(|main_suspect| RequestTrial {
-            is_exclusive: status != SuspectStatus::Suspect(1),
+            kind,
             suspects,
             main_suspect,
         });
@@ -142,7 +139,7 @@
             .state()
             .trials
             .has_active(&trial.suspects, front.now());
-        !is_active && (!trial.is_exclusive || waited >= REPORT_TIME)
+        !is_active && (trial.kind != TrialKind::Exclusive || waited >= REPORT_TIME)
     }
 
     fn log_status(
