Own interface: requests leave an engine that hangs behind a running agent

Callers of such streams got nothing more, without an end: the deadline of a stream is for its beginning, and nothing broke, as the agent reported and the engine kept its connections. Cause: failed health checks stopped new requests only. Time in which the agent itself stood still does not count. Plain services are left out: they may not answer while they work.

--- a/agent/src/endpoint/endpoint_client.rs
+++ b/agent/src/endpoint/endpoint_client.rs
@@ -1,5 +1,5 @@
 use {
-    super::{EngineCache, EngineChanges, EngineHealth, EngineOrder},
+    super::{EngineCache, EngineChanges, EngineHealth, EngineOrder, HangSignal},
     crate::conf::AgentSettings,
     pitchhitch_core::{
         kv_cache::PieceKey,
@@ -13,7 +13,7 @@
 };
 
 /// Timeout of health checks and of requests for the cache.
-const QUERY_TIMEOUT: Duration = Duration::from_millis(1_000);
+pub(super) const QUERY_TIMEOUT: Duration = Duration::from_millis(1_000);
 /// Timeout of importing or exporting a piece.
 const PIECE_TIMEOUT: Duration = Duration::from_secs(10);
 /// Timeout of an order, such as loading weights.
@@ -36,6 +36,7 @@
     health_path: String,
     is_engine: bool,
     checks_orders: bool,
+    hang_signal: HangSignal,
 }
 
 impl EndpointClient {
@@ -53,6 +54,7 @@
                 health_path: settings.health_path.clone(),
                 checks_orders: settings.checks_orders,
                 is_engine: matches!(settings.kind, EndpointKind::Engine { .. }),
+                hang_signal: HangSignal::default(),
             }),
         }
     }
@@ -62,6 +64,11 @@
         self.shared.is_engine
     }
 
+    /// Tells when the endpoint has stopped responding.
+    pub fn hang_signal(&self) -> &HangSignal {
+        &self.shared.hang_signal
+    }
+
     /// Creates a request to the endpoint.
     ///
     /// A request that is not repeatable gets a new connection: a pooled one may be closed
--- a/agent/src/endpoint/endpoint_watch.rs
+++ b/agent/src/endpoint/endpoint_watch.rs
@@ -1,15 +1,18 @@
 use {
-    super::EndpointClient,
+    super::{EndpointClient, QUERY_TIMEOUT},
     crate::control::ControlHandle,
     pitchhitch_core::role::{AgentEvent, CacheChange},
+    pitchhitch_services::http::CallError,
     smol::Timer,
-    std::time::Duration,
+    std::time::{Duration, Instant},
 };
 
 /// Time between two health checks of the endpoint.
 const POLL_INTERVAL: Duration = Duration::from_millis(150);
 /// Consecutive failed health checks after which the endpoint counts as unhealthy.
 const UNHEALTHY_THRESHOLD: u32 = 3;
+/// Time beyond its timeout from which a health check was delayed by a pause of this process.
+const PAUSE_MARGIN: Duration = Duration::from_millis(500);
 
 /// Polls the health of the endpoint and the cache changes of an engine, and reports them to
 /// the control thread. Never returns.
@@ -49,13 +52,25 @@
 /// Checks the health once; none if the endpoint is unhealthy. The inner value is the weight
 /// version of an engine, none for a service.
 async fn check_health(client: &EndpointClient) -> Option<Option<String>> {
-    if client.is_engine() {
-        let health = client.engine_health().await.ok()?;
-        Some(Some(health.version))
-    } else {
-        client.service_health().await.ok()?;
-        Some(None)
+    let started_at = Instant::now();
+    let health = match client.is_engine() {
+        true => client
+            .engine_health()
+            .await
+            .map(|health| Some(health.version)),
+        false => client.service_health().await.map(|()| None),
+    };
+    let was_paused = started_at.elapsed() > QUERY_TIMEOUT + PAUSE_MARGIN;
+    let signal = client.hang_signal();
+    let is_unanswered = matches!(&health, Err(CallError::NoResponse { .. }));
+    // A plain service may not answer health checks while it works on a long call.
+    let may_be_hung = is_unanswered && client.is_engine() && !was_paused;
+    if !may_be_hung {
+        signal.record_heard();
+    } else if signal.record_no_response() {
+        log::warn!(event = "endpoint-hung"; "");
     }
+    health.ok()
 }
 
 /// Reports cache changes since the last poll and returns the sequence number of the next
--- a/agent/src/endpoint/mod.rs
+++ b/agent/src/endpoint/mod.rs
@@ -5,5 +5,8 @@
 mod endpoint_request;
 mod endpoint_watch;
 mod engine_messages;
+mod hang_signal;
 
-pub use {endpoint_client::*, endpoint_request::*, endpoint_watch::*, engine_messages::*};
+pub use {
+    endpoint_client::*, endpoint_request::*, endpoint_watch::*, engine_messages::*, hang_signal::*,
+};
--- a/agent/src/gate/request_runner.rs
+++ b/agent/src/gate/request_runner.rs
@@ -127,12 +127,18 @@
         prompt: prompt_use(hand_over),
     });
     let conn = build_request(&context.client, hand_over);
-    let conn = match unless_closed(replies, send_request(conn)).await {
+    let sent = unless_hung(context, async {
+        send_request(conn).await.map_err(|failure| match failure {
+            CallFailure::NotRun(kind) => RunEnd::NotRun(kind),
+            CallFailure::Unknown(kind) => RunEnd::Failed(kind),
+        })
+    });
+    let conn = match unless_closed(replies, sent).await {
         None => return RunEnd::CallerGone,
+        Some(Err(end)) => return end,
         Some(Ok(conn)) => conn,
-        Some(Err(CallFailure::NotRun(kind))) => return RunEnd::NotRun(kind),
-        Some(Err(CallFailure::Unknown(kind))) => return RunEnd::Failed(kind),
     };
+    context.client.hang_signal().record_heard();
     let end = relay_response(context, ticket, conn, import, replies).await;
     if end == RunEnd::Answered {
         if let Some(plan) = hand_over.export.take() {
@@ -201,13 +207,15 @@
     let mut total = 0;
     let mut buffer = vec![0; CHUNK_BYTES];
     while end.is_none() {
-        let read = unless_closed(replies, async {
-            conn.response_body().read(&mut buffer).await
+        let read = unless_hung(context, async {
+            let read = conn.response_body().read(&mut buffer).await;
+            read.map_err(|_| RunEnd::Failed(ErrorKind::EndpointLost))
         });
-        let chunk_end = match read.await {
+        let chunk_end = match unless_closed(replies, read).await {
             None => Some(RunEnd::CallerGone),
-            Some(Err(_)) => Some(RunEnd::Failed(ErrorKind::EndpointLost)),
+            Some(Err(end)) => Some(end),
             Some(Ok(length)) => {
+                context.client.hang_signal().record_heard();
                 if std::mem::take(&mut first) {
                     context
                         .handle
@@ -250,6 +258,19 @@
     }
 }
 
+/// Waits for the endpoint; the end of the run if it stops responding.
+async fn unless_hung<T>(
+    context: &GateContext,
+    operation: impl std::future::Future<Output = Result<T, RunEnd>>,
+) -> Result<T, RunEnd> {
+    let hung = context.client.hang_signal().hung();
+    future::or(operation, async {
+        hung.await;
+        Err(RunEnd::Failed(ErrorKind::EndpointLost))
+    })
+    .await
+}
+
 /// Waits for a future; none if the entry process resets the stream or the link fails first.
 async fn unless_closed<T>(
     replies: &mut ReplySender,
--- a/testbed/tests/process_failures.rs
+++ b/testbed/tests/process_failures.rs
@@ -4,6 +4,7 @@
     pitchhitch_testbed::{
         deploy::{Deployment, DeploymentShape, EndpointStandIn, ProcessSignal},
         engine::FakeEngine,
+        proxy::{FaultProxy, ProxyMode},
         replay::{expected_response, CallerClient, StreamSet},
     },
     smol::{block_on, Timer},
@@ -105,32 +106,48 @@
     });
 }
 
+/// Starts streams, some of them at an engine behind a proxy, lets the proxy fail and waits until all
+/// streams are complete.
+async fn resume_after(
+    name: &str,
+    fail: impl Fn(&FaultProxy),
+) {
+    let mut deployment = start(name).await;
+    deployment
+        .add_engine(2, true)
+        .await
+        .expect("engine behind a proxy");
+    deployment.wait_ready().await.expect("settled");
+    let streams = StreamSet::start(&deployment, 40, TOKENS);
+    let endpoint = deployment
+        .endpoints
+        .iter()
+        .find(|e| e.proxy.is_some())
+        .expect("place");
+    let EndpointStandIn::Engine(engine) = &endpoint.stand_in else {
+        panic!("the endpoint behind the proxy is not an engine");
+    };
+    let running = || engine.core.running.load(Ordering::Relaxed) > 1;
+    deployment
+        .wait_until("streams on the engine", running)
+        .await;
+    fail(endpoint.proxy.as_ref().expect("proxy"));
+    streams.assert_all_complete().await;
+}
+
 #[test]
 fn dead_engine_streams_resume() {
-    block_on(async {
-        let mut deployment = start("engine").await;
-        deployment
-            .add_engine(2, true)
-            .await
-            .expect("engine behind a proxy");
-        deployment.wait_ready().await.expect("settled");
-        let streams = StreamSet::start(&deployment, 40, TOKENS);
-        let endpoint = deployment
-            .endpoints
-            .iter()
-            .find(|e| e.proxy.is_some())
-            .expect("place");
-        let EndpointStandIn::Engine(engine) = &endpoint.stand_in else {
-            panic!("the endpoint behind the proxy is not an engine");
-        };
-        let running = || engine.core.running.load(Ordering::Relaxed) > 1;
-        deployment
-            .wait_until("streams on the engine", running)
-            .await;
-        // Cuts the connection within an event, 777 bytes from now.
-        endpoint.proxy.as_ref().expect("proxy").cut_after(777);
-        streams.assert_all_complete().await;
-    });
+    // Cuts the connection within an event, 777 bytes from now.
+    block_on(resume_after("engine", |proxy| proxy.cut_after(777)));
+}
+
+/// An engine hangs behind an agent that keeps running, and its streams wait there until their callers
+/// give up.
+#[test]
+fn hung_engine_streams_resume() {
+    block_on(resume_after("hung", |proxy| {
+        proxy.set_mode(ProxyMode::Freeze)
+    }));
 }
 
 #[test]
