--- a/entry/src/front/requests/request_trial.rs
+++ b/entry/src/front/requests/request_trial.rs
@@ -111,7 +111,7 @@
                 }
             }
             let now = front.now();
-            if self.may_try(now.since(started_at)) && self.pick().is_some() {
+            if self.may_try(now.since(started_at)) && self.has_trial_endpoint() {
                 return SendPermission::Granted;
             }
             if now.since(started_at) >= TRIAL_TIMEOUT || now >= self.deadline {
@@ -125,6 +125,12 @@
         }
     }
 
+    /// Whether there is an endpoint for the trial; one that takes any endpoint finds out when it chooses.
+    fn has_trial_endpoint(&mut self) -> bool {
+        let takes_any = |trial: &RequestTrial| trial.kind == TrialKind::Single;
+        self.trial.as_ref().is_none_or(takes_any) || self.pick().is_some()
+    }
+
     /// Whether the trial may begin after this wait: no other run of its suspects may still crash its
     /// endpoint.
     fn may_try(
