--- a/entry/src/front/requests/request_moves.rs
+++ b/entry/src/front/requests/request_moves.rs
@@ -166,7 +166,7 @@
             && splitter.last_id().is_some()
             && splitter.can_continue()
             && splitter.version().is_none_or(|stated| stated == version)
-            && self.trial.is_none()
+            && self.trial_allows_moves()
             && remaining >= MIN_REMAINING_EVENTS
             && self.deadline.since(now) >= MIN_TIME_LEFT;
         let is_swapped = run.cause != MoveCause::Swap || {
--- a/entry/src/front/requests/request_trial.rs
+++ b/entry/src/front/requests/request_trial.rs
@@ -131,6 +131,13 @@
         self.trial.as_ref().is_none_or(takes_any) || self.pick().is_some()
     }
 
+    /// Whether the run, which has sent events, may be moved: parts during which only one endpoint
+    /// crashed are probably harmless, and many prompts have some.
+    pub(crate) fn trial_allows_moves(&self) -> bool {
+        let trial = self.trial.as_ref();
+        trial.is_none_or(|trial| trial.kind == TrialKind::Single)
+    }
+
     /// Whether the trial may begin after this wait: no other run of its suspects may still crash its
     /// endpoint.
     fn may_try(
