--- a/review/standins/server.py
+++ b/review/standins/server.py
@@ -46,6 +46,8 @@
         self.record("runs", request=request, server=self.name)
         fields = [("X-Pitchhitch-Request-Id", request),
                   ("X-Pitchhitch-Response-Seal", f"{self.name}.{request}")]
+        if hasattr(self, "version"):
+            fields.append(("Versions", str(self.version)))
         if "/stream/" not in message.target:
             await asyncio.sleep(self.work_s)
             writer.write(response(200, fields, b"x" * 800))
