--- a/review/1/case.py
+++ b/review/1/case.py
@@ -184,7 +184,8 @@
     for index in range(12):
         service = "llm" if index < 9 else "desk"
         server = Server(f"i-{index:04x}", service, (f"{net}.{31 + index}", 8001), zones[index % 3],
-                        record, slots=128 if service == "llm" else 6, events=8)
+                        record, slots=128 if service == "llm" else 6, events=8, event_gap_s=0.15,
+                        keep_alive_s=10)
         await asyncio.start_server(server.serve, *server.address, backlog=500)
         servers.append(server)
         await store.put("servers", server.name, server.entry())
--- a/review/standins/server.py
+++ b/review/standins/server.py
@@ -6,10 +6,11 @@
 
 class Server:
     def __init__(self, name, service, address, zone, record, slots=128, work_s=0.03,
-                 events=12, event_gap_s=0.1):
+                 events=12, event_gap_s=0.1, keep_alive_s=None):
         self.name, self.service, self.address, self.zone = name, service, address, zone
         self.record, self.slots = record, slots
         self.work_s, self.events, self.event_gap_s = work_s, events, event_gap_s
+        self.keep_alive_s = keep_alive_s
         self.sequence = 0
         self.runs = 0
 
@@ -48,6 +49,8 @@
                   ("X-Pitchhitch-Response-Seal", f"{self.name}.{request}")]
         if hasattr(self, "version"):
             fields.append(("Versions", str(self.version)))
+        if self.keep_alive_s is not None:
+            fields.append(("Keep-Alive", f"timeout={self.keep_alive_s}"))
         if "/stream/" not in message.target:
             await asyncio.sleep(self.work_s)
             writer.write(response(200, fields, b"x" * 800))
