--- a/review/1/case.py
+++ b/review/1/case.py
@@ -5,10 +5,12 @@
 import sys
 import time
 
-sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), "..", "standins"))
+FOLDER = os.path.dirname(os.path.abspath(__file__))
+sys.path.insert(0, os.path.join(FOLDER, "..", "standins"))
 from http1 import read_body, read_head  # noqa: E402
+from runner import run_case  # noqa: E402
 from server import Server  # noqa: E402
-from deployment import Balancer, Record, Site  # noqa: E402
+from deployment import Balancer  # noqa: E402
 from store import Store  # noqa: E402
 
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
@@ -294,22 +296,5 @@
     return 1 if remaining > late / 2 and remaining >= 8 else 0
 
 
-def main():
-    import resource
-    hard = resource.getrlimit(resource.RLIMIT_NOFILE)[1]
-    resource.setrlimit(resource.RLIMIT_NOFILE, (hard, hard))
-    folder = os.path.dirname(os.path.abspath(__file__))
-    record = Record(os.path.join(folder, "record.txt"))
-    site = Site(record)
-    try:
-        return asyncio.run(play(record, site))
-    except OSError as error:
-        print(f"the case couldn't run: {error}")
-        return 2
-    finally:
-        site.stop()
-        record.close()
-
-
 if __name__ == "__main__":
-    sys.exit(main())
+    run_case(FOLDER, play)
