--- a/review/standins/runner.py
+++ b/review/standins/runner.py
@@ -17,7 +17,7 @@
     signal.signal(signal.SIGTERM, stop)
     hard = resource.getrlimit(resource.RLIMIT_NOFILE)[1]
     resource.setrlimit(resource.RLIMIT_NOFILE, (hard, hard))
-    record = Record(os.path.join(folder, "record.txt"))
+    record = Record(os.path.join(folder, sys.argv[1] if len(sys.argv) > 1 else "record.txt"))
     site = Site(record)
     code = 2
     try:
