A listener without descriptors waits before it accepts again

Cause: ConnectionListener::next, which accepts connections for readiness, control, digests and metrics, retried at once after every error. Out of descriptors, accept fails at once and the connection stays in the queue, so the loop never yields. All tasks of a front, and of an engine's agent, share one thread: no other task ran, no connection was closed, and the error stayed.

Change: one accept loop for all listeners of both programs. After an error it waits 20 ms, and logs the first of several errors. The wait lets other tasks run, which close connections.

--- a/entry/src/front/front_process.rs
+++ b/entry/src/front/front_process.rs
@@ -10,11 +10,11 @@
         serving::{MechanismSet, TICK},
         time::Micros,
     },
-    pitchhitch_http1::{serve_paths, TcpConnection, TcpKeepalive},
+    pitchhitch_http1::{serve_paths, ConnectionListener, TcpConnection, TcpKeepalive},
     pitchhitch_process::{flush_log, to_duration, ProcessSignal, SignalListener},
     pitchhitch_wire::engine_agent::DatagramSocket,
-    smol::{Async, Timer},
-    std::{net::TcpListener, rc::Rc, time::Duration},
+    smol::Timer,
+    std::{rc::Rc, time::Duration},
 };
 
 /// Time until the load balancer stops sending requests to a process that is not ready: it probes
@@ -24,8 +24,6 @@
 const CLOSE_MARGIN: Duration = Duration::from_millis(300);
 /// Interval at which a stopping process checks whether it is idle.
 const IDLE_CHECK_INTERVAL: Micros = Micros::from_millis(50);
-/// Delay after a connection could not be accepted.
-const ACCEPT_RETRY_DELAY: Micros = Micros::from_millis(20);
 
 /// Runs a front until a stop signal; `reload` reads the settings again.
 ///
@@ -45,7 +43,7 @@
 ) -> anyhow::Result<()> {
     let settings = front.settings.clone();
     let mut signals = SignalListener::start().context("cannot install signal handlers")?;
-    let listener = TcpListener::bind(settings.callers);
+    let listener = ConnectionListener::bind(settings.callers).await;
     let listener = listener.with_context(|| format!("cannot listen on {}", settings.callers))?;
     front.spawn(serve_paths(settings.ready, front.clone(), serve_readiness).await?);
     if let Some(metrics) = settings.metrics {
@@ -73,7 +71,7 @@
     front.spawn(watch_kv_stores(front.clone()));
     front.spawn(run_fallback_controller(front.clone()));
     front.spawn(run_rollouts(front.clone()));
-    front.spawn(accept(front.clone(), Async::new(listener)?));
+    front.spawn(accept(front.clone(), listener));
     log::info!(
         event = "started",
         front = settings.box_id.as_str(),
@@ -149,31 +147,25 @@
 
 async fn accept(
     front: Rc<FrontContext>,
-    listener: Async<TcpListener>,
+    listener: ConnectionListener,
 ) {
     loop {
-        match listener.accept().await {
-            // Closed unread, so that the caller's next connection meets another box.
-            Ok(_) if !front.state().connection_gate.admits() => {
-                front.metrics.increment("connections", "refused");
-            }
-            Ok((stream, _)) => match TcpConnection::new(stream, &TcpKeepalive::INBOUND) {
-                Ok(connection) => front.spawn(serve_caller(front.clone(), connection)),
-                Err(error) => log_accept(&error),
-            },
+        let stream = listener.accept().await;
+        // Closed unread, so that the caller's next connection meets another box.
+        if !front.state().connection_gate.admits() {
+            front.metrics.increment("connections", "refused");
+            continue;
+        }
+        match TcpConnection::new(stream, &TcpKeepalive::INBOUND) {
+            Ok(connection) => front.spawn(serve_caller(front.clone(), connection)),
             Err(error) => {
-                log_accept(&error);
-                Timer::after(to_duration(ACCEPT_RETRY_DELAY)).await;
+                let error = error.to_string();
+                log::warn!(event = "accept-failed", error = error.as_str(); "");
             }
         }
     }
 }
 
-fn log_accept(error: &std::io::Error) {
-    let error = error.to_string();
-    log::warn!(event = "accept-failed", error = error.as_str(); "");
-}
-
 fn serve_readiness(
     front: &FrontContext,
     _target: &str,
--- a/http1/src/connection_listener.rs
+++ b/http1/src/connection_listener.rs
@@ -9,7 +9,11 @@
 /// Time after which an idle connection is closed.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(30);
 
-/// Accepts connections for readiness checks, metrics and similar small requests.
+/// Delay after a connection could not be accepted. Some errors stay, such as too many open files, and
+/// the tasks that would end them need the thread.
+const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
+
+/// Accepts connections, also after errors.
 #[derive(Debug)]
 pub struct ConnectionListener {
     listener: TcpListener,
@@ -26,17 +30,53 @@
         })
     }
 
-    /// Waits for the next connection; connections that fail on accept are skipped.
+    /// Address at which the listener is bound.
+    ///
+    /// # Errors
+    /// If the system does not tell it.
+    pub fn local_address(&self) -> std::io::Result<SocketAddr> {
+        self.listener.local_addr()
+    }
+
+    /// Waits for the next connection, and retries with a delay after an error. The first error of
+    /// several in a row is logged.
+    pub async fn accept(&self) -> Async<std::net::TcpStream> {
+        let mut has_failed = false;
+        loop {
+            match self.listener.accept().await {
+                Ok((stream, _)) => {
+                    let stream: Arc<Async<std::net::TcpStream>> = stream.into();
+                    if let Some(stream) = Arc::into_inner(stream) {
+                        return stream;
+                    }
+                }
+                Err(error) if has_failed => {
+                    log::debug!(event = "accept-failed", error = error.to_string().as_str(); "");
+                }
+                Err(error) => {
+                    has_failed = true;
+                    let address = self.local_address();
+                    let address = address.map_or_else(|_| String::new(), |a| a.to_string());
+                    let error = error.to_string();
+                    log::warn!(
+                        event = "accept-failed",
+                        listener = address.as_str(),
+                        error = error.as_str();
+                        ""
+                    );
+                }
+            }
+            if has_failed {
+                Timer::after(ACCEPT_RETRY_DELAY).await;
+            }
+        }
+    }
+
+    /// Like [`ConnectionListener::accept`], with the options of a connection set.
     pub async fn next(&self) -> TcpConnection {
         loop {
-            let Ok((stream, _)) = self.listener.accept().await else {
-                continue;
-            };
-            let stream: Arc<Async<std::net::TcpStream>> = stream.into();
-            let connection = Arc::into_inner(stream);
-            let connection =
-                connection.map(|stream| TcpConnection::new(stream, &TcpKeepalive::INBOUND));
-            if let Some(Ok(connection)) = connection {
+            let stream = self.accept().await;
+            if let Ok(connection) = TcpConnection::new(stream, &TcpKeepalive::INBOUND) {
                 return connection;
             }
         }
