A front accepts no more callers than its descriptors allow

What callers saw: idle connections of callers took all descriptors of a front. New callers were not accepted, requests on open connections could not be sent to an endpoint, and the load balancer's probes got no response.

Change: a front counts its connections. From seven eighths of its capacity on, a new caller takes the place of the connection that has been idle longest; if none is idle, it is closed unread, so that the caller's next connection meets another box. The last eighth is for endpoints, a reserve is for files and calls to the platform. A listener for small requests holds a sixteenth at most, the oldest goes first; its responses have a time limit. The limit is that of the operating system, or max_descriptors if lower. Gauge open_connections, event connection-limit.

--- a/entry/src/front/front_context.rs
+++ b/entry/src/front/front_context.rs
@@ -1,10 +1,11 @@
 use {
     super::{ContactBoard, FrontMetrics, FrontSettings, FrontState, MoveBoard},
     pitchhitch_core::time::Micros,
+    pitchhitch_http1::{ConnectionCapacity, IdleConnections},
     pitchhitch_process::{to_duration, ProcessClock, WakeSignal},
     smol::{LocalExecutor, Timer},
     std::{
-        cell::{RefCell, RefMut},
+        cell::{Cell, RefCell, RefMut},
         future::Future,
         rc::Rc,
     },
@@ -36,6 +37,12 @@
     pub origin_due: WakeSignal,
     /// Streams that this front relays, and the moves of their runs.
     pub moves: Rc<MoveBoard>,
+    /// How many connections the process may hold.
+    pub capacity: ConnectionCapacity,
+    /// Connections of callers that wait for a request.
+    pub idle_callers: Rc<IdleConnections>,
+    /// Whether connections of callers are refused or closed to stay within the capacity.
+    pub has_limited_connections: Cell<bool>,
     /// Requests to be notified when their endpoint stops responding.
     pub contacts: Rc<ContactBoard>,
     state: RefCell<FrontState>,
@@ -47,6 +54,9 @@
     pub fn new(settings: FrontSettings) -> Rc<Self> {
         Rc::new(FrontContext {
             state: RefCell::new(FrontState::new(&settings)),
+            capacity: ConnectionCapacity::of_process(settings.max_descriptors),
+            idle_callers: Rc::default(),
+            has_limited_connections: Cell::new(false),
             settings,
             clock: ProcessClock::start(),
             metrics: FrontMetrics::default(),
--- a/entry/src/front/front_process.rs
+++ b/entry/src/front/front_process.rs
@@ -1,16 +1,19 @@
 use {
     super::{
-        bootstrap_from_peers, handle_control, maintain_endpoints, receive_digests,
-        refresh_from_peers, run_fallback_controller, run_rollouts, send_greetings, send_origins,
-        serve_caller, sync_blocked_rows, track_engines, watch_contacts, watch_endpoint_list,
-        watch_kv_stores, watch_operator, FrontContext, FrontSettings,
+        admit_connection, bootstrap_from_peers, handle_control, maintain_endpoints,
+        receive_digests, refresh_from_peers, run_fallback_controller, run_rollouts, send_greetings,
+        send_origins, serve_caller, sync_blocked_rows, track_engines, watch_contacts,
+        watch_endpoint_list, watch_kv_stores, watch_operator, FrontContext, FrontSettings,
     },
     anyhow::Context,
+    futures_lite::future::yield_now,
     pitchhitch_core::{
         serving::{MechanismSet, TICK},
         time::Micros,
     },
-    pitchhitch_http1::{serve_paths, ConnectionListener, TcpConnection, TcpKeepalive},
+    pitchhitch_http1::{
+        open_connections, serve_paths, ConnectionListener, TcpConnection, TcpKeepalive,
+    },
     pitchhitch_process::{flush_log, to_duration, ProcessSignal, SignalListener},
     pitchhitch_wire::engine_agent::DatagramSocket,
     smol::Timer,
@@ -42,9 +45,11 @@
     reload: &dyn Fn() -> Result<FrontSettings, String>,
 ) -> anyhow::Result<()> {
     let settings = front.settings.clone();
+    let idle = front.idle_callers.clone();
     let mut signals = SignalListener::start().context("cannot install signal handlers")?;
     let listener = ConnectionListener::bind(settings.callers).await;
     let listener = listener.with_context(|| format!("cannot listen on {}", settings.callers))?;
+    let listener = listener.with_idle(idle);
     front.spawn(serve_paths(settings.ready, front.clone(), serve_readiness).await?);
     if let Some(metrics) = settings.metrics {
         front.spawn(serve_paths(metrics, front.clone(), serve_metrics).await?);
@@ -156,6 +161,10 @@
             front.metrics.increment("connections", "refused");
             continue;
         }
+        if !admit_connection(&front) {
+            yield_now().await;
+            continue;
+        }
         match TcpConnection::new(stream, &TcpKeepalive::INBOUND) {
             Ok(connection) => front.spawn(serve_caller(front.clone(), connection)),
             Err(error) => {
@@ -163,6 +172,8 @@
                 log::warn!(event = "accept-failed", error = error.as_str(); "");
             }
         }
+        // The connection counts as idle, and evicted ones are closed, before the next one is accepted.
+        yield_now().await;
     }
 }
 
@@ -183,6 +194,15 @@
     let state = front.state();
     let reserved = state.prompt_pools.reserved_counts(front.now());
     front.metrics.set_gauge("reserved_engines", reserved);
+    let connections = [
+        ("open", open_connections()),
+        ("idle-callers", front.idle_callers.len()),
+        ("caller-limit", front.capacity.for_callers()),
+        ("limit", front.capacity.total()),
+    ];
+    front
+        .metrics
+        .set_gauge("open_connections", connections.into_iter());
     (200, front.metrics.render().into_bytes())
 }
 
--- a/entry/src/front/front_settings.rs
+++ b/entry/src/front/front_settings.rs
@@ -63,6 +63,8 @@
     pub stop_limit: Duration,
     /// Memory limit of the process, in megabytes.
     pub memory_mb: u64,
+    /// Limit on the descriptors of the process, if it is lower than that of the operating system.
+    pub max_descriptors: Option<usize>,
     /// Mechanisms of the decisions that are disabled, for experiments.
     pub disabled_mechanisms: MechanismSet,
 }
@@ -175,6 +177,12 @@
                 reader.seconds("stop_limit_s", 8.0, DURATION_RANGE_S).0,
             ),
             memory_mb: reader.fraction("memory_mb", 128.0, 16.0..=1_000_000.0) as u64,
+            max_descriptors: match reader.fraction_or_text("max_descriptors", 0.0, 0.0..=1e9)
+                as usize
+            {
+                0 => None,
+                limit => Some(limit),
+            },
             disabled_mechanisms: read_disabled_mechanisms(&mut reader),
         };
         reader.finish()?;
--- a/entry/src/front/requests/caller_conn.rs
+++ b/entry/src/front/requests/caller_conn.rs
@@ -138,15 +138,21 @@
     idle_timeout: Micros,
 ) -> bool {
     let idle_since = front.now();
+    let period = front.idle_callers.enter();
     loop {
-        let read = with_timeout(STOP_CHECK_INTERVAL, connection.read_more()).await;
-        match read {
-            Some(Ok(count)) => return count > 0,
-            Some(Err(_)) => return false,
-            None => {}
+        let evicted = async {
+            period.evicted().await;
+            None
+        };
+        let read = async { Some(connection.read_more().await) };
+        match with_timeout(STOP_CHECK_INTERVAL, or(read, evicted)).await {
+            Some(Some(Ok(count))) => return count > 0,
+            Some(Some(Err(_))) => return false,
+            Some(None) | None => {}
         }
         let idle_for = front.now().since(idle_since);
-        let must_close = idle_for > idle_timeout || front.state().closes_idle;
+        let must_close =
+            idle_for > idle_timeout || front.state().closes_idle || period.is_evicted();
         // Checks the socket last: a request that has already arrived is still served.
         if must_close && connection.idle_state() != IdleState::UnexpectedData {
             return false;
--- a/entry/src/front/requests/run_resumption.rs
+++ b/entry/src/front/requests/run_resumption.rs
@@ -1,6 +1,7 @@
 use {
     crate::front::{
-        AttemptOutcome, EndpointExchange, ExchangeFailure, RequestHandler, ReservedSlot,
+        make_endpoint_room, AttemptOutcome, EndpointExchange, ExchangeFailure, RequestHandler,
+        ReservedSlot,
     },
     pitchhitch_core::{
         serving::{EndpointChoice, MoveAction, MoveEvent, ResumeSite},
@@ -110,6 +111,7 @@
         self.front.metrics.increment("links", "opened");
         // A pooled connection that the engine has just closed would leave open whether the request
         // arrived.
+        make_endpoint_room(self.front);
         let connection = TcpConnection::connect(engine.address, to_duration(CONNECT_TIMEOUT)).await;
         let has_left = self.is_caller_gone();
         let previous_runs = self.possible_runs;
--- a/http1/src/connection_listener.rs
+++ b/http1/src/connection_listener.rs
@@ -1,5 +1,6 @@
 use {
-    super::{parse_request_head, TcpConnection, TcpKeepalive},
+    super::{parse_request_head, ConnectionCapacity, IdleConnections, TcpConnection, TcpKeepalive},
+    futures_lite::future::{or, yield_now},
     smol::{net::TcpListener, Async, LocalExecutor, Timer},
     std::{future::Future, io::Error, net::SocketAddr, rc::Rc, sync::Arc, time::Duration},
 };
@@ -17,6 +18,7 @@
 #[derive(Debug)]
 pub struct ConnectionListener {
     listener: TcpListener,
+    idle: Rc<IdleConnections>,
 }
 
 impl ConnectionListener {
@@ -27,9 +29,18 @@
     pub async fn bind(address: SocketAddr) -> std::io::Result<Self> {
         Ok(ConnectionListener {
             listener: TcpListener::bind(address).await?,
+            idle: Rc::default(),
         })
     }
 
+    /// Sets the idle connections of which one is closed when the process is out of descriptors.
+    pub fn with_idle(
+        self,
+        idle: Rc<IdleConnections>,
+    ) -> Self {
+        ConnectionListener { idle, ..self }
+    }
+
     /// Address at which the listener is bound.
     ///
     /// # Errors
@@ -67,6 +78,7 @@
                 }
             }
             if has_failed {
+                self.idle.evict_oldest();
                 Timer::after(ACCEPT_RETRY_DELAY).await;
             }
         }
@@ -87,7 +99,7 @@
 pub type PathHandler<Context> = fn(&Context, &str) -> (u16, Vec<u8>);
 
 /// Listens on `address` and returns a future that serves requests there, such as readiness
-/// checks, for as long as it is polled.
+/// checks, for as long as it is polled. Of too many idle connections the oldest one is closed.
 ///
 /// # Errors
 /// If the address cannot be bound; the error contains the address.
@@ -99,13 +111,21 @@
     let bound = ConnectionListener::bind(address).await;
     let listener = bound.map_err(|error| with_address(address, &error))?;
     let connections = LocalExecutor::new();
+    let max_idle = ConnectionCapacity::of_process(None).for_service();
     Ok(async move {
         let accept = async {
             loop {
                 let connection = listener.next().await;
                 let shared = context.clone();
-                let served = serve_connection(connection, move |target| handler(&shared, target));
+                let idle = listener.idle.clone();
+                if idle.len() >= max_idle {
+                    idle.evict_oldest();
+                }
+                let handler = move |target: &str| handler(&shared, target);
+                let served = serve_connection(connection, idle, handler);
                 connections.spawn(served).detach();
+                // It counts as idle before the next one is accepted.
+                yield_now().await;
             }
         };
         connections.run(accept).await
@@ -120,8 +140,9 @@
 }
 
 /// Serves the requests of one connection; `handler` returns status and body for a path.
-pub async fn serve_connection<Body: Into<Vec<u8>>>(
+async fn serve_connection<Body: Into<Vec<u8>>>(
     mut connection: TcpConnection,
+    idle: Rc<IdleConnections>,
     handler: impl Fn(&str) -> (u16, Body),
 ) {
     loop {
@@ -130,7 +151,7 @@
                 connection.consume(length);
                 head
             }
-            Ok(None) if read_within_timeout(&mut connection).await => continue,
+            Ok(None) if read_while_idle(&mut connection, &idle).await => continue,
             Ok(None) | Err(_) => return,
         };
         let (status, body) = handler(&head.target);
@@ -147,17 +168,32 @@
         );
         let mut bytes = head.into_bytes();
         bytes.extend_from_slice(&body);
-        if connection.write_all(&bytes).await.is_err() {
+        let written = async { connection.write_all(&bytes).await.is_ok() };
+        if !within_timeout(written).await {
             return;
         }
     }
 }
 
-async fn read_within_timeout(connection: &mut TcpConnection) -> bool {
+/// Reads more of a request; false if the connection has ended or is to be closed.
+async fn read_while_idle(
+    connection: &mut TcpConnection,
+    idle: &Rc<IdleConnections>,
+) -> bool {
+    let period = idle.enter();
+    let evicted = async {
+        period.evicted().await;
+        false
+    };
+    let read = async { matches!(connection.read_more().await, Ok(count) if count > 0) };
+    within_timeout(or(read, evicted)).await
+}
+
+/// Runs a future; false if it takes longer than a connection may be idle.
+async fn within_timeout(future: impl Future<Output = bool>) -> bool {
     let timed_out = async {
         Timer::after(IDLE_TIMEOUT).await;
         false
     };
-    let read = async { matches!(connection.read_more().await, Ok(count) if count > 0) };
-    futures_lite::future::or(read, timed_out).await
+    or(future, timed_out).await
 }
--- a/http1/src/lib.rs
+++ b/http1/src/lib.rs
@@ -6,15 +6,18 @@
 
 mod body_decoder;
 mod body_framing;
+mod connection_capacity;
 mod connection_listener;
 mod head_error;
 mod head_parser;
 mod header_fields;
 mod http_client;
+mod idle_connections;
 mod tcp_connection;
 mod tcp_keepalive;
 
 pub use {
-    body_decoder::*, body_framing::*, connection_listener::*, head_error::*, head_parser::*,
-    header_fields::*, http_client::*, tcp_connection::*, tcp_keepalive::*,
+    body_decoder::*, body_framing::*, connection_capacity::*, connection_listener::*,
+    head_error::*, head_parser::*, header_fields::*, http_client::*, idle_connections::*,
+    tcp_connection::*, tcp_keepalive::*,
 };
--- a/http1/src/tcp_connection.rs
+++ b/http1/src/tcp_connection.rs
@@ -1,5 +1,5 @@
 use {
-    super::TcpKeepalive,
+    super::{OpenConnection, TcpKeepalive},
     futures_lite::future::poll_fn,
     smol::{Async, Timer},
     std::{
@@ -32,6 +32,7 @@
     buffer: Vec<u8>,
     /// Whether a write has failed; its error is reported only once.
     is_broken: Cell<bool>,
+    _open: OpenConnection,
 }
 
 impl TcpConnection {
@@ -49,6 +50,7 @@
             stream,
             buffer: Vec::new(),
             is_broken: Cell::new(false),
+            _open: OpenConnection::start(),
         })
     }
 
