A front without descriptors does not blame its endpoints

What callers saw: where a front could open no connection for lack of descriptors, it counted that as a failure of the endpoint, tried the next one, and so on; endpoints that were sound got a bad record, and the request used up its tries.

Cause: open_exchange treated every error of connect alike. The probe of a silent endpoint took such an error for an answer.

Change: errors for lack of descriptors, ports or memory (EMFILE, ENFILE, ENOBUFS, ENOMEM, EADDRNOTAVAIL) end the request at once with 503 and Retry-After if it has not run, and are recorded for no endpoint; an idle connection of a caller is closed. The probe counts as inconclusive.

--- a/entry/src/front/endpoints/contact_probe.rs
+++ b/entry/src/front/endpoints/contact_probe.rs
@@ -9,11 +9,15 @@
         },
         time::Micros,
     },
-    pitchhitch_http1::{HttpClient, HttpFailure, HttpRequest, TcpConnection},
+    pitchhitch_http1::{is_local_failure, HttpClient, HttpFailure, HttpRequest, TcpConnection},
     pitchhitch_platform::REPORT_PATH,
     pitchhitch_process::to_duration,
     smol::Timer,
-    std::{io::ErrorKind, net::SocketAddr, rc::Rc},
+    std::{
+        io::{Error, ErrorKind},
+        net::SocketAddr,
+        rc::Rc,
+    },
 };
 
 /// Gap between two checks beyond which this process was paused or busy in between.
@@ -126,15 +130,14 @@
     };
     front.metrics.increment("links", "contact-probes");
     let started_at = front.now();
-    let is_answered = match has_engine {
-        true => answers_report(address).await,
-        false => accepts_connections(address).await,
+    let outcome = match has_engine {
+        true => probe_report(address).await,
+        false => probe_connection(address).await,
     };
     let is_late = front.now().since(started_at) > CONTACT_PROBE_TIMEOUT + TICK;
-    match (is_answered, is_late) {
-        (true, _) => ProbeOutcome::Answered,
-        (false, true) => ProbeOutcome::Inconclusive,
-        (false, false) => ProbeOutcome::Unanswered,
+    match outcome {
+        ProbeOutcome::Unanswered if is_late => ProbeOutcome::Inconclusive,
+        outcome => outcome,
     }
 }
 
@@ -148,9 +151,9 @@
     Some((entry.address, is_engine(config, entry)))
 }
 
-/// Whether an engine sends its report, which it does however many requests it runs. A paused process
-/// still accepts connections.
-async fn answers_report(address: SocketAddr) -> bool {
+/// Probes whether an engine sends its report, which it does however many requests it runs. A paused
+/// process still accepts connections.
+async fn probe_report(address: SocketAddr) -> ProbeOutcome {
     let mut client = HttpClient::new(address, to_duration(CONTACT_PROBE_TIMEOUT));
     let request = HttpRequest {
         method: "GET",
@@ -158,21 +161,30 @@
         ..HttpRequest::default()
     };
     match client.call(request).await {
-        Ok(_) => true,
-        Err(HttpFailure::TimedOut) => false,
-        Err(HttpFailure::NoConnection(error)) => error.kind() != ErrorKind::TimedOut,
-        Err(_) => true,
+        Ok(_) => ProbeOutcome::Answered,
+        Err(HttpFailure::TimedOut) => ProbeOutcome::Unanswered,
+        Err(HttpFailure::NoConnection(error)) => failed_connection(&error),
+        Err(_) => ProbeOutcome::Answered,
     }
 }
 
-/// Whether the box of an endpoint accepts a connection, or refuses it.
-async fn accepts_connections(address: SocketAddr) -> bool {
+/// Probes whether the box of an endpoint accepts a connection, or refuses it.
+async fn probe_connection(address: SocketAddr) -> ProbeOutcome {
     match TcpConnection::connect(address, to_duration(CONTACT_PROBE_TIMEOUT)).await {
         Ok(connection) => {
             connection.reset_on_drop();
-            true
+            ProbeOutcome::Answered
         }
-        Err(error) => error.kind() != ErrorKind::TimedOut,
+        Err(error) => failed_connection(&error),
+    }
+}
+
+/// What a failed connection tells: a refusal is an answer.
+fn failed_connection(error: &Error) -> ProbeOutcome {
+    match error.kind() {
+        ErrorKind::TimedOut => ProbeOutcome::Unanswered,
+        _ if is_local_failure(error) => ProbeOutcome::Inconclusive,
+        _ => ProbeOutcome::Answered,
     }
 }
 
--- a/entry/src/front/requests/attempt_loop.rs
+++ b/entry/src/front/requests/attempt_loop.rs
@@ -1,7 +1,7 @@
 use {
     crate::front::{
-        AttemptOutcome, ConnectionReuse, ExchangeFailure, RequestFailure, RequestHandler,
-        SendPermission,
+        AttemptOutcome, ConnectionReuse, ExchangeFailure, OpenFailure, RequestFailure,
+        RequestHandler, SendPermission,
     },
     pitchhitch_core::serving::{AdmissionDecision, EndpointChoice, RefusalKind},
     std::ops::ControlFlow::{self, Break, Continue},
@@ -47,10 +47,12 @@
             return Break(AttemptsEnd::Finished(self.finish_abandoned()));
         }
         let slot = self.reserve(&choice);
-        let Some(mut exchange) = self.open_exchange(&choice).await else {
-            self.release(&choice, &slot);
-            self.tried.push(choice.key);
-            return Continue(());
+        let mut exchange = match self.open_exchange(&choice).await {
+            Ok(exchange) => exchange,
+            Err(open_failure) => {
+                self.release(&choice, &slot);
+                return self.handle_open_failure(&choice, open_failure, failure);
+            }
         };
         if self.is_caller_gone() {
             exchange.is_reusable = true;
@@ -63,6 +65,24 @@
         self.handle_outcome(&choice, outcome, failure).await
     }
 
+    /// Continues at another endpoint, unless this box can open no connection at all: then the caller
+    /// is sent to another box at once.
+    fn handle_open_failure(
+        &mut self,
+        choice: &EndpointChoice,
+        open_failure: OpenFailure,
+        failure: &mut RequestFailure,
+    ) -> ControlFlow<AttemptsEnd> {
+        self.tried.push(choice.key);
+        if open_failure == OpenFailure::Endpoint {
+            return Continue(());
+        }
+        if self.possible_runs == 0 {
+            failure.kind = RefusalKind::Overloaded;
+        }
+        Break(AttemptsEnd::Failed)
+    }
+
     /// Waits until the request may be sent. Breaks if its time is up, or if it may not be sent.
     async fn check_permission(
         &mut self,
--- a/entry/src/front/requests/request_attempt.rs
+++ b/entry/src/front/requests/request_attempt.rs
@@ -1,7 +1,7 @@
 use {
     crate::front::{
-        record_heard, send_request, BufferedResponse, ContactWatch, EndpointExchange,
-        ExchangeFailure, LatestRun, PartTransfers, RequestHandler,
+        make_endpoint_room, record_heard, record_local_failure, send_request, BufferedResponse,
+        ContactWatch, EndpointExchange, ExchangeFailure, LatestRun, PartTransfers, RequestHandler,
     },
     pitchhitch_core::{
         rollout::VersionArm,
@@ -43,6 +43,15 @@
     }
 }
 
+/// Why a connection to an endpoint could not be used.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum OpenFailure {
+    /// The endpoint does not accept it, or no longer takes requests.
+    Endpoint,
+    /// This box has no descriptors, ports or memory left.
+    Local,
+}
+
 /// How an attempt at one endpoint ended.
 pub(crate) enum AttemptOutcome {
     /// The caller has received the complete response.
@@ -73,33 +82,52 @@
 impl RequestHandler<'_> {
     /// Opens an exchange with the endpoint, unless the endpoint has started to leave or has asked for
     /// rest before the connection is open.
+    ///
+    /// # Errors
+    /// Why there is no exchange.
     pub(crate) async fn open_exchange(
         &mut self,
         choice: &EndpointChoice,
-    ) -> Option<EndpointExchange> {
+    ) -> Result<EndpointExchange, OpenFailure> {
         let front = self.front;
         let pooled = front.state().pool.take(choice.key, front.now());
         let connection = match pooled {
             Some(connection) => connection,
             None => {
-                let address = front.state().registry.get(choice.key)?.address;
+                let entry = front
+                    .state()
+                    .registry
+                    .get(choice.key)
+                    .map(|entry| entry.address);
+                let address = entry.ok_or(OpenFailure::Endpoint)?;
+                make_endpoint_room(front);
                 front.metrics.increment("links", "opened");
                 match TcpConnection::connect(address, to_duration(CONNECT_TIMEOUT)).await {
                     Ok(connection) => connection,
+                    Err(error) if record_local_failure(front, &error) => {
+                        self.log_attempt(choice, "no-descriptor", &error.to_string());
+                        return Err(OpenFailure::Local);
+                    }
                     Err(error) => {
                         self.record_outcome(choice, false);
                         self.log_attempt(choice, "no-connection", &error.to_string());
-                        return None;
+                        return Err(OpenFailure::Endpoint);
                     }
                 }
             }
         };
         let state = front.state();
-        let entry = state.registry.get(choice.key)?;
+        let entry = state
+            .registry
+            .get(choice.key)
+            .ok_or(OpenFailure::Endpoint)?;
         let is_usable = entry.status != EndpointStatus::Leaving
             && entry.contact.stage() == ContactStage::Responding
             && !entry.rest.is_resting(front.now());
-        is_usable.then(|| EndpointExchange::new(connection))
+        match is_usable {
+            true => Ok(EndpointExchange::new(connection)),
+            false => Err(OpenFailure::Endpoint),
+        }
     }
 
     /// Reserves a slot at the endpoint before it is connected, so that requests that arrive
