A listener for small requests holds a 32nd of the connections

The unit test capacity_leaves_room, written with the limit, failed for 4,096 descriptors: callers up to their limit and four full listeners came to 4,320. With a 32nd each they stay below at all sizes tested.

--- a/http1/src/connection_capacity.rs
+++ b/http1/src/connection_capacity.rs
@@ -13,7 +13,7 @@
 /// Fraction of the connections up to which callers are accepted; the rest is for endpoints.
 const CALLER_EIGHTHS: usize = 7;
 /// Fraction of the connections that a listener for small requests holds at most.
-const SERVICE_FRACTION: usize = 16;
+const SERVICE_FRACTION: usize = 32;
 /// Largest and smallest number of connections of such a listener.
 const MAX_SERVICE_CONNECTIONS: usize = 256;
 const MIN_SERVICE_CONNECTIONS: usize = 4;
