Cached parts of an organisation that becomes isolated are read by nobody else

Cause: the salt under which organisations share parts named the model and the version only. Every organisation that was not isolated used it, whoever had used it before, so what the isolated one had made stayed reachable. Requests also kept the configuration with which they began: a stream that was resumed after the change still asked for the old parts.

Change: a salt names the set of organisations that share (SharingGroup). Only members use it, and only while no member is isolated in the configuration in force, which is read anew at each send. Both follow from the configuration alone, so fronts that start later, or were cut off, agree without being told. A front keeps the group with which it began to use a version of weights while that is valid, so that organisations which are added, removed or isolated from the beginning cost the others nothing.

Salts differ from those of earlier builds: parts are read anew once after the roll-out.

--- a/core/src/serving/kv_stores/mod.rs
+++ b/core/src/serving/kv_stores/mod.rs
@@ -10,9 +10,11 @@
 mod prompt_info;
 mod prompt_part;
 mod reclaim_state;
+mod sharing_group;
+mod sharing_groups;
 
 pub use {
     cache_namespace::*, fetch_completion::*, kv_store::*, kv_store_directory::*,
     kv_store_uptime::*, kv_store_view::*, part_index::*, prompt_info::*, prompt_part::*,
-    reclaim_state::*,
+    reclaim_state::*, sharing_group::*, sharing_groups::*,
 };
--- a/core/tests/kv_store_view.rs
+++ b/core/tests/kv_store_view.rs
@@ -190,12 +190,17 @@
         version,
         model: "m/1".to_string(),
         organisation: organisation.map(str::to_string),
+        group: 0,
     };
     let namespaces = [
         namespace(1, None),
         namespace(2, None),
         namespace(1, Some("farm")),
         namespace(1, Some("shop")),
+        CacheNamespace {
+            group: 7,
+            ..namespace(1, None)
+        },
     ];
     for (index, one) in namespaces.iter().enumerate() {
         for other in &namespaces[index + 1..] {
@@ -207,6 +212,12 @@
         ..namespace(7, Some("farm"))
     };
     assert_eq!(CacheNamespace::parse(&plain.salt()), Some(plain));
+    let shared = CacheNamespace {
+        model: "m".to_string(),
+        group: 0x9c41_d07b,
+        ..namespace(7, None)
+    };
+    assert_eq!(CacheNamespace::parse(&shared.salt()), Some(shared));
     assert_eq!(CacheNamespace::parse("9c41d07be2a35f68"), None);
 }
 
--- a/entry/src/front/front_state.rs
+++ b/entry/src/front/front_state.rs
@@ -8,8 +8,8 @@
             FetchCompletion, FrontCount, KeeperSet, KeyFreshness, KvStoreDirectory,
             LatencyEstimators, MemoryBudget, NamespaceTag, OriginLookups, OriginTable,
             PauseDetector, PlainCosts, PromptPools, ProvenParts, ProvenTable, RetryWindow,
-            ServingConfig, StoreEra, SuspectKey, SuspectTracker, SwapPlanner, TrialTable,
-            REWRITE_DELAY,
+            ServingConfig, SharingGroups, StoreEra, SuspectKey, SuspectTracker, SwapPlanner,
+            TrialTable, REWRITE_DELAY,
         },
         time::Micros,
     },
@@ -80,6 +80,8 @@
     pub fetch_completion: FetchCompletion,
     /// Published weights and the engines whose turn it is to load them.
     pub planner: SwapPlanner,
+    /// Organisations that share cached parts.
+    pub sharing_groups: SharingGroups,
     /// Idle connections to endpoints.
     pub pool: ConnectionPool,
     /// Probes of whether endpoints that closed connections have exited.
@@ -150,6 +152,7 @@
             kv_store_directory: KvStoreDirectory::without(settings.disabled_mechanisms),
             fetch_completion: FetchCompletion::default(),
             planner: SwapPlanner::default(),
+            sharing_groups: SharingGroups::default(),
             pool: ConnectionPool::default(),
             exit_probes: HashMap::new(),
             suspects: SuspectTracker::default(),
--- a/entry/src/front/operators/operator_watch.rs
+++ b/entry/src/front/operators/operator_watch.rs
@@ -259,6 +259,17 @@
     );
     if is_newer {
         state.kv_store_directory.set_stores(&config.stores);
+        let replaced = state.sharing_groups.apply(&config.organisations);
+        let group = state.sharing_groups.current();
+        log::info!(
+            event = "sharing-group",
+            version = config.version,
+            organisations = group.len(),
+            isolated = config.organisations.len() - group.len(),
+            tag = format!("{:x}", group.tag()).as_str(),
+            replaced = replaced;
+            ""
+        );
         state.config = Some(Rc::new(config));
         state.config_text = text;
     }
--- a/entry/src/front/requests/request_attempt.rs
+++ b/entry/src/front/requests/request_attempt.rs
@@ -201,7 +201,8 @@
         let (Some(prompt), Some(version)) = (&self.info.prompt, choice.version) else {
             return;
         };
-        let namespace = state.namespace_tag(&self.cache_namespace(version).salt());
+        let salt = self.cache_namespace(state, version).salt();
+        let namespace = state.namespace_tag(&salt);
         let part_plans = &choice.plan.parts;
         let is_cached = |index: usize| {
             part_plans
--- a/entry/src/front/requests/request_choice.rs
+++ b/entry/src/front/requests/request_choice.rs
@@ -14,21 +14,20 @@
 /// The least urgent priority that engines accept.
 const LOWEST_PRIORITY: u8 = 9;
 impl RequestHandler<'_> {
+    /// Namespace of the parts that the request may use at an engine with this version. It follows the
+    /// configuration in force, not the one with which the request began: parts of an organisation that
+    /// has become isolated meanwhile must not be read.
     pub(crate) fn cache_namespace(
         &self,
+        state: &mut FrontState,
         version: u64,
     ) -> CacheNamespace {
-        let organisation = self.organisation();
-        let organisation = organisation.filter(|organisation| organisation.is_isolated);
-        CacheNamespace {
-            version,
-            model: self
-                .info
-                .prompt
-                .as_ref()
-                .map_or_else(String::new, |p| p.model.clone()),
-            organisation: organisation.map(|organisation| organisation.name.clone()),
-        }
+        let organisation = self
+            .organisation()
+            .map(|organisation| organisation.name.as_str());
+        let prompt = self.info.prompt.as_ref();
+        let model = prompt.map_or("", |prompt| prompt.model.as_str());
+        state.sharing_groups.namespace(model, version, organisation)
     }
 
     /// Priority of the request: that of the organisation takes precedence over that of the route.
@@ -257,7 +256,8 @@
         versions.dedup();
         let mut availability = Vec::new();
         for version in versions {
-            let namespace = state.namespace_tag(&self.cache_namespace(version).salt());
+            let salt = self.cache_namespace(state, version).salt();
+            let namespace = state.namespace_tag(&salt);
             let parts = state.kv_store_directory.locate_parts(
                 &state.registry,
                 engine_config,
--- a/entry/src/front/requests/request_transfers.rs
+++ b/entry/src/front/requests/request_transfers.rs
@@ -27,16 +27,16 @@
     ) -> Vec<u8> {
         let front = self.front;
         let now = front.now();
-        let state = front.state();
-        let entry = state.registry.get(choice.key);
-        let organisation = self.organisation();
-        let is_engine = self.info.prompt.is_some();
+        let mut state = front.state();
         // If the version is unknown, nothing may be shared, not even with other requests of unknown
         // version; the request id makes the salt unique.
         let salt = match choice.version {
-            Some(version) => self.cache_namespace(version).salt(),
+            Some(version) => self.cache_namespace(&mut state, version).salt(),
             None => self.info.request_id.clone(),
         };
+        let entry = state.registry.get(choice.key);
+        let organisation = self.organisation();
+        let is_engine = self.info.prompt.is_some();
         let time_left = self.deadline.since(now);
         let headers = ForwardHeaders {
             endpoint_id: entry.map_or("", |entry| entry.id.as_str()),
@@ -92,7 +92,8 @@
         version: u64,
         now: Micros,
     ) -> PartTransfers {
-        let namespace = state.namespace_tag(&self.cache_namespace(version).salt());
+        let salt = self.cache_namespace(state, version).salt();
+        let namespace = state.namespace_tag(&salt);
         let mut transfers = PartTransfers::default();
         for part_plan in &choice.plan.parts {
             let Some((source, _)) = &part_plan.source else {
