Interim responses without end do not stop a process

What callers saw: a store of kept parts, an engine or any other server that is polled and sends interim responses (100) without end stopped a front for good: no request, no readiness, as long as the bytes came.

Cause: HttpClient skipped interim responses without a limit, and reading from a connection whose peer sends faster than it is read never yielded. The time limit of the call runs on the same thread and was never looked at. Found by the test for answers without end.

Change: reading yields after each read that did not have to wait; eight interim responses are skipped at most, in polls and in requests; a body that is only discarded may have 64 KiB.

--- a/entry/src/front/requests/endpoint_exchange.rs
+++ b/entry/src/front/requests/endpoint_exchange.rs
@@ -11,6 +11,17 @@
 const MAX_HEAD_BYTES: usize = 32 << 10;
 /// Responses to other requests that are skipped before the connection is abandoned.
 const MAX_STRAY_RESPONSES: u32 = 2;
+/// Interim responses that are skipped before the connection is abandoned.
+const MAX_INTERIM_RESPONSES: u32 = 8;
+/// Longest body that is read only to be discarded, in bytes.
+const MAX_DISCARDED_BYTES: usize = 64 << 10;
+
+/// Responses that have been skipped while the one to the request is awaited.
+#[derive(Debug, Default)]
+struct SkippedResponses {
+    stray: u32,
+    interim: u32,
+}
 
 /// Why an exchange yielded no usable response.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -76,7 +87,7 @@
     timer: &mut AttemptTimer,
 ) -> (Result<EndpointResponse, ExchangeFailure>, bool) {
     let mut sent = 0;
-    let mut stray_responses = 0;
+    let mut skipped = SkippedResponses::default();
     loop {
         if sent < bytes.len() {
             match exchange.connection.try_write(&bytes[sent..]) {
@@ -102,7 +113,7 @@
             Ok(Some(0)) | Err(_) => return (Err(ExchangeFailure::Lost), sent > 0),
             Ok(Some(_)) => {}
         }
-        match next_response(exchange, request_id, &mut stray_responses, caller, timer).await {
+        match next_response(exchange, request_id, &mut skipped, caller, timer).await {
             Ok(Some(response)) => return (Ok(response), true),
             Ok(None) => {}
             Err(failure) => return (Err(failure), true),
@@ -114,7 +125,7 @@
 async fn next_response(
     exchange: &mut EndpointExchange,
     request_id: &str,
-    stray_responses: &mut u32,
+    skipped: &mut SkippedResponses,
     caller: &mut TcpConnection,
     timer: &mut AttemptTimer,
 ) -> Result<Option<EndpointResponse>, ExchangeFailure> {
@@ -125,6 +136,10 @@
         };
         exchange.connection.consume(length);
         if head.status < 200 {
+            skipped.interim += 1;
+            if skipped.interim > MAX_INTERIM_RESPONSES {
+                return Err(ExchangeFailure::Garbled);
+            }
             continue;
         }
         let info = decode_response_info(&head);
@@ -137,9 +152,9 @@
                 framing,
             }));
         }
-        *stray_responses += 1;
+        skipped.stray += 1;
         let has_known_end = framing != BodyFraming::UntilClose;
-        if !has_known_end || *stray_responses > MAX_STRAY_RESPONSES || info.request_id.is_none() {
+        if !has_known_end || skipped.stray > MAX_STRAY_RESPONSES || info.request_id.is_none() {
             return Err(ExchangeFailure::Garbled);
         }
         skip_response_body(exchange, framing, caller, timer).await?;
@@ -149,7 +164,7 @@
 /// Reads the body of a response to its end and discards it.
 ///
 /// # Errors
-/// If the body is incomplete or malformed, or the deadline passes or the caller disconnects
+/// If the body is incomplete, malformed or too long, or the deadline passes or the caller disconnects
 /// meanwhile.
 pub(crate) async fn skip_response_body(
     exchange: &mut EndpointExchange,
@@ -158,9 +173,11 @@
     timer: &mut AttemptTimer,
 ) -> Result<(), ExchangeFailure> {
     let mut decoder = BodyDecoder::new(framing);
-    let mut piece = Vec::new();
-    while !read_body_piece(exchange, &mut decoder, &mut piece, caller, timer).await? {
-        piece.clear();
+    let mut discarded = Vec::new();
+    while !read_body_piece(exchange, &mut decoder, &mut discarded, caller, timer).await? {
+        if discarded.len() > MAX_DISCARDED_BYTES {
+            return Err(ExchangeFailure::Garbled);
+        }
     }
     Ok(())
 }
--- a/http1/src/http_client.rs
+++ b/http1/src/http_client.rs
@@ -11,6 +11,9 @@
 /// encoded.
 const MAX_BODY_BYTES: usize = 4 << 20;
 
+/// Interim responses that are skipped before the final one.
+const MAX_INTERIM_RESPONSES: u32 = 8;
+
 /// A request with a small body.
 #[derive(Debug, Clone, Default)]
 pub struct HttpRequest<'a> {
@@ -168,6 +171,7 @@
 async fn read_response(
     connection: &mut TcpConnection
 ) -> Result<(HttpResponse, bool), HttpFailure> {
+    let mut interim_responses = 0;
     let head = loop {
         let found = parse_response_head(connection.buffer(), MAX_HEAD_BYTES);
         match found.map_err(|_| HttpFailure::InvalidResponse)? {
@@ -176,6 +180,10 @@
                 if head.status >= 200 {
                     break head;
                 }
+                interim_responses += 1;
+                if interim_responses > MAX_INTERIM_RESPONSES {
+                    return Err(HttpFailure::InvalidResponse);
+                }
             }
             None => fill(connection).await?,
         }
--- a/http1/src/tcp_connection.rs
+++ b/http1/src/tcp_connection.rs
@@ -1,6 +1,6 @@
 use {
     super::{OpenConnection, TcpKeepalive},
-    futures_lite::future::poll_fn,
+    futures_lite::future::{poll_fn, yield_now},
     smol::{Async, Timer},
     std::{
         cell::Cell,
@@ -136,14 +136,24 @@
 
     /// Waits for data and reads it into the buffer; returns 0 at the end of the stream.
     ///
+    /// Other tasks of the thread run in between, also if the peer sends faster than this side reads.
+    ///
     /// # Errors
     /// If the connection is broken.
     pub async fn read_more(&mut self) -> io::Result<usize> {
+        if let Some(count) = self.try_read()? {
+            yield_now().await;
+            return Ok(count);
+        }
+        self.read_when_readable().await
+    }
+
+    async fn read_when_readable(&mut self) -> io::Result<usize> {
         loop {
+            poll_fn(|context| self.stream.poll_readable(context)).await?;
             if let Some(count) = self.try_read()? {
                 return Ok(count);
             }
-            poll_fn(|context| self.stream.poll_readable(context)).await?;
         }
     }
 
@@ -153,13 +163,12 @@
     /// # Errors
     /// If the connection is broken.
     pub async fn read_first(&mut self) -> io::Result<usize> {
-        loop {
-            if let Some(count) = self.try_read()? {
-                return Ok(count);
-            }
-            self.shrink_buffer();
-            poll_fn(|context| self.stream.poll_readable(context)).await?;
+        if let Some(count) = self.try_read()? {
+            yield_now().await;
+            return Ok(count);
         }
+        self.shrink_buffer();
+        self.read_when_readable().await
     }
 
     /// Writes as much as possible without waiting and returns the number of bytes written.
