Own interface: a listener without descriptors does not keep a traffic thread

What callers saw: an entry process (pitchhitch serve) that ran out of descriptors stopped for good once both its listeners had failed, also after all connections were closed.

The server of the HTTP library retries at once after every error of accept and never yields, so each listener keeps one traffic thread; the threads that are needed to notice closed connections are gone. The listeners for callers and operators were each allowed three quarters of the descriptors.

--- a/entry/src/cli/entry_process.rs
+++ b/entry/src/cli/entry_process.rs
@@ -1,6 +1,6 @@
 use {
     crate::{
-        callers::serve_caller,
+        callers::{serve_caller, RetryingServer},
         conf::EntrySettings,
         control::{
             poll_boxes, poll_config, receive_beacons, send_beacons, BoxLocation, ControlHandle,
@@ -17,6 +17,7 @@
         lease::LeaseTimes,
         role::{EntryCore, EntrySetup},
     },
+    pitchhitch_http1::ConnectionCapacity,
     pitchhitch_process::{wait_for_stop, MetricSet, ProcessClock},
     pitchhitch_services::{
         boxes::BoxClient, config::ConfigStore, objects::ObjectClient, table::TableClient,
@@ -31,7 +32,7 @@
         time::Duration,
     },
     trillium::Conn,
-    trillium_smol::Stopper,
+    trillium_server_common::{Config, Stopper},
 };
 
 /// Timeout of a request to a service of the platform.
@@ -92,7 +93,7 @@
     .await?;
     let stopper = Stopper::new();
     let caller_app = app.clone();
-    let caller_server = trillium_smol::config()
+    let caller_server = Config::<RetryingServer, ()>::new()
         .with_nodelay()
         .without_signals()
         .with_stopper(stopper.clone())
@@ -101,7 +102,8 @@
         )?))
         .spawn(move |conn: Conn| serve_caller(caller_app.clone(), conn));
     let operator_app = app.clone();
-    let _operator_server = trillium_smol::config()
+    let _operator_server = Config::<RetryingServer, ()>::new()
+        .with_max_connections(Some(ConnectionCapacity::of_process(None).for_service()))
         .without_signals()
         .with_prebound_server(smol::net::TcpListener::from(smol::Async::new(
             operator_listener,
