Half an answer without a length is not passed on where its endpoint has exited

What callers saw: an endpoint without a length in its answers was killed in the middle of one.

Cause: the end of the connection is the end of such a body, and the system closes the connections of a killed process in order.

If the port is closed, the answer is lost: 502, or a relayed answer without its end.

--- a/entry/src/front/requests/plain_response.rs
+++ b/entry/src/front/requests/plain_response.rs
@@ -99,13 +99,14 @@
 }
 
 /// Sends a response to the caller as far as it was read, and relays the rest. Only one piece is in
-/// memory: a caller that reads slowly slows down its endpoint.
+/// memory: a caller that reads slowly slows down its endpoint. Returns the end of the framing, which
+/// remains to be sent.
 pub(crate) async fn relay_plain_response(
     exchange: &mut EndpointExchange,
     partial: PartialResponse,
     caller: &mut TcpConnection,
     timer: &mut AttemptTimer,
-) -> Result<(), ExchangeFailure> {
+) -> Result<&'static [u8], ExchangeFailure> {
     let PartialResponse {
         bytes: mut out,
         mut decoder,
@@ -113,14 +114,11 @@
     } = partial;
     let mut is_ended = false;
     loop {
-        if is_ended && is_chunked {
-            out.extend_from_slice(LAST_CHUNK);
-        }
         if !write_to_caller(caller, &out, timer).await {
             return Err(ExchangeFailure::CallerGone);
         }
         if is_ended {
-            return Ok(());
+            return Ok(if is_chunked { LAST_CHUNK } else { b"" });
         }
         let mut piece = Vec::new();
         is_ended = read_body_piece(exchange, &mut decoder, &mut piece, caller, timer).await?;
--- a/entry/src/front/requests/request_response.rs
+++ b/entry/src/front/requests/request_response.rs
@@ -1,9 +1,9 @@
 use {
     crate::front::{
-        read_plain_response, record_heard, record_origin, record_proof, relay_plain_response,
-        relay_stream, skip_response_body, write_to_caller, AttemptOutcome, EndpointExchange,
-        EndpointResponse, EndpointStream, ExchangeFailure, HeldBytes, PlainResponse, RelayEnd,
-        RelayEvent, RequestHandler, CRASH_WINDOW,
+        has_closed_port, read_plain_response, record_heard, record_origin, record_proof,
+        relay_plain_response, relay_stream, skip_response_body, write_to_caller, AttemptOutcome,
+        EndpointExchange, EndpointResponse, EndpointStream, ExchangeFailure, HeldBytes,
+        PlainResponse, RelayEnd, RelayEvent, RequestHandler, CRASH_WINDOW,
     },
     pitchhitch_core::{
         serving::{EndpointChoice, HeldKind, MoveEvent},
@@ -49,13 +49,26 @@
         if self.progress.is_head_sent {
             return AttemptOutcome::Broken(ExchangeFailure::Lost);
         }
-        self.handle_plain_response(exchange, &response).await
+        self.handle_plain_response(choice, exchange, &response)
+            .await
+    }
+
+    /// Whether a body that ends with its connection is truncated because the endpoint has just exited:
+    /// the system closes the connections of a process that is killed in order.
+    async fn is_cut_by_exit(
+        &self,
+        choice: &EndpointChoice,
+        framing: BodyFraming,
+    ) -> bool {
+        let is_unframed = framing == BodyFraming::UntilClose;
+        is_unframed && has_closed_port(self.front, choice.key).await
     }
 
     /// Delivers a response that is not a stream: a short one once it is complete, so that another
     /// endpoint can be tried if it breaks off.
     async fn handle_plain_response(
         &mut self,
+        choice: &EndpointChoice,
         exchange: &mut EndpointExchange,
         response: &EndpointResponse,
     ) -> AttemptOutcome {
@@ -74,6 +87,11 @@
         )
         .await;
         match read {
+            Ok(PlainResponse::Complete(_))
+                if !has_no_body && self.is_cut_by_exit(choice, response.framing).await =>
+            {
+                AttemptOutcome::Broken(ExchangeFailure::Lost)
+            }
             Ok(PlainResponse::Complete(buffered)) => {
                 self.progress.closes = closes;
                 self.mark_reusable(exchange, response);
@@ -95,7 +113,13 @@
                 let relayed =
                     relay_plain_response(exchange, partial, caller, &mut self.timer).await;
                 match relayed {
-                    Ok(()) => {
+                    Ok(_) if self.is_cut_by_exit(choice, response.framing).await => {
+                        AttemptOutcome::Broken(ExchangeFailure::Lost)
+                    }
+                    Ok(end) => {
+                        if !write_to_caller(self.caller, end, &mut self.timer).await {
+                            return AttemptOutcome::CallerGone;
+                        }
                         self.mark_reusable(exchange, response);
                         AttemptOutcome::Delivered(response.head.status)
                     }
