--- a/entry/src/front/requests/request_attempt.rs
+++ b/entry/src/front/requests/request_attempt.rs
@@ -13,7 +13,7 @@
     },
     pitchhitch_http1::TcpConnection,
     pitchhitch_process::to_duration,
-    std::time::Duration,
+    std::{net::SocketAddr, time::Duration},
 };
 
 /// Connect timeout. One network trip takes 1 to 2 ms, and nothing has been sent yet, so another
@@ -94,12 +94,7 @@
         let connection = match pooled {
             Some(connection) => connection,
             None => {
-                let entry = front
-                    .state()
-                    .registry
-                    .get(choice.key)
-                    .map(|entry| entry.address);
-                let address = entry.ok_or(OpenFailure::Endpoint)?;
+                let address = self.address_of(choice).ok_or(OpenFailure::Endpoint)?;
                 make_endpoint_room(front);
                 front.metrics.increment("links", "opened");
                 match TcpConnection::connect(address, to_duration(CONNECT_TIMEOUT)).await {
@@ -130,6 +125,14 @@
         }
     }
 
+    fn address_of(
+        &self,
+        choice: &EndpointChoice,
+    ) -> Option<SocketAddr> {
+        let state = self.front.state();
+        state.registry.get(choice.key).map(|entry| entry.address)
+    }
+
     /// Reserves a slot at the endpoint before it is connected, so that requests that arrive
     /// meanwhile take it into account. Without this, thirty prompts that arrived at once were each
     /// sent to an engine believed idle; with it, those that would start too late are refused.
--- a/http1/src/connection_capacity.rs
+++ b/http1/src/connection_capacity.rs
@@ -1,5 +1,8 @@
 use {
-    rustix::process::{getrlimit, Resource},
+    rustix::{
+        io::Errno,
+        process::{getrlimit, Resource},
+    },
     std::{
         io::Error,
         sync::atomic::{AtomicUsize, Ordering},
@@ -86,7 +89,6 @@
 /// Whether a connection failed because this process or box has no descriptors, ports or memory left,
 /// which says nothing about the peer.
 pub fn is_local_failure(error: &Error) -> bool {
-    use rustix::io::Errno;
     let errno = Errno::from_io_error(error);
     matches!(
         errno,
