Log lines tell a leave that is doubted from one that is not known yet

Cause: a send did not say what the front knew of the endpoint, and slow reads of the list, which make it doubt entries that disappear, wrote no line.

--- a/core/src/serving/membership/endpoint_entry.rs
+++ b/core/src/serving/membership/endpoint_entry.rs
@@ -106,6 +106,17 @@
     Leaving,
 }
 
+impl EndpointStatus {
+    /// Name in log lines.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            EndpointStatus::Serving => "serving",
+            EndpointStatus::Lapsed => "lapsed",
+            EndpointStatus::Leaving => "leaving",
+        }
+    }
+}
+
 /// A request of this front that an endpoint has received and not begun to answer.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct PendingPrefill {
--- a/entry/src/front/endpoints/list_watch.rs
+++ b/entry/src/front/endpoints/list_watch.rs
@@ -32,6 +32,7 @@
     let mut position: Option<StorePosition> = None;
     let mut is_unreachable = false;
     let mut last_problem_at: Option<Micros> = None;
+    let mut was_reliable = true;
     let mut checksum = TableChecksum::default();
     let mut sent_at = Micros::ZERO;
     loop {
@@ -62,7 +63,8 @@
         // While the store is failing or has just been restored, entries may be missing from the
         // list although their endpoints still serve. They lapse, and only leave after
         // `REWRITE_DELAY` without such a problem.
-        if read.is_err() || now.since(sent_at) > SLOW_READ_THRESHOLD {
+        let read_time = now.since(sent_at);
+        if read.is_err() || read_time > SLOW_READ_THRESHOLD {
             last_problem_at = Some(now);
         }
         let observed = match &read {
@@ -73,6 +75,16 @@
         last_problem_at =
             last_problem_at.max(uncertain_since.filter(|at| now.since(*at) <= REWRITE_DELAY));
         let is_reliable = last_problem_at.is_none_or(|at| now.since(at) > REWRITE_DELAY);
+        if std::mem::replace(&mut was_reliable, is_reliable) != is_reliable {
+            log::info!(
+                event = "list-trust",
+                trusted = is_reliable,
+                read_ms = read_time.as_millis(),
+                failed = read.is_err(),
+                restored = uncertain_since.is_some();
+                ""
+            );
+        }
         let outcome = match observed.and(read) {
             Ok(page) => {
                 let is_full_read = position.replace(page.position).is_none();
