Slow or failed reads of the list no longer keep endpoints that have left

Cause: one read that failed or took over 400 ms made a front doubt the list for 2.2 s, in which entries that disappear count as lapsed, and each further such read extended it. A read that is slow, refused or lost shows nothing of the store's content: the cause may be this process, its box or its link. Class: doubt without a bound, begun by an observation that does not show what it is taken for.

Change: entries lapse in outages of the store, so an outage is what begins the doubt (OutageTracker): no answer to this front, nor to another one that reports its reads, for 1.5 heartbeats, with a failed read in that time. The doubt ends 2.2 s after the answer that ended the outage; any later answer, to any front, ends it, so failed reads cannot extend it. Refusals with 429, dropped history and failures while this process stood still are no outage. A failed read is repeated after 100, 200 and 400 ms, which tells a lost call from an outage. Content older than the known one and restores still begin a doubt of 2.2 s.

Why this works: a leave during a period in which somebody reads the store is never doubted, whatever single reads take; entries that lapse in an outage are still kept for as long as their endpoints need to come back.

--- a/entry/src/front/endpoints/list_watch.rs
+++ b/entry/src/front/endpoints/list_watch.rs
@@ -1,13 +1,11 @@
 use {
     crate::front::{
-        begin_slow_start, log_store_contact, observe_position, probe_rejoined, record_versions,
-        CallTimeout, ForeignRows, FrontContext, ReadSchedule,
+        allows_lapsed, begin_slow_start, expire_lapsed_endpoints, is_list_reliable,
+        log_store_contact, observe_position, probe_rejoined, record_list_answer,
+        record_list_failure, record_versions, CallTimeout, ForeignRows, FrontContext, ReadSchedule,
     },
     pitchhitch_core::{
-        serving::{
-            EndpointChange, EndpointNotice, ProvenTable, StorePosition, TableChecksum,
-            REWRITE_DELAY,
-        },
+        serving::{EndpointChange, EndpointNotice, ProvenTable, StorePosition, TableChecksum},
         time::Micros,
     },
     pitchhitch_platform::{decode_row, RowPage, RowTable, RowUpdate, StoreClient},
@@ -21,8 +19,6 @@
 const FULL_READ_DELAY: Micros = Micros::from_millis(150);
 /// Interval at which rejoining endpoints are probed and outdated state is removed.
 const MAINTENANCE_INTERVAL: Micros = Micros::from_millis(400);
-/// Duration above which a read indicates a slow store.
-const SLOW_READ_THRESHOLD: Micros = Micros::from_millis(400);
 
 /// Keeps the endpoint list up to date.
 pub(crate) async fn watch_endpoint_list(front: Rc<FrontContext>) {
@@ -30,26 +26,24 @@
     let mut client = StoreClient::new(front.settings.store, timeout.timeout());
     let mut foreign_rows = ForeignRows::new("list");
     let mut position: Option<StorePosition> = None;
+    let mut newest_position: Option<StorePosition> = None;
     let mut is_unreachable = false;
-    let mut last_problem_at: Option<Micros> = None;
-    let mut was_reliable = true;
     let mut checksum = TableChecksum::default();
     let mut sent_at = Micros::ZERO;
     loop {
         if position.is_some() {
-            let interval = front.settings.list_poll_interval();
-            let schedule = ReadSchedule {
-                table: ProvenTable::Endpoints,
-                interval: Some(interval),
-                max_interval: interval,
-                last_sent_at: sent_at,
-                is_unreachable,
-                needs_own_reads: last_problem_at.is_some(),
-            };
-            schedule.wait(&front).await;
+            let schedule = read_schedule(&front, sent_at, is_unreachable);
+            match timeout.retry_delay() {
+                Some(delay) => {
+                    Timer::after(to_duration(delay)).await;
+                }
+                None => schedule.wait(&front).await,
+            }
         }
         sent_at = front.now();
-        client.set_timeout(timeout.timeout());
+        let call_timeout = timeout.timeout();
+        client.set_timeout(call_timeout);
+        front.state().list_outages.record_sent(sent_at);
         let read = match position {
             Some(after) => {
                 client
@@ -59,58 +53,36 @@
             None => client.read_all(RowTable::Endpoints).await,
         };
         timeout.record(&read);
-        let now = front.now();
-        // While the store is failing or has just been restored, entries may be missing from the
-        // list although their endpoints still serve. They lapse, and only leave after
-        // `REWRITE_DELAY` without such a problem.
-        let read_time = now.since(sent_at);
-        if read.is_err() || read_time > SLOW_READ_THRESHOLD {
-            last_problem_at = Some(now);
-        }
-        let observed = match &read {
-            Ok(page) => observe_position(&front, "list", page.position),
-            Err(_) => Ok(()),
+        let read = match read {
+            Ok(page) => observe_position(&front, "list", page.position).map(|()| page),
+            Err(error) => Err(error),
         };
-        let uncertain_since = front.state().eras.uncertain_since();
-        last_problem_at =
-            last_problem_at.max(uncertain_since.filter(|at| now.since(*at) <= REWRITE_DELAY));
-        let is_reliable = last_problem_at.is_none_or(|at| now.since(at) > REWRITE_DELAY);
-        if std::mem::replace(&mut was_reliable, is_reliable) != is_reliable {
-            log::info!(
-                event = "list-trust",
-                trusted = is_reliable,
-                read_ms = read_time.as_millis(),
-                failed = read.is_err(),
-                restored = uncertain_since.is_some();
-                ""
-            );
-        }
-        let outcome = match observed.and(read) {
+        let outcome = match read {
             Ok(page) => {
+                let is_older = newest_position.is_some_and(|at| at.is_newer_than(page.position));
+                record_list_answer(&front, is_older);
+                newest_position = newest_position.filter(|_| is_older).or(Some(page.position));
                 let is_full_read = position.replace(page.position).is_none();
                 if is_full_read {
                     checksum.clear();
                 }
                 update_checksum(&mut checksum, &page);
-                apply_page(&front, page, is_full_read, is_reliable, &mut foreign_rows);
+                apply_page(&front, page, is_full_read, &mut foreign_rows);
+                expire_lapsed_endpoints(&front);
                 let table = ProvenTable::Endpoints;
                 let readers = &mut front.state().readers;
-                readers.record_read(table, checksum.value(), sent_at, now);
+                readers.record_read(table, checksum.value(), sent_at, front.now());
                 front.greeting_due.wake();
                 Ok(())
             }
-            Err(error) => Err(error),
+            Err(error) => {
+                record_list_failure(&front, &error, call_timeout, sent_at);
+                Err(error)
+            }
         };
         log_store_contact(&front, "list", &mut is_unreachable, &outcome);
-        match outcome {
-            Ok(()) if is_reliable && last_problem_at.is_some() => {
-                last_problem_at = None;
-                let changes = front.state().registry.expire_lapsed();
-                handle_endpoint_changes(&front, &changes);
-            }
-            Ok(()) => {}
-            Err(error) if error.needs_full_read() => position = None,
-            Err(_) => {}
+        if outcome.is_err_and(|error| error.needs_full_read()) {
+            position = None;
         }
         if position.is_none() {
             Timer::after(to_duration(FULL_READ_DELAY)).await;
@@ -118,9 +90,26 @@
     }
 }
 
+fn read_schedule(
+    front: &FrontContext,
+    last_sent_at: Micros,
+    is_unreachable: bool,
+) -> ReadSchedule {
+    let interval = front.settings.list_poll_interval();
+    ReadSchedule {
+        table: ProvenTable::Endpoints,
+        interval: Some(interval),
+        max_interval: interval,
+        last_sent_at,
+        is_unreachable,
+        needs_own_reads: allows_lapsed(&front.state()),
+    }
+}
+
 /// Probes rejoining endpoints and removes outdated state.
 pub(crate) async fn maintain_endpoints(front: Rc<FrontContext>) {
     loop {
+        expire_lapsed_endpoints(&front);
         probe_rejoined(&front);
         prune_state(&front);
         front.sleep_coalesced(MAINTENANCE_INTERVAL).await;
@@ -156,12 +145,12 @@
     front: &FrontContext,
     page: RowPage,
     is_full_read: bool,
-    is_reliable: bool,
     foreign_rows: &mut ForeignRows,
 ) {
     let mut listed: Vec<EndpointNotice> = Vec::new();
     let mut changes = Vec::new();
     let had_list = front.state().has_list;
+    let is_reliable = is_list_reliable(&front.state(), front.now());
     let position = page.position;
     for row in page.rows {
         let key = row.key.clone();
--- a/entry/src/front/endpoints/mod.rs
+++ b/entry/src/front/endpoints/mod.rs
@@ -6,6 +6,7 @@
 mod endpoint_statements;
 mod exit_probe;
 mod fallback_controller;
+mod list_trust;
 mod list_watch;
 mod order_lease;
 mod orphan_engine;
@@ -15,6 +16,6 @@
 
 pub(crate) use {
     connection_pool::*, contact_board::*, contact_probe::*, exit_probe::*, fallback_controller::*,
-    list_watch::*, order_lease::*, orphan_engine::*, rejoin_probe::*, slow_starts::*,
-    weight_update::*,
+    list_trust::*, list_watch::*, order_lease::*, orphan_engine::*, rejoin_probe::*,
+    slow_starts::*, weight_update::*,
 };
--- a/entry/src/front/front_settings.rs
+++ b/entry/src/front/front_settings.rs
@@ -42,6 +42,8 @@
     pub key_policy: KeyPolicy,
     /// Time after which an endpoint known to be leaving must not receive new requests.
     pub drain_limit: Micros,
+    /// Interval at which endpoints renew their entries in the list.
+    pub heartbeat: Micros,
     /// Time after the publication of newer weights after which no request is sent to an engine with
     /// older ones.
     pub weights_limit: Micros,
@@ -87,6 +89,10 @@
 /// Interval between two reads of the endpoint list, in percent of the drain limit. Each read has a
 /// cost; the rest covers a slow response of the store and requests in transit to the endpoint.
 const LIST_POLL_PERCENT: u64 = 40;
+/// Minimum duration of a store outage in which entries of the endpoint list may lapse, in percent of
+/// the heartbeat interval. They lapse after three heartbeats; the last one may have been due just
+/// before the outage, and the measured duration may be too short by the age of a report.
+const MIN_OUTAGE_PERCENT: u64 = 150;
 /// Duration of a long poll for changes of the configuration, in percent of the limit on the age of
 /// keys. A response proves freshness as of the time of its request, so a box that loses the store
 /// serves callers with keys only for the rest of the limit. A third would leave too little for an
@@ -105,6 +111,11 @@
         Micros(self.drain_limit.0 * LIST_POLL_PERCENT / 100).min(MAX_LIST_POLL_INTERVAL)
     }
 
+    /// Minimum duration of a store outage in which entries of the endpoint list may lapse.
+    pub fn min_outage(&self) -> Micros {
+        Micros(self.heartbeat.0 * MIN_OUTAGE_PERCENT / 100)
+    }
+
     /// Region of a failure domain, if known.
     pub fn region(
         &self,
@@ -156,6 +167,7 @@
                 false => KeyPolicy::FailOpen,
             },
             drain_limit: reader.millis("drain_limit_ms", 2_000.0, LIMIT_RANGE_MS),
+            heartbeat: reader.millis("heartbeat_ms", 1_200.0, LIMIT_RANGE_MS),
             weights_limit: weights_limit.since(ENGINE_QUEUE_MARGIN),
             execution_limit: weights_limit.since(CANCEL_MARGIN),
             retry_limit: RetryLimit {
--- a/entry/src/front/front_state.rs
+++ b/entry/src/front/front_state.rs
@@ -7,9 +7,9 @@
             EndpointRegistry, EngineRates, EraTracker, EvacuationSet, FailoverLimit,
             FetchCompletion, FrontCount, KeeperSet, KeyFreshness, KvStoreDirectory,
             LatencyEstimators, MemoryBudget, NamespaceTag, OriginLookups, OriginTable,
-            PauseDetector, PlainCosts, PromptPools, ProvenParts, ProvenTable, RetryWindow,
-            ServingConfig, SharingGroups, StoreEra, SuspectKey, SuspectTracker, SwapPlanner,
-            TrialTable, REWRITE_DELAY,
+            OutageTracker, PauseDetector, PlainCosts, PromptPools, ProvenParts, ProvenTable,
+            RetryWindow, ServingConfig, SharingGroups, StoreEra, SuspectKey, SuspectTracker,
+            SwapPlanner, TrialTable, REWRITE_DELAY,
         },
         time::Micros,
     },
@@ -40,6 +40,8 @@
     pub registry: EndpointRegistry,
     /// Whether the endpoint list has been read in this incarnation.
     pub has_list: bool,
+    /// Outages of the platform store in which entries of the endpoint list may have lapsed.
+    pub list_outages: OutageTracker,
     /// Age of the configuration.
     pub key_freshness: KeyFreshness,
     /// Eras of the platform store.
@@ -132,6 +134,7 @@
             known_agents: BTreeSet::new(),
             registry: EndpointRegistry::default(),
             has_list: false,
+            list_outages: OutageTracker::new(settings.min_outage()),
             key_freshness: KeyFreshness::new(settings.key_limit, settings.key_policy),
             eras: EraTracker::default(),
             readers: StoreReaders::default(),
--- a/entry/src/front/peers/digest_receiver.rs
+++ b/entry/src/front/peers/digest_receiver.rs
@@ -1,8 +1,8 @@
 use {
     super::{digest_apply::apply_digest, origin_sender::apply_origin},
     crate::front::{
-        apply_kv_store_update, handle_endpoint_changes, is_engine, reader_id, FrontContext,
-        FrontState, TableProofs,
+        apply_kv_store_update, handle_endpoint_changes, is_engine, log_outage, reader_id,
+        FrontContext, FrontState, TableProofs,
     },
     pitchhitch_core::{
         serving::{
@@ -180,6 +180,10 @@
     for proof in digest.proofs.iter().filter(|proof| proof.source != own_id) {
         let sent_at = now.since(proof.age + max_delay);
         state.readers.record_report(proof, reporter, sent_at);
+        if proof.table == ProvenTable::Endpoints {
+            let outage = state.list_outages.record_report(sent_at, now);
+            log_outage(front, outage, "reported");
+        }
     }
     let operator = state.readers.table(ProvenTable::Operator);
     if let Some(at) = operator.and_then(TableProofs::confirmed_at) {
--- a/entry/src/front/peers/peer_state.rs
+++ b/entry/src/front/peers/peer_state.rs
@@ -304,6 +304,7 @@
         state.rollouts.add_reported(record);
     }
     let proven_at = requested_at.since(received.age);
+    state.list_outages.record_report(proven_at, now);
     if state
         .key_freshness
         .proven_at()
--- a/entry/src/front/requests/call_timeout.rs
+++ b/entry/src/front/requests/call_timeout.rs
@@ -13,6 +13,10 @@
 /// Maximum number of doublings, which prevents an overflow of the shift.
 const MAX_DOUBLINGS: u32 = 4;
 
+/// Delay before the first of the early retries, which doubles with each, and their number.
+const FIRST_RETRY_DELAY: Micros = Micros::from_millis(100);
+const MAX_EARLY_RETRIES: u32 = 3;
+
 /// Timeout of the calls of one watcher to the platform store, adapted to recent failures.
 #[derive(Debug, Clone, Copy, Default)]
 pub(crate) struct CallTimeout {
@@ -43,6 +47,13 @@
         to_duration(timeout)
     }
 
+    /// Delay before a failed call is repeated; `None` after several failures, when the store is down
+    /// rather than one call lost.
+    pub fn retry_delay(&self) -> Option<Micros> {
+        let is_early = (1..=MAX_EARLY_RETRIES).contains(&self.failures);
+        is_early.then(|| Micros(FIRST_RETRY_DELAY.0 << (self.failures - 1)))
+    }
+
     /// Duration of the next long poll. After a failure the store must respond immediately: the
     /// response proves how fresh the keys are, and a long poll sent just before the store recovered
     /// hung for three seconds more.
--- a/entry/tests/fractional_settings.rs
+++ b/entry/tests/fractional_settings.rs
@@ -8,9 +8,10 @@
 };
 
 /// Fields that the template fills with a number.
-const NUMERIC_FIELDS: [&str; 9] = [
+const NUMERIC_FIELDS: [&str; 10] = [
     "key_limit_ms",
     "drain_limit_ms",
+    "heartbeat_ms",
     "weights_limit_ms",
     "repeat_ratio",
     "repeat_window_s",
