A read of the list that gets no response is repeated on another connection

Cause: the read was given up after 1.5 s; with the interval of 0.8 s that is more than the drain limit, and a front without reports of others took it for an outage.

Change: a read that is pending for 400 ms is sent again on a second connection; the first answer counts.

Why this works: a lost response costs 0.4 s instead of 1.5 s. In an outage both get no response, and both end with the timeout of the first.

--- a/entry/src/front/endpoints/list_watch.rs
+++ b/entry/src/front/endpoints/list_watch.rs
@@ -1,14 +1,15 @@
 use {
     crate::front::{
-        allows_lapsed, begin_slow_start, expire_lapsed_endpoints, is_list_reliable,
+        allows_lapsed, begin_slow_start, expire_lapsed_endpoints, hedge, is_list_reliable,
         log_store_contact, observe_position, probe_rejoined, record_list_answer,
         record_list_failure, record_versions, CallTimeout, ForeignRows, FrontContext, ReadSchedule,
+        HEDGE_DELAY,
     },
     pitchhitch_core::{
         serving::{EndpointChange, EndpointNotice, ProvenTable, StorePosition, TableChecksum},
         time::Micros,
     },
-    pitchhitch_platform::{decode_row, RowPage, RowTable, RowUpdate, StoreClient},
+    pitchhitch_platform::{decode_row, RowPage, RowTable, RowUpdate, StoreClient, StoreError},
     pitchhitch_process::to_duration,
     smol::Timer,
     std::{collections::HashSet, net::SocketAddr, rc::Rc, time::Duration},
@@ -23,7 +24,8 @@
 /// Keeps the endpoint list up to date.
 pub(crate) async fn watch_endpoint_list(front: Rc<FrontContext>) {
     let mut timeout = CallTimeout::default();
-    let mut client = StoreClient::new(front.settings.store, timeout.timeout());
+    let new_client = || StoreClient::new(front.settings.store, timeout.timeout());
+    let mut clients = [new_client(), new_client()];
     let mut foreign_rows = ForeignRows::new("list");
     let mut position: Option<StorePosition> = None;
     let mut newest_position: Option<StorePosition> = None;
@@ -42,16 +44,8 @@
         }
         sent_at = front.now();
         let call_timeout = timeout.timeout();
-        client.set_timeout(call_timeout);
         front.state().list_outages.record_sent(sent_at);
-        let read = match position {
-            Some(after) => {
-                client
-                    .read_changes(RowTable::Endpoints, after, Duration::ZERO)
-                    .await
-            }
-            None => client.read_all(RowTable::Endpoints).await,
-        };
+        let read = read_list(&mut clients, call_timeout, position).await;
         timeout.record(&read);
         let read = match read {
             Ok(page) => observe_position(&front, "list", page.position).map(|()| page),
@@ -90,6 +84,34 @@
     }
 }
 
+/// Reads the whole list, or its changes since a position.
+async fn read_list(
+    [first, second]: &mut [StoreClient; 2],
+    timeout: Duration,
+    position: Option<StorePosition>,
+) -> Result<RowPage, StoreError> {
+    first.set_timeout(timeout);
+    // Both end together.
+    second.set_timeout(timeout.saturating_sub(HEDGE_DELAY));
+    hedge(
+        read_once(first, position),
+        HEDGE_DELAY,
+        read_once(second, position),
+    )
+    .await
+}
+
+async fn read_once(
+    client: &mut StoreClient,
+    position: Option<StorePosition>,
+) -> Result<RowPage, StoreError> {
+    let table = RowTable::Endpoints;
+    match position {
+        Some(after) => client.read_changes(table, after, Duration::ZERO).await,
+        None => client.read_all(table).await,
+    }
+}
+
 fn read_schedule(
     front: &FrontContext,
     last_sent_at: Micros,
--- a/entry/src/front/stores/mod.rs
+++ b/entry/src/front/stores/mod.rs
@@ -2,6 +2,7 @@
 
 mod blocked_rows;
 mod foreign_rows;
+mod hedged_read;
 mod kv_store_poll;
 mod kv_store_update;
 mod kv_store_watch;
@@ -11,6 +12,6 @@
 mod watcher_assignment;
 
 pub(crate) use {
-    blocked_rows::*, foreign_rows::*, kv_store_poll::*, kv_store_update::*, kv_store_watch::*,
-    part_reclaim::*, store_contact::*, store_readers::*, watcher_assignment::*,
+    blocked_rows::*, foreign_rows::*, hedged_read::*, kv_store_poll::*, kv_store_update::*,
+    kv_store_watch::*, part_reclaim::*, store_contact::*, store_readers::*, watcher_assignment::*,
 };
