A slow read no longer refutes newer content that is reported while it is pending

Cause: a read whose answer shows other content than a report counted as proof that the report is wrong, also if the reported read was sent later. A read of a few hundred milliseconds meets such reports.

Change: only reports of reads that were sent before the front's own one are refuted by it.

--- a/core/src/serving/store_reads/store_proof.rs
+++ b/core/src/serving/store_reads/store_proof.rs
@@ -130,8 +130,20 @@
         checksum: u32,
         after: Micros,
     ) -> Option<u32> {
-        let mut others = self.proofs.iter();
-        let other = others.find(|proof| proof.checksum != checksum && proof.sent_at > after);
+        self.checksum_between(checksum, after, Micros(u64::MAX))
+    }
+
+    /// Checksum of different content that was read after `after` and up to `until`, if reported.
+    pub fn checksum_between(
+        &self,
+        checksum: u32,
+        after: Micros,
+        until: Micros,
+    ) -> Option<u32> {
+        let differs = |proof: &&ReceivedProof| {
+            proof.checksum != checksum && proof.sent_at > after && proof.sent_at <= until
+        };
+        let other = self.proofs.iter().find(differs);
         other.map(|proof| proof.checksum)
     }
 
--- a/core/tests/store_proofs.rs
+++ b/core/tests/store_proofs.rs
@@ -75,6 +75,23 @@
     assert_eq!(tracker.newer_checksum(CHECKSUM, at(700)), None);
 }
 
+/// A slow read was taken to refute newer content that was reported while it was pending.
+#[test]
+fn pending_read_refutes_nothing() {
+    let mut tracker = ProofTracker::default();
+    tracker.record(&proof(1, CHECKSUM + 1), 10, at(700));
+    let read_sent_at = at(650);
+    let refuted = tracker.checksum_between(CHECKSUM, at(500), read_sent_at);
+    assert_eq!(refuted, None);
+    assert_eq!(
+        tracker.newer_checksum(CHECKSUM, at(500)),
+        Some(CHECKSUM + 1)
+    );
+    tracker.record(&proof(1, CHECKSUM + 1), 11, at(600));
+    let refuted = tracker.checksum_between(CHECKSUM, at(500), read_sent_at);
+    assert_eq!(refuted, Some(CHECKSUM + 1));
+}
+
 /// Frequent reports of one front or one process do not evict the proofs of other fronts.
 #[test]
 fn frequent_reports_evict_nothing() {
--- a/entry/src/front/stores/store_readers.rs
+++ b/entry/src/front/stores/store_readers.rs
@@ -69,6 +69,18 @@
             .is_some_and(|(checksum, at)| checksum == other && now.since(at) < REFUTED_TTL);
         (!is_refuted).then_some(other)
     }
+
+    /// Checksum of newer content that a read sent at `sent_at` should have shown, and did not. One
+    /// that was reported while the read was pending may be newer than its answer.
+    fn missing_checksum(
+        &self,
+        checksum: u32,
+        sent_at: Micros,
+    ) -> Option<u32> {
+        let (known, known_at) = (self.checksum?, self.proven_at()?);
+        let other = self.tracker.checksum_between(known, known_at, sent_at);
+        other.filter(|other| *other != checksum)
+    }
 }
 
 /// Known reads of all tables.
@@ -100,7 +112,7 @@
         now: Micros,
     ) {
         let table = self.tables.entry(table).or_default();
-        if let Some(other) = table.newer_checksum(now).filter(|other| *other != checksum) {
+        if let Some(other) = table.missing_checksum(checksum, sent_at) {
             table.refuted = Some((other, now));
         }
         table.checksum = Some(checksum);
