Fronts that rely on reads of others keep 0.8 s of the drain limit for a read of their own

Cause: such a front read the list by itself only when what it knew was 1.44 s old (1.8 or 2 times the interval of readers), checked that every 100 ms, and had 0.46 s of a drain limit of 2 s left, less than a lost response takes.

Change: the age is bounded by the drain limit less 0.8 s. That is 1.2 s for a limit of 2 s; with limits of 3 s and more the readers' intervals decide as before for most fronts.

--- a/entry/src/front/endpoints/list_watch.rs
+++ b/entry/src/front/endpoints/list_watch.rs
@@ -122,6 +122,7 @@
         table: ProvenTable::Endpoints,
         interval: Some(interval),
         max_interval: interval,
+        max_age: front.settings.max_list_age(),
         last_sent_at,
         is_unreachable,
         needs_own_reads: allows_lapsed(&front.state()),
--- a/entry/src/front/front_settings.rs
+++ b/entry/src/front/front_settings.rs
@@ -89,6 +89,9 @@
 /// Interval between two reads of the endpoint list, in percent of the drain limit. Each read has a
 /// cost; the rest covers a slow response of the store and requests in transit to the endpoint.
 const LIST_POLL_PERCENT: u64 = 40;
+/// Time that a read of the list by a front that relies on others may take until it has an effect: the
+/// check whether it is due, late timers, and a response that gets lost once.
+const LIST_READ_RESERVE: Micros = Micros::from_millis(800);
 /// Minimum duration of a store outage in which entries of the endpoint list may lapse, in percent of
 /// the heartbeat interval. They lapse after three heartbeats; the last one may have been due just
 /// before the outage, and the measured duration may be too short by the age of a report.
@@ -111,6 +114,13 @@
         Micros(self.drain_limit.0 * LIST_POLL_PERCENT / 100).min(MAX_LIST_POLL_INTERVAL)
     }
 
+    /// Age of the known endpoint list at which a front that relies on the reads of others reads it
+    /// itself.
+    pub fn max_list_age(&self) -> Micros {
+        let half = Micros(self.drain_limit.0 / 2);
+        self.drain_limit.since(LIST_READ_RESERVE).max(half)
+    }
+
     /// Minimum duration of a store outage in which entries of the endpoint list may lapse.
     pub fn min_outage(&self) -> Micros {
         Micros(self.heartbeat.0 * MIN_OUTAGE_PERCENT / 100)
--- a/entry/src/front/operators/operator_watch.rs
+++ b/entry/src/front/operators/operator_watch.rs
@@ -88,6 +88,7 @@
         table: ProvenTable::Operator,
         interval: (!reads_continuously).then_some(max_interval),
         max_interval,
+        max_age: front.settings.key_limit,
         last_sent_at,
         is_unreachable,
         needs_own_reads: false,
--- a/entry/src/front/stores/store_readers.rs
+++ b/entry/src/front/stores/store_readers.rs
@@ -201,6 +201,8 @@
     pub interval: Option<Micros>,
     /// Base interval of the other tiers: known content stays valid for a multiple of it.
     pub max_interval: Micros,
+    /// Age of the known content that no front exceeds because it relies on the reads of others.
+    pub max_age: Micros,
     /// When the last request was sent.
     pub last_sent_at: Micros,
     /// Whether the last request failed.
@@ -225,7 +227,8 @@
         }
         let proofs = state.readers.table(self.table);
         let known_at = proofs.and_then(TableProofs::proven_at);
-        let max_age = Micros(self.max_interval.0 * tier.max_age_percent() / 100);
+        let tier_age = Micros(self.max_interval.0 * tier.max_age_percent() / 100);
+        let max_age = tier_age.min(self.max_age);
         let is_old = known_at.is_none_or(|at| now.since(at) >= max_age);
         if !self.is_unreachable {
             return is_old && elapsed >= CHECK_INTERVAL;
--- a/entry/tests/store_poll_rate.rs
+++ b/entry/tests/store_poll_rate.rs
@@ -43,6 +43,16 @@
     }
 }
 
+/// A front that relies on the reads of others knew a leave up to 1.54 s late, which left too little of
+/// the limit for a read whose response gets lost.
+#[test]
+fn list_age_leaves_time() {
+    for drain_limit in [1_000, 2_000, 3_000, 5_000] {
+        let age = settings(drain_limit, 5_000).max_list_age().as_millis();
+        assert!(age + 800.min(drain_limit / 2) <= drain_limit, "{age}");
+    }
+}
+
 /// With long limits, new endpoints and configurations are still found soon.
 #[test]
 fn long_limit_polls() {
