A long poll of the operator's table that gets no response is repeated on another connection

A front whose long poll got no response kept its configuration, keys and weights until the poll timed out, up to 2.6 s later (limit for a configuration: 2 s).

Cause: the timeout of 1.5 s counts from the end of the poll's wait of 1.06 s.

Change: the poll is sent again, without a wait, on a second connection 0.4 s after its wait has ended.

Measured: silent_poll_repeated failed before and passes; store_outages and store_restores pass.

--- a/entry/src/front/operators/operator_watch.rs
+++ b/entry/src/front/operators/operator_watch.rs
@@ -1,9 +1,10 @@
 use {
     crate::front::{
-        apply_evacuations, log_rollout_order, log_store_contact, observe_position, own_tier,
+        apply_evacuations, hedge, log_rollout_order, log_store_contact, observe_position, own_tier,
         uses_long_polls, CallTimeout, ForeignRows, FrontContext, FrontState, ReadSchedule,
+        HEDGE_DELAY,
     },
-    futures_lite::future::or,
+    futures_lite::future::{or, pending},
     pitchhitch_core::{
         serving::{
             ProvenTable, ReaderTier, ServingConfig, StoreClock, StorePosition, TableChecksum,
@@ -27,7 +28,8 @@
 /// Keeps the configuration up to date.
 pub(crate) async fn watch_operator(front: Rc<FrontContext>) {
     let mut timeout = CallTimeout::default();
-    let mut client = StoreClient::new(front.settings.store, timeout.timeout());
+    let new_client = || StoreClient::new(front.settings.store, timeout.timeout());
+    let mut clients = [new_client(), new_client()];
     let mut foreign_rows = ForeignRows::new("operator");
     let mut position: Option<StorePosition> = None;
     let mut checksum = TableChecksum::default();
@@ -41,9 +43,9 @@
                 .await;
         }
         sent_at = front.now();
-        client.set_timeout(timeout.timeout());
+        let call_timeout = timeout.timeout();
         let wait = timeout.poll_wait(to_duration(poll_wait(&front, sent_at)));
-        let read = read_operator(&front, &mut client, position, wait).await;
+        let read = read_operator(&front, &mut clients, call_timeout, position, wait).await;
         timeout.record(&read);
         let outcome = match read {
             Ok(page) => observe_position(&front, "operator", page.position).map(|()| {
@@ -112,21 +114,41 @@
 /// Reads all rows of the operator, or waits for changes after a position.
 async fn read_operator(
     front: &FrontContext,
-    client: &mut StoreClient,
+    [first, second]: &mut [StoreClient; 2],
+    timeout: Duration,
     position: Option<StorePosition>,
     wait: Duration,
 ) -> Result<RowPage, StoreError> {
-    let Some(after) = position else {
-        return client.read_all(RowTable::Operator).await;
-    };
-    let changes = client.read_changes(RowTable::Operator, after, wait);
+    first.set_timeout(timeout);
+    // Both end together.
+    second.set_timeout(timeout.saturating_sub(HEDGE_DELAY));
+    let changes = hedge(
+        read_once(first, position, wait),
+        wait + HEDGE_DELAY,
+        read_once(second, position, Duration::ZERO),
+    );
     let era_change = async {
+        if position.is_none() {
+            return pending().await;
+        }
         while !front.era_changed.wait(ERA_CHECK_INTERVAL).await {}
         Err(StoreError::EraChanged)
     };
     or(changes, era_change).await
 }
 
+async fn read_once(
+    client: &mut StoreClient,
+    position: Option<StorePosition>,
+    wait: Duration,
+) -> Result<RowPage, StoreError> {
+    let table = RowTable::Operator;
+    match position {
+        Some(after) => client.read_changes(table, after, wait).await,
+        None => client.read_all(table).await,
+    }
+}
+
 fn apply_rows(
     front: &FrontContext,
     page: RowPage,
