One limit on interim responses; one yield in the accept loop of a front

Change: MAX_INTERIM_RESPONSES is exported by http1; accept yields at the head of its loop, whatever became of the connection before.

--- a/entry/src/front/front_process.rs
+++ b/entry/src/front/front_process.rs
@@ -155,6 +155,9 @@
     listener: ConnectionListener,
 ) {
     loop {
+        // The connection before counts as idle, and evicted ones are closed, before the next one is
+        // accepted.
+        yield_now().await;
         let stream = listener.accept().await;
         // Closed unread, so that the caller's next connection meets another box.
         if !front.state().connection_gate.admits() {
@@ -162,7 +165,6 @@
             continue;
         }
         if !admit_connection(&front) {
-            yield_now().await;
             continue;
         }
         match TcpConnection::new(stream, &TcpKeepalive::INBOUND) {
@@ -172,8 +174,6 @@
                 log::warn!(event = "accept-failed", error = error.as_str(); "");
             }
         }
-        // The connection counts as idle, and evicted ones are closed, before the next one is accepted.
-        yield_now().await;
     }
 }
 
--- a/entry/src/front/requests/endpoint_exchange.rs
+++ b/entry/src/front/requests/endpoint_exchange.rs
@@ -3,6 +3,7 @@
     pitchhitch_core::time::Micros,
     pitchhitch_http1::{
         parse_response_head, BodyDecoder, BodyFraming, ResponseHead, TcpConnection,
+        MAX_INTERIM_RESPONSES,
     },
     pitchhitch_platform::{decode_response_info, ResponseInfo},
 };
@@ -11,8 +12,6 @@
 const MAX_HEAD_BYTES: usize = 32 << 10;
 /// Responses to other requests that are skipped before the connection is abandoned.
 const MAX_STRAY_RESPONSES: u32 = 2;
-/// Interim responses that are skipped before the connection is abandoned.
-const MAX_INTERIM_RESPONSES: u32 = 8;
 /// Longest body that is read only to be discarded, in bytes.
 const MAX_DISCARDED_BYTES: usize = 64 << 10;
 
--- a/http1/src/http_client.rs
+++ b/http1/src/http_client.rs
@@ -11,8 +11,8 @@
 /// encoded.
 const MAX_BODY_BYTES: usize = 4 << 20;
 
-/// Interim responses that are skipped before the final one.
-const MAX_INTERIM_RESPONSES: u32 = 8;
+/// Interim responses that are skipped before the final one; a connection with more is abandoned.
+pub const MAX_INTERIM_RESPONSES: u32 = 8;
 
 /// A request with a small body.
 #[derive(Debug, Clone, Default)]
