Connections that have served their callers are closed last at the limit

Cause: idle connections were closed in the order in which they had begun to wait, whatever they had done before.

Change: connections without any request are closed first, the oldest first; then those that have served one.

--- a/entry/src/front/requests/caller_conn.rs
+++ b/entry/src/front/requests/caller_conn.rs
@@ -8,8 +8,8 @@
         time::Micros,
     },
     pitchhitch_http1::{
-        parse_request_head, BodyDecoder, BodyFraming, HeadError, IdleState, RequestHead,
-        TcpConnection,
+        parse_request_head, BodyDecoder, BodyFraming, HeadError, IdlePeriod, IdleState,
+        RequestHead, TcpConnection,
     },
     pitchhitch_platform::{decode_request_info, encode_refusal, expects_continue},
     pitchhitch_process::to_duration,
@@ -48,10 +48,12 @@
     front: Rc<FrontContext>,
     mut connection: TcpConnection,
 ) {
+    let mut is_used = false;
     loop {
         let limits = limits(&front);
-        match read_request(&front, &mut connection, &limits).await {
+        match read_request(&front, &mut connection, is_used, &limits).await {
             ReadOutcome::Request(request, held) => {
+                is_used = true;
                 front.state().running += 1;
                 // On the heap, so that idle connections do not hold its state.
                 let handled = Box::pin(handle_request(&front, &mut connection, request));
@@ -80,12 +82,17 @@
 async fn read_request<'a>(
     front: &'a FrontContext,
     connection: &mut TcpConnection,
+    is_used: bool,
     limits: &CallerLimits,
 ) -> ReadOutcome<'a> {
-    if connection.buffer().is_empty()
-        && !wait_for_first_byte(front, connection, limits.idle_timeout).await
-    {
-        return ReadOutcome::Closed;
+    if connection.buffer().is_empty() {
+        let period = match is_used {
+            true => front.idle_callers.enter_again(),
+            false => front.idle_callers.enter(),
+        };
+        if !wait_for_first_byte(front, connection, period, limits.idle_timeout).await {
+            return ReadOutcome::Closed;
+        }
     }
     let arrived_at = front.now();
     let head = match with_timeout(
@@ -137,10 +144,10 @@
 async fn wait_for_first_byte(
     front: &FrontContext,
     connection: &mut TcpConnection,
+    period: IdlePeriod,
     idle_timeout: Micros,
 ) -> bool {
     let idle_since = front.now();
-    let period = front.idle_callers.enter();
     loop {
         let evicted = async {
             period.evicted().await;
--- a/http1/src/idle_connections.rs
+++ b/http1/src/idle_connections.rs
@@ -12,28 +12,52 @@
     waker: RefCell<Option<Waker>>,
 }
 
-/// Connections that wait for a request, the one that has waited longest first.
+/// Whether an idle connection has had a request; those without one are closed first.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+enum ConnectionUse {
+    Unused,
+    Used,
+}
+
+/// Order in which idle connections are closed.
+type IdleKey = (ConnectionUse, u64);
+
+/// Connections that wait for a request: first those that never had one, then by the time for which
+/// they have waited.
 #[derive(Debug, Default)]
 pub struct IdleConnections {
-    entries: RefCell<BTreeMap<u64, Rc<IdleEntry>>>,
+    entries: RefCell<BTreeMap<IdleKey, Rc<IdleEntry>>>,
     next_number: Cell<u64>,
 }
 
 impl IdleConnections {
-    /// Adds a connection until the returned period is dropped.
+    /// Adds a connection that has had no request, until the returned period is dropped.
     pub fn enter(self: &Rc<Self>) -> IdlePeriod {
+        self.add(ConnectionUse::Unused)
+    }
+
+    /// Adds a connection that has had a request, until the returned period is dropped.
+    pub fn enter_again(self: &Rc<Self>) -> IdlePeriod {
+        self.add(ConnectionUse::Used)
+    }
+
+    fn add(
+        self: &Rc<Self>,
+        connection_use: ConnectionUse,
+    ) -> IdlePeriod {
         let number = self.next_number.get();
         self.next_number.set(number + 1);
+        let key = (connection_use, number);
         let entry = Rc::<IdleEntry>::default();
-        self.entries.borrow_mut().insert(number, entry.clone());
+        self.entries.borrow_mut().insert(key, entry.clone());
         IdlePeriod {
             connections: self.clone(),
-            number,
+            key,
             entry,
         }
     }
 
-    /// Tells the connection that has waited longest to close; false if there is none.
+    /// Tells the first connection in the order of this list to close; false if there is none.
     pub fn evict_oldest(&self) -> bool {
         let oldest = self.entries.borrow_mut().pop_first();
         let Some((_, entry)) = oldest else {
@@ -61,7 +85,7 @@
 #[derive(Debug)]
 pub struct IdlePeriod {
     connections: Rc<IdleConnections>,
-    number: u64,
+    key: IdleKey,
     entry: Rc<IdleEntry>,
 }
 
@@ -86,6 +110,6 @@
 
 impl Drop for IdlePeriod {
     fn drop(&mut self) {
-        self.connections.entries.borrow_mut().remove(&self.number);
+        self.connections.entries.borrow_mut().remove(&self.key);
     }
 }
