Versions of the store that stay lower than before do not extend the doubt about missing entries

With a store that states no era and was restored, a front would have sent to endpoints that are missing until the versions had passed the former ones.

Cause: each page was compared with the newest position ever read, so all pages after a regression counted as older content, and each began the doubt anew.

Change: a page is compared with the one before it.

Measured: entry_missing_from_older_content failed before (the entry never counted as leaving within 30 s) and passes; late_leaves, store_outages and store_restores pass twice.

--- a/entry/src/front/endpoints/list_trust.rs
+++ b/entry/src/front/endpoints/list_trust.rs
@@ -13,7 +13,7 @@
 const STALL_MARGIN: Duration = Duration::from_millis(500);
 
 /// End of the time for which missing entries may have lapsed.
-pub(crate) fn doubt_until(state: &FrontState) -> Option<Micros> {
+fn doubt_until(state: &FrontState) -> Option<Micros> {
     let restored_at = state.eras.uncertain_since();
     let outage = state.list_outages.doubt_until();
     outage.max(restored_at.map(|at| at + REWRITE_DELAY))
@@ -46,7 +46,7 @@
 }
 
 /// Records the answer to a read of the list; `is_older` is whether its content is older than that of
-/// an earlier read.
+/// the read before.
 pub(crate) fn record_list_answer(
     front: &FrontContext,
     is_older: bool,
--- a/entry/src/front/endpoints/list_watch.rs
+++ b/entry/src/front/endpoints/list_watch.rs
@@ -28,7 +28,7 @@
     let mut clients = [new_client(), new_client()];
     let mut foreign_rows = ForeignRows::new("list");
     let mut position: Option<StorePosition> = None;
-    let mut newest_position: Option<StorePosition> = None;
+    let mut last_position: Option<StorePosition> = None;
     let mut is_unreachable = false;
     let mut checksum = TableChecksum::default();
     let mut sent_at = Micros::ZERO;
@@ -53,9 +53,9 @@
         };
         let outcome = match read {
             Ok(page) => {
-                let is_older = newest_position.is_some_and(|at| at.is_newer_than(page.position));
+                let previous = last_position.replace(page.position);
+                let is_older = previous.is_some_and(|at| at.is_newer_than(page.position));
                 record_list_answer(&front, is_older);
-                newest_position = newest_position.filter(|_| is_older).or(Some(page.position));
                 let is_full_read = position.replace(page.position).is_none();
                 if is_full_read {
                     checksum.clear();
--- a/entry/src/front/peers/peer_state.rs
+++ b/entry/src/front/peers/peer_state.rs
@@ -1,7 +1,7 @@
 use {
     crate::front::{
-        apply_evacuations, begin_slow_start, handle_endpoint_changes, is_engine, record_versions,
-        update_config, FrontContext, TableProofs,
+        apply_evacuations, begin_slow_start, handle_endpoint_changes, is_engine, log_outage,
+        record_versions, update_config, FrontContext, TableProofs,
     },
     pitchhitch_core::{
         serving::{stable_fraction, EndpointEntry, EndpointKey, ProvenTable, REPORT_TIMEOUT},
@@ -304,7 +304,8 @@
         state.rollouts.add_reported(record);
     }
     let proven_at = requested_at.since(received.age);
-    state.list_outages.record_report(proven_at, now);
+    let outage = state.list_outages.record_report(proven_at, now);
+    log_outage(front, outage, "peer");
     if state
         .key_freshness
         .proven_at()
