--- a/review/standin-2/deployment.rs
+++ b/review/standin-2/deployment.rs
@@ -179,11 +179,22 @@
     }
 }
 
-/// Row of an engine in the platform's list.
+/// Row of a ready engine in the platform's list.
 pub fn list_entry(service: &str, address: SocketAddr, slots: u32, sequence: u64) -> String {
+    list_entry_in(service, address, slots, sequence, "ready")
+}
+
+/// Row of an engine in this state.
+pub fn list_entry_in(
+    service: &str,
+    address: SocketAddr,
+    slots: u32,
+    sequence: u64,
+    state: &str,
+) -> String {
     format!(
         "{{\"service\":\"{service}\",\"address\":\"{address}\",\"zone\":\"zone-a\",\
-         \"version\":\"v1\",\"slots\":{slots},\"state\":\"ready\",\"cold_remaining_ms\":0,\
+         \"version\":\"v1\",\"slots\":{slots},\"state\":\"{state}\",\"cold_remaining_ms\":0,\
          \"sequence\":{sequence}}}"
     )
 }
--- a/review/standin-2/main.rs
+++ b/review/standin-2/main.rs
@@ -6,6 +6,7 @@
 
 mod deployment;
 mod http;
+mod idle_closed;
 mod json;
 mod late_save;
 mod platform;
@@ -40,6 +41,7 @@
     record.line(format!("case {case}, TROUBLE={trouble}"));
     let outcome = match case {
         "unframed-crash" => unframed_crash::run(Path::new(folder), &record, &trouble),
+        "idle-closed" => idle_closed::run(Path::new(folder), &record, &trouble),
         "late-save" => late_save::run(Path::new(folder), &record, &trouble),
         _ => Err(io::Error::other("no such case")),
     };
