--- a/review/standin-2/deployment.rs
+++ b/review/standin-2/deployment.rs
@@ -118,7 +118,7 @@
             .collect();
         let settings = format!(
             "{{\"box_id\":\"edge-{host}\",\"failure_domain\":\"zone-a\",\
-             \"regions\":{{\"zone-a\":\"region\"}},\"callers\":\"{}\",\"ready\":\"{}\",\
+             \"regions\":{{\"zone-a\":\"region\",\"zone-b\":\"region\"}},\"callers\":\"{}\",\"ready\":\"{}\",\
              \"metrics\":\"{}\",\"digests\":\"{}\",\"control\":\"{}\",\"seeds\":[{}],\
              \"beside_port\":{PEER_PORT},\"store\":\"{}\",\"key_limit_ms\":5000,\
              \"keys_fail_closed\":\"true\",\"drain_limit_ms\":2000,\"heartbeat_ms\":1200,\
@@ -152,12 +152,27 @@
 
     /// Starts the process beside an engine.
     pub fn start_beside(&self, host: u8) -> io::Result<Program> {
+        self.start_beside_at(host, self.beside(host), self.store())
+    }
+
+    /// Address at which fronts look for the process beside an engine.
+    pub fn beside(&self, host: u8) -> SocketAddr {
+        self.at(host, PEER_PORT)
+    }
+
+    /// Starts the process beside an engine; it listens here and finds the platform's store there.
+    pub fn start_beside_at(
+        &self,
+        host: u8,
+        listen: SocketAddr,
+        store: SocketAddr,
+    ) -> io::Result<Program> {
         let settings = format!(
             "{{\"box_id\":\"side-{host}\",\"failure_domain\":\"zone-a\",\"engine\":\"{}\",\
              \"listen\":\"{}\",\"store\":\"{}\",\"order_gap_ms\":3000,\"metrics\":\"{}\"}}",
             self.at(host, ENGINE_PORT),
-            self.at(host, PEER_PORT),
-            self.store(),
+            listen,
+            store,
             self.at(host, METRICS_PORT)
         );
         self.start(&BESIDE, &format!("beside-{host}"), &settings)
@@ -184,6 +199,11 @@
     list_entry_in(service, address, slots, sequence, "ready")
 }
 
+/// Row of a ready engine in the other zone than the fronts.
+pub fn list_entry_beyond(service: &str, address: SocketAddr, slots: u32, sequence: u64) -> String {
+    list_entry(service, address, slots, sequence).replace("zone-a", "zone-b")
+}
+
 /// Row of an engine in this state.
 pub fn list_entry_in(
     service: &str,
--- a/review/standin-2/main.rs
+++ b/review/standin-2/main.rs
@@ -9,6 +9,8 @@
 mod idle_closed;
 mod json;
 mod late_save;
+mod link;
+mod old_holder;
 mod platform;
 mod record;
 mod unframed_crash;
@@ -43,6 +45,7 @@
         "unframed-crash" => unframed_crash::run(Path::new(folder), &record, &trouble),
         "idle-closed" => idle_closed::run(Path::new(folder), &record, &trouble),
         "late-save" => late_save::run(Path::new(folder), &record, &trouble),
+        "old-holder" => old_holder::run(Path::new(folder), &record, &trouble),
         _ => Err(io::Error::other("no such case")),
     };
     let code = match (&outcome, record.broken_count()) {
--- a/review/standin-2/unframed_crash.rs
+++ b/review/standin-2/unframed_crash.rs
@@ -3,7 +3,7 @@
 
 use {
     crate::{
-        deployment::{list_entry, Machines, Program, ENGINE_PORT},
+        deployment::{list_entry_beyond, Machines, Program, ENGINE_PORT},
         http::{call, serve, Answer, Connection},
         platform::Platform,
         record::Record,
@@ -44,7 +44,7 @@
 /// crashes.
 const ENGINES: u8 = 3;
 const SLOTS: usize = 6;
-const ROUNDS: u8 = 28;
+const ROUNDS: u8 = 42;
 /// Time after which no further round begins.
 const LAST_ROUND_MS: u64 = 90_000;
 
@@ -231,7 +231,7 @@
             let mut sequence = 0;
             while beats.load(Ordering::SeqCst) {
                 sequence += 1;
-                platform.put("servers", &key, &list_entry(SERVICE, listed, SLOTS as u32, sequence));
+                platform.put("servers", &key, &list_entry_beyond(SERVICE, listed, SLOTS as u32, sequence));
                 thread::sleep(HEARTBEAT);
             }
             thread::sleep(MAX_SILENCE);
