Logs: the try line names the parts that an engine is to save

Cause: an order to save was in no log line, so a save that was ordered after a store's restart could not be told from one that was ordered before and carried out late. Change: event=try has saves=part@store#incarnation.

--- a/core/src/serving/kv_stores/kv_store_directory.rs
+++ b/core/src/serving/kv_stores/kv_store_directory.rs
@@ -139,6 +139,17 @@
         self.views.get_mut(index)
     }
 
+    /// Known incarnation of the store at an address.
+    pub fn epoch(
+        &self,
+        address: SocketAddr,
+    ) -> Option<u64> {
+        let mut views = self.views.iter();
+        views
+            .find(|view| view.store.address == address)
+            .and_then(KvStoreView::epoch)
+    }
+
     /// Views of all stores.
     pub fn views(&self) -> &[KvStoreView] {
         &self.views
--- a/entry/src/front/requests/request_attempt.rs
+++ b/entry/src/front/requests/request_attempt.rs
@@ -248,7 +248,7 @@
             });
         }
         self.sends += 1;
-        self.log_send(choice, "sent", "", slot.transfers.fetch_until_ms);
+        self.log_send(choice, "sent", "", &slot.transfers);
         let request_id = self.info.request_id.clone();
         let answers_within = self.answers_within(choice);
         let timeout = self.first_event_timeout(choice);
--- a/entry/src/front/requests/request_log.rs
+++ b/entry/src/front/requests/request_log.rs
@@ -1,5 +1,5 @@
 use {
-    crate::front::{FrontState, RequestHandler},
+    crate::front::{FrontState, PartTransfers, RequestHandler},
     pitchhitch_core::{
         serving::{EndProof, EndpointChoice, EnginePool, PromptSize},
         time::Micros,
@@ -58,22 +58,40 @@
         ids.join(",")
     }
 
+    /// The parts that the engine is to save, each with the store and its known incarnation.
+    fn describe_saves(
+        &self,
+        state: &FrontState,
+        transfers: &PartTransfers,
+    ) -> String {
+        let prompt = self.info.prompt.as_ref();
+        let parts = prompt.map_or(&[][..], |prompt| &prompt.parts);
+        let saves = parts.iter().zip(transfers.saves());
+        let saves = saves.filter_map(|(part, store)| {
+            let store = store?;
+            let epoch = state.kv_store_directory.epoch(store).unwrap_or(0);
+            Some(format!("{}@{store}#{epoch}", part.id))
+        });
+        saves.collect::<Vec<String>>().join(",")
+    }
+
     pub(crate) fn log_attempt(
         &self,
         choice: &EndpointChoice,
         outcome: &str,
         cause: &str,
     ) {
-        self.log_send(choice, outcome, cause, None);
+        self.log_send(choice, outcome, cause, &PartTransfers::default());
     }
 
-    /// Logs an attempt, with the time by which fetches from stores must have ended.
+    /// Logs an attempt, with the saves that are ordered and the time by which fetches from stores must
+    /// have ended.
     pub(crate) fn log_send(
         &self,
         choice: &EndpointChoice,
         outcome: &str,
         cause: &str,
-        fetch_until_ms: Option<u64>,
+        transfers: &PartTransfers,
     ) {
         let front = self.front;
         let state = front.state();
@@ -108,7 +126,8 @@
             fetched = choice.plan.fetched_tokens,
             fetch_ms = choice.plan.fetch_ms as u64,
             parts = self.describe_parts(choice).as_str(),
-            fetch_until_ms = fetch_until_ms.map_or(-1, |until| until as i64),
+            fetch_until_ms = transfers.fetch_until_ms.map_or(-1, |until| until as i64),
+            saves = self.describe_saves(&state, transfers).as_str(),
             weights = choice.version.unwrap_or(0),
             named = self.published_version(&state).unwrap_or(0),
             named_age_ms = self.published_age(&state, now).map_or(-1, |age| age.as_millis() as i64),
--- a/entry/src/front/requests/request_transfers.rs
+++ b/entry/src/front/requests/request_transfers.rs
@@ -5,6 +5,7 @@
         time::Micros,
     },
     pitchhitch_platform::{encode_request, ForwardHeaders, PartAddress, RunCopy},
+    std::net::SocketAddr,
 };
 
 /// Network round trip, subtracted from the time limit that is sent to an endpoint.
@@ -18,6 +19,14 @@
     pub(crate) fetch_until_ms: Option<u64>,
 }
 
+impl PartTransfers {
+    /// Store in which each part is saved.
+    pub fn saves(&self) -> impl Iterator<Item = Option<SocketAddr>> + '_ {
+        let saves = self.save.iter();
+        saves.map(|save| save.as_ref().map(|save| save.address))
+    }
+}
+
 impl RequestHandler<'_> {
     /// The request in the form sent to the endpoint.
     pub(crate) fn encode(
