A part is saved by one request at a time

Cause: an order to save has no time limit and no epoch; an engine carries it out when it has read the prompt, also after the store has restarted. Two fronts ordered the same part, as neither knew of the other's order: the first order that was carried out made the part complete, fetches went out, the store restarted, and the second one wrote the part under them. SAVE_DELAY separates only orders that are given after the restart. Fix: a front claims the parts that a prompt is to save from two agents (decision 0030) and has only those saved that both grant. While a store has a part, no save of it is outstanding that could write it after a restart.

--- a/agent/src/engine_agent/engine_agent_state.rs
+++ b/agent/src/engine_agent/engine_agent_state.rs
@@ -4,9 +4,9 @@
     },
     pitchhitch_core::{
         serving::{
-            EndpointNotice, EngineLoad, GrowthTracker, IncarnationOrder, IncarnationTracker,
-            ListedIncarnation, NamespaceTag, OriginTable, PaceTracker, PartId, ProofTracker,
-            ProvenTable, RateReports, ReportedRun, SuspectTracker,
+            ClaimTable, EndpointNotice, EngineLoad, GrowthTracker, IncarnationOrder,
+            IncarnationTracker, ListedIncarnation, NamespaceTag, OriginTable, PaceTracker, PartId,
+            ProofTracker, ProvenTable, RateReports, ReportedRun, SuspectTracker,
         },
         time::Micros,
     },
@@ -88,6 +88,8 @@
     pub suspects: SuspectTracker,
     /// Origins of streams, kept for all fronts.
     pub origins: OriginTable,
+    /// Claims of the parts that fronts have saved, kept for all fronts.
+    pub claims: ClaimTable,
     /// Counters.
     pub metrics: EngineAgentMetrics,
     /// Fronts that requested all known suspect requests.
--- a/agent/src/engine_agent/greeting_receiver.rs
+++ b/agent/src/engine_agent/greeting_receiver.rs
@@ -1,7 +1,7 @@
 use {
     super::{accept_relayed, EngineAgentContext, EngineAgentState},
     pitchhitch_core::{
-        serving::{ListedIncarnation, StreamId, StreamOrigin},
+        serving::{ClaimCall, ListedIncarnation, StreamId, StreamOrigin},
         time::Micros,
     },
     pitchhitch_wire::engine_agent::{AgentDatagram, FrontDatagram, FrontGreeting, OriginAnswer},
@@ -29,6 +29,7 @@
             Ok((AgentDatagram::OriginQuery(stream), from)) => {
                 answer_query(&agent, stream, from).await;
             }
+            Ok((AgentDatagram::Claims(call), from)) => apply_claims(&agent, call, from).await,
             Err(error) => {
                 let error = error.to_string();
                 log::warn!(event = "hello-failed", error = error.as_str(); "");
@@ -112,6 +113,29 @@
     }
 }
 
+/// Applies what a front tells about its claims of prompt parts, and answers if it asks for some.
+async fn apply_claims(
+    agent: &EngineAgentContext,
+    call: ClaimCall,
+    from: SocketAddr,
+) {
+    let answer = agent.state().claims.apply(call, agent.now());
+    let Some(answer) = answer else {
+        return;
+    };
+    for (outcome, parts) in [("granted", &answer.granted), ("refused", &answer.refused)] {
+        for _ in parts {
+            agent.state().metrics.increment("claims", outcome);
+        }
+    }
+    // Without an answer, the front does not have the parts saved.
+    let datagram = FrontDatagram::Claims(answer);
+    if let Err(error) = agent.socket.send(&datagram, from).await {
+        let error = error.to_string();
+        log::debug!(event = "claims-unsent", error = error.as_str(); "");
+    }
+}
+
 /// Records a front's reads of the platform store. A greeting of unknown age is ignored: it may have
 /// waited in the socket for any time and proves nothing.
 fn record_proofs(
--- a/core/src/serving/kv_stores/kv_store_directory.rs
+++ b/core/src/serving/kv_stores/kv_store_directory.rs
@@ -2,7 +2,7 @@
     crate::serving::{
         mix_bits, transfer_ms, unit_fraction, EndpointEntry, EndpointKey, EndpointRegistry,
         EndpointStatus, EngineConfig, KvStore, KvStoreView, MechanismSet, NamespaceTag, PromptPart,
-        ServingMechanism,
+        ServingMechanism, StoredPart,
     },
     crate::time::Micros,
     std::net::SocketAddr,
@@ -150,6 +150,17 @@
             .and_then(KvStoreView::epoch)
     }
 
+    /// Known incarnation of the part's store, if that has the complete part.
+    pub fn complete_epoch(
+        &self,
+        part: &StoredPart,
+    ) -> Option<u64> {
+        let mut views = self.views.iter();
+        let view = views.find(|view| view.store.address == part.store)?;
+        let has_part = view.parts.cached_tokens(part.namespace, part.id) > 0;
+        view.epoch().filter(|_| has_part)
+    }
+
     /// Views of all stores.
     pub fn views(&self) -> &[KvStoreView] {
         &self.views
--- a/core/src/serving/kv_stores/kv_store_view.rs
+++ b/core/src/serving/kv_stores/kv_store_view.rs
@@ -13,6 +13,8 @@
 pub const SAVE_DELAY: Micros = Micros::from_millis(2_400);
 /// Time within which a requested save appears in the store.
 const SAVE_TIMEOUT: Micros = Micros::from_secs(3);
+/// Time for which a save that was not granted is not requested again.
+const REFUSAL_TIME: Micros = Micros::from_millis(500);
 /// Percentage of a store's capacity that saves may fill; the store rounds up to whole blocks.
 const FILL_PERCENT: u64 = 96;
 
@@ -284,6 +286,20 @@
             self.pending_tokens += u64::from(tokens);
         }
     }
+
+    /// Records that a save was not granted: another request is to save the part, or its keepers do
+    /// not know whether one is.
+    pub fn record_refusal(
+        &mut self,
+        namespace: NamespaceTag,
+        id: PartId,
+        now: Micros,
+    ) {
+        if let Some(expected) = self.pending.get_mut(&(namespace, id)) {
+            self.pending_tokens -= u64::from(expected.0);
+            *expected = (0, now + REFUSAL_TIME);
+        }
+    }
 }
 
 /// Time to transfer `bytes` over a link, in milliseconds.
--- a/core/src/serving/origins/keeper_set.rs
+++ b/core/src/serving/origins/keeper_set.rs
@@ -7,8 +7,8 @@
 /// Number of agents that keep the origin of a stream.
 const KEEPERS_PER_STREAM: usize = 3;
 
-/// Agents that keep the origins of streams on behalf of all fronts. Each stream has its own few of
-/// them, which all fronts with the same list of engines find without asking each other.
+/// Agents that keep the origins of streams, or claims of prompt parts, on behalf of all fronts. Each
+/// stream or part has its own few of them, which all fronts with the same list of engines find without asking each other.
 #[derive(Debug, Default, PartialEq, Eq)]
 pub struct KeeperSet {
     /// Hash and address of each agent, by address.
@@ -40,7 +40,16 @@
         stream: StreamId,
         count: usize,
     ) -> Vec<SocketAddr> {
-        let rank = |(hash, agent): &(u64, SocketAddr)| (mix_hashes(stream.hash(), *hash), *agent);
+        self.nearest_to(stream.hash(), count)
+    }
+
+    /// The first `count` agents in the order of what has this hash.
+    pub fn nearest_to(
+        &self,
+        key_hash: u64,
+        count: usize,
+    ) -> Vec<SocketAddr> {
+        let rank = |(hash, agent): &(u64, SocketAddr)| (mix_hashes(key_hash, *hash), *agent);
         let mut ranked: Vec<(u64, SocketAddr)> = self.agents.iter().map(rank).collect();
         let count = count.min(ranked.len());
         if count < ranked.len() {
--- a/entry/src/front/front_context.rs
+++ b/entry/src/front/front_context.rs
@@ -1,6 +1,9 @@
 use {
-    super::{ContactBoard, FrontMetrics, FrontSettings, FrontState, MoveBoard},
-    pitchhitch_core::{serving::stable_fraction, time::Micros},
+    super::{ClaimWaits, ContactBoard, FrontMetrics, FrontSettings, FrontState, MoveBoard},
+    pitchhitch_core::{
+        serving::{mix_hashes, stable_fraction, stable_hash},
+        time::Micros,
+    },
     pitchhitch_http1::{ConnectionCapacity, IdleConnections},
     pitchhitch_process::{to_duration, ProcessClock, WakeSignal},
     smol::{LocalExecutor, Timer},
@@ -37,6 +40,10 @@
     pub rollout_due: WakeSignal,
     /// Wakes the task that reports and looks up the origins of streams.
     pub origin_due: WakeSignal,
+    /// Wakes the task that sends claims of prompt parts.
+    pub claims_due: WakeSignal,
+    /// Requests that wait for the answers to their claims.
+    pub claim_waits: ClaimWaits,
     /// Streams that this front relays, and the moves of their runs.
     pub moves: Rc<MoveBoard>,
     /// How many connections the process may hold.
@@ -54,13 +61,15 @@
 impl FrontContext {
     /// Creates a context with an empty state.
     pub fn new(settings: FrontSettings) -> Rc<Self> {
+        let clock = ProcessClock::start();
+        let incarnation = mix_hashes(stable_hash(&settings.box_id), clock.incarnation());
         Rc::new(FrontContext {
-            state: RefCell::new(FrontState::new(&settings)),
+            state: RefCell::new(FrontState::new(&settings, incarnation)),
             capacity: ConnectionCapacity::of_process(settings.max_descriptors),
             idle_callers: Rc::default(),
             has_limited_connections: Cell::new(false),
             settings,
-            clock: ProcessClock::start(),
+            clock,
             metrics: FrontMetrics::default(),
             greeting_due: WakeSignal::default(),
             blocked_row_due: WakeSignal::default(),
@@ -68,6 +77,8 @@
             era_changed: WakeSignal::default(),
             rollout_due: WakeSignal::default(),
             origin_due: WakeSignal::default(),
+            claims_due: WakeSignal::default(),
+            claim_waits: ClaimWaits::default(),
             moves: Rc::default(),
             contacts: Rc::default(),
             executor: LocalExecutor::new(),
--- a/entry/src/front/front_process.rs
+++ b/entry/src/front/front_process.rs
@@ -1,10 +1,10 @@
 use {
     super::{
         admit_connection, bootstrap_from_peers, handle_control, maintain_endpoints,
-        receive_digests, refresh_from_peers, run_fallback_controller, run_rollouts, send_greetings,
-        send_origins, serve_caller, sync_blocked_rows, sync_software_rows, track_engines,
-        watch_contacts, watch_endpoint_list, watch_kv_stores, watch_operator, FrontContext,
-        FrontSettings,
+        receive_digests, refresh_from_peers, run_fallback_controller, run_rollouts, send_claims,
+        send_greetings, send_origins, serve_caller, sync_blocked_rows, sync_software_rows,
+        track_engines, watch_contacts, watch_endpoint_list, watch_kv_stores, watch_operator,
+        FrontContext, FrontSettings,
     },
     anyhow::Context,
     futures_lite::future::yield_now,
@@ -66,7 +66,8 @@
     front.spawn(refresh_from_peers(front.clone()));
     front.spawn(receive_digests(front.clone(), socket.clone()));
     front.spawn(send_greetings(front.clone(), socket.clone()));
-    front.spawn(send_origins(front.clone(), socket));
+    front.spawn(send_origins(front.clone(), socket.clone()));
+    front.spawn(send_claims(front.clone(), socket));
     front.spawn(detect_pauses(front.clone()));
     front.spawn(watch_operator(front.clone()));
     front.spawn(watch_endpoint_list(front.clone()));
--- a/entry/src/front/front_state.rs
+++ b/entry/src/front/front_state.rs
@@ -8,8 +8,8 @@
             FetchCompletion, FrontCount, KeeperSet, KeyFreshness, KvStoreDirectory,
             LatencyEstimators, MemoryBudget, NamespaceTag, OriginLookups, OriginTable,
             OutageTracker, PauseDetector, PlainCosts, PromptPools, ProvenParts, ProvenTable,
-            RetryWindow, ServingConfig, SharingGroups, StoreEra, StreamSoftware, SuspectKey,
-            SuspectTracker, SwapPlanner, TrialTable, REWRITE_DELAY,
+            RetryWindow, SaveClaims, ServingConfig, SharingGroups, StoreEra, StreamSoftware,
+            SuspectKey, SuspectTracker, SwapPlanner, TrialTable, REWRITE_DELAY,
         },
         time::Micros,
     },
@@ -90,6 +90,8 @@
     pub plain_costs: PlainCosts,
     /// KV stores and their known content.
     pub kv_store_directory: KvStoreDirectory,
+    /// Claims of the parts that requests of this front save.
+    pub save_claims: SaveClaims,
     /// Time before which all fetches of the engines have completed.
     pub fetch_completion: FetchCompletion,
     /// Published weights and the engines whose turn it is to load them.
@@ -139,7 +141,10 @@
 
 impl FrontState {
     /// Creates an empty state.
-    pub fn new(settings: &FrontSettings) -> Self {
+    pub fn new(
+        settings: &FrontSettings,
+        incarnation: u64,
+    ) -> Self {
         FrontState {
             config: None,
             config_text: Vec::new(),
@@ -170,6 +175,7 @@
             engine_rates: EngineRates::default(),
             plain_costs: PlainCosts::default(),
             kv_store_directory: KvStoreDirectory::without(settings.disabled_mechanisms),
+            save_claims: SaveClaims::new(incarnation),
             fetch_completion: FetchCompletion::default(),
             planner: SwapPlanner::default(),
             sharing_groups: SharingGroups::default(),
--- a/entry/src/front/peers/digest_receiver.rs
+++ b/entry/src/front/peers/digest_receiver.rs
@@ -1,5 +1,9 @@
 use {
-    super::{digest_apply::apply_digest, origin_sender::apply_origin},
+    super::{
+        claim_sender::{apply_claims, restore_claims},
+        digest_apply::apply_digest,
+        origin_sender::apply_origin,
+    },
     crate::front::{
         apply_kv_store_update, handle_endpoint_changes, is_engine, log_outage, reader_id,
         FrontContext, FrontState, TableProofs,
@@ -53,6 +57,7 @@
                 }
             }
             Ok((FrontDatagram::Origin(answer), from)) => apply_origin(&front, answer, from),
+            Ok((FrontDatagram::Claims(answer), from)) => apply_claims(&front, &answer, from),
             Err(error) => {
                 let error = error.to_string();
                 log::warn!(event = "digest-failed", error = error.as_str(); "");
@@ -73,13 +78,13 @@
 ) -> io::Result<(FrontDatagram, SocketAddr)> {
     loop {
         let interval = digest_read_interval(front.state().registry.len());
-        if interval == Micros::ZERO {
+        if interval == Micros::ZERO || front.claim_waits.has_any() {
             return socket.receive_into(buffer).await;
         }
         if let Some(next) = socket.try_receive(buffer)? {
             return Ok(next);
         }
-        Timer::after(to_duration(interval)).await;
+        front.claim_waits.pause(to_duration(interval)).await;
     }
 }
 
@@ -135,6 +140,7 @@
     apply_rates(front, &digest, echo);
     let change = apply_announcement(front, &digest, from);
     handle_endpoint_changes(front, change.as_slice());
+    restore_claims(front, &digest);
     // Only the agent of an engine grants requests to it; digests with grants are not relayed.
     let is_own = digest.engine.ip() == from.ip();
     let change = apply_digest(front, digest, echo.filter(|_| is_own));
--- a/entry/src/front/peers/mod.rs
+++ b/entry/src/front/peers/mod.rs
@@ -1,5 +1,7 @@
 //! What fronts and engine agents tell each other.
 
+mod claim_sender;
+mod claim_waits;
 mod digest_apply;
 mod digest_receiver;
 mod greeting_schedule;
@@ -11,6 +13,6 @@
 mod relay_assignment;
 
 pub(crate) use {
-    digest_receiver::*, greeting_schedule::*, greeting_sender::*, origin_sender::*, peer_list::*,
-    peer_state::*, rate_receivers::*, relay_assignment::*,
+    claim_sender::*, claim_waits::*, digest_receiver::*, greeting_schedule::*, greeting_sender::*,
+    origin_sender::*, peer_list::*, peer_state::*, rate_receivers::*, relay_assignment::*,
 };
--- a/entry/src/front/peers/origin_sender.rs
+++ b/entry/src/front/peers/origin_sender.rs
@@ -85,11 +85,15 @@
     };
     let now = front.now();
     let (mut agents, mut leaving) = (Vec::new(), Vec::new());
+    let mut silent = BTreeSet::new();
     let mut software: BTreeMap<&str, &str> = BTreeMap::new();
     let mut is_mixed = false;
     let entries = state.registry.iter().map(|(_, entry)| entry);
     for entry in entries.filter(|entry| is_engine(config, entry)) {
         let agent = SocketAddr::new(entry.address.ip(), front.settings.agent_port);
+        if entry.fresh_load(now).is_none() {
+            silent.insert(agent);
+        }
         match entry.status {
             EndpointStatus::Serving => agents.push(agent),
             _ if entry.left_at.is_none_or(|at| now.since(at) < LEAVE_TIME) => leaving.push(agent),
@@ -105,12 +109,17 @@
     }
     let sources = agents.iter().chain(&leaving).copied();
     state.origin_sources = KeeperSet::new(sources);
-    let keepers = KeeperSet::new(agents.into_iter());
+    let keepers = KeeperSet::new(agents.iter().copied());
+    if keepers != state.origin_keepers || state.save_claims.silent_agents() != &silent {
+        log::info!(event = "claim-keepers", agents = agents.len(), silent = silent.len(); "");
+        state.save_claims.set_silent(silent);
+    }
     if keepers != state.origin_keepers {
         let previous = std::mem::replace(&mut state.origin_keepers, keepers);
         let keepers = &state.origin_keepers;
         let is_changed = |stream| keepers.keepers(stream) != previous.keepers(stream);
         state.origins.report_again(is_changed);
+        state.save_claims.reassign(&state.origin_keepers, now);
     }
 }
 
--- a/entry/src/front/requests/attempt_loop.rs
+++ b/entry/src/front/requests/attempt_loop.rs
@@ -47,8 +47,8 @@
         if self.is_caller_gone() {
             return Break(AttemptsEnd::Finished(self.finish_abandoned()));
         }
-        let slot = self.reserve(&choice);
-        let mut exchange = match self.open_exchange(&choice).await {
+        let mut slot = self.reserve(&choice);
+        let mut exchange = match self.open_exchange(&choice, &mut slot).await {
             Ok(exchange) => exchange,
             Err(open_failure) => {
                 self.release(&choice, &slot);
--- a/entry/src/front/requests/mod.rs
+++ b/entry/src/front/requests/mod.rs
@@ -17,6 +17,7 @@
 mod request_admit;
 mod request_attempt;
 mod request_choice;
+mod request_claims;
 mod request_end;
 mod request_feedback;
 mod request_handler;
--- a/entry/src/front/requests/request_attempt.rs
+++ b/entry/src/front/requests/request_attempt.rs
@@ -90,6 +90,7 @@
     pub(crate) async fn open_exchange(
         &mut self,
         choice: &EndpointChoice,
+        slot: &mut ReservedSlot,
     ) -> Result<EndpointExchange, OpenFailure> {
         let front = self.front;
         let pooled = front.state().pool.take(choice.key, front.now());
@@ -114,6 +115,7 @@
             }
         };
         self.witness = open_witness(front, choice.key).await;
+        self.confirm_saves(&mut slot.transfers).await;
         let state = front.state();
         let entry = state
             .registry
@@ -195,6 +197,7 @@
         choice: &EndpointChoice,
         slot: &ReservedSlot,
     ) {
+        self.release_claims(&slot.transfers);
         let mut guard = self.front.state();
         let state = &mut *guard;
         state.registry.record_ended(choice.key, slot.ticket);
@@ -258,6 +261,7 @@
         let (response, may_have_run) =
             send_request(exchange, &bytes, &request_id, self.caller, &mut self.timer).await;
         self.possible_runs += u32::from(may_have_run);
+        let has_response = response.is_ok();
         let outcome = match response {
             Ok(response) => {
                 record_heard(front, choice.key);
@@ -283,6 +287,7 @@
         if is_abandoned(&outcome) {
             exchange.connection.reset_on_drop();
         }
+        self.end_claims(&slot.transfers, &outcome, has_response);
         self.record_ended(choice, ticket, sent_at);
         self.end_versioned_run(choice, slot.arm, sent_at, &outcome);
         self.record_attempt(choice, &outcome);
--- a/entry/src/front/requests/request_log.rs
+++ b/entry/src/front/requests/request_log.rs
@@ -128,6 +128,8 @@
             parts = self.describe_parts(choice).as_str(),
             fetch_until_ms = transfers.fetch_until_ms.map_or(-1, |until| until as i64),
             saves = self.describe_saves(&state, transfers).as_str(),
+            unclaimed = transfers.unclaimed,
+            claim_ms = transfers.claim_wait.as_millis(),
             weights = choice.version.unwrap_or(0),
             named = self.published_version(&state).unwrap_or(0),
             named_age_ms = self.published_age(&state, now).map_or(-1, |age| age.as_millis() as i64),
--- a/entry/src/front/requests/request_transfers.rs
+++ b/entry/src/front/requests/request_transfers.rs
@@ -17,6 +17,12 @@
     fetch: Vec<Option<PartAddress>>,
     save: Vec<Option<PartAddress>>,
     pub(crate) fetch_until_ms: Option<u64>,
+    /// Number of the claims of the parts to save.
+    pub(crate) claims: Option<u64>,
+    /// Saves that were not granted.
+    pub(crate) unclaimed: usize,
+    /// Wait for the answers to the claims.
+    pub(crate) claim_wait: Micros,
 }
 
 impl PartTransfers {
@@ -25,6 +31,17 @@
         let saves = self.save.iter();
         saves.map(|save| save.as_ref().map(|save| save.address))
     }
+
+    /// Retains the saves of the parts at the indexes for which `is_retained` is true.
+    pub fn retain_saves(
+        &mut self,
+        is_retained: impl Fn(usize) -> bool,
+    ) {
+        for (index, save) in self.save.iter_mut().enumerate() {
+            let removed = save.take_if(|_| !is_retained(index));
+            self.unclaimed += usize::from(removed.is_some());
+        }
+    }
 }
 
 impl RequestHandler<'_> {
@@ -141,6 +158,7 @@
                 state
                     .kv_store_directory
                     .plan_saves(namespace, &prompt.parts, &may_store, now);
+            transfers.claims = self.claim_saves(state, namespace, prompt, &saves, now);
             let address = |address| PartAddress {
                 address,
                 tokens: None,
--- a/wire/src/engine_agent/datagram.rs
+++ b/wire/src/engine_agent/datagram.rs
@@ -1,6 +1,6 @@
 use {
     super::{BundledDigest, DigestMessage, FrontGreeting, RelayedDigest},
-    pitchhitch_core::serving::{SoftwareTag, StreamId, StreamOrigin},
+    pitchhitch_core::serving::{ClaimAnswer, ClaimCall, SoftwareTag, StreamId, StreamOrigin},
     serde::{Deserialize, Serialize},
 };
 
@@ -22,6 +22,8 @@
     Bundle(Vec<BundledDigest>),
     /// Answer to [`AgentDatagram::OriginQuery`].
     Origin(OriginAnswer),
+    /// Answer to [`ClaimCall::Claim`].
+    Claims(ClaimAnswer),
 }
 
 /// Datagram to the agent of an engine.
@@ -35,4 +37,6 @@
     Origins(Vec<StreamOrigin>),
     /// Asks for the origin of a stream.
     OriginQuery(StreamId),
+    /// What a front tells about the parts that it has its requests save.
+    Claims(ClaimCall),
 }
