A stopping front cuts no late request

What callers saw: in a planned stop, requests that came late in the grace were passed on and cut at its end without an answer, also those that must not be repeated. Cause: plain requests were accepted until 2.0 s before the kill, whatever their route takes; the process exits 0.3 s before the kill. Fix: a request is accepted if its time limit, or one and a half times the longest recent run of its route, ends before the exit; others get 503 at once. Time limits end 0.15 s before the exit, so what is still open gets an answer (504).

--- a/core/src/serving/admission/mod.rs
+++ b/core/src/serving/admission/mod.rs
@@ -21,6 +21,7 @@
 mod retry_window;
 mod route_stats;
 mod share_table;
+mod stop_window;
 mod urgent_demand;
 
 use share_table::*;
@@ -29,5 +30,5 @@
     admission_request::*, admission_scope::*, caller_limits::*, caller_patience::*,
     connection_gate::*, failover_limit::*, memory_budget::*, memory_share::*, organisation_rate::*,
     organisation_shares::*, priority_shares::*, rate_reports::*, refusal_kind::*, retry_window::*,
-    route_stats::*, urgent_demand::*,
+    route_stats::*, stop_window::*, urgent_demand::*,
 };
--- a/entry/src/front/front_context.rs
+++ b/entry/src/front/front_context.rs
@@ -44,6 +44,8 @@
     pub claims_due: WakeSignal,
     /// Requests that wait for the answers to their claims.
     pub claim_waits: ClaimWaits,
+    /// When requests must have been answered, once the process stops.
+    pub answers_by: Rc<Cell<Option<Micros>>>,
     /// Streams that this front relays, and the moves of their runs.
     pub moves: Rc<MoveBoard>,
     /// How many connections the process may hold.
@@ -79,6 +81,7 @@
             origin_due: WakeSignal::default(),
             claims_due: WakeSignal::default(),
             claim_waits: ClaimWaits::default(),
+            answers_by: Rc::default(),
             moves: Rc::default(),
             contacts: Rc::default(),
             executor: LocalExecutor::new(),
--- a/entry/src/front/front_process.rs
+++ b/entry/src/front/front_process.rs
@@ -9,7 +9,7 @@
     anyhow::Context,
     futures_lite::future::yield_now,
     pitchhitch_core::{
-        serving::{MechanismSet, TICK},
+        serving::{MechanismSet, StopWindow, TICK},
         time::Micros,
     },
     pitchhitch_http1::{
@@ -214,12 +214,15 @@
 async fn shut_down(front: &FrontContext) {
     let requested_at = front.now();
     front.state().stopping_since = Some(requested_at);
+    let limit = front.settings.stop_limit.saturating_sub(CLOSE_MARGIN);
+    let exits_at = requested_at + Micros(limit.as_micros() as u64);
+    let window = StopWindow::until(exits_at);
+    front.answers_by.set(Some(window.answers_by));
     log::info!(event = "stopping", running = front.state().running; "");
     Timer::after(BALANCER_NOTICE_TIME).await;
     front.state().closes_idle = true;
     // Idle connections have time to detect that they are to be closed.
     Timer::after(Duration::from_millis(700)).await;
-    let limit = front.settings.stop_limit.saturating_sub(CLOSE_MARGIN);
     while front.state().running > 0 && elapsed_since(front, requested_at) < limit {
         Timer::after(to_duration(IDLE_CHECK_INTERVAL)).await;
     }
--- a/entry/src/front/front_state.rs
+++ b/entry/src/front/front_state.rs
@@ -8,8 +8,8 @@
             FetchCompletion, FrontCount, KeeperSet, KeyFreshness, KvStoreDirectory,
             LatencyEstimators, MemoryBudget, NamespaceTag, OriginLookups, OriginTable,
             OutageTracker, PauseDetector, PlainCosts, PromptPools, ProvenParts, ProvenTable,
-            RetryWindow, SaveClaims, ServingConfig, SharingGroups, StoreEra, StreamSoftware,
-            SuspectKey, SuspectTracker, SwapPlanner, TrialTable, REWRITE_DELAY,
+            RetryWindow, RunTimes, SaveClaims, ServingConfig, SharingGroups, StoreEra,
+            StreamSoftware, SuspectKey, SuspectTracker, SwapPlanner, TrialTable, REWRITE_DELAY,
         },
         time::Micros,
     },
@@ -121,6 +121,8 @@
     pub pause_detector: PauseDetector,
     /// Decides which new connections of callers are accepted.
     pub connection_gate: ConnectionGate,
+    /// How long requests have recently run at endpoints.
+    pub run_times: RunTimes,
     /// When the stop signal was received.
     pub stopping_since: Option<Micros>,
     /// Whether idle connections of callers are closed.
@@ -190,6 +192,7 @@
             needs_blocked_row_rewrite: false,
             pause_detector: PauseDetector::default(),
             connection_gate: ConnectionGate::default(),
+            run_times: RunTimes::default(),
             stopping_since: None,
             closes_idle: false,
             memory_budget: MemoryBudget::for_process(settings.memory_mb),
--- a/entry/src/front/requests/attempt_loop.rs
+++ b/entry/src/front/requests/attempt_loop.rs
@@ -89,7 +89,7 @@
         &mut self,
         failure: &mut RequestFailure,
     ) -> ControlFlow<AttemptsEnd> {
-        if self.front.now() >= self.deadline {
+        if self.front.now() >= self.deadline() {
             failure.kind = match self.possible_runs {
                 0 => RefusalKind::NeverSent,
                 _ => RefusalKind::TimedOut,
--- a/entry/src/front/requests/attempt_timer.rs
+++ b/entry/src/front/requests/attempt_timer.rs
@@ -1,10 +1,12 @@
 use {
     crate::front::{ContactWatch, WakeReason},
-    pitchhitch_core::serving::ContactStage,
+    pitchhitch_core::{serving::ContactStage, time::Micros},
     pitchhitch_process::{DeadlineTimer, ProcessClock},
     std::{
+        cell::Cell,
         future::Future,
         pin::Pin,
+        rc::Rc,
         task::{Context, Poll},
         time::Duration,
     },
@@ -21,13 +23,14 @@
 }
 
 impl AttemptTimer {
-    /// Creates a timer that ends after `delay` and watches no endpoint.
+    /// Creates a timer that ends after `delay` or at `limit`, and watches no endpoint.
     pub fn after(
         clock: ProcessClock,
         delay: Duration,
+        limit: Rc<Cell<Option<Micros>>>,
     ) -> Self {
         AttemptTimer {
-            deadline: DeadlineTimer::after(clock, delay),
+            deadline: DeadlineTimer::after(clock, delay).with_limit(limit),
             clock,
             watch: None,
         }
--- a/entry/src/front/requests/request_admit.rs
+++ b/entry/src/front/requests/request_admit.rs
@@ -1,9 +1,11 @@
 use {
-    crate::front::{finite_or_unset, with_timeout, ConnectionReuse, FrontContext},
+    crate::front::{
+        finite_or_unset, with_timeout, ConnectionReuse, FrontContext, DEFAULT_CALLER_TIMEOUT,
+    },
     pitchhitch_core::{
         serving::{
             AdmissionDecision, AdmissionInputs, RefusalKind, RequestInfo, ResolvedRequest,
-            ServingConfig,
+            ServedRoute, ServingConfig, StopWindow,
         },
         time::Micros,
     },
@@ -15,8 +17,6 @@
 /// Time after SIGTERM during which streams are accepted. The platform waits for those that arrive
 /// within 3 s.
 const STREAM_ACCEPT_TIME: Micros = Micros::from_millis(2_800);
-/// Time before the forced exit during which plain requests are no longer accepted.
-const PLAIN_STOP_MARGIN: Micros = Micros::from_millis(2_000);
 /// Timeout of writing a refusal to the caller.
 const REFUSAL_WRITE_TIMEOUT: Micros = Micros::from_millis(250);
 
@@ -41,24 +41,30 @@
         return Err(RefusalKind::StaleKeys);
     }
     drop(state);
-    refuse_if_stopping(front, (config, resolved))
+    match may_end_in_time(front, info, &config.routes[resolved.route]) {
+        true => Ok((config, resolved)),
+        false => Err(RefusalKind::Stopping),
+    }
 }
 
-/// Refuses requests that may not finish before a stopping process must exit.
-fn refuse_if_stopping(
+/// Whether a request is expected to end before a stopping process must exit.
+fn may_end_in_time(
     front: &FrontContext,
-    admitted: (Rc<ServingConfig>, ResolvedRequest),
-) -> Result<(Rc<ServingConfig>, ResolvedRequest), RefusalKind> {
-    let (config, resolved) = &admitted;
-    let stopping_since = front.state().stopping_since;
-    let limit = match config.routes[resolved.route].is_stream {
-        true => STREAM_ACCEPT_TIME,
-        false => Micros(front.settings.stop_limit.as_micros() as u64).since(PLAIN_STOP_MARGIN),
+    info: &RequestInfo,
+    route: &ServedRoute,
+) -> bool {
+    let state = front.state();
+    let (Some(since), Some(answers_by)) = (state.stopping_since, front.answers_by.get()) else {
+        return true;
     };
-    match stopping_since.is_some_and(|at| front.now().since(at) > limit) {
-        true => Err(RefusalKind::Stopping),
-        false => Ok(admitted),
+    let now = front.now();
+    if route.is_stream {
+        return now.since(since) <= STREAM_ACCEPT_TIME;
     }
+    let time_limit = info.time_left.unwrap_or(DEFAULT_CALLER_TIMEOUT);
+    let longest_run = state.run_times.longest(&route.name, now);
+    let window = StopWindow { answers_by };
+    window.admits(time_limit.min(route.time_limit), longest_run, now)
 }
 
 /// A response of the front itself, for a request that was not served.
--- a/entry/src/front/requests/request_attempt.rs
+++ b/entry/src/front/requests/request_attempt.rs
@@ -264,6 +264,9 @@
         let has_response = response.is_ok();
         let outcome = match response {
             Ok(response) => {
+                if self.route().is_stream {
+                    self.timer.deadline.lift_limit();
+                }
                 record_heard(front, choice.key);
                 self.handle_response(choice, ticket, sent_at, exchange, response)
                     .await
@@ -275,7 +278,7 @@
         self.timer.set_watch(None);
         self.release_witness(choice);
         let outcome = match outcome {
-            AttemptOutcome::Broken(ExchangeFailure::Late) if front.now() < self.deadline => {
+            AttemptOutcome::Broken(ExchangeFailure::Late) if front.now() < self.deadline() => {
                 let is_leaving = self.answers_within(choice) == Some(Duration::ZERO);
                 AttemptOutcome::Broken(match is_leaving {
                     true => ExchangeFailure::NotBegun,
@@ -288,6 +291,11 @@
             exchange.connection.reset_on_drop();
         }
         self.end_claims(&slot.transfers, &outcome, has_response);
+        if !matches!(outcome, AttemptOutcome::NotRun | AttemptOutcome::CallerGone) {
+            let now = front.now();
+            let run_times = &mut front.state().run_times;
+            run_times.record(&self.route().name, now.since(sent_at), now);
+        }
         self.record_ended(choice, ticket, sent_at);
         self.end_versioned_run(choice, slot.arm, sent_at, &outcome);
         self.record_attempt(choice, &outcome);
@@ -311,7 +319,7 @@
 
     /// Time left until the deadline of the request.
     pub(crate) fn time_left(&self) -> Duration {
-        to_duration(self.deadline.since(self.front.now()))
+        to_duration(self.deadline().since(self.front.now()))
     }
 
     /// Timeout for the first event of a stream. A stream that waits longer at an engine would start
--- a/entry/src/front/requests/request_handler.rs
+++ b/entry/src/front/requests/request_handler.rs
@@ -135,7 +135,11 @@
             service,
             id_hash,
             deadline,
-            timer: AttemptTimer::after(front.clock, to_duration(time_left)),
+            timer: AttemptTimer::after(
+                front.clock,
+                to_duration(time_left),
+                front.answers_by.clone(),
+            ),
             tried: Vec::new(),
             has_left_endpoint: false,
             origin: None,
@@ -170,6 +174,14 @@
         Some(&self.config.organisations[index])
     }
 
+    /// When the request must have been answered. A stopping process answers whatever is not a stream
+    /// before it exits.
+    pub(crate) fn deadline(&self) -> Micros {
+        let answers_by = self.front.answers_by.get();
+        let answers_by = answers_by.filter(|_| !self.route().is_stream);
+        answers_by.map_or(self.deadline, |limit| limit.min(self.deadline))
+    }
+
     /// Whether the caller's connection is closed after this request.
     pub(crate) fn closes(&self) -> bool {
         self.close_requested || self.front.state().stopping_since.is_some()
--- a/entry/src/front/requests/request_trial.rs
+++ b/entry/src/front/requests/request_trial.rs
@@ -114,7 +114,7 @@
             if self.may_try(now.since(started_at)) && self.has_trial_endpoint() {
                 return SendPermission::Granted;
             }
-            if now.since(started_at) >= TRIAL_TIMEOUT || now >= self.deadline {
+            if now.since(started_at) >= TRIAL_TIMEOUT || now >= self.deadline() {
                 self.log_status("waiting", TRIAL_RETRY_AFTER);
                 return SendPermission::Refused(RefusalKind::Suspected, TRIAL_RETRY_AFTER);
             }
