An answer whose status is none is not passed on

What callers saw: an engine's answer with status 600 or 999 as it was; one with 000 to 099 and no body held the caller until its deadline. Cause: the parser of response heads took any three digits for a status. Fix: it refuses those outside of 100 to 599 as malformed, for all readers of HTTP/1.1. Tests: invalid_statuses failed before (600 on both kinds of routes) and passes; head_statuses.

--- a/http1/src/head_parser.rs
+++ b/http1/src/head_parser.rs
@@ -1,7 +1,12 @@
-use super::{HeadError, HeaderFields};
+use {
+    super::{HeadError, HeaderFields},
+    std::ops::RangeInclusive,
+};
 
 /// Maximum number of headers in a head; the platform's clients send about a dozen.
 const MAX_HEADERS: usize = 100;
+/// Status codes that HTTP defines; any other three digits are not a status.
+const VALID_STATUSES: RangeInclusive<u16> = 100..=599;
 
 /// The head of a request.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -67,8 +72,11 @@
     let Some(length) = head_length(response.parse(bytes), bytes, limit)? else {
         return Ok(None);
     };
+    let status = response
+        .code
+        .filter(|status| VALID_STATUSES.contains(status));
     let head = ResponseHead {
-        status: response.code.ok_or(HeadError::Malformed)?,
+        status: status.ok_or(HeadError::Malformed)?,
         is_http11: response.version == Some(1),
         fields: HeaderFields::from_parsed(&bytes[..length], response.headers),
     };
