--- a/entry/src/front/mod.rs
+++ b/entry/src/front/mod.rs
@@ -4,6 +4,7 @@
 //! It is single-threaded, since a box grants it a fifth of a core: the request path and the
 //! controllers are tasks of one executor and share their state without locks.
 
+mod callers;
 mod endpoints;
 mod front_context;
 mod front_metrics;
@@ -16,7 +17,7 @@
 mod stores;
 
 pub(crate) use {
-    endpoints::*, front_context::*, front_metrics::*, front_state::*, operators::*, peers::*,
-    requests::*, stores::*,
+    callers::*, endpoints::*, front_context::*, front_metrics::*, front_state::*, operators::*,
+    peers::*, requests::*, stores::*,
 };
 pub use {front_process::*, front_settings::*};
--- a/entry/src/front/requests/mod.rs
+++ b/entry/src/front/requests/mod.rs
@@ -5,11 +5,8 @@
 mod attempt_loop;
 mod attempt_timer;
 mod call_timeout;
-mod caller_conn;
-mod caller_room;
 mod endpoint_exchange;
 mod event_splitter;
-mod held_bytes;
 mod lost_run;
 mod move_board;
 mod plain_response;
@@ -35,9 +32,8 @@
 mod wake_reason;
 
 pub(crate) use {
-    active_move::*, attempt_timer::*, call_timeout::*, caller_conn::*, caller_room::*,
-    endpoint_exchange::*, event_splitter::*, held_bytes::*, lost_run::*, move_board::*,
-    plain_response::*, request_admit::*, request_attempt::*, request_end::*, request_handler::*,
-    request_log::*, request_moves::*, request_transfers::*, request_trial::*, request_versions::*,
-    stream_relay::*, wake_reason::*,
+    active_move::*, attempt_timer::*, call_timeout::*, endpoint_exchange::*, event_splitter::*,
+    lost_run::*, move_board::*, plain_response::*, request_admit::*, request_attempt::*,
+    request_end::*, request_handler::*, request_log::*, request_moves::*, request_transfers::*,
+    request_trial::*, request_versions::*, stream_relay::*, wake_reason::*,
 };
