Logs: each request that an exit cuts, and how far it had come

Open requests, also those that arrive, are kept on a board; at the exit each leaves a line 'end outcome=cut-by-exit' with its stage. No change of what is served.

--- a/entry/src/front/callers/caller_conn.rs
+++ b/entry/src/front/callers/caller_conn.rs
@@ -1,6 +1,7 @@
 use {
     crate::front::{
-        handle_request, ConnectionReuse, FrontContext, HeldBytes, DEFAULT_CALLER_TIMEOUT,
+        handle_request, ConnectionReuse, FrontContext, HeldBytes, RequestEntry, RequestStage,
+        DEFAULT_CALLER_TIMEOUT,
     },
     futures_lite::future::or,
     pitchhitch_core::{
@@ -52,14 +53,17 @@
     let mut is_used = false;
     loop {
         let limits = limits(&front);
-        match read_request(&front, &mut connection, address, is_used, &limits).await {
+        if !await_request(&front, &mut connection, address, is_used, &limits).await {
+            return;
+        }
+        let entry = front.requests.add(front.now());
+        match read_request(&front, &mut connection, &entry, &limits).await {
             ReadOutcome::Request(request, held) => {
                 is_used = true;
-                front.state().running += 1;
+                entry.set_stage(RequestStage::Waiting);
                 // On the heap, so that idle connections do not hold its state.
-                let handled = Box::pin(handle_request(&front, &mut connection, request));
+                let handled = Box::pin(handle_request(&front, &mut connection, request, &entry));
                 let reuse = handled.await;
-                front.state().running -= 1;
                 drop(held);
                 if reuse == ConnectionReuse::Close {
                     return;
@@ -80,22 +84,30 @@
         .map_or_else(CallerLimits::default, |config| config.limits)
 }
 
-async fn read_request<'a>(
-    front: &'a FrontContext,
+/// Waits for the first bytes of a request; false if the connection is to be closed.
+async fn await_request(
+    front: &FrontContext,
     connection: &mut TcpConnection,
     address: IpAddr,
     is_used: bool,
     limits: &CallerLimits,
-) -> ReadOutcome<'a> {
-    if connection.buffer().is_empty() {
-        let period = match is_used {
-            true => front.idle_callers.enter_again(address),
-            false => front.idle_callers.enter(address),
-        };
-        if !wait_for_first_byte(front, connection, period, limits.idle_timeout).await {
-            return ReadOutcome::Closed;
-        }
+) -> bool {
+    if !connection.buffer().is_empty() {
+        return true;
     }
+    let period = match is_used {
+        true => front.idle_callers.enter_again(address),
+        false => front.idle_callers.enter(address),
+    };
+    wait_for_first_byte(front, connection, period, limits.idle_timeout).await
+}
+
+async fn read_request<'a>(
+    front: &'a FrontContext,
+    connection: &mut TcpConnection,
+    entry: &RequestEntry,
+    limits: &CallerLimits,
+) -> ReadOutcome<'a> {
     let arrived_at = front.now();
     let head = match with_timeout(
         limits.header_timeout,
@@ -108,6 +120,7 @@
         Some(Err(kind)) => return ReadOutcome::Rejected(kind),
         None => return ReadOutcome::Rejected(RefusalKind::SlowRequest),
     };
+    entry.set_id(&decode_request_info(&head).request_id);
     if !has_capacity(front, &head) {
         return ReadOutcome::Rejected(RefusalKind::Overloaded);
     }
--- a/entry/src/front/callers/mod.rs
+++ b/entry/src/front/callers/mod.rs
@@ -3,5 +3,6 @@
 mod caller_conn;
 mod caller_room;
 mod held_bytes;
+mod request_board;
 
-pub(crate) use {caller_conn::*, caller_room::*, held_bytes::*};
+pub(crate) use {caller_conn::*, caller_room::*, held_bytes::*, request_board::*};
--- a/entry/src/front/front_context.rs
+++ b/entry/src/front/front_context.rs
@@ -1,5 +1,7 @@
 use {
-    super::{ClaimWaits, ContactBoard, FrontMetrics, FrontSettings, FrontState, MoveBoard},
+    super::{
+        ClaimWaits, ContactBoard, FrontMetrics, FrontSettings, FrontState, MoveBoard, RequestBoard,
+    },
     pitchhitch_core::{
         serving::{mix_hashes, stable_fraction, stable_hash},
         time::Micros,
@@ -46,6 +48,8 @@
     pub claim_waits: ClaimWaits,
     /// When requests must have been answered, once the process stops.
     pub answers_by: Rc<Cell<Option<Micros>>>,
+    /// Requests that are not over.
+    pub requests: Rc<RequestBoard>,
     /// Streams that this front relays, and the moves of their runs.
     pub moves: Rc<MoveBoard>,
     /// How many connections the process may hold.
@@ -82,6 +86,7 @@
             claims_due: WakeSignal::default(),
             claim_waits: ClaimWaits::default(),
             answers_by: Rc::default(),
+            requests: Rc::default(),
             moves: Rc::default(),
             contacts: Rc::default(),
             executor: LocalExecutor::new(),
--- a/entry/src/front/front_process.rs
+++ b/entry/src/front/front_process.rs
@@ -140,14 +140,13 @@
     let mut state = front.state();
     let has_changed = state.connection_gate.record_delay(delay);
     let is_open = state.connection_gate.is_open();
-    let running = state.running;
     drop(state);
     if has_changed {
         log::warn!(
             event = "connection-gate",
             open = is_open,
             delay_ms = delay.as_millis(),
-            running = running;
+            running = front.requests.running();
             ""
         );
     }
@@ -218,19 +217,35 @@
     let exits_at = requested_at + Micros(limit.as_micros() as u64);
     let window = StopWindow::until(exits_at);
     front.answers_by.set(Some(window.answers_by));
-    log::info!(event = "stopping", running = front.state().running; "");
+    let (running, arriving) = (front.requests.running(), front.requests.arriving());
+    log::info!(event = "stopping", running = running, arriving = arriving; "");
     Timer::after(BALANCER_NOTICE_TIME).await;
     front.state().closes_idle = true;
     // Idle connections have time to detect that they are to be closed.
     Timer::after(Duration::from_millis(700)).await;
-    while front.state().running > 0 && elapsed_since(front, requested_at) < limit {
+    while front.requests.running() > 0 && elapsed_since(front, requested_at) < limit {
         Timer::after(to_duration(IDLE_CHECK_INTERVAL)).await;
     }
-    let cut_off = front.state().running;
+    log_cut_requests(front);
+    let cut_off = front.requests.running();
     let waited_ms = elapsed_since(front, requested_at).as_millis() as u64;
     log::info!(event = "stopped", cut_off = cut_off, waited_ms = waited_ms; "");
 }
 
+/// Logs the requests that the exit of the process cuts.
+fn log_cut_requests(front: &FrontContext) {
+    for request in front.requests.open() {
+        log::warn!(
+            event = "end",
+            request = request.request_id.as_str(),
+            outcome = "cut-by-exit",
+            stage = request.stage.as_str(),
+            took_ms = front.now().since(request.arrived_at).as_millis();
+            ""
+        );
+    }
+}
+
 /// Time since the stop was requested, including time for which the box was suspended: the
 /// platform's limit counts it too.
 fn elapsed_since(
--- a/entry/src/front/front_state.rs
+++ b/entry/src/front/front_state.rs
@@ -129,8 +129,6 @@
     pub closes_idle: bool,
     /// Bytes held for callers and endpoints.
     pub memory_budget: MemoryBudget,
-    /// Requests being served.
-    pub running: u32,
     /// Known number of running fronts.
     pub fronts: u32,
     /// The highest of the recent counts of running fronts.
@@ -196,7 +194,6 @@
             stopping_since: None,
             closes_idle: false,
             memory_budget: MemoryBudget::for_process(settings.memory_mb),
-            running: 0,
             fronts: INITIAL_FRONTS,
             front_count: FrontCount::default(),
             retry_windows: HashMap::new(),
--- a/entry/src/front/requests/request_attempt.rs
+++ b/entry/src/front/requests/request_attempt.rs
@@ -2,7 +2,7 @@
     crate::front::{
         make_endpoint_room, open_witness, record_heard, record_local_failure, send_request,
         BufferedResponse, ContactWatch, EndpointExchange, ExchangeFailure, LatestRun,
-        PartTransfers, RequestHandler,
+        PartTransfers, RequestHandler, RequestStage,
     },
     pitchhitch_core::{
         rollout::VersionArm,
@@ -251,6 +251,7 @@
             });
         }
         self.sends += 1;
+        self.set_stage(RequestStage::Sent);
         self.log_send(choice, "sent", "", &slot.transfers);
         let request_id = self.info.request_id.clone();
         let answers_within = self.answers_within(choice);
@@ -264,6 +265,7 @@
         let has_response = response.is_ok();
         let outcome = match response {
             Ok(response) => {
+                self.set_stage(RequestStage::Responding);
                 if self.route().is_stream {
                     self.timer.deadline.lift_limit();
                 }
@@ -274,6 +276,7 @@
             Err(ExchangeFailure::CallerGone) => AttemptOutcome::CallerGone,
             Err(failure) => AttemptOutcome::Broken(failure),
         };
+        self.set_stage(RequestStage::Waiting);
         self.timer.set_after(self.time_left());
         self.timer.set_watch(None);
         self.release_witness(choice);
--- a/entry/src/front/requests/request_handler.rs
+++ b/entry/src/front/requests/request_handler.rs
@@ -1,7 +1,8 @@
 use {
     crate::front::{
-        admit, refuse, AttemptTimer, FrontContext, LatestRun, ReceivedRequest, RequestMoves,
-        RequestRefusal, RequestTrial, StreamProgress, WitnessConnection, MAX_PIPELINED_BYTES,
+        admit, refuse, AttemptTimer, FrontContext, LatestRun, ReceivedRequest, RequestEntry,
+        RequestMoves, RequestRefusal, RequestStage, RequestTrial, StreamProgress,
+        WitnessConnection, MAX_PIPELINED_BYTES,
     },
     pitchhitch_core::{
         serving::{
@@ -33,6 +34,7 @@
     pub(crate) front: &'a FrontContext,
     pub(crate) caller: &'a mut TcpConnection,
     pub(crate) request: &'a ReceivedRequest,
+    pub(crate) entry: &'a RequestEntry,
     pub(crate) info: RequestInfo,
     pub(crate) config: Rc<ServingConfig>,
     pub(crate) resolved: ResolvedRequest,
@@ -77,6 +79,7 @@
     front: &FrontContext,
     caller: &mut TcpConnection,
     request: ReceivedRequest,
+    entry: &RequestEntry,
 ) -> ConnectionReuse {
     let info = decode_request_info(&request.head);
     let admitted = admit(front, &info);
@@ -97,7 +100,7 @@
             return refuse(front, caller, &info, refusal).await;
         }
     };
-    let mut handler = RequestHandler::new(front, caller, &request, info, admitted, closes);
+    let mut handler = RequestHandler::new(front, caller, (&request, entry), info, admitted, closes);
     front
         .state()
         .retry_window(&handler.service)
@@ -117,7 +120,7 @@
     fn new(
         front: &'a FrontContext,
         caller: &'a mut TcpConnection,
-        request: &'a ReceivedRequest,
+        (request, entry): (&'a ReceivedRequest, &'a RequestEntry),
         info: RequestInfo,
         (config, resolved): (Rc<ServingConfig>, ResolvedRequest),
         close_requested: bool,
@@ -132,6 +135,7 @@
             front,
             caller,
             request,
+            entry,
             service,
             id_hash,
             deadline,
@@ -182,6 +186,18 @@
         answers_by.map_or(self.deadline, |limit| limit.min(self.deadline))
     }
 
+    /// Records how far the request has come; once the caller has a part of the response, it has begun.
+    pub(crate) fn set_stage(
+        &self,
+        stage: RequestStage,
+    ) {
+        let has_begun = self.progress.is_head_sent;
+        self.entry.set_stage(match has_begun {
+            true => RequestStage::Begun,
+            false => stage,
+        });
+    }
+
     /// Whether the caller's connection is closed after this request.
     pub(crate) fn closes(&self) -> bool {
         self.close_requested || self.front.state().stopping_since.is_some()
--- a/entry/src/front/requests/request_response.rs
+++ b/entry/src/front/requests/request_response.rs
@@ -3,7 +3,7 @@
         read_plain_response, record_heard, record_origin, record_proof, relay_plain_response,
         relay_stream, skip_response_body, write_to_caller, AttemptOutcome, EndpointExchange,
         EndpointResponse, EndpointStream, ExchangeFailure, HeldBytes, PlainResponse, RelayEnd,
-        RelayEvent, RequestHandler, CRASH_WINDOW,
+        RelayEvent, RequestHandler, RequestStage, CRASH_WINDOW,
     },
     pitchhitch_core::{
         serving::{EndpointChoice, HeldKind, MoveEvent},
@@ -98,6 +98,7 @@
                 drop(held);
                 self.progress.closes = closes;
                 self.progress.is_head_sent = true;
+                self.set_stage(RequestStage::Begun);
                 self.response_started_at = Some(self.front.now());
                 let caller = &mut *self.caller;
                 let relayed =
@@ -131,6 +132,7 @@
         response: &EndpointResponse,
     ) -> AttemptOutcome {
         let front = self.front;
+        let entry = self.entry;
         let is_unanswered_prompt = self.info.prompt.is_some() && !self.progress.is_head_sent;
         let tokens_until_start = choice.ahead_tokens + f64::from(choice.prefill_tokens);
         let size = self.prompt_size();
@@ -154,6 +156,7 @@
             RelayEvent::FirstEvent => {
                 let now = front.now();
                 first_event_at = Some(now);
+                entry.set_stage(RequestStage::Begun);
                 if let Some(origin) = new_origin {
                     record_origin(front, origin);
                 }
