A stopping front waits for requests that are still arriving

Callers saw: a connection that closed without an answer while they were sending a request's body to a front that stops (a body of 1.5 s beside no other request: cut 3.3 s after SIGTERM). Cause: the front counted only requests that it had read to their end, took itself for idle and exited. Change: the exit waits for all open requests, from their first byte; one that still arrives 0.15 s before the exit gets 503 'stopping', which is true.

--- a/entry/src/front/callers/caller_conn.rs
+++ b/entry/src/front/callers/caller_conn.rs
@@ -3,7 +3,7 @@
         handle_request, ConnectionReuse, FrontContext, HeldBytes, RequestEntry, RequestStage,
         DEFAULT_CALLER_TIMEOUT,
     },
-    futures_lite::future::or,
+    futures_lite::future::{or, poll_fn},
     pitchhitch_core::{
         serving::{CallerLimits, HeldKind, RefusalKind},
         time::Micros,
@@ -57,7 +57,12 @@
             return;
         }
         let entry = front.requests.add(front.now());
-        match read_request(&front, &mut connection, &entry, &limits).await {
+        let stopped = async {
+            poll_fn(|context| entry.poll_ended(context)).await;
+            ReadOutcome::Rejected(RefusalKind::Stopping)
+        };
+        let read = read_request(&front, &mut connection, &entry, &limits);
+        match or(read, stopped).await {
             ReadOutcome::Request(request, held) => {
                 is_used = true;
                 entry.set_stage(RequestStage::Waiting);
--- a/entry/src/front/callers/request_board.rs
+++ b/entry/src/front/callers/request_board.rs
@@ -1,7 +1,11 @@
 use {
     pitchhitch_core::time::Micros,
     slotmap::{new_key_type, SlotMap},
-    std::{cell::RefCell, rc::Rc},
+    std::{
+        cell::{Cell, RefCell},
+        rc::Rc,
+        task::{Context, Poll, Waker},
+    },
 };
 
 new_key_type! {
@@ -35,6 +39,16 @@
     }
 }
 
+/// What a process still does for its requests.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Default)]
+pub(crate) enum StopPhase {
+    /// It serves them.
+    #[default]
+    Serving,
+    /// Callers that have received nothing are answered now.
+    Answering,
+}
+
 /// A request that is not over.
 #[derive(Debug, Clone)]
 pub(crate) struct OpenRequest {
@@ -42,12 +56,15 @@
     pub request_id: String,
     pub stage: RequestStage,
     pub arrived_at: Micros,
+    /// Wakes its task when the phase changes.
+    waker: Option<Waker>,
 }
 
 /// Requests of callers that are not over, also those that are still arriving.
 #[derive(Debug, Default)]
 pub(crate) struct RequestBoard {
     requests: RefCell<SlotMap<OpenKey, OpenRequest>>,
+    phase: Cell<StopPhase>,
 }
 
 impl RequestBoard {
@@ -60,6 +77,7 @@
             request_id: String::new(),
             stage: RequestStage::Arriving,
             arrived_at,
+            waker: None,
         };
         RequestEntry {
             board: self.clone(),
@@ -67,9 +85,24 @@
         }
     }
 
+    /// Begins a phase, and wakes the requests that it ends.
+    pub fn begin_phase(
+        &self,
+        phase: StopPhase,
+    ) {
+        self.phase.set(phase);
+        let mut requests = self.requests.borrow_mut();
+        let wakers = requests
+            .values_mut()
+            .filter_map(|request| request.waker.take());
+        let wakers: Vec<Waker> = wakers.collect();
+        drop(requests);
+        wakers.into_iter().for_each(Waker::wake);
+    }
+
     /// Number of requests that have been read to their end.
     pub fn running(&self) -> usize {
-        self.open().len() - self.arriving()
+        self.len() - self.arriving()
     }
 
     /// Number of requests that are still arriving.
@@ -81,6 +114,15 @@
             .count()
     }
 
+    /// Number of open requests.
+    pub fn len(&self) -> usize {
+        self.requests.borrow().len()
+    }
+
+    pub fn is_empty(&self) -> bool {
+        self.len() == 0
+    }
+
     /// All open requests.
     pub fn open(&self) -> Vec<OpenRequest> {
         self.requests.borrow().values().cloned().collect()
@@ -105,6 +147,27 @@
         }
     }
 
+    /// Ready once the process must end the request.
+    pub fn poll_ended(
+        &self,
+        context: &mut Context<'_>,
+    ) -> Poll<()> {
+        if self.board.phase.get() >= StopPhase::Answering {
+            return Poll::Ready(());
+        }
+        if let Some(request) = self.board.requests.borrow_mut().get_mut(self.key) {
+            let waker = context.waker();
+            if !request
+                .waker
+                .as_ref()
+                .is_some_and(|known| known.will_wake(waker))
+            {
+                request.waker = Some(waker.clone());
+            }
+        }
+        Poll::Pending
+    }
+
     pub fn set_stage(
         &self,
         stage: RequestStage,
--- a/entry/src/front/front_process.rs
+++ b/entry/src/front/front_process.rs
@@ -4,7 +4,7 @@
         receive_digests, refresh_from_peers, run_fallback_controller, run_rollouts, send_claims,
         send_greetings, send_origins, serve_caller, sync_blocked_rows, sync_software_rows,
         track_engines, watch_contacts, watch_endpoint_list, watch_kv_stores, watch_operator,
-        FrontContext, FrontSettings,
+        FrontContext, FrontSettings, StopPhase,
     },
     anyhow::Context,
     futures_lite::future::yield_now,
@@ -223,15 +223,30 @@
     front.state().closes_idle = true;
     // Idle connections have time to detect that they are to be closed.
     Timer::after(Duration::from_millis(700)).await;
-    while front.requests.running() > 0 && elapsed_since(front, requested_at) < limit {
-        Timer::after(to_duration(IDLE_CHECK_INTERVAL)).await;
-    }
+    wait_until_idle(front, window.answers_by).await;
+    front.requests.begin_phase(StopPhase::Answering);
+    wait_until_idle(front, exits_at).await;
     log_cut_requests(front);
-    let cut_off = front.requests.running();
-    let waited_ms = elapsed_since(front, requested_at).as_millis() as u64;
+    let cut_off = front.requests.len();
+    let waited_ms = front.now().since(requested_at).as_millis();
     log::info!(event = "stopped", cut_off = cut_off, waited_ms = waited_ms; "");
 }
 
+/// Waits until no request is open, or until `limit`. Time for which the box was suspended counts: the
+/// platform counts it too.
+async fn wait_until_idle(
+    front: &FrontContext,
+    limit: Micros,
+) {
+    while !front.requests.is_empty() {
+        let remaining = limit.since(front.now());
+        if remaining == Micros::ZERO {
+            return;
+        }
+        Timer::after(to_duration(remaining.min(IDLE_CHECK_INTERVAL))).await;
+    }
+}
+
 /// Logs the requests that the exit of the process cuts.
 fn log_cut_requests(front: &FrontContext) {
     for request in front.requests.open() {
@@ -245,12 +260,3 @@
         );
     }
 }
-
-/// Time since the stop was requested, including time for which the box was suspended: the
-/// platform's limit counts it too.
-fn elapsed_since(
-    front: &FrontContext,
-    requested_at: Micros,
-) -> Duration {
-    to_duration(front.now().since(requested_at))
-}
