A stopping front ends what is open before it exits

Callers saw: a connection that closed without an answer 7.7 s after SIGTERM although the front had sent nothing on it yet, where an engine had sent the head of a stream and no event. Operators saw 'stopped cut_off=N' and no line that names the requests. Cause: a stream lost its time limit of the stop once its engine had responded, not once it had begun for its caller; and what was open at the exit ended with the process, so that no code of the front ran for it. A stream whose engine had not responded was tried elsewhere at the limit, as its deadline was not the one that had passed. Change: the front wakes its requests 0.15 s before the exit, those that have begun 0.05 s before it. The timers no longer look for a limit each second.

--- a/core/src/serving/admission/refusal_kind.rs
+++ b/core/src/serving/admission/refusal_kind.rs
@@ -39,6 +39,8 @@
     NeverSent,
     /// The process is shutting down.
     Stopping,
+    /// The process exits before the endpoint has responded, which may have run the request.
+    Stopped,
     /// Endpoints have recently crashed during this request; it may be retried later.
     Suspected,
     /// Endpoints have crashed during this request repeatedly; it is blocked.
@@ -100,6 +102,7 @@
             RefusalKind::EndpointLost => response(502, "endpoint-lost", "it may have run"),
             RefusalKind::BadAnswer => response(502, "bad-answer", "it may have run"),
             RefusalKind::TimedOut => response(504, "timed-out", "it may have run"),
+            RefusalKind::Stopped => response(504, "stopped", "it may have run"),
             RefusalKind::BadRequest => closing(response(400, "bad-request", "check the request")),
             RefusalKind::HeadTooLong => {
                 closing(response(431, "head-too-long", "send a shorter head"))
--- a/core/src/serving/admission/stop_window.rs
+++ b/core/src/serving/admission/stop_window.rs
@@ -9,6 +9,8 @@
 const BUCKET: Micros = Micros::from_secs(10);
 /// Time in which an answer is passed on to the caller before the process exits.
 const ANSWER_TIME: Micros = Micros::from_millis(150);
+/// Time in which answers that have begun are ended before the process exits.
+const CUT_TIME: Micros = Micros::from_millis(50);
 /// Time assumed for a run on a route without recent ones.
 const UNKNOWN_TIME: Micros = Micros::from_millis(1_500);
 /// Time by which a run may exceed one and a half times the longest recent one.
@@ -66,8 +68,10 @@
 /// Time that a stopping process has for its requests.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct StopWindow {
-    /// When each request must have been answered.
+    /// When each request must have been answered whose caller has received nothing.
     pub answers_by: Micros,
+    /// When answers that have begun must have ended.
+    pub ends_by: Micros,
 }
 
 impl StopWindow {
@@ -75,6 +79,7 @@
     pub fn until(exits_at: Micros) -> Self {
         StopWindow {
             answers_by: exits_at.since(ANSWER_TIME),
+            ends_by: exits_at.since(CUT_TIME),
         }
     }
 
--- a/entry/src/front/callers/caller_conn.rs
+++ b/entry/src/front/callers/caller_conn.rs
@@ -57,8 +57,9 @@
             return;
         }
         let entry = front.requests.add(front.now());
+        let watch = entry.watch();
         let stopped = async {
-            poll_fn(|context| entry.poll_ended(context)).await;
+            poll_fn(|context| watch.poll_ended(context)).await;
             ReadOutcome::Rejected(RefusalKind::Stopping)
         };
         let read = read_request(&front, &mut connection, &entry, &limits);
--- a/entry/src/front/callers/request_board.rs
+++ b/entry/src/front/callers/request_board.rs
@@ -47,6 +47,8 @@
     Serving,
     /// Callers that have received nothing are answered now.
     Answering,
+    /// Answers that have begun are ended now.
+    Ending,
 }
 
 /// A request that is not over.
@@ -147,25 +149,12 @@
         }
     }
 
-    /// Ready once the process must end the request.
-    pub fn poll_ended(
-        &self,
-        context: &mut Context<'_>,
-    ) -> Poll<()> {
-        if self.board.phase.get() >= StopPhase::Answering {
-            return Poll::Ready(());
-        }
-        if let Some(request) = self.board.requests.borrow_mut().get_mut(self.key) {
-            let waker = context.waker();
-            if !request
-                .waker
-                .as_ref()
-                .is_some_and(|known| known.will_wake(waker))
-            {
-                request.waker = Some(waker.clone());
-            }
+    /// Watches whether the process must end the request.
+    pub fn watch(&self) -> StopWatch {
+        StopWatch {
+            board: self.board.clone(),
+            key: self.key,
         }
-        Poll::Pending
     }
 
     pub fn set_stage(
@@ -183,3 +172,40 @@
         self.board.requests.borrow_mut().remove(self.key);
     }
 }
+
+/// Tells a task that the process must end its request.
+#[derive(Debug, Clone)]
+pub(crate) struct StopWatch {
+    board: Rc<RequestBoard>,
+    key: OpenKey,
+}
+
+impl StopWatch {
+    /// Ready once the process must end the request.
+    pub fn poll_ended(
+        &self,
+        context: &mut Context<'_>,
+    ) -> Poll<()> {
+        let phase = self.board.phase.get();
+        let mut requests = self.board.requests.borrow_mut();
+        let Some(request) = requests.get_mut(self.key) else {
+            return Poll::Pending;
+        };
+        let last_phase = match request.stage {
+            RequestStage::Begun => StopPhase::Ending,
+            _ => StopPhase::Answering,
+        };
+        if phase >= last_phase {
+            return Poll::Ready(());
+        }
+        let waker = context.waker();
+        if !request
+            .waker
+            .as_ref()
+            .is_some_and(|known| known.will_wake(waker))
+        {
+            request.waker = Some(waker.clone());
+        }
+        Poll::Pending
+    }
+}
--- a/entry/src/front/front_context.rs
+++ b/entry/src/front/front_context.rs
@@ -3,7 +3,7 @@
         ClaimWaits, ContactBoard, FrontMetrics, FrontSettings, FrontState, MoveBoard, RequestBoard,
     },
     pitchhitch_core::{
-        serving::{mix_hashes, stable_fraction, stable_hash},
+        serving::{mix_hashes, stable_fraction, stable_hash, StopWindow},
         time::Micros,
     },
     pitchhitch_http1::{ConnectionCapacity, IdleConnections},
@@ -46,8 +46,8 @@
     pub claims_due: WakeSignal,
     /// Requests that wait for the answers to their claims.
     pub claim_waits: ClaimWaits,
-    /// When requests must have been answered, once the process stops.
-    pub answers_by: Rc<Cell<Option<Micros>>>,
+    /// Time that is left for requests, once the process stops.
+    pub stop_window: Cell<Option<StopWindow>>,
     /// Requests that are not over.
     pub requests: Rc<RequestBoard>,
     /// Streams that this front relays, and the moves of their runs.
@@ -85,7 +85,7 @@
             origin_due: WakeSignal::default(),
             claims_due: WakeSignal::default(),
             claim_waits: ClaimWaits::default(),
-            answers_by: Rc::default(),
+            stop_window: Cell::default(),
             requests: Rc::default(),
             moves: Rc::default(),
             contacts: Rc::default(),
--- a/entry/src/front/front_process.rs
+++ b/entry/src/front/front_process.rs
@@ -216,7 +216,7 @@
     let limit = front.settings.stop_limit.saturating_sub(CLOSE_MARGIN);
     let exits_at = requested_at + Micros(limit.as_micros() as u64);
     let window = StopWindow::until(exits_at);
-    front.answers_by.set(Some(window.answers_by));
+    front.stop_window.set(Some(window));
     let (running, arriving) = (front.requests.running(), front.requests.arriving());
     log::info!(event = "stopping", running = running, arriving = arriving; "");
     Timer::after(BALANCER_NOTICE_TIME).await;
@@ -225,6 +225,8 @@
     Timer::after(Duration::from_millis(700)).await;
     wait_until_idle(front, window.answers_by).await;
     front.requests.begin_phase(StopPhase::Answering);
+    wait_until_idle(front, window.ends_by).await;
+    front.requests.begin_phase(StopPhase::Ending);
     wait_until_idle(front, exits_at).await;
     log_cut_requests(front);
     let cut_off = front.requests.len();
--- a/entry/src/front/requests/attempt_loop.rs
+++ b/entry/src/front/requests/attempt_loop.rs
@@ -90,10 +90,7 @@
         failure: &mut RequestFailure,
     ) -> ControlFlow<AttemptsEnd> {
         if self.front.now() >= self.deadline() {
-            failure.kind = match self.possible_runs {
-                0 => RefusalKind::NeverSent,
-                _ => RefusalKind::TimedOut,
-            };
+            failure.kind = self.late_kind();
             return Break(AttemptsEnd::Failed);
         }
         match self.wait_for_permission().await {
--- a/entry/src/front/requests/attempt_timer.rs
+++ b/entry/src/front/requests/attempt_timer.rs
@@ -1,36 +1,36 @@
 use {
-    crate::front::{ContactWatch, WakeReason},
-    pitchhitch_core::{serving::ContactStage, time::Micros},
+    crate::front::{ContactWatch, StopWatch, WakeReason},
+    pitchhitch_core::serving::ContactStage,
     pitchhitch_process::{DeadlineTimer, ProcessClock},
     std::{
-        cell::Cell,
         future::Future,
         pin::Pin,
-        rc::Rc,
         task::{Context, Poll},
         time::Duration,
     },
 };
 
-/// What ends the wait for an endpoint before it has sent anything: the time limit, or that the
-/// endpoint no longer responds.
+/// What ends the wait for an endpoint or a caller: the time limit, the stop of the process, or that
+/// the endpoint no longer responds.
 #[derive(Debug)]
 pub(crate) struct AttemptTimer {
     /// Ends at the time limit.
-    pub deadline: DeadlineTimer,
+    deadline: DeadlineTimer,
+    stop: StopWatch,
     clock: ProcessClock,
     watch: Option<ContactWatch>,
 }
 
 impl AttemptTimer {
-    /// Creates a timer that ends after `delay` or at `limit`, and watches no endpoint.
+    /// Creates a timer that ends after `delay` or with the process, and watches no endpoint.
     pub fn after(
         clock: ProcessClock,
         delay: Duration,
-        limit: Rc<Cell<Option<Micros>>>,
+        stop: StopWatch,
     ) -> Self {
         AttemptTimer {
-            deadline: DeadlineTimer::after(clock, delay).with_limit(limit),
+            deadline: DeadlineTimer::after(clock, delay),
+            stop,
             clock,
             watch: None,
         }
@@ -76,8 +76,17 @@
                 return Poll::Ready(WakeReason::EndpointUnresponsive);
             }
         }
-        Pin::new(&mut self.deadline)
-            .poll(context)
-            .map(|()| WakeReason::TimedOut)
+        self.poll_time(context).map(|()| WakeReason::TimedOut)
+    }
+
+    /// Ready at the time limit, and once the process must end the request.
+    pub fn poll_time(
+        &mut self,
+        context: &mut Context<'_>,
+    ) -> Poll<()> {
+        if self.stop.poll_ended(context).is_ready() {
+            return Poll::Ready(());
+        }
+        Pin::new(&mut self.deadline).poll(context)
     }
 }
--- a/entry/src/front/requests/request_admit.rs
+++ b/entry/src/front/requests/request_admit.rs
@@ -5,7 +5,7 @@
     pitchhitch_core::{
         serving::{
             AdmissionDecision, AdmissionInputs, RefusalKind, RequestInfo, ResolvedRequest,
-            ServedRoute, ServingConfig, StopWindow,
+            ServedRoute, ServingConfig,
         },
         time::Micros,
     },
@@ -54,7 +54,7 @@
     route: &ServedRoute,
 ) -> bool {
     let state = front.state();
-    let (Some(since), Some(answers_by)) = (state.stopping_since, front.answers_by.get()) else {
+    let (Some(since), Some(window)) = (state.stopping_since, front.stop_window.get()) else {
         return true;
     };
     let now = front.now();
@@ -63,7 +63,6 @@
     }
     let time_limit = info.time_left.unwrap_or(DEFAULT_CALLER_TIMEOUT);
     let longest_run = state.run_times.longest(&route.name, now);
-    let window = StopWindow { answers_by };
     window.admits(time_limit.min(route.time_limit), longest_run, now)
 }
 
--- a/entry/src/front/requests/request_attempt.rs
+++ b/entry/src/front/requests/request_attempt.rs
@@ -266,9 +266,6 @@
         let outcome = match response {
             Ok(response) => {
                 self.set_stage(RequestStage::Responding);
-                if self.route().is_stream {
-                    self.timer.deadline.lift_limit();
-                }
                 record_heard(front, choice.key);
                 self.handle_response(choice, ticket, sent_at, exchange, response)
                     .await
--- a/entry/src/front/requests/request_end.rs
+++ b/entry/src/front/requests/request_end.rs
@@ -40,7 +40,11 @@
     ) -> ConnectionReuse {
         if self.progress.is_head_sent {
             // The connection is closed, so that the caller sees that the stream is truncated.
-            self.log_end("cut", 0);
+            let cause = match self.is_stopped() {
+                true => "stop",
+                false => failure.kind.response().code,
+            };
+            self.log_end("cut", cause, 0);
             return ConnectionReuse::Close;
         }
         if let Some(response) = failure.response {
@@ -59,7 +63,7 @@
 
     /// Ends a request whose caller has closed its connection.
     pub(crate) fn finish_abandoned(&self) -> ConnectionReuse {
-        self.log_end("caller-gone", 0);
+        self.log_end("caller-gone", "", 0);
         ConnectionReuse::Close
     }
 
@@ -70,8 +74,8 @@
     ) -> RefusalKind {
         match failure {
             ExchangeFailure::NotSent if self.possible_runs == 0 => RefusalKind::EndpointRefused,
-            ExchangeFailure::Late if self.possible_runs == 0 => RefusalKind::NeverSent,
-            ExchangeFailure::Late | ExchangeFailure::NotBegun => RefusalKind::TimedOut,
+            ExchangeFailure::Late => self.late_kind(),
+            ExchangeFailure::NotBegun => RefusalKind::TimedOut,
             ExchangeFailure::Garbled => RefusalKind::BadAnswer,
             ExchangeFailure::NotSent
             | ExchangeFailure::Lost
@@ -81,6 +85,16 @@
         }
     }
 
+    /// Reason of the refusal when no time is left.
+    pub(crate) fn late_kind(&self) -> RefusalKind {
+        match (self.is_stopped(), self.possible_runs) {
+            (true, 0) => RefusalKind::Stopping,
+            (true, _) => RefusalKind::Stopped,
+            (false, 0) => RefusalKind::NeverSent,
+            (false, _) => RefusalKind::TimedOut,
+        }
+    }
+
     /// Sends the complete response of an endpoint to the caller.
     pub(crate) async fn deliver_buffered(
         &mut self,
@@ -97,7 +111,7 @@
         &self,
         status: u16,
     ) -> ConnectionReuse {
-        self.log_end("answered", status);
+        self.log_end("answered", "", status);
         match self.progress.closes || self.close_requested {
             true => ConnectionReuse::Close,
             false => ConnectionReuse::KeepAlive,
--- a/entry/src/front/requests/request_handler.rs
+++ b/entry/src/front/requests/request_handler.rs
@@ -139,11 +139,7 @@
             service,
             id_hash,
             deadline,
-            timer: AttemptTimer::after(
-                front.clock,
-                to_duration(time_left),
-                front.answers_by.clone(),
-            ),
+            timer: AttemptTimer::after(front.clock, to_duration(time_left), entry.watch()),
             tried: Vec::new(),
             has_left_endpoint: false,
             origin: None,
@@ -178,12 +174,31 @@
         Some(&self.config.organisations[index])
     }
 
-    /// When the request must have been answered. A stopping process answers whatever is not a stream
-    /// before it exits.
+    /// When the request must have ended. A stopping process ends it before it exits.
     pub(crate) fn deadline(&self) -> Micros {
-        let answers_by = self.front.answers_by.get();
-        let answers_by = answers_by.filter(|_| !self.route().is_stream);
-        answers_by.map_or(self.deadline, |limit| limit.min(self.deadline))
+        let stop_limit =
+            self.front
+                .stop_window
+                .get()
+                .map(|window| match self.progress.is_head_sent {
+                    true => window.ends_by,
+                    false => window.answers_by,
+                });
+        stop_limit.map_or(self.deadline, |limit| limit.min(self.deadline))
+    }
+
+    /// When its endpoint may stop. A stream that begins in time goes on for as long as the process runs.
+    pub(crate) fn run_deadline(&self) -> Micros {
+        match self.route().is_stream {
+            true => self.deadline,
+            false => self.deadline(),
+        }
+    }
+
+    /// Whether the stop of the process leaves the request no time.
+    pub(crate) fn is_stopped(&self) -> bool {
+        let limit = self.deadline();
+        limit < self.deadline && self.front.now() >= limit
     }
 
     /// Records how far the request has come; once the caller has a part of the response, it has begun.
--- a/entry/src/front/requests/request_log.rs
+++ b/entry/src/front/requests/request_log.rs
@@ -184,6 +184,7 @@
     pub(crate) fn log_end(
         &self,
         outcome: &str,
+        cause: &str,
         status: u16,
     ) {
         let front = self.front;
@@ -202,6 +203,7 @@
             request = self.info.request_id.as_str(),
             route = self.route().name.as_str(),
             outcome = outcome,
+            cause = cause,
             status = status,
             sends = self.sends,
             first_ms = time_to_response.map_or(-1, |time| time.as_millis() as i64),
--- a/entry/src/front/requests/request_transfers.rs
+++ b/entry/src/front/requests/request_transfers.rs
@@ -63,7 +63,7 @@
         let entry = state.registry.get(choice.key);
         let organisation = self.organisation();
         let is_engine = self.info.prompt.is_some();
-        let time_left = self.deadline().since(now);
+        let time_left = self.run_deadline().since(now);
         let headers = ForwardHeaders {
             endpoint_id: entry.map_or("", |entry| entry.id.as_str()),
             time_left: time_left.since(ROUND_TRIP_TIME).max(Micros::from_millis(1)),
--- a/entry/src/front/requests/run_resumption.rs
+++ b/entry/src/front/requests/run_resumption.rs
@@ -3,6 +3,7 @@
         make_endpoint_room, AttemptOutcome, EndpointExchange, ExchangeFailure, RequestHandler,
         ReservedSlot,
     },
+    futures_lite::future::{or, poll_fn},
     pitchhitch_core::{
         serving::{EndpointChoice, MoveAction, MoveEvent, ResumeSite},
         time::Micros,
@@ -61,12 +62,20 @@
                 }
                 None => break,
             }
-            // The reply arrives within the timeout of the call.
             let Some(active) = self.moves.active.as_mut() else {
                 break;
             };
-            let response = active.reply().await;
-            step = Some(active.on_reply(self.front, response));
+            let timer = &mut self.timer;
+            let ended = async {
+                poll_fn(|context| timer.poll_time(context)).await;
+                None
+            };
+            step = Some(
+                match or(async { Some(active.reply().await) }, ended).await {
+                    Some(response) => active.on_reply(self.front, response),
+                    None => active.on_event(self.front, MoveEvent::DeadlinePassed),
+                },
+            );
         }
         match failure {
             ExchangeFailure::CallerGone => AttemptOutcome::CallerGone,
--- a/entry/src/front/requests/wake_reason.rs
+++ b/entry/src/front/requests/wake_reason.rs
@@ -66,7 +66,7 @@
         Err(_) => return false,
     };
     let timed_out = async {
-        (&mut timer.deadline).await;
+        poll_fn(|context| timer.poll_time(context)).await;
         false
     };
     let remaining_write = async { caller.write_all(&bytes[sent..]).await.is_ok() };
--- a/process/src/deadline_timer.rs
+++ b/process/src/deadline_timer.rs
@@ -3,10 +3,8 @@
     pitchhitch_core::time::Micros,
     smol::Timer,
     std::{
-        cell::Cell,
         future::Future,
         pin::Pin,
-        rc::Rc,
         task::{Context, Poll},
         time::Duration,
     },
@@ -23,8 +21,6 @@
     clock: ProcessClock,
     ends_at: Micros,
     timer: Timer,
-    /// Time at which it ends at the latest, once there is one.
-    limit: Rc<Cell<Option<Micros>>>,
 }
 
 impl DeadlineTimer {
@@ -38,7 +34,6 @@
             clock,
             ends_at: clock.now() + delay,
             timer: Timer::after(to_duration(delay.min(CLOCK_CHECK_INTERVAL))),
-            limit: Rc::default(),
         }
     }
 
@@ -52,20 +47,6 @@
         self.timer
             .set_after(to_duration(delay.min(CLOCK_CHECK_INTERVAL)));
     }
-
-    /// Makes it end at a limit at the latest. One that is set later takes effect within a second.
-    #[must_use]
-    pub fn with_limit(
-        self,
-        limit: Rc<Cell<Option<Micros>>>,
-    ) -> Self {
-        DeadlineTimer { limit, ..self }
-    }
-
-    /// Removes the limit.
-    pub fn lift_limit(&mut self) {
-        self.limit = Rc::default();
-    }
 }
 
 impl Future for DeadlineTimer {
@@ -76,11 +57,7 @@
         context: &mut Context<'_>,
     ) -> Poll<()> {
         while Pin::new(&mut self.timer).poll(context).is_ready() {
-            let ends_at = self
-                .limit
-                .get()
-                .map_or(self.ends_at, |limit| limit.min(self.ends_at));
-            let remaining = ends_at.since(self.clock.now());
+            let remaining = self.ends_at.since(self.clock.now());
             if remaining == Micros::ZERO {
                 return Poll::Ready(());
             }
