A stopping front accepts the streams that end before its exit

Callers saw: streams that a stopping front accepted 2.2 s after SIGTERM, although those of their route take 6 s, and cut 7.7 s after it; and streams of 0.3 s that it refused from 2.8 s on, while it ran for 4.9 s more. Cause: streams were accepted for a fixed time, whatever they need. Change: for 2.8 s a stream is accepted if the longest recent one of its route would end in time, after that as a plain request, with half of that time to spare. What a request took is recorded from when it was read, over all its attempts, not for each attempt alone.

--- a/core/src/serving/admission/stop_window.rs
+++ b/core/src/serving/admission/stop_window.rs
@@ -13,6 +13,9 @@
 const CUT_TIME: Micros = Micros::from_millis(50);
 /// Time assumed for a run on a route without recent ones.
 const UNKNOWN_TIME: Micros = Micros::from_millis(1_500);
+/// Time after SIGTERM during which streams are accepted that are expected to end just before the exit.
+/// The platform waits for those that arrive within 3 s.
+const STREAM_TIME: Micros = Micros::from_millis(2_800);
 /// Time by which a run may exceed one and a half times the longest recent one.
 const SPARE_TIME: Micros = Micros::from_millis(200);
 
@@ -68,6 +71,8 @@
 /// Time that a stopping process has for its requests.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct StopWindow {
+    /// When the process was told to stop.
+    pub since: Micros,
     /// When each request must have been answered whose caller has received nothing.
     pub answers_by: Micros,
     /// When answers that have begun must have ended.
@@ -75,9 +80,13 @@
 }
 
 impl StopWindow {
-    /// Window of a process that exits at `exits_at`.
-    pub fn until(exits_at: Micros) -> Self {
+    /// Window of a process that was told to stop at `since` and exits at `exits_at`.
+    pub fn new(
+        since: Micros,
+        exits_at: Micros,
+    ) -> Self {
         StopWindow {
+            since,
             answers_by: exits_at.since(ANSWER_TIME),
             ends_by: exits_at.since(CUT_TIME),
         }
@@ -94,4 +103,17 @@
         let expected = longest_run.map_or(UNKNOWN_TIME, |longest| Micros(longest.0 * 3 / 2));
         now + time_limit.min(expected + SPARE_TIME) <= self.answers_by
     }
+
+    /// Whether a stream is accepted. Until the load balancer sends no more of them, it is enough that
+    /// the longest recent one of its route would just end in time.
+    pub fn admits_stream(
+        &self,
+        time_limit: Micros,
+        longest_run: Option<Micros>,
+        now: Micros,
+    ) -> bool {
+        let is_early = now.since(self.since) <= STREAM_TIME;
+        let ends_in_time = longest_run.is_none_or(|longest| now + longest <= self.answers_by);
+        (is_early && ends_in_time) || self.admits(time_limit, longest_run, now)
+    }
 }
--- a/core/tests/stop_windows.rs
+++ b/core/tests/stop_windows.rs
@@ -9,7 +9,7 @@
 const LIMIT: Micros = Micros::from_secs(4);
 
 fn last_accepted(longest_run: Option<Micros>) -> Micros {
-    let window = StopWindow::until(EXIT);
+    let window = StopWindow::new(Micros::ZERO, EXIT);
     let times = (0..=EXIT.as_millis()).map(Micros::from_millis);
     let accepted = times.filter(|now| window.admits(LIMIT, longest_run, *now));
     accepted.max().expect("accepted at first")
@@ -32,7 +32,7 @@
 /// A request whose time limit passes before the exit is accepted, however slow its route.
 #[test]
 fn short_limit_accepted() {
-    let window = StopWindow::until(EXIT);
+    let window = StopWindow::new(Micros::ZERO, EXIT);
     let slow = Some(Micros::from_secs(9));
     let now = Micros::from_secs(7);
     assert!(window.admits(Micros::from_millis(500), slow, now));
@@ -50,3 +50,25 @@
     assert_eq!(times.longest("a", later), Some(Micros::from_millis(5)));
     assert_eq!(times.longest("b", later), None);
 }
+
+/// Streams that take longer than the exit leaves them are refused, and short ones accepted for long.
+#[test]
+fn streams_end_in_time() {
+    let window = StopWindow::new(Micros::ZERO, EXIT);
+    let limit = Micros::from_secs(15);
+    let last_accepted = |longest: Option<Micros>| {
+        let times = (0..=EXIT.as_millis()).map(Micros::from_millis);
+        times
+            .filter(|now| window.admits_stream(limit, longest, *now))
+            .max()
+    };
+    for millis in [30, 300, 1_800, 5_500, 7_000] {
+        let longest = Micros::from_millis(millis);
+        let last = last_accepted(Some(longest)).expect("accepted at first");
+        assert!(last + longest < EXIT, "{millis} ms");
+    }
+    assert!(last_accepted(Some(Micros::from_millis(300))) > Some(Micros::from_secs(6)));
+    assert!(last_accepted(Some(Micros::from_millis(5_500))) > Some(Micros::from_secs(2)));
+    assert_eq!(last_accepted(Some(EXIT)), None);
+    assert!(last_accepted(None) >= Some(Micros::from_millis(2_800)));
+}
--- a/entry/src/front/front_process.rs
+++ b/entry/src/front/front_process.rs
@@ -215,7 +215,7 @@
     front.state().stopping_since = Some(requested_at);
     let limit = front.settings.stop_limit.saturating_sub(CLOSE_MARGIN);
     let exits_at = requested_at + Micros(limit.as_micros() as u64);
-    let window = StopWindow::until(exits_at);
+    let window = StopWindow::new(requested_at, exits_at);
     front.stop_window.set(Some(window));
     let (running, arriving) = (front.requests.running(), front.requests.arriving());
     log::info!(event = "stopping", running = running, arriving = arriving; "");
--- a/entry/src/front/requests/request_admit.rs
+++ b/entry/src/front/requests/request_admit.rs
@@ -14,9 +14,6 @@
     std::rc::Rc,
 };
 
-/// Time after SIGTERM during which streams are accepted. The platform waits for those that arrive
-/// within 3 s.
-const STREAM_ACCEPT_TIME: Micros = Micros::from_millis(2_800);
 /// Timeout of writing a refusal to the caller.
 const REFUSAL_WRITE_TIMEOUT: Micros = Micros::from_millis(250);
 
@@ -53,17 +50,17 @@
     info: &RequestInfo,
     route: &ServedRoute,
 ) -> bool {
-    let state = front.state();
-    let (Some(since), Some(window)) = (state.stopping_since, front.stop_window.get()) else {
+    let Some(window) = front.stop_window.get() else {
         return true;
     };
     let now = front.now();
-    if route.is_stream {
-        return now.since(since) <= STREAM_ACCEPT_TIME;
-    }
     let time_limit = info.time_left.unwrap_or(DEFAULT_CALLER_TIMEOUT);
-    let longest_run = state.run_times.longest(&route.name, now);
-    window.admits(time_limit.min(route.time_limit), longest_run, now)
+    let time_limit = time_limit.min(route.time_limit);
+    let longest_run = front.state().run_times.longest(&route.name, now);
+    match route.is_stream {
+        true => window.admits_stream(time_limit, longest_run, now),
+        false => window.admits(time_limit, longest_run, now),
+    }
 }
 
 /// A response of the front itself, for a request that was not served.
--- a/entry/src/front/requests/request_end.rs
+++ b/entry/src/front/requests/request_end.rs
@@ -106,12 +106,21 @@
         }
     }
 
+    /// Records how long it took from when it was read: a stream may have been moved, or tried at
+    /// several endpoints.
+    fn record_run_time(&self) {
+        let now = self.front.now();
+        let run_times = &mut self.front.state().run_times;
+        run_times.record(&self.route().name, now.since(self.read_at), now);
+    }
+
     /// Ends a request whose caller has received the complete response.
     pub(crate) fn finish_delivered(
         &self,
         status: u16,
     ) -> ConnectionReuse {
         self.log_end("answered", "", status);
+        self.record_run_time();
         match self.progress.closes || self.close_requested {
             true => ConnectionReuse::Close,
             false => ConnectionReuse::KeepAlive,
--- a/entry/src/front/requests/request_handler.rs
+++ b/entry/src/front/requests/request_handler.rs
@@ -42,6 +42,8 @@
     /// Hash of the request id; spreads requests over services and retries over time.
     pub(crate) id_hash: u64,
     pub(crate) deadline: Micros,
+    /// When it had been read to its end.
+    pub(crate) read_at: Micros,
     pub(crate) timer: AttemptTimer,
     /// Endpoints that were tried already.
     pub(crate) tried: Vec<EndpointKey>,
@@ -139,6 +141,7 @@
             service,
             id_hash,
             deadline,
+            read_at: front.now(),
             timer: AttemptTimer::after(front.clock, to_duration(time_left), entry.watch()),
             tried: Vec::new(),
             has_left_endpoint: false,
