Logs: the last lines of a process are not lost to a slow reader

One cause that can be shown: at its exit a process wrote to a full pipe once and dropped the rest of its buffer, up to 128 KB, without a note. Change: before it exits a process waits for the reader for up to 0.1 s, within the 0.3 s that it leaves before the platform's limit. That the users' lines were lost in this way is not shown.

--- a/agent/src/cli/agent_cli.rs
+++ b/agent/src/cli/agent_cli.rs
@@ -5,8 +5,8 @@
         engine_agent::{run_engine_agent, EngineAgentSettings},
     },
     getopts::{Matches, Options},
-    pitchhitch_process::{flush_log, start_bounded_logging, start_logging, start_traffic_threads},
-    std::{env, fmt::Display, fs, process::ExitCode},
+    pitchhitch_process::{finish_log, start_bounded_logging, start_logging, start_traffic_threads},
+    std::{env, fmt::Display, fs, process::ExitCode, time::Duration},
 };
 
 /// Environment variable with the path of the settings file on the platform's boxes.
@@ -17,6 +17,8 @@
 const EXIT_SETTINGS: u8 = 3;
 /// Exit code for a failure at run time.
 const EXIT_FAILED: u8 = 1;
+/// Longest wait for the reader of the log before the exit.
+const LOG_TIME: Duration = Duration::from_millis(100);
 
 /// What the agent runs for.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -159,6 +161,6 @@
 
 fn exit_failed(error: anyhow::Error) -> ExitCode {
     log::error!(event = "failed", error = format!("{error:#}").as_str(); "");
-    flush_log();
+    finish_log(LOG_TIME);
     ExitCode::from(EXIT_FAILED)
 }
--- a/agent/src/engine_agent/engine_agent_process.rs
+++ b/agent/src/engine_agent/engine_agent_process.rs
@@ -6,7 +6,7 @@
     },
     anyhow::Context,
     pitchhitch_http1::serve_paths,
-    pitchhitch_process::{flush_log, ProcessSignal, SignalListener},
+    pitchhitch_process::{finish_log, flush_log, ProcessSignal, SignalListener},
     pitchhitch_wire::engine_agent::DatagramSocket,
     smol::Timer,
     std::time::Duration,
@@ -14,6 +14,8 @@
 
 /// Interval at which buffered log lines are written.
 const LOG_FLUSH_INTERVAL: Duration = Duration::from_millis(250);
+/// Longest wait for the reader of the log before the exit.
+const LOG_TIME: Duration = Duration::from_millis(100);
 
 /// Runs the agent of an engine until a stop signal; `reload` reads the settings again.
 ///
@@ -56,7 +58,7 @@
     let stopped = wait_for_stop(&agent, &mut signals, reload);
     agent.run(stopped).await?;
     log::info!(event = "stopped", beside = agent.settings.box_id.as_str(); "");
-    flush_log();
+    finish_log(LOG_TIME);
     Ok(())
 }
 
--- a/entry/src/front/front_process.rs
+++ b/entry/src/front/front_process.rs
@@ -15,7 +15,7 @@
     pitchhitch_http1::{
         open_connections, serve_paths, ConnectionListener, TcpConnection, TcpKeepalive,
     },
-    pitchhitch_process::{flush_log, to_duration, ProcessSignal, SignalListener},
+    pitchhitch_process::{finish_log, flush_log, to_duration, ProcessSignal, SignalListener},
     pitchhitch_wire::engine_agent::DatagramSocket,
     smol::Timer,
     std::{rc::Rc, time::Duration},
@@ -26,6 +26,8 @@
 const BALANCER_NOTICE_TIME: Duration = Duration::from_millis(2_600);
 /// Time reserved for closing connections before the stop limit.
 const CLOSE_MARGIN: Duration = Duration::from_millis(300);
+/// Time for which the reader of the log is waited for after that.
+const LOG_TIME: Duration = Duration::from_millis(100);
 /// Interval at which a stopping process checks whether it is idle.
 const IDLE_CHECK_INTERVAL: Micros = Micros::from_millis(50);
 
@@ -96,7 +98,7 @@
         check_reload(&front, reload);
     }
     shut_down(&front).await;
-    flush_log();
+    finish_log(LOG_TIME);
     Ok(())
 }
 
--- a/process/src/bounded_output.rs
+++ b/process/src/bounded_output.rs
@@ -1,6 +1,12 @@
 use {
-    rustix::fs::{fcntl_getfl, fcntl_setfl, OFlags},
-    std::io::{self, Write},
+    rustix::{
+        event::{poll, PollFd, PollFlags, Timespec},
+        fs::{fcntl_getfl, fcntl_setfl, OFlags},
+    },
+    std::{
+        io::{self, Write},
+        time::{Duration, Instant},
+    },
 };
 
 /// Maximum number of buffered bytes, about one second of log lines of a busy box.
@@ -32,6 +38,37 @@
         }
     }
 
+    /// Writes all lines before the process exits; waits for the reader for at most `limit`.
+    pub fn finish(
+        &mut self,
+        limit: Duration,
+    ) {
+        let ends_at = Instant::now() + limit;
+        self.note_dropped();
+        loop {
+            self.write_buffer();
+            let remaining = ends_at.saturating_duration_since(Instant::now());
+            if self.buffer.is_empty() || remaining.is_zero() {
+                return;
+            }
+            let output = rustix::stdio::stdout();
+            let timeout = Timespec::try_from(remaining).ok();
+            let mut writable = [PollFd::new(&output, PollFlags::OUT)];
+            if poll(&mut writable, timeout.as_ref()).is_err() {
+                return;
+            }
+        }
+    }
+
+    /// Appends a line that tells how many were dropped, if any were.
+    fn note_dropped(&mut self) {
+        if self.dropped > 0 {
+            let note = format!("level=WARN event=lines-left-out count={}\n", self.dropped);
+            self.buffer.extend_from_slice(note.as_bytes());
+            self.dropped = 0;
+        }
+    }
+
     fn write_buffer(&mut self) {
         while !self.buffer.is_empty() {
             match rustix::io::write(rustix::stdio::stdout(), &self.buffer) {
@@ -56,11 +93,7 @@
             self.dropped += 1;
             return Ok(line.len());
         }
-        if self.dropped > 0 {
-            let note = format!("level=WARN event=lines-left-out count={}\n", self.dropped);
-            self.buffer.extend_from_slice(note.as_bytes());
-            self.dropped = 0;
-        }
+        self.note_dropped();
         self.buffer.extend_from_slice(line);
         if self.buffer.len() >= self.flush_threshold {
             self.write_buffer();
--- a/process/src/log_setup.rs
+++ b/process/src/log_setup.rs
@@ -5,6 +5,7 @@
     std::{
         io::Write,
         sync::{Mutex, OnceLock, PoisonError},
+        time::Duration,
     },
 };
 
@@ -90,6 +91,15 @@
     }
 }
 
+/// Writes the buffered log lines before the process exits. A reader that is behind is waited for, but
+/// not for longer than `limit`.
+pub fn finish_log(limit: Duration) {
+    if let Some(output) = OUTPUT.get() {
+        let mut output = output.lock().unwrap_or_else(PoisonError::into_inner);
+        output.finish(limit);
+    }
+}
+
 fn builder() -> Builder {
     let env = Env::new().filter_or(
         LOG_VARIABLE,
