A front that stood still answers before it exits

Callers saw: a connection that closed without an answer, where a front stood still (or ran late) from before the end of its stop until after it. Operators saw 'outcome=cut-by-exit stage=responding' although the front still ran. Cause: the phases of the stop have fixed times. After a standstill all of them were over at once, and the process exited before the tasks that it had woken ran. Change: each phase lasts at least 50 ms, within the 300 ms that are kept before the platform's limit.

--- a/entry/src/front/front_process.rs
+++ b/entry/src/front/front_process.rs
@@ -28,6 +28,8 @@
 const CLOSE_MARGIN: Duration = Duration::from_millis(300);
 /// Time for which the reader of the log is waited for after that.
 const LOG_TIME: Duration = Duration::from_millis(100);
+/// Least time for each phase of a stop, also if the process runs on only after its limit.
+const PHASE_TIME: Micros = Micros::from_millis(50);
 /// Interval at which a stopping process checks whether it is idle.
 const IDLE_CHECK_INTERVAL: Micros = Micros::from_millis(50);
 
@@ -226,10 +228,13 @@
     // Idle connections have time to detect that they are to be closed.
     Timer::after(Duration::from_millis(700)).await;
     wait_until_idle(front, window.answers_by).await;
-    front.requests.begin_phase(StopPhase::Answering);
-    wait_until_idle(front, window.ends_by).await;
-    front.requests.begin_phase(StopPhase::Ending);
-    wait_until_idle(front, exits_at).await;
+    for (phase, limit) in [
+        (StopPhase::Answering, window.ends_by),
+        (StopPhase::Ending, exits_at),
+    ] {
+        front.requests.begin_phase(phase);
+        wait_until_idle(front, limit.max(front.now() + PHASE_TIME)).await;
+    }
     log_cut_requests(front);
     let cut_off = front.requests.len();
     let waited_ms = front.now().since(requested_at).as_millis();
