Claims: parts are saved while one of their keepers is silent

Change: each part has three keepers by rendezvous hashing. Two decide: the first two as before, or, while one of those is silent, the two of the three that report. Any two pairs have an agent in common, which refuses what it has granted to another request. A keeper that reports again is told the claims that it missed.

--- a/core/src/serving/kv_stores/claim_call.rs
+++ b/core/src/serving/kv_stores/claim_call.rs
@@ -13,13 +13,15 @@
     pub number: u64,
 }
 
-/// Which of a part's two keepers an agent is.
+/// Which of a part's keepers an agent is.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub enum KeeperRole {
     /// Decides between fronts that claim the part at the same time.
     Primary,
     /// Remembers claims that the primary keeper granted, in case that one restarts or is replaced.
     Secondary,
+    /// One of two that decide while another, which the front cannot ask, is silent.
+    Majority,
 }
 
 /// A part that a front is about to have saved.
--- a/core/src/serving/kv_stores/claim_table.rs
+++ b/core/src/serving/kv_stores/claim_table.rs
@@ -7,6 +7,9 @@
 /// Time after the start within which nothing is granted: fronts report the claims that the previous
 /// process had granted.
 pub const CLAIM_WARM_UP: Micros = Micros::from_secs(3);
+/// Time after the start within which an agent does not decide while another keeper is silent: the
+/// claims of requests that end within 17 s have expired by then.
+pub const MAJORITY_WARM_UP: Micros = Micros::from_secs(30);
 /// Time within which fronts that claim a part together are told apart by the primary keeper alone.
 const RACE_TIME: Micros = Micros::from_millis(100);
 /// Maximum number of complete parts that are remembered; the oldest are forgotten first.
@@ -87,7 +90,11 @@
     ) -> bool {
         // A front that missed an event does not know that the store has the part.
         let is_complete = self.complete.get(&claimed.part) == Some(&claimed.epoch);
-        if now < CLAIM_WARM_UP || is_complete {
+        let warm_up = match claimed.role {
+            KeeperRole::Majority => MAJORITY_WARM_UP,
+            KeeperRole::Primary | KeeperRole::Secondary => CLAIM_WARM_UP,
+        };
+        if now < warm_up || is_complete {
             return false;
         }
         let held = self.claims.get(&claimed.part);
@@ -96,10 +103,19 @@
             .flatten()
             .filter(|held| held.id != claim.id && held.expires_at > now);
         let is_free = match claimed.role {
-            KeeperRole::Primary => others.next().is_none(),
+            KeeperRole::Primary | KeeperRole::Majority => others.next().is_none(),
             KeeperRole::Secondary => others.all(|held| held.claimed_at + RACE_TIME > now),
         };
         if is_free {
+            // No primary keeper tells apart the fronts that claim the part together.
+            let claimed_at = match claimed.role {
+                KeeperRole::Majority => Micros::ZERO,
+                KeeperRole::Primary | KeeperRole::Secondary => claim.claimed_at,
+            };
+            let claim = HeldClaim {
+                claimed_at,
+                ..claim
+            };
             self.hold(claimed.part, claim);
         }
         is_free
--- a/core/src/serving/kv_stores/mod.rs
+++ b/core/src/serving/kv_stores/mod.rs
@@ -4,6 +4,7 @@
 mod claim_call;
 mod claim_table;
 mod fetch_completion;
+mod keeper_changes;
 mod kv_store;
 mod kv_store_directory;
 mod kv_store_uptime;
@@ -18,8 +19,8 @@
 mod stored_part;
 
 pub use {
-    cache_namespace::*, claim_call::*, claim_table::*, fetch_completion::*, kv_store::*,
-    kv_store_directory::*, kv_store_uptime::*, kv_store_view::*, part_index::*, prompt_info::*,
-    prompt_part::*, reclaim_state::*, save_claims::*, sharing_group::*, sharing_groups::*,
-    stored_part::*,
+    cache_namespace::*, claim_call::*, claim_table::*, fetch_completion::*, keeper_changes::*,
+    kv_store::*, kv_store_directory::*, kv_store_uptime::*, kv_store_view::*, part_index::*,
+    prompt_info::*, prompt_part::*, reclaim_state::*, save_claims::*, sharing_group::*,
+    sharing_groups::*, stored_part::*,
 };
--- a/core/src/serving/kv_stores/save_claims.rs
+++ b/core/src/serving/kv_stores/save_claims.rs
@@ -1,5 +1,5 @@
 use {
-    super::{ClaimAnswer, ClaimCall, ClaimId, ClaimedPart, KeeperRole, StoredPart},
+    super::{ClaimAnswer, ClaimCall, ClaimId, ClaimedPart, KeeperChanges, KeeperRole, StoredPart},
     crate::{serving::KeeperSet, time::Micros},
     std::{
         collections::{BTreeMap, BTreeSet, HashMap},
@@ -7,8 +7,10 @@
     },
 };
 
-/// Number of agents that keep the claims of a part.
-const KEEPERS_PER_PART: usize = 2;
+/// Number of agents that may keep the claims of a part.
+const KEEPERS_PER_PART: usize = 3;
+/// Number of them that decide on each claim. Any two pairs have an agent in common.
+const DECIDING_KEEPERS: usize = 2;
 /// Age up to which granted claims may be used: this process may have been paused since it asked.
 const MAX_GRANT_AGE: Micros = Micros::from_millis(500);
 /// Time after the end of a run within which its saves are carried out: engines abandon a transfer
@@ -60,6 +62,7 @@
     unsent: Vec<(SocketAddr, ClaimCall)>,
     /// Agents that do not report; they would not answer in time.
     silent_agents: BTreeSet<SocketAddr>,
+    keeper_changes: KeeperChanges,
 }
 
 impl SaveClaims {
@@ -71,6 +74,7 @@
             requests: HashMap::new(),
             unsent: Vec::new(),
             silent_agents: BTreeSet::new(),
+            keeper_changes: KeeperChanges::default(),
         }
     }
 
@@ -79,12 +83,19 @@
         &self.silent_agents
     }
 
-    /// Sets the agents that do not report. Parts that they keep are not claimed.
+    /// Sets the agents that do not report, which are not asked, and reports claims to those that
+    /// report again.
     pub fn set_silent(
         &mut self,
-        agents: BTreeSet<SocketAddr>,
+        silent: BTreeSet<SocketAddr>,
+        agents: &KeeperSet,
+        now: Micros,
     ) {
-        self.silent_agents = agents;
+        let has_returned = !self.silent_agents.is_subset(&silent);
+        self.silent_agents = silent;
+        if has_returned {
+            self.complete_keepers(agents, now);
+        }
     }
 
     /// Asks the keepers of these parts, each with the incarnation of its store, for the claims of a
@@ -102,12 +113,8 @@
         let mut asked: BTreeMap<SocketAddr, Vec<ClaimedPart>> = BTreeMap::new();
         let mut claims = Vec::new();
         for (part, epoch) in parts {
-            let keepers = agents.nearest_to(part.hash(), KEEPERS_PER_PART);
-            let is_silent = |keeper: &SocketAddr| self.silent_agents.contains(keeper);
-            let is_refused = keepers.is_empty() || keepers.iter().any(is_silent);
-            let roles = [KeeperRole::Primary, KeeperRole::Secondary];
-            let receivers = keepers.iter().filter(|_| !is_refused);
-            for (keeper, role) in receivers.zip(roles) {
+            let (keepers, roles) = self.deciding_keepers(part, agents, now);
+            for (keeper, role) in keepers.iter().zip(roles) {
                 asked.entry(*keeper).or_default().push(ClaimedPart {
                     part: *part,
                     epoch: *epoch,
@@ -116,7 +123,7 @@
             }
             claims.push(PartClaim {
                 part: *part,
-                is_refused,
+                is_refused: keepers.is_empty(),
                 keepers,
                 granted: Vec::new(),
             });
@@ -135,6 +142,29 @@
         id.number
     }
 
+    /// The agents to ask for a claim, and their roles; none if too few report.
+    fn deciding_keepers(
+        &self,
+        part: &StoredPart,
+        agents: &KeeperSet,
+        now: Micros,
+    ) -> (Vec<SocketAddr>, [KeeperRole; DECIDING_KEEPERS]) {
+        let is_silent = |keeper: &SocketAddr| self.silent_agents.contains(keeper);
+        let mut keepers = agents.nearest_to(part.hash(), KEEPERS_PER_PART);
+        if !keepers.iter().take(DECIDING_KEEPERS).any(is_silent) {
+            keepers.truncate(DECIDING_KEEPERS);
+            return (keepers, [KeeperRole::Primary, KeeperRole::Secondary]);
+        }
+        let changes = &self.keeper_changes;
+        let is_settled = changes.is_settled(&keepers, part.hash(), now);
+        let is_complete = keepers.len() == KEEPERS_PER_PART;
+        keepers.retain(|keeper| !is_silent(keeper));
+        if !is_settled || !is_complete || keepers.len() < DECIDING_KEEPERS {
+            keepers.clear();
+        }
+        (keepers, [KeeperRole::Majority; DECIDING_KEEPERS])
+    }
+
     /// Records an agent's answer. Returns the number of the claims if no further answer is expected.
     pub fn record_answer(
         &mut self,
@@ -251,20 +281,32 @@
 
     /// Reports the claims whose keepers are others by now to the new ones.
     pub fn reassign(
+        &mut self,
+        agents: &KeeperSet,
+        previous: &KeeperSet,
+        now: Micros,
+    ) {
+        self.keeper_changes.record(previous, agents, now);
+        self.complete_keepers(agents, now);
+    }
+
+    fn complete_keepers(
         &mut self,
         agents: &KeeperSet,
         now: Micros,
     ) {
+        let silent = std::mem::take(&mut self.silent_agents);
         self.restore(now, |claim| {
             let keepers = agents.nearest_to(claim.part.hash(), KEEPERS_PER_PART);
             let added = keepers
                 .iter()
-                .filter(|keeper| !claim.keepers.contains(keeper));
+                .filter(|keeper| !claim.keepers.contains(keeper) && !silent.contains(keeper));
             let added: Vec<SocketAddr> = added.copied().collect();
             claim.keepers.extend(&added);
             claim.granted.extend(&added);
             added
         });
+        self.silent_agents = silent;
     }
 
     fn restore(
--- a/core/src/serving/origins/keeper_set.rs
+++ b/core/src/serving/origins/keeper_set.rs
@@ -9,7 +9,7 @@
 
 /// Agents that keep the origins of streams, or claims of prompt parts, on behalf of all fronts. Each
 /// stream or part has its own few of them, which all fronts with the same list of engines find without asking each other.
-#[derive(Debug, Default, PartialEq, Eq)]
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct KeeperSet {
     /// Hash and address of each agent, by address.
     agents: Vec<(u64, SocketAddr)>,
@@ -25,6 +25,18 @@
         KeeperSet { agents }
     }
 
+    /// Agents that the other set lacks.
+    pub fn difference<'a>(
+        &'a self,
+        other: &'a KeeperSet,
+    ) -> impl Iterator<Item = SocketAddr> + 'a {
+        let missing = self
+            .agents
+            .iter()
+            .filter(|agent| other.agents.binary_search(agent).is_err());
+        missing.map(|(_, agent)| *agent)
+    }
+
     /// The agents that keep the origin of a stream. A change of the set changes those of few
     /// streams.
     pub fn keepers(
--- a/entry/src/front/peers/origin_sender.rs
+++ b/entry/src/front/peers/origin_sender.rs
@@ -112,14 +112,15 @@
     let keepers = KeeperSet::new(agents.iter().copied());
     if keepers != state.origin_keepers || state.save_claims.silent_agents() != &silent {
         log::info!(event = "claim-keepers", agents = agents.len(), silent = silent.len(); "");
-        state.save_claims.set_silent(silent);
+        state.save_claims.set_silent(silent, &keepers, now);
     }
     if keepers != state.origin_keepers {
         let previous = std::mem::replace(&mut state.origin_keepers, keepers);
         let keepers = &state.origin_keepers;
         let is_changed = |stream| keepers.keepers(stream) != previous.keepers(stream);
         state.origins.report_again(is_changed);
-        state.save_claims.reassign(&state.origin_keepers, now);
+        let keepers = &state.origin_keepers;
+        state.save_claims.reassign(keepers, &previous, now);
     }
 }
 
