A stopping front judges routes by the requests that it has answered

Cause: each attempt counted, also broken and moved ones, and the longest of a minute decided alone; without history, 1.5 s were assumed for streams, too. Change: what counts is what answered requests took (2xx), but for one in 32; after 2.8 s a stream is accepted only if four of its route are known.

--- a/core/src/serving/admission/stop_window.rs
+++ b/core/src/serving/admission/stop_window.rs
@@ -3,10 +3,14 @@
     std::collections::{HashMap, VecDeque},
 };
 
-/// Time for which the longest runs of a route are remembered.
+/// Time for which the requests of a route are remembered.
 const MEMORY: Micros = Micros::from_secs(60);
-/// Interval within which only the longest run of a route is remembered.
-const BUCKET: Micros = Micros::from_secs(10);
+/// Maximum number of remembered requests of a route.
+const MAX_RUNS: usize = 128;
+/// One in this many requests may take longer than what counts as the longest.
+const OUTLIER_SHARE: usize = 32;
+/// Number of requests that tell how long those of a route take.
+const ENOUGH_RUNS: usize = 4;
 /// Time in which an answer is passed on to the caller before the process exits.
 const ANSWER_TIME: Micros = Micros::from_millis(150);
 /// Time in which answers that have begun are ended before the process exits.
@@ -19,14 +23,23 @@
 /// Time by which a run may exceed one and a half times the longest recent one.
 const SPARE_TIME: Micros = Micros::from_millis(200);
 
-/// The longest recent runs of each route at endpoints.
+/// How long the recent requests of a route took.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct RecentRuns {
+    /// The longest time, but for a few that took much longer than the others.
+    pub longest: Micros,
+    /// Number of requests.
+    pub count: usize,
+}
+
+/// How long the recent requests of each route took.
 #[derive(Debug, Clone, Default)]
 pub struct RunTimes {
     routes: HashMap<String, VecDeque<(Micros, Micros)>>,
 }
 
 impl RunTimes {
-    /// Records a run that has ended.
+    /// Records a request that was answered.
     pub fn record(
         &mut self,
         route: &str,
@@ -34,37 +47,41 @@
         now: Micros,
     ) {
         if !self.routes.contains_key(route) {
-            self.routes.retain(|_, buckets| {
-                buckets
-                    .back()
-                    .is_some_and(|(at, _)| now.since(*at) < MEMORY)
-            });
+            self.routes
+                .retain(|_, runs| runs.back().is_some_and(|(at, _)| now.since(*at) < MEMORY));
             self.routes.insert(route.to_string(), VecDeque::new());
         }
-        let Some(buckets) = self.routes.get_mut(route) else {
+        let Some(runs) = self.routes.get_mut(route) else {
             return;
         };
-        match buckets.back_mut() {
-            Some((at, longest)) if now.since(*at) < BUCKET => *longest = run_time.max(*longest),
-            _ => buckets.push_back((now, run_time)),
-        }
-        while buckets
-            .front()
-            .is_some_and(|(at, _)| now.since(*at) > MEMORY)
-        {
-            buckets.pop_front();
+        if runs.len() == MAX_RUNS {
+            runs.pop_front();
         }
+        runs.push_back((now, run_time));
     }
 
-    /// The longest recent run of a route; `None` if there was none.
+    /// The recent requests of a route; `None` if there was none.
+    pub fn recent(
+        &self,
+        route: &str,
+        now: Micros,
+    ) -> Option<RecentRuns> {
+        let runs = self.routes.get(route)?.iter();
+        let recent = runs.filter(|(at, _)| now.since(*at) < MEMORY);
+        let mut times: Vec<Micros> = recent.map(|(_, time)| *time).collect();
+        times.sort_unstable();
+        let count = times.len();
+        let longest = *times.get(count.checked_sub(1 + count / OUTLIER_SHARE)?)?;
+        Some(RecentRuns { longest, count })
+    }
+
+    /// The longest recent request of a route; `None` if there was none.
     pub fn longest(
         &self,
         route: &str,
         now: Micros,
     ) -> Option<Micros> {
-        let buckets = self.routes.get(route)?.iter();
-        let recent = buckets.filter(|(at, _)| now.since(*at) < MEMORY + BUCKET);
-        recent.map(|(_, longest)| *longest).max()
+        Some(self.recent(route, now)?.longest)
     }
 }
 
@@ -105,15 +122,18 @@
     }
 
     /// Whether a stream is accepted. Until the load balancer sends no more of them, it is enough that
-    /// the longest recent one of its route would just end in time.
+    /// the longest recent one of its route would just end in time. After that, enough recent ones must
+    /// be known.
     pub fn admits_stream(
         &self,
         time_limit: Micros,
-        longest_run: Option<Micros>,
+        recent: Option<RecentRuns>,
         now: Micros,
     ) -> bool {
-        let is_early = now.since(self.since) <= STREAM_TIME;
-        let ends_in_time = longest_run.is_none_or(|longest| now + longest <= self.answers_by);
-        (is_early && ends_in_time) || self.admits(time_limit, longest_run, now)
+        if now.since(self.since) <= STREAM_TIME {
+            return recent.is_none_or(|runs| now + runs.longest <= self.answers_by);
+        }
+        let known = recent.filter(|runs| runs.count >= ENOUGH_RUNS);
+        known.is_some_and(|runs| self.admits(time_limit, Some(runs.longest), now))
     }
 }
--- a/core/tests/stop_windows.rs
+++ b/core/tests/stop_windows.rs
@@ -1,7 +1,7 @@
 //! Which requests a stopping process still accepts.
 
 use pitchhitch_core::{
-    serving::{RunTimes, StopWindow},
+    serving::{RecentRuns, RunTimes, StopWindow},
     time::Micros,
 };
 
@@ -51,24 +51,52 @@
     assert_eq!(times.longest("b", later), None);
 }
 
+fn runs_of(
+    longest: Micros,
+    count: usize,
+) -> Option<RecentRuns> {
+    Some(RecentRuns { longest, count })
+}
+
+fn last_stream(recent: Option<RecentRuns>) -> Option<Micros> {
+    let window = StopWindow::new(Micros::ZERO, EXIT);
+    let limit = Micros::from_secs(15);
+    let times = (0..=EXIT.as_millis()).map(Micros::from_millis);
+    times
+        .filter(|now| window.admits_stream(limit, recent, *now))
+        .max()
+}
+
 /// Streams that take longer than the exit leaves them are refused, and short ones accepted for long.
 #[test]
 fn streams_end_in_time() {
     let window = StopWindow::new(Micros::ZERO, EXIT);
-    let limit = Micros::from_secs(15);
-    let last_accepted = |longest: Option<Micros>| {
-        let times = (0..=EXIT.as_millis()).map(Micros::from_millis);
-        times
-            .filter(|now| window.admits_stream(limit, longest, *now))
-            .max()
-    };
     for millis in [30, 300, 1_800, 5_500, 7_000] {
         let longest = Micros::from_millis(millis);
-        let last = last_accepted(Some(longest)).expect("accepted at first");
-        assert!(last + longest < EXIT, "{millis} ms");
+        let last = last_stream(runs_of(longest, 20)).expect("accepted at first");
+        assert!(last + longest <= window.answers_by, "{millis} ms");
+    }
+    assert!(last_stream(runs_of(Micros::from_millis(300), 20)) > Some(Micros::from_secs(6)));
+    assert!(last_stream(runs_of(Micros::from_millis(5_500), 20)) > Some(Micros::from_secs(2)));
+    assert_eq!(last_stream(runs_of(EXIT, 20)), None);
+}
+
+/// A stream of a route about which little is known is not accepted so late that its cut counts.
+#[test]
+fn unknown_streams_early() {
+    for recent in [None, runs_of(Micros::from_millis(20), 1)] {
+        assert_eq!(last_stream(recent), Some(Micros::from_millis(2_800)));
+    }
+}
+
+/// One request that took very long does not count against all others of its route.
+#[test]
+fn outlier_ignored() {
+    let mut times = RunTimes::default();
+    let now = Micros::from_secs(10);
+    times.record("a", Micros::from_secs(15), now);
+    for _ in 0..60 {
+        times.record("a", Micros::from_millis(300), now);
     }
-    assert!(last_accepted(Some(Micros::from_millis(300))) > Some(Micros::from_secs(6)));
-    assert!(last_accepted(Some(Micros::from_millis(5_500))) > Some(Micros::from_secs(2)));
-    assert_eq!(last_accepted(Some(EXIT)), None);
-    assert!(last_accepted(None) >= Some(Micros::from_millis(2_800)));
+    assert_eq!(times.longest("a", now), Some(Micros::from_millis(300)));
 }
--- a/entry/src/front/requests/attempt_loop.rs
+++ b/entry/src/front/requests/attempt_loop.rs
@@ -61,6 +61,13 @@
             self.release(&choice, &slot);
             return Break(AttemptsEnd::Finished(self.finish_abandoned()));
         }
+        if self.is_stopped() {
+            exchange.is_reusable = true;
+            self.return_connection(&choice, exchange);
+            self.release(&choice, &slot);
+            failure.kind = self.late_kind();
+            return Break(AttemptsEnd::Failed);
+        }
         let (choice, outcome) = self.attempt_with_moves(choice, slot, exchange).await;
         self.tried.push(choice.key);
         self.handle_outcome(&choice, outcome, failure).await
--- a/entry/src/front/requests/request_admit.rs
+++ b/entry/src/front/requests/request_admit.rs
@@ -56,10 +56,10 @@
     let now = front.now();
     let time_limit = info.time_left.unwrap_or(DEFAULT_CALLER_TIMEOUT);
     let time_limit = time_limit.min(route.time_limit);
-    let longest_run = front.state().run_times.longest(&route.name, now);
+    let recent = front.state().run_times.recent(&route.name, now);
     match route.is_stream {
-        true => window.admits_stream(time_limit, longest_run, now),
-        false => window.admits(time_limit, longest_run, now),
+        true => window.admits_stream(time_limit, recent, now),
+        false => window.admits(time_limit, recent.map(|runs| runs.longest), now),
     }
 }
 
--- a/entry/src/front/requests/request_attempt.rs
+++ b/entry/src/front/requests/request_attempt.rs
@@ -291,11 +291,6 @@
             exchange.connection.reset_on_drop();
         }
         self.end_claims(&slot.transfers, &outcome, has_response);
-        if !matches!(outcome, AttemptOutcome::NotRun | AttemptOutcome::CallerGone) {
-            let now = front.now();
-            let run_times = &mut front.state().run_times;
-            run_times.record(&self.route().name, now.since(sent_at), now);
-        }
         self.record_ended(choice, ticket, sent_at);
         self.end_versioned_run(choice, slot.arm, sent_at, &outcome);
         self.record_attempt(choice, &outcome);
--- a/entry/src/front/requests/request_end.rs
+++ b/entry/src/front/requests/request_end.rs
@@ -63,7 +63,11 @@
 
     /// Ends a request whose caller has closed its connection.
     pub(crate) fn finish_abandoned(&self) -> ConnectionReuse {
-        self.log_end("caller-gone", "", 0);
+        // A write that the caller does not take ends with the stop, too.
+        match self.is_stopped() {
+            true => self.log_end("cut", "stop", 0),
+            false => self.log_end("caller-gone", "", 0),
+        }
         ConnectionReuse::Close
     }
 
@@ -102,7 +106,7 @@
     ) -> ConnectionReuse {
         match write_to_caller(self.caller, &response.bytes, &mut self.timer).await {
             true => self.finish_delivered(response.status),
-            false => ConnectionReuse::Close,
+            false => self.finish_abandoned(),
         }
     }
 
@@ -120,7 +124,9 @@
         status: u16,
     ) -> ConnectionReuse {
         self.log_end("answered", "", status);
-        self.record_run_time();
+        if (200..300).contains(&status) {
+            self.record_run_time();
+        }
         match self.progress.closes || self.close_requested {
             true => ConnectionReuse::Close,
             false => ConnectionReuse::KeepAlive,
--- a/entry/src/front/requests/request_response.rs
+++ b/entry/src/front/requests/request_response.rs
@@ -99,6 +99,7 @@
                 self.progress.closes = closes;
                 self.progress.is_head_sent = true;
                 self.set_stage(RequestStage::Begun);
+                self.timer.set_after(self.time_left());
                 self.response_started_at = Some(self.front.now());
                 let caller = &mut *self.caller;
                 let relayed =
--- a/entry/src/front/requests/run_resumption.rs
+++ b/entry/src/front/requests/run_resumption.rs
@@ -37,7 +37,7 @@
     /// Outcome of a stream that broke, with a move in progress or not.
     pub(crate) async fn handle_broken_stream(
         &mut self,
-        failure: ExchangeFailure,
+        mut failure: ExchangeFailure,
     ) -> AttemptOutcome {
         let event = match failure {
             ExchangeFailure::Lost => MoveEvent::StreamClosed,
@@ -54,6 +54,7 @@
                 Some(MoveAction::Wait) if is_pending => {}
                 Some(_) => {
                     self.end_move(match event {
+                        _ if failure == ExchangeFailure::Late => "late",
                         MoveEvent::StreamClosed => "source-lost",
                         MoveEvent::CallerGone => "caller-gone",
                         _ => "late",
@@ -73,7 +74,10 @@
             step = Some(
                 match or(async { Some(active.reply().await) }, ended).await {
                     Some(response) => active.on_reply(self.front, response),
-                    None => active.on_event(self.front, MoveEvent::DeadlinePassed),
+                    None => {
+                        failure = ExchangeFailure::Late;
+                        active.on_event(self.front, MoveEvent::DeadlinePassed)
+                    }
                 },
             );
         }
--- a/process/src/bounded_output.rs
+++ b/process/src/bounded_output.rs
@@ -2,6 +2,7 @@
     rustix::{
         event::{poll, PollFd, PollFlags, Timespec},
         fs::{fcntl_getfl, fcntl_setfl, OFlags},
+        io::Errno,
     },
     std::{
         io::{self, Write},
@@ -54,8 +55,11 @@
             let output = rustix::stdio::stdout();
             let timeout = Timespec::try_from(remaining).ok();
             let mut writable = [PollFd::new(&output, PollFlags::OUT)];
-            if poll(&mut writable, timeout.as_ref()).is_err() {
-                return;
+            match poll(&mut writable, timeout.as_ref()) {
+                Err(error) if error != Errno::INTR => return,
+                // The reader has closed the pipe.
+                Ok(_) if writable[0].revents().contains(PollFlags::ERR) => return,
+                _ => {}
             }
         }
     }
