A stopping front answers requests whose handlers do not watch the stop

Found in a review by reading: waits for the origin of a stream, connections, probes of lost runs or the process behind an unframed answer take 0.06 to 1 s and watch neither the time limit nor the stop, so that the exit could cut such a request without an answer. Change: a request whose caller has received nothing when the last phase of the stop begins is answered by its connection (504 if it was sent, else 503), wherever its handler waits. Refusals of requests that still arrive name the request. The first phases follow the process clock: timers do not advance while a box is suspended.

--- a/entry/src/front/callers/caller_conn.rs
+++ b/entry/src/front/callers/caller_conn.rs
@@ -69,14 +69,22 @@
                 entry.set_stage(RequestStage::Waiting);
                 // On the heap, so that idle connections do not hold its state.
                 let handled = Box::pin(handle_request(&front, &mut connection, request, &entry));
-                let reuse = handled.await;
+                let handled = async { Some(handled.await) };
+                let overdue = async {
+                    poll_fn(|context| watch.poll_overdue(context)).await;
+                    None
+                };
+                let reuse = or(handled, overdue).await;
                 drop(held);
-                if reuse == ConnectionReuse::Close {
-                    return;
+                match reuse {
+                    Some(ConnectionReuse::KeepAlive) => connection.shrink_buffer(),
+                    Some(ConnectionReuse::Close) => return,
+                    None => return end_overdue(&front, &mut connection, &entry).await,
                 }
-                connection.shrink_buffer();
             }
-            ReadOutcome::Rejected(kind) => return refuse(&front, &mut connection, kind).await,
+            ReadOutcome::Rejected(kind) => {
+                return refuse(&front, &mut connection, &entry, kind).await
+            }
             ReadOutcome::Closed => return,
         }
     }
@@ -263,15 +271,40 @@
     time_left.unwrap_or(DEFAULT_CALLER_TIMEOUT)
 }
 
+/// Answers a request whose handler waits for something that does not watch the stop of the process.
+async fn end_overdue(
+    front: &FrontContext,
+    connection: &mut TcpConnection,
+    entry: &RequestEntry,
+) {
+    let was_sent = entry.status().is_some_and(|request| request.was_sent);
+    let kind = match was_sent {
+        true => RefusalKind::Stopped,
+        false => RefusalKind::Stopping,
+    };
+    refuse(front, connection, entry, kind).await;
+}
+
+/// Refuses a request that no handler answers.
 async fn refuse(
     front: &FrontContext,
     connection: &mut TcpConnection,
+    entry: &RequestEntry,
     kind: RefusalKind,
 ) {
     let response = kind.response();
-    log::info!(event = "refused", kind = response.code, status = response.status; "");
+    let request_id = entry
+        .status()
+        .map_or_else(String::new, |request| request.request_id);
+    log::info!(
+        event = "refused",
+        request = request_id.as_str(),
+        kind = response.code,
+        status = response.status;
+        ""
+    );
     front.metrics.increment("refused", response.code);
-    let bytes = encode_refusal(kind, &response, "", true);
+    let bytes = encode_refusal(kind, &response, &request_id, true);
     // The refusal is lost if the caller does not read it in time.
     let _ = with_timeout(REFUSAL_WRITE_TIMEOUT, connection.write_all(&bytes)).await;
 }
--- a/entry/src/front/callers/request_board.rs
+++ b/entry/src/front/callers/request_board.rs
@@ -57,6 +57,8 @@
     /// Empty until the head has been read.
     pub request_id: String,
     pub stage: RequestStage,
+    /// Whether it has been sent to an endpoint.
+    pub was_sent: bool,
     pub arrived_at: Micros,
     /// Wakes its task when the phase changes.
     waker: Option<Waker>,
@@ -78,6 +80,7 @@
         let request = OpenRequest {
             request_id: String::new(),
             stage: RequestStage::Arriving,
+            was_sent: false,
             arrived_at,
             waker: None,
         };
@@ -162,9 +165,15 @@
         stage: RequestStage,
     ) {
         if let Some(request) = self.board.requests.borrow_mut().get_mut(self.key) {
+            request.was_sent |= stage == RequestStage::Sent;
             request.stage = stage;
         }
     }
+
+    /// How far the request has come.
+    pub fn status(&self) -> Option<OpenRequest> {
+        self.board.requests.borrow().get(self.key).cloned()
+    }
 }
 
 impl Drop for RequestEntry {
@@ -185,17 +194,36 @@
     pub fn poll_ended(
         &self,
         context: &mut Context<'_>,
+    ) -> Poll<()> {
+        self.poll_phase(context, |stage| match stage {
+            RequestStage::Begun => Some(StopPhase::Ending),
+            _ => Some(StopPhase::Answering),
+        })
+    }
+
+    /// Ready if the request should have ended by itself, and its caller has received nothing.
+    pub fn poll_overdue(
+        &self,
+        context: &mut Context<'_>,
+    ) -> Poll<()> {
+        self.poll_phase(context, |stage| match stage {
+            RequestStage::Begun => None,
+            _ => Some(StopPhase::Ending),
+        })
+    }
+
+    /// Ready in the phase that `last_phase` names for the stage of the request.
+    fn poll_phase(
+        &self,
+        context: &mut Context<'_>,
+        last_phase: impl Fn(RequestStage) -> Option<StopPhase>,
     ) -> Poll<()> {
         let phase = self.board.phase.get();
         let mut requests = self.board.requests.borrow_mut();
         let Some(request) = requests.get_mut(self.key) else {
             return Poll::Pending;
         };
-        let last_phase = match request.stage {
-            RequestStage::Begun => StopPhase::Ending,
-            _ => StopPhase::Answering,
-        };
-        if phase >= last_phase {
+        if last_phase(request.stage).is_some_and(|last| phase >= last) {
             return Poll::Ready(());
         }
         let waker = context.waker();
--- a/entry/src/front/front_process.rs
+++ b/entry/src/front/front_process.rs
@@ -23,7 +23,9 @@
 
 /// Time until the load balancer stops sending requests to a process that is not ready: it probes
 /// once a second and acts on two probes.
-const BALANCER_NOTICE_TIME: Duration = Duration::from_millis(2_600);
+const BALANCER_NOTICE_TIME: Micros = Micros::from_millis(2_600);
+/// Time in which idle connections detect that they are to be closed.
+const IDLE_CLOSE_TIME: Micros = Micros::from_millis(700);
 /// Time reserved for closing connections before the stop limit.
 const CLOSE_MARGIN: Duration = Duration::from_millis(300);
 /// Time for which the reader of the log is waited for after that.
@@ -223,10 +225,9 @@
     front.stop_window.set(Some(window));
     let (running, arriving) = (front.requests.running(), front.requests.arriving());
     log::info!(event = "stopping", running = running, arriving = arriving; "");
-    Timer::after(BALANCER_NOTICE_TIME).await;
+    sleep_until(front, requested_at + BALANCER_NOTICE_TIME).await;
     front.state().closes_idle = true;
-    // Idle connections have time to detect that they are to be closed.
-    Timer::after(Duration::from_millis(700)).await;
+    sleep_until(front, requested_at + BALANCER_NOTICE_TIME + IDLE_CLOSE_TIME).await;
     wait_until_idle(front, window.answers_by).await;
     for (phase, limit) in [
         (StopPhase::Answering, window.ends_by),
@@ -241,6 +242,20 @@
     log::info!(event = "stopped", cut_off = cut_off, waited_ms = waited_ms; "");
 }
 
+/// Sleeps until a time of the process clock; timers do not advance while the box is suspended.
+async fn sleep_until(
+    front: &FrontContext,
+    at: Micros,
+) {
+    loop {
+        let remaining = at.since(front.now());
+        if remaining == Micros::ZERO {
+            return;
+        }
+        Timer::after(to_duration(remaining.min(IDLE_CHECK_INTERVAL))).await;
+    }
+}
+
 /// Waits until no request is open, or until `limit`. Time for which the box was suspended counts: the
 /// platform counts it too.
 async fn wait_until_idle(
--- a/entry/src/front/requests/request_end.rs
+++ b/entry/src/front/requests/request_end.rs
@@ -1,7 +1,7 @@
 use {
     crate::front::{
         refuse, write_to_caller, BufferedResponse, ConnectionReuse, ExchangeFailure,
-        RequestHandler, RequestRefusal,
+        RequestHandler, RequestRefusal, RequestStage,
     },
     pitchhitch_core::{
         serving::{AdmissionDecision, RefusalKind},
@@ -58,6 +58,7 @@
             sends: self.sends,
             decision: failure.decision,
         };
+        self.entry.set_stage(RequestStage::Begun);
         refuse(self.front, self.caller, &self.info, refusal).await
     }
 
@@ -104,6 +105,7 @@
         &mut self,
         response: BufferedResponse,
     ) -> ConnectionReuse {
+        self.entry.set_stage(RequestStage::Begun);
         match write_to_caller(self.caller, &response.bytes, &mut self.timer).await {
             true => self.finish_delivered(response.status),
             false => self.finish_abandoned(),
--- a/entry/src/front/requests/request_handler.rs
+++ b/entry/src/front/requests/request_handler.rs
@@ -99,6 +99,7 @@
                 sends: 0,
                 decision: None,
             };
+            entry.set_stage(RequestStage::Begun);
             return refuse(front, caller, &info, refusal).await;
         }
     };
