SIGHUP does not end the processes of the own interface

Callers saw: all their streams of an entry process or an agent cut at once when it received SIGHUP. Cause: these processes had handlers for SIGTERM and SIGINT only, installed after they had begun to serve. Change: all four processes wait for their stop in one function, which reads and checks the settings at SIGHUP and logs whether they differ; it stood twice, for front and engine agent. Handlers are installed before anything is served.

--- a/agent/src/cli/agent_cli.rs
+++ b/agent/src/cli/agent_cli.rs
@@ -113,14 +113,15 @@
     file: &str,
     check_only: bool,
 ) -> Result<(), ExitCode> {
-    let settings = read_settings(file, AgentSettings::parse).map_err(exit_settings)?;
+    let read = || read_settings(file, AgentSettings::parse);
+    let settings = read().map_err(exit_settings)?;
     if check_only {
         println!("{file}: no problems");
         return Ok(());
     }
     start_logging();
     start_traffic_threads(settings.traffic_threads);
-    smol::block_on(run_agent(settings)).map_err(exit_failed)
+    smol::block_on(run_agent(settings, &read)).map_err(exit_failed)
 }
 
 fn run_engine(
--- a/agent/src/cli/agent_process.rs
+++ b/agent/src/cli/agent_process.rs
@@ -11,7 +11,7 @@
     },
     anyhow::Context,
     pitchhitch_core::role::{AgentEvent, AgentIdentity},
-    pitchhitch_process::{spawn_detached, wait_for_stop, MetricSet, ProcessClock},
+    pitchhitch_process::{spawn_detached, MetricSet, ProcessClock, SignalListener},
     pitchhitch_services::table::TableClient,
     smol::{net::TcpListener, Timer},
     std::{
@@ -28,11 +28,15 @@
 /// Interval at which a stopping agent checks whether it is idle.
 const IDLE_POLL_INTERVAL: Duration = Duration::from_millis(50);
 
-/// Runs an agent until it receives a stop signal and has drained.
+/// Runs an agent until it receives a stop signal and has drained; `reload` reads the settings again.
 ///
 /// # Errors
 /// If an address cannot be bound or the signal handlers cannot be installed.
-pub async fn run_agent(settings: AgentSettings) -> anyhow::Result<()> {
+pub async fn run_agent(
+    settings: AgentSettings,
+    reload: &dyn Fn() -> Result<AgentSettings, String>,
+) -> anyhow::Result<()> {
+    let mut signals = SignalListener::start().context("cannot install signal handlers")?;
     let clock = ProcessClock::start();
     let settings = Arc::new(settings);
     let listener = TcpListener::bind(settings.listen).await;
@@ -68,9 +72,8 @@
         incarnation = clock.incarnation();
         ""
     );
-    wait_for_stop()
-        .await
-        .context("cannot install signal handlers")?;
+    let stopped = signals.wait_for_stop(&*settings, reload).await;
+    stopped.context("cannot receive signals")?;
     drain(&settings, &handle).await;
     Ok(())
 }
--- a/agent/src/engine_agent/engine_agent_process.rs
+++ b/agent/src/engine_agent/engine_agent_process.rs
@@ -6,7 +6,7 @@
     },
     anyhow::Context,
     pitchhitch_http1::serve_paths,
-    pitchhitch_process::{finish_log, flush_log, ProcessSignal, SignalListener},
+    pitchhitch_process::{finish_log, flush_log, SignalListener},
     pitchhitch_wire::engine_agent::DatagramSocket,
     smol::Timer,
     std::time::Duration,
@@ -55,28 +55,9 @@
         program = env!("CARGO_PKG_VERSION");
         ""
     );
-    let stopped = wait_for_stop(&agent, &mut signals, reload);
-    agent.run(stopped).await?;
+    let stopped = signals.wait_for_stop(&agent.settings, reload);
+    agent.run(stopped).await.context("cannot receive signals")?;
     log::info!(event = "stopped", beside = agent.settings.box_id.as_str(); "");
     finish_log(LOG_TIME);
     Ok(())
 }
-
-/// Waits for a stop signal. On a reload signal, checks the new settings and logs whether they
-/// differ; a change takes effect at the next restart only.
-async fn wait_for_stop(
-    agent: &EngineAgentContext,
-    signals: &mut SignalListener,
-    reload: &dyn Fn() -> Result<EngineAgentSettings, String>,
-) -> anyhow::Result<()> {
-    while signals.next().await.context("cannot receive signals")? == ProcessSignal::Reload {
-        match reload() {
-            Ok(settings) => {
-                let changed = settings != agent.settings;
-                log::info!(event = "reload", changed = changed; "");
-            }
-            Err(error) => log::error!(event = "reload", error = error.as_str(); ""),
-        }
-    }
-    Ok(())
-}
--- a/entry/src/cli/entry_process.rs
+++ b/entry/src/cli/entry_process.rs
@@ -18,7 +18,7 @@
         role::{EntryCore, EntrySetup},
     },
     pitchhitch_http1::ConnectionCapacity,
-    pitchhitch_process::{wait_for_stop, MetricSet, ProcessClock},
+    pitchhitch_process::{MetricSet, ProcessClock, SignalListener},
     pitchhitch_services::{
         boxes::BoxClient, config::ConfigStore, objects::ObjectClient, table::TableClient,
     },
@@ -55,12 +55,16 @@
 }
 
 /// Runs an entry process until it receives a stop signal and its running requests have ended, or
-/// `SHUTDOWN_TIMEOUT` has passed.
+/// `SHUTDOWN_TIMEOUT` has passed; `reload` reads the settings again.
 ///
 /// # Errors
 /// When an address cannot be bound, the metrics socket cannot be opened, or the control thread or
 /// the signal handlers cannot be set up.
-pub async fn run_entry(settings: EntrySettings) -> anyhow::Result<()> {
+pub async fn run_entry(
+    settings: EntrySettings,
+    reload: &dyn Fn() -> Result<EntrySettings, String>,
+) -> anyhow::Result<()> {
+    let mut signals = SignalListener::start().context("cannot install signal handlers")?;
     let clock = ProcessClock::start();
     let caller_listener = bind(settings.callers)?;
     let operator_listener = bind(settings.operators)?;
@@ -116,9 +120,8 @@
         incarnation = clock.incarnation();
         ""
     );
-    wait_for_stop()
-        .await
-        .context("cannot install signal handlers")?;
+    let stopped = signals.wait_for_stop(&settings, reload).await;
+    stopped.context("cannot receive signals")?;
     log::info!(event = "stopping", entry = settings.box_id.as_str(); "");
     app.stopping.store(true, Ordering::Relaxed);
     // The load balancer needs time to notice that the process is no longer ready.
--- a/entry/src/command/serve.rs
+++ b/entry/src/command/serve.rs
@@ -21,10 +21,13 @@
     let Some(args) = CommandArgs::parse(HELP, Options::new(), args)? else {
         return Ok(());
     };
-    let file = args.settings_file()?;
-    let settings = EntrySettings::parse(&file.path, &file.text)
-        .map_err(|e| CliError::Settings(e.to_string()))?;
+    let read = || {
+        let file = args.settings_file()?;
+        EntrySettings::parse(&file.path, &file.text).map_err(|e| CliError::Settings(e.to_string()))
+    };
+    let settings = read()?;
+    let reload = || read().map_err(|e| e.to_string());
     start_logging();
     start_traffic_threads(settings.traffic_threads);
-    smol::block_on(run_entry(settings)).map_err(|e| CliError::Failed(format!("{e:#}")))
+    smol::block_on(run_entry(settings, &reload)).map_err(|e| CliError::Failed(format!("{e:#}")))
 }
--- a/entry/src/front/front_process.rs
+++ b/entry/src/front/front_process.rs
@@ -15,7 +15,7 @@
     pitchhitch_http1::{
         open_connections, serve_paths, ConnectionListener, TcpConnection, TcpKeepalive,
     },
-    pitchhitch_process::{finish_log, flush_log, to_duration, ProcessSignal, SignalListener},
+    pitchhitch_process::{finish_log, flush_log, to_duration, SignalListener},
     pitchhitch_wire::engine_agent::DatagramSocket,
     smol::Timer,
     std::{rc::Rc, time::Duration},
@@ -98,29 +98,13 @@
         let names = settings.disabled_mechanisms.names();
         log::warn!(event = "left-out", mechanisms = names.as_str(); "");
     }
-    while signals.next().await.context("cannot receive signals")? == ProcessSignal::Reload {
-        check_reload(&front, reload);
-    }
+    let stopped = signals.wait_for_stop(&front.settings, reload).await;
+    stopped.context("cannot receive signals")?;
     shut_down(&front).await;
     finish_log(LOG_TIME);
     Ok(())
 }
 
-/// Validates the new settings and logs whether they differ. They take effect with a restart, which
-/// the platform does one box at a time.
-fn check_reload(
-    front: &FrontContext,
-    reload: &dyn Fn() -> Result<FrontSettings, String>,
-) {
-    match reload() {
-        Ok(settings) => {
-            let changed = settings != front.settings;
-            log::info!(event = "reload", changed = changed; "");
-        }
-        Err(error) => log::error!(event = "reload", error = error.as_str(); ""),
-    }
-}
-
 /// Detects pauses and overload of the process, and flushes the log.
 async fn detect_pauses(front: Rc<FrontContext>) {
     loop {
--- a/process/src/lib.rs
+++ b/process/src/lib.rs
@@ -8,11 +8,10 @@
 mod process_clock;
 mod process_usage;
 mod signal_listener;
-mod stop_signal;
 mod task_pool;
 mod wake_signal;
 
 pub use {
     deadline_timer::*, log_setup::*, metric_set::*, process_clock::*, process_usage::*,
-    signal_listener::*, stop_signal::*, task_pool::*, wake_signal::*,
+    signal_listener::*, task_pool::*, wake_signal::*,
 };
--- a/process/src/signal_listener.rs
+++ b/process/src/signal_listener.rs
@@ -40,4 +40,23 @@
             _ => Ok(ProcessSignal::Stop),
         }
     }
+
+    /// Waits for a stop signal. On a reload signal, reads and checks the settings again and logs whether
+    /// they differ; a change takes effect at the next start, which the platform does one box at a time.
+    ///
+    /// # Errors
+    /// If signals can no longer be received.
+    pub async fn wait_for_stop<S: PartialEq>(
+        &mut self,
+        settings: &S,
+        reload: &dyn Fn() -> Result<S, String>,
+    ) -> io::Result<()> {
+        while self.next().await? == ProcessSignal::Reload {
+            match reload() {
+                Ok(new) => log::info!(event = "reload", changed = new != *settings; ""),
+                Err(error) => log::error!(event = "reload", error = error.as_str(); ""),
+            }
+        }
+        Ok(())
+    }
 }
--- a/testbed/examples/playground.rs
+++ b/testbed/examples/playground.rs
@@ -3,7 +3,7 @@
 //! seconds.
 
 use {
-    pitchhitch_process::{start_traffic_threads, wait_for_stop},
+    pitchhitch_process::{start_traffic_threads, SignalListener},
     pitchhitch_testbed::deploy::{Deployment, DeploymentShape, ProgramSet},
     smol::Timer,
     std::time::Duration,
@@ -32,8 +32,9 @@
             deployment.folder().join("operator.json").display()
         );
         println!("serving model 'assistant' and service '/orders'; stop it with Ctrl-C");
+        let mut signals = SignalListener::start()?;
         let stopped = async {
-            let _ = wait_for_stop().await;
+            let _ = signals.next().await;
         };
         let timed_out = async {
             Timer::after(Duration::from_secs(seconds)).await;
--- a/testbed/src/deploy/child_process.rs
+++ b/testbed/src/deploy/child_process.rs
@@ -26,6 +26,8 @@
 pub enum ProcessSignal {
     /// SIGTERM: graceful shutdown.
     Term,
+    /// SIGHUP: reload.
+    Reload,
     /// SIGSTOP: pause.
     Stop,
     /// SIGCONT: resume after a pause.
@@ -72,6 +74,7 @@
     ) {
         let name = match signal {
             ProcessSignal::Term => "-TERM",
+            ProcessSignal::Reload => "-HUP",
             ProcessSignal::Stop => "-STOP",
             ProcessSignal::Continue => "-CONT",
         };
