Answers that a stop cuts at slow readers are logged as cut

Operators saw 'end outcome=caller-gone' without a cause for an answer that the front itself cut, as it exited or the time limit passed before the caller had read it; and no line at all where the answer was an endpoint's server error. Cause: a write that did not end in time was taken for a closed connection, and the delivery of server errors logged nothing when it failed. A whole answer that was being written did not count as begun. Evidence: unread_answer_logged (16 MiB that the caller does not read, SIGTERM) failed before, 1 of 1: 'outcome=caller-gone cause=""'. Change: such ends are logged with 'outcome=cut' and 'stop' or 'timed-out' as cause; whole answers count as begun from their first byte. The line of server errors is by reading only.

--- a/entry/src/front/requests/request_end.rs
+++ b/entry/src/front/requests/request_end.rs
@@ -62,13 +62,15 @@
         refuse(self.front, self.caller, &self.info, refusal).await
     }
 
-    /// Ends a request whose caller has closed its connection.
+    /// Ends a request whose caller has closed its connection, or has not read the response in time.
     pub(crate) fn finish_abandoned(&self) -> ConnectionReuse {
-        // A write that the caller does not take ends with the stop, too.
-        match self.is_stopped() {
-            true => self.log_end("cut", "stop", 0),
-            false => self.log_end("caller-gone", "", 0),
-        }
+        let is_late = self.front.now() >= self.deadline;
+        let (outcome, cause) = match (self.is_stopped(), is_late) {
+            (true, _) => ("cut", "stop"),
+            (false, true) => ("cut", RefusalKind::TimedOut.response().code),
+            (false, false) => ("caller-gone", ""),
+        };
+        self.log_end(outcome, cause, 0);
         ConnectionReuse::Close
     }
 
@@ -105,13 +107,22 @@
         &mut self,
         response: BufferedResponse,
     ) -> ConnectionReuse {
-        self.entry.set_stage(RequestStage::Begun);
-        match write_to_caller(self.caller, &response.bytes, &mut self.timer).await {
+        match self.write_buffered(&response).await {
             true => self.finish_delivered(response.status),
             false => self.finish_abandoned(),
         }
     }
 
+    /// Writes a complete response to the caller; true if everything was written.
+    pub(crate) async fn write_buffered(
+        &mut self,
+        response: &BufferedResponse,
+    ) -> bool {
+        self.progress.is_head_sent = true;
+        self.set_stage(RequestStage::Begun);
+        write_to_caller(self.caller, &response.bytes, &mut self.timer).await
+    }
+
     /// Records how long it took from when it was read: a stream may have been moved, or tried at
     /// several endpoints.
     fn record_run_time(&self) {
--- a/entry/src/front/requests/request_response.rs
+++ b/entry/src/front/requests/request_response.rs
@@ -89,8 +89,7 @@
                     return AttemptOutcome::Failed(buffered);
                 }
                 self.response_started_at = Some(self.front.now());
-                self.entry.set_stage(RequestStage::Begun);
-                match write_to_caller(self.caller, &buffered.bytes, &mut self.timer).await {
+                match self.write_buffered(&buffered).await {
                     true => AttemptOutcome::Delivered(buffered.status),
                     false => AttemptOutcome::CallerGone,
                 }
