Closing a connection with unread data keeps its answer

Callers saw: an answer that broke off, as a stopping front closed the connection behind it while more was arriving on it than the front had read. Cause: a close with unread data resets the connection, and what the caller has not received is lost. This concerns each closed connection, also refusals of requests whose bodies are still arriving. Change: where unread data is known, and after refusals before the end of a request, the front ends its own direction and discards what arrives, for at most 1 s and until its exit. The exit waits for it, and does not count it as cut.

--- a/entry/src/front/callers/caller_conn.rs
+++ b/entry/src/front/callers/caller_conn.rs
@@ -15,7 +15,10 @@
     pitchhitch_platform::{decode_request_info, encode_refusal, expects_continue},
     pitchhitch_process::to_duration,
     smol::Timer,
-    std::{net::IpAddr, rc::Rc},
+    std::{
+        net::{IpAddr, Shutdown},
+        rc::Rc,
+    },
 };
 
 /// Timeout between two reads of a body.
@@ -24,6 +27,8 @@
 const STOP_CHECK_INTERVAL: Micros = Micros::from_millis(500);
 /// Times that a body is in memory: it is copied when it is sent to an endpoint.
 const BODY_COPIES: usize = 2;
+/// Longest time for which data is discarded on a connection that is closed.
+const DISCARD_TIME: Micros = Micros::from_secs(1);
 /// Timeout of writing a refusal before the connection is closed.
 const REFUSAL_WRITE_TIMEOUT: Micros = Micros::from_secs(1);
 
@@ -78,12 +83,17 @@
                 drop(held);
                 match reuse {
                     Some(ConnectionReuse::KeepAlive) => connection.shrink_buffer(),
-                    Some(ConnectionReuse::Close) => return,
+                    Some(ConnectionReuse::Close) => {
+                        entry.set_stage(RequestStage::Closing);
+                        return close(connection).await;
+                    }
                     None => return end_overdue(&front, &mut connection, &entry).await,
                 }
             }
             ReadOutcome::Rejected(kind) => {
-                return refuse(&front, &mut connection, &entry, kind).await
+                refuse(&front, &mut connection, &entry, kind).await;
+                entry.set_stage(RequestStage::Closing);
+                return discard_rest(connection).await;
             }
             ReadOutcome::Closed => return,
         }
@@ -271,6 +281,31 @@
     time_left.unwrap_or(DEFAULT_CALLER_TIMEOUT)
 }
 
+/// Closes a connection; what the caller has sent already is not served.
+async fn close(mut connection: TcpConnection) {
+    if connection.idle_state() == IdleState::UnexpectedData {
+        discard_rest(connection).await;
+    }
+}
+
+/// Ends the responses of a connection and reads what still arrives for a while: a close with unread
+/// data would reset the connection and destroy what the caller has not received.
+async fn discard_rest(mut connection: TcpConnection) {
+    if connection.socket().shutdown(Shutdown::Write).is_err() {
+        return;
+    }
+    let ended = async {
+        loop {
+            let unread = connection.buffer().len();
+            connection.consume(unread);
+            if !matches!(connection.read_more().await, Ok(count) if count > 0) {
+                return;
+            }
+        }
+    };
+    with_timeout(DISCARD_TIME, ended).await;
+}
+
 /// Answers a request whose handler waits for something that does not watch the stop of the process.
 async fn end_overdue(
     front: &FrontContext,
--- a/entry/src/front/callers/request_board.rs
+++ b/entry/src/front/callers/request_board.rs
@@ -25,6 +25,8 @@
     Responding,
     /// The caller has received a part of the response.
     Begun,
+    /// It is over, and its connection is being closed.
+    Closing,
 }
 
 impl RequestStage {
@@ -35,6 +37,7 @@
             RequestStage::Sent => "sent",
             RequestStage::Responding => "responding",
             RequestStage::Begun => "begun",
+            RequestStage::Closing => "closing",
         }
     }
 }
@@ -107,7 +110,7 @@
 
     /// Number of requests that have been read to their end.
     pub fn running(&self) -> usize {
-        self.len() - self.arriving()
+        self.open().len() - self.arriving()
     }
 
     /// Number of requests that are still arriving.
@@ -119,18 +122,18 @@
             .count()
     }
 
-    /// Number of open requests.
-    pub fn len(&self) -> usize {
-        self.requests.borrow().len()
-    }
-
+    /// Whether no request is open and no connection is being closed.
     pub fn is_empty(&self) -> bool {
-        self.len() == 0
+        self.requests.borrow().is_empty()
     }
 
-    /// All open requests.
+    /// All requests that are not over.
     pub fn open(&self) -> Vec<OpenRequest> {
-        self.requests.borrow().values().cloned().collect()
+        let requests = self.requests.borrow();
+        let open = requests
+            .values()
+            .filter(|request| request.stage != RequestStage::Closing);
+        open.cloned().collect()
     }
 }
 
--- a/entry/src/front/front_process.rs
+++ b/entry/src/front/front_process.rs
@@ -221,7 +221,7 @@
         wait_until_idle(front, limit.max(front.now() + PHASE_TIME)).await;
     }
     log_cut_requests(front);
-    let cut_off = front.requests.len();
+    let cut_off = front.requests.open().len();
     let waited_ms = front.now().since(requested_at).as_millis();
     log::info!(event = "stopped", cut_off = cut_off, waited_ms = waited_ms; "");
 }
