Durations from rows are bounded

Fronts: an entry with a remaining slow start of 1e308 ms stopped the task that reads the endpoint list, and a configuration with a target latency of that size the tasks of requests. The process went on, ready, and followed the list no longer. This is so in builds that check overflows; others calculate with a wrapped time.

Cause: a number was accepted at any size, and then multiplied.

--- a/core/src/time/micros.rs
+++ b/core/src/time/micros.rs
@@ -15,14 +15,14 @@
     /// The origin of the host's clock.
     pub const ZERO: Micros = Micros(0);
 
-    /// A duration of whole milliseconds.
+    /// A duration of whole milliseconds, saturating as all sums do.
     pub const fn from_millis(millis: u64) -> Self {
-        Micros(millis * 1_000)
+        Micros(millis.saturating_mul(1_000))
     }
 
-    /// A duration of whole seconds.
+    /// A duration of whole seconds, saturating.
     pub const fn from_secs(secs: u64) -> Self {
-        Micros(secs * 1_000_000)
+        Micros(secs.saturating_mul(1_000_000))
     }
 
     /// This duration in seconds, with fractions.
