The highest epoch of a lease row no longer overflows

Fronts: a lease row with the highest epoch, by another version or program, would stop the task that gives orders in place of missing agents when the lease is next taken; the same held for its number of renewals. The epoch now stays at its highest value: the holder's name still tells who holds the lease.

A front was not brought to take such a lease within 30 s in a run of the programs, so this is shown by the state machine only.

--- a/core/src/lease/lease_machine.rs
+++ b/core/src/lease/lease_machine.rs
@@ -127,7 +127,7 @@
         let row = &seen.row;
         if row.holder == self.own_id {
             let mut renewed = row.clone();
-            renewed.renewals += 1;
+            renewed.renewals = row.renewals.wrapping_add(1);
             return Some(renewed);
         }
         let takeover_delay = self.times.duration + self.times.margin;
@@ -135,7 +135,7 @@
         if row.holder.is_empty() || expired {
             return Some(LeaseRow {
                 holder: self.own_id.clone(),
-                epoch: row.epoch + 1,
+                epoch: row.epoch.saturating_add(1),
                 renewals: 0,
             });
         }
--- a/core/tests/lease_protocol.rs
+++ b/core/tests/lease_protocol.rs
@@ -3,8 +3,8 @@
 
 use pitchhitch_core::{
     lease::{
-        is_contender, shard_of, FenceRefusal, LeaseMachine, LeaseStep, LeaseTimes, OrderFence,
-        OrderStamp,
+        is_contender, shard_of, FenceRefusal, LeaseMachine, LeaseRow, LeaseStep, LeaseTimes,
+        OrderFence, OrderStamp,
     },
     time::Micros,
 };
@@ -64,3 +64,23 @@
         assert_eq!(contenders.count(), 3);
     }
 }
+
+/// A row with the highest epoch and count of renewals ended the process that read it.
+#[test]
+fn foreign_epoch_overflows() {
+    let mut machine = LeaseMachine::new("p", TIMES);
+    let row = |holder: &str| LeaseRow {
+        holder: holder.to_string(),
+        epoch: u64::MAX,
+        renewals: u64::MAX,
+    };
+    for holder in ["", "p"] {
+        machine.on_row_read(Some(row(holder)), 1, Micros(0), Micros(0));
+        let LeaseStep::Write { row, .. } = machine.step(Micros(9)) else {
+            panic!("the lease is free or held");
+        };
+        assert_eq!(row.holder, "p");
+        machine.on_row_written(2, Micros(9));
+        assert!(machine.epoch(Micros(9)).is_some());
+    }
+}
