Times of foreign roll-out records no longer overflow

Fronts: a record of a roll-out that another version wrote with a start or end near the highest number stopped the task that carries out roll-outs, and each request of the service.

Cause: the ordered time was added to it. These sums, and that of the store's clock, now saturate.

--- a/core/src/rollout/rollout_schedule.rs
+++ b/core/src/rollout/rollout_schedule.rs
@@ -38,7 +38,10 @@
     /// Schedule of a roll-out.
     pub fn of(record: &RolloutRecord) -> Self {
         let duration_ms = record.order.duration.as_millis();
-        let at = |percent: u64| record.started_ms + duration_ms * percent / 100;
+        let at = |percent: u64| {
+            let elapsed = duration_ms.saturating_mul(percent) / 100;
+            record.started_ms.saturating_add(elapsed)
+        };
         RolloutSchedule {
             shift_at: at(COMPARE_PERCENT),
             shifted_at: at(SHIFTED_PERCENT),
--- a/core/src/rollout/service_rollout.rs
+++ b/core/src/rollout/service_rollout.rs
@@ -51,7 +51,7 @@
         now: Micros,
     ) -> Option<u64> {
         let (store_ms, at) = self.store_clock?;
-        Some(store_ms + now.since(at).as_millis())
+        Some(store_ms.saturating_add(now.since(at).as_millis()))
     }
 
     /// Counts the outcome of a request.
@@ -154,7 +154,7 @@
         now: Micros,
     ) -> bool {
         match (record.ended_ms, self.store_ms(now)) {
-            (Some(ended_ms), Some(store_ms)) => store_ms < ended_ms + STOP_TIME_MS,
+            (Some(ended_ms), Some(store_ms)) => store_ms < ended_ms.saturating_add(STOP_TIME_MS),
             _ => true,
         }
     }
