--- a/core/src/serving/weights/publication_records.rs
+++ b/core/src/serving/weights/publication_records.rs
@@ -289,7 +289,8 @@
         model: &str,
         version: u64,
     ) -> Option<&PublicationRecord> {
-        let later = (model.to_string(), version + 1)..=(model.to_string(), u64::MAX);
+        let first = version.checked_add(1)?;
+        let later = (model.to_string(), first)..=(model.to_string(), u64::MAX);
         self.publications
             .range(later)
             .next()
