--- a/core/src/time/micros.rs
+++ b/core/src/time/micros.rs
@@ -15,7 +15,7 @@
     /// The origin of the host's clock.
     pub const ZERO: Micros = Micros(0);
 
-    /// A duration of whole milliseconds, saturating as all sums do.
+    /// A duration of whole milliseconds, saturating.
     pub const fn from_millis(millis: u64) -> Self {
         Micros(millis.saturating_mul(1_000))
     }
