--- a/core/src/serving/membership/endpoint_entry.rs
+++ b/core/src/serving/membership/endpoint_entry.rs
@@ -339,7 +339,9 @@
         &self,
         now: Micros,
     ) -> u32 {
-        let reported = self.fresh_load(now).map_or(0, |l| l.running + l.waiting);
+        let reported = self
+            .fresh_load(now)
+            .map_or(0, |l| l.running.saturating_add(l.waiting));
         reported.max(self.running)
     }
 }
